--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,6 +1,10 @@
 # Helpers that turn folders into targets.
 
-set(SHEDLEVER_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wconversion -Wno-sign-conversion -Werror)
+set(SHEDLEVER_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wconversion -Wno-sign-conversion)
+# Warnings are errors in CI and for developers; a user's build must not break on another compiler's false warning.
+if(NOT SHEDLEVER_ROUTER_ONLY)
+  list(APPEND SHEDLEVER_WARNINGS -Werror)
+endif()
 
 function(shedlever_library NAME)
   cmake_parse_arguments(ARG "" "FOLDER" "LINK" ${ARGN})
@@ -48,7 +52,7 @@
   if(SUPPORT)
     add_library(shedlever_test_support STATIC ${SUPPORT})
     target_compile_options(shedlever_test_support PRIVATE ${SHEDLEVER_WARNINGS})
-    target_link_libraries(shedlever_test_support PUBLIC shedlever_lab shedlever_standins GTest::gmock ${RAPIDCHECK_LIBRARY})
+    target_link_libraries(shedlever_test_support PUBLIC shedlever_lab shedlever_standins shedlever_adapter GTest::gmock ${RAPIDCHECK_LIBRARY})
   else()
     add_library(shedlever_test_support INTERFACE)
     target_link_libraries(shedlever_test_support INTERFACE shedlever_lab shedlever_standins GTest::gmock ${RAPIDCHECK_LIBRARY})
--- /dev/null
+++ b/include/shedlever/router_frames.h
@@ -0,0 +1,196 @@
+#pragma once
+
+/// @file
+/// Frames between router processes, over message streams. A frame arrives whole or not at all.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "shedlever/identifiers.h"
+#include "shedlever/request_frames.h"
+#include "shedlever/router_config.h"
+
+namespace shedlever {
+
+/// Names a request on its way between two processes; unique in one incarnation of the sender.
+using ExchangeId = std::uint64_t;
+
+/// Names one life of a server.
+using InstanceId = StrongName<struct InstanceIdTag>;
+
+/// Number of keys of a service that is divided by key.
+inline constexpr std::uint32_t kKeyCount = 65536;
+using Key = std::uint16_t;
+
+/// A request for the server beside the receiving process.
+struct ForwardFrame {
+  ExchangeId exchange = 0;
+  RequestId id;
+  InstanceId instance;
+  RouteKind kind = RouteKind::OnceOnly;
+  std::uint32_t priority = 0;
+  bool keyed = false;
+  Key key = 0;
+  /// What is left of the request's time when the frame is sent.
+  Duration::rep remaining_us = 0;
+  /// The route's latency objective.
+  Duration::rep target_us = 0;
+  /// The service of the machine where the request began.
+  ServiceName caller;
+  HttpRequest http;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, id, instance, kind, priority, keyed, key, remaining_us, target_us, caller, http);
+  }
+};
+
+/// What became of a forwarded request.
+enum class ForwardOutcome : std::uint8_t {
+  Answered,  ///< `http` is the server's whole answer
+  NotRun,    ///< proved: the server has not run it and never will
+  Unknown,   ///< it may have run
+};
+
+enum class ForwardReason : std::uint8_t {
+  None,
+  Overloaded,      ///< the queue is too long
+  WrongInstance,   ///< another life of the server, or none
+  NotOwner,        ///< the key is not held here
+  NotYetOwner,     ///< the key comes here, its grant is under way
+  Draining,        ///< the server is leaving
+  ServerRefused,   ///< the server said that it did not run it
+  ServerDown,      ///< the server can't be reached
+  ConnectionLost,  ///< the connection to the server or to its process broke
+  BrokenAnswer,    ///< the server's answer was cut short or made no sense
+  TimedOut,
+  Cancelled,
+  NoInstance,  ///< no server of the service is known
+};
+
+/// Last value, for the decoder.
+inline constexpr ForwardReason kLastForwardReason = ForwardReason::NoInstance;
+
+/// @return a word for logs and metrics.
+const char* toString(ForwardReason reason);
+
+/// Work at one server as its process counts it.
+struct ServerLoad {
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t slots = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(running, queued, slots);
+  }
+};
+
+/// Exactly one for each forward frame, while the stream lives.
+struct ForwardReplyFrame {
+  ExchangeId exchange = 0;
+  ForwardOutcome outcome = ForwardOutcome::Unknown;
+  ForwardReason reason = ForwardReason::None;
+  /// Whether the request was sent to the server at all.
+  bool reached_server = false;
+  /// When to come back, for refusals; 0 when nothing is known.
+  Duration::rep retry_after_us = 0;
+  /// Time that the server took; 0 when it did not run.
+  Duration::rep service_us = 0;
+  ServerLoad load;
+  HttpResponse http;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, outcome, reason, reached_server, retry_after_us, service_us, load, http);
+  }
+};
+
+/// The client went away, or its time is over.
+struct CancelForwardFrame {
+  ExchangeId exchange = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange);
+  }
+};
+
+/// First frame on a stream, from the side that connects.
+struct HelloFrame {
+  NodeName node;
+  Incarnation incarnation;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, incarnation);
+  }
+};
+
+/// The sender's process is stopping: send it nothing new.
+struct StoppingFrame {
+  NodeName node;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node);
+  }
+};
+
+/// Asks what became of a request whose stream broke. The receiver never begins it afterwards.
+struct SettleFrame {
+  ExchangeId exchange = 0;
+  /// The sender's incarnation that numbered the exchange.
+  Incarnation incarnation;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, incarnation);
+  }
+};
+
+enum class SettleState : std::uint8_t {
+  NotBegun,  ///< and never will be
+  Pending,   ///< waits or runs: the reply comes on the stream that asked
+  Answered,  ///< its reply was written to the stream that broke, and is lost
+};
+
+struct SettleReplyFrame {
+  ExchangeId exchange = 0;
+  SettleState state = SettleState::Answered;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, state);
+  }
+};
+
+/// A call to the store on behalf of a process that can't reach it.
+struct StoreCallFrame {
+  ExchangeId exchange = 0;
+  Duration::rep timeout_us = 0;
+  HttpRequest http;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, timeout_us, http);
+  }
+};
+
+struct StoreReplyFrame {
+  ExchangeId exchange = 0;
+  /// False: the call got no answer.
+  bool answered = false;
+  HttpResponse http;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, answered, http);
+  }
+};
+
+using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
+                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame>;
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/key_meter.cc
@@ -0,0 +1,96 @@
+#include "source/core/router/key_meter.h"
+
+#include <cmath>
+
+namespace shedlever {
+
+namespace {
+
+/// Half-lives after which the sums are brought back to the present, before they leave the range of a float.
+constexpr double kRescaleAfter = 40.0;
+
+struct EndCut {
+  KeySpan keys;
+  double work = 0;
+};
+
+}  // namespace
+
+double KeyMeter::scaleAt(TimePoint now) const {
+  const double half_lives = static_cast<double>((now - reference_).count()) / static_cast<double>(half_life_.count());
+  return std::exp2(half_lives);
+}
+
+void KeyMeter::add(Key key, double amount, TimePoint now) {
+  double scale = scaleAt(now);
+  if (scale > std::exp2(kRescaleAfter)) {
+    for (float& work : work_) {
+      work = static_cast<float>(work / scale);
+    }
+    reference_ = now;
+    scale = 1.0;
+  }
+  work_[key] += static_cast<float>(amount * scale);
+}
+
+double KeyMeter::sum(const KeySpan& keys, TimePoint now) const {
+  double total = 0;
+  for (std::uint32_t key = keys.first; key <= keys.last; ++key) {
+    total += work_[key];
+  }
+  return total / scaleAt(now);
+}
+
+std::vector<KeySpan> KeyMeter::split(const KeySpan& range, std::size_t parts, TimePoint now) const {
+  const double scale = scaleAt(now);
+  const double share = sum(range, now) / static_cast<double>(parts);
+  std::vector<KeySpan> runs;
+  KeySpan run{range.first, range.first};
+  double work = 0;
+  for (std::uint32_t key = range.first; key <= range.last; ++key) {
+    work += work_[key] / scale;
+    run.last = static_cast<Key>(key);
+    if (share > 0 && work >= share && runs.size() + 1 < parts && key < range.last) {
+      runs.push_back(run);
+      run.first = static_cast<Key>(key + 1);
+      work = 0;
+    }
+  }
+  runs.push_back(run);
+  return runs;
+}
+
+std::optional<KeySpan> KeyMeter::cut(const KeySpan& range, double wanted, double most, TimePoint now) const {
+  const double scale = scaleAt(now);
+  const auto from_low_end = [&] {
+    EndCut cut;
+    for (std::uint32_t key = range.first; key < range.last && cut.work < wanted; ++key) {
+      if (cut.work + work_[key] / scale > most) {
+        break;
+      }
+      cut.work += work_[key] / scale;
+      cut.keys = {range.first, static_cast<Key>(key)};
+    }
+    return cut;
+  };
+  const auto from_high_end = [&] {
+    EndCut cut;
+    for (std::uint32_t key = range.last; key > range.first && cut.work < wanted; --key) {
+      if (cut.work + work_[key] / scale > most) {
+        break;
+      }
+      cut.work += work_[key] / scale;
+      cut.keys = {static_cast<Key>(key), range.last};
+    }
+    return cut;
+  };
+  const EndCut low = from_low_end();
+  const EndCut high = from_high_end();
+  const EndCut& best = std::abs(low.work - wanted) <= std::abs(high.work - wanted) ? low : high;
+  if (best.work <= 0) {
+    return std::nullopt;
+  }
+  return best.keys;
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/lease_keeper.cc
@@ -0,0 +1,81 @@
+#include "source/core/router/lease_keeper.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace shedlever {
+
+using nlohmann::json;
+
+std::string LeaseRecord::encode() const {
+  json document = {{"incarnation", incarnation.value}, {"count", count}};
+  if (revoked) {
+    document["revoked"] = true;
+  }
+  return document.dump();
+}
+
+LeaseRecord LeaseRecord::decode(const std::string& text) {
+  LeaseRecord record;
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    record.revoked = true;
+    return record;
+  }
+  record.incarnation.value = document.value("incarnation", std::uint64_t{0});
+  record.count = document.value("count", std::uint64_t{0});
+  record.revoked = document.value("revoked", false);
+  return record;
+}
+
+LeaseKeeper::LeaseKeeper(NodeIdentity self, const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
+                         std::function<void()> on_revoked)
+    : self_(std::move(self)), config_(config), store_(store), clock_(clock), on_revoked_(std::move(on_revoked)) {}
+
+void LeaseKeeper::tick(TimePoint now) {
+  if (!in_flight_ && now >= next_) {
+    send(now);
+  }
+}
+
+void LeaseKeeper::send(TimePoint now) {
+  in_flight_ = true;
+  const LeaseRecord record{self_.incarnation, ++count_, false};
+  const MetadataObject object{self_.name.value, revision_, record.encode()};
+  const auto done = [this, now](const StoreAnswer& answer) { onAnswer(answer, now); };
+  if (revision_ == 0) {
+    store_.create(kLeaseKind, object, done);
+  } else {
+    store_.replace(kLeaseKind, object, done);
+  }
+}
+
+void LeaseKeeper::onAnswer(const StoreAnswer& answer, TimePoint sent) {
+  in_flight_ = false;
+  const TimePoint now = clock_.now();
+  switch (answer.status) {
+    case StoreStatus::Done:
+      revision_ = answer.object.revision;
+      valid_until_ = sent + config_.lease;
+      next_ = sent + config_.lease_renewal;
+      return;
+    case StoreStatus::Conflict:
+      revision_ = answer.object.revision;
+      next_ = now;
+      if (LeaseRecord::decode(answer.object.value).revoked) {
+        valid_until_ = {};
+        on_revoked_();
+      }
+      return;
+    case StoreStatus::Absent:
+      revision_ = 0;
+      next_ = now;
+      return;
+    case StoreStatus::Refused:
+    case StoreStatus::Unknown:
+      next_ = now + config_.lease_retry;
+      return;
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/lease_keeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// @file
+/// This node's lease: one object in the metadata store that only this node renews and that a challenger may revoke.
+
+#include <functional>
+#include <string>
+
+#include "shedlever/metadata_store.h"
+#include "shedlever/router_frames.h"
+#include "source/core/router/ownership_config.h"
+
+namespace shedlever {
+
+/// Value of a lease object.
+struct LeaseRecord {
+  Incarnation incarnation;
+  /// Rises with each renewal.
+  std::uint64_t count = 0;
+  /// A challenger took it; the holder has lost everything that the lease stood for.
+  bool revoked = false;
+
+  std::string encode() const;
+  /// @return the record; a revoked one for text that can't be read.
+  static LeaseRecord decode(const std::string& text);
+};
+
+/// Counts the lease from when the renewal was sent, so that the holder never believes in it longer than others do.
+class LeaseKeeper {
+ public:
+  /// @param on_revoked the lease was taken away and has been obtained anew: what it stood for must be confirmed in the
+  ///   table before it counts again.
+  LeaseKeeper(NodeIdentity self, const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
+              std::function<void()> on_revoked);
+
+  /// Renews when it is time.
+  void tick(TimePoint now);
+
+  bool valid(TimePoint now) const { return now < valid_until_; }
+  TimePoint validUntil() const { return valid_until_; }
+
+ private:
+  void send(TimePoint now);
+  void onAnswer(const StoreAnswer& answer, TimePoint sent);
+
+  NodeIdentity self_;
+  const OwnershipConfig& config_;
+  MetadataStore& store_;
+  const Clock& clock_;
+  std::function<void()> on_revoked_;
+  /// 0: not known, or the object does not exist.
+  StoreRevision revision_ = 0;
+  std::uint64_t count_ = 0;
+  bool in_flight_ = false;
+  TimePoint next_{};
+  TimePoint valid_until_{};
+};
+
+/// Kind of lease objects in the store; nobody watches it.
+inline constexpr const char* kLeaseKind = "shedlever-leases";
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/owner_table.h
@@ -0,0 +1,112 @@
+#pragma once
+
+/// @file
+/// Who owns which keys of one service: the value of one object in the metadata store. Every change is one
+/// conditional write of the whole table.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "shedlever/errors.h"
+#include "shedlever/router_frames.h"
+
+namespace shedlever {
+
+/// A fencing token. Rises over the whole table; a server that has seen one for a key refuses all lower ones.
+using FenceToken = std::uint64_t;
+
+struct KeySpan {
+  Key first = 0;
+  Key last = 0;  ///< included
+
+  bool contains(Key key) const { return first <= key && key <= last; }
+  std::uint32_t size() const { return static_cast<std::uint32_t>(last) - first + 1; }
+  auto operator<=>(const KeySpan&) const = default;
+};
+
+struct OwnedRange {
+  KeySpan keys;
+  /// Empty: nobody owns the range.
+  InstanceId owner;
+  /// Where the owner runs.
+  NodeName node;
+  /// The owner's token, or the last one used when nobody owns the range.
+  FenceToken token = 0;
+  /// What the last owner gave when it let go; empty when it could not be asked.
+  std::string handover;
+  /// The owner is about to let go: its server was, or will be, told to with `token` + 1, and no owner after it gets
+  /// a token that is not above that.
+  bool releasing = false;
+
+  auto operator<=>(const OwnedRange&) const = default;
+};
+
+/// A server that may own keys.
+struct OwnerPlace {
+  InstanceId instance;
+  NodeName node;
+  auto operator<=>(const OwnerPlace&) const = default;
+};
+
+/// A value; changes are made on a copy and written under the revision that it was read at.
+class OwnerTable {
+ public:
+  OwnerTable() = default;
+
+  /// @return a first table that divides all keys evenly; `places` is not empty.
+  static OwnerTable divide(const std::vector<OwnerPlace>& places);
+
+  /// @return the range of the key; null in an empty table.
+  const OwnedRange* find(Key key) const;
+
+  /// Sorted, without gaps.
+  const std::vector<OwnedRange>& ranges() const { return ranges_; }
+  FenceToken lastToken() const { return last_token_; }
+
+  /// @return ranges of that owner.
+  std::vector<OwnedRange> ownedBy(const InstanceId& owner) const;
+
+  /// @return ranges whose owner runs, or ran, at the node.
+  std::vector<OwnedRange> ownedAt(const NodeName& node) const;
+
+  /// Splits the range that holds all of `keys` so that they are a range of their own, under the same owner and token.
+  /// @return that range; null when no single range holds them all.
+  OwnedRange* carve(const KeySpan& keys);
+
+  /// Marks keys of one range that its owner is about to release; splits the range if they are a part of it.
+  /// @return the marked range; none when `keys` lie in no single range of `owner` that is not releasing already.
+  std::optional<OwnedRange> beginRelease(const KeySpan& keys, const InstanceId& owner);
+
+  /// Takes the mark back: the owner keeps the range under a new token.
+  void abortRelease(const KeySpan& keys);
+
+  /// Gives exactly this range to an owner with a token above all that its owners had.
+  /// @return false when the table holds no such range.
+  bool assign(const KeySpan& keys, const OwnerPlace& place, const std::string& handover);
+
+  /// @return whether `joinNeighbours` would join anything.
+  bool hasNeighbours(const InstanceId& owner) const;
+
+  /// Joins neighbours of one owner under a new token, where neither is releasing.
+  /// @return whether anything was joined.
+  bool joinNeighbours(const InstanceId& owner);
+
+  /// @return JSON text.
+  std::string encode() const;
+
+  /// @return the table, or Findings with what is wrong.
+  static leaf::result<OwnerTable> decode(const std::string& text);
+
+  bool operator==(const OwnerTable&) const = default;
+
+ private:
+  OwnedRange* exactly(const KeySpan& keys);
+  FenceToken tokenAbove(const OwnedRange& range);
+
+  std::vector<OwnedRange> ranges_;
+  FenceToken last_token_ = 0;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership_config.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Times that ownership of keys rests on.
+
+#include "shedlever/time.h"
+
+namespace shedlever {
+
+struct OwnershipConfig {
+  /// How long a node owns what the table gives it after it sent a renewal that succeeded.
+  Duration lease = std::chrono::seconds(10);
+  Duration lease_renewal = std::chrono::milliseconds(2500);
+  /// After a renewal without success.
+  Duration lease_retry = std::chrono::milliseconds(300);
+  /// How much longer than the lease a challenger waits, for clocks that run apart.
+  Duration lease_margin = std::chrono::milliseconds(500);
+  /// How long a grant to the server lasts.
+  Duration grant_hold = std::chrono::seconds(2);
+  /// Shortest grant worth sending.
+  Duration least_grant = std::chrono::milliseconds(200);
+  /// Servers' clocks may count a grant this much longer.
+  double clock_drift = 1.02;
+  /// After a grant or release without an answer.
+  Duration order_retry = std::chrono::milliseconds(50);
+  /// Before the first division, for other servers to show up.
+  Duration first_division_delay = std::chrono::milliseconds(1500);
+  /// Further wait of each node after the first, in order of names, before it does what one node should do.
+  Duration rank_delay = std::chrono::milliseconds(700);
+  /// A node that can't be reached for so long is suspected.
+  Duration suspicion = std::chrono::seconds(1);
+  /// A longer gap between two ticks means that this process stood still.
+  Duration pause_limit = std::chrono::milliseconds(1000);
+  /// Between two decisions about balance.
+  Duration balance_interval = std::chrono::milliseconds(500);
+  /// Occupancy below which an owner keeps its keys.
+  double busy_occupancy = 0.6;
+  /// Difference of occupancy that a move is worth.
+  double occupancy_gap = 0.25;
+  /// Ranges of one owner above which neighbours are joined.
+  std::size_t most_ranges = 6;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership_keeper.cc
@@ -0,0 +1,435 @@
+#include "source/core/router/ownership_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+constexpr Duration kWorkHalfLife = std::chrono::seconds(2);
+/// Share of the newest value in the smoothed occupancy, a tick.
+constexpr double kOccupancyShare = 0.1;
+/// Part of the difference to a less loaded server that one move takes away.
+constexpr double kMovedPart = 0.4;
+/// A move may bring this much more work than wanted.
+constexpr double kMostOverWanted = 1.5;
+
+std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
+
+}  // namespace
+
+OwnershipKeeper::OwnershipKeeper(NodeIdentity self, ServiceName service, const OwnershipConfig& config,
+                                 OwnershipPorts ports)
+    : self_(std::move(self)),
+      service_(std::move(service)),
+      config_(config),
+      ports_(std::move(ports)),
+      writer_(service_, *ports_.store, [this] { ports_.on_change(); }),
+      lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
+      grants_(config_, *ports_.orders, *ports_.clock,
+              RangeGrants::Events{[this](const OwnedRange& range) {
+                                    change("token raised",
+                                           [keys = range.keys, token = range.token,
+                                            place = OwnerPlace{instance_, self_.name}](OwnerTable& table) {
+                                             const OwnedRange* now = table.find(keys.first);
+                                             return now != nullptr && now->keys == keys && now->token == token &&
+                                                    now->owner == place.instance && !now->releasing &&
+                                                    table.assign(keys, place, now->handover);
+                                           });
+                                  },
+                                  [this] { ports_.on_server_gone(); }, [this] { ports_.on_change(); }}),
+      takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeFrom(node); }),
+      meter_(kWorkHalfLife) {}
+
+void OwnershipKeeper::tell(const std::string& what, const std::string& detail) {
+  if (ports_.on_event) {
+    ports_.on_event({what, detail});
+  }
+}
+
+void OwnershipKeeper::serverUp(const InstanceId& instance, TimePoint now) {
+  if (instance_ == instance) {
+    return;
+  }
+  instance_ = instance;
+  dead_instance_ = {};
+  draining_ = false;
+  server_since_ = now;
+  moves_.clear();
+  ++batch_;
+  grants_.forgetAll();
+}
+
+void OwnershipKeeper::serverDead() {
+  if (!hasServer()) {
+    return;
+  }
+  dead_instance_ = std::exchange(instance_, {});
+  moves_.clear();
+  ++batch_;
+  grants_.forgetAll();
+}
+
+void OwnershipKeeper::setOccupancy(double occupancy) { occupancy_ += (occupancy - occupancy_) * kOccupancyShare; }
+
+void OwnershipKeeper::onLeaseRevoked() {
+  tell("lease revoked", "");
+  must_confirm_ = true;
+  grants_.forgetAll();
+}
+
+std::vector<OwnedRange> OwnershipKeeper::grantable() const {
+  std::vector<OwnedRange> ranges;
+  if (!hasServer() || must_confirm_) {
+    return ranges;
+  }
+  for (const OwnedRange& range : writer_.table().ranges()) {
+    if (range.owner == instance_ && range.node == self_.name && !range.releasing) {
+      ranges.push_back(range);
+    }
+  }
+  return ranges;
+}
+
+KeyStanding OwnershipKeeper::standing(Key key, TimePoint now) const {
+  const OwnedRange* range = writer_.table().find(key);
+  if (range == nullptr || range->owner != instance_ || !hasServer() || range->releasing) {
+    return KeyStanding::Elsewhere;
+  }
+  const bool held = !must_confirm_ && lease_.valid(now) && grants_.held(key, now);
+  return held ? KeyStanding::Held : KeyStanding::Pending;
+}
+
+bool OwnershipKeeper::holdsNothing() const {
+  const auto owned = writer_.table().ownedAt(self_.name);
+  return owned.empty();
+}
+
+std::vector<OwnerPlace> OwnershipKeeper::targets(TimePoint now) const {
+  std::vector<const NodeRecord*> ready = ports_.directory->ready(service_, now);
+  std::erase_if(ready, [&](const NodeRecord* record) { return record->node == self_.name; });
+  const auto load = [&](const NodeRecord* record) {
+    const bool owns = !writer_.table().ownedBy(record->instance).empty();
+    return owns ? ports_.directory->occupancy(record->node, now) : 0.0;
+  };
+  std::stable_sort(ready.begin(), ready.end(),
+                   [&](const NodeRecord* left, const NodeRecord* right) { return load(left) < load(right); });
+  std::vector<OwnerPlace> places;
+  places.reserve(ready.size());
+  for (const NodeRecord* record : ready) {
+    places.push_back({record->instance, record->node});
+  }
+  return places;
+}
+
+std::size_t OwnershipKeeper::rank(TimePoint now) const {
+  const auto ready = ports_.directory->ready(service_, now);
+  return static_cast<std::size_t>(
+      std::count_if(ready.begin(), ready.end(), [&](const NodeRecord* record) { return record->node < self_.name; }));
+}
+
+void OwnershipKeeper::change(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done) {
+  changing_ = true;
+  writer_.change(std::move(edit), [this, what, done = std::move(done)](bool written) {
+    changing_ = false;
+    tell(what, written ? "written" : "no longer applies");
+    if (done) {
+      done(written);
+    }
+  });
+}
+
+void OwnershipKeeper::tick(TimePoint now) {
+  if (last_tick_ != TimePoint{} && now - last_tick_ > config_.pause_limit) {
+    takeover_.startAgain();
+  }
+  last_tick_ = now;
+  writer_.tick(now);
+  if (hasServer()) {
+    lease_.tick(now);
+  }
+  if (!writer_.exists()) {
+    divideFirst(now);
+    return;
+  }
+  grants_.tick(grantable(), lease_.validUntil(), now);
+  if (!changing_) {
+    settleLeftovers();
+  }
+  if (!changing_) {
+    giveAwayDead(now);
+  }
+  watchOthers(now);
+  if (!changing_ && moves_.empty() && hasServer() && lease_.valid(now)) {
+    if (draining_) {
+      drain(now);
+    } else {
+      balance(now);
+    }
+  }
+}
+
+void OwnershipKeeper::divideFirst(TimePoint now) {
+  if (!writer_.known() || !hasServer() || draining_) {
+    return;
+  }
+  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(rank(now));
+  if (now - server_since_ < delay) {
+    return;
+  }
+  std::vector<OwnerPlace> places;
+  for (const NodeRecord* record : ports_.directory->ready(service_, now)) {
+    places.push_back({record->instance, record->node});
+  }
+  if (!places.empty()) {
+    writer_.create(OwnerTable::divide(places));
+  }
+}
+
+void OwnershipKeeper::settleLeftovers() {
+  const OwnerPlace self{instance_, self_.name};
+  if (must_confirm_) {
+    const auto confirm = [self](OwnerTable& table) {
+      bool changed = false;
+      for (const OwnedRange& range : table.ownedBy(self.instance)) {
+        changed = table.assign(range.keys, self, range.handover) || changed;
+      }
+      return changed;
+    };
+    change("ranges confirmed", confirm, [this](bool) { must_confirm_ = false; });
+    return;
+  }
+  const auto owned = writer_.table().ownedAt(self_.name);
+  const auto is_left = [this](const OwnedRange& range) {
+    const bool older_life = hasServer() && range.owner != instance_;
+    return older_life || (range.owner == instance_ && range.releasing && moves_.empty());
+  };
+  if (!hasServer() || std::none_of(owned.begin(), owned.end(), is_left)) {
+    return;
+  }
+  change("ranges of an earlier life taken up", [self](OwnerTable& table) {
+    bool changed = false;
+    for (const OwnedRange& range : table.ownedAt(self.node)) {
+      if (range.owner != self.instance) {
+        changed = table.assign(range.keys, self, {}) || changed;
+      } else if (range.releasing) {
+        table.abortRelease(range.keys);
+        changed = true;
+      }
+    }
+    return changed;
+  });
+}
+
+void OwnershipKeeper::giveAwayDead(TimePoint now) {
+  if (dead_instance_.empty()) {
+    return;
+  }
+  const std::vector<OwnerPlace> to = targets(now);
+  const auto owned = writer_.table().ownedBy(dead_instance_);
+  if (owned.empty()) {
+    dead_instance_ = {};
+    return;
+  }
+  if (to.empty()) {
+    return;
+  }
+  std::vector<KeySpan> pieces;
+  for (const OwnedRange& range : owned) {
+    const auto runs = meter_.split(range.keys, to.size(), now);
+    pieces.insert(pieces.end(), runs.begin(), runs.end());
+  }
+  change("dead server's ranges given away", [pieces, to, dead = dead_instance_](OwnerTable& table) {
+    bool changed = false;
+    for (std::size_t i = 0; i < pieces.size(); ++i) {
+      const OwnedRange* range = table.find(pieces[i].first);
+      if (range != nullptr && range->owner == dead && table.carve(pieces[i]) != nullptr) {
+        changed = table.assign(pieces[i], to[i % to.size()], {}) || changed;
+      }
+    }
+    return changed;
+  });
+}
+
+void OwnershipKeeper::watchOthers(TimePoint now) {
+  std::set<NodeName> suspects;
+  if (hasServer() && lease_.valid(now) && !draining_) {
+    for (const OwnedRange& range : writer_.table().ranges()) {
+      if (range.node != self_.name && ports_.directory->isUnreachable(range.node)) {
+        suspects.insert(range.node);
+      }
+    }
+  }
+  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(rank(now)), now);
+}
+
+void OwnershipKeeper::takeFrom(const NodeName& node) {
+  const TimePoint now = ports_.clock->now();
+  std::vector<OwnerPlace> to = targets(now);
+  to.push_back({instance_, self_.name});
+  std::erase_if(to, [&](const OwnerPlace& place) { return place.node == node; });
+  // Only what the node owned when its lease was revoked: it may have confirmed its ranges since.
+  const std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
+  change("ranges taken from " + node.value, [to, lost](OwnerTable& table) {
+    bool changed = false;
+    for (std::size_t i = 0; i < lost.size(); ++i) {
+      const OwnedRange* range = table.find(lost[i].keys.first);
+      if (range != nullptr && range->keys == lost[i].keys && range->token == lost[i].token) {
+        changed = table.assign(lost[i].keys, to[i % to.size()], {}) || changed;
+      }
+    }
+    return changed;
+  });
+}
+
+void OwnershipKeeper::drain(TimePoint now) {
+  const std::vector<OwnerPlace> to = targets(now);
+  if (to.empty()) {
+    return;
+  }
+  std::vector<KeySpan> pieces;
+  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
+    const auto runs = meter_.split(range.keys, to.size(), now);
+    pieces.insert(pieces.end(), runs.begin(), runs.end());
+  }
+  if (!pieces.empty()) {
+    startMoves(pieces, to);
+  }
+}
+
+void OwnershipKeeper::balance(TimePoint now) {
+  if (now < next_balance_) {
+    return;
+  }
+  next_balance_ = now + config_.balance_interval;
+  const std::vector<OwnedRange> owned = writer_.table().ownedBy(instance_);
+  if (owned.size() > config_.most_ranges && writer_.table().hasNeighbours(instance_)) {
+    joinRanges();
+    return;
+  }
+  const std::vector<OwnerPlace> to = targets(now);
+  if (to.empty() || occupancy_ < config_.busy_occupancy) {
+    return;
+  }
+  const bool target_owns = !writer_.table().ownedBy(to.front().instance).empty();
+  const double other = target_owns ? ports_.directory->occupancy(to.front().node, now) : 0.0;
+  if (occupancy_ - other < config_.occupancy_gap) {
+    return;
+  }
+  double total = 0;
+  for (const OwnedRange& range : owned) {
+    total += meter_.sum(range.keys, now);
+  }
+  const double wanted = total * movedPart(to.front(), now) * (occupancy_ - other) / occupancy_;
+  std::optional<KeySpan> best;
+  double best_work = 0;
+  for (const OwnedRange& range : owned) {
+    const auto cut = meter_.cut(range.keys, wanted, wanted * kMostOverWanted, now);
+    const double work = cut ? meter_.sum(*cut, now) : 0;
+    if (work > best_work) {
+      best = cut;
+      best_work = work;
+    }
+  }
+  if (best) {
+    startMoves({*best}, {to.front()});
+  }
+}
+
+double OwnershipKeeper::movedPart(const OwnerPlace& to, TimePoint now) const {
+  // Others that are as busy see the same idle server and give to it at the same time.
+  std::size_t givers = 1;
+  for (const NodeRecord* record : ports_.directory->ready(service_, now)) {
+    const bool other = record->node != self_.name && record->node != to.node;
+    const bool owns = !writer_.table().ownedBy(record->instance).empty();
+    if (other && owns && ports_.directory->occupancy(record->node, now) >= config_.busy_occupancy) {
+      ++givers;
+    }
+  }
+  return kMovedPart * 2.0 / static_cast<double>(givers + 1);
+}
+
+void OwnershipKeeper::joinRanges() {
+  change("neighbours joined", [owner = instance_](OwnerTable& table) { return table.joinNeighbours(owner); });
+}
+
+void OwnershipKeeper::startMoves(const std::vector<KeySpan>& pieces, const std::vector<OwnerPlace>& to) {
+  const auto mark = [pieces, owner = instance_](OwnerTable& table) {
+    bool changed = false;
+    for (const KeySpan& keys : pieces) {
+      changed = table.beginRelease(keys, owner).has_value() || changed;
+    }
+    return changed;
+  };
+  change("release begun for " + describe(pieces.front()) + " and " + std::to_string(pieces.size() - 1) + " more", mark,
+         [this, pieces, to](bool written) {
+           if (!written || !moves_.empty()) {
+             return;
+           }
+           ++batch_;
+           for (std::size_t i = 0; i < pieces.size(); ++i) {
+             const OwnedRange* range = writer_.table().find(pieces[i].first);
+             if (range != nullptr && range->keys == pieces[i] && range->releasing && range->owner == instance_) {
+               moves_.push_back({*range, to[i % to.size()], false, {}});
+             }
+           }
+           for (std::size_t i = 0; i < moves_.size(); ++i) {
+             grants_.forget(moves_[i].range.keys);
+             releaseMove(i);
+           }
+         });
+}
+
+void OwnershipKeeper::releaseMove(std::size_t index) {
+  const OwnedRange& range = moves_[index].range;
+  ports_.orders->release(
+      {range.keys.first, range.keys.last, range.token + 1},
+      [this, index, batch = batch_](const ReleaseResult& result) { onReleased(index, batch, result); });
+}
+
+void OwnershipKeeper::onReleased(std::size_t index, std::uint64_t batch, const ReleaseResult& result) {
+  if (batch != batch_ || index >= moves_.size()) {
+    return;
+  }
+  if (result.status == OrderStatus::ServerGone) {
+    ports_.on_server_gone();
+    return;
+  }
+  if (result.status == OrderStatus::NoAnswer) {
+    releaseMove(index);
+    return;
+  }
+  moves_[index].released = true;
+  moves_[index].handover = result.handover;
+  const bool all = std::all_of(moves_.begin(), moves_.end(), [](const Move& move) { return move.released; });
+  if (all) {
+    assignMoves();
+  }
+}
+
+void OwnershipKeeper::assignMoves() {
+  const std::vector<OwnerPlace> to = targets(ports_.clock->now());
+  for (std::size_t i = 0; i < moves_.size(); ++i) {
+    const bool still_there = std::find(to.begin(), to.end(), moves_[i].target) != to.end();
+    if (!still_there) {
+      moves_[i].target = to.empty() ? OwnerPlace{instance_, self_.name} : to[i % to.size()];
+    }
+  }
+  const auto assign = [moves = moves_, owner = instance_](OwnerTable& table) {
+    bool changed = false;
+    for (const Move& move : moves) {
+      const OwnedRange* range = table.find(move.range.keys.first);
+      if (range != nullptr && range->keys == move.range.keys && range->owner == owner && range->releasing) {
+        changed = table.assign(move.range.keys, move.target, move.handover) || changed;
+      }
+    }
+    return changed;
+  };
+  change("ranges moved to " + moves_.front().target.node.value, assign, [this](bool) {
+    moves_.clear();
+    ++batch_;
+  });
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership_keeper.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/// @file
+/// Ownership of keys as one node sees it: what the server beside it holds, and the changes of the owner table that
+/// this node makes. No node leads: each change is one conditional write.
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "shedlever/metadata_store.h"
+#include "shedlever/server_orders.h"
+#include "source/core/router/key_meter.h"
+#include "source/core/router/lease_keeper.h"
+#include "source/core/router/range_grants.h"
+#include "source/core/router/server_directory.h"
+#include "source/core/router/table_writer.h"
+#include "source/core/router/takeover_watcher.h"
+
+namespace shedlever {
+
+/// What a node may do with a request for a key.
+enum class KeyStanding : std::uint8_t {
+  Held,       ///< begin it
+  Pending,    ///< the key is this server's; its grant is under way
+  Elsewhere,  ///< another's, or on its way to another
+};
+
+/// Decision about ownership, for the log.
+struct OwnershipEvent {
+  std::string what;
+  std::string detail;
+};
+
+/// What the keeper uses and tells; everything outlives it.
+struct OwnershipPorts {
+  MetadataStore* store = nullptr;
+  ServerOrders* orders = nullptr;
+  const Clock* clock = nullptr;
+  ServerDirectory* directory = nullptr;
+  /// The owner table changed, or a range is newly held: requests that wait for their owner may go on.
+  std::function<void()> on_change;
+  /// Nothing listens at the server's address.
+  std::function<void()> on_server_gone;
+  std::function<void(const OwnershipEvent&)> on_event;
+};
+
+class OwnershipKeeper {
+ public:
+  OwnershipKeeper(NodeIdentity self, ServiceName service, const OwnershipConfig& config, OwnershipPorts ports);
+
+  /// A server runs beside this node.
+  void serverUp(const InstanceId& instance, TimePoint now);
+  /// It is dead for sure: its keys may go to others at once.
+  void serverDead();
+  /// It leaves, or this node stops: its keys go to others, in order. Holds until the next `serverUp`.
+  void startDraining() { draining_ = true; }
+
+  /// Objects of the shared kind, as listed or watched.
+  void onTableObject(const MetadataObject& object) { writer_.onObject(object); }
+  void onTableAbsent() { writer_.onAbsent(); }
+
+  /// Does what is due; every 100 ms or so, and after events.
+  void tick(TimePoint now);
+
+  KeyStanding standing(Key key, TimePoint now) const;
+  /// Counts a request's work for its key.
+  void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
+  /// @param occupancy of this node's server; more than 1 while requests wait.
+  void setOccupancy(double occupancy);
+
+  /// @return whether no key is left here, so that the node may stop.
+  bool holdsNothing() const;
+
+  const TableWriter& tableWriter() const { return writer_; }
+  TimePoint leaseUntil() const { return lease_.validUntil(); }
+
+ private:
+  /// Keys on their way from this node's server to others.
+  struct Move {
+    OwnedRange range;
+    OwnerPlace target;
+    bool released = false;
+    std::string handover;
+  };
+
+  bool hasServer() const { return !instance_.empty(); }
+  std::vector<OwnedRange> grantable() const;
+  std::vector<OwnerPlace> targets(TimePoint now) const;
+  std::size_t rank(TimePoint now) const;
+
+  void onLeaseRevoked();
+  void divideFirst(TimePoint now);
+  void settleLeftovers();
+  void giveAwayDead(TimePoint now);
+  void watchOthers(TimePoint now);
+  void takeFrom(const NodeName& node);
+  void drain(TimePoint now);
+  void balance(TimePoint now);
+  /// @return the part of the difference to the other server that one move takes away.
+  double movedPart(const OwnerPlace& to, TimePoint now) const;
+  void joinRanges();
+
+  void startMoves(const std::vector<KeySpan>& pieces, const std::vector<OwnerPlace>& to);
+  void releaseMove(std::size_t index);
+  void onReleased(std::size_t index, std::uint64_t batch, const ReleaseResult& result);
+  void assignMoves();
+  void change(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
+  void tell(const std::string& what, const std::string& detail);
+
+  NodeIdentity self_;
+  ServiceName service_;
+  const OwnershipConfig& config_;
+  OwnershipPorts ports_;
+  TableWriter writer_;
+  LeaseKeeper lease_;
+  RangeGrants grants_;
+  TakeoverWatcher takeover_;
+  KeyMeter meter_;
+
+  /// Empty while no server runs here.
+  InstanceId instance_;
+  /// Empty unless a dead server's keys wait to be given away.
+  InstanceId dead_instance_;
+  TimePoint server_since_{};
+  TimePoint last_tick_{};
+  TimePoint next_balance_{};
+  double occupancy_ = 0;
+  bool draining_ = false;
+  /// The lease was revoked: nothing is granted until the table has confirmed this node's ranges under new tokens.
+  bool must_confirm_ = false;
+  /// A change that this class makes by itself is queued; the next one waits for it.
+  bool changing_ = false;
+  std::vector<Move> moves_;
+  /// Numbers batches of moves.
+  std::uint64_t batch_ = 0;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/range_grants.cc
@@ -0,0 +1,87 @@
+#include "source/core/router/range_grants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+/// A grant is renewed once this part of it is over.
+constexpr int kRenewalParts = 3;
+
+bool sameGrant(const OwnedRange& left, const OwnedRange& right) {
+  return left.keys == right.keys && left.token == right.token && left.owner == right.owner;
+}
+
+}  // namespace
+
+RangeGrants::RangeGrants(const OwnershipConfig& config, ServerOrders& orders, const Clock& clock, Events events)
+    : config_(config), orders_(orders), clock_(clock), events_(std::move(events)) {}
+
+void RangeGrants::tick(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) {
+  const auto is_wanted = [&](const OwnedRange& range) {
+    return std::any_of(wanted.begin(), wanted.end(), [&](const OwnedRange& other) { return sameGrant(range, other); });
+  };
+  std::erase_if(grants_, [&](const auto& entry) { return !is_wanted(entry.second.range); });
+  const auto room = std::chrono::duration_cast<Duration>((lease_until - now) / config_.clock_drift);
+  const Duration hold = std::chrono::floor<std::chrono::milliseconds>(std::min(config_.grant_hold, room));
+  if (hold < config_.least_grant) {
+    return;
+  }
+  for (const OwnedRange& range : wanted) {
+    Grant& grant = grants_[range.keys.first];
+    grant.range = range;
+    if (!grant.in_flight && now >= grant.next) {
+      send(grant, hold, now);
+    }
+  }
+}
+
+void RangeGrants::send(Grant& grant, Duration hold, TimePoint now) {
+  grant.in_flight = true;
+  grant.send_number = ++last_send_;
+  const OwnedRange& range = grant.range;
+  const GrantOrder order{range.keys.first, range.keys.last, range.token, hold, range.handover};
+  orders_.grant(order, [this, first = range.keys.first, number = grant.send_number, now, hold](OrderStatus status) {
+    onAnswer(first, number, status, now, hold);
+  });
+}
+
+void RangeGrants::onAnswer(Key first, std::uint64_t send_number, OrderStatus status, TimePoint sent, Duration hold) {
+  if (status == OrderStatus::ServerGone) {
+    events_.server_gone();
+  }
+  const auto found = grants_.find(first);
+  if (found == grants_.end() || found->second.send_number != send_number) {
+    return;
+  }
+  Grant& grant = found->second;
+  grant.in_flight = false;
+  if (status != OrderStatus::Done) {
+    grant.next = clock_.now() + config_.order_retry;
+    if (status == OrderStatus::Superseded) {
+      events_.superseded(grant.range);
+    }
+    return;
+  }
+  const bool was_held = grant.held_until > clock_.now();
+  grant.held_until = sent + hold;
+  grant.next = sent + hold / kRenewalParts;
+  if (!was_held) {
+    events_.newly_held();
+  }
+}
+
+bool RangeGrants::held(Key key, TimePoint now) const {
+  const auto after = grants_.upper_bound(key);
+  if (after == grants_.begin()) {
+    return false;
+  }
+  const Grant& grant = std::prev(after)->second;
+  return grant.range.keys.contains(key) && now < grant.held_until;
+}
+
+void RangeGrants::forget(const KeySpan& keys) { grants_.erase(keys.first); }
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/server_directory.cc
@@ -0,0 +1,197 @@
+#include "source/core/router/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+/// A load that was told longer ago than this says nothing any more.
+constexpr Duration kLoadAge = std::chrono::seconds(2);
+/// Occupancy taken where nothing is known.
+constexpr double kUnknownOccupancy = 0.4;
+/// Share of the newest value in the running means.
+constexpr double kSlownessShare = 0.08;
+constexpr double kUsualShare = 0.03;
+constexpr double kLeastSlowness = 0.2;
+constexpr double kMostSlowness = 8.0;
+/// Cost of a full server in units of the usual service time, and of each further queue of the length of its slots.
+constexpr double kFullCost = 1.0;
+constexpr double kQueueCost = 4.0;
+/// Costs of two servers are told apart only beyond this share, so that all processes don't choose the same one.
+constexpr double kJitter = 0.2;
+
+}  // namespace
+
+ServerDirectory::ServerDirectory(NodeName self, ZoneName zone, const ServerChoiceConfig& config, RandomSource& random)
+    : self_(std::move(self)), zone_(std::move(zone)), config_(config), random_(random) {}
+
+void ServerDirectory::update(const NodeRecord& record) {
+  Entry& entry = entries_[record.node];
+  if (entry.record.instance != record.instance) {
+    entry.load = {};
+    entry.load_at = {};
+    entry.slowness = 1.0;
+  }
+  if (entry.record.incarnation != record.incarnation) {
+    entry.avoid_until = {};
+    entry.unreachable = false;
+  }
+  entry.record = record;
+}
+
+void ServerDirectory::remove(const NodeName& node) { entries_.erase(node); }
+
+const NodeRecord* ServerDirectory::node(const NodeName& node) const {
+  const auto found = entries_.find(node);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+std::vector<const NodeRecord*> ServerDirectory::nodes() const {
+  std::vector<const NodeRecord*> records;
+  for (const auto& [name, entry] : entries_) {
+    records.push_back(&entry.record);
+  }
+  return records;
+}
+
+std::vector<const NodeRecord*> ServerDirectory::ready(const ServiceName& service, TimePoint now) const {
+  std::vector<const NodeRecord*> records;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.record.service == service && entry.record.serves() && entry.avoid_until <= now) {
+      records.push_back(&entry.record);
+    }
+  }
+  return records;
+}
+
+double ServerDirectory::randomShare() {
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  return static_cast<double>(random_.below(kSteps)) / static_cast<double>(kSteps);
+}
+
+double ServerDirectory::occupancyOf(const Entry& entry, TimePoint now) const {
+  const double slots = std::max(entry.record.slots, 1U);
+  const double own = entry.in_flight / slots;
+  if (now - entry.load_at > kLoadAge) {
+    return std::max(own, kUnknownOccupancy);
+  }
+  return std::max(own, (entry.load.running + entry.load.queued) / slots);
+}
+
+double ServerDirectory::occupancy(const NodeName& node, TimePoint now) const {
+  const auto found = entries_.find(node);
+  return found == entries_.end() ? 0 : occupancyOf(found->second, now);
+}
+
+double ServerDirectory::costOf(const Entry& entry, RouteKind kind, TimePoint now) const {
+  const double occupancy = occupancyOf(entry, now);
+  double cost = entry.slowness;
+  if (occupancy > config_.busy_occupancy) {
+    const double over = std::min(occupancy, 1.0) - config_.busy_occupancy;
+    cost += entry.slowness * kFullCost * over / (1.0 - config_.busy_occupancy);
+  }
+  cost += kQueueCost * std::max(occupancy - 1.0, 0.0);
+  if (entry.record.zone != zone_) {
+    cost += kind == RouteKind::Download ? config_.cross_zone_download_cost : config_.cross_zone_cost;
+  }
+  return cost;
+}
+
+const NodeRecord* ServerDirectory::choose(const ServiceName& service, RouteKind kind,
+                                          const std::set<InstanceId>& excluded, TimePoint now) {
+  std::vector<const Entry*> candidates;
+  const Entry* best = nullptr;
+  double best_cost = 0;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.record.service != service || !entry.record.serves() || entry.avoid_until > now ||
+        excluded.contains(entry.record.instance)) {
+      continue;
+    }
+    candidates.push_back(&entry);
+    const double cost = costOf(entry, kind, now) * (1.0 + kJitter * randomShare());
+    if (best == nullptr || cost < best_cost) {
+      best = &entry;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return nullptr;
+  }
+  if (kind != RouteKind::Download && candidates.size() > 1 && randomShare() < config_.exploration) {
+    const Entry* tried = candidates[random_.below(candidates.size())];
+    if (occupancyOf(*tried, now) < config_.busy_occupancy) {
+      return &tried->record;
+    }
+  }
+  return &best->record;
+}
+
+void ServerDirectory::onSent(const NodeName& node) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    ++found->second.in_flight;
+  }
+}
+
+void ServerDirectory::onEnded(const NodeName& node) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end() && found->second.in_flight > 0) {
+    --found->second.in_flight;
+  }
+}
+
+void ServerDirectory::onReply(const NodeName& node, const std::string& route, const ForwardReplyFrame& reply,
+                              TimePoint now) {
+  const auto found = entries_.find(node);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.avoid_until = {};
+  entry.unreachable = false;
+  if (reply.load.slots > 0) {
+    entry.load = reply.load;
+    entry.load_at = now;
+  }
+  if (reply.service_us <= 0 || reply.outcome != ForwardOutcome::Answered) {
+    return;
+  }
+  const auto service_us = static_cast<double>(reply.service_us);
+  double& usual = usual_service_.try_emplace(route, service_us).first->second;
+  const double ratio = std::clamp(service_us / std::max(usual, 1.0), kLeastSlowness, kMostSlowness);
+  usual += (service_us - usual) * kUsualShare;
+  entry.slowness += (ratio - entry.slowness) * kSlownessShare;
+}
+
+void ServerDirectory::avoidUntil(const NodeName& node, TimePoint until) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    found->second.avoid_until = std::max(found->second.avoid_until, until);
+    found->second.load_at = {};
+    found->second.unreachable = true;
+  }
+}
+
+void ServerDirectory::onReachable(const NodeName& node) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    found->second.avoid_until = {};
+    found->second.unreachable = false;
+  }
+}
+
+bool ServerDirectory::isUnreachable(const NodeName& node) const {
+  const auto found = entries_.find(node);
+  return found == entries_.end() || found->second.unreachable;
+}
+
+void ServerDirectory::markDraining(const NodeName& node) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    found->second.record.draining = true;
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/slot_queue.cc
@@ -0,0 +1,84 @@
+#include "source/core/router/slot_queue.h"
+
+#include <algorithm>
+
+namespace shedlever {
+
+namespace {
+
+/// Share of the newest service time in the mean.
+constexpr std::int64_t kMeanDivisor = 16;
+
+}  // namespace
+
+Duration SlotQueue::predictedWait(std::uint32_t priority) const {
+  if (slots_ == 0) {
+    return Duration::max();
+  }
+  if (running_ < slots_) {
+    return Duration::zero();
+  }
+  const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(Place{priority + 1, 0}));
+  return mean_service_ * (ahead + 1) / static_cast<std::int64_t>(slots_);
+}
+
+QueueDecision SlotQueue::arrive(QueueTicket ticket, std::uint32_t priority, TimePoint now, Duration longest_wait) {
+  if (running_ < slots_) {
+    ++running_;
+    return {QueueVerdict::Start, {}};
+  }
+  const Duration wait = predictedWait(priority);
+  if (wait > longest_wait) {
+    return {QueueVerdict::Refuse, wait};
+  }
+  waiting_.emplace(Place{priority, ticket}, now + longest_wait);
+  priorities_.emplace(ticket, priority);
+  return {QueueVerdict::Wait, {}};
+}
+
+void SlotQueue::ended(std::optional<Duration> service_time) {
+  running_ -= std::min(running_, 1U);
+  if (service_time) {
+    mean_service_ += (*service_time - mean_service_) / kMeanDivisor;
+  }
+}
+
+std::optional<QueueTicket> SlotQueue::startNext() {
+  if (running_ >= slots_ || waiting_.empty()) {
+    return std::nullopt;
+  }
+  const QueueTicket ticket = waiting_.begin()->first.ticket;
+  waiting_.erase(waiting_.begin());
+  priorities_.erase(ticket);
+  ++running_;
+  return ticket;
+}
+
+bool SlotQueue::remove(QueueTicket ticket) {
+  const auto found = priorities_.find(ticket);
+  if (found == priorities_.end()) {
+    return false;
+  }
+  waiting_.erase(Place{found->second, ticket});
+  priorities_.erase(found);
+  return true;
+}
+
+std::vector<QueueTicket> SlotQueue::takeOverdue(TimePoint now) {
+  std::vector<QueueTicket> overdue;
+  for (const auto& [place, latest_start] : waiting_) {
+    if (latest_start <= now) {
+      overdue.push_back(place.ticket);
+    }
+  }
+  for (const QueueTicket ticket : overdue) {
+    remove(ticket);
+  }
+  return overdue;
+}
+
+std::vector<QueueTicket> SlotQueue::takeAll() { return takeOverdue(TimePoint::max()); }
+
+ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_}; }
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/slot_queue.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// The one place that counts a server's slots: which requests run, which wait, and which are refused because they
+/// would wait too long.
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "shedlever/router_frames.h"
+#include "shedlever/time.h"
+
+namespace shedlever {
+
+/// Names a request in one queue.
+using QueueTicket = std::uint64_t;
+
+enum class QueueVerdict : std::uint8_t { Start, Wait, Refuse };
+
+struct QueueDecision {
+  QueueVerdict verdict = QueueVerdict::Refuse;
+  /// How long the request would have waited; with Refuse.
+  Duration predicted_wait{};
+};
+
+/// Slots and a queue in order of priority and then of arrival. Refuses by predicted wait, at once.
+class SlotQueue {
+ public:
+  /// @param slots requests that run at once.
+  explicit SlotQueue(std::uint32_t slots) : slots_(slots) {}
+
+  void setSlots(std::uint32_t slots) { slots_ = slots; }
+
+  /// A request arrives. With Start it occupies a slot already.
+  /// @param longest_wait it is refused when it would wait longer, and overdue once it has.
+  QueueDecision arrive(QueueTicket ticket, std::uint32_t priority, TimePoint now, Duration longest_wait);
+
+  /// A running request ended.
+  /// @param service_time how long it ran; none if that tells nothing about the next one.
+  void ended(std::optional<Duration> service_time);
+
+  /// Takes the next waiting request into a free slot.
+  std::optional<QueueTicket> startNext();
+
+  /// Takes a waiting request out; others are ignored.
+  /// @return whether it was waiting.
+  bool remove(QueueTicket ticket);
+
+  /// Takes out all requests that have waited too long.
+  std::vector<QueueTicket> takeOverdue(TimePoint now);
+
+  /// Takes out all waiting requests.
+  std::vector<QueueTicket> takeAll();
+
+  ServerLoad load() const;
+
+  /// @return how long a request of this priority that arrived now would wait.
+  Duration predictedWait(std::uint32_t priority) const;
+
+  /// @return mean time that a request runs.
+  Duration meanService() const { return mean_service_; }
+
+ private:
+  struct Place {
+    std::uint32_t priority = 0;
+    QueueTicket ticket = 0;
+    auto operator<=>(const Place&) const = default;
+  };
+
+  std::uint32_t slots_;
+  std::uint32_t running_ = 0;
+  Duration mean_service_ = std::chrono::milliseconds(100);
+  /// Tickets rise with arrival, so the order is priority, then arrival. The value is the latest start.
+  std::map<Place, TimePoint> waiting_;
+  std::unordered_map<QueueTicket, std::uint32_t> priorities_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/table_writer.cc
@@ -0,0 +1,116 @@
+#include "source/core/router/table_writer.h"
+
+#include <utility>
+
+namespace shedlever {
+
+std::string ownerTableName(const ServiceName& service) { return "owners-" + service.value; }
+
+TableWriter::TableWriter(ServiceName service, MetadataStore& store, std::function<void()> on_table)
+    : service_(std::move(service)), store_(store), on_table_(std::move(on_table)) {}
+
+void TableWriter::onObject(const MetadataObject& object) {
+  if (object.revision <= revision_) {
+    return;
+  }
+  auto table = OwnerTable::decode(object.value);
+  if (!table) {
+    return;
+  }
+  table_ = std::move(table.value());
+  revision_ = object.revision;
+  on_table_();
+}
+
+void TableWriter::change(Edit edit, Done done) {
+  changes_.push_back({std::move(edit), std::move(done)});
+  if (changes_.size() == 1) {
+    next();
+  }
+}
+
+void TableWriter::create(const OwnerTable& table) {
+  if (exists() || in_flight_) {
+    return;
+  }
+  in_flight_ = true;
+  store_.create(kSharedKind, {ownerTableName(service_), 0, table.encode()}, [this](const StoreAnswer& answer) {
+    in_flight_ = false;
+    if (answer.status == StoreStatus::Done || answer.status == StoreStatus::Conflict) {
+      onObject(answer.object);
+    }
+    next();
+  });
+}
+
+void TableWriter::tick(TimePoint) {
+  delayed_ = false;
+  next();
+}
+
+void TableWriter::next() {
+  if (changes_.empty() || in_flight_ || delayed_ || !exists()) {
+    return;
+  }
+  if (read_first_) {
+    readAgain();
+  } else {
+    write();
+  }
+}
+
+void TableWriter::write() {
+  OwnerTable changed = table_;
+  if (!changes_.front().edit(changed)) {
+    finish(false);
+    return;
+  }
+  in_flight_ = true;
+  store_.replace(kSharedKind, {ownerTableName(service_), revision_, changed.encode()},
+                 [this](const StoreAnswer& answer) { onWritten(answer); });
+}
+
+void TableWriter::onWritten(const StoreAnswer& answer) {
+  in_flight_ = false;
+  switch (answer.status) {
+    case StoreStatus::Done:
+      onObject(answer.object);
+      finish(true);
+      return;
+    case StoreStatus::Conflict:
+      onObject(answer.object);
+      next();
+      return;
+    case StoreStatus::Refused:
+      delayed_ = true;
+      return;
+    case StoreStatus::Absent:
+    case StoreStatus::Unknown:
+      read_first_ = true;
+      delayed_ = true;
+      return;
+  }
+}
+
+void TableWriter::readAgain() {
+  in_flight_ = true;
+  store_.get(kSharedKind, ownerTableName(service_), [this](const StoreAnswer& answer) {
+    in_flight_ = false;
+    if (answer.status != StoreStatus::Done) {
+      delayed_ = true;
+      return;
+    }
+    read_first_ = false;
+    onObject(answer.object);
+    next();
+  });
+}
+
+void TableWriter::finish(bool written) {
+  Done done = std::move(changes_.front().done);
+  changes_.pop_front();
+  done(written);
+  next();
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/table_writer.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// @file
+/// Reads and changes the owner table of one service in the metadata store, one change at a time.
+
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "shedlever/metadata_store.h"
+#include "source/core/router/owner_table.h"
+
+namespace shedlever {
+
+/// Kind of the objects that all nodes watch: nodes and owner tables.
+inline constexpr const char* kSharedKind = "shedlever";
+
+/// @return name of a service's table object.
+std::string ownerTableName(const ServiceName& service);
+
+/// Holds the newest table known. A change is an edit that looks at the table and says whether it still applies; it is
+/// made on the newest table until it is written, or until it applies no more. So a change whose answer was lost is
+/// compared with what stands in the store before anything else is done.
+class TableWriter {
+ public:
+  /// @return whether the edit changed the table. Must be safe to run on any later table.
+  using Edit = std::function<bool(OwnerTable&)>;
+  /// @param written whether the edit stands in the store now; false when it applied no more.
+  using Done = std::function<void(bool written)>;
+
+  /// @param on_table runs after each newer table.
+  TableWriter(ServiceName service, MetadataStore& store, std::function<void()> on_table);
+
+  /// A table was read or watched; older ones than the one held are ignored.
+  void onObject(const MetadataObject& object);
+
+  /// The kind was listed and holds no table.
+  void onAbsent() { absence_known_ = true; }
+
+  /// @return whether there is a table, or it is known that there is none.
+  bool known() const { return revision_ != 0 || absence_known_; }
+  bool exists() const { return revision_ != 0; }
+  const OwnerTable& table() const { return table_; }
+  StoreRevision revision() const { return revision_; }
+
+  /// Queues a change.
+  void change(Edit edit, Done done);
+
+  /// Creates the first table, unless there is one.
+  void create(const OwnerTable& table);
+
+  /// Tries again what had no answer, or was refused.
+  void tick(TimePoint now);
+
+  bool idle() const { return changes_.empty() && !in_flight_; }
+
+ private:
+  struct Change {
+    Edit edit;
+    Done done;
+  };
+
+  void next();
+  void write();
+  void onWritten(const StoreAnswer& answer);
+  void readAgain();
+  void finish(bool written);
+
+  ServiceName service_;
+  MetadataStore& store_;
+  std::function<void()> on_table_;
+  OwnerTable table_;
+  StoreRevision revision_ = 0;
+  bool absence_known_ = false;
+  std::deque<Change> changes_;
+  bool in_flight_ = false;
+  /// The first change had no answer: what stands must be read before it is tried again.
+  bool read_first_ = false;
+  /// The first change waits for the next tick.
+  bool delayed_ = false;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/takeover_watcher.cc
@@ -0,0 +1,92 @@
+#include "source/core/router/takeover_watcher.h"
+
+#include <utility>
+
+namespace shedlever {
+
+TakeoverWatcher::TakeoverWatcher(const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
+                                 std::function<void(const NodeName&)> on_revoked)
+    : config_(config), store_(store), clock_(clock), on_revoked_(std::move(on_revoked)) {}
+
+void TakeoverWatcher::tick(const std::set<NodeName>& suspects, Duration delay, TimePoint now) {
+  std::erase_if(challenges_, [&](const auto& entry) { return !suspects.contains(entry.first); });
+  for (const NodeName& node : suspects) {
+    Challenge& challenge = challenges_[node];
+    if (challenge.since == TimePoint{}) {
+      challenge.since = now;
+    }
+    if (!challenge.in_flight) {
+      step(node, challenge, delay, now);
+    }
+  }
+}
+
+void TakeoverWatcher::step(const NodeName& node, Challenge& challenge, Duration delay, TimePoint now) {
+  if (now - challenge.since < config_.suspicion) {
+    return;
+  }
+  if (!challenge.read) {
+    challenge.in_flight = true;
+    readLease(node);
+    return;
+  }
+  if (now - challenge.read_at >= config_.lease + config_.lease_margin + delay) {
+    challenge.in_flight = true;
+    revoke(node, challenge);
+  }
+}
+
+void TakeoverWatcher::readLease(const NodeName& node) {
+  store_.get(kLeaseKind, node.value, [this, node](const StoreAnswer& answer) {
+    const auto found = challenges_.find(node);
+    if (found == challenges_.end()) {
+      return;
+    }
+    Challenge& challenge = found->second;
+    challenge.in_flight = false;
+    if (answer.status == StoreStatus::Done) {
+      adopt(challenge, answer.object);
+    } else if (answer.status == StoreStatus::Absent) {
+      challenge.read = true;
+      challenge.absent = true;
+      challenge.read_at = clock_.now();
+    }
+  });
+}
+
+void TakeoverWatcher::adopt(Challenge& challenge, const MetadataObject& object) {
+  challenge.read = true;
+  challenge.absent = false;
+  challenge.revision = object.revision;
+  challenge.lease = LeaseRecord::decode(object.value);
+  challenge.read_at = clock_.now();
+}
+
+void TakeoverWatcher::revoke(const NodeName& node, const Challenge& challenge) {
+  LeaseRecord revoked = challenge.lease;
+  revoked.revoked = true;
+  const auto done = [this, node](const StoreAnswer& answer) {
+    const auto found = challenges_.find(node);
+    if (found == challenges_.end()) {
+      return;
+    }
+    found->second.in_flight = false;
+    if (answer.status == StoreStatus::Done) {
+      challenges_.erase(found);
+      on_revoked_(node);
+    } else if (answer.status == StoreStatus::Conflict) {
+      // Renewed, or revoked by another challenger; either way its time counts from now.
+      adopt(found->second, answer.object);
+    } else if (answer.status == StoreStatus::Unknown) {
+      found->second.read = false;
+    }
+  };
+  const MetadataObject object{node.value, challenge.revision, revoked.encode()};
+  if (challenge.absent) {
+    store_.create(kLeaseKind, object, done);
+  } else {
+    store_.replace(kLeaseKind, object, done);
+  }
+}
+
+}  // namespace shedlever
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "source/net/http_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <list>
 #include <unordered_map>
@@ -37,10 +38,13 @@
 }
 
 /// @return request line and headers.
-std::string headOf(const HttpRequest& request, const Endpoint& server) {
-  std::string head = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + toString(server) + "\r\n";
+std::string headOf(const HttpRequest& request, const HttpClientConfig& config) {
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  if (!config.keep_host) {
+    head += "Host: " + toString(config.server) + "\r\n";
+  }
   for (const HttpHeader& header : request.headers) {
-    if (!isFramingHeader(header.name) && !sameHeaderName(header.name, "host") &&
+    if (!isFramingHeader(header.name) && (config.keep_host || !sameHeaderName(header.name, "host")) &&
         !sameHeaderName(header.name, "expect")) {
       head += header.name + ": " + header.value + "\r\n";
     }
@@ -157,7 +161,7 @@
       found->second.connection = pooled->connection.get();
       HttpRequest request = std::move(found->second.request);
       // Before the body is moved away: the head tells its length.
-      std::string head = headOf(request, config_.server);
+      std::string head = headOf(request, config_);
       pooled->connection->start(std::move(head), std::move(request.body), request.method == "HEAD");
     }
   }
@@ -186,7 +190,8 @@
 
   void makeIdle(HttpConnection& connection, Pooled& pooled) {
     idle_.push_back(&connection);
-    pooled.idle_timer = loop_.runAfter(config_.idle_timeout, [this, &connection] { close(connection); });
+    const Duration idle_timeout = std::min(config_.idle_timeout, connection.keepAlive());
+    pooled.idle_timer = loop_.runAfter(idle_timeout, [this, &connection] { close(connection); });
   }
 
   void close(HttpConnection& connection) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -33,6 +33,8 @@
   HttpExchangeStatus status = HttpExchangeStatus::NeverSent;
   /// With Complete only.
   HttpResponse response;
+  /// With NeverSent: nothing listens at the server's address, so the program there has ended.
+  bool refused = false;
 };
 
 /// Names an exchange of one client.
@@ -52,6 +54,13 @@
   Duration idle_timeout = std::chrono::seconds(30);
   std::size_t header_limit = 64U << 10U;
   std::size_t body_limit = 64U << 20U;
+  /// A connection whose other end acknowledges nothing for so long is lost, also while an answer is waited for; zero
+  /// leaves that to the timeouts.
+  Duration dead_peer_limit = Duration::zero();
+  /// Whether `Host` is passed on as the request has it; otherwise it is the server's address.
+  bool keep_host = false;
+  /// Whether an answer without a length may end with its connection, if that ends in order.
+  bool close_framed = false;
 };
 
 /// A pool of connections. One exchange at a time on each; a connection is used again only after a whole
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -26,13 +26,17 @@
   const bool begun = address && bufferevent_socket_connect(stream_.get(), const_cast<sockaddr*>(address->get()),
                                                            static_cast<int>(address->length)) == 0;
   // A failure at once is told from the loop as well, never inside the caller's call.
-  connect_timer_ = loop_.runAfter(begun ? config_.connect_timeout : Duration::zero(), [this] { broken(); });
+  connect_timer_ = loop_.runAfter(begun ? config_.connect_timeout : Duration::zero(), [this] { broken(false, false); });
 }
 
 void HttpConnection::connected() {
   loop_.cancel(std::exchange(connect_timer_, 0));
   connected_ = true;
-  setNoDelay(bufferevent_getfd(stream_.get()));
+  const evutil_socket_t socket = bufferevent_getfd(stream_.get());
+  setNoDelay(socket);
+  if (config_.dead_peer_limit > Duration::zero()) {
+    setDeadPeerLimit(socket, config_.dead_peer_limit);
+  }
   bufferevent_enable(stream_.get(), EV_READ);
   if (busy_) {
     writeRequest();
@@ -44,7 +48,7 @@
   request_size_ = head.size() + body.size();
   head_ = std::move(head);
   body_ = std::move(body);
-  parser_.emplace(config_.header_limit, config_.body_limit, is_head);
+  parser_.emplace(config_.header_limit, config_.body_limit, is_head, config_.close_framed);
   if (connected_) {
     writeRequest();
   }
@@ -73,7 +77,8 @@
   if ((events & BEV_EVENT_CONNECTED) != 0) {
     self->connected();
   } else {
-    self->broken();
+    const bool refused = !self->connected_ && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    self->broken((events & BEV_EVENT_EOF) != 0, refused);
   }
 }
 
@@ -89,18 +94,21 @@
   } else if (progress == HttpParseProgress::Done) {
     const bool all_sent = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
     const bool surplus = evbuffer_get_length(input) > 0;
+    keep_alive_ = parser_->keepAlive();
     end({HttpExchangeStatus::Complete, parser_->take()}, parser_->keepsConnection() && all_sent && !surplus);
   }
 }
 
-void HttpConnection::broken() {
+void HttpConnection::broken(bool in_order, bool refused) {
   loop_.cancel(std::exchange(connect_timer_, 0));
   if (!busy_) {
     owner_.idleConnectionBroken(*this);
+  } else if (in_order && parser_->endsWithConnection()) {
+    end({HttpExchangeStatus::Complete, parser_->take()}, false);
   } else if (parser_->started()) {
     end({HttpExchangeStatus::Malformed, {}}, false);
   } else {
-    end({sentAnything() ? HttpExchangeStatus::ConnectionLost : HttpExchangeStatus::NeverSent, {}}, false);
+    end({sentAnything() ? HttpExchangeStatus::ConnectionLost : HttpExchangeStatus::NeverSent, {}, refused}, false);
   }
 }
 
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -44,6 +44,9 @@
   /// @return whether any byte of the present request was handed to the network.
   bool sentAnything() const;
 
+  /// @return how long the server said that it keeps the connection without work, less a part for the way.
+  Duration keepAlive() const { return keep_alive_; }
+
   /// @return whether the connection still looks open: nothing to read, no end seen by the kernel.
   bool looksOpen() const;
 
@@ -55,7 +58,9 @@
   void connected();
   void writeRequest();
   void readAnswer();
-  void broken();
+  /// @param in_order whether the server ended the connection in order.
+  /// @param refused whether nothing listens at the server's address.
+  void broken(bool in_order, bool refused);
   void end(HttpExchange exchange, bool reusable);
 
   EventLoop& loop_;
@@ -65,6 +70,7 @@
   /// Runs out when no connection comes about, or tells of a failure inside the constructor.
   TimerId connect_timer_ = 0;
   bool connected_ = false;
+  Duration keep_alive_ = Duration::max();
   bool busy_ = false;
   std::string head_;
   std::string body_;
--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -21,6 +21,11 @@
 constexpr int kStatusNotModified = 304;
 constexpr int kHexadecimal = 16;
 constexpr int kDecimal = 10;
+constexpr std::string_view kKeepAliveTimeout = "timeout=";
+constexpr std::size_t kLongestKeepAliveSeconds = 86400;
+/// A connection is used within this part of the time that its server keeps it.
+constexpr int kKeepAlivePart = 3;
+constexpr int kKeepAliveParts = 4;
 
 std::string_view trimmed(std::string_view text) {
   constexpr std::string_view kBlanks = " \t";
@@ -42,8 +47,9 @@
 
 }  // namespace
 
-HttpResponseParser::HttpResponseParser(std::size_t header_limit, std::size_t body_limit, bool to_head)
-    : header_limit_(header_limit), body_limit_(body_limit), to_head_(to_head) {}
+HttpResponseParser::HttpResponseParser(std::size_t header_limit, std::size_t body_limit, bool to_head,
+                                       bool close_framed)
+    : header_limit_(header_limit), body_limit_(body_limit), to_head_(to_head), close_framed_(close_framed) {}
 
 HttpParseProgress HttpResponseParser::consume(evbuffer* input) {
   started_ = started_ || evbuffer_get_length(input) > 0;
@@ -62,6 +68,9 @@
 }
 
 HttpParseProgress HttpResponseParser::step(evbuffer* input) {
+  if (state_ == State::UntilClose) {
+    return takeUntilClose(input) ? HttpParseProgress::More : HttpParseProgress::Bad;
+  }
   if (state_ == State::Body || state_ == State::ChunkData) {
     takeBody(input);
     return HttpParseProgress::More;
@@ -109,6 +118,7 @@
       break;
     case State::Body:
     case State::ChunkData:
+    case State::UntilClose:
     case State::Done:
       break;
   }
@@ -162,6 +172,9 @@
   if (sameHeaderName(name, "connection") && sameHeaderName(value, "close")) {
     keeps_connection_ = false;
   }
+  if (sameHeaderName(name, "keep-alive") && value.starts_with(kKeepAliveTimeout)) {
+    takeKeepAlive(value.substr(kKeepAliveTimeout.size()));
+  }
   return true;
 }
 
@@ -182,6 +195,11 @@
     state_ = State::ChunkSize;
     return !content_length_;
   }
+  if (!content_length_ && close_framed_) {
+    keeps_connection_ = false;
+    state_ = State::UntilClose;
+    return true;
+  }
   if (!content_length_ || *content_length_ > body_limit_) {
     return false;
   }
@@ -203,6 +221,24 @@
   return true;
 }
 
+void HttpResponseParser::takeKeepAlive(std::string_view text) {
+  const std::optional<std::size_t> seconds = parseSize(trimmed(text.substr(0, text.find(','))), kDecimal);
+  if (seconds && *seconds < kLongestKeepAliveSeconds) {
+    keep_alive_ = std::chrono::seconds(*seconds) * kKeepAlivePart / kKeepAliveParts;
+  }
+}
+
+bool HttpResponseParser::takeUntilClose(evbuffer* input) {
+  const std::size_t size = evbuffer_get_length(input);
+  const std::size_t old_size = response_.body.size();
+  if (size > body_limit_ - std::min(old_size, body_limit_)) {
+    return false;
+  }
+  response_.body.resize(old_size + size);
+  evbuffer_remove(input, response_.body.data() + old_size, size);
+  return true;
+}
+
 void HttpResponseParser::takeBody(evbuffer* input) {
   const std::size_t size = std::min(missing_, evbuffer_get_length(input));
   const std::size_t old_size = response_.body.size();
--- a/source/net/http_response_parser.h
+++ b/source/net/http_response_parser.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "shedlever/request_frames.h"
+#include "shedlever/time.h"
 #include "source/net/event_handles.h"
 
 namespace shedlever {
@@ -21,11 +22,12 @@
 };
 
 /// Takes answers with Content-Length, chunked ones, and those that have no body by rule. One that ends with its
-/// connection is Bad: it can't be told from one that was cut.
+/// connection is Bad unless the caller allows it: it can't be told from one that was cut in order.
 class HttpResponseParser {
  public:
   /// @param to_head whether the request's method was HEAD.
-  HttpResponseParser(std::size_t header_limit, std::size_t body_limit, bool to_head);
+  /// @param close_framed whether an answer without a length may end with its connection.
+  HttpResponseParser(std::size_t header_limit, std::size_t body_limit, bool to_head, bool close_framed = false);
 
   /// Takes as much from the buffer as belongs to the answer.
   HttpParseProgress consume(evbuffer* input);
@@ -36,11 +38,27 @@
   /// @return whether the server will keep the connection; after Done.
   bool keepsConnection() const { return keeps_connection_; }
 
+  /// @return whether the answer is whole if the connection ends now, in order.
+  bool endsWithConnection() const { return state_ == State::UntilClose; }
+
+  /// @return how long the server keeps a connection without work, less a part for the way; max when it said nothing.
+  Duration keepAlive() const { return keep_alive_; }
+
   /// The answer, after Done; headers that frame it are left out.
   HttpResponse take() { return std::move(response_); }
 
  private:
-  enum class State : std::uint8_t { StatusLine, Headers, Body, ChunkSize, ChunkData, ChunkEnd, Trailers, Done };
+  enum class State : std::uint8_t {
+    StatusLine,
+    Headers,
+    Body,
+    ChunkSize,
+    ChunkData,
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done
+  };
 
   /// One line read from the buffer; `bad` when it is over the limit.
   struct Line {
@@ -57,10 +75,14 @@
   bool takeChunkSize(std::string_view line);
   bool headersEnded();
   void takeBody(evbuffer* input);
+  bool takeUntilClose(evbuffer* input);
+  void takeKeepAlive(std::string_view text);
 
   std::size_t header_limit_;
   std::size_t body_limit_;
   bool to_head_;
+  bool close_framed_;
+  Duration keep_alive_ = Duration::max();
   State state_ = State::StatusLine;
   bool started_ = false;
   bool keeps_connection_ = true;
--- /dev/null
+++ b/source/net/request_parser.cc
@@ -0,0 +1,217 @@
+#include "source/net/request_parser.h"
+
+#include <utility>
+#include <vector>
+
+#include "source/net/http_headers.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr std::string_view kHeadersEnd = "\r\n\r\n";
+
+RequestParser& self(http_parser* parser) { return *static_cast<RequestParser*>(parser->data); }
+
+/// @return whether every line ends with CR LF, and none continues the one before it.
+bool linesAreSound(std::string_view block) {
+  for (std::size_t at = block.find('\n'); at != std::string_view::npos; at = block.find('\n', at + 1)) {
+    if (at == 0 || block[at - 1] != '\r') {
+      return false;
+    }
+    if (at + 1 < block.size() && (block[at + 1] == ' ' || block[at + 1] == '\t')) {
+      return false;
+    }
+  }
+  return block.find('\0') == std::string_view::npos;
+}
+
+/// @return whether no header name is followed by a blank before its colon.
+bool namesAreSound(std::string_view block) {
+  return block.find(" :") == std::string_view::npos && block.find("\t:") == std::string_view::npos;
+}
+
+/// @return whether a list with commas holds the token; case does not count.
+bool namesToken(std::string_view list, std::string_view token) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    std::string_view entry = list.substr(0, comma);
+    list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    const std::size_t first = entry.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+      continue;
+    }
+    entry = entry.substr(first, entry.find_last_not_of(" \t") - first + 1);
+    if (sameHeaderName(entry, token)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Removes the headers that frame the message, and those that the client's Connection header names.
+void eraseConnectionHeaders(std::vector<HttpHeader>& headers) {
+  std::string named;
+  for (const HttpHeader& header : headers) {
+    if (sameHeaderName(header.name, "connection")) {
+      named += "," + header.value;
+    }
+  }
+  std::erase_if(headers, [&](const HttpHeader& header) {
+    return isFramingHeader(header.name) || namesToken(named, header.name);
+  });
+}
+
+}  // namespace
+
+RequestParser::RequestParser(std::size_t header_limit, std::size_t body_limit)
+    : header_limit_(header_limit), body_limit_(body_limit) {
+  http_parser_init(&parser_, HTTP_REQUEST);
+  parser_.data = this;
+}
+
+const http_parser_settings& RequestParser::settings() {
+  static const http_parser_settings instance = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_url = onUrl;
+    made.on_header_field = onHeaderField;
+    made.on_header_value = onHeaderValue;
+    made.on_headers_complete = onHeadersComplete;
+    made.on_body = onBody;
+    made.on_message_complete = onMessageComplete;
+    return made;
+  }();
+  return instance;
+}
+
+int RequestParser::onUrl(http_parser* parser, const char* text, std::size_t size) {
+  self(parser).request_.target.append(text, size);
+  return 0;
+}
+
+int RequestParser::onHeaderField(http_parser* parser, const char* text, std::size_t size) {
+  RequestParser& me = self(parser);
+  auto& headers = me.request_.headers;
+  if (headers.empty() || me.last_was_value_) {
+    headers.emplace_back();
+    me.last_was_value_ = false;
+  }
+  headers.back().name.append(text, size);
+  return 0;
+}
+
+int RequestParser::onHeaderValue(http_parser* parser, const char* text, std::size_t size) {
+  RequestParser& me = self(parser);
+  me.request_.headers.back().value.append(text, size);
+  me.last_was_value_ = true;
+  return 0;
+}
+
+int RequestParser::onHeadersComplete(http_parser* parser) {
+  RequestParser& me = self(parser);
+  me.headers_done_ = true;
+  me.request_.method = http_method_str(static_cast<http_method>(parser->method));
+  return me.headersAreSound() ? 0 : -1;
+}
+
+int RequestParser::onBody(http_parser* parser, const char* text, std::size_t size) {
+  RequestParser& me = self(parser);
+  if (me.request_.body.size() + size > me.body_limit_) {
+    me.body_too_large_ = true;
+    return -1;
+  }
+  me.request_.body.append(text, size);
+  return 0;
+}
+
+int RequestParser::onMessageComplete(http_parser* parser) {
+  RequestParser& me = self(parser);
+  me.done_ = true;
+  me.keeps_connection_ = http_should_keep_alive(parser) != 0;
+  // What follows belongs to the next request.
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+bool RequestParser::headersAreSound() {
+  std::size_t hosts = 0;
+  std::size_t codings = 0;
+  bool coding_known = true;
+  for (const HttpHeader& header : request_.headers) {
+    if (sameHeaderName(header.name, "host")) {
+      ++hosts;
+    } else if (sameHeaderName(header.name, "transfer-encoding")) {
+      ++codings;
+      coding_known = coding_known && sameHeaderName(header.value, "chunked");
+    } else if (sameHeaderName(header.name, "expect")) {
+      expects_continue_ = sameHeaderName(header.value, "100-continue");
+    }
+  }
+  const bool host_right = hosts == 1 || (hosts == 0 && parser_.http_major == 1 && parser_.http_minor == 0);
+  const bool version_right = parser_.http_major == 1 && parser_.http_minor <= 1;
+  const bool target_right = !request_.target.empty() && request_.target.front() == '/';
+  if (!host_right || !version_right || !target_right || codings > 1 || !coding_known || parser_.upgrade != 0) {
+    return false;
+  }
+  eraseConnectionHeaders(request_.headers);
+  return true;
+}
+
+RequestProgress RequestParser::consume(evbuffer* input) {
+  if (!headers_done_) {
+    const RequestProgress progress = takeHeaders(input);
+    if (progress != RequestProgress::InBody) {
+      return progress;
+    }
+  }
+  return takeBody(input);
+}
+
+RequestProgress RequestParser::takeHeaders(evbuffer* input) {
+  const std::size_t available = evbuffer_get_length(input);
+  if (available == 0) {
+    return RequestProgress::Nothing;
+  }
+  const evbuffer_ptr end = evbuffer_search(input, kHeadersEnd.data(), kHeadersEnd.size(), nullptr);
+  const std::size_t size = end.pos < 0 ? available : static_cast<std::size_t>(end.pos) + kHeadersEnd.size();
+  if (size > header_limit_) {
+    return RequestProgress::HeadersTooLarge;
+  }
+  if (end.pos < 0) {
+    // A line without its CR is refused now: an end of headers that another parser sees must not be waited past.
+    const auto* begun = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    return linesAreSound({begun, size}) ? RequestProgress::InHeaders : RequestProgress::Bad;
+  }
+  const auto* text = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+  const std::string_view block(text, size);
+  if (!linesAreSound(block) || !namesAreSound(block)) {
+    return RequestProgress::Bad;
+  }
+  const std::size_t taken = http_parser_execute(&parser_, &settings(), text, size);
+  const bool stopped_at_end = done_ && HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
+  if (!headers_done_ || (!stopped_at_end && (taken != size || HTTP_PARSER_ERRNO(&parser_) != HPE_OK))) {
+    return RequestProgress::Bad;
+  }
+  evbuffer_drain(input, size);
+  return done_ ? RequestProgress::Done : RequestProgress::InBody;
+}
+
+RequestProgress RequestParser::takeBody(evbuffer* input) {
+  while (!done_ && evbuffer_get_length(input) > 0) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    const auto* text = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    const std::size_t taken = http_parser_execute(&parser_, &settings(), text, size);
+    if (body_too_large_) {
+      return RequestProgress::BodyTooLarge;
+    }
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    if (error != HPE_OK && !(done_ && error == HPE_PAUSED)) {
+      return RequestProgress::Bad;
+    }
+    evbuffer_drain(input, taken);
+  }
+  return done_ ? RequestProgress::Done : RequestProgress::InBody;
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/net/request_parser.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Reads HTTP/1.1 requests from a buffer. Strict: see strict_http_server.h.
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "shedlever/request_frames.h"
+#include "source/net/event_handles.h"
+
+namespace shedlever {
+
+enum class RequestProgress : std::uint8_t {
+  Nothing,          ///< no byte of a request yet
+  InHeaders,        ///< begun
+  InBody,           ///< headers are in
+  Done,             ///< whole; `take` gives it
+  Bad,              ///< 400
+  HeadersTooLarge,  ///< 431
+  BodyTooLarge,     ///< 413
+};
+
+class RequestParser {
+ public:
+  RequestParser(std::size_t header_limit, std::size_t body_limit);
+
+  /// Takes as much from the buffer as belongs to the request.
+  RequestProgress consume(evbuffer* input);
+
+  /// The request, after Done; headers that frame it are left out.
+  HttpRequest take() { return std::move(request_); }
+
+  /// @return whether the client keeps the connection open; after Done.
+  bool keepsConnection() const { return keeps_connection_; }
+
+  /// @return whether the client waits for "100 Continue", once.
+  bool takeExpectsContinue() { return std::exchange(expects_continue_, false); }
+
+ private:
+  static int onUrl(http_parser* parser, const char* text, std::size_t size);
+  static int onHeaderField(http_parser* parser, const char* text, std::size_t size);
+  static int onHeaderValue(http_parser* parser, const char* text, std::size_t size);
+  static int onHeadersComplete(http_parser* parser);
+  static int onBody(http_parser* parser, const char* text, std::size_t size);
+  static int onMessageComplete(http_parser* parser);
+  static const http_parser_settings& settings();
+
+  RequestProgress takeHeaders(evbuffer* input);
+  RequestProgress takeBody(evbuffer* input);
+  bool headersAreSound();
+
+  std::size_t header_limit_;
+  std::size_t body_limit_;
+  http_parser parser_{};
+  HttpRequest request_;
+  bool last_was_value_ = false;
+  bool headers_done_ = false;
+  bool done_ = false;
+  bool body_too_large_ = false;
+  bool keeps_connection_ = true;
+  bool expects_continue_ = false;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/net/strict_http_server.cc
@@ -0,0 +1,342 @@
+#include "source/net/strict_http_server.h"
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+
+#include "source/net/event_buffers.h"
+#include "source/net/http_headers.h"
+#include "source/net/request_parser.h"
+#include "source/net/tcp_listener.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+/// Bytes read ahead of the request that is being answered.
+constexpr std::size_t kReadAhead = 256U << 10U;
+/// How long a connection that is being closed waits for the client to close too.
+constexpr Duration kLinger = std::chrono::seconds(1);
+
+const char* reasonPhrase(int status) { return http_status_str(static_cast<http_status>(status)); }
+
+timeval toTimeval(Duration duration) {
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+  timeval value{};
+  value.tv_sec = seconds.count();
+  value.tv_usec = (duration - seconds).count();
+  return value;
+}
+
+}  // namespace
+
+struct StrictHttpServer::State {
+  explicit State(EventLoop& event_loop) : loop(event_loop) {}
+
+  EventLoop& loop;
+  StrictHttpLimits limits;
+  StrictHttpHandler handler;
+  std::unique_ptr<TcpListener> listener;
+  std::unordered_map<StrictHttpConnection*, std::shared_ptr<StrictHttpConnection>> connections;
+  bool close_after_answers = false;
+  std::size_t in_flight = 0;
+};
+
+/// One client connection; one request at a time.
+class StrictHttpConnection : public std::enable_shared_from_this<StrictHttpConnection> {
+ public:
+  StrictHttpConnection(StrictHttpServer::State& server, evutil_socket_t socket)
+      : server_(server), stream_(bufferevent_socket_new(server.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(stream_.get(), onRead, onWritten, onEvent, this);
+    bufferevent_setwatermark(stream_.get(), EV_READ, 0, kReadAhead);
+    startRequest();
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+  }
+
+  void reply(std::uint64_t number, HttpResponse response) {
+    if (number != number_ || !waiting_) {
+      return;
+    }
+    endWaiting();
+    const bool keep = parser_->keepsConnection() && !server_.close_after_answers;
+    write(std::move(response), keep);
+    if (!keep) {
+      closing_ = true;
+      finishClosing();
+      return;
+    }
+    startRequest();
+    // The next request may be there already; its handler must not run inside this call.
+    if (evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0) {
+      server_.loop.post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->readRequest();
+        }
+      });
+    }
+  }
+
+  void abort(std::uint64_t number) {
+    if (number == number_ && waiting_) {
+      endWaiting();
+      remove();
+    }
+  }
+
+  void onGone(std::uint64_t number, std::function<void()> gone) {
+    if (number == number_ && waiting_) {
+      gone_ = std::move(gone);
+    }
+  }
+
+  bool idle() const {
+    return !waiting_ && !closing_ && !in_request_ && evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0 &&
+           evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+  }
+
+  void remove() { server_.connections.erase(this); }
+
+ private:
+  static void onRead(bufferevent*, void* argument) {
+    const auto self = static_cast<StrictHttpConnection*>(argument)->shared_from_this();
+    self->readRequest();
+  }
+
+  static void onWritten(bufferevent*, void* argument) {
+    const auto self = static_cast<StrictHttpConnection*>(argument)->shared_from_this();
+    if (self->closing_) {
+      self->finishClosing();
+    }
+  }
+
+  static void onEvent(bufferevent*, short events, void* argument) {
+    const auto self = static_cast<StrictHttpConnection*>(argument)->shared_from_this();
+    if ((events & BEV_EVENT_TIMEOUT) != 0 && (events & BEV_EVENT_READING) != 0) {
+      self->timedOut();
+      return;
+    }
+    self->gone();
+  }
+
+  void startRequest() {
+    parser_.emplace(server_.limits.header_bytes, server_.limits.body_bytes);
+    in_request_ = false;
+    headers_in_ = false;
+    setReadTimeout(server_.limits.idle_timeout);
+  }
+
+  void setReadTimeout(Duration timeout) {
+    const timeval value = toTimeval(timeout);
+    bufferevent_set_timeouts(stream_.get(), &value, nullptr);
+  }
+
+  void readRequest() {
+    if (closing_) {
+      evbuffer* input = bufferevent_get_input(stream_.get());
+      evbuffer_drain(input, evbuffer_get_length(input));
+      return;
+    }
+    if (waiting_) {
+      return;
+    }
+    const RequestProgress progress = parser_->consume(bufferevent_get_input(stream_.get()));
+    switch (progress) {
+      case RequestProgress::Nothing:
+        return;
+      case RequestProgress::InHeaders:
+        if (!in_request_) {
+          in_request_ = true;
+          startHeaderTimer();
+        }
+        return;
+      case RequestProgress::InBody:
+        headersArrived();
+        return;
+      case RequestProgress::Done:
+        headersArrived();
+        handOver();
+        return;
+      case RequestProgress::Bad:
+        refuse(kBadRequest);
+        return;
+      case RequestProgress::HeadersTooLarge:
+        refuse(kHeadersTooLarge);
+        return;
+      case RequestProgress::BodyTooLarge:
+        refuse(kBodyTooLarge);
+        return;
+    }
+  }
+
+  /// The headers have so long in all, however slowly their bytes come.
+  void startHeaderTimer() {
+    server_.loop.runAfter(server_.limits.header_timeout, [weak = weak_from_this(), number = number_] {
+      const auto self = weak.lock();
+      if (self && self->number_ == number && self->in_request_ && !self->headers_in_ && !self->closing_) {
+        self->refuse(kRequestTimeout);
+      }
+    });
+  }
+
+  void headersArrived() {
+    in_request_ = true;
+    headers_in_ = true;
+    if (parser_->takeExpectsContinue()) {
+      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      evbuffer_add(bufferevent_get_output(stream_.get()), kContinue.data(), kContinue.size());
+    }
+  }
+
+  void handOver() {
+    bufferevent_set_timeouts(stream_.get(), nullptr, nullptr);
+    waiting_ = true;
+    ++server_.in_flight;
+    HttpRequest request = parser_->take();
+    is_head_ = request.method == "HEAD";
+    server_.handler(std::move(request), HttpReplier(weak_from_this(), number_));
+  }
+
+  void endWaiting() {
+    waiting_ = false;
+    gone_ = {};
+    ++number_;
+    --server_.in_flight;
+  }
+
+  void write(HttpResponse response, bool keep) {
+    std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
+    for (const HttpHeader& header : response.headers) {
+      if (!isFramingHeader(header.name)) {
+        head.append(header.name).append(": ").append(header.value).append("\r\n");
+      }
+    }
+    if (response.status != kNoContent && response.status != kNotModified) {
+      head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    }
+    head += keep ? "\r\n" : "Connection: close\r\n\r\n";
+    evbuffer* output = bufferevent_get_output(stream_.get());
+    appendBytes(output, std::move(head));
+    if (!is_head_) {
+      appendBytes(output, std::move(response.body));
+    }
+  }
+
+  /// Answers what can't be handed over, and reads no further.
+  void refuse(int status) {
+    is_head_ = false;
+    write({status, {}, {}}, false);
+    closing_ = true;
+    finishClosing();
+  }
+
+  void timedOut() {
+    if (in_request_ && !waiting_ && !closing_) {
+      refuse(kRequestTimeout);
+    } else {
+      remove();
+    }
+  }
+
+  void gone() {
+    if (waiting_) {
+      std::function<void()> tell = std::move(gone_);
+      endWaiting();
+      if (tell) {
+        server_.loop.post(std::move(tell));
+      }
+    }
+    remove();
+  }
+
+  /// Once all is written, says so and waits for the client's end: closing with unread bytes would reset the connection
+  /// and could take the answer with it.
+  void finishClosing() {
+    if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0) {
+      return;
+    }
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+    setReadTimeout(kLinger);
+  }
+
+  StrictHttpServer::State& server_;
+  BufferEventHandle stream_;
+  std::optional<RequestParser> parser_;
+  std::function<void()> gone_;
+  /// Numbers the requests of this connection.
+  std::uint64_t number_ = 1;
+  /// Some bytes of a request have come.
+  bool in_request_ = false;
+  bool headers_in_ = false;
+  /// A request was handed over and waits for its answer.
+  bool waiting_ = false;
+  bool closing_ = false;
+  bool is_head_ = false;
+};
+
+void HttpReplier::reply(HttpResponse response) const {
+  if (const auto connection = connection_.lock()) {
+    connection->reply(number_, std::move(response));
+  }
+}
+
+void HttpReplier::abort() const {
+  if (const auto connection = connection_.lock()) {
+    connection->abort(number_);
+  }
+}
+
+void HttpReplier::onGone(std::function<void()> gone) const {
+  if (const auto connection = connection_.lock()) {
+    connection->onGone(number_, std::move(gone));
+  }
+}
+
+StrictHttpServer::StrictHttpServer(std::shared_ptr<State> state) : state_(std::move(state)) {}
+
+StrictHttpServer::~StrictHttpServer() { state_->connections.clear(); }
+
+leaf::result<std::unique_ptr<StrictHttpServer>> StrictHttpServer::listen(EventLoop& loop, const Endpoint& listen,
+                                                                         const StrictHttpLimits& limits,
+                                                                         StrictHttpHandler handler) {
+  auto state = std::make_shared<State>(loop);
+  state->limits = limits;
+  state->handler = std::move(handler);
+  const auto accepted = [raw = state.get()](evutil_socket_t socket, const Endpoint&) {
+    auto connection = std::make_shared<StrictHttpConnection>(*raw, socket);
+    raw->connections.emplace(connection.get(), connection);
+  };
+  BOOST_LEAF_AUTO(listener, TcpListener::open(loop, listen, accepted));
+  state->listener = std::move(listener);
+  return std::unique_ptr<StrictHttpServer>(new StrictHttpServer(std::move(state)));
+}
+
+const Endpoint& StrictHttpServer::endpoint() const { return state_->listener->endpoint(); }
+
+void StrictHttpServer::setLimits(const StrictHttpLimits& limits) { state_->limits = limits; }
+
+void StrictHttpServer::closeAfterAnswers() { state_->close_after_answers = true; }
+
+void StrictHttpServer::closeIdle() {
+  std::vector<StrictHttpConnection*> idle;
+  for (const auto& [raw, connection] : state_->connections) {
+    if (raw->idle()) {
+      idle.push_back(raw);
+    }
+  }
+  for (StrictHttpConnection* connection : idle) {
+    connection->remove();
+  }
+}
+
+std::size_t StrictHttpServer::inFlight() const { return state_->in_flight; }
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/net/strict_http_server.h
@@ -0,0 +1,88 @@
+#pragma once
+
+/// @file
+/// An HTTP/1.1 server for clients that are not trusted to frame their requests well. What two parsers could read
+/// differently is refused with 400, the connection is closed, and nothing behind it is read.
+///
+/// It stands on bufferevents and the http_parser library and not on evhttp, which (2.1.12) takes two lengths, a blank
+/// before a colon, signs in lengths, folded lines and bare line feeds, and so lets a second request hide in a first.
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "shedlever/errors.h"
+#include "shedlever/identifiers.h"
+#include "shedlever/request_frames.h"
+#include "source/net/event_loop.h"
+
+namespace shedlever {
+
+struct StrictHttpLimits {
+  /// Request line and headers together.
+  std::size_t header_bytes = 16U << 10U;
+  std::size_t body_bytes = 64U << 20U;
+  /// From the first byte of a request to the end of its headers.
+  Duration header_timeout = std::chrono::seconds(3);
+  /// A connection without a request is closed after this long.
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+class StrictHttpConnection;
+
+/// Answers one request, now or later. Copies name the same request. Does nothing once the client is gone, or the
+/// server destroyed.
+class HttpReplier {
+ public:
+  explicit HttpReplier(std::weak_ptr<StrictHttpConnection> connection, std::uint64_t number)
+      : connection_(std::move(connection)), number_(number) {}
+
+  /// Sends the answer with its length. Headers that frame the message are left out.
+  void reply(HttpResponse response) const;
+
+  /// Ends the connection without an answer.
+  void abort() const;
+
+  /// @param gone runs once from the loop if the client goes away before it has been answered.
+  void onGone(std::function<void()> gone) const;
+
+ private:
+  std::weak_ptr<StrictHttpConnection> connection_;
+  std::uint64_t number_;
+};
+
+using StrictHttpHandler = std::function<void(HttpRequest request, HttpReplier replier)>;
+
+/// Listens on one address. Requests that come pipelined are handed over one after the other.
+class StrictHttpServer {
+ public:
+  /// @return the server, or a NetworkError.
+  static leaf::result<std::unique_ptr<StrictHttpServer>> listen(EventLoop& loop, const Endpoint& listen,
+                                                                const StrictHttpLimits& limits,
+                                                                StrictHttpHandler handler);
+  ~StrictHttpServer();
+  StrictHttpServer(const StrictHttpServer&) = delete;
+  StrictHttpServer& operator=(const StrictHttpServer&) = delete;
+
+  const Endpoint& endpoint() const;
+
+  /// For requests that begin from now on.
+  void setLimits(const StrictHttpLimits& limits);
+
+  /// Every answer from now on closes its connection.
+  void closeAfterAnswers();
+
+  /// Closes connections that rest between requests.
+  void closeIdle();
+
+  /// @return requests that were handed over and not answered.
+  std::size_t inFlight() const;
+
+  struct State;
+
+ private:
+  explicit StrictHttpServer(std::shared_ptr<State> state);
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/cluster_view.cc
@@ -0,0 +1,197 @@
+#include "source/router/cluster_view.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "source/core/router/table_writer.h"
+#include "source/core/settings/endpoint_text.h"
+
+namespace shedlever {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration kWatchWait = std::chrono::seconds(25);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(400);
+/// Answers with events closer than this follow each other closely.
+constexpr Duration kBurst = std::chrono::seconds(1);
+
+}  // namespace
+
+KindWatcher::KindWatcher(EventLoop& loop, const Clock& clock, MetadataStore& store, std::string kind, Duration pause,
+                         Events events)
+    : loop_(loop), clock_(clock), store_(store), kind_(std::move(kind)), pause_(pause), events_(std::move(events)) {}
+
+KindWatcher::~KindWatcher() { *alive_ = false; }
+
+void KindWatcher::later(Duration delay, void (KindWatcher::*step)()) {
+  loop_.runAfter(delay, [this, alive = alive_, step] {
+    if (*alive) {
+      (this->*step)();
+    }
+  });
+}
+
+void KindWatcher::noteAvailable(bool available) {
+  if (available != available_) {
+    available_ = available;
+    events_.on_available(available);
+  }
+}
+
+void KindWatcher::list() {
+  store_.list(kind_, [this, alive = alive_](const StoreListing& listing) {
+    if (!*alive) {
+      return;
+    }
+    noteAvailable(listing.available);
+    if (!listing.available) {
+      later(kRetryDelay, &KindWatcher::list);
+      return;
+    }
+    at_ = listing.at;
+    for (const MetadataObject& object : listing.objects) {
+      events_.on_object(object, false);
+    }
+    events_.on_listed();
+    watch();
+  });
+}
+
+void KindWatcher::watch() {
+  store_.watch(kind_, at_, kWatchWait, [this, alive = alive_](const WatchResult& answer) {
+    if (*alive) {
+      onWatch(answer);
+    }
+  });
+}
+
+void KindWatcher::onWatch(const WatchResult& answer) {
+  switch (answer.status) {
+    case WatchStatus::HistoryGone:
+      list();
+      return;
+    case WatchStatus::Unavailable:
+      noteAvailable(false);
+      later(kRetryDelay, &KindWatcher::watch);
+      return;
+    case WatchStatus::Events:
+      break;
+  }
+  noteAvailable(true);
+  at_ = answer.at;
+  for (const MetadataEvent& event : answer.events) {
+    events_.on_object(event.object, event.deleted);
+  }
+  const TimePoint now = clock_.now();
+  const bool burst = !answer.events.empty() && now - last_events_ < kBurst;
+  if (!answer.events.empty()) {
+    last_events_ = now;
+  }
+  if (burst) {
+    later(pause_, &KindWatcher::watch);
+  } else {
+    watch();
+  }
+}
+
+std::string nodeRecordName(const NodeName& node) { return "node-" + node.value; }
+
+std::string encodeNodeRecord(const NodeRecord& record) {
+  json document = {{"node", record.node.value},       {"incarnation", record.incarnation.value},
+                   {"peer", toString(record.peer)},   {"zone", record.zone.value},
+                   {"service", record.service.value}, {"slots", record.slots}};
+  if (!record.instance.empty()) {
+    document["instance"] = record.instance.value;
+  }
+  if (record.draining) {
+    document["draining"] = true;
+  }
+  return document.dump();
+}
+
+std::optional<NodeRecord> decodeNodeRecord(const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    NodeRecord record;
+    record.node = NodeName(document.at("node").get<std::string>());
+    record.incarnation.value = document.at("incarnation").get<std::uint64_t>();
+    const auto peer = parseEndpoint(document.at("peer").get<std::string>());
+    if (!peer) {
+      return std::nullopt;
+    }
+    record.peer = *peer;
+    record.zone = ZoneName(document.at("zone").get<std::string>());
+    record.service = ServiceName(document.at("service").get<std::string>());
+    record.slots = document.at("slots").get<std::uint32_t>();
+    record.instance = InstanceId(document.value("instance", std::string()));
+    record.draining = document.value("draining", false);
+    return record;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+RecordPublisher::RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log)
+    : loop_(loop), store_(store), log_(log) {}
+
+void RecordPublisher::publish(const NodeRecord& record) {
+  wanted_ = record;
+  write();
+}
+
+void RecordPublisher::write() {
+  if (in_flight_ || !wanted_ || wanted_ == written_) {
+    return;
+  }
+  in_flight_ = true;
+  in_flight_record_ = *wanted_;
+  const MetadataObject object{nodeRecordName(wanted_->node), 0, encodeNodeRecord(*wanted_)};
+  const auto done = [this, alive = alive_](const StoreAnswer& answer) {
+    if (*alive) {
+      onAnswer(answer);
+    }
+  };
+  if (exists_) {
+    store_.replace(kSharedKind, object, done);
+  } else {
+    store_.create(kSharedKind, object, done);
+  }
+}
+
+void RecordPublisher::onAnswer(const StoreAnswer& answer) {
+  in_flight_ = false;
+  switch (answer.status) {
+    case StoreStatus::Done:
+      exists_ = true;
+      written_ = in_flight_record_;
+      log_.write("membership", "record-written",
+                 {{"instance", in_flight_record_.instance.value},
+                  {"draining", in_flight_record_.draining ? "1" : "0"},
+                  {"revision", std::to_string(answer.object.revision)}});
+      write();
+      return;
+    case StoreStatus::Conflict:
+      exists_ = true;
+      write();
+      return;
+    case StoreStatus::Absent:
+      exists_ = false;
+      write();
+      return;
+    case StoreStatus::Refused:
+    case StoreStatus::Unknown:
+      loop_.runAfter(kRetryDelay, [this, alive = alive_] {
+        if (*alive) {
+          write();
+        }
+      });
+      return;
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/cluster_view.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/// @file
+/// What this process knows from the metadata store: the operators' configuration, all nodes and all owner tables.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "shedlever/metadata_store.h"
+#include "shedlever/platform_ports.h"
+#include "source/core/router/owner_table.h"
+#include "source/core/router/route_table.h"
+#include "source/core/router/server_directory.h"
+#include "source/net/event_loop.h"
+#include "source/router/event_log.h"
+
+namespace shedlever {
+
+/// Follows one kind of objects: lists it, watches it, lists it anew when changes were missed.
+class KindWatcher {
+ public:
+  struct Events {
+    /// An object is new or has changed, or was deleted.
+    std::function<void(const MetadataObject&, bool deleted)> on_object;
+    /// A whole list has been read.
+    std::function<void()> on_listed;
+    /// The store was lost, or regained.
+    std::function<void(bool available)> on_available;
+  };
+
+  /// @param pause between answers with events that follow each other closely, so that a start of many nodes costs few
+  ///   calls.
+  KindWatcher(EventLoop& loop, const Clock& clock, MetadataStore& store, std::string kind, Duration pause,
+              Events events);
+  ~KindWatcher();
+
+  void start() { list(); }
+
+ private:
+  void list();
+  void watch();
+  void onWatch(const WatchResult& answer);
+  void later(Duration delay, void (KindWatcher::*step)());
+  void noteAvailable(bool available);
+
+  EventLoop& loop_;
+  const Clock& clock_;
+  MetadataStore& store_;
+  std::string kind_;
+  Duration pause_;
+  Events events_;
+  StoreRevision at_ = 0;
+  TimePoint last_events_{};
+  bool available_ = true;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// @return JSON text of a node's record.
+std::string encodeNodeRecord(const NodeRecord& record);
+/// @return the record; none for text that can't be read.
+std::optional<NodeRecord> decodeNodeRecord(const std::string& text);
+
+/// Name of a node's record in the shared kind.
+std::string nodeRecordName(const NodeName& node);
+
+/// Writes this node's record whenever it changes, until the store has it.
+class RecordPublisher {
+ public:
+  RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log);
+  ~RecordPublisher() { *alive_ = false; }
+
+  /// A record that is equal to the last one is not written again.
+  void publish(const NodeRecord& record);
+
+ private:
+  void write();
+  void onAnswer(const StoreAnswer& answer);
+
+  EventLoop& loop_;
+  MetadataStore& store_;
+  EventLog& log_;
+  std::optional<NodeRecord> wanted_;
+  std::optional<NodeRecord> written_;
+  NodeRecord in_flight_record_;
+  bool in_flight_ = false;
+  bool exists_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/event_log.cc
@@ -0,0 +1,112 @@
+#include "source/router/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace shedlever {
+
+namespace {
+
+constexpr std::size_t kBufferLimit = 256U << 10U;
+constexpr Duration kFlushDelay = std::chrono::milliseconds(100);
+constexpr double kServedPerSecond = 5.0;
+constexpr double kFailedPerSecond = 100.0;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+bool needsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" \"=\n") != std::string_view::npos;
+}
+
+void appendValue(std::string& line, std::string_view value) {
+  if (!needsQuotes(value)) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char letter : value) {
+    if (letter == '"' || letter == '\\') {
+      line += '\\';
+    }
+    line += letter == '\n' ? ' ' : letter;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+EventLog::EventLog(EventLoop& loop, const Clock& clock, int file_descriptor)
+    : loop_(loop),
+      clock_(clock),
+      file_descriptor_(file_descriptor),
+      served_{kServedPerSecond, kServedPerSecond, kServedPerSecond, {}},
+      failed_{kFailedPerSecond, kFailedPerSecond, kFailedPerSecond, {}} {
+  fcntl(file_descriptor_, F_SETFL, fcntl(file_descriptor_, F_GETFL) | O_NONBLOCK);
+}
+
+EventLog::~EventLog() { flush(); }
+
+bool EventLog::take(RateLimit& limit) {
+  const TimePoint now = clock_.now();
+  const double elapsed = static_cast<double>((now - limit.last).count()) / kMicrosecondsPerSecond;
+  limit.last = now;
+  limit.tokens = std::min(limit.most, limit.tokens + elapsed * limit.per_second);
+  if (limit.tokens < 1.0) {
+    ++lost_;
+    return false;
+  }
+  limit.tokens -= 1.0;
+  return true;
+}
+
+bool EventLog::mayWriteServed() { return take(served_); }
+
+bool EventLog::mayWriteFailed() { return take(failed_); }
+
+void EventLog::write(const char* part, std::string_view event, std::initializer_list<LogField> fields) {
+  if (buffer_.size() > kBufferLimit) {
+    ++lost_;
+    return;
+  }
+  buffer_.append(part).append(": event=");
+  appendValue(buffer_, event);
+  buffer_.append(" t_us=").append(std::to_string(clock_.now().time_since_epoch().count()));
+  for (const LogField& field : fields) {
+    buffer_.append(" ").append(field.key).append("=");
+    appendValue(buffer_, field.value);
+  }
+  buffer_ += '\n';
+  flushLater();
+}
+
+void EventLog::flushLater() {
+  if (flush_planned_) {
+    return;
+  }
+  flush_planned_ = true;
+  loop_.runAfter(kFlushDelay, [this] {
+    flush_planned_ = false;
+    if (lost_ > told_lost_) {
+      told_lost_ = lost_;
+      buffer_.append("log: event=suppressed total=").append(std::to_string(lost_)).append("\n");
+    }
+    flush();
+    if (!buffer_.empty()) {
+      flushLater();
+    }
+  });
+}
+
+void EventLog::flush() {
+  while (!buffer_.empty()) {
+    const ssize_t written = ::write(file_descriptor_, buffer_.data(), buffer_.size());
+    if (written <= 0) {
+      return;
+    }
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/gateway.cc
@@ -0,0 +1,317 @@
+#include "source/router/gateway.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+#include "source/net/http_headers.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// Part of the latency objective that a request waits for its key's owner.
+constexpr int kParkDivisor = 4;
+/// A parked request is tried again after so long even if no change was heard of.
+constexpr Duration kParkStep = std::chrono::milliseconds(40);
+/// Returns of refused requests are spread over this multiple of the time told.
+constexpr double kReturnSpread = 1.0;
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
+/// Clients honour a time up to a third of what they have left.
+constexpr int kMostRetryAfterDivisor = 4;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+HttpResponse ownAnswer(int status) { return {status, {}, {}}; }
+
+std::string milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+Gateway::Gateway(NodeName self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayDependencies ports)
+    : self_(std::move(self)),
+      own_service_(std::move(own_service)),
+      ports_(std::move(ports)),
+      budget_(budget),
+      policy_(budget_),
+      splits_(static_cast<std::size_t>(ports_.random->next())) {}
+
+void Gateway::handle(HttpRequest http, HttpReplier replier) {
+  const TimePoint now = ports_.clock->now();
+  if (!routes_) {
+    HttpResponse response = ownAnswer(kServiceUnavailable);
+    response.headers.push_back({"Retry-After", retryAfterText(kNoConfigRetryAfter, Duration::max())});
+    replier.reply(std::move(response));
+    ports_.metrics->onRequest("no-config", {});
+    return;
+  }
+  const Route* route = routes_->find(headerValue(http.headers, "host"), http.target);
+  if (route == nullptr) {
+    replier.reply(ownAnswer(kNotFound));
+    ports_.metrics->onRequest("no-route", {});
+    if (ports_.log->mayWriteFailed()) {
+      ports_.log->write("gateway", "no-route",
+                        {{"id", ports_.protocol->readClientRequest(http).id.value},
+                         {"host", std::string(headerValue(http.headers, "host"))},
+                         {"target", http.target},
+                         {"config", std::to_string(routes_->version())}});
+    }
+    return;
+  }
+  const RequestNumber number = ++last_number_;
+  Request& request = requests_.try_emplace(number, std::move(http), replier, routes_).first->second;
+  request.route = route;
+  request.service = splits_.pick(*route);
+  request.info = ports_.protocol->readClientRequest(request.http);
+  const RoutedService* service = routes_->service(request.service);
+  request.keyed = service != nullptr && service->divided_by_key && request.info.key.has_value();
+  request.arrived = now;
+  const Duration hold = std::min(request.info.time_left.value_or(route->timeout), route->timeout);
+  request.deadline = now + hold;
+  request.timer = ports_.loop->runAfter(hold, [this, number] { onDeadline(number); });
+  replier.onGone([this, number] { onClientGone(number); });
+  budget_.onRequest(request.service);
+  dispatch(number);
+}
+
+void Gateway::dispatch(RequestNumber number) {
+  Request& request = requests_.at(number);
+  const TimePoint now = ports_.clock->now();
+  request.parked = false;
+  if (!request.keyed) {
+    const NodeRecord* server = ports_.directory->choose(request.service, request.route->kind, request.tried, now);
+    if (server == nullptr) {
+      const ForwardReason reason =
+          request.last_reason == ForwardReason::None ? ForwardReason::NoInstance : request.last_reason;
+      refuse(number, reason, kLeastRetryAfter);
+      return;
+    }
+    sendTo(number, server->node, server->instance);
+    return;
+  }
+  const OwnerTable* owners = ports_.owners(request.service);
+  const OwnedRange* range = owners == nullptr ? nullptr : owners->find(*request.info.key);
+  if (range == nullptr || range->owner.empty() || range->releasing) {
+    request.last_reason = ForwardReason::NotYetOwner;
+    park(number);
+    return;
+  }
+  const bool reachable = range->node == self_ || !ports_.directory->isUnreachable(range->node);
+  if (!reachable) {
+    request.last_reason = ForwardReason::ServerDown;
+    park(number);
+    return;
+  }
+  sendTo(number, range->node, range->owner);
+}
+
+ForwardFrame Gateway::frameOf(const Request& request, const InstanceId& instance, TimePoint now) const {
+  ForwardFrame frame;
+  frame.id = request.info.id;
+  frame.instance = instance;
+  frame.kind = request.route->kind;
+  frame.priority = request.route->priority;
+  frame.keyed = request.keyed;
+  frame.key = request.info.key.value_or(0);
+  frame.remaining_us = (request.deadline - now).count();
+  frame.target_us = request.route->target_latency.count();
+  frame.caller = own_service_;
+  frame.http = request.http;
+  return frame;
+}
+
+void Gateway::sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance) {
+  Request& request = requests_.at(number);
+  ForwardFrame frame = frameOf(request, instance, ports_.clock->now());
+  request.attempt = {node, instance, node == self_, 0, true};
+  ++request.attempts;
+  ports_.directory->onSent(node);
+  const auto done = [this, number](ForwardReplyFrame reply) { onReply(number, std::move(reply)); };
+  const bool local = request.attempt.local;
+  const std::uint64_t handle =
+      local ? ports_.gate->forward(std::move(frame), done) : ports_.links->forward(node, std::move(frame), done);
+  // The reply may have come inside the call, and ended the request or begun the next attempt.
+  const auto found = requests_.find(number);
+  if (found != requests_.end() && found->second.attempt.open && found->second.attempt.handle == 0 &&
+      found->second.attempt.instance == instance) {
+    found->second.attempt.handle = handle;
+  }
+}
+
+void Gateway::onReply(RequestNumber number, ForwardReplyFrame reply) {
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  const TimePoint now = ports_.clock->now();
+  request.attempt.open = false;
+  ports_.directory->onEnded(request.attempt.node);
+  ports_.directory->onReply(request.attempt.node, request.route->name, reply, now);
+  if (reply.reached_server || reply.outcome == ForwardOutcome::Answered) {
+    ++request.reached;
+  }
+  const AttemptState state{request.route, request.service, request.keyed, request.reached, request.deadline - now};
+  const NextStep step = policy_.decide(state, reply);
+  request.last_reason = reply.reason;
+  switch (step) {
+    case NextStep::Answer:
+      finish(number, std::move(reply.http), "answered");
+      return;
+    case NextStep::TryAnother:
+      request.tried.insert(request.attempt.instance);
+      ports_.metrics->onRetry(reply.reason);
+      dispatch(number);
+      return;
+    case NextStep::AwaitOwner:
+      park(number);
+      return;
+    case NextStep::Refuse:
+      refuse(number, reply.reason, Duration(reply.retry_after_us));
+      return;
+    case NextStep::Fail:
+      fail(number, reply.reason == ForwardReason::TimedOut ? kGatewayTimeout : kBadGateway, reply.reason);
+      return;
+  }
+}
+
+void Gateway::park(RequestNumber number) {
+  Request& request = requests_.at(number);
+  const TimePoint now = ports_.clock->now();
+  if (request.parked_until == TimePoint{}) {
+    request.parked_until = now + request.route->target_latency / kParkDivisor;
+  }
+  if (now >= request.parked_until) {
+    refuse(number, request.last_reason, kLeastRetryAfter);
+    return;
+  }
+  request.parked = true;
+  parked_.insert(number);
+  const Duration wait = std::min(kParkStep, request.parked_until - now);
+  ports_.loop->runAfter(wait, [this, number] {
+    const auto found = requests_.find(number);
+    if (found != requests_.end() && found->second.parked) {
+      parked_.erase(number);
+      dispatch(number);
+    }
+  });
+}
+
+void Gateway::onOwnersChanged() {
+  const std::set<RequestNumber> waiting = std::exchange(parked_, {});
+  for (const RequestNumber number : waiting) {
+    const auto found = requests_.find(number);
+    if (found != requests_.end() && found->second.parked) {
+      dispatch(number);
+    }
+  }
+}
+
+std::string Gateway::retryAfterText(Duration wanted, Duration remaining) {
+  constexpr std::uint64_t kSteps = 1000;
+  const double share = static_cast<double>(ports_.random->below(kSteps)) / static_cast<double>(kSteps);
+  const double least = static_cast<double>(std::max(wanted, kLeastRetryAfter).count());
+  const double most = static_cast<double>((remaining / kMostRetryAfterDivisor).count());
+  const double told = std::min(least * (1.0 + kReturnSpread * share), std::max(most, 0.0));
+  std::string text(16, '\0');
+  text.resize(static_cast<std::size_t>(std::snprintf(text.data(), text.size(), "%.3f", told / kMicrosecondsPerSecond)));
+  return text;
+}
+
+void Gateway::refuse(RequestNumber number, ForwardReason reason, Duration retry_after) {
+  Request& request = requests_.at(number);
+  request.last_reason = reason;
+  const TimePoint now = ports_.clock->now();
+  const Duration time_left = request.info.time_left.value_or(request.route->timeout) - (now - request.arrived);
+  HttpResponse response = ownAnswer(kServiceUnavailable);
+  response.headers.push_back({"Retry-After", retryAfterText(retry_after, time_left)});
+  finish(number, std::move(response), "refused");
+}
+
+void Gateway::fail(RequestNumber number, int status, ForwardReason reason) {
+  requests_.at(number).last_reason = reason;
+  finish(number, ownAnswer(status), "failed");
+}
+
+void Gateway::onDeadline(RequestNumber number) {
+  Request& request = requests_.at(number);
+  request.timer = 0;
+  if (request.parked) {
+    refuse(number, request.last_reason, kLeastRetryAfter);
+    return;
+  }
+  // A request that waits at this process's own gate has not run and never will once it is taken back.
+  const bool waits_here =
+      request.attempt.open && request.attempt.local && !ports_.gate->isRunning(request.attempt.handle);
+  cancelAttempt(request);
+  if (waits_here) {
+    refuse(number, ForwardReason::Overloaded, kLeastRetryAfter);
+  } else {
+    fail(number, kGatewayTimeout, ForwardReason::TimedOut);
+  }
+}
+
+void Gateway::cancelAttempt(Request& request) {
+  if (!request.attempt.open) {
+    return;
+  }
+  request.attempt.open = false;
+  ports_.directory->onEnded(request.attempt.node);
+  if (request.attempt.local) {
+    ports_.gate->cancel(request.attempt.handle);
+  } else {
+    ports_.links->cancel(request.attempt.handle);
+  }
+}
+
+void Gateway::onClientGone(RequestNumber number) {
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    return;
+  }
+  found->second.last_reason = ForwardReason::Cancelled;
+  cancelAttempt(found->second);
+  finish(number, ownAnswer(kServiceUnavailable), "client-gone");
+}
+
+void Gateway::finish(RequestNumber number, HttpResponse response, const char* outcome) {
+  auto node = requests_.extract(number);
+  Request& request = node.mapped();
+  parked_.erase(number);
+  ports_.loop->cancel(request.timer);
+  logEnd(request, response.status, outcome);
+  ports_.metrics->onRequest(outcome, ports_.clock->now() - request.arrived);
+  request.replier.reply(std::move(response));
+}
+
+void Gateway::logEnd(const Request& request, int status, const char* outcome) {
+  const bool served = request.last_reason == ForwardReason::None;
+  if (served ? !ports_.log->mayWriteServed() : !ports_.log->mayWriteFailed()) {
+    return;
+  }
+  const TimePoint now = ports_.clock->now();
+  ports_.log->write("gateway", outcome,
+                    {{"id", request.info.id.value},
+                     {"status", std::to_string(status)},
+                     {"route", request.route->name},
+                     {"service", request.service.value},
+                     {"config", std::to_string(request.routes->version())},
+                     {"key", request.keyed ? std::to_string(*request.info.key) : "-"},
+                     {"node", request.attempt.node.value.empty() ? "-" : request.attempt.node.value},
+                     {"instance", request.attempt.instance.empty() ? "-" : request.attempt.instance.value},
+                     {"reason", toString(request.last_reason)},
+                     {"attempts", std::to_string(request.attempts)},
+                     {"reached", std::to_string(request.reached)},
+                     {"held_ms", milliseconds(now - request.arrived)},
+                     {"left_ms", milliseconds(request.deadline - now)}});
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/gateway.h
@@ -0,0 +1,120 @@
+#pragma once
+
+/// @file
+/// Takes clients' requests and sees each to its one final answer.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "shedlever/platform_ports.h"
+#include "source/core/router/owner_table.h"
+#include "source/core/router/retry_policy.h"
+#include "source/core/router/route_table.h"
+#include "source/core/router/server_directory.h"
+#include "source/core/router/split_picker.h"
+#include "source/net/strict_http_server.h"
+#include "source/router/event_log.h"
+#include "source/router/peer_links.h"
+#include "source/router/router_metrics.h"
+#include "source/router/server_gate.h"
+
+namespace shedlever {
+
+/// What the gateway uses; everything outlives it.
+struct GatewayDependencies {
+  EventLoop* loop = nullptr;
+  const Clock* clock = nullptr;
+  RandomSource* random = nullptr;
+  const RequestProtocol* protocol = nullptr;
+  ServerDirectory* directory = nullptr;
+  ServerGate* gate = nullptr;
+  PeerLinks* links = nullptr;
+  EventLog* log = nullptr;
+  RouterMetrics* metrics = nullptr;
+  /// @return the owner table of a service; null while none is known.
+  std::function<const OwnerTable*(const ServiceName&)> owners;
+};
+
+class Gateway {
+ public:
+  /// @param own_service of the server on this machine, where all requests begin.
+  Gateway(NodeName self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayDependencies ports);
+
+  void setConfig(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+  void setProcesses(std::size_t processes) { budget_.setProcesses(processes); }
+
+  /// A request has arrived whole.
+  void handle(HttpRequest http, HttpReplier replier);
+
+  /// An owner table has changed, or a key is newly held: requests that wait for their owner go on.
+  void onOwnersChanged();
+
+  std::size_t inFlight() const { return requests_.size(); }
+
+ private:
+  using RequestNumber = std::uint64_t;
+
+  /// Where the present attempt is.
+  struct Attempt {
+    NodeName node;
+    InstanceId instance;
+    bool local = false;
+    /// Ticket at the own gate, or exchange at another process; 0 while there is none.
+    std::uint64_t handle = 0;
+    bool open = false;
+  };
+
+  struct Request {
+    Request(HttpRequest its_http, HttpReplier its_replier, std::shared_ptr<const RouteTable> its_routes)
+        : http(std::move(its_http)), replier(std::move(its_replier)), routes(std::move(its_routes)) {}
+
+    HttpRequest http;
+    HttpReplier replier;
+    std::shared_ptr<const RouteTable> routes;
+    const Route* route = nullptr;
+    ServiceName service;
+    ClientRequestInfo info;
+    bool keyed = false;
+    TimePoint arrived{};
+    TimePoint deadline{};
+    /// Servers that have been tried.
+    std::set<InstanceId> tried;
+    std::uint32_t reached = 0;
+    std::uint32_t attempts = 0;
+    Attempt attempt;
+    /// Waits for its key's owner.
+    bool parked = false;
+    TimePoint parked_until{};
+    ForwardReason last_reason = ForwardReason::None;
+    TimerId timer = 0;
+  };
+
+  void dispatch(RequestNumber number);
+  void sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance);
+  ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint now) const;
+  void onReply(RequestNumber number, ForwardReplyFrame reply);
+  void park(RequestNumber number);
+  void refuse(RequestNumber number, ForwardReason reason, Duration retry_after);
+  void fail(RequestNumber number, int status, ForwardReason reason);
+  void onDeadline(RequestNumber number);
+  void onClientGone(RequestNumber number);
+  void cancelAttempt(Request& request);
+  void finish(RequestNumber number, HttpResponse response, const char* outcome);
+  void logEnd(const Request& request, int status, const char* outcome);
+  std::string retryAfterText(Duration wanted, Duration remaining);
+
+  NodeName self_;
+  ServiceName own_service_;
+  GatewayDependencies ports_;
+  SharedRetryBudget budget_;
+  RetryPolicy policy_;
+  SplitPicker splits_;
+  std::shared_ptr<const RouteTable> routes_;
+  RequestNumber last_number_ = 0;
+  std::map<RequestNumber, Request> requests_;
+  std::set<RequestNumber> parked_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/peer_links.cc
@@ -0,0 +1,290 @@
+#include "source/router/peer_links.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "source/router/peer_options.h"
+
+namespace shedlever {
+
+namespace {
+
+/// A node that can't be reached is tried again after so long.
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
+/// A request is given up when the other process does not say so soon what became of it.
+constexpr Duration kSettleLimit = std::chrono::milliseconds(700);
+
+}  // namespace
+
+/// One stream and what was sent on it, in order.
+struct PeerLinks::Link final : public MessageStreamCallbacks {
+  Link(PeerLinks& owner, NodeName to, const Endpoint& endpoint)
+      : links(owner), node(std::move(to)), stream(owner.loop_, endpoint, peerStreamOptions(), *this) {}
+
+  void onMessage(std::string_view message) override {
+    if (!up) {
+      up = true;
+      links.onLinkUp(node);
+    }
+    auto frame = decodeRouterFrame(message);
+    if (!frame) {
+      stream.breakNow();
+      return;
+    }
+    links.onFrame(node, std::move(frame.value()));
+  }
+
+  void onEnd() override {
+    // The stream must not be destroyed by what follows while its own callback runs.
+    ended = true;
+    links.loop_.post([owner = &links, alive = links.alive_, to = node] {
+      if (!*alive) {
+        return;
+      }
+      const auto found = owner->links_.find(to);
+      if (found != owner->links_.end() && found->second->ended) {
+        const std::unique_ptr<Link> link = std::move(found->second);
+        owner->links_.erase(found);
+        owner->onLinkEnd(*link);
+      }
+    });
+  }
+
+  /// @param exchange 0 for frames that are no requests.
+  bool send(const RouterFrame& frame, ExchangeId exchange) {
+    if (ended || !stream.send(encodeRouterFrame(frame))) {
+      return false;
+    }
+    sent.push_back(exchange);
+    constexpr std::size_t kRemembered = 4096;
+    if (sent.size() > kRemembered) {
+      sent.pop_front();
+    }
+    return true;
+  }
+
+  PeerLinks& links;
+  NodeName node;
+  MessageStream stream;
+  std::deque<ExchangeId> sent;
+  /// A frame has come back, so the other process is there.
+  bool up = false;
+  bool ended = false;
+};
+
+PeerLinks::PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
+                     std::function<void(const NodeName&, bool)> on_state)
+    : loop_(loop), clock_(clock), self_(std::move(self)), directory_(directory), on_state_(std::move(on_state)) {}
+
+PeerLinks::~PeerLinks() {
+  *alive_ = false;
+  for (const auto& [exchange, call] : store_calls_) {
+    loop_.cancel(call.timer);
+  }
+}
+
+PeerLinks::Link* PeerLinks::linkTo(const NodeName& node) {
+  const auto found = links_.find(node);
+  if (found != links_.end()) {
+    return found->second->ended ? nullptr : found->second.get();
+  }
+  const NodeRecord* record = directory_.node(node);
+  if (record == nullptr) {
+    return nullptr;
+  }
+  auto link = std::make_unique<Link>(*this, node, record->peer);
+  Link* raw = link.get();
+  links_.emplace(node, std::move(link));
+  raw->send(HelloFrame{self_.name, self_.incarnation}, 0);
+  return raw;
+}
+
+void PeerLinks::keepOpen(const NodeName& node) { linkTo(node); }
+
+ExchangeId PeerLinks::forward(const NodeName& node, ForwardFrame frame, ForwardCallback done) {
+  const ExchangeId exchange = ++last_exchange_;
+  frame.exchange = exchange;
+  Pending& pending = pending_[exchange];
+  pending.node = node;
+  pending.done = std::move(done);
+  pending.deadline = clock_.now() + Duration(frame.remaining_us);
+  Link* link = linkTo(node);
+  if (link == nullptr || !link->send(std::move(frame), exchange)) {
+    loop_.post([this, alive = alive_, exchange] {
+      if (*alive) {
+        finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+      }
+    });
+  }
+  return exchange;
+}
+
+void PeerLinks::cancel(ExchangeId exchange) {
+  const auto found = pending_.find(exchange);
+  if (found == pending_.end()) {
+    return;
+  }
+  const auto link = links_.find(found->second.node);
+  if (link != links_.end() && !link->second->ended) {
+    link->second->send(CancelForwardFrame{exchange}, 0);
+  }
+  pending_.erase(found);
+}
+
+void PeerLinks::callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done) {
+  const ExchangeId exchange = ++last_exchange_;
+  PendingStoreCall& call = store_calls_[exchange];
+  call.node = node;
+  call.done = std::move(done);
+  call.timer = loop_.runAfter(timeout, [this, exchange] {
+    auto ended = store_calls_.extract(exchange);
+    ended.mapped().done(std::nullopt);
+  });
+  Link* link = linkTo(node);
+  if (link != nullptr) {
+    link->send(StoreCallFrame{exchange, timeout.count(), std::move(request)}, 0);
+  }
+}
+
+std::vector<NodeName> PeerLinks::connected() const {
+  std::vector<NodeName> nodes;
+  for (const auto& [node, link] : links_) {
+    if (link->up && !link->ended) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+void PeerLinks::tellStopping() {
+  for (const auto& [node, link] : links_) {
+    link->send(StoppingFrame{self_.name}, 0);
+  }
+}
+
+void PeerLinks::onFrame(const NodeName& node, RouterFrame frame) {
+  if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
+    onReply(std::move(*reply));
+  } else if (const auto* settled = std::get_if<SettleReplyFrame>(&frame)) {
+    onSettled(*settled);
+  } else if (std::holds_alternative<StoppingFrame>(frame)) {
+    directory_.markDraining(node);
+  } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
+    auto call = store_calls_.extract(answer->exchange);
+    if (!call.empty()) {
+      loop_.cancel(call.mapped().timer);
+      call.mapped().done(answer->answered ? std::optional<HttpResponse>(std::move(answer->http)) : std::nullopt);
+    }
+  }
+}
+
+void PeerLinks::onReply(ForwardReplyFrame reply) {
+  auto node = pending_.extract(reply.exchange);
+  if (!node.empty()) {
+    node.mapped().done(std::move(reply));
+  }
+}
+
+void PeerLinks::onSettled(const SettleReplyFrame& settled) {
+  switch (settled.state) {
+    case SettleState::NotBegun:
+      finish(settled.exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+      return;
+    case SettleState::Answered:
+      finish(settled.exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+      return;
+    case SettleState::Pending:
+      return;
+  }
+}
+
+void PeerLinks::onLinkUp(const NodeName& node) {
+  directory_.onReachable(node);
+  on_state_(node, true);
+}
+
+void PeerLinks::finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason) {
+  ForwardReplyFrame reply;
+  reply.exchange = exchange;
+  reply.outcome = outcome;
+  reply.reason = reason;
+  reply.reached_server = outcome == ForwardOutcome::Unknown;
+  onReply(std::move(reply));
+}
+
+void PeerLinks::onLinkEnd(Link& link) {
+  const NodeName node = link.node;
+  const bool was_up = link.up;
+  if (!was_up) {
+    directory_.avoidUntil(node, clock_.now() + kReconnectDelay * 2);
+    on_state_(node, false);
+  }
+  std::vector<ExchangeId> unsent;
+  const std::size_t count = std::min(link.stream.unsentMessages(), link.sent.size());
+  for (auto exchange = link.sent.end() - static_cast<std::ptrdiff_t>(count); exchange != link.sent.end(); ++exchange) {
+    if (*exchange != 0) {
+      unsent.push_back(*exchange);
+    }
+  }
+  for (const ExchangeId exchange : unsent) {
+    finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+  }
+  std::vector<ExchangeId> open;
+  for (const auto& [exchange, pending] : pending_) {
+    if (pending.node == node) {
+      open.push_back(exchange);
+    }
+  }
+  if (open.empty()) {
+    retryLater(node);
+    return;
+  }
+  if (!was_up) {
+    // A second stream failed as well: nobody can say what became of them.
+    for (const ExchangeId exchange : open) {
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+    }
+    retryLater(node);
+    return;
+  }
+  if (Link* again = linkTo(node)) {
+    settleOn(*again);
+  }
+}
+
+void PeerLinks::settleOn(Link& link) {
+  std::vector<ExchangeId> open;
+  for (auto& [exchange, pending] : pending_) {
+    if (pending.node == link.node && !pending.settling) {
+      pending.settling = true;
+      open.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : open) {
+    link.send(SettleFrame{exchange, self_.incarnation}, 0);
+    loop_.runAfter(kSettleLimit, [this, alive = alive_, exchange] {
+      if (!*alive) {
+        return;
+      }
+      const auto found = pending_.find(exchange);
+      if (found == pending_.end()) {
+        return;
+      }
+      const auto current = links_.find(found->second.node);
+      if (current == links_.end() || !current->second->up) {
+        finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+      }
+    });
+  }
+}
+
+void PeerLinks::retryLater(const NodeName& node) {
+  loop_.runAfter(kReconnectDelay, [this, alive = alive_, node] {
+    if (*alive && directory_.isUnreachable(node)) {
+      linkTo(node);
+    }
+  });
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/peer_links.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// @file
+/// Streams from this process to the others: requests go out on them, replies come back.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "shedlever/router_frames.h"
+#include "source/core/router/server_directory.h"
+#include "source/net/message_stream.h"
+#include "source/router/server_gate.h"
+
+namespace shedlever {
+
+/// One stream a node, opened when it is first needed and again while requests or keys need it. When a stream breaks,
+/// what was not written is proved not run; of the rest the other process is asked on a new stream what became of it.
+class PeerLinks {
+ public:
+  using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
+
+  /// @param on_state the node's process was reached, or lost.
+  PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
+            std::function<void(const NodeName&, bool reachable)> on_state);
+  ~PeerLinks();
+  PeerLinks(const PeerLinks&) = delete;
+  PeerLinks& operator=(const PeerLinks&) = delete;
+
+  /// @param done runs from the loop, once, unless the request is cancelled.
+  ExchangeId forward(const NodeName& node, ForwardFrame frame, ForwardCallback done);
+  void cancel(ExchangeId exchange);
+
+  /// Opens a stream to the node, if there is none, to see whether it can be reached.
+  void keepOpen(const NodeName& node);
+
+  /// Makes a call to the store through the node.
+  void callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done);
+
+  /// @return nodes with an open stream.
+  std::vector<NodeName> connected() const;
+
+  /// Tells all nodes with a stream that this process stops.
+  void tellStopping();
+
+ private:
+  struct Link;
+
+  struct Pending {
+    NodeName node;
+    ForwardCallback done;
+    TimePoint deadline{};
+    /// The stream broke; the other process is asked what became of it.
+    bool settling = false;
+  };
+
+  struct PendingStoreCall {
+    NodeName node;
+    StoreCallback done;
+    TimerId timer = 0;
+  };
+
+  Link* linkTo(const NodeName& node);
+  void onFrame(const NodeName& node, RouterFrame frame);
+  void onReply(ForwardReplyFrame reply);
+  void onSettled(const SettleReplyFrame& settled);
+  void onLinkUp(const NodeName& node);
+  void onLinkEnd(Link& link);
+  void settleOn(Link& link);
+  void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
+  void retryLater(const NodeName& node);
+
+  EventLoop& loop_;
+  const Clock& clock_;
+  NodeIdentity self_;
+  ServerDirectory& directory_;
+  std::function<void(const NodeName&, bool)> on_state_;
+  std::map<NodeName, std::unique_ptr<Link>> links_;
+  std::unordered_map<ExchangeId, Pending> pending_;
+  std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
+  ExchangeId last_exchange_ = 0;
+  /// Set to false by the destructor, for posted work.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/peer_server.cc
@@ -0,0 +1,239 @@
+#include "source/router/peer_server.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "source/router/peer_options.h"
+
+namespace shedlever {
+
+namespace {
+
+/// How long a request outlives its stream.
+constexpr Duration kOrphanLimit = std::chrono::milliseconds(900);
+/// A request on a broken stream may still be read so long after it.
+constexpr Duration kBarredFor = std::chrono::seconds(10);
+constexpr std::size_t kRememberedReplies = 1024;
+
+}  // namespace
+
+struct PeerServer::Stream final : public MessageStreamCallbacks {
+  Stream(PeerServer& owner, StreamNumber its_number, evutil_socket_t socket)
+      : server(owner), number(its_number), stream(owner.loop_, socket, peerStreamOptions(), *this) {}
+
+  void onMessage(std::string_view message) override {
+    auto frame = decodeRouterFrame(message);
+    if (!frame) {
+      stream.breakNow();
+      return;
+    }
+    server.onFrame(number, std::move(frame.value()));
+  }
+
+  void onEnd() override {
+    ended = true;
+    server.loop_.post([owner = &server, alive = server.alive_, its_number = number] {
+      if (*alive) {
+        owner->onStreamEnd(its_number);
+      }
+    });
+  }
+
+  bool send(const RouterFrame& frame) { return !ended && stream.send(encodeRouterFrame(frame)); }
+
+  PeerServer& server;
+  StreamNumber number;
+  MessageStream stream;
+  /// Known after its hello.
+  NodeIdentity sender;
+  /// The last replies that were written to it.
+  std::deque<ExchangeId> answered;
+  bool ended = false;
+};
+
+PeerServer::PeerServer(EventLoop& loop, Ports ports) : loop_(loop), ports_(std::move(ports)) {}
+
+PeerServer::~PeerServer() { *alive_ = false; }
+
+leaf::result<std::unique_ptr<PeerServer>> PeerServer::listen(EventLoop& loop, const Endpoint& endpoint, Ports ports) {
+  std::unique_ptr<PeerServer> server(new PeerServer(loop, std::move(ports)));
+  const auto accepted = [raw = server.get()](evutil_socket_t socket, const Endpoint&) { raw->accept(socket); };
+  BOOST_LEAF_AUTO(listener, TcpListener::open(loop, endpoint, accepted));
+  server->listener_ = std::move(listener);
+  return server;
+}
+
+void PeerServer::accept(evutil_socket_t socket) {
+  const StreamNumber number = ++last_stream_;
+  streams_.emplace(number, std::make_unique<Stream>(*this, number, socket));
+}
+
+PeerServer::Stream* PeerServer::find(StreamNumber number) {
+  const auto found = streams_.find(number);
+  return found == streams_.end() ? nullptr : found->second.get();
+}
+
+void PeerServer::tellStopping(const NodeName& self) {
+  for (const auto& [number, stream] : streams_) {
+    stream->send(StoppingFrame{self});
+  }
+}
+
+void PeerServer::onFrame(StreamNumber number, RouterFrame frame) {
+  Stream* stream = find(number);
+  if (stream == nullptr) {
+    return;
+  }
+  if (auto* forward = std::get_if<ForwardFrame>(&frame)) {
+    onForward(number, *stream, std::move(*forward));
+  } else if (const auto* cancel = std::get_if<CancelForwardFrame>(&frame)) {
+    const auto work = works_.find({stream->sender, cancel->exchange});
+    if (work != works_.end()) {
+      ports_.gate->cancel(work->second.ticket);
+      works_.erase(work);
+    }
+  } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
+    stream->sender = {hello->node, hello->incarnation};
+    // Says that this process is there.
+    stream->send(HelloFrame{});
+  } else if (const auto* stopping = std::get_if<StoppingFrame>(&frame)) {
+    ports_.on_stopping(stopping->node);
+  } else if (const auto* settle = std::get_if<SettleFrame>(&frame)) {
+    onSettle(number, *stream, *settle);
+  } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
+    onStoreCall(number, std::move(*call));
+  }
+}
+
+void PeerServer::onForward(StreamNumber number, Stream& stream, ForwardFrame frame) {
+  const WorkKey key{stream.sender, frame.exchange};
+  if (barred_.contains(key)) {
+    return;
+  }
+  works_[key] = {number, 0};
+  // The reply may come inside the call.
+  const QueueTicket ticket =
+      ports_.gate->forward(std::move(frame), [this, key](ForwardReplyFrame reply) { onReply(key, std::move(reply)); });
+  const auto work = works_.find(key);
+  if (work != works_.end()) {
+    work->second.ticket = ticket;
+  }
+}
+
+void PeerServer::onReply(const WorkKey& key, ForwardReplyFrame reply) {
+  const auto found = works_.find(key);
+  if (found == works_.end()) {
+    return;
+  }
+  const StreamNumber number = found->second.stream;
+  works_.erase(found);
+  reply.exchange = key.exchange;
+  Stream* stream = number == 0 ? nullptr : find(number);
+  if (stream != nullptr && !stream->ended) {
+    stream->answered.push_back(reply.exchange);
+    if (stream->answered.size() > kRememberedReplies) {
+      stream->answered.pop_front();
+    }
+    stream->send(std::move(reply));
+    return;
+  }
+  unsent_replies_[key] = std::move(reply);
+  loop_.runAfter(kOrphanLimit, [this, alive = alive_, key] {
+    if (*alive) {
+      unsent_replies_.erase(key);
+    }
+  });
+}
+
+void PeerServer::onSettle(StreamNumber number, Stream& stream, const SettleFrame& settle) {
+  const WorkKey key{{stream.sender.name, settle.incarnation}, settle.exchange};
+  const auto reply = unsent_replies_.find(key);
+  if (reply != unsent_replies_.end()) {
+    stream.send(reply->second);
+    unsent_replies_.erase(reply);
+    return;
+  }
+  const auto work = works_.find(key);
+  if (work != works_.end()) {
+    work->second.stream = number;
+    stream.send(SettleReplyFrame{settle.exchange, SettleState::Pending});
+    return;
+  }
+  if (wasAnswered(key)) {
+    stream.send(SettleReplyFrame{settle.exchange, SettleState::Answered});
+    return;
+  }
+  barred_[key] = true;
+  loop_.runAfter(kBarredFor, [this, alive = alive_, key] {
+    if (*alive) {
+      barred_.erase(key);
+    }
+  });
+  stream.send(SettleReplyFrame{settle.exchange, SettleState::NotBegun});
+}
+
+void PeerServer::onStoreCall(StreamNumber number, StoreCallFrame call) {
+  const ExchangeId exchange = call.exchange;
+  ports_.call_store(std::move(call.http), Duration(call.timeout_us),
+                    [this, alive = alive_, number, exchange](const std::optional<HttpResponse>& answer) {
+                      Stream* stream = *alive ? find(number) : nullptr;
+                      if (stream != nullptr) {
+                        stream->send(StoreReplyFrame{exchange, answer.has_value(), answer.value_or(HttpResponse{})});
+                      }
+                    });
+}
+
+void PeerServer::onStreamEnd(StreamNumber number) {
+  const auto found = streams_.find(number);
+  if (found == streams_.end()) {
+    return;
+  }
+  const NodeIdentity sender = found->second->sender;
+  ended_streams_[number] = {sender, std::move(found->second->answered)};
+  loop_.runAfter(kBarredFor, [this, alive = alive_, number] {
+    if (*alive) {
+      ended_streams_.erase(number);
+    }
+  });
+  streams_.erase(found);
+  bool orphaned = false;
+  for (auto& [key, work] : works_) {
+    if (work.stream == number) {
+      work.stream = 0;
+      orphaned = true;
+    }
+  }
+  if (orphaned) {
+    loop_.runAfter(kOrphanLimit, [this, alive = alive_, sender] {
+      if (*alive) {
+        dropOrphans(sender);
+      }
+    });
+  }
+}
+
+bool PeerServer::wasAnswered(const WorkKey& key) const {
+  const auto holds = [&key](const NodeIdentity& sender, const std::deque<ExchangeId>& answered) {
+    return sender == key.sender && std::find(answered.begin(), answered.end(), key.exchange) != answered.end();
+  };
+  const bool live = std::any_of(streams_.begin(), streams_.end(),
+                                [&](const auto& entry) { return holds(entry.second->sender, entry.second->answered); });
+  return live || std::any_of(ended_streams_.begin(), ended_streams_.end(),
+                             [&](const auto& entry) { return holds(entry.second.sender, entry.second.answered); });
+}
+
+void PeerServer::dropOrphans(const NodeIdentity& sender) {
+  std::vector<WorkKey> orphans;
+  for (const auto& [key, work] : works_) {
+    if (key.sender == sender && work.stream == 0) {
+      orphans.push_back(key);
+    }
+  }
+  for (const WorkKey& key : orphans) {
+    ports_.gate->cancel(works_.at(key).ticket);
+    works_.erase(key);
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/peer_server.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// Streams from other processes to this one: their requests for the server beside it, and their calls to the store.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "source/net/message_stream.h"
+#include "source/net/tcp_listener.h"
+#include "source/router/server_gate.h"
+
+namespace shedlever {
+
+/// Makes a call to the store; the answer is none when there was none.
+using StoreCaller =
+    std::function<void(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done)>;
+
+/// A request whose stream broke stays for a while: its sender may ask on a new stream what became of it, and gets the
+/// answer there. One that has not been begun by then never is.
+class PeerServer {
+ public:
+  struct Ports {
+    ServerGate* gate = nullptr;
+    StoreCaller call_store;
+    /// A process said that it stops.
+    std::function<void(const NodeName&)> on_stopping;
+  };
+
+  /// @return the server, or a NetworkError.
+  static leaf::result<std::unique_ptr<PeerServer>> listen(EventLoop& loop, const Endpoint& endpoint, Ports ports);
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  const Endpoint& endpoint() const { return listener_->endpoint(); }
+
+  /// Tells all processes with a stream that the server beside this one takes nothing new.
+  void tellStopping(const NodeName& self);
+
+  /// @return requests of other processes that are not answered.
+  std::size_t inFlight() const { return works_.size(); }
+
+ private:
+  struct Stream;
+  using StreamNumber = std::uint64_t;
+
+  /// A request as its sender names it.
+  struct WorkKey {
+    NodeIdentity sender;
+    ExchangeId exchange = 0;
+    auto operator<=>(const WorkKey&) const = default;
+  };
+
+  struct Work {
+    /// 0 once its stream broke.
+    StreamNumber stream = 0;
+    QueueTicket ticket = 0;
+  };
+
+  PeerServer(EventLoop& loop, Ports ports);
+  void accept(evutil_socket_t socket);
+  void onFrame(StreamNumber number, RouterFrame frame);
+  void onForward(StreamNumber number, Stream& stream, ForwardFrame frame);
+  void onReply(const WorkKey& key, ForwardReplyFrame reply);
+  void onSettle(StreamNumber number, Stream& stream, const SettleFrame& settle);
+  void onStoreCall(StreamNumber number, StoreCallFrame call);
+  void onStreamEnd(StreamNumber number);
+  void dropOrphans(const NodeIdentity& sender);
+  bool wasAnswered(const WorkKey& key) const;
+  Stream* find(StreamNumber number);
+
+  EventLoop& loop_;
+  Ports ports_;
+  std::unique_ptr<TcpListener> listener_;
+  std::map<StreamNumber, std::unique_ptr<Stream>> streams_;
+  StreamNumber last_stream_ = 0;
+  std::map<WorkKey, Work> works_;
+  /// What was answered on streams that have ended, for questions about it.
+  struct EndedStream {
+    NodeIdentity sender;
+    std::deque<ExchangeId> answered;
+  };
+
+  std::map<StreamNumber, EndedStream> ended_streams_;
+  /// Answers whose stream broke before they could be sent.
+  std::map<WorkKey, ForwardReplyFrame> unsent_replies_;
+  /// Requests that were asked about before they came.
+  std::map<WorkKey, bool> barred_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/router_process.cc
@@ -0,0 +1,489 @@
+#include "source/router/router_process.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "source/core/router/table_writer.h"
+#include "source/net/metrics_text.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+constexpr const char* kMetricsPath = "/metrics";
+constexpr const char* kTablePrefix = "owners-";
+constexpr const char* kNodePrefix = "node-";
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+/// Between two answers of a watch that both brought changes.
+constexpr Duration kSharedPause = std::chrono::milliseconds(150);
+constexpr Duration kConfigPause = std::chrono::milliseconds(50);
+/// Kept of the grace for the end of the process itself.
+constexpr Duration kEndReserve = std::chrono::milliseconds(900);
+constexpr Duration kIdentifyDelay = std::chrono::milliseconds(100);
+/// A leaving server gets no keyed request after this part of the time that it may still get some.
+constexpr int kKeysClosePart = 2;
+constexpr int kKeysCloseParts = 3;
+
+}  // namespace
+
+RouterProcess::RouterProcess(EventLoop& loop, RouterSettings settings, PlatformAdapters platform, int log_descriptor)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      platform_(std::move(platform)),
+      self_{settings_.node, Incarnation{wallClockMicroseconds()}},
+      log_(loop_, clock_, log_descriptor),
+      directory_(settings_.node, settings_.zone, settings_.choice, random_),
+      server_link_(loop_, settings_.server, *platform_.requests),
+      gate_(loop_, clock_, settings_.queue, server_link_,
+            {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
+      links_(loop_, clock_, self_, directory_,
+             [this](const NodeName& node, bool reachable) {
+               metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
+               log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
+             }),
+      store_access_(loop_, clock_, settings_.store, links_, log_),
+      store_(platform_.make_store(
+          [this](HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
+            store_access_.call(std::move(request), timeout, std::move(done));
+          })),
+      publisher_(loop_, *store_, log_),
+      config_watcher_(
+          loop_, clock_, *store_, platform_.config->kind(), kConfigPause,
+          {[this](const MetadataObject& object, bool) { onConfigObject(object); }, [] {},
+           [this](bool available) { log_.write("config", available ? "watch-regained" : "watch-lost", {}); }}),
+      shared_watcher_(
+          loop_, clock_, *store_, kSharedKind, kSharedPause,
+          {[this](const MetadataObject& object, bool deleted) { onSharedObject(object, deleted); },
+           [this] { onSharedListed(); },
+           [this](bool available) { log_.write("membership", available ? "watch-regained" : "watch-lost", {}); }}) {}
+
+RouterProcess::~RouterProcess() = default;
+
+GatewayDependencies RouterProcess::gatewayPorts() {
+  GatewayDependencies ports;
+  ports.loop = &loop_;
+  ports.clock = &clock_;
+  ports.random = &random_;
+  ports.protocol = platform_.requests;
+  ports.directory = &directory_;
+  ports.gate = &gate_;
+  ports.links = &links_;
+  ports.log = &log_;
+  ports.metrics = &metrics_;
+  ports.owners = [this](const ServiceName& service) { return ownersOf(service); };
+  return ports;
+}
+
+leaf::result<void> RouterProcess::open() {
+  log_.write("router", "start",
+             {{"node", settings_.node.value},
+              {"incarnation", std::to_string(self_.incarnation.value)},
+              {"zone", settings_.zone.value},
+              {"service", settings_.service.value},
+              {"version", SHEDLEVER_VERSION}});
+  gateway_ = std::make_unique<Gateway>(settings_.node, settings_.service, settings_.retry, gatewayPorts());
+  BOOST_LEAF_CHECK(openListeners());
+  publishRecord();
+  config_watcher_.start();
+  shared_watcher_.start();
+  loop_.runAfter(kTick, [this] { tick(); });
+  return {};
+}
+
+leaf::result<void> RouterProcess::openListeners() {
+  const auto on_client = [this](HttpRequest request, HttpReplier replier) {
+    gateway_->handle(std::move(request), std::move(replier));
+  };
+  const auto on_readiness = [this](const HttpRequest& request, const HttpReplier& replier) {
+    onReadinessRequest(request, replier);
+  };
+  const auto on_report = [this](const HttpRequest& request, const HttpReplier& replier) {
+    onReportRequest(request, replier);
+  };
+  const auto call_store = [this](HttpRequest request, Duration timeout,
+                                 std::function<void(std::optional<HttpResponse>)> done) {
+    store_access_.callStraight(std::move(request), timeout, std::move(done));
+  };
+  const auto on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
+  BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, {&gate_, call_store, on_stopping}));
+  peer_server_ = std::move(peers);
+  BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client));
+  clients_ = std::move(clients);
+  BOOST_LEAF_AUTO(readiness, StrictHttpServer::listen(loop_, settings_.readiness_listen, {}, on_readiness));
+  readiness_ = std::move(readiness);
+  BOOST_LEAF_AUTO(reports, StrictHttpServer::listen(loop_, settings_.reports_listen, {}, on_report));
+  reports_ = std::move(reports);
+  return {};
+}
+
+// What the store says.
+
+void RouterProcess::onConfigObject(const MetadataObject& object) {
+  if (object.name != platform_.config->name() || object.revision <= config_revision_) {
+    return;
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config, platform_.config->decode(object.value));
+        adoptConfig(std::move(config), object.revision);
+        return {};
+      },
+      [&](const Findings& findings) {
+        log_.write("config", "not-understood",
+                   {{"revision", std::to_string(object.revision)}, {"findings", toString(findings)}});
+      },
+      [] {});
+}
+
+void RouterProcess::adoptConfig(RouterConfig config, StoreRevision revision) {
+  config_revision_ = revision;
+  routes_ = std::make_shared<const RouteTable>(std::move(config));
+  gateway_->setConfig(routes_);
+  const ClientLimits& limits = routes_->config().limits;
+  clients_->setLimits({limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  metrics_.onEvent("config-adopted");
+  log_.write("config", "adopted",
+             {{"version", std::to_string(routes_->version())},
+              {"revision", std::to_string(revision)},
+              {"routes", std::to_string(routes_->config().routes.size())}});
+  const RoutedService* own = routes_->service(settings_.service);
+  if (own != nullptr) {
+    gate_.setHealthPath(own->health_path);
+    if (own->divided_by_key && !keeper_) {
+      createKeeper();
+    }
+  }
+}
+
+OwnershipPorts RouterProcess::ownershipPorts() {
+  OwnershipPorts ports;
+  ports.store = store_.get();
+  ports.orders = &server_link_;
+  ports.clock = &clock_;
+  ports.directory = &directory_;
+  ports.on_change = [this] {
+    gateway_->onOwnersChanged();
+    tickSoon();
+  };
+  ports.on_server_gone = [this] { onServerGone(); };
+  ports.on_event = [this](const OwnershipEvent& event) {
+    metrics_.onEvent("ownership-change");
+    log_.write("ownership", event.what, {{"detail", event.detail}});
+  };
+  return ports;
+}
+
+void RouterProcess::createKeeper() {
+  keeper_ = std::make_unique<OwnershipKeeper>(self_, settings_.service, settings_.ownership, ownershipPorts());
+  gate_.setKeeper(keeper_.get());
+  const auto early = early_tables_.find(ownerTableName(settings_.service));
+  if (early != early_tables_.end()) {
+    keeper_->onTableObject(early->second);
+  } else if (shared_listed_) {
+    keeper_->onTableAbsent();
+  }
+  if (!instance_.empty()) {
+    keeper_->serverUp(instance_, clock_.now());
+  }
+  if (server_draining_ || stopping_) {
+    keeper_->startDraining();
+  }
+}
+
+TableWriter& RouterProcess::tableOf(const ServiceName& service) {
+  std::unique_ptr<TableWriter>& table = tables_[service];
+  if (!table) {
+    table = std::make_unique<TableWriter>(service, *store_, [this] { gateway_->onOwnersChanged(); });
+  }
+  return *table;
+}
+
+const OwnerTable* RouterProcess::ownersOf(const ServiceName& service) {
+  if (keeper_ && service == settings_.service) {
+    return &keeper_->tableWriter().table();
+  }
+  const auto found = tables_.find(service);
+  return found == tables_.end() ? nullptr : &found->second->table();
+}
+
+void RouterProcess::onSharedObject(const MetadataObject& object, bool deleted) {
+  if (object.name.starts_with(kNodePrefix)) {
+    const auto record = decodeNodeRecord(object.value);
+    if (!record) {
+      return;
+    }
+    if (deleted) {
+      directory_.remove(record->node);
+    } else if (record->node != self_.name) {
+      directory_.update(*record);
+    }
+    gateway_->setProcesses(directory_.nodes().size());
+    return;
+  }
+  if (!object.name.starts_with(kTablePrefix) || deleted) {
+    return;
+  }
+  const ServiceName service(object.name.substr(std::string_view(kTablePrefix).size()));
+  if (service != settings_.service) {
+    tableOf(service).onObject(object);
+    return;
+  }
+  early_tables_[object.name] = object;
+  if (keeper_) {
+    keeper_->onTableObject(object);
+  }
+}
+
+void RouterProcess::onSharedListed() {
+  shared_listed_ = true;
+  if (keeper_ && !early_tables_.contains(ownerTableName(settings_.service))) {
+    keeper_->onTableAbsent();
+  }
+  if (!reported_ && directory_.node(self_.name) != nullptr) {
+    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
+  }
+}
+
+// What the server says.
+
+void RouterProcess::onReportRequest(const HttpRequest& request, const HttpReplier& replier) {
+  const auto report = platform_.reports->readReport(request);
+  if (!report) {
+    replier.reply({kNotFound, {}, {}});
+    return;
+  }
+  onReport(*report);
+  replier.reply(platform_.reports->acknowledgement());
+}
+
+bool RouterProcess::isLateReport(const ServerReport& report) {
+  if (ended_instances_.contains(report.instance)) {
+    return true;
+  }
+  if (!report.sequence) {
+    return false;
+  }
+  const auto [last, is_new] = report_sequences_.try_emplace(report.instance, *report.sequence);
+  if (!is_new && *report.sequence <= last->second) {
+    return true;
+  }
+  last->second = *report.sequence;
+  return false;
+}
+
+void RouterProcess::onReport(const ServerReport& report) {
+  reported_ = true;
+  if (report.leaves) {
+    if (report.instance == instance_) {
+      onServerDraining();
+    }
+    return;
+  }
+  const bool ours = report.service == settings_.service && report.address == settings_.server;
+  if (!ours || isLateReport(report)) {
+    return;
+  }
+  if (report.instance != instance_) {
+    if (!instance_.empty()) {
+      ended_instances_.insert(instance_);
+    }
+    instance_ = report.instance;
+    server_draining_ = false;
+    server_silent_ = false;
+    log_.write("server", "up", {{"instance", instance_.value}, {"slots", std::to_string(report.slots)}});
+    if (keeper_) {
+      keeper_->serverUp(instance_, clock_.now());
+    }
+  }
+  slots_ = report.slots;
+  gate_.serverUp(instance_, slots_);
+  if (report.draining) {
+    onServerDraining();
+  }
+  publishRecord();
+  tickSoon();
+}
+
+void RouterProcess::identifyServer() {
+  const RoutedService* own = routes_ ? routes_->service(settings_.service) : nullptr;
+  if (reported_ || stopping_) {
+    return;
+  }
+  if (own == nullptr) {
+    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
+    return;
+  }
+  server_link_.identify(own->health_path, [this](const InstanceId& instance, bool) {
+    const NodeRecord* earlier = directory_.node(self_.name);
+    if (reported_ || instance.empty() || earlier == nullptr || earlier->slots == 0) {
+      return;
+    }
+    ServerReport report;
+    report.instance = instance;
+    report.service = settings_.service;
+    report.address = settings_.server;
+    report.slots = earlier->slots;
+    onReport(report);
+  });
+}
+
+void RouterProcess::onServerDraining() {
+  if (server_draining_) {
+    return;
+  }
+  server_draining_ = true;
+  log_.write("server", "draining", {{"instance", instance_.value}});
+  gate_.startDraining();
+  peer_server_->tellStopping(self_.name);
+  if (keeper_) {
+    keeper_->startDraining();
+  }
+  const Duration until_keys_close = settings_.stop.drain * kKeysClosePart / kKeysCloseParts;
+  loop_.runAfter(until_keys_close, [this, leaving = instance_] {
+    if (leaving == instance_ && server_draining_) {
+      gate_.closeKeys();
+    }
+  });
+  publishRecord();
+  tickSoon();
+}
+
+void RouterProcess::onServerGone() {
+  if (instance_.empty()) {
+    return;
+  }
+  log_.write("server", "gone", {{"instance", instance_.value}});
+  metrics_.onEvent("server-gone");
+  ended_instances_.insert(instance_);
+  instance_ = {};
+  slots_ = 0;
+  gate_.serverEnded();
+  if (keeper_) {
+    keeper_->serverDead();
+  }
+  publishRecord();
+  tickSoon();
+}
+
+void RouterProcess::onServerSilence(bool silent) {
+  server_silent_ = silent;
+  log_.write("server", silent ? "silent" : "answers-again", {{"instance", instance_.value}});
+  publishRecord();
+}
+
+void RouterProcess::publishRecord() {
+  NodeRecord record;
+  record.node = settings_.node;
+  record.incarnation = self_.incarnation;
+  record.peer = settings_.peers_listen;
+  record.zone = settings_.zone;
+  record.service = settings_.service;
+  record.instance = instance_;
+  record.slots = slots_;
+  record.draining = server_draining_ || server_silent_ || stopping_;
+  directory_.update(record);
+  publisher_.publish(record);
+}
+
+// Time.
+
+void RouterProcess::tickSoon() {
+  if (tick_planned_ || !keeper_) {
+    return;
+  }
+  tick_planned_ = true;
+  loop_.post([this] {
+    tick_planned_ = false;
+    keeper_->tick(clock_.now());
+  });
+}
+
+void RouterProcess::tick() {
+  gate_.tick();
+  if (keeper_) {
+    const ServerLoad load = gate_.load();
+    if (load.slots > 0) {
+      keeper_->setOccupancy(static_cast<double>(load.running + load.queued) / load.slots);
+    }
+    keeper_->tick(clock_.now());
+    keepOwnersReachable();
+  }
+  loop_.runAfter(kTick, [this] { tick(); });
+}
+
+void RouterProcess::keepOwnersReachable() {
+  for (const OwnedRange& range : keeper_->tableWriter().table().ranges()) {
+    if (range.node != self_.name) {
+      links_.keepOpen(range.node);
+    }
+  }
+}
+
+bool RouterProcess::ready() const { return routes_ && shared_listed_ && !stopping_; }
+
+void RouterProcess::onReadinessRequest(const HttpRequest& request, const HttpReplier& replier) {
+  if (request.target == kMetricsPath) {
+    replier.reply({kOk, {{"Content-Type", kMetricsContentType}}, metrics_.text()});
+    return;
+  }
+  if (!platform_.reports->asksReadiness(request)) {
+    replier.reply({kNotFound, {}, {}});
+    return;
+  }
+  replier.reply({ready() ? kOk : kServiceUnavailable, {}, {}});
+}
+
+void RouterProcess::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = clock_.now();
+  log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
+  clients_->closeAfterAnswers();
+  gate_.startDraining();
+  links_.tellStopping();
+  peer_server_->tellStopping(self_.name);
+  if (keeper_) {
+    keeper_->startDraining();
+    tickSoon();
+  }
+  publishRecord();
+  stopWhenDone();
+}
+
+void RouterProcess::stopWhenDone() {
+  const Duration passed = clock_.now() - stop_began_;
+  const bool keys_gone = !keeper_ || instance_.empty() || keeper_->holdsNothing();
+  const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keys_gone;
+  const bool late = passed >= settings_.stop.grace - kEndReserve;
+  if ((idle && passed >= settings_.stop.clients_leave) || late) {
+    log_.write("router", "stop",
+               {{"in_flight", std::to_string(gateway_->inFlight())}, {"keys_gone", keys_gone ? "1" : "0"}});
+    log_.flush();
+    loop_.stop();
+    return;
+  }
+  if (passed >= settings_.stop.clients_leave) {
+    clients_->closeIdle();
+  }
+  loop_.runAfter(kTick, [this] { stopWhenDone(); });
+}
+
+void RouterProcess::reload(const leaf::result<RouterSettings>& settings) {
+  if (!settings) {
+    log_.write("settings", "not-understood", {});
+    return;
+  }
+  settings_.retry = settings->retry;
+  settings_.ownership = settings->ownership;
+  settings_.queue = settings->queue;
+  settings_.stop = settings->stop;
+  log_.write("settings", "reloaded", {});
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/router_process.h
@@ -0,0 +1,121 @@
+#pragma once
+
+/// @file
+/// One router process beside one server: all parts wired together.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "shedlever/metadata_store.h"
+#include "shedlever/platform_ports.h"
+#include "source/net/system_sources.h"
+#include "source/router/cluster_view.h"
+#include "source/router/gateway.h"
+#include "source/router/peer_server.h"
+#include "source/router/store_caller.h"
+
+namespace shedlever {
+
+/// The platform as this process meets it; all outlive the process.
+struct PlatformAdapters {
+  const RequestProtocol* requests = nullptr;
+  const ReportProtocol* reports = nullptr;
+  const ConfigProtocol* config = nullptr;
+  /// @return the store over calls made by `caller`.
+  std::function<std::unique_ptr<MetadataStore>(StoreCaller caller)> make_store;
+};
+
+class RouterProcess {
+ public:
+  RouterProcess(EventLoop& loop, RouterSettings settings, PlatformAdapters platform, int log_descriptor);
+  ~RouterProcess();
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+
+  /// Opens all listeners and begins to read the store.
+  leaf::result<void> open();
+
+  /// Stops in order: takes no new work, hands keys over, finishes what is in flight, then ends the loop.
+  void stop();
+
+  /// The settings file may have changed; what can change in a running process is taken over.
+  void reload(const leaf::result<RouterSettings>& settings);
+
+ private:
+  leaf::result<void> openListeners();
+  GatewayDependencies gatewayPorts();
+  OwnershipPorts ownershipPorts();
+
+  void onConfigObject(const MetadataObject& object);
+  void onSharedObject(const MetadataObject& object, bool deleted);
+  void onSharedListed();
+  void adoptConfig(RouterConfig config, StoreRevision revision);
+  void createKeeper();
+  TableWriter& tableOf(const ServiceName& service);
+  const OwnerTable* ownersOf(const ServiceName& service);
+
+  void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
+  void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
+  void onReport(const ServerReport& report);
+  bool isLateReport(const ServerReport& report);
+  void onServerDraining();
+  void onServerGone();
+  void onServerSilence(bool silent);
+  void publishRecord();
+  void identifyServer();
+
+  void tick();
+  void tickSoon();
+  void keepOwnersReachable();
+  void stopWhenDone();
+  bool ready() const;
+
+  EventLoop& loop_;
+  RouterSettings settings_;
+  PlatformAdapters platform_;
+  BootClockImpl clock_;
+  SystemRandom random_;
+  NodeIdentity self_;
+  EventLog log_;
+  RouterMetrics metrics_;
+  ServerDirectory directory_;
+  ServerLink server_link_;
+  ServerGate gate_;
+  PeerLinks links_;
+  StoreAccess store_access_;
+  std::unique_ptr<MetadataStore> store_;
+  RecordPublisher publisher_;
+  KindWatcher config_watcher_;
+  KindWatcher shared_watcher_;
+  std::unique_ptr<OwnershipKeeper> keeper_;
+  /// Tables of services that this node has no server of.
+  std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<PeerServer> peer_server_;
+  std::unique_ptr<StrictHttpServer> clients_;
+  std::unique_ptr<StrictHttpServer> readiness_;
+  std::unique_ptr<StrictHttpServer> reports_;
+
+  std::shared_ptr<const RouteTable> routes_;
+  StoreRevision config_revision_ = 0;
+  bool shared_listed_ = false;
+  /// Objects of the shared kind that were read before the configuration.
+  std::map<std::string, MetadataObject> early_tables_;
+
+  InstanceId instance_;
+  std::uint32_t slots_ = 0;
+  bool server_draining_ = false;
+  bool server_silent_ = false;
+  /// Lives of the server that have ended; late reports of them are ignored.
+  std::set<InstanceId> ended_instances_;
+  std::map<InstanceId, std::uint64_t> report_sequences_;
+  bool reported_ = false;
+
+  bool tick_planned_ = false;
+  bool stopping_ = false;
+  TimePoint stop_began_{};
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/router_settings.cc
@@ -0,0 +1,183 @@
+#include "source/router/router_settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "source/core/router/duration_text.h"
+#include "source/core/settings/endpoint_text.h"
+
+namespace shedlever {
+
+using nlohmann::json;
+
+namespace {
+
+/// Part of the retry budget that is used, so that repeats made on the budget's edge by clocks and counts that differ
+/// stay inside it.
+constexpr double kUsedRetryRatio = 0.5;
+constexpr double kUsedRetrySlack = 0.6;
+
+/// One section of the file; collects what is wrong with its fields.
+class Section {
+ public:
+  Section(const json& document, const char* name, Findings& findings) : name_(name), findings_(findings) {
+    const auto found = document.find(name);
+    if (found != document.end() && found->is_object()) {
+      object_ = &*found;
+    }
+  }
+
+  std::string text(const char* field) const {
+    const json* value = find(field);
+    if (value == nullptr || !value->is_string() || value->get<std::string>().empty()) {
+      complain(field, "must be a text that is not empty");
+      return {};
+    }
+    return value->get<std::string>();
+  }
+
+  Endpoint endpoint(const char* field) const {
+    const std::string value = text(field);
+    const auto parsed = value.empty() ? std::nullopt : parseEndpoint(value);
+    if (!parsed && !value.empty()) {
+      complain(field, "must be an address with a port");
+    }
+    return parsed.value_or(Endpoint{});
+  }
+
+  /// Absent fields keep the value.
+  void read(const char* field, Duration& value) const {
+    const json* given = find(field);
+    if (given == nullptr) {
+      return;
+    }
+    const auto parsed = given->is_string() ? parseDuration(given->get<std::string>()) : std::nullopt;
+    if (!parsed) {
+      complain(field, "must be a time such as 1500ms or 2.5s");
+      return;
+    }
+    value = *parsed;
+  }
+
+  /// Absent fields keep the value.
+  void read(const char* field, double& value, double least, double most) const {
+    const json* given = find(field);
+    if (given == nullptr) {
+      return;
+    }
+    if (!given->is_number() || given->get<double>() < least || given->get<double>() > most) {
+      std::ostringstream message;
+      message << "must be a number from " << least << " to " << most;
+      complain(field, message.str());
+      return;
+    }
+    value = given->get<double>();
+  }
+
+ private:
+  const json* find(const char* field) const {
+    if (object_ == nullptr) {
+      return nullptr;
+    }
+    const auto found = object_->find(field);
+    return found == object_->end() || found->is_null() ? nullptr : &*found;
+  }
+
+  void complain(const char* field, const std::string& message) const {
+    findings_.add(std::string(name_) + "/" + field, message);
+  }
+
+  const char* name_;
+  Findings& findings_;
+  const json* object_ = nullptr;
+};
+
+void readPlaces(const json& document, RouterSettings& settings, Findings& findings) {
+  const Section node(document, "node", findings);
+  settings.node = NodeName(node.text("name"));
+  settings.zone = ZoneName(node.text("zone"));
+  settings.service = ServiceName(node.text("service"));
+  const Section listen(document, "listen", findings);
+  settings.clients_listen = listen.endpoint("clients");
+  settings.peers_listen = listen.endpoint("peers");
+  settings.readiness_listen = listen.endpoint("readiness");
+  settings.reports_listen = listen.endpoint("reports");
+  const Section connect(document, "connect", findings);
+  settings.server = connect.endpoint("server");
+  settings.store = connect.endpoint("store");
+}
+
+void readLimits(const json& document, RouterSettings& settings, Findings& findings) {
+  constexpr double kMostSlack = 1e9;
+  double ratio = settings.retry.ratio / kUsedRetryRatio;
+  double slack = settings.retry.slack / kUsedRetrySlack;
+  const Section retry(document, "retry", findings);
+  retry.read("ratio", ratio, 0.0, 1.0);
+  retry.read("slack", slack, 0.0, kMostSlack);
+  settings.retry = {ratio * kUsedRetryRatio, slack * kUsedRetrySlack};
+  const Section stop(document, "stop", findings);
+  stop.read("grace", settings.stop.grace);
+  stop.read("clients_leave", settings.stop.clients_leave);
+  stop.read("drain", settings.stop.drain);
+  const Section queue(document, "queue", findings);
+  queue.read("longest_wait_share", settings.queue.longest_wait_share, 0.0, 1.0);
+  queue.read("slot_share", settings.queue.slot_share, 0.1, 1.0);
+}
+
+void readOwnership(const json& document, RouterSettings& settings, Findings& findings) {
+  const Section section(document, "ownership", findings);
+  OwnershipConfig& config = settings.ownership;
+  section.read("lease", config.lease);
+  section.read("lease_renewal", config.lease_renewal);
+  section.read("grant_hold", config.grant_hold);
+  section.read("balance_interval", config.balance_interval);
+  section.read("busy_occupancy", config.busy_occupancy, 0.0, 1.0);
+  section.read("occupancy_gap", config.occupancy_gap, 0.0, 1.0);
+  Duration longest_grant = config.grant_hold;
+  section.read("longest_grant", longest_grant);
+  config.grant_hold = std::min(config.grant_hold, longest_grant);
+  if (config.lease_renewal * 2 > config.lease) {
+    findings.add("ownership/lease_renewal", "must be at most half of ownership/lease");
+  }
+  const Section choice(document, "choice", findings);
+  constexpr double kMostCost = 100.0;
+  choice.read("cross_zone_cost", settings.choice.cross_zone_cost, 0.0, kMostCost);
+  choice.read("cross_zone_download_cost", settings.choice.cross_zone_download_cost, 0.0, kMostCost);
+  choice.read("busy_occupancy", settings.choice.busy_occupancy, 0.0, 0.99);
+  choice.read("exploration", settings.choice.exploration, 0.0, 1.0);
+}
+
+}  // namespace
+
+leaf::result<RouterSettings> parseRouterSettings(const std::string& text) {
+  Findings findings;
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    findings.add("settings", "must be a JSON object");
+    return leaf::new_error(std::move(findings));
+  }
+  RouterSettings settings;
+  readPlaces(document, settings, findings);
+  readLimits(document, settings, findings);
+  readOwnership(document, settings, findings);
+  if (!findings.empty()) {
+    return leaf::new_error(std::move(findings));
+  }
+  return settings;
+}
+
+leaf::result<RouterSettings> readRouterSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    Findings findings;
+    findings.add(path, "can't be read");
+    return leaf::new_error(std::move(findings));
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parseRouterSettings(text.str());
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/router_settings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/// @file
+/// Settings of one router process, from a JSON file.
+
+#include <string>
+
+#include "shedlever/errors.h"
+#include "shedlever/identifiers.h"
+#include "source/core/router/ownership_config.h"
+#include "source/core/router/server_directory.h"
+#include "source/core/router/shared_retry_budget.h"
+
+namespace shedlever {
+
+struct QueueConfig {
+  /// Longest wait for a slot, as a share of the route's latency objective.
+  double longest_wait_share = 0.35;
+  /// Slots of the server that are used at once, as a share of what it has.
+  double slot_share = 1.0;
+};
+
+struct StopConfig {
+  /// The process is killed so long after it was told to stop.
+  Duration grace = std::chrono::seconds(6);
+  /// Clients stay away at the latest so long after this process said that it is not ready.
+  Duration clients_leave = std::chrono::milliseconds(2300);
+  /// How long a leaving server may still be given work after its notice was acknowledged.
+  Duration drain = std::chrono::seconds(2);
+};
+
+struct RouterSettings {
+  NodeName node;
+  ZoneName zone;
+  /// The service of the server beside this process.
+  ServiceName service;
+  Endpoint clients_listen;
+  Endpoint peers_listen;
+  Endpoint readiness_listen;
+  Endpoint reports_listen;
+  Endpoint server;
+  Endpoint store;
+  RetryBudgetConfig retry;
+  OwnershipConfig ownership;
+  ServerChoiceConfig choice;
+  QueueConfig queue;
+  StopConfig stop;
+};
+
+/// @param text JSON.
+/// @return the settings, or Findings with everything that is wrong.
+leaf::result<RouterSettings> parseRouterSettings(const std::string& text);
+
+/// As `parseRouterSettings`, from a file.
+leaf::result<RouterSettings> readRouterSettings(const std::string& path);
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/server_gate.cc
@@ -0,0 +1,258 @@
+#include "source/router/server_gate.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace shedlever {
+
+namespace {
+
+/// Connections in a row that don't come about before the server counts as silent.
+constexpr unsigned kSilentAfterConnections = 2;
+/// Requests that could be begun end at least so long before their deadline.
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(5);
+constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
+
+}  // namespace
+
+ServerGate::ServerGate(EventLoop& loop, const Clock& clock, const QueueConfig& config, ServerLink& link,
+                       GateEvents events)
+    : loop_(loop), clock_(clock), config_(config), link_(link), events_(std::move(events)) {}
+
+void ServerGate::serverUp(const InstanceId& instance, std::uint32_t slots) {
+  if (instance_ != instance) {
+    giveBackAll(ForwardReason::WrongInstance);
+    instance_ = instance;
+    draining_ = false;
+    keys_closed_ = false;
+    silent_ = false;
+    failed_connections_ = 0;
+  }
+  const double used = std::max(1.0, slots * config_.slot_share);
+  queue_.setSlots(static_cast<std::uint32_t>(used));
+  startWaiting();
+}
+
+void ServerGate::serverEnded() {
+  instance_ = {};
+  giveBackAll(ForwardReason::ServerDown);
+}
+
+void ServerGate::startDraining() {
+  draining_ = true;
+  std::vector<QueueTicket> unkeyed;
+  for (const auto& [ticket, entry] : entries_) {
+    if (!entry.running && !entry.frame.keyed) {
+      unkeyed.push_back(ticket);
+    }
+  }
+  for (const QueueTicket ticket : unkeyed) {
+    queue_.remove(ticket);
+    giveBack(ticket, ForwardReason::Draining, {});
+  }
+}
+
+void ServerGate::closeKeys() {
+  keys_closed_ = true;
+  giveBackAll(ForwardReason::Draining);
+}
+
+ForwardReason ServerGate::reasonNotToBegin(const ForwardFrame& frame, TimePoint now) const {
+  if (instance_.empty() || silent_) {
+    return ForwardReason::ServerDown;
+  }
+  if (frame.instance != instance_) {
+    return ForwardReason::WrongInstance;
+  }
+  if (draining_ && (!frame.keyed || keys_closed_)) {
+    return ForwardReason::Draining;
+  }
+  if (!frame.keyed) {
+    return ForwardReason::None;
+  }
+  const KeyStanding standing = keeper_ == nullptr ? KeyStanding::Elsewhere : keeper_->standing(frame.key, now);
+  switch (standing) {
+    case KeyStanding::Held:
+      return ForwardReason::None;
+    case KeyStanding::Pending:
+      return ForwardReason::NotYetOwner;
+    case KeyStanding::Elsewhere:
+      break;
+  }
+  return ForwardReason::NotOwner;
+}
+
+ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) const {
+  ForwardReplyFrame reply;
+  reply.exchange = frame.exchange;
+  reply.outcome = ForwardOutcome::NotRun;
+  reply.reason = reason;
+  reply.retry_after_us = retry_after.count();
+  reply.load = queue_.load();
+  return reply;
+}
+
+QueueTicket ServerGate::forward(ForwardFrame frame, ForwardCallback done) {
+  const TimePoint now = clock_.now();
+  const QueueTicket ticket = ++last_ticket_;
+  const ForwardReason reason = reasonNotToBegin(frame, now);
+  if (reason != ForwardReason::None) {
+    done(refusal(frame, reason, kKeyRetryAfter));
+    return ticket;
+  }
+  if (frame.keyed) {
+    keeper_->onKeyRequest(frame.key, now);
+  }
+  const Duration remaining(frame.remaining_us);
+  const auto share = static_cast<Duration::rep>(static_cast<double>(frame.target_us) * config_.longest_wait_share);
+  const Duration longest_wait = std::min(Duration(share), remaining - kLeastRemaining);
+  const QueueDecision decision = queue_.arrive(ticket, frame.priority, now, longest_wait);
+  if (decision.verdict == QueueVerdict::Refuse) {
+    done(refusal(frame, ForwardReason::Overloaded, decision.predicted_wait));
+    return ticket;
+  }
+  Entry& entry = entries_[ticket];
+  entry.deadline = now + remaining;
+  entry.frame = std::move(frame);
+  entry.done = std::move(done);
+  if (decision.verdict == QueueVerdict::Start) {
+    begin(ticket);
+  }
+  return ticket;
+}
+
+void ServerGate::begin(QueueTicket ticket) {
+  Entry& entry = entries_.at(ticket);
+  const TimePoint now = clock_.now();
+  const Duration remaining = entry.deadline - now;
+  ForwardReason reason = reasonNotToBegin(entry.frame, now);
+  if (reason == ForwardReason::None && remaining < kLeastRemaining) {
+    reason = ForwardReason::Overloaded;
+  }
+  if (reason != ForwardReason::None) {
+    queue_.ended(std::nullopt);
+    giveBack(ticket, reason, kKeyRetryAfter);
+    return;
+  }
+  entry.running = true;
+  entry.started = now;
+  ServerRequest request{std::move(entry.frame.http), entry.frame.id,   instance_, remaining,
+                        entry.frame.caller,          entry.frame.keyed};
+  entry.exchange =
+      link_.send(std::move(request), [this, ticket](ServerResult result) { onResult(ticket, std::move(result)); });
+}
+
+void ServerGate::onResult(QueueTicket ticket, ServerResult result) {
+  auto node = entries_.extract(ticket);
+  if (node.empty()) {
+    return;
+  }
+  Entry& entry = node.mapped();
+  const TimePoint now = clock_.now();
+  const Duration service_time = now - entry.started;
+  const bool answered = result.outcome == ForwardOutcome::Answered;
+  queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
+  noteAnswer(result);
+  ForwardReplyFrame reply;
+  reply.exchange = entry.frame.exchange;
+  reply.outcome = result.outcome;
+  reply.reason = result.reason;
+  reply.reached_server = result.reached_server;
+  reply.service_us = answered ? service_time.count() : 0;
+  reply.http = std::move(result.http);
+  reply.load = queue_.load();
+  if (!entry.abandoned) {
+    entry.done(std::move(reply));
+  }
+  startWaiting();
+}
+
+void ServerGate::noteAnswer(const ServerResult& result) {
+  if (result.server_gone) {
+    events_.server_gone();
+    return;
+  }
+  if (result.no_connection) {
+    ++failed_connections_;
+    if (failed_connections_ >= kSilentAfterConnections && !silent_ && !instance_.empty()) {
+      silent_ = true;
+      events_.silence(true);
+      giveBackAll(ForwardReason::ServerDown);
+    }
+    return;
+  }
+  if (result.outcome != ForwardOutcome::Unknown) {
+    failed_connections_ = 0;
+    last_answer_ = clock_.now();
+  }
+}
+
+void ServerGate::startWaiting() {
+  while (const auto ticket = queue_.startNext()) {
+    begin(*ticket);
+  }
+}
+
+void ServerGate::giveBack(QueueTicket ticket, ForwardReason reason, Duration retry_after) {
+  auto node = entries_.extract(ticket);
+  if (!node.empty() && !node.mapped().abandoned) {
+    node.mapped().done(refusal(node.mapped().frame, reason, retry_after));
+  }
+}
+
+void ServerGate::giveBackAll(ForwardReason reason) {
+  for (const QueueTicket ticket : queue_.takeAll()) {
+    giveBack(ticket, reason, {});
+  }
+}
+
+void ServerGate::cancel(QueueTicket ticket) {
+  const auto found = entries_.find(ticket);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (!entry.running) {
+    queue_.remove(ticket);
+    entries_.erase(found);
+    return;
+  }
+  entry.abandoned = true;
+  if (mayRepeat(entry.frame.kind)) {
+    // Ends as cancelled, from the loop; its slot is free then.
+    link_.cancel(entry.exchange);
+  }
+}
+
+bool ServerGate::isRunning(QueueTicket ticket) const {
+  const auto found = entries_.find(ticket);
+  return found != entries_.end() && found->second.running;
+}
+
+void ServerGate::tick() {
+  const TimePoint now = clock_.now();
+  for (const QueueTicket ticket : queue_.takeOverdue(now)) {
+    giveBack(ticket, ForwardReason::Overloaded, queue_.meanService());
+  }
+  checkSilence(now);
+}
+
+void ServerGate::checkSilence(TimePoint) {
+  if (!silent_ || probing_ || instance_.empty()) {
+    return;
+  }
+  probing_ = true;
+  link_.identify(health_path_, [this](const InstanceId& instance, bool refused) {
+    probing_ = false;
+    if (refused) {
+      events_.server_gone();
+    } else if (!instance.empty()) {
+      silent_ = false;
+      failed_connections_ = 0;
+      events_.silence(false);
+    }
+  });
+}
+
+}  // namespace shedlever
