--- /dev/null
+++ b/source/router/server_gate.h
@@ -0,0 +1,109 @@
+#pragma once
+
+/// @file
+/// The only way to the server beside this process: counts its slots, queues, and begins a request only if the server
+/// is the right one, is not leaving and holds the request's key.
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "source/core/router/ownership_keeper.h"
+#include "source/core/router/slot_queue.h"
+#include "source/router/router_settings.h"
+#include "source/router/server_link.h"
+
+namespace shedlever {
+
+/// Where forwarded requests end: at this process's gate or at another's.
+using ForwardCallback = std::function<void(ForwardReplyFrame)>;
+
+struct GateEvents {
+  /// Nothing listens at the server's address: it is dead for sure.
+  std::function<void()> server_gone;
+  /// The server has been silent, or answers again.
+  std::function<void(bool silent)> silence;
+};
+
+class ServerGate {
+ public:
+  /// @param keeper null for a service that is not divided by key. All outlive the gate.
+  ServerGate(EventLoop& loop, const Clock& clock, const QueueConfig& config, ServerLink& link, GateEvents events);
+
+  /// Where the standing of keys is asked; null while the service is not divided by key.
+  void setKeeper(OwnershipKeeper* keeper) { keeper_ = keeper; }
+
+  /// Where the server is asked whether it lives.
+  void setHealthPath(const std::string& path) { health_path_ = path; }
+
+  /// A server runs, by its own report.
+  void serverUp(const InstanceId& instance, std::uint32_t slots);
+  /// It has ended: nothing more is begun, what waits is given back.
+  void serverEnded();
+  /// It leaves: nothing more is begun, what waits is given back; keyed requests go on until `closeKeys`.
+  void startDraining();
+  /// From now on keyed requests are not begun either.
+  void closeKeys();
+
+  /// Takes a request for the server.
+  /// @param done runs from the loop or inside the call, once, unless the request is cancelled.
+  QueueTicket forward(ForwardFrame frame, ForwardCallback done);
+
+  /// The client is gone or its time is over. What runs and may not be repeated is left to end.
+  void cancel(QueueTicket ticket);
+
+  /// @return whether the request has been sent to the server; false for one that has ended.
+  bool isRunning(QueueTicket ticket) const;
+
+  /// Gives back what has waited too long; notices a silent server. Every 25 ms or so.
+  void tick();
+
+  ServerLoad load() const { return queue_.load(); }
+  const InstanceId& instance() const { return instance_; }
+  bool draining() const { return draining_; }
+  bool empty() const { return entries_.empty(); }
+  bool silent() const { return silent_; }
+
+ private:
+  struct Entry {
+    ForwardFrame frame;
+    ForwardCallback done;
+    TimePoint deadline{};
+    TimePoint started{};
+    bool running = false;
+    /// The caller is gone; the answer goes nowhere.
+    bool abandoned = false;
+    HttpExchangeId exchange = 0;
+  };
+
+  ForwardReason reasonNotToBegin(const ForwardFrame& frame, TimePoint now) const;
+  void begin(QueueTicket ticket);
+  void onResult(QueueTicket ticket, ServerResult result);
+  void startWaiting();
+  void giveBack(QueueTicket ticket, ForwardReason reason, Duration retry_after);
+  void giveBackAll(ForwardReason reason);
+  ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) const;
+  void noteAnswer(const ServerResult& result);
+  void checkSilence(TimePoint now);
+
+  EventLoop& loop_;
+  const Clock& clock_;
+  const QueueConfig& config_;
+  ServerLink& link_;
+  GateEvents events_;
+  OwnershipKeeper* keeper_ = nullptr;
+  std::string health_path_ = "/";
+  SlotQueue queue_{0};
+  InstanceId instance_;
+  bool draining_ = false;
+  bool keys_closed_ = false;
+  bool silent_ = false;
+  bool probing_ = false;
+  /// Connections in a row that did not come about.
+  unsigned failed_connections_ = 0;
+  TimePoint last_answer_{};
+  QueueTicket last_ticket_ = 0;
+  std::unordered_map<QueueTicket, Entry> entries_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/server_link.cc
@@ -0,0 +1,145 @@
+#include "source/router/server_link.h"
+
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+/// More than any server's slots; the gate counts these.
+constexpr std::size_t kMostConnections = 512;
+constexpr std::size_t kOrderConnections = 8;
+/// The server is on this machine.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/// Longest rest of a connection; servers that say their own limit are believed.
+constexpr Duration kIdleTimeout = std::chrono::milliseconds(7500);
+constexpr Duration kGrantTimeout = std::chrono::milliseconds(300);
+/// The server answers a release once the work on the keys has ended.
+constexpr Duration kReleaseTimeout = std::chrono::seconds(4);
+constexpr Duration kIdentifyTimeout = std::chrono::seconds(1);
+
+HttpClientConfig requestConfig(const Endpoint& server) {
+  HttpClientConfig config;
+  config.server = server;
+  config.connections = kMostConnections;
+  config.connect_timeout = kConnectTimeout;
+  config.idle_timeout = kIdleTimeout;
+  config.keep_host = true;
+  config.close_framed = true;
+  return config;
+}
+
+HttpClientConfig orderConfig(const Endpoint& server) {
+  HttpClientConfig config;
+  config.server = server;
+  config.connections = kOrderConnections;
+  config.connect_timeout = kConnectTimeout;
+  config.idle_timeout = kIdleTimeout;
+  return config;
+}
+
+}  // namespace
+
+ServerLink::ServerLink(EventLoop& loop, const Endpoint& server, const RequestProtocol& protocol)
+    : protocol_(protocol), requests_(loop, requestConfig(server)), orders_(loop, orderConfig(server)) {}
+
+HttpExchangeId ServerLink::send(ServerRequest request, std::function<void(ServerResult)> done) {
+  protocol_.dress(request.http, request.instance, request.remaining, request.caller);
+  const Duration remaining = request.remaining;
+  auto finished = [this, id = request.id, instance = request.instance, keyed = request.keyed, done = std::move(done)](
+                      HttpExchange exchange) { done(resultOf(std::move(exchange), id, instance, keyed)); };
+  auto check = [this, id = request.id, instance = request.instance, keyed = request.keyed](const HttpResponse& answer) {
+    return protocol_.classify(answer, id, instance, keyed) != AnswerKind::Broken;
+  };
+  return requests_.send(std::move(request.http), remaining, std::move(finished), std::move(check));
+}
+
+void ServerLink::cancel(HttpExchangeId exchange) { requests_.cancel(exchange); }
+
+ServerResult ServerLink::resultOf(HttpExchange exchange, const RequestId& id, const InstanceId& instance,
+                                  bool keyed) const {
+  ServerResult result;
+  result.reached_server = exchange.status != HttpExchangeStatus::NeverSent;
+  switch (exchange.status) {
+    case HttpExchangeStatus::Complete:
+      break;
+    case HttpExchangeStatus::NeverSent:
+      result.outcome = ForwardOutcome::NotRun;
+      result.reason = ForwardReason::ServerDown;
+      result.server_gone = exchange.refused;
+      result.no_connection = !exchange.refused;
+      return result;
+    case HttpExchangeStatus::ConnectionLost:
+      result.reason = ForwardReason::ConnectionLost;
+      return result;
+    case HttpExchangeStatus::Malformed:
+      result.reason = ForwardReason::BrokenAnswer;
+      return result;
+    case HttpExchangeStatus::TimedOut:
+      result.reason = ForwardReason::TimedOut;
+      return result;
+    case HttpExchangeStatus::Cancelled:
+      result.reason = ForwardReason::Cancelled;
+      return result;
+  }
+  switch (protocol_.classify(exchange.response, id, instance, keyed)) {
+    case AnswerKind::Answer:
+      result.outcome = ForwardOutcome::Answered;
+      result.http = std::move(exchange.response);
+      return result;
+    case AnswerKind::NotRun:
+      result.outcome = ForwardOutcome::NotRun;
+      result.reason = ForwardReason::ServerRefused;
+      return result;
+    case AnswerKind::WrongInstance:
+      result.outcome = ForwardOutcome::NotRun;
+      result.reason = ForwardReason::WrongInstance;
+      return result;
+    case AnswerKind::KeyNotHeld:
+      result.outcome = ForwardOutcome::NotRun;
+      result.reason = ForwardReason::NotOwner;
+      return result;
+    case AnswerKind::Broken:
+      result.reason = ForwardReason::BrokenAnswer;
+      return result;
+  }
+  return result;
+}
+
+void ServerLink::grant(const GrantOrder& order, std::function<void(OrderStatus)> done) {
+  orders_.send(protocol_.grantRequest(order), kGrantTimeout,
+               [this, done = std::move(done)](const HttpExchange& exchange) {
+                 if (exchange.status == HttpExchangeStatus::Complete) {
+                   done(protocol_.orderStatus(exchange.response));
+                 } else {
+                   done(exchange.refused ? OrderStatus::ServerGone : OrderStatus::NoAnswer);
+                 }
+               });
+}
+
+void ServerLink::release(const ReleaseOrder& order, std::function<void(ReleaseResult)> done) {
+  orders_.send(protocol_.releaseRequest(order), kReleaseTimeout,
+               [this, done = std::move(done)](const HttpExchange& exchange) {
+                 ReleaseResult result;
+                 if (exchange.status == HttpExchangeStatus::Complete) {
+                   result.status = protocol_.orderStatus(exchange.response);
+                   result.handover = protocol_.handoverOf(exchange.response);
+                 } else if (exchange.refused) {
+                   result.status = OrderStatus::ServerGone;
+                 }
+                 done(result);
+               });
+}
+
+void ServerLink::identify(const std::string& health_path, std::function<void(InstanceId instance, bool refused)> done) {
+  orders_.send(protocol_.healthRequest(health_path), kIdentifyTimeout,
+               [this, done = std::move(done)](const HttpExchange& exchange) {
+                 if (exchange.status == HttpExchangeStatus::Complete) {
+                   done(protocol_.instanceOf(exchange.response), false);
+                 } else {
+                   done({}, exchange.refused);
+                 }
+               });
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/server_link.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// @file
+/// Connections to the server beside this process: requests, orders about keys, and whether it is alive.
+
+#include <functional>
+#include <memory>
+
+#include "shedlever/platform_ports.h"
+#include "shedlever/server_orders.h"
+#include "source/net/http_client.h"
+
+namespace shedlever {
+
+/// What became of a request at the server.
+struct ServerResult {
+  ForwardOutcome outcome = ForwardOutcome::Unknown;
+  ForwardReason reason = ForwardReason::None;
+  /// Whether any of it was sent.
+  bool reached_server = false;
+  /// Nothing listens at the server's address.
+  bool server_gone = false;
+  /// A connection could not be made in time.
+  bool no_connection = false;
+  HttpResponse http;
+};
+
+struct ServerRequest {
+  HttpRequest http;
+  RequestId id;
+  InstanceId instance;
+  Duration remaining{};
+  ServiceName caller;
+  bool keyed = false;
+};
+
+class ServerLink final : public ServerOrders {
+ public:
+  /// @param protocol outlives the link.
+  ServerLink(EventLoop& loop, const Endpoint& server, const RequestProtocol& protocol);
+
+  /// @param done runs from the loop, once, unless the request is cancelled.
+  HttpExchangeId send(ServerRequest request, std::function<void(ServerResult)> done);
+  /// Closes the connection, at which most servers drop the request.
+  void cancel(HttpExchangeId exchange);
+
+  void grant(const GrantOrder& order, std::function<void(OrderStatus)> done) override;
+  void release(const ReleaseOrder& order, std::function<void(ReleaseResult)> done) override;
+
+  /// Asks the server which life it is.
+  /// @param done an empty instance when there was no answer; `refused` when nothing listens.
+  void identify(const std::string& health_path, std::function<void(InstanceId instance, bool refused)> done);
+
+ private:
+  ServerResult resultOf(HttpExchange exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
+
+  const RequestProtocol& protocol_;
+  HttpClient requests_;
+  HttpClient orders_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/store_caller.cc
@@ -0,0 +1,83 @@
+#include "source/router/store_caller.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace shedlever {
+
+namespace {
+
+/// Calls that wait longer are watches; they have connections of their own and no detour.
+constexpr Duration kLongestCall = std::chrono::seconds(5);
+constexpr std::size_t kCallConnections = 3;
+constexpr std::size_t kWatchConnections = 4;
+/// How long calls go straight to a peer after one that had no answer.
+constexpr Duration kDetourTime = std::chrono::milliseconds(1500);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+/// A watch waits long for its answer: a path that is cut silently must not make it wait to its end.
+constexpr Duration kDeadPeerLimit = std::chrono::milliseconds(1500);
+
+HttpClientConfig clientConfig(const Endpoint& store, std::size_t connections) {
+  HttpClientConfig config;
+  config.server = store;
+  config.connections = connections;
+  config.connect_timeout = kConnectTimeout;
+  config.dead_peer_limit = kDeadPeerLimit;
+  return config;
+}
+
+}  // namespace
+
+StoreAccess::StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log)
+    : loop_(loop),
+      clock_(clock),
+      links_(links),
+      log_(log),
+      calls_(loop, clientConfig(store, kCallConnections)),
+      watches_(loop, clientConfig(store, kWatchConnections)) {}
+
+void StoreAccess::callStraight(HttpRequest request, Duration timeout,
+                               std::function<void(std::optional<HttpResponse>)> done) {
+  HttpClient& client = timeout > kLongestCall ? watches_ : calls_;
+  client.send(std::move(request), timeout, [this, done = std::move(done)](HttpExchange exchange) {
+    const bool answered = exchange.status == HttpExchangeStatus::Complete;
+    if (answered != straight_works_) {
+      straight_works_ = answered;
+      log_.write("store", answered ? "regained" : "lost", {});
+    }
+    done(answered ? std::optional<HttpResponse>(std::move(exchange.response)) : std::nullopt);
+  });
+}
+
+void StoreAccess::call(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
+  if (timeout > kLongestCall) {
+    callStraight(std::move(request), timeout, std::move(done));
+    return;
+  }
+  if (clock_.now() < detour_until_) {
+    callThroughPeer(request, timeout, std::move(done));
+    return;
+  }
+  callStraight(request, timeout,
+               [this, request, timeout, done = std::move(done)](std::optional<HttpResponse> response) mutable {
+                 if (response) {
+                   done(std::move(response));
+                   return;
+                 }
+                 detour_until_ = clock_.now() + kDetourTime;
+                 callThroughPeer(request, timeout, std::move(done));
+               });
+}
+
+void StoreAccess::callThroughPeer(const HttpRequest& request, Duration timeout,
+                                  std::function<void(std::optional<HttpResponse>)> done) {
+  const std::vector<NodeName> peers = links_.connected();
+  if (peers.empty()) {
+    loop_.post([done = std::move(done)] { done(std::nullopt); });
+    return;
+  }
+  links_.callStore(peers[next_peer_++ % peers.size()], request, timeout, std::move(done));
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/store_caller.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// Calls to the store: straight, or through another node while this one can't reach it.
+
+#include <functional>
+#include <optional>
+
+#include "source/net/http_client.h"
+#include "source/router/event_log.h"
+#include "source/router/peer_links.h"
+#include "source/router/peer_server.h"
+
+namespace shedlever {
+
+/// A call that got no answer straight is tried once more through a peer. All writes of this process are conditional, so
+/// one that was carried out after all fails the second time and is told as a conflict.
+class StoreAccess {
+ public:
+  StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log);
+
+  /// A call of this process.
+  void call(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done);
+
+  /// A call on behalf of another node, made straight only.
+  void callStraight(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done);
+
+  /// @return whether the last straight call had an answer.
+  bool straightWorks() const { return straight_works_; }
+
+ private:
+  void callThroughPeer(const HttpRequest& request, Duration timeout,
+                       std::function<void(std::optional<HttpResponse>)> done);
+
+  EventLoop& loop_;
+  const Clock& clock_;
+  PeerLinks& links_;
+  EventLog& log_;
+  HttpClient calls_;
+  HttpClient watches_;
+  bool straight_works_ = true;
+  /// Until then calls go through a peer at once.
+  TimePoint detour_until_{};
+  std::size_t next_peer_ = 0;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/test/core_router/owner_table_test.cc
@@ -0,0 +1,146 @@
+/// @file
+/// The owner table's changes, its text, and the meter of work a key.
+
+#include "source/core/router/owner_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "source/core/router/key_meter.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::seconds;
+
+const OwnerPlace kFirst{InstanceId("i-1"), NodeName("n-1")};
+const OwnerPlace kSecond{InstanceId("i-2"), NodeName("n-2")};
+const OwnerPlace kThird{InstanceId("i-3"), NodeName("n-3")};
+
+leaf::result<OwnerTable> decoded(const std::string& text) { return OwnerTable::decode(text); }
+
+OwnerTable decodedOrEmpty(const std::string& text) {
+  return leaf::try_handle_all([&] { return decoded(text); }, [] { return OwnerTable(); });
+}
+
+TEST(OwnerTableTest, FirstDivisionCoversAllKeys) {
+  const OwnerTable table = OwnerTable::divide({kFirst, kSecond, kThird});
+  ASSERT_EQ(table.ranges().size(), 3U);
+  std::uint32_t keys = 0;
+  for (const OwnedRange& range : table.ranges()) {
+    keys += range.keys.size();
+  }
+  EXPECT_EQ(keys, kKeyCount);
+  EXPECT_EQ(table.find(0)->owner, kFirst.instance);
+  EXPECT_EQ(table.find(kKeyCount - 1)->owner, kThird.instance);
+}
+
+TEST(OwnerTableTest, ReleaseLeavesRoomForItsOwnToken) {
+  OwnerTable table = OwnerTable::divide({kFirst, kSecond});
+  const auto released = table.beginRelease({100, 199}, kFirst.instance);
+  ASSERT_TRUE(released);
+  EXPECT_EQ(table.ranges().size(), 4U);
+  EXPECT_TRUE(table.assign({100, 199}, kSecond, "paper"));
+  const OwnedRange* moved = table.find(150);
+  EXPECT_EQ(moved->owner, kSecond.instance);
+  EXPECT_EQ(moved->handover, "paper");
+  EXPECT_GT(moved->token, released->token + 1);
+}
+
+TEST(OwnerTableTest, OnlyTheOwnerReleasesAndOnlyOnce) {
+  OwnerTable table = OwnerTable::divide({kFirst, kSecond});
+  EXPECT_FALSE(table.beginRelease({100, 199}, kSecond.instance));
+  EXPECT_FALSE(table.beginRelease({32000, 33000}, kFirst.instance)) << "spans two ranges";
+  ASSERT_TRUE(table.beginRelease({100, 199}, kFirst.instance));
+  EXPECT_FALSE(table.beginRelease({100, 199}, kFirst.instance));
+}
+
+TEST(OwnerTableTest, AbortedReleaseRaisesTheToken) {
+  OwnerTable table = OwnerTable::divide({kFirst});
+  const auto released = table.beginRelease({0, 9}, kFirst.instance);
+  table.abortRelease({0, 9});
+  EXPECT_FALSE(table.find(5)->releasing);
+  EXPECT_GT(table.find(5)->token, released->token + 1);
+}
+
+TEST(OwnerTableTest, JoinsNeighboursUnderAHigherToken) {
+  OwnerTable table = OwnerTable::divide({kFirst, kSecond});
+  table.beginRelease({32768, 40000}, kSecond.instance);
+  table.assign({32768, 40000}, kFirst, {});
+  const FenceToken before = table.find(32768)->token;
+  EXPECT_TRUE(table.joinNeighbours(kFirst.instance));
+  EXPECT_EQ(table.find(0)->keys, (KeySpan{0, 40000}));
+  EXPECT_GT(table.find(0)->token, before);
+  EXPECT_FALSE(table.joinNeighbours(kFirst.instance));
+}
+
+TEST(OwnerTableTest, TextThatIsNoTableIsRefused) {
+  for (const char* text :
+       {"", "[]", "{}", R"({"last_token":1,"ranges":[]})", R"({"last_token":1,"ranges":[{"first":5,"token":1}]})",
+        R"({"last_token":1,"ranges":[{"first":0,"token":1},{"first":0,"token":1}]})",
+        R"({"last_token":1,"ranges":[{"first":"0","token":1}]})"}) {
+    EXPECT_TRUE(decodedOrEmpty(text).ranges().empty()) << text;
+  }
+}
+
+RC_GTEST_PROP(OwnerTableProperty, TextBringsTheSameTableBackAndTokensRise, (std::vector<std::uint16_t> cuts)) {
+  OwnerTable table = OwnerTable::divide({kFirst, kSecond, kThird});
+  const std::vector<OwnerPlace> places = {kFirst, kSecond, kThird};
+  for (const std::uint16_t cut : cuts) {
+    const OwnedRange before = *table.find(cut);
+    const auto released = table.beginRelease({cut, before.keys.last}, before.owner);
+    RC_ASSERT(released.has_value());
+    RC_ASSERT(table.assign(released->keys, places[cut % 3], "h"));
+    RC_ASSERT(table.find(cut)->token > before.token + 1);
+    table.joinNeighbours(places[cut % 3].instance);
+    RC_ASSERT(decodedOrEmpty(table.encode()) == table);
+  }
+}
+
+TEST(KeyMeterTest, OldWorkCountsLess) {
+  KeyMeter meter(seconds(2));
+  const TimePoint start{seconds(1)};
+  meter.add(7, 8.0, start);
+  EXPECT_NEAR(meter.sum({0, 10}, start), 8.0, 1e-6);
+  EXPECT_NEAR(meter.sum({0, 10}, start + seconds(4)), 2.0, 1e-6);
+  meter.add(7, 1.0, start + seconds(200));
+  EXPECT_NEAR(meter.sum({7, 7}, start + seconds(200)), 1.0, 1e-6);
+}
+
+TEST(KeyMeterTest, CutsAnEndOfAboutTheWantedWork) {
+  KeyMeter meter(seconds(2));
+  const TimePoint now{seconds(1)};
+  for (Key key = 100; key < 200; ++key) {
+    meter.add(key, 1.0, now);
+  }
+  const auto cut = meter.cut({0, 999}, 30.0, 45.0, now);
+  ASSERT_TRUE(cut);
+  EXPECT_NEAR(meter.sum(*cut, now), 30.0, 1.0);
+  EXPECT_TRUE(cut->first == 0 || cut->last == 999);
+}
+
+TEST(KeyMeterTest, OneKeyThatBringsTooMuchIsNotCut) {
+  KeyMeter meter(seconds(2));
+  const TimePoint now{seconds(1)};
+  meter.add(500, 100.0, now);
+  EXPECT_FALSE(meter.cut({0, 999}, 10.0, 15.0, now));
+}
+
+TEST(KeyMeterTest, SplitsIntoRunsOfLikeWork) {
+  KeyMeter meter(seconds(2));
+  const TimePoint now{seconds(1)};
+  for (Key key = 100; key < 200; ++key) {
+    meter.add(key, 1.0, now);
+  }
+  const auto runs = meter.split({0, 999}, 4, now);
+  ASSERT_EQ(runs.size(), 4U);
+  EXPECT_EQ(runs.front().first, 0);
+  EXPECT_EQ(runs.back().last, 999);
+  for (const KeySpan& run : runs) {
+    EXPECT_NEAR(meter.sum(run, now), 25.0, 1.0);
+  }
+  EXPECT_EQ(meter.split({2000, 2999}, 4, now).size(), 1U);
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/core_router/ownership_test.cc
@@ -0,0 +1,258 @@
+/// @file
+/// Ownership of keys under faults: one owner a key, rising tokens, and keys that come back.
+
+#include <gtest/gtest.h>
+
+#include "test/support/router_world.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 20261202;
+
+/// Runs long enough that a silent owner's keys are taken over.
+constexpr Duration kTakeover = seconds(14);
+
+void expectSound(const RouterWorld& world) {
+  for (const std::string& violation : world.violations()) {
+    ADD_FAILURE() << violation;
+    break;
+  }
+}
+
+class OwnershipTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    world_.run(seconds(4));
+    ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
+  }
+  void TearDown() override { expectSound(world_); }
+
+  void expectAllServed() { EXPECT_EQ(world_.servedKeys(), world_.sampledKeys()); }
+
+  RouterWorld world_{4, kSeed};
+};
+
+TEST_F(OwnershipTest, DividesKeysEvenlyAtFirst) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    EXPECT_EQ(world_.servedBy(node), world_.sampledKeys() / 4);
+  }
+}
+
+TEST_F(OwnershipTest, DeadServersKeysGoToOthersWithinASecond) {
+  world_.killServer(1);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(1), 0U);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, RestartedProcessTakesItsKeysUpAgain) {
+  world_.killNode(2);
+  world_.run(seconds(1));
+  world_.restartNode(2);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(2), world_.sampledKeys() / 4);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, SilentNodesKeysAreTakenOver) {
+  world_.killNode(3);
+  world_.run(kTakeover);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, PausedNodeFindsItsKeysGone) {
+  world_.pauseNode(0);
+  world_.run(kTakeover);
+  expectAllServed();
+  world_.resumeNode(0);
+  world_.run(seconds(5));
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, ShortPauseKeepsKeys) {
+  world_.pauseNode(0);
+  world_.run(seconds(4));
+  world_.resumeNode(0);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(0), world_.sampledKeys() / 4);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, DrainHandsAllKeysOver) {
+  world_.drainServer(1);
+  world_.run(milliseconds(800));
+  EXPECT_EQ(world_.servedBy(1), 0U);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, NewLifeOfAServerTakesTheKeysOfTheOld) {
+  world_.killServer(1);
+  world_.startServer(1);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(1), world_.sampledKeys() / 4);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, StoreDownForAllKeepsKeysWhileTheLeaseLasts) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setStoreFaults(node, {true, 0, 0});
+  }
+  world_.run(seconds(6));
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, LostStoreAnswersLoseNoKey) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setStoreFaults(node, {false, 0.3, 0.2});
+  }
+  world_.killServer(1);
+  world_.run(seconds(5));
+  world_.drainServer(2);
+  world_.run(seconds(10));
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setStoreFaults(node, {});
+  }
+  world_.run(seconds(8));
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, OrdersCarriedOutLateHarmNothing) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setOrderFaults(node, {false, 0.4});
+  }
+  world_.run(seconds(2));
+  world_.drainServer(2);
+  world_.run(seconds(15));
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setOrderFaults(node, {});
+  }
+  world_.run(seconds(14));
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, BusyOwnerGivesWorkToAnIdleOne) {
+  const Key busy = 100;
+  world_.setOccupancy(0, 1.2);
+  for (std::size_t node = 1; node < 4; ++node) {
+    world_.setOccupancy(node, 0.1);
+  }
+  for (Key key = 0; key < busy; ++key) {
+    world_.addKeyWork(0, key, 20);
+  }
+  world_.run(seconds(2));
+  EXPECT_LT(world_.servedBy(0), world_.sampledKeys() / 4);
+  expectAllServed();
+}
+
+// Seen on the bench: two owners with seven ranges each, none beside another, tried to join them for good and gave
+// nothing away any more.
+TEST_F(OwnershipTest, OwnerOfManyScatteredRangesStillGivesWorkAway) {
+  world_.scatterRanges(0, 1, 16);
+  world_.run(seconds(2));
+  const std::size_t before = world_.servedBy(0);
+  world_.setOccupancy(0, 1.5);
+  for (std::size_t node = 1; node < 4; ++node) {
+    world_.setOccupancy(node, 0.1);
+  }
+  for (std::uint32_t key = 0; key < kKeyCount; key += 16) {
+    world_.addKeyWork(0, static_cast<Key>(key), 10);
+  }
+  world_.run(seconds(2));
+  EXPECT_LT(world_.servedBy(0), before);
+  expectAllServed();
+}
+
+// Three owners that each give the larger part of the difference to one idle server would bury it.
+TEST_F(OwnershipTest, OwnersTogetherDoNotBuryAnIdleServer) {
+  world_.killServer(3);
+  world_.run(seconds(2));
+  world_.startServer(3);
+  world_.setOccupancy(3, 0.0);
+  for (std::size_t node = 0; node < 3; ++node) {
+    world_.setOccupancy(node, 1.0);
+    for (std::uint32_t key = 0; key < kKeyCount; key += 16) {
+      world_.addKeyWork(node, static_cast<Key>(key), 10);
+    }
+  }
+  world_.run(milliseconds(900));
+  EXPECT_GT(world_.servedBy(3), world_.sampledKeys() / 8);
+  EXPECT_LE(world_.servedBy(3), world_.sampledKeys() * 3 / 8);
+  expectAllServed();
+}
+
+/// Faults of all kinds at random times, on seeds that the test names.
+class OwnershipSoakTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(OwnershipSoakTest, KeepsOneOwnerUnderRandomFaults) {
+  constexpr std::size_t kNodes = 4;
+  constexpr int kSteps = 40;
+  RouterWorld world(kNodes, GetParam());
+  SeededRandom random(GetParam() + 1);
+  std::vector<bool> dead(kNodes, false);
+  std::vector<bool> without_server(kNodes, false);
+  world.run(seconds(4));
+  for (int step = 0; step < kSteps; ++step) {
+    const std::size_t node = random.below(kNodes);
+    switch (random.below(9)) {
+      case 0:
+        if (!dead[node]) {
+          world.killNode(node);
+          dead[node] = true;
+        }
+        break;
+      case 1:
+        world.restartNode(node);
+        dead[node] = false;
+        break;
+      case 2:
+        if (!dead[node]) {
+          world.pauseNode(node);
+        }
+        break;
+      case 3:
+        if (!dead[node]) {
+          world.resumeNode(node);
+        }
+        break;
+      case 4:
+        world.killServer(node);
+        without_server[node] = true;
+        break;
+      case 5:
+        world.startServer(node);
+        without_server[node] = false;
+        break;
+      case 6:
+        world.setStoreFaults(node, {random.below(3) == 0, 0.2, 0.2});
+        break;
+      case 7:
+        world.setOrderFaults(node, {false, 0.3});
+        break;
+      default:
+        if (!without_server[node]) {
+          world.drainServer(node);
+        }
+        break;
+    }
+    world.run(milliseconds(100 + random.below(3000)));
+  }
+  expectSound(world);
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    world.setStoreFaults(node, {});
+    world.setOrderFaults(node, {});
+    world.startServer(node);
+    world.restartNode(node);
+  }
+  world.run(seconds(30));
+  expectSound(world);
+  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 25));
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/core_router/routing_test.cc
@@ -0,0 +1,182 @@
+/// @file
+/// Routes, splits, the retry budget and what follows a reply.
+
+#include <gtest/gtest.h>
+
+#include "source/core/router/retry_policy.h"
+#include "source/core/router/route_table.h"
+#include "source/core/router/split_picker.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+Route route(const std::string& name, const std::string& host, const std::string& prefix) {
+  Route made;
+  made.name = name;
+  made.host = host;
+  made.path_prefix = prefix;
+  made.kind = RouteKind::Idempotent;
+  made.max_attempts = 2;
+  made.target_latency = milliseconds(300);
+  made.shares = {{ServiceName("s"), 1}};
+  return made;
+}
+
+RouteTable table() {
+  RouterConfig config;
+  config.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
+                   route("root", "b.example", "/")};
+  return RouteTable(config);
+}
+
+struct RouteRow {
+  const char* host;
+  const char* target;
+  /// Empty: no route.
+  const char* name;
+};
+
+TEST(RouteTableTest, FindsTheLongestPrefixOfTheHost) {
+  const std::vector<RouteRow> rows = {{"a.example", "/x/", "short"},
+                                      {"a.example", "/x/1", "short"},
+                                      {"a.example", "/x/y/", "long"},
+                                      {"a.example", "/x/y/z/1?q=/", "long"},
+                                      {"a.example", "/x/yy/1", "short"},
+                                      {"a.example", "/x", ""},
+                                      {"a.example", "/", ""},
+                                      {"a.example", "/z/", ""},
+                                      {"A.Example:80", "/x/1", "short"},
+                                      {"b.example", "/anything", "root"},
+                                      {"c.example", "/x/", ""},
+                                      {"a.example", "/?/x/y/", ""}};
+  const RouteTable routes = table();
+  for (const RouteRow& row : rows) {
+    const Route* found = routes.find(row.host, row.target);
+    EXPECT_EQ(found == nullptr ? "" : found->name, row.name) << row.host << row.target;
+  }
+}
+
+TEST(SplitPickerTest, MeetsWeightsInShortSamples) {
+  Route split = route("r", "h", "/");
+  split.shares = {{ServiceName("big"), 90}, {ServiceName("small"), 10}};
+  for (std::size_t offset = 0; offset < 20; ++offset) {
+    SplitPicker picker(offset);
+    int small = 0;
+    constexpr int kRequests = 50;
+    for (int i = 0; i < kRequests; ++i) {
+      small += picker.pick(split).value == "small" ? 1 : 0;
+    }
+    EXPECT_EQ(small, 5) << "offset " << offset;
+  }
+}
+
+TEST(SplitPickerTest, NewWeightsBeginANewRound) {
+  Route split = route("r", "h", "/");
+  split.shares = {{ServiceName("a"), 1}, {ServiceName("b"), 1}};
+  SplitPicker picker(0);
+  picker.pick(split);
+  split.shares = {{ServiceName("a"), 0}, {ServiceName("b"), 1}};
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(picker.pick(split).value, "b");
+  }
+}
+
+TEST(SharedRetryBudgetTest, NeverSpendsMoreThanItsPartAndTheRatio) {
+  const ServiceName service("s");
+  SharedRetryBudget budget({0.1, 32.0});
+  budget.setProcesses(16);
+  int spent = 0;
+  while (budget.spend(service)) {
+    ++spent;
+  }
+  EXPECT_EQ(spent, 2);
+  constexpr int kRequests = 1000;
+  for (int i = 0; i < kRequests; ++i) {
+    budget.onRequest(service);
+    spent += budget.spend(service) ? 1 : 0;
+  }
+  EXPECT_LE(spent, 2 + kRequests / 10);
+  EXPECT_GE(spent, kRequests / 10 - 1);
+}
+
+TEST(SharedRetryBudgetTest, ServicesDontShare) {
+  SharedRetryBudget budget({0.0, 1.0});
+  EXPECT_TRUE(budget.spend(ServiceName("a")));
+  EXPECT_FALSE(budget.spend(ServiceName("a")));
+  EXPECT_TRUE(budget.spend(ServiceName("b")));
+}
+
+struct PolicyRow {
+  const char* name;
+  RouteKind kind;
+  bool keyed;
+  std::uint32_t reached;
+  Duration remaining;
+  ForwardOutcome outcome;
+  ForwardReason reason;
+  bool reached_server;
+  int status;
+  NextStep step;
+};
+
+TEST(RetryPolicyTest, DecidesByProofKindAndTime) {
+  using enum RouteKind;
+  using enum ForwardReason;
+  using Out = ForwardOutcome;
+  using Step = NextStep;
+  const Duration plenty = milliseconds(900);
+  const Duration little = milliseconds(10);
+  const std::vector<PolicyRow> rows = {
+      {"success", Idempotent, false, 1, plenty, Out::Answered, None, true, 200, Step::Answer},
+      {"once-only failure", OnceOnly, false, 1, plenty, Out::Answered, None, true, 500, Step::Answer},
+      {"idempotent failure", Idempotent, false, 1, plenty, Out::Answered, None, true, 500, Step::TryAnother},
+      {"failure, servers used up", Idempotent, false, 2, plenty, Out::Answered, None, true, 500, Step::Answer},
+      {"failure, too late", Idempotent, false, 1, little, Out::Answered, None, true, 500, Step::Answer},
+      {"full", OnceOnly, false, 0, plenty, Out::NotRun, Overloaded, false, 0, Step::TryAnother},
+      {"owner full", Idempotent, true, 0, plenty, Out::NotRun, Overloaded, false, 0, Step::Refuse},
+      {"owner moved", OnceOnly, true, 0, plenty, Out::NotRun, NotOwner, false, 0, Step::AwaitOwner},
+      {"owner down", OnceOnly, true, 0, plenty, Out::NotRun, ServerDown, false, 0, Step::AwaitOwner},
+      {"refused by the server", OnceOnly, false, 1, plenty, Out::NotRun, ServerRefused, true, 0, Step::TryAnother},
+      {"refused, servers used up", OnceOnly, false, 2, plenty, Out::NotRun, ServerRefused, true, 0, Step::Refuse},
+      {"unknown, once-only", OnceOnly, false, 1, plenty, Out::Unknown, ConnectionLost, true, 0, Step::Fail},
+      {"unknown, idempotent", Idempotent, false, 1, plenty, Out::Unknown, ConnectionLost, true, 0, Step::TryAnother},
+      {"unknown, download", Download, false, 1, plenty, Out::Unknown, BrokenAnswer, true, 0, Step::TryAnother},
+      {"unknown, too late", Idempotent, false, 1, little, Out::Unknown, TimedOut, true, 0, Step::Fail}};
+  for (const PolicyRow& row : rows) {
+    SharedRetryBudget budget({0.1, 10.0});
+    RetryPolicy policy(budget);
+    Route on = route("r", "h", "/");
+    on.kind = row.kind;
+    ForwardReplyFrame reply;
+    reply.outcome = row.outcome;
+    reply.reason = row.reason;
+    reply.reached_server = row.reached_server;
+    reply.http.status = row.status;
+    EXPECT_EQ(policy.decide({&on, ServiceName("s"), row.keyed, row.reached, row.remaining}, reply), row.step)
+        << row.name;
+  }
+}
+
+TEST(RetryPolicyTest, WithoutBudgetNothingThatReachedAServerIsRepeated) {
+  SharedRetryBudget budget({0.0, 1.0});
+  while (budget.spend(ServiceName("s"))) {
+  }
+  RetryPolicy policy(budget);
+  const Route on = route("r", "h", "/");
+  ForwardReplyFrame reply;
+  reply.outcome = ForwardOutcome::Unknown;
+  reply.reached_server = true;
+  const AttemptState attempt{&on, ServiceName("s"), false, 1, milliseconds(900)};
+  EXPECT_EQ(policy.decide(attempt, reply), NextStep::Fail);
+  reply.outcome = ForwardOutcome::NotRun;
+  reply.reason = ForwardReason::ServerRefused;
+  EXPECT_EQ(policy.decide(attempt, reply), NextStep::Refuse);
+  reply.reached_server = false;
+  reply.reason = ForwardReason::Overloaded;
+  EXPECT_EQ(policy.decide(attempt, reply), NextStep::TryAnother);
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/core_router/server_directory_test.cc
@@ -0,0 +1,115 @@
+/// @file
+/// Choice of a server for requests without a key.
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "test/support/router_world.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kService("maps");
+constexpr TimePoint kNow{seconds(50)};
+
+NodeRecord record(const std::string& name, const std::string& zone) {
+  NodeRecord made;
+  made.node = NodeName(name);
+  made.zone = ZoneName(zone);
+  made.service = kService;
+  made.instance = InstanceId("i-" + name);
+  made.slots = 10;
+  return made;
+}
+
+class ServerDirectoryTest : public ::testing::Test {
+ protected:
+  ServerDirectoryTest() : directory_(NodeName("self"), ZoneName("near"), config(), random_) {
+    directory_.update(record("a", "near"));
+    directory_.update(record("b", "far"));
+    directory_.update(record("c", "far"));
+  }
+
+  static ServerChoiceConfig config() {
+    ServerChoiceConfig made;
+    made.exploration = 0;
+    return made;
+  }
+
+  void load(const std::string& node, std::uint32_t running, std::uint32_t queued) {
+    ForwardReplyFrame reply;
+    reply.load = {running, queued, 10};
+    directory_.onReply(NodeName(node), "r", reply, kNow);
+  }
+
+  /// @return how often each node was chosen.
+  std::map<std::string, int> choose(RouteKind kind, int times, const std::set<InstanceId>& excluded = {}) {
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < times; ++i) {
+      const NodeRecord* server = directory_.choose(kService, kind, excluded, kNow);
+      ++chosen[server == nullptr ? "none" : server->node.value];
+    }
+    return chosen;
+  }
+
+  SeededRandom random_{7};
+  ServerDirectory directory_;
+};
+
+TEST_F(ServerDirectoryTest, StaysInItsZoneWhileThereIsRoom) {
+  load("a", 5, 0);
+  EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
+}
+
+TEST_F(ServerDirectoryTest, LeavesItsZoneWhenItsServerIsFull) {
+  load("a", 10, 5);
+  load("b", 1, 0);
+  load("c", 9, 0);
+  EXPECT_EQ(choose(RouteKind::Idempotent, 100)["b"], 100);
+}
+
+TEST_F(ServerDirectoryTest, SlowServerGetsLessSmallWork) {
+  for (int i = 0; i < 200; ++i) {
+    for (const auto& [node, service_ms] : std::map<std::string, int>{{"a", 200}, {"b", 100}, {"c", 100}}) {
+      ForwardReplyFrame reply;
+      reply.outcome = ForwardOutcome::Answered;
+      reply.load = {2, 0, 10};
+      reply.service_us = Duration(milliseconds(service_ms)).count();
+      directory_.onReply(NodeName(node), "r", reply, kNow);
+    }
+  }
+  EXPECT_LT(choose(RouteKind::Idempotent, 100)["a"], 10);
+  EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
+}
+
+TEST_F(ServerDirectoryTest, TriedDrainingAndUnreachableServersAreLeftOut) {
+  EXPECT_EQ(choose(RouteKind::OnceOnly, 10, {InstanceId("i-a"), InstanceId("i-b"), InstanceId("i-c")})["none"], 10);
+  directory_.markDraining(NodeName("a"));
+  directory_.avoidUntil(NodeName("b"), kNow + seconds(1));
+  EXPECT_EQ(choose(RouteKind::OnceOnly, 10)["c"], 10);
+  EXPECT_TRUE(directory_.isUnreachable(NodeName("b")));
+  directory_.onReachable(NodeName("b"));
+  EXPECT_FALSE(directory_.isUnreachable(NodeName("b")));
+  EXPECT_EQ(directory_.ready(kService, kNow).size(), 2U);
+}
+
+TEST_F(ServerDirectoryTest, NewLifeOfANodeCountsAsReachable) {
+  directory_.avoidUntil(NodeName("b"), kNow + seconds(9));
+  NodeRecord restarted = record("b", "far");
+  restarted.incarnation = Incarnation{5};
+  directory_.update(restarted);
+  EXPECT_FALSE(directory_.isUnreachable(NodeName("b")));
+  EXPECT_EQ(directory_.ready(kService, kNow).size(), 3U);
+}
+
+TEST_F(ServerDirectoryTest, NothingIsKnownOfAnUnknownNode) {
+  EXPECT_TRUE(directory_.isUnreachable(NodeName("z")));
+  EXPECT_EQ(directory_.node(NodeName("z")), nullptr);
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/core_router/slot_queue_test.cc
@@ -0,0 +1,94 @@
+/// @file
+/// Slots, order and refusal by predicted wait.
+
+#include "source/core/router/slot_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kNow{std::chrono::seconds(10)};
+
+TEST(SlotQueueTest, StartsUpToItsSlotsThenWaits) {
+  SlotQueue queue(2);
+  EXPECT_EQ(queue.arrive(1, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
+  EXPECT_EQ(queue.arrive(2, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
+  EXPECT_EQ(queue.arrive(3, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Wait);
+  EXPECT_EQ(queue.startNext(), std::nullopt);
+  queue.ended(milliseconds(100));
+  EXPECT_EQ(queue.startNext(), 3U);
+}
+
+TEST(SlotQueueTest, MoreUrgentGoFirstThenEarlier) {
+  SlotQueue queue(1);
+  queue.arrive(1, 0, kNow, milliseconds(5000));
+  queue.arrive(2, 2, kNow, milliseconds(5000));
+  queue.arrive(3, 1, kNow, milliseconds(5000));
+  queue.arrive(4, 1, kNow, milliseconds(5000));
+  std::vector<QueueTicket> order;
+  for (int i = 0; i < 3; ++i) {
+    queue.ended(std::nullopt);
+    order.push_back(queue.startNext().value_or(0));
+  }
+  EXPECT_EQ(order, (std::vector<QueueTicket>{3, 4, 2}));
+}
+
+TEST(SlotQueueTest, RefusesAtOnceWhatWouldWaitTooLong) {
+  SlotQueue queue(1);
+  queue.arrive(1, 0, kNow, milliseconds(100));
+  const QueueDecision decision = queue.arrive(2, 0, kNow, milliseconds(99));
+  EXPECT_EQ(decision.verdict, QueueVerdict::Refuse);
+  EXPECT_EQ(decision.predicted_wait, milliseconds(100));
+  EXPECT_EQ(queue.arrive(3, 0, kNow, milliseconds(100)).verdict, QueueVerdict::Wait);
+}
+
+TEST(SlotQueueTest, GivesBackWhatHasWaitedTooLong) {
+  SlotQueue queue(1);
+  queue.arrive(1, 0, kNow, milliseconds(100));
+  queue.arrive(2, 0, kNow, milliseconds(150));
+  queue.arrive(3, 0, kNow, milliseconds(300));
+  EXPECT_TRUE(queue.takeOverdue(kNow + milliseconds(149)).empty());
+  EXPECT_EQ(queue.takeOverdue(kNow + milliseconds(150)), std::vector<QueueTicket>{2});
+  EXPECT_EQ(queue.load().queued, 1U);
+}
+
+TEST(SlotQueueTest, WithoutSlotsEverythingIsRefused) {
+  SlotQueue queue(0);
+  EXPECT_EQ(queue.arrive(1, 0, kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
+}
+
+RC_GTEST_PROP(SlotQueueProperty, NeverRunsMoreThanItsSlotsAndLosesNone, (std::vector<std::uint8_t> steps)) {
+  constexpr std::uint32_t kSlots = 3;
+  SlotQueue queue(kSlots);
+  std::uint32_t running = 0;
+  std::size_t waiting = 0;
+  QueueTicket ticket = 0;
+  TimePoint now = kNow;
+  for (const std::uint8_t step : steps) {
+    now += milliseconds(step);
+    if (step % 3 == 0) {
+      const QueueVerdict verdict = queue.arrive(++ticket, step % 4, now, milliseconds(200)).verdict;
+      running += verdict == QueueVerdict::Start ? 1 : 0;
+      waiting += verdict == QueueVerdict::Wait ? 1 : 0;
+    } else if (step % 3 == 1 && running > 0) {
+      --running;
+      queue.ended(milliseconds(step));
+    } else {
+      waiting -= queue.takeOverdue(now).size();
+    }
+    while (queue.startNext()) {
+      ++running;
+      --waiting;
+    }
+    RC_ASSERT(running <= kSlots);
+    RC_ASSERT(queue.load().running == running);
+    RC_ASSERT(queue.load().queued == waiting);
+  }
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -1,11 +1,15 @@
 #include "source/net/http_client.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
 
 #include <optional>
 
 #include "source/net/http_response_parser.h"
+#include "source/net/socket_address.h"
 #include "test/support/scripted_server.h"
 
 namespace shedlever::test {
@@ -161,5 +165,33 @@
   }
 }
 
+/// @return the limit that the kernel holds for unacknowledged bytes on this process's connection to the server.
+std::optional<unsigned> userTimeoutOfConnectionTo(const Endpoint& server) {
+  constexpr int kMostDescriptors = 1024;
+  for (int descriptor = 0; descriptor < kMostDescriptors; ++descriptor) {
+    if (remoteEndpoint(descriptor) != server) {
+      continue;
+    }
+    unsigned milliseconds = 0;
+    socklen_t size = sizeof(milliseconds);
+    if (getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, &size) == 0) {
+      return milliseconds;
+    }
+  }
+  return std::nullopt;
+}
+
+// A watch on a path that is cut silently would else wait for its answer to the end.
+TEST(HttpClientTest, NoticesADeadPeerWhileItWaits) {
+  EventLoop loop;
+  ScriptedServer server(loop, [](ScriptedConnection&) {});
+  HttpClientConfig config = configFor(server.endpoint());
+  config.dead_peer_limit = std::chrono::milliseconds(1500);
+  HttpClient client(loop, config);
+  client.send({"GET", "/watch", {}, {}}, kTestCap, [](HttpExchange) {});
+  ASSERT_TRUE(loop.runUntil([&] { return userTimeoutOfConnectionTo(server.endpoint()).value_or(0) != 0; }, kTestCap));
+  EXPECT_EQ(userTimeoutOfConnectionTo(server.endpoint()), 1500U);
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- /dev/null
+++ b/test/support/router_world.cc
@@ -0,0 +1,529 @@
+#include "test/support/router_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTick = milliseconds(50);
+constexpr Duration kStoreDelay = milliseconds(4);
+constexpr Duration kCallTimeout = milliseconds(1200);
+constexpr Duration kOrderTimeout = milliseconds(300);
+constexpr Duration kTableDelay = milliseconds(30);
+constexpr double kClockDrift = 1.02;
+const ServiceName kService("search");
+
+NodeName nodeName(std::size_t index) { return NodeName("node-" + std::to_string(index)); }
+
+}  // namespace
+
+// Time.
+
+void VirtualTime::after(Duration delay, std::function<void()> event) {
+  events_.push({now_ + delay, ++last_number_, std::move(event)});
+}
+
+void VirtualTime::runFor(Duration span, const std::function<void()>& after_each) {
+  const TimePoint end = now_ + span;
+  while (!events_.empty() && events_.top().at <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.run();
+    after_each();
+  }
+  now_ = end;
+}
+
+// The store.
+
+StoreAnswer StoreState::get(const std::string& kind, const std::string& name) const {
+  const auto found = objects_.find({kind, name});
+  return found == objects_.end() ? StoreAnswer{StoreStatus::Absent, {}} : StoreAnswer{StoreStatus::Done, found->second};
+}
+
+StoreAnswer StoreState::create(const std::string& kind, const MetadataObject& object) {
+  const auto [place, is_new] = objects_.try_emplace({kind, object.name}, object);
+  if (!is_new) {
+    return {StoreStatus::Conflict, place->second};
+  }
+  place->second.revision = ++revision_;
+  return {StoreStatus::Done, place->second};
+}
+
+StoreAnswer StoreState::replace(const std::string& kind, const MetadataObject& object) {
+  const auto found = objects_.find({kind, object.name});
+  if (found == objects_.end()) {
+    return {StoreStatus::Absent, {}};
+  }
+  if (object.revision != 0 && object.revision != found->second.revision) {
+    return {StoreStatus::Conflict, found->second};
+  }
+  found->second.value = object.value;
+  found->second.revision = ++revision_;
+  return {StoreStatus::Done, found->second};
+}
+
+StoreListing StoreState::list(const std::string& kind) const {
+  StoreListing listing{true, revision_, {}};
+  for (const auto& [place, object] : objects_) {
+    if (place.first == kind) {
+      listing.objects.push_back(object);
+    }
+  }
+  return listing;
+}
+
+bool FakeMetadataStore::happens(double chance) {
+  constexpr std::uint64_t kSteps = 10000;
+  return static_cast<double>(random_.below(kSteps)) < chance * static_cast<double>(kSteps);
+}
+
+void FakeMetadataStore::get(const std::string& kind, const std::string& name, AnswerCallback done) {
+  const bool down = faults.down;
+  time_.after(down ? kCallTimeout : kStoreDelay, [this, down, kind, name, done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done(down ? StoreAnswer{} : state_.get(kind, name));
+    }
+  });
+}
+
+void FakeMetadataStore::write(std::function<StoreAnswer()> apply, AnswerCallback done) {
+  const auto unanswered = [this, done, alive_now = alive] {
+    time_.after(kCallTimeout, [done, alive_now] {
+      if (*alive_now) {
+        done({});
+      }
+    });
+  };
+  if (faults.down) {
+    unanswered();
+    return;
+  }
+  if (happens(faults.late)) {
+    const auto delay = milliseconds(1000 + random_.below(5000));
+    time_.after(delay, [apply] { apply(); });
+    unanswered();
+    return;
+  }
+  if (happens(faults.lost)) {
+    time_.after(kStoreDelay, [apply] { apply(); });
+    unanswered();
+    return;
+  }
+  time_.after(kStoreDelay, [apply, done, alive_now = alive] {
+    const StoreAnswer answer = apply();
+    if (*alive_now) {
+      done(answer);
+    }
+  });
+}
+
+void FakeMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+  write([this, kind, object] { return state_.create(kind, object); }, std::move(done));
+}
+
+void FakeMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+  write([this, kind, object] { return state_.replace(kind, object); }, std::move(done));
+}
+
+void FakeMetadataStore::list(const std::string& kind, ListCallback done) {
+  time_.after(kStoreDelay, [this, kind, done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done(faults.down ? StoreListing{} : state_.list(kind));
+    }
+  });
+}
+
+void FakeMetadataStore::watch(const std::string&, StoreRevision, Duration wait, WatchCallback done) {
+  time_.after(wait, [done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done({});
+    }
+  });
+}
+
+// Servers.
+
+FakeKeyServer::FakeKeyServer(VirtualTime& time, InstanceId its_instance)
+    : instance(std::move(its_instance)),
+      taken(kKeyCount, 0),
+      time_(time),
+      seen_(kKeyCount, 0),
+      until_(kKeyCount, TimePoint{}),
+      late_(kKeyCount, false) {}
+
+bool FakeKeyServer::grant(const GrantOrder& order, bool late) {
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    if (seen_[key] > order.token) {
+      return false;
+    }
+  }
+  const auto hold = std::chrono::duration_cast<Duration>(order.hold * kClockDrift);
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    const bool held_soundly = until_[key] > time_.now() && !late_[key];
+    seen_[key] = order.token;
+    until_[key] = std::max(until_[key], time_.now() + hold);
+    late_[key] = late && !held_soundly;
+    if (!late) {
+      taken[key] = std::max(taken[key], order.token);
+    }
+  }
+  return true;
+}
+
+std::string FakeKeyServer::release(const ReleaseOrder& order) {
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    seen_[key] = std::max(seen_[key], order.token);
+    until_[key] = {};
+  }
+  return "handover-" + std::to_string(order.token);
+}
+
+void FakeKeyServer::forgetAll() { std::fill(until_.begin(), until_.end(), TimePoint{}); }
+
+bool FakeKeyServer::holds(Key key) const { return until_[key] > time_.now() && !late_[key]; }
+
+// Nodes.
+
+struct RouterWorld::Node {
+  std::size_t index = 0;
+  std::unique_ptr<FakeMetadataStore> store;
+  std::unique_ptr<Orders> orders;
+  std::unique_ptr<ServerDirectory> directory;
+  std::unique_ptr<OwnershipKeeper> keeper;
+  /// Null while no server runs.
+  std::shared_ptr<FakeKeyServer> server;
+  OrderFaults order_faults;
+  StoreFaults store_faults;
+  NodeRecord record;
+  double occupancy = 0;
+  /// Numbers the lives of the process; ticks of an earlier one do nothing.
+  std::uint64_t life = 0;
+  bool paused = false;
+};
+
+/// The way from a node to its server.
+class RouterWorld::Orders final : public ServerOrders {
+ public:
+  Orders(RouterWorld& world, Node& node) : world_(world), node_(node) {}
+
+  void grant(const GrantOrder& order, std::function<void(OrderStatus)> done) override {
+    const auto apply = [this, order](FakeKeyServer& server, bool late) {
+      if (!server.grant(order, late)) {
+        return OrderStatus::Superseded;
+      }
+      if (!late) {
+        world_.noteTake(server, order);
+      }
+      return OrderStatus::Done;
+    };
+    send<OrderStatus>(apply, OrderStatus::NoAnswer, OrderStatus::ServerGone, std::move(done));
+  }
+
+  void release(const ReleaseOrder& order, std::function<void(ReleaseResult)> done) override {
+    const auto apply = [order](FakeKeyServer& server, bool) {
+      return ReleaseResult{OrderStatus::Done, server.release(order)};
+    };
+    send<ReleaseResult>(apply, {OrderStatus::NoAnswer, {}}, {OrderStatus::ServerGone, {}}, std::move(done));
+  }
+
+ private:
+  template <class Answer>
+  void send(const std::function<Answer(FakeKeyServer&, bool)>& apply, const Answer& no_answer, const Answer& gone,
+            std::function<void(Answer)> done) {
+    VirtualTime& time = world_.time_;
+    const std::shared_ptr<FakeKeyServer> server = node_.server;
+    const auto alive = node_.store->alive;
+    const auto tell = [alive, done](const Answer& answer) {
+      if (*alive) {
+        done(answer);
+      }
+    };
+    if (!server) {
+      time.after(milliseconds(1), [tell, gone] { tell(gone); });
+      return;
+    }
+    constexpr std::uint64_t kSteps = 10000;
+    const bool late = static_cast<double>(world_.random_.below(kSteps)) < node_.order_faults.late * kSteps;
+    if (node_.order_faults.silent || late) {
+      if (late) {
+        time.after(milliseconds(2000 + world_.random_.below(10000)), [apply, server] { apply(*server, true); });
+      }
+      time.after(kOrderTimeout, [tell, no_answer] { tell(no_answer); });
+      return;
+    }
+    time.after(milliseconds(1),
+               [this, apply, server, tell, gone] { tell(node_.server == server ? apply(*server, false) : gone); });
+  }
+
+  RouterWorld& world_;
+  Node& node_;
+};
+
+RouterWorld::RouterWorld(std::size_t nodes, std::uint64_t seed) : random_(seed) {
+  for (std::size_t i = 0; i < nodes; ++i) {
+    nodes_.push_back(std::make_unique<Node>());
+    nodes_.back()->index = i;
+  }
+  for (std::size_t i = 0; i < nodes; ++i) {
+    startServer(i);
+    restartNode(i);
+  }
+}
+
+RouterWorld::~RouterWorld() = default;
+
+Key RouterWorld::sampleKey(std::size_t index) const {
+  constexpr std::size_t kStep = kKeyCount / kSamples;
+  return static_cast<Key>(index * kStep + index % kStep);
+}
+
+void RouterWorld::startProcess(Node& node) {
+  ++node.life;
+  node.paused = false;
+  if (node.store) {
+    *node.store->alive = false;
+  }
+  node.keeper.reset();
+  node.store = std::make_unique<FakeMetadataStore>(time_, store_, random_);
+  node.store->faults = node.store_faults;
+  node.orders = std::make_unique<Orders>(*this, node);
+  node.directory =
+      std::make_unique<ServerDirectory>(nodeName(node.index), ZoneName("z"), ServerChoiceConfig{}, random_);
+  OwnershipPorts ports;
+  ports.store = node.store.get();
+  ports.orders = node.orders.get();
+  ports.clock = &time_;
+  ports.directory = node.directory.get();
+  ports.on_change = [] {};
+  ports.on_server_gone = [this, &node, life = node.life] {
+    time_.after(Duration::zero(), [this, &node, life] {
+      if (node.life == life && !node.server && node.keeper) {
+        node.keeper->serverDead();
+        node.record.instance = {};
+        spreadRecords();
+      }
+    });
+  };
+  const NodeIdentity self{nodeName(node.index), Incarnation{++last_incarnation_}};
+  node.record.node = self.name;
+  node.record.incarnation = self.incarnation;
+  node.record.service = kService;
+  node.record.slots = 10;
+  node.keeper = std::make_unique<OwnershipKeeper>(self, kService, config_, std::move(ports));
+  const StoreAnswer table = store_.get(kSharedKind, ownerTableName(kService));
+  if (table.status == StoreStatus::Done) {
+    node.keeper->onTableObject(table.object);
+  } else {
+    node.keeper->onTableAbsent();
+  }
+  if (node.server) {
+    node.keeper->serverUp(node.server->instance, time_.now());
+    node.record.instance = node.server->instance;
+  }
+  spreadRecords();
+  time_.after(kTick, [this, index = node.index, life = node.life] { tickNode(index, life); });
+}
+
+void RouterWorld::tickNode(std::size_t index, std::uint64_t life) {
+  Node& node = *nodes_[index];
+  if (node.life != life || !node.keeper) {
+    return;
+  }
+  if (!node.paused) {
+    node.store->faults = node.store_faults;
+    node.keeper->setOccupancy(node.occupancy);
+    node.keeper->tick(time_.now());
+    spreadTable();
+  }
+  time_.after(kTick, [this, index, life] { tickNode(index, life); });
+}
+
+/// Every live node learns every record at once; that of a dead or paused one can't be reached.
+void RouterWorld::spreadRecords() {
+  for (const auto& to : nodes_) {
+    if (!to->keeper) {
+      continue;
+    }
+    for (const auto& from : nodes_) {
+      if (from->record.node.empty()) {
+        continue;
+      }
+      to->directory->update(from->record);
+      if (!from->keeper || from->paused) {
+        to->directory->avoidUntil(from->record.node, TimePoint::max());
+      } else {
+        to->directory->onReachable(from->record.node);
+      }
+    }
+  }
+}
+
+void RouterWorld::spreadTable() {
+  const StoreAnswer table = store_.get(kSharedKind, ownerTableName(kService));
+  if (table.status != StoreStatus::Done || table.object.revision == spread_) {
+    return;
+  }
+  spread_ = table.object.revision;
+  time_.after(kTableDelay, [this, object = table.object] {
+    for (const auto& node : nodes_) {
+      if (node->keeper && !node->paused && !node->store_faults.down) {
+        node->keeper->onTableObject(object);
+      }
+    }
+  });
+}
+
+void RouterWorld::run(Duration span) {
+  time_.runFor(span, [this] { check(); });
+}
+
+void RouterWorld::killNode(std::size_t node) {
+  ++nodes_[node]->life;
+  *nodes_[node]->store->alive = false;
+  nodes_[node]->keeper.reset();
+  spreadRecords();
+}
+
+void RouterWorld::restartNode(std::size_t node) { startProcess(*nodes_[node]); }
+
+void RouterWorld::pauseNode(std::size_t node) {
+  nodes_[node]->paused = true;
+  spreadRecords();
+}
+
+void RouterWorld::resumeNode(std::size_t node) {
+  nodes_[node]->paused = false;
+  spreadRecords();
+  const StoreAnswer table = store_.get(kSharedKind, ownerTableName(kService));
+  if (nodes_[node]->keeper && table.status == StoreStatus::Done) {
+    time_.after(kTableDelay, [this, node, object = table.object] {
+      if (nodes_[node]->keeper) {
+        nodes_[node]->keeper->onTableObject(object);
+      }
+    });
+  }
+}
+
+void RouterWorld::killServer(std::size_t node) { nodes_[node]->server.reset(); }
+
+void RouterWorld::startServer(std::size_t node) {
+  Node& place = *nodes_[node];
+  place.server = std::make_shared<FakeKeyServer>(time_, InstanceId("i-" + std::to_string(++last_instance_)));
+  place.record.instance = place.server->instance;
+  place.record.draining = false;
+  if (place.keeper) {
+    place.keeper->serverUp(place.server->instance, time_.now());
+    spreadRecords();
+  }
+}
+
+void RouterWorld::drainServer(std::size_t node) {
+  nodes_[node]->record.draining = true;
+  if (nodes_[node]->keeper) {
+    nodes_[node]->keeper->startDraining();
+  }
+  spreadRecords();
+}
+
+void RouterWorld::silenceServer(std::size_t node, bool silent) { nodes_[node]->order_faults.silent = silent; }
+
+void RouterWorld::setStoreFaults(std::size_t node, const StoreFaults& faults) { nodes_[node]->store_faults = faults; }
+
+void RouterWorld::setOrderFaults(std::size_t node, const OrderFaults& faults) { nodes_[node]->order_faults = faults; }
+
+void RouterWorld::scatterRanges(std::size_t first, std::size_t second, std::size_t ranges) {
+  const StoreAnswer answer = store_.get(kSharedKind, ownerTableName(kService));
+  OwnerTable table =
+      leaf::try_handle_all([&] { return OwnerTable::decode(answer.object.value); }, [] { return OwnerTable(); });
+  const auto size = static_cast<std::uint32_t>(kKeyCount / 2 / ranges);
+  for (std::uint32_t i = 0; i < ranges; ++i) {
+    const Node& to = *nodes_[i % 2 == 0 ? first : second];
+    const KeySpan keys{static_cast<Key>(i * size), static_cast<Key>((i + 1) * size - 1)};
+    if (table.find(keys.first)->owner != to.server->instance && table.carve(keys) != nullptr) {
+      table.assign(keys, {to.server->instance, to.record.node}, {});
+    }
+  }
+  MetadataObject object = answer.object;
+  object.value = table.encode();
+  for (const auto& node : nodes_) {
+    node->server->forgetAll();
+  }
+  store_.replace(kSharedKind, object);
+}
+
+void RouterWorld::setOccupancy(std::size_t node, double occupancy) {
+  nodes_[node]->occupancy = occupancy;
+  for (const auto& other : nodes_) {
+    if (other->keeper) {
+      ForwardReplyFrame reply;
+      constexpr std::uint32_t kSlots = 100;
+      reply.load = {static_cast<std::uint32_t>(occupancy * kSlots), 0, 10};
+      reply.load.running /= 10;
+      other->directory->onReply(nodeName(node), "r", reply, time_.now());
+    }
+  }
+}
+
+void RouterWorld::addKeyWork(std::size_t node, Key key, int requests) {
+  for (int i = 0; i < requests; ++i) {
+    nodes_[node]->keeper->onKeyRequest(key, time_.now());
+  }
+}
+
+std::size_t RouterWorld::servedBy(std::size_t node) const {
+  const Node& place = *nodes_[node];
+  std::size_t served = 0;
+  for (std::size_t i = 0; i < kSamples; ++i) {
+    const bool held = place.keeper && !place.paused &&
+                      place.keeper->standing(sampleKey(i), time_.now()) == KeyStanding::Held && place.server &&
+                      place.server->holds(sampleKey(i));
+    served += held ? 1 : 0;
+  }
+  return served;
+}
+
+std::size_t RouterWorld::servedKeys() const {
+  std::size_t served = 0;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    served += servedBy(i);
+  }
+  return served;
+}
+
+void RouterWorld::noteTake(const FakeKeyServer& server, const GrantOrder& order) {
+  for (std::size_t i = 0; i < kSamples; ++i) {
+    const Key key = sampleKey(i);
+    if (key < order.first || order.last < key) {
+      continue;
+    }
+    for (const auto& other : nodes_) {
+      if (other->server && other->server.get() != &server && other->server->taken[key] >= order.token) {
+        violations_.push_back("key " + std::to_string(key) + ": token " + std::to_string(order.token) +
+                              " is not above that of another server");
+      }
+    }
+  }
+}
+
+void RouterWorld::check() {
+  for (std::size_t i = 0; i < kSamples; ++i) {
+    const Key key = sampleKey(i);
+    std::size_t holders = 0;
+    for (const auto& node : nodes_) {
+      holders += node->server && node->server->holds(key) ? 1 : 0;
+    }
+    if (holders > 1) {
+      violations_.push_back("key " + std::to_string(key) + " is held by " + std::to_string(holders) + " servers at " +
+                            std::to_string(time_.now().time_since_epoch().count()));
+    }
+  }
+}
+
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/support/router_world.h
@@ -0,0 +1,189 @@
+#pragma once
+
+/// @file
+/// Several nodes that share the keys of one service, on virtual time: real ownership keepers over a store, servers and
+/// links that fail as told. Checks after each step that no key has two owners and that fencing tokens rise.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "source/core/router/ownership_keeper.h"
+
+namespace shedlever::test {
+
+/// Virtual time with events in its order.
+class VirtualTime final : public Clock {
+ public:
+  TimePoint now() const override { return now_; }
+  void after(Duration delay, std::function<void()> event);
+  void runFor(Duration span, const std::function<void()>& after_each);
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t number = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+  };
+
+  TimePoint now_ = TimePoint(std::chrono::seconds(100));
+  std::uint64_t last_number_ = 0;
+  std::priority_queue<Event> events_;
+};
+
+class SeededRandom final : public RandomSource {
+ public:
+  explicit SeededRandom(std::uint64_t seed) : generator_(seed) {}
+  std::uint64_t next() override { return generator_(); }
+
+ private:
+  std::mt19937_64 generator_;
+};
+
+/// The metadata store's contents, linearizable.
+class StoreState {
+ public:
+  StoreAnswer get(const std::string& kind, const std::string& name) const;
+  StoreAnswer create(const std::string& kind, const MetadataObject& object);
+  StoreAnswer replace(const std::string& kind, const MetadataObject& object);
+  StoreListing list(const std::string& kind) const;
+  StoreRevision revision() const { return revision_; }
+
+ private:
+  StoreRevision revision_ = 0;
+  std::map<std::pair<std::string, std::string>, MetadataObject> objects_;
+};
+
+/// How calls from one node to the store go.
+struct StoreFaults {
+  bool down = false;
+  /// Chance that a write is done and its answer lost.
+  double lost = 0;
+  /// Chance that a write is done up to some seconds later, without an answer.
+  double late = 0;
+};
+
+/// One node's way to the store.
+class FakeMetadataStore final : public MetadataStore {
+ public:
+  FakeMetadataStore(VirtualTime& time, StoreState& state, SeededRandom& random)
+      : time_(time), state_(state), random_(random) {}
+
+  StoreFaults faults;
+  /// False once its node is dead: nothing is told any more.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  void get(const std::string& kind, const std::string& name, AnswerCallback done) override;
+  void create(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
+  void replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
+  void list(const std::string& kind, ListCallback done) override;
+  void watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) override;
+
+ private:
+  void write(std::function<StoreAnswer()> apply, AnswerCallback done);
+  bool happens(double chance);
+
+  VirtualTime& time_;
+  StoreState& state_;
+  SeededRandom& random_;
+};
+
+/// How orders to one server go.
+struct OrderFaults {
+  /// Nothing answers, nothing is done.
+  bool silent = false;
+  /// Chance that an order gets no answer and is carried out 2 to 12 s later.
+  double late = 0;
+};
+
+/// A server that holds keys as it is told.
+class FakeKeyServer {
+ public:
+  FakeKeyServer(VirtualTime& time, InstanceId instance);
+
+  bool grant(const GrantOrder& order, bool late);
+  std::string release(const ReleaseOrder& order);
+  /// Holds nothing until it is granted anew.
+  void forgetAll();
+  /// @return whether it holds the key by a grant that was not taken late.
+  bool holds(Key key) const;
+
+  InstanceId instance;
+  /// Highest token with which it took each key by a grant that was not taken late.
+  std::vector<FenceToken> taken;
+
+ private:
+  VirtualTime& time_;
+  std::vector<FenceToken> seen_;
+  std::vector<TimePoint> until_;
+  std::vector<bool> late_;
+};
+
+/// See the file's comment.
+class RouterWorld {
+ public:
+  RouterWorld(std::size_t nodes, std::uint64_t seed);
+  ~RouterWorld();
+
+  void run(Duration span);
+
+  /// The process is gone; the server goes on.
+  void killNode(std::size_t node);
+  void restartNode(std::size_t node);
+  /// The process stands still; its server goes on.
+  void pauseNode(std::size_t node);
+  void resumeNode(std::size_t node);
+  /// The server ends; what listens at its address refuses.
+  void killServer(std::size_t node);
+  /// A new life of the server begins beside the node.
+  void startServer(std::size_t node);
+  void drainServer(std::size_t node);
+  void silenceServer(std::size_t node, bool silent);
+  void setStoreFaults(std::size_t node, const StoreFaults& faults);
+  void setOrderFaults(std::size_t node, const OrderFaults& faults);
+  /// Lays the keys of two owners out in so many ranges that take turns, as many moves would.
+  void scatterRanges(std::size_t first, std::size_t second, std::size_t ranges);
+  /// Occupancy that the node's server shows from now on.
+  void setOccupancy(std::size_t node, double occupancy);
+  void addKeyWork(std::size_t node, Key key, int requests);
+
+  /// @return how many keys, of those looked at, some node would begin requests for.
+  std::size_t servedKeys() const;
+  std::size_t sampledKeys() const { return kSamples; }
+  /// @return how many keys, of those looked at, the node would begin requests for.
+  std::size_t servedBy(std::size_t node) const;
+
+  /// Everything that was broken, in words; empty if nothing was.
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  static constexpr std::size_t kSamples = 128;
+  struct Node;
+  class Orders;
+
+  Key sampleKey(std::size_t index) const;
+  void startProcess(Node& node);
+  void tickNode(std::size_t index, std::uint64_t life);
+  void spreadRecords();
+  void spreadTable();
+  void check();
+  void noteTake(const FakeKeyServer& server, const GrantOrder& order);
+
+  VirtualTime time_;
+  SeededRandom random_;
+  StoreState store_;
+  OwnershipConfig config_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::uint64_t last_instance_ = 0;
+  std::uint64_t last_incarnation_ = 0;
+  StoreRevision spread_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace shedlever::test
