Router: peers tell what they have seen, refusals tell the owner, requests wait out a move

Change: replies carry the newest revisions seen, and who hears of one that its own watch does not bring lists anew; refusals tell the key's new owner; the giver sends the table to those it gives to; the gate holds keyed requests while their key moves or its grant is under way; a stopping process lets its server work until shortly before its end; only replies with a load count as a sign of life.

Ruled out: shorter waits of the watches alone (each costs a call); pushing every table to all (bytes between zones).

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -87,6 +87,32 @@
   }
 };
 
+/// Newest objects of the store that a process has seen; who has seen less asks the store.
+struct KnownRevisions {
+  std::uint64_t config = 0;
+  std::uint64_t shared = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(config, shared);
+  }
+};
+
+/// Who owns some keys, from an owner table that the receiver may not have read yet.
+struct OwnerHint {
+  /// Revision of the table; 0: there is no hint.
+  std::uint64_t revision = 0;
+  Key first = 0;
+  Key last = 0;
+  InstanceId owner;
+  NodeName node;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, first, last, owner, node);
+  }
+};
+
 /// Exactly one for each forward frame, while the stream lives.
 struct ForwardReplyFrame {
   ExchangeId exchange = 0;
@@ -99,11 +125,14 @@
   /// Time that the server took; 0 when it did not run.
   Duration::rep service_us = 0;
   ServerLoad load;
+  KnownRevisions known;
+  /// With NotOwner: who owns the key.
+  OwnerHint hint;
   HttpResponse http;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, outcome, reason, reached_server, retry_after_us, service_us, load, http);
+    archive(exchange, outcome, reason, reached_server, retry_after_us, service_us, load, known, hint, http);
   }
 };
 
@@ -166,6 +195,18 @@
   }
 };
 
+/// An owner table that the sender has just written, for those that it gives keys to.
+struct OwnerTableFrame {
+  std::string name;
+  std::uint64_t revision = 0;
+  std::string value;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, revision, value);
+  }
+};
+
 /// A call to the store on behalf of a process that can't reach it.
 struct StoreCallFrame {
   ExchangeId exchange = 0;
@@ -191,6 +232,6 @@
 };
 
 using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
-                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame>;
+                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame>;
 
 }  // namespace shedlever
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -94,13 +94,24 @@
 
 KeyStanding OwnershipKeeper::standing(Key key, TimePoint now) const {
   const OwnedRange* range = writer_.table().find(key);
-  if (range == nullptr || range->owner != instance_ || !hasServer() || range->releasing) {
+  if (range == nullptr || range->owner != instance_ || !hasServer()) {
     return KeyStanding::Elsewhere;
   }
+  if (range->releasing) {
+    return KeyStanding::Moving;
+  }
   const bool held = !must_confirm_ && lease_.valid(now) && grants_.held(key, now);
   return held ? KeyStanding::Held : KeyStanding::Pending;
 }
 
+OwnerHint OwnershipKeeper::hintFor(Key key) const {
+  const OwnedRange* range = writer_.table().find(key);
+  if (range == nullptr || range->owner.empty() || range->node == self_.name) {
+    return {};
+  }
+  return {writer_.revision(), range->keys.first, range->keys.last, range->owner, range->node};
+}
+
 bool OwnershipKeeper::holdsNothing() const {
   const auto owned = writer_.table().ownedAt(self_.name);
   return owned.empty();
@@ -140,6 +151,24 @@
   });
 }
 
+void OwnershipKeeper::give(const std::string& what, const std::vector<OwnerPlace>& to, TableWriter::Edit edit,
+                           std::function<void(bool)> done) {
+  std::set<NodeName> gainers;
+  for (const OwnerPlace& place : to) {
+    if (place.node != self_.name) {
+      gainers.insert(place.node);
+    }
+  }
+  change(what, std::move(edit), [this, gainers, done = std::move(done)](bool written) {
+    if (written && ports_.on_given) {
+      ports_.on_given({ownerTableName(service_), writer_.revision(), writer_.table().encode()}, gainers);
+    }
+    if (done) {
+      done(written);
+    }
+  });
+}
+
 void OwnershipKeeper::tick(TimePoint now) {
   if (last_tick_ != TimePoint{} && now - last_tick_ > config_.pause_limit) {
     takeover_.startAgain();
@@ -240,7 +269,7 @@
     const auto runs = meter_.split(range.keys, to.size(), now);
     pieces.insert(pieces.end(), runs.begin(), runs.end());
   }
-  change("dead server's ranges given away", [pieces, to, dead = dead_instance_](OwnerTable& table) {
+  give("dead server's ranges given away", to, [pieces, to, dead = dead_instance_](OwnerTable& table) {
     bool changed = false;
     for (std::size_t i = 0; i < pieces.size(); ++i) {
       const OwnedRange* range = table.find(pieces[i].first);
@@ -271,7 +300,7 @@
   std::erase_if(to, [&](const OwnerPlace& place) { return place.node == node; });
   // Only what the node owned when its lease was revoked: it may have confirmed its ranges since.
   const std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
-  change("ranges taken from " + node.value, [to, lost](OwnerTable& table) {
+  give("ranges taken from " + node.value, to, [to, lost](OwnerTable& table) {
     bool changed = false;
     for (std::size_t i = 0; i < lost.size(); ++i) {
       const OwnedRange* range = table.find(lost[i].keys.first);
@@ -426,7 +455,11 @@
     }
     return changed;
   };
-  change("ranges moved to " + moves_.front().target.node.value, assign, [this](bool) {
+  std::vector<OwnerPlace> gainers;
+  for (const Move& move : moves_) {
+    gainers.push_back(move.target);
+  }
+  give("ranges moved to " + moves_.front().target.node.value, gainers, assign, [this](bool) {
     moves_.clear();
     ++batch_;
   });
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -25,7 +25,8 @@
 enum class KeyStanding : std::uint8_t {
   Held,       ///< begin it
   Pending,    ///< the key is this server's; its grant is under way
-  Elsewhere,  ///< another's, or on its way to another
+  Moving,     ///< on its way from this server to another
+  Elsewhere,  ///< another's
 };
 
 /// Decision about ownership, for the log.
@@ -45,6 +46,8 @@
   /// Nothing listens at the server's address.
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
+  /// A table was written that gives keys to these nodes: they should hear of it at once.
+  std::function<void(const MetadataObject& table, const std::set<NodeName>& gainers)> on_given;
 };
 
 class OwnershipKeeper {
@@ -66,6 +69,8 @@
   void tick(TimePoint now);
 
   KeyStanding standing(Key key, TimePoint now) const;
+  /// @return who owns the key, for a process that asks here in vain.
+  OwnerHint hintFor(Key key) const;
   /// Counts a request's work for its key.
   void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
   /// @param occupancy of this node's server; more than 1 while requests wait.
@@ -108,6 +113,9 @@
   void onReleased(std::size_t index, std::uint64_t batch, const ReleaseResult& result);
   void assignMoves();
   void change(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
+  /// As `change`, for one that gives keys to other nodes.
+  void give(const std::string& what, const std::vector<OwnerPlace>& to, TableWriter::Edit edit,
+            std::function<void(bool)> done = {});
   void tell(const std::string& what, const std::string& detail);
 
   NodeIdentity self_;
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -149,9 +149,10 @@
     return;
   }
   Entry& entry = found->second;
-  entry.avoid_until = {};
-  entry.unreachable = false;
+  // Replies made up on this side, for a stream that broke, carry no load and say nothing about the node.
   if (reply.load.slots > 0) {
+    entry.avoid_until = {};
+    entry.unreachable = false;
     entry.load = reply.load;
     entry.load_at = now;
   }
--- a/source/router/cluster_view.cc
+++ b/source/router/cluster_view.cc
@@ -1,5 +1,6 @@
 #include "source/router/cluster_view.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,7 +13,9 @@
 
 namespace {
 
-constexpr Duration kWatchWait = std::chrono::seconds(25);
+constexpr Duration kWatchWait = std::chrono::seconds(12);
+/// What another process has seen is told by this one's own watch within so long, if that works.
+constexpr Duration kHearLimit = std::chrono::milliseconds(400);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(400);
 /// Answers with events closer than this follow each other closely.
 constexpr Duration kBurst = std::chrono::seconds(1);
@@ -26,8 +29,8 @@
 KindWatcher::~KindWatcher() { *alive_ = false; }
 
 void KindWatcher::later(Duration delay, void (KindWatcher::*step)()) {
-  loop_.runAfter(delay, [this, alive = alive_, step] {
-    if (*alive) {
+  loop_.runAfter(delay, [this, alive = alive_, step, round = round_] {
+    if (*alive && round == round_) {
       (this->*step)();
     }
   });
@@ -40,11 +43,34 @@
   }
 }
 
-void KindWatcher::list() {
-  store_.list(kind_, [this, alive = alive_](const StoreListing& listing) {
+void KindWatcher::take(const MetadataObject& object, bool deleted) {
+  seen_ = std::max(seen_, object.revision);
+  events_.on_object(object, deleted);
+}
+
+void KindWatcher::onSeenElsewhere(StoreRevision revision) {
+  seen_elsewhere_ = std::max(seen_elsewhere_, revision);
+  if (seen_elsewhere_ <= seen_ || check_planned_) {
+    return;
+  }
+  check_planned_ = true;
+  loop_.runAfter(kHearLimit + pause_, [this, alive = alive_] {
     if (!*alive) {
       return;
     }
+    check_planned_ = false;
+    if (seen_elsewhere_ > seen_) {
+      list();
+    }
+  });
+}
+
+void KindWatcher::list() {
+  const std::uint64_t round = ++round_;
+  store_.list(kind_, [this, alive = alive_, round](const StoreListing& listing) {
+    if (!*alive || round != round_) {
+      return;
+    }
     noteAvailable(listing.available);
     if (!listing.available) {
       later(kRetryDelay, &KindWatcher::list);
@@ -52,7 +78,7 @@
     }
     at_ = listing.at;
     for (const MetadataObject& object : listing.objects) {
-      events_.on_object(object, false);
+      take(object, false);
     }
     events_.on_listed();
     watch();
@@ -60,8 +86,9 @@
 }
 
 void KindWatcher::watch() {
-  store_.watch(kind_, at_, kWatchWait, [this, alive = alive_](const WatchResult& answer) {
-    if (*alive) {
+  const std::uint64_t round = ++round_;
+  store_.watch(kind_, at_, kWatchWait, [this, alive = alive_, round](const WatchResult& answer) {
+    if (*alive && round == round_) {
       onWatch(answer);
     }
   });
@@ -82,7 +109,7 @@
   noteAvailable(true);
   at_ = answer.at;
   for (const MetadataEvent& event : answer.events) {
-    events_.on_object(event.object, event.deleted);
+    take(event.object, event.deleted);
   }
   const TimePoint now = clock_.now();
   const bool burst = !answer.events.empty() && now - last_events_ < kBurst;
--- a/source/router/cluster_view.h
+++ b/source/router/cluster_view.h
@@ -38,10 +38,18 @@
 
   void start() { list(); }
 
+  /// Another process has seen an object of this kind with that revision: if this one does not hear of it soon, its
+  /// watch is not to be trusted, and the kind is listed anew.
+  void onSeenElsewhere(StoreRevision revision);
+
+  /// @return the newest revision of an object seen.
+  StoreRevision seen() const { return seen_; }
+
  private:
   void list();
   void watch();
   void onWatch(const WatchResult& answer);
+  void take(const MetadataObject& object, bool deleted);
   void later(Duration delay, void (KindWatcher::*step)());
   void noteAvailable(bool available);
 
@@ -52,6 +60,11 @@
   Duration pause_;
   Events events_;
   StoreRevision at_ = 0;
+  StoreRevision seen_ = 0;
+  StoreRevision seen_elsewhere_ = 0;
+  bool check_planned_ = false;
+  /// Numbers lists and watches: answers to earlier ones count for nothing.
+  std::uint64_t round_ = 0;
   TimePoint last_events_{};
   bool available_ = true;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -18,6 +18,8 @@
 
 /// Part of the latency objective that a request waits for its key's owner.
 constexpr int kParkDivisor = 4;
+/// Sends of one request, however its key moves about.
+constexpr std::uint32_t kMostAttempts = 8;
 /// A parked request is tried again after so long even if no change was heard of.
 constexpr Duration kParkStep = std::chrono::milliseconds(40);
 /// Returns of refused requests are spread over this multiple of the time told.
@@ -97,20 +99,14 @@
     sendTo(number, server->node, server->instance);
     return;
   }
-  const OwnerTable* owners = ports_.owners(request.service);
-  const OwnedRange* range = owners == nullptr ? nullptr : owners->find(*request.info.key);
-  if (range == nullptr || range->owner.empty() || range->releasing) {
-    request.last_reason = ForwardReason::NotYetOwner;
+  const KeyOwner owner = ports_.owner_of(request.service, *request.info.key);
+  const bool reachable = owner.node == self_ || !ports_.directory->isUnreachable(owner.node);
+  if (owner.instance.empty() || !reachable || request.attempts >= kMostAttempts) {
+    request.last_reason = owner.instance.empty() ? ForwardReason::NotYetOwner : ForwardReason::ServerDown;
     park(number);
     return;
   }
-  const bool reachable = range->node == self_ || !ports_.directory->isUnreachable(range->node);
-  if (!reachable) {
-    request.last_reason = ForwardReason::ServerDown;
-    park(number);
-    return;
-  }
-  sendTo(number, range->node, range->owner);
+  sendTo(number, owner.node, owner.instance);
 }
 
 ForwardFrame Gateway::frameOf(const Request& request, const InstanceId& instance, TimePoint now) const {
@@ -156,6 +152,10 @@
   request.attempt.open = false;
   ports_.directory->onEnded(request.attempt.node);
   ports_.directory->onReply(request.attempt.node, request.route->name, reply, now);
+  ports_.on_known(reply.known);
+  if (reply.hint.revision != 0) {
+    ports_.on_hint(request.service, reply.hint);
+  }
   if (reply.reached_server || reply.outcome == ForwardOutcome::Answered) {
     ++request.reached;
   }
@@ -172,7 +172,11 @@
       dispatch(number);
       return;
     case NextStep::AwaitOwner:
-      park(number);
+      if (reply.hint.revision != 0) {
+        dispatch(number);
+      } else {
+        park(number);
+      }
       return;
     case NextStep::Refuse:
       refuse(number, reply.reason, Duration(reply.retry_after_us));
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -9,7 +9,7 @@
 #include <set>
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/owner_view.h"
 #include "source/core/router/retry_policy.h"
 #include "source/core/router/route_table.h"
 #include "source/core/router/server_directory.h"
@@ -33,8 +33,12 @@
   PeerLinks* links = nullptr;
   EventLog* log = nullptr;
   RouterMetrics* metrics = nullptr;
-  /// @return the owner table of a service; null while none is known.
-  std::function<const OwnerTable*(const ServiceName&)> owners;
+  /// @return who owns the key; empty while nobody does, or it is not known.
+  std::function<KeyOwner(const ServiceName&, Key)> owner_of;
+  /// A reply told who owns some keys.
+  std::function<void(const ServiceName&, const OwnerHint&)> on_hint;
+  /// Another process has seen these.
+  std::function<void(const KnownRevisions&)> on_known;
 };
 
 class Gateway {
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -157,6 +157,12 @@
   return nodes;
 }
 
+void PeerLinks::sendTable(const NodeName& node, const OwnerTableFrame& table) {
+  if (Link* link = linkTo(node)) {
+    link->send(table, 0);
+  }
+}
+
 void PeerLinks::tellStopping() {
   for (const auto& [node, link] : links_) {
     link->send(StoppingFrame{self_.name}, 0);
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -43,6 +43,9 @@
   /// @return nodes with an open stream.
   std::vector<NodeName> connected() const;
 
+  /// Sends an owner table to the node.
+  void sendTable(const NodeName& node, const OwnerTableFrame& table);
+
   /// Tells all nodes with a stream that this process stops.
   void tellStopping();
 
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -101,6 +101,8 @@
     ports_.on_stopping(stopping->node);
   } else if (const auto* settle = std::get_if<SettleFrame>(&frame)) {
     onSettle(number, *stream, *settle);
+  } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
+    ports_.on_owner_table(*table);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
     onStoreCall(number, std::move(*call));
   }
@@ -129,6 +131,7 @@
   const StreamNumber number = found->second.stream;
   works_.erase(found);
   reply.exchange = key.exchange;
+  reply.known = ports_.known();
   Stream* stream = number == 0 ? nullptr : find(number);
   if (stream != nullptr && !stream->ended) {
     stream->answered.push_back(reply.exchange);
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -26,6 +26,10 @@
   struct Ports {
     ServerGate* gate = nullptr;
     StoreCaller call_store;
+    /// Newest objects that this process has seen, for every reply.
+    std::function<KnownRevisions()> known;
+    /// Another process has written an owner table.
+    std::function<void(const OwnerTableFrame&)> on_owner_table;
     /// A process said that it stops.
     std::function<void(const NodeName&)> on_stopping;
   };
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -19,10 +19,12 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
 /// Between two answers of a watch that both brought changes.
-constexpr Duration kSharedPause = std::chrono::milliseconds(150);
+constexpr Duration kSharedPause = std::chrono::milliseconds(800);
 constexpr Duration kConfigPause = std::chrono::milliseconds(50);
 /// Kept of the grace for the end of the process itself.
 constexpr Duration kEndReserve = std::chrono::milliseconds(900);
+/// Before clients have left, for handing over keys and finishing what runs.
+constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
 constexpr Duration kIdentifyDelay = std::chrono::milliseconds(100);
 /// A leaving server gets no keyed request after this part of the time that it may still get some.
 constexpr int kKeysClosePart = 2;
@@ -74,7 +76,12 @@
   ports.links = &links_;
   ports.log = &log_;
   ports.metrics = &metrics_;
-  ports.owners = [this](const ServiceName& service) { return ownersOf(service); };
+  ports.owner_of = [this](const ServiceName& service, Key key) { return ownerOf(service, key); };
+  ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) { onOwnerHint(service, hint); };
+  ports.on_known = [this](const KnownRevisions& revisions) {
+    config_watcher_.onSeenElsewhere(revisions.config);
+    shared_watcher_.onSeenElsewhere(revisions.shared);
+  };
   return ports;
 }
 
@@ -108,8 +115,17 @@
                                  std::function<void(std::optional<HttpResponse>)> done) {
     store_access_.callStraight(std::move(request), timeout, std::move(done));
   };
-  const auto on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
-  BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, {&gate_, call_store, on_stopping}));
+  PeerServer::Ports peer_ports;
+  peer_ports.gate = &gate_;
+  peer_ports.call_store = call_store;
+  peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
+  peer_ports.known = [this] { return known(); };
+  peer_ports.on_owner_table = [this](const OwnerTableFrame& table) {
+    if (table.name.starts_with(kTablePrefix)) {
+      onOwnerTable(table.name, {table.name, table.revision, table.value});
+    }
+  };
+  BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client));
   clients_ = std::move(clients);
@@ -166,9 +182,15 @@
   ports.clock = &clock_;
   ports.directory = &directory_;
   ports.on_change = [this] {
+    loop_.post([this] { gate_.onKeysChanged(); });
     gateway_->onOwnersChanged();
     tickSoon();
   };
+  ports.on_given = [this](const MetadataObject& table, const std::set<NodeName>& gainers) {
+    for (const NodeName& node : gainers) {
+      links_.sendTable(node, {table.name, table.revision, table.value});
+    }
+  };
   ports.on_server_gone = [this] { onServerGone(); };
   ports.on_event = [this](const OwnershipEvent& event) {
     metrics_.onEvent("ownership-change");
@@ -189,7 +211,7 @@
   if (!instance_.empty()) {
     keeper_->serverUp(instance_, clock_.now());
   }
-  if (server_draining_ || stopping_) {
+  if (server_draining_ || leaving_) {
     keeper_->startDraining();
   }
 }
@@ -202,12 +224,35 @@
   return *table;
 }
 
-const OwnerTable* RouterProcess::ownersOf(const ServiceName& service) {
+const TableWriter* RouterProcess::knownTable(const ServiceName& service) const {
   if (keeper_ && service == settings_.service) {
-    return &keeper_->tableWriter().table();
+    return &keeper_->tableWriter();
   }
   const auto found = tables_.find(service);
-  return found == tables_.end() ? nullptr : &found->second->table();
+  return found == tables_.end() ? nullptr : found->second.get();
+}
+
+KeyOwner RouterProcess::ownerOf(const ServiceName& service, Key key) {
+  const TableWriter* table = knownTable(service);
+  return table == nullptr ? KeyOwner{} : owner_views_[service].find(key, table->table(), table->revision());
+}
+
+void RouterProcess::onOwnerHint(const ServiceName& service, const OwnerHint& hint) {
+  const TableWriter* table = knownTable(service);
+  owner_views_[service].addHint(hint, table == nullptr ? 0 : table->revision());
+}
+
+void RouterProcess::onOwnerTable(const std::string& name, const MetadataObject& object) {
+  const ServiceName service(name.substr(std::string_view(kTablePrefix).size()));
+  if (service != settings_.service) {
+    tableOf(service).onObject(object);
+    return;
+  }
+  if (!keeper_) {
+    early_tables_[name] = object;
+    return;
+  }
+  keeper_->onTableObject(object);
 }
 
 void RouterProcess::onSharedObject(const MetadataObject& object, bool deleted) {
@@ -227,20 +272,12 @@
   if (!object.name.starts_with(kTablePrefix) || deleted) {
     return;
   }
-  const ServiceName service(object.name.substr(std::string_view(kTablePrefix).size()));
-  if (service != settings_.service) {
-    tableOf(service).onObject(object);
-    return;
-  }
-  early_tables_[object.name] = object;
-  if (keeper_) {
-    keeper_->onTableObject(object);
-  }
+  onOwnerTable(object.name, object);
 }
 
 void RouterProcess::onSharedListed() {
   shared_listed_ = true;
-  if (keeper_ && !early_tables_.contains(ownerTableName(settings_.service))) {
+  if (keeper_ && !keeper_->tableWriter().exists()) {
     keeper_->onTableAbsent();
   }
   if (!reported_ && directory_.node(self_.name) != nullptr) {
@@ -384,7 +421,7 @@
   record.service = settings_.service;
   record.instance = instance_;
   record.slots = slots_;
-  record.draining = server_draining_ || server_silent_ || stopping_;
+  record.draining = server_draining_ || server_silent_ || leaving_;
   directory_.update(record);
   publisher_.publish(record);
 }
@@ -445,6 +482,13 @@
   stop_began_ = clock_.now();
   log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
   clients_->closeAfterAnswers();
+  // The server goes on without this process, but nobody reaches it then: it is used until shortly before the end.
+  const Duration until_leaving = instance_.empty() ? Duration::zero() : settings_.stop.clients_leave - kLeaveNotice;
+  loop_.runAfter(until_leaving, [this] { leave(); });
+}
+
+void RouterProcess::leave() {
+  leaving_ = true;
   gate_.startDraining();
   links_.tellStopping();
   peer_server_->tellStopping(self_.name);
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -54,7 +54,12 @@
   void adoptConfig(RouterConfig config, StoreRevision revision);
   void createKeeper();
   TableWriter& tableOf(const ServiceName& service);
-  const OwnerTable* ownersOf(const ServiceName& service);
+  /// @return the table of the service; null while none is known.
+  const TableWriter* knownTable(const ServiceName& service) const;
+  KeyOwner ownerOf(const ServiceName& service, Key key);
+  void onOwnerHint(const ServiceName& service, const OwnerHint& hint);
+  void onOwnerTable(const std::string& name, const MetadataObject& object);
+  KnownRevisions known() const { return {config_watcher_.seen(), shared_watcher_.seen()}; }
 
   void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
@@ -69,6 +74,8 @@
   void tick();
   void tickSoon();
   void keepOwnersReachable();
+  /// The last part of a stop: others are told, keys go to them, what is in flight ends.
+  void leave();
   void stopWhenDone();
   bool ready() const;
 
@@ -92,6 +99,7 @@
   std::unique_ptr<OwnershipKeeper> keeper_;
   /// Tables of services that this node has no server of.
   std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
+  std::map<ServiceName, OwnerView> owner_views_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<PeerServer> peer_server_;
   std::unique_ptr<StrictHttpServer> clients_;
@@ -115,6 +123,7 @@
 
   bool tick_planned_ = false;
   bool stopping_ = false;
+  bool leaving_ = false;
   TimePoint stop_began_{};
 };
 
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -12,6 +12,8 @@
 constexpr unsigned kSilentAfterConnections = 2;
 /// Requests that could be begun end at least so long before their deadline.
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(5);
+/// Part of the latency objective that a request is held while its key moves.
+constexpr int kHoldDivisor = 4;
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -76,6 +78,7 @@
     case KeyStanding::Held:
       return ForwardReason::None;
     case KeyStanding::Pending:
+    case KeyStanding::Moving:
       return ForwardReason::NotYetOwner;
     case KeyStanding::Elsewhere:
       break;
@@ -90,6 +93,9 @@
   reply.reason = reason;
   reply.retry_after_us = retry_after.count();
   reply.load = queue_.load();
+  if (frame.keyed && keeper_ != nullptr) {
+    reply.hint = keeper_->hintFor(frame.key);
+  }
   return reply;
 }
 
@@ -97,10 +103,51 @@
   const TimePoint now = clock_.now();
   const QueueTicket ticket = ++last_ticket_;
   const ForwardReason reason = reasonNotToBegin(frame, now);
-  if (reason != ForwardReason::None) {
+  if (reason == ForwardReason::None) {
+    admit(ticket, std::move(frame), std::move(done));
+  } else if (reason == ForwardReason::NotYetOwner) {
+    const TimePoint until = now + Duration(frame.target_us / kHoldDivisor);
+    const TimePoint deadline = now + Duration(frame.remaining_us);
+    held_.emplace(ticket, Held{std::move(frame), std::move(done), std::min(until, deadline), deadline});
+  } else {
     done(refusal(frame, reason, kKeyRetryAfter));
-    return ticket;
   }
+  return ticket;
+}
+
+void ServerGate::retryHeld(QueueTicket ticket) {
+  const auto found = held_.find(ticket);
+  if (found == held_.end()) {
+    return;
+  }
+  const TimePoint now = clock_.now();
+  const ForwardReason reason = reasonNotToBegin(found->second.frame, now);
+  if (reason == ForwardReason::NotYetOwner && now < found->second.until) {
+    return;
+  }
+  auto node = held_.extract(found);
+  Held& held = node.mapped();
+  if (reason != ForwardReason::None) {
+    held.done(refusal(held.frame, reason, kKeyRetryAfter));
+    return;
+  }
+  held.frame.remaining_us = (held.deadline - now).count();
+  admit(ticket, std::move(held.frame), std::move(held.done));
+}
+
+void ServerGate::onKeysChanged() {
+  std::vector<QueueTicket> tickets;
+  tickets.reserve(held_.size());
+  for (const auto& [ticket, held] : held_) {
+    tickets.push_back(ticket);
+  }
+  for (const QueueTicket ticket : tickets) {
+    retryHeld(ticket);
+  }
+}
+
+void ServerGate::admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
+  const TimePoint now = clock_.now();
   if (frame.keyed) {
     keeper_->onKeyRequest(frame.key, now);
   }
@@ -110,7 +157,7 @@
   const QueueDecision decision = queue_.arrive(ticket, frame.priority, now, longest_wait);
   if (decision.verdict == QueueVerdict::Refuse) {
     done(refusal(frame, ForwardReason::Overloaded, decision.predicted_wait));
-    return ticket;
+    return;
   }
   Entry& entry = entries_[ticket];
   entry.deadline = now + remaining;
@@ -119,7 +166,6 @@
   if (decision.verdict == QueueVerdict::Start) {
     begin(ticket);
   }
-  return ticket;
 }
 
 void ServerGate::begin(QueueTicket ticket) {
@@ -205,9 +251,11 @@
   for (const QueueTicket ticket : queue_.takeAll()) {
     giveBack(ticket, reason, {});
   }
+  onKeysChanged();
 }
 
 void ServerGate::cancel(QueueTicket ticket) {
+  held_.erase(ticket);
   const auto found = entries_.find(ticket);
   if (found == entries_.end()) {
     return;
@@ -232,6 +280,9 @@
 
 void ServerGate::tick() {
   const TimePoint now = clock_.now();
+  if (!held_.empty()) {
+    onKeysChanged();
+  }
   for (const QueueTicket ticket : queue_.takeOverdue(now)) {
     giveBack(ticket, ForwardReason::Overloaded, queue_.meanService());
   }
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -5,6 +5,7 @@
 /// is the right one, is not leaving and holds the request's key.
 
 #include <functional>
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -55,13 +56,16 @@
   /// @return whether the request has been sent to the server; false for one that has ended.
   bool isRunning(QueueTicket ticket) const;
 
+  /// The standing of keys has changed: requests that are held for it go on.
+  void onKeysChanged();
+
   /// Gives back what has waited too long; notices a silent server. Every 25 ms or so.
   void tick();
 
   ServerLoad load() const { return queue_.load(); }
   const InstanceId& instance() const { return instance_; }
   bool draining() const { return draining_; }
-  bool empty() const { return entries_.empty(); }
+  bool empty() const { return entries_.empty() && held_.empty(); }
   bool silent() const { return silent_; }
 
  private:
@@ -76,6 +80,16 @@
     HttpExchangeId exchange = 0;
   };
 
+  /// A keyed request whose key moves, or is not granted yet.
+  struct Held {
+    ForwardFrame frame;
+    ForwardCallback done;
+    TimePoint until{};
+    TimePoint deadline{};
+  };
+
+  void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
+  void retryHeld(QueueTicket ticket);
   ForwardReason reasonNotToBegin(const ForwardFrame& frame, TimePoint now) const;
   void begin(QueueTicket ticket);
   void onResult(QueueTicket ticket, ServerResult result);
@@ -104,6 +118,7 @@
   TimePoint last_answer_{};
   QueueTicket last_ticket_ = 0;
   std::unordered_map<QueueTicket, Entry> entries_;
+  std::map<QueueTicket, Held> held_;
 };
 
 }  // namespace shedlever
