--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/slot_queue.cc
@@ -1,6 +1,8 @@
 #include "source/core/router/slot_queue.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 
 namespace shedlever {
 
@@ -11,28 +13,29 @@
 
 }  // namespace
 
-Duration SlotQueue::predictedWait(std::uint32_t priority) const {
+Duration SlotQueue::predictedWait(const QueueRank& rank) const {
   if (slots_ == 0) {
     return Duration::max();
   }
   if (running_ < slots_) {
     return Duration::zero();
   }
-  const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(Place{priority + 1, 0}));
+  const auto ahead =
+      std::distance(waiting_.begin(), waiting_.upper_bound(Place{rank, std::numeric_limits<QueueTicket>::max()}));
   return mean_service_ * (ahead + 1) / static_cast<std::int64_t>(slots_);
 }
 
-QueueDecision SlotQueue::arrive(QueueTicket ticket, std::uint32_t priority, TimePoint now, Duration longest_wait) {
+QueueDecision SlotQueue::arrive(QueueTicket ticket, const QueueRank& rank, TimePoint now, Duration longest_wait) {
   if (running_ < slots_) {
     ++running_;
     return {QueueVerdict::Start, {}};
   }
-  const Duration wait = predictedWait(priority);
+  const Duration wait = predictedWait(rank);
   if (wait > longest_wait) {
     return {QueueVerdict::Refuse, wait};
   }
-  waiting_.emplace(Place{priority, ticket}, now + longest_wait);
-  priorities_.emplace(ticket, priority);
+  waiting_.emplace(Place{rank, ticket}, now + longest_wait);
+  ranks_.emplace(ticket, rank);
   return {QueueVerdict::Wait, {}};
 }
 
@@ -49,18 +52,18 @@
   }
   const QueueTicket ticket = waiting_.begin()->first.ticket;
   waiting_.erase(waiting_.begin());
-  priorities_.erase(ticket);
+  ranks_.erase(ticket);
   ++running_;
   return ticket;
 }
 
 bool SlotQueue::remove(QueueTicket ticket) {
-  const auto found = priorities_.find(ticket);
-  if (found == priorities_.end()) {
+  const auto found = ranks_.find(ticket);
+  if (found == ranks_.end()) {
     return false;
   }
   waiting_.erase(Place{found->second, ticket});
-  priorities_.erase(found);
+  ranks_.erase(found);
   return true;
 }
 
--- a/source/core/router/slot_queue.h
+++ b/source/core/router/slot_queue.h
@@ -27,7 +27,17 @@
   Duration predicted_wait{};
 };
 
-/// Slots and a queue in order of priority and then of arrival. Refuses by predicted wait, at once.
+/// Where a request stands in the queue.
+struct QueueRank {
+  /// 0 is the most urgent.
+  std::uint32_t priority = 0;
+  /// Until when an answer is waited for. What has less time left goes first: most of all calls of other servers, each
+  /// of which holds a slot there while it waits.
+  TimePoint deadline{};
+  auto operator<=>(const QueueRank&) const = default;
+};
+
+/// Slots and a queue in order of rank and then of arrival. Refuses by predicted wait, at once.
 class SlotQueue {
  public:
   /// @param slots requests that run at once.
@@ -37,7 +47,7 @@
 
   /// A request arrives. With Start it occupies a slot already.
   /// @param longest_wait it is refused when it would wait longer, and overdue once it has.
-  QueueDecision arrive(QueueTicket ticket, std::uint32_t priority, TimePoint now, Duration longest_wait);
+  QueueDecision arrive(QueueTicket ticket, const QueueRank& rank, TimePoint now, Duration longest_wait);
 
   /// A running request ended.
   /// @param service_time how long it ran; none if that tells nothing about the next one.
@@ -58,15 +68,15 @@
 
   ServerLoad load() const;
 
-  /// @return how long a request of this priority that arrived now would wait.
-  Duration predictedWait(std::uint32_t priority) const;
+  /// @return how long a request of this rank that arrived now would wait.
+  Duration predictedWait(const QueueRank& rank) const;
 
   /// @return mean time that a request runs.
   Duration meanService() const { return mean_service_; }
 
  private:
   struct Place {
-    std::uint32_t priority = 0;
+    QueueRank rank;
     QueueTicket ticket = 0;
     auto operator<=>(const Place&) const = default;
   };
@@ -74,9 +84,9 @@
   std::uint32_t slots_;
   std::uint32_t running_ = 0;
   Duration mean_service_ = std::chrono::milliseconds(100);
-  /// Tickets rise with arrival, so the order is priority, then arrival. The value is the latest start.
+  /// Tickets rise with arrival, so the order is rank, then arrival. The value is the latest start.
   std::map<Place, TimePoint> waiting_;
-  std::unordered_map<QueueTicket, std::uint32_t> priorities_;
+  std::unordered_map<QueueTicket, QueueRank> ranks_;
 };
 
 }  // namespace shedlever
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -25,7 +25,8 @@
 /// Returns of refused requests are spread over this multiple of the time told.
 constexpr double kReturnSpread = 1.0;
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
-constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
+/// A process that starts or stops is there, or there again, after about so long.
+constexpr Duration kAbsenceRetryAfter = std::chrono::milliseconds(500);
 /// Clients honour a time up to a third of what they have left.
 constexpr int kMostRetryAfterDivisor = 4;
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -48,11 +49,11 @@
 
 void Gateway::handle(HttpRequest http, HttpReplier replier) {
   const TimePoint now = ports_.clock->now();
-  if (!routes_) {
+  if (!routes_ || refusing_) {
     HttpResponse response = ownAnswer(kServiceUnavailable);
-    response.headers.push_back({"Retry-After", retryAfterText(kNoConfigRetryAfter, Duration::max())});
+    response.headers.push_back({"Retry-After", retryAfterText(kAbsenceRetryAfter, Duration::max())});
     replier.reply(std::move(response));
-    ports_.metrics->onRequest("no-config", {});
+    ports_.metrics->onRequest(refusing_ ? "stopping" : "no-config", {});
     return;
   }
   const Route* route = routes_->find(headerValue(http.headers, "host"), http.target);
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -55,6 +55,9 @@
   /// An owner table has changed, or a key is newly held: requests that wait for their owner go on.
   void onOwnersChanged();
 
+  /// From now on every new request is refused: this process is about to end.
+  void refuseNew() { refusing_ = true; }
+
   std::size_t inFlight() const { return requests_.size(); }
 
  private:
@@ -116,6 +119,7 @@
   RetryPolicy policy_;
   SplitPicker splits_;
   std::shared_ptr<const RouteTable> routes_;
+  bool refusing_ = false;
   RequestNumber last_number_ = 0;
   std::map<RequestNumber, Request> requests_;
   std::set<RequestNumber> parked_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -513,6 +513,8 @@
     return;
   }
   if (passed >= settings_.stop.clients_leave) {
+    // Clients that can go nowhere else stay: what comes now could not be finished.
+    gateway_->refuseNew();
     clients_->closeIdle();
   }
   loop_.runAfter(kTick, [this] { stopWhenDone(); });
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -123,6 +123,7 @@
   stop.read("drain", settings.stop.drain);
   const Section queue(document, "queue", findings);
   queue.read("longest_wait_share", settings.queue.longest_wait_share, 0.0, 1.0);
+  queue.read("least_wait_limit", settings.queue.least_wait_limit);
   queue.read("slot_share", settings.queue.slot_share, 0.1, 1.0);
 }
 
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -16,6 +16,9 @@
 struct QueueConfig {
   /// Longest wait for a slot, as a share of the route's latency objective.
   double longest_wait_share = 0.35;
+  /// But not shorter than this: refusing a short call of another server fails all that this one has done for its
+  /// request already.
+  Duration least_wait_limit = std::chrono::milliseconds(100);
   /// Slots of the server that are used at once, as a share of what it has.
   double slot_share = 1.0;
 };
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -152,9 +152,8 @@
     keeper_->onKeyRequest(frame.key, now);
   }
   const Duration remaining(frame.remaining_us);
-  const auto share = static_cast<Duration::rep>(static_cast<double>(frame.target_us) * config_.longest_wait_share);
-  const Duration longest_wait = std::min(Duration(share), remaining - kLeastRemaining);
-  const QueueDecision decision = queue_.arrive(ticket, frame.priority, now, longest_wait);
+  const Duration longest_wait = longestWait(frame);
+  const QueueDecision decision = queue_.arrive(ticket, {frame.priority, now + remaining}, now, longest_wait);
   if (decision.verdict == QueueVerdict::Refuse) {
     done(refusal(frame, ForwardReason::Overloaded, decision.predicted_wait));
     return;
@@ -168,6 +167,13 @@
   }
 }
 
+Duration ServerGate::longestWait(const ForwardFrame& frame) const {
+  const Duration remaining(frame.remaining_us);
+  const double share = static_cast<double>(frame.target_us) * config_.longest_wait_share;
+  const Duration wanted = std::max(Duration(static_cast<Duration::rep>(share)), config_.least_wait_limit);
+  return std::min(wanted, remaining - kLeastRemaining);
+}
+
 void ServerGate::begin(QueueTicket ticket) {
   Entry& entry = entries_.at(ticket);
   const TimePoint now = clock_.now();
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -90,6 +90,8 @@
 
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   void retryHeld(QueueTicket ticket);
+  /// @return how long the request may wait for a slot.
+  Duration longestWait(const ForwardFrame& frame) const;
   ForwardReason reasonNotToBegin(const ForwardFrame& frame, TimePoint now) const;
   void begin(QueueTicket ticket);
   void onResult(QueueTicket ticket, ServerResult result);
--- a/test/core_router/slot_queue_test.cc
+++ b/test/core_router/slot_queue_test.cc
@@ -12,12 +12,13 @@
 using std::chrono::milliseconds;
 
 constexpr TimePoint kNow{std::chrono::seconds(10)};
+constexpr TimePoint kDeadline{std::chrono::seconds(20)};
 
 TEST(SlotQueueTest, StartsUpToItsSlotsThenWaits) {
   SlotQueue queue(2);
-  EXPECT_EQ(queue.arrive(1, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
-  EXPECT_EQ(queue.arrive(2, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
-  EXPECT_EQ(queue.arrive(3, 0, kNow, milliseconds(500)).verdict, QueueVerdict::Wait);
+  EXPECT_EQ(queue.arrive(1, {0, kDeadline}, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
+  EXPECT_EQ(queue.arrive(2, {0, kDeadline}, kNow, milliseconds(500)).verdict, QueueVerdict::Start);
+  EXPECT_EQ(queue.arrive(3, {0, kDeadline}, kNow, milliseconds(500)).verdict, QueueVerdict::Wait);
   EXPECT_EQ(queue.startNext(), std::nullopt);
   queue.ended(milliseconds(100));
   EXPECT_EQ(queue.startNext(), 3U);
@@ -25,10 +26,10 @@
 
 TEST(SlotQueueTest, MoreUrgentGoFirstThenEarlier) {
   SlotQueue queue(1);
-  queue.arrive(1, 0, kNow, milliseconds(5000));
-  queue.arrive(2, 2, kNow, milliseconds(5000));
-  queue.arrive(3, 1, kNow, milliseconds(5000));
-  queue.arrive(4, 1, kNow, milliseconds(5000));
+  queue.arrive(1, {0, kDeadline}, kNow, milliseconds(5000));
+  queue.arrive(2, {2, kDeadline}, kNow, milliseconds(5000));
+  queue.arrive(3, {1, kDeadline}, kNow, milliseconds(5000));
+  queue.arrive(4, {1, kDeadline}, kNow, milliseconds(5000));
   std::vector<QueueTicket> order;
   for (int i = 0; i < 3; ++i) {
     queue.ended(std::nullopt);
@@ -37,20 +38,29 @@
   EXPECT_EQ(order, (std::vector<QueueTicket>{3, 4, 2}));
 }
 
+TEST(SlotQueueTest, OfLikePriorityTheOneWithLessTimeLeftGoesFirst) {
+  SlotQueue queue(1);
+  queue.arrive(1, {1, kDeadline}, kNow, milliseconds(5000));
+  queue.arrive(2, {1, kDeadline}, kNow, milliseconds(5000));
+  queue.arrive(3, {1, kDeadline - milliseconds(1)}, kNow, milliseconds(5000));
+  queue.ended(std::nullopt);
+  EXPECT_EQ(queue.startNext(), 3U);
+}
+
 TEST(SlotQueueTest, RefusesAtOnceWhatWouldWaitTooLong) {
   SlotQueue queue(1);
-  queue.arrive(1, 0, kNow, milliseconds(100));
-  const QueueDecision decision = queue.arrive(2, 0, kNow, milliseconds(99));
+  queue.arrive(1, {0, kDeadline}, kNow, milliseconds(100));
+  const QueueDecision decision = queue.arrive(2, {0, kDeadline}, kNow, milliseconds(99));
   EXPECT_EQ(decision.verdict, QueueVerdict::Refuse);
   EXPECT_EQ(decision.predicted_wait, milliseconds(100));
-  EXPECT_EQ(queue.arrive(3, 0, kNow, milliseconds(100)).verdict, QueueVerdict::Wait);
+  EXPECT_EQ(queue.arrive(3, {0, kDeadline}, kNow, milliseconds(100)).verdict, QueueVerdict::Wait);
 }
 
 TEST(SlotQueueTest, GivesBackWhatHasWaitedTooLong) {
   SlotQueue queue(1);
-  queue.arrive(1, 0, kNow, milliseconds(100));
-  queue.arrive(2, 0, kNow, milliseconds(150));
-  queue.arrive(3, 0, kNow, milliseconds(300));
+  queue.arrive(1, {0, kDeadline}, kNow, milliseconds(100));
+  queue.arrive(2, {0, kDeadline}, kNow, milliseconds(150));
+  queue.arrive(3, {0, kDeadline}, kNow, milliseconds(300));
   EXPECT_TRUE(queue.takeOverdue(kNow + milliseconds(149)).empty());
   EXPECT_EQ(queue.takeOverdue(kNow + milliseconds(150)), std::vector<QueueTicket>{2});
   EXPECT_EQ(queue.load().queued, 1U);
@@ -58,7 +68,7 @@
 
 TEST(SlotQueueTest, WithoutSlotsEverythingIsRefused) {
   SlotQueue queue(0);
-  EXPECT_EQ(queue.arrive(1, 0, kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
+  EXPECT_EQ(queue.arrive(1, {0, kDeadline}, kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
 }
 
 RC_GTEST_PROP(SlotQueueProperty, NeverRunsMoreThanItsSlotsAndLosesNone, (std::vector<std::uint8_t> steps)) {
@@ -71,7 +81,8 @@
   for (const std::uint8_t step : steps) {
     now += milliseconds(step);
     if (step % 3 == 0) {
-      const QueueVerdict verdict = queue.arrive(++ticket, step % 4, now, milliseconds(200)).verdict;
+      const QueueVerdict verdict =
+          queue.arrive(++ticket, {step % 4U, now + milliseconds(step)}, now, milliseconds(200)).verdict;
       running += verdict == QueueVerdict::Start ? 1 : 0;
       waiting += verdict == QueueVerdict::Wait ? 1 : 0;
     } else if (step % 3 == 1 && running > 0) {
