Router: a restarted process learns from its peers; a stop waits until its answers are written

Replies now tell what is left of the sender's lease; a process that starts without the store asks the first peer that connects and gets configuration, nodes, tables and what is left for sure of its node's lease (counted from when the request went out, less half a second). Tests: RestartedOwnerGoesOnWithItsLeaseWhileTheStoreIsDown (and that no lease outlasts its time), RestartedOwnerHoldsNothingWithoutALease.

Ruled out: to serve without a lease while the store is down (a challenger may have revoked it before).

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "shedlever/identifiers.h"
 #include "shedlever/request_frames.h"
@@ -91,10 +92,12 @@
 struct KnownRevisions {
   std::uint64_t config = 0;
   std::uint64_t shared = 0;
+  /// What is left of the process's lease when it tells this; 0 when it has none.
+  Duration::rep lease_left_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(config, shared);
+    archive(config, shared, lease_left_us);
   }
 };
 
@@ -146,14 +149,16 @@
   }
 };
 
-/// First frame on a stream, from the side that connects.
+/// First frame on a stream, from both sides.
 struct HelloFrame {
   NodeName node;
   Incarnation incarnation;
+  /// The process has just started and the store has told it nothing yet.
+  bool needs_state = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(node, incarnation);
+    archive(node, incarnation, needs_state);
   }
 };
 
@@ -195,8 +200,8 @@
   }
 };
 
-/// An owner table that the sender has just written, for those that it gives keys to.
-struct OwnerTableFrame {
+/// An object of the store.
+struct ObjectCopy {
   std::string name;
   std::uint64_t revision = 0;
   std::string value;
@@ -207,6 +212,29 @@
   }
 };
 
+/// An owner table that the sender has just written, for those that it gives keys to.
+struct OwnerTableFrame {
+  ObjectCopy table;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(table);
+  }
+};
+
+/// What the sender has read from the store, for a process that has started while the store can't be reached.
+struct StateFrame {
+  ObjectCopy config;
+  std::vector<ObjectCopy> shared;
+  /// What is left for sure of the lease that the receiver's node had before; 0 when nothing is known.
+  Duration::rep lease_left_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(config, shared, lease_left_us);
+  }
+};
+
 /// A call to the store on behalf of a process that can't reach it.
 struct StoreCallFrame {
   ExchangeId exchange = 0;
@@ -231,7 +259,8 @@
   }
 };
 
-using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
-                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame>;
+using RouterFrame =
+    std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, SettleFrame,
+                 SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, StateFrame>;
 
 }  // namespace shedlever
--- a/source/core/router/lease_keeper.h
+++ b/source/core/router/lease_keeper.h
@@ -3,6 +3,7 @@
 /// @file
 /// This node's lease: one object in the metadata store that only this node renews and that a challenger may revoke.
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -33,6 +34,10 @@
   LeaseKeeper(NodeIdentity self, const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
               std::function<void()> on_revoked);
 
+  /// The node's process before this one had the lease for so long at least. There is one process of a node at a time,
+  /// so nobody can hold what the lease stands for until then but this one.
+  void inherit(TimePoint until) { valid_until_ = std::max(valid_until_, until); }
+
   /// Renews when it is time.
   void tick(TimePoint now);
 
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -58,6 +58,8 @@
   void serverUp(const InstanceId& instance, TimePoint now);
   /// It is dead for sure: its keys may go to others at once.
   void serverDead();
+  /// The lease of this node's process before this one, as others know it.
+  void inheritLease(TimePoint until) { lease_.inherit(until); }
   /// It leaves, or this node stops: its keys go to others, in order. Holds until the next `serverUp`.
   void startDraining() { draining_ = true; }
 
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -103,6 +104,8 @@
            evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
   }
 
+  bool busy() const { return waiting_ || closing_ || evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0; }
+
   void remove() { server_.connections.erase(this); }
 
  private:
@@ -337,6 +340,11 @@
   }
 }
 
+std::size_t StrictHttpServer::busyConnections() const {
+  return static_cast<std::size_t>(std::count_if(state_->connections.begin(), state_->connections.end(),
+                                                [](const auto& entry) { return entry.first->busy(); }));
+}
+
 std::size_t StrictHttpServer::inFlight() const { return state_->in_flight; }
 
 }  // namespace shedlever
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -75,6 +75,10 @@
   /// Closes connections that rest between requests.
   void closeIdle();
 
+  /// @return connections whose request is not answered, or whose answer is not written whole, or not taken yet by a
+  ///   client that the connection is closed to. A process that ends with any would cut an answer.
+  std::size_t busyConnections() const;
+
   /// @return requests that were handed over and not answered.
   std::size_t inFlight() const;
 
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -73,9 +73,8 @@
   bool ended = false;
 };
 
-PeerLinks::PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
-                     std::function<void(const NodeName&, bool)> on_state)
-    : loop_(loop), clock_(clock), self_(std::move(self)), directory_(directory), on_state_(std::move(on_state)) {}
+PeerLinks::PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events)
+    : loop_(loop), clock_(clock), self_(std::move(self)), directory_(directory), events_(std::move(events)) {}
 
 PeerLinks::~PeerLinks() {
   *alive_ = false;
@@ -96,7 +95,7 @@
   auto link = std::make_unique<Link>(*this, node, record->peer);
   Link* raw = link.get();
   links_.emplace(node, std::move(link));
-  raw->send(HelloFrame{self_.name, self_.incarnation}, 0);
+  raw->send(HelloFrame{self_.name, self_.incarnation, false}, 0);
   return raw;
 }
 
@@ -108,7 +107,7 @@
   Pending& pending = pending_[exchange];
   pending.node = node;
   pending.done = std::move(done);
-  pending.deadline = clock_.now() + Duration(frame.remaining_us);
+  pending.sent_at = clock_.now();
   Link* link = linkTo(node);
   if (link == nullptr || !link->send(std::move(frame), exchange)) {
     loop_.post([this, alive = alive_, exchange] {
@@ -157,9 +156,9 @@
   return nodes;
 }
 
-void PeerLinks::sendTable(const NodeName& node, const OwnerTableFrame& table) {
+void PeerLinks::tell(const NodeName& node, const RouterFrame& frame) {
   if (Link* link = linkTo(node)) {
-    link->send(table, 0);
+    link->send(frame, 0);
   }
 }
 
@@ -176,6 +175,10 @@
     onSettled(*settled);
   } else if (std::holds_alternative<StoppingFrame>(frame)) {
     directory_.markDraining(node);
+  } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
+    if (hello->needs_state) {
+      events_.on_state_wanted(node);
+    }
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
     auto call = store_calls_.extract(answer->exchange);
     if (!call.empty()) {
@@ -187,9 +190,14 @@
 
 void PeerLinks::onReply(ForwardReplyFrame reply) {
   auto node = pending_.extract(reply.exchange);
-  if (!node.empty()) {
-    node.mapped().done(std::move(reply));
+  if (node.empty()) {
+    return;
+  }
+  if (reply.known.lease_left_us > 0) {
+    // What was left when the reply was made, which was not before the request was sent.
+    events_.on_lease(node.mapped().node, node.mapped().sent_at + Duration(reply.known.lease_left_us));
   }
+  node.mapped().done(std::move(reply));
 }
 
 void PeerLinks::onSettled(const SettleReplyFrame& settled) {
@@ -207,7 +215,7 @@
 
 void PeerLinks::onLinkUp(const NodeName& node) {
   directory_.onReachable(node);
-  on_state_(node, true);
+  events_.on_reachable(node, true);
 }
 
 void PeerLinks::finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason) {
@@ -224,7 +232,7 @@
   const bool was_up = link.up;
   if (!was_up) {
     directory_.avoidUntil(node, clock_.now() + kReconnectDelay * 2);
-    on_state_(node, false);
+    events_.on_reachable(node, false);
   }
   std::vector<ExchangeId> unsent;
   const std::size_t count = std::min(link.stream.unsentMessages(), link.sent.size());
@@ -243,7 +251,8 @@
     }
   }
   if (open.empty()) {
-    retryLater(node);
+    // A process that comes back may need what this one knows.
+    retryLater(node, was_up);
     return;
   }
   if (!was_up) {
@@ -251,7 +260,7 @@
     for (const ExchangeId exchange : open) {
       finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
     }
-    retryLater(node);
+    retryLater(node, false);
     return;
   }
   if (Link* again = linkTo(node)) {
@@ -285,9 +294,9 @@
   }
 }
 
-void PeerLinks::retryLater(const NodeName& node) {
-  loop_.runAfter(kReconnectDelay, [this, alive = alive_, node] {
-    if (*alive && directory_.isUnreachable(node)) {
+void PeerLinks::retryLater(const NodeName& node, bool anyway) {
+  loop_.runAfter(kReconnectDelay, [this, alive = alive_, node, anyway] {
+    if (*alive && (anyway || directory_.isUnreachable(node))) {
       linkTo(node);
     }
   });
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -23,9 +23,16 @@
  public:
   using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
 
-  /// @param on_state the node's process was reached, or lost.
-  PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
-            std::function<void(const NodeName&, bool reachable)> on_state);
+  struct Events {
+    /// The node's process was reached, or lost.
+    std::function<void(const NodeName&, bool reachable)> on_reachable;
+    /// The node's process has just started and knows nothing.
+    std::function<void(const NodeName&)> on_state_wanted;
+    /// The node's process has its lease until then at least.
+    std::function<void(const NodeName&, TimePoint until)> on_lease;
+  };
+
+  PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
@@ -43,8 +50,8 @@
   /// @return nodes with an open stream.
   std::vector<NodeName> connected() const;
 
-  /// Sends an owner table to the node.
-  void sendTable(const NodeName& node, const OwnerTableFrame& table);
+  /// Sends a frame that has no answer.
+  void tell(const NodeName& node, const RouterFrame& frame);
 
   /// Tells all nodes with a stream that this process stops.
   void tellStopping();
@@ -55,7 +62,7 @@
   struct Pending {
     NodeName node;
     ForwardCallback done;
-    TimePoint deadline{};
+    TimePoint sent_at{};
     /// The stream broke; the other process is asked what became of it.
     bool settling = false;
   };
@@ -74,13 +81,14 @@
   void onLinkEnd(Link& link);
   void settleOn(Link& link);
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
-  void retryLater(const NodeName& node);
+  /// @param anyway whether or not the node counts as unreachable.
+  void retryLater(const NodeName& node, bool anyway);
 
   EventLoop& loop_;
   const Clock& clock_;
   NodeIdentity self_;
   ServerDirectory& directory_;
-  std::function<void(const NodeName&, bool)> on_state_;
+  Events events_;
   std::map<NodeName, std::unique_ptr<Link>> links_;
   std::unordered_map<ExchangeId, Pending> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -80,6 +80,14 @@
   }
 }
 
+std::size_t PeerServer::unsentBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [number, stream] : streams_) {
+    bytes += stream->ended ? 0 : stream->stream.unsentBytes();
+  }
+  return bytes;
+}
+
 void PeerServer::onFrame(StreamNumber number, RouterFrame frame) {
   Stream* stream = find(number);
   if (stream == nullptr) {
@@ -96,13 +104,15 @@
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
     // Says that this process is there.
-    stream->send(HelloFrame{});
+    stream->send(HelloFrame{{}, {}, ports_.needs_state()});
   } else if (const auto* stopping = std::get_if<StoppingFrame>(&frame)) {
     ports_.on_stopping(stopping->node);
   } else if (const auto* settle = std::get_if<SettleFrame>(&frame)) {
     onSettle(number, *stream, *settle);
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     ports_.on_owner_table(*table);
+  } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
+    ports_.on_state(*state);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
     onStoreCall(number, std::move(*call));
   }
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -30,6 +30,10 @@
     std::function<KnownRevisions()> known;
     /// Another process has written an owner table.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// @return whether this process knows nothing yet and the store does not answer.
+    std::function<bool()> needs_state;
+    /// Another process tells what it knows.
+    std::function<void(const StateFrame&)> on_state;
     /// A process said that it stops.
     std::function<void(const NodeName&)> on_stopping;
   };
@@ -45,6 +49,9 @@
   /// Tells all processes with a stream that the server beside this one takes nothing new.
   void tellStopping(const NodeName& self);
 
+  /// @return bytes of answers that are not written yet.
+  std::size_t unsentBytes() const;
+
   /// @return requests of other processes that are not answered.
   std::size_t inFlight() const { return works_.size(); }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -25,6 +25,9 @@
 constexpr Duration kEndReserve = std::chrono::milliseconds(900);
 /// Before clients have left, for handing over keys and finishing what runs.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
+/// What two machines' clocks may differ by over the length of a lease, and some more.
+constexpr Duration kLeaseClockMargin = std::chrono::milliseconds(500);
+constexpr Duration kStateQuestionInterval = std::chrono::milliseconds(200);
 constexpr Duration kIdentifyDelay = std::chrono::milliseconds(100);
 /// A leaving server gets no keyed request after this part of the time that it may still get some.
 constexpr int kKeysClosePart = 2;
@@ -43,10 +46,15 @@
       gate_(loop_, clock_, settings_.queue, server_link_,
             {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
       links_(loop_, clock_, self_, directory_,
-             [this](const NodeName& node, bool reachable) {
-               metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
-               log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
-             }),
+             {[this](const NodeName& node, bool reachable) {
+                metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
+                log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
+              },
+              [this](const NodeName& node) { tellState(node); },
+              [this](const NodeName& node, TimePoint until) {
+                TimePoint& end = lease_ends_[node];
+                end = std::max(end, until);
+              }}),
       store_access_(loop_, clock_, settings_.store, links_, log_),
       store_(platform_.make_store(
           [this](HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
@@ -120,11 +128,13 @@
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known = [this] { return known(); };
-  peer_ports.on_owner_table = [this](const OwnerTableFrame& table) {
-    if (table.name.starts_with(kTablePrefix)) {
-      onOwnerTable(table.name, {table.name, table.revision, table.value});
+  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) {
+    if (frame.table.name.starts_with(kTablePrefix)) {
+      onSharedObject({frame.table.name, frame.table.revision, frame.table.value}, false);
     }
   };
+  peer_ports.needs_state = [this] { return asksForState(); };
+  peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client));
@@ -146,6 +156,7 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(config, platform_.config->decode(object.value));
         adoptConfig(std::move(config), object.revision);
+        config_object_ = object;
         return {};
       },
       [&](const Findings& findings) {
@@ -188,7 +199,7 @@
   };
   ports.on_given = [this](const MetadataObject& table, const std::set<NodeName>& gainers) {
     for (const NodeName& node : gainers) {
-      links_.sendTable(node, {table.name, table.revision, table.value});
+      links_.tell(node, OwnerTableFrame{{table.name, table.revision, table.value}});
     }
   };
   ports.on_server_gone = [this] { onServerGone(); };
@@ -202,8 +213,8 @@
 void RouterProcess::createKeeper() {
   keeper_ = std::make_unique<OwnershipKeeper>(self_, settings_.service, settings_.ownership, ownershipPorts());
   gate_.setKeeper(keeper_.get());
-  const auto early = early_tables_.find(ownerTableName(settings_.service));
-  if (early != early_tables_.end()) {
+  const auto early = shared_objects_.find(ownerTableName(settings_.service));
+  if (early != shared_objects_.end()) {
     keeper_->onTableObject(early->second);
   } else if (shared_listed_) {
     keeper_->onTableAbsent();
@@ -248,14 +259,79 @@
     tableOf(service).onObject(object);
     return;
   }
-  if (!keeper_) {
-    early_tables_[name] = object;
+  if (keeper_) {
+    keeper_->onTableObject(object);
+  }
+}
+
+KnownRevisions RouterProcess::known() const {
+  KnownRevisions revisions{config_watcher_.seen(), shared_watcher_.seen(), 0};
+  const TimePoint now = clock_.now();
+  if (keeper_ && keeper_->leaseUntil() > now) {
+    revisions.lease_left_us = (keeper_->leaseUntil() - now).count();
+  }
+  return revisions;
+}
+
+bool RouterProcess::asksForState() {
+  const TimePoint now = clock_.now();
+  if (ready() || stopping_ || now < next_state_question_) {
+    return false;
+  }
+  // All peers come back at about the same time; one answer is enough.
+  next_state_question_ = now + kStateQuestionInterval;
+  return true;
+}
+
+void RouterProcess::tellState(const NodeName& node) {
+  if (!routes_) {
+    return;
+  }
+  StateFrame state;
+  state.config = {config_object_.name, config_object_.revision, config_object_.value};
+  for (const auto& [name, object] : shared_objects_) {
+    state.shared.push_back({object.name, object.revision, object.value});
+  }
+  const auto lease = lease_ends_.find(node);
+  const TimePoint now = clock_.now();
+  if (lease != lease_ends_.end() && lease->second - now > kLeaseClockMargin) {
+    state.lease_left_us = (lease->second - now - kLeaseClockMargin).count();
+  }
+  log_.write("membership", "state-told", {{"node", node.value}, {"objects", std::to_string(state.shared.size())}});
+  links_.tell(node, state);
+}
+
+void RouterProcess::onState(const StateFrame& state) {
+  if (ready() || stopping_) {
     return;
   }
-  keeper_->onTableObject(object);
+  log_.write("membership", "state-heard",
+             {{"config_revision", std::to_string(state.config.revision)},
+              {"objects", std::to_string(state.shared.size())},
+              {"lease_left_us", std::to_string(state.lease_left_us)}});
+  for (const ObjectCopy& copy : state.shared) {
+    onSharedObject({copy.name, copy.revision, copy.value}, false);
+  }
+  if (!routes_) {
+    onConfigObject({state.config.name, state.config.revision, state.config.value});
+  }
+  shared_listed_ = true;
+  if (keeper_) {
+    keeper_->inheritLease(clock_.now() + Duration(state.lease_left_us));
+  }
+  tickSoon();
 }
 
 void RouterProcess::onSharedObject(const MetadataObject& object, bool deleted) {
+  const auto known_object = shared_objects_.find(object.name);
+  if (known_object != shared_objects_.end() && object.revision < known_object->second.revision) {
+    return;
+  }
+  if (deleted) {
+    shared_objects_.erase(object.name);
+  } else {
+    shared_objects_[object.name] = object;
+  }
   if (object.name.starts_with(kNodePrefix)) {
     const auto record = decodeNodeRecord(object.value);
     if (!record) {
@@ -503,7 +579,9 @@
 void RouterProcess::stopWhenDone() {
   const Duration passed = clock_.now() - stop_began_;
   const bool keys_gone = !keeper_ || instance_.empty() || keeper_->holdsNothing();
-  const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keys_gone;
+  // An answer that is given but not written whole, or not taken, would be cut.
+  const bool all_written = clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0;
+  const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keys_gone && all_written;
   const bool late = passed >= settings_.stop.grace - kEndReserve;
   if ((idle && passed >= settings_.stop.clients_leave) || late) {
     log_.write("router", "stop",
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -59,7 +59,11 @@
   KeyOwner ownerOf(const ServiceName& service, Key key);
   void onOwnerHint(const ServiceName& service, const OwnerHint& hint);
   void onOwnerTable(const std::string& name, const MetadataObject& object);
-  KnownRevisions known() const { return {config_watcher_.seen(), shared_watcher_.seen()}; }
+  KnownRevisions known() const;
+  /// @return whether to ask the process that has just connected for what it knows.
+  bool asksForState();
+  void tellState(const NodeName& node);
+  void onState(const StateFrame& state);
 
   void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
@@ -109,8 +113,13 @@
   std::shared_ptr<const RouteTable> routes_;
   StoreRevision config_revision_ = 0;
   bool shared_listed_ = false;
-  /// Objects of the shared kind that were read before the configuration.
-  std::map<std::string, MetadataObject> early_tables_;
+  /// Objects as the store has them, for nodes that start while it can't be reached.
+  MetadataObject config_object_;
+  std::map<std::string, MetadataObject> shared_objects_;
+  /// Until when other nodes have their leases, at least.
+  std::map<NodeName, TimePoint> lease_ends_;
+
+  TimePoint next_state_question_{};
 
   InstanceId instance_;
   std::uint32_t slots_ = 0;
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -105,6 +105,33 @@
   expectAllServed();
 }
 
+// The incident inc-176d: an owner's process was killed while the store was down; its keys were refused for as long as
+// that lasted.
+TEST_F(OwnershipTest, RestartedOwnerGoesOnWithItsLeaseWhileTheStoreIsDown) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setStoreFaults(node, {true, 0, 0});
+  }
+  world_.run(seconds(1));
+  world_.killNode(2);
+  world_.run(milliseconds(600));
+  world_.restartNodeWithLease(2);
+  world_.run(seconds(1));
+  expectAllServed();
+  world_.run(seconds(12));
+  EXPECT_EQ(world_.servedKeys(), 0U) << "no lease outlasts its time";
+}
+
+TEST_F(OwnershipTest, RestartedOwnerHoldsNothingWithoutALease) {
+  for (std::size_t node = 0; node < 4; ++node) {
+    world_.setStoreFaults(node, {true, 0, 0});
+  }
+  world_.killNode(2);
+  world_.run(seconds(3));
+  world_.restartNode(2);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(2), 0U);
+}
+
 TEST_F(OwnershipTest, LostStoreAnswersLoseNoKey) {
   for (std::size_t node = 0; node < 4; ++node) {
     world_.setStoreFaults(node, {false, 0.3, 0.2});
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -183,6 +183,23 @@
   EXPECT_EQ(requests_.back().body, "ab");
 }
 
+// Seen on the bench: a process that stopped ended between giving its last answer and writing it.
+TEST_F(StrictHttpServerTest, IsBusyUntilTheAnswerIsTaken) {
+  answers_at_once_ = false;
+  RawClient client(loop_, server_->endpoint());
+  server_->closeAfterAnswers();
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(runUntil([&] { return !requests_.empty(); }));
+  EXPECT_EQ(server_->busyConnections(), 1U);
+  answerLast();
+  EXPECT_EQ(server_->inFlight(), 0U);
+  EXPECT_EQ(server_->busyConnections(), 1U);
+  ASSERT_TRUE(runUntil([&] { return client.closed; }));
+  EXPECT_NE(client.received.find("to /1"), std::string::npos);
+  client.leave();
+  EXPECT_TRUE(runUntil([&] { return server_->busyConnections() == 0; }));
+}
+
 TEST_F(StrictHttpServerTest, ClosesOnlyWhatRests) {
   answers_at_once_ = false;
   RawClient busy(loop_, server_->endpoint());
--- a/test/support/router_world.cc
+++ b/test/support/router_world.cc
@@ -203,6 +203,8 @@
   StoreFaults store_faults;
   NodeRecord record;
   double occupancy = 0;
+  /// Of the process that was killed last.
+  TimePoint lease_until{};
   /// Numbers the lives of the process; ticks of an earlier one do nothing.
   std::uint64_t life = 0;
   bool paused = false;
@@ -387,12 +389,21 @@
 void RouterWorld::killNode(std::size_t node) {
   ++nodes_[node]->life;
   *nodes_[node]->store->alive = false;
+  if (nodes_[node]->keeper) {
+    nodes_[node]->lease_until = nodes_[node]->keeper->leaseUntil();
+  }
   nodes_[node]->keeper.reset();
   spreadRecords();
 }
 
 void RouterWorld::restartNode(std::size_t node) { startProcess(*nodes_[node]); }
 
+void RouterWorld::restartNodeWithLease(std::size_t node) {
+  const TimePoint until = nodes_[node]->lease_until;
+  startProcess(*nodes_[node]);
+  nodes_[node]->keeper->inheritLease(until);
+}
+
 void RouterWorld::pauseNode(std::size_t node) {
   nodes_[node]->paused = true;
   spreadRecords();
--- a/test/support/router_world.h
+++ b/test/support/router_world.h
@@ -136,6 +136,8 @@
   /// The process is gone; the server goes on.
   void killNode(std::size_t node);
   void restartNode(std::size_t node);
+  /// As `restartNode`; others tell the process what is left of the lease of the one before it.
+  void restartNodeWithLease(std::size_t node);
   /// The process stands still; its server goes on.
   void pauseNode(std::size_t node);
   void resumeNode(std::size_t node);
