--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Fixed seed: the same verdict every time. `make fuzz` leaves it free.
 export RC_PARAMS ?= seed=20261202
 
-.PHONY: packages build test demo bench capacity format format-check lint fuzz clean
+.PHONY: packages build test demo bench soak capacity format format-check lint fuzz clean
 
 packages:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && apt-get install -y -qq $(PACKAGES))
@@ -37,6 +37,10 @@
 	$(BUILD)/shedlever-bench-latency bench/settings
 	$(BUILD)/shedlever-bench-surge bench/settings
 
+# Real processes under random faults; SEED and SECONDS as wanted. The logs lie in soak-run/.
+soak: build
+	$(BUILD)/shedlever-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+
 # Reruns the slopes on hollow nodes and rewrites the measured tables.
 capacity: build
 	$(BUILD)/shedlever-lab capacity docs/CAPACITY.md
--- /dev/null
+++ b/soak/run_checks.cc
@@ -0,0 +1,128 @@
+#include "soak/run_checks.h"
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace shedlever::soak {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+/// Two lines of different processes closer than this have no order.
+constexpr std::int64_t kSameTime = 2000;
+
+}  // namespace
+
+void RunChecks::readLog(const std::string& path) {
+  std::ifstream file(path);
+  std::string line;
+  while (std::getline(file, line)) {
+    std::istringstream words(line);
+    std::int64_t at = 0;
+    std::string instance;
+    std::string event;
+    words >> at >> instance >> event;
+    if (event == "begin") {
+      Run run{at, instance, {}, -1, 0};
+      words >> run.id >> run.key >> run.token;
+      runs_.push_back(run);
+    } else if (event == "take") {
+      Take take{at, instance, 0, 0, 0};
+      words >> take.first >> take.last >> take.token;
+      takes_.push_back(take);
+    }
+  }
+}
+
+void RunChecks::checkRequests(std::vector<std::string>& broken) const {
+  std::map<std::string, int> times;
+  for (const Run& run : runs_) {
+    ++times[run.id];
+  }
+  for (const ClientRecord& record : records_) {
+    const auto found = times.find(record.id);
+    const int ran = found == times.end() ? 0 : found->second;
+    if (record.once_only && ran > 1) {
+      broken.push_back("once-only request " + record.id + " ran " + std::to_string(ran) + " times");
+    }
+    const bool refused = record.status == kUnavailable || record.status == kTooMany;
+    if (record.once_only && refused && ran > 0) {
+      broken.push_back("request " + record.id + " was refused as not run, and ran");
+    }
+    if (record.status == kOk && (ran == 0 || record.body != "answer to " + record.id)) {
+      broken.push_back("request " + record.id + " got an answer that is not its own: " + record.body);
+    }
+  }
+}
+
+void RunChecks::checkKeys(std::vector<std::string>& broken) const {
+  std::vector<Run> runs = runs_;
+  std::sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.at < right.at; });
+  std::map<int, Run> newest;
+  for (const Run& run : runs) {
+    if (run.key < 0) {
+      continue;
+    }
+    const auto [place, is_first] = newest.try_emplace(run.key, run);
+    if (is_first) {
+      continue;
+    }
+    if (run.token < place->second.token && run.at - place->second.at > kSameTime) {
+      broken.push_back("key " + std::to_string(run.key) + ": " + run.instance + " ran " + run.id + " with token " +
+                       std::to_string(run.token) + " after " + place->second.instance + " had run with " +
+                       std::to_string(place->second.token));
+    }
+    if (run.token >= place->second.token) {
+      place->second = run;
+    }
+  }
+}
+
+void RunChecks::checkTakes(std::vector<std::string>& broken) const {
+  std::vector<Take> takes = takes_;
+  std::sort(takes.begin(), takes.end(), [](const Take& left, const Take& right) { return left.at < right.at; });
+  constexpr int kKeys = 65536;
+  std::vector<std::uint64_t> highest(kKeys, 0);
+  std::vector<std::string> holder(kKeys);
+  for (const Take& take : takes) {
+    bool bad = false;
+    for (int key = take.first; key <= take.last; ++key) {
+      bad = bad || (take.token <= highest[key] && holder[key] != take.instance);
+      if (take.token >= highest[key]) {
+        highest[key] = take.token;
+        holder[key] = take.instance;
+      }
+    }
+    if (bad) {
+      broken.push_back(take.instance + " took keys " + std::to_string(take.first) + "-" + std::to_string(take.last) +
+                       " with token " + std::to_string(take.token) + ", not above that of another server");
+    }
+  }
+}
+
+std::vector<std::string> RunChecks::violations() const {
+  std::vector<std::string> broken;
+  checkRequests(broken);
+  checkKeys(broken);
+  checkTakes(broken);
+  return broken;
+}
+
+CheckCounts RunChecks::counts() const {
+  CheckCounts counts;
+  counts.requests = records_.size();
+  for (const ClientRecord& record : records_) {
+    counts.served += record.status == kOk ? 1 : 0;
+    counts.refused += record.status == kUnavailable ? 1 : 0;
+    counts.unanswered += record.status == 0 ? 1 : 0;
+  }
+  counts.runs = runs_.size();
+  counts.grants = takes_.size();
+  return counts;
+}
+
+}  // namespace shedlever::soak
--- /dev/null
+++ b/soak/run_checks.h
@@ -0,0 +1,74 @@
+#pragma once
+
+/// @file
+/// Checks the promises from what clients saw and what servers wrote into their logs.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "shedlever/time.h"
+
+namespace shedlever::soak {
+
+/// How a client's request ended, as the client saw it.
+struct ClientRecord {
+  std::string id;
+  bool once_only = false;
+  /// 0: no answer.
+  int status = 0;
+  std::string body;
+};
+
+/// Counts of one run, for its summary.
+struct CheckCounts {
+  std::size_t requests = 0;
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  std::size_t unanswered = 0;
+  std::size_t runs = 0;
+  std::size_t grants = 0;
+};
+
+class RunChecks {
+ public:
+  void onClient(const ClientRecord& record) { records_.push_back(record); }
+
+  /// Reads a server's log: lines "microseconds instance event ...".
+  void readLog(const std::string& path);
+
+  /// @return what was broken, one sentence each:
+  ///   a once-only request ran twice; a refused one ran; an answer is not the server's to this request; a key's runs
+  ///   went back to a lower token, so that an owner before the present one still ran; a server took a key with a token
+  ///   that is not above those of others before.
+  std::vector<std::string> violations() const;
+
+  CheckCounts counts() const;
+
+ private:
+  struct Run {
+    std::int64_t at = 0;
+    std::string instance;
+    std::string id;
+    int key = -1;
+    std::uint64_t token = 0;
+  };
+  struct Take {
+    std::int64_t at = 0;
+    std::string instance;
+    int first = 0;
+    int last = 0;
+    std::uint64_t token = 0;
+  };
+
+  void checkRequests(std::vector<std::string>& broken) const;
+  void checkKeys(std::vector<std::string>& broken) const;
+  void checkTakes(std::vector<std::string>& broken) const;
+
+  std::vector<ClientRecord> records_;
+  std::vector<Run> runs_;
+  std::vector<Take> takes_;
+};
+
+}  // namespace shedlever::soak
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -492,7 +492,7 @@
   NodeRecord record;
   record.node = settings_.node;
   record.incarnation = self_.incarnation;
-  record.peer = settings_.peers_listen;
+  record.peer = settings_.peers_reached_at;
   record.zone = settings_.zone;
   record.service = settings_.service;
   record.instance = instance_;
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -29,6 +29,8 @@
     }
   }
 
+  bool has(const char* field) const { return find(field) != nullptr; }
+
   std::string text(const char* field) const {
     const json* value = find(field);
     if (value == nullptr || !value->is_string() || value->get<std::string>().empty()) {
@@ -102,6 +104,8 @@
   const Section listen(document, "listen", findings);
   settings.clients_listen = listen.endpoint("clients");
   settings.peers_listen = listen.endpoint("peers");
+  settings.peers_reached_at =
+      listen.has("peers_reached_at") ? listen.endpoint("peers_reached_at") : settings.peers_listen;
   settings.readiness_listen = listen.endpoint("readiness");
   settings.reports_listen = listen.endpoint("reports");
   const Section connect(document, "connect", findings);
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -39,6 +39,8 @@
   ServiceName service;
   Endpoint clients_listen;
   Endpoint peers_listen;
+  /// Where other nodes reach `peers_listen`; the same unless something lies between.
+  Endpoint peers_reached_at;
   Endpoint readiness_listen;
   Endpoint reports_listen;
   Endpoint server;
--- /dev/null
+++ b/standins/router/key_server.cc
@@ -0,0 +1,228 @@
+#include "standins/router/key_server.h"
+
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "shedlever/router_frames.h"
+
+namespace shedlever::standins {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kQueue = 64;
+constexpr Duration kReportInterval = std::chrono::milliseconds(1000);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(800);
+/// Its clock runs slow: a grant lasts this much longer than it says.
+constexpr double kSlowClock = 1.02;
+
+}  // namespace
+
+KeyServer::KeyServer(EventLoop& loop, const KeyServerConfig& config)
+    : loop_(loop),
+      config_(config),
+      random_(config.seed),
+      instance_("i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000)),
+      log_(config.log_file, std::ios::app),
+      holds_(kKeyCount) {}
+
+leaf::result<std::unique_ptr<KeyServer>> KeyServer::start(EventLoop& loop, const KeyServerConfig& config) {
+  std::unique_ptr<KeyServer> server(new KeyServer(loop, config));
+  const auto handler = [raw = server.get()](const StandinRequest& request, const StandinResponder& responder) {
+    raw->handle(request, responder);
+  };
+  BOOST_LEAF_AUTO(http, StandinHttpServer::listen(loop, config.listen, 0, handler));
+  server->http_ = std::move(http);
+  HttpClientConfig reporter;
+  reporter.server = config.reports_to;
+  server->reporter_ = std::make_unique<HttpClient>(loop, reporter);
+  server->log("up " + server->instance_);
+  server->report();
+  return server;
+}
+
+bool KeyServer::happens(double chance) { return std::uniform_real_distribution<>(0, 1)(random_) < chance; }
+
+void KeyServer::log(const std::string& line) {
+  log_ << clock_.now().time_since_epoch().count() << " " << instance_ << " " << line << "\n" << std::flush;
+}
+
+void KeyServer::report() {
+  const json body = {{"service", config_.service},
+                     {"address", toString(http_->endpoint())},
+                     {"zone", "z"},
+                     {"version", "v1"},
+                     {"slots", config_.slots},
+                     {"state", draining_ ? "draining" : "ready"},
+                     {"coldRemaining", "0ms"},
+                     {"callSeq", ++sequence_}};
+  reporter_->send({"POST", "/instances/" + instance_ + "/heartbeat", {}, body.dump()}, kReportTimeout,
+                  [](const HttpExchange&) {});
+  loop_.runAfter(kReportInterval, [this] { report(); });
+}
+
+void KeyServer::handle(const StandinRequest& request, const StandinResponder& responder) {
+  StandinResponder answer = responder;
+  if (request.path == "/faults") {
+    const json document = json::parse(request.http.body, nullptr, false);
+    faults_ = {document.value("lost", 0.0), document.value("broken", 0.0), document.value("late_orders", 0.0),
+               document.value("slow", 1.0)};
+    answer.replyJson(kOk, "{}");
+  } else if (request.path == "/health") {
+    answer.reply({kOk, {{"X-Instance-Id", instance_}}, {}});
+  } else if (request.path == "/grant" || request.path == "/release") {
+    handleOrder(request, responder);
+  } else {
+    handleWork(request, responder);
+  }
+}
+
+void KeyServer::handleOrder(const StandinRequest& request, const StandinResponder& responder) {
+  const bool grants = request.path == "/grant";
+  if (happens(faults_.late_orders)) {
+    withheld_.push_back(responder);
+    const std::chrono::milliseconds delay(2000 + random_() % 6000);
+    loop_.runAfter(delay, [this, body = request.http.body, grants, responder] {
+      if (grants) {
+        grant(body, true);
+      } else {
+        release(body, responder);
+      }
+    });
+    return;
+  }
+  StandinResponder answer = responder;
+  if (!grants) {
+    release(request.http.body, responder);
+    return;
+  }
+  answer.replyJson(grant(request.http.body, false) ? kOk : kConflict, "{}");
+}
+
+bool KeyServer::grant(const std::string& body, bool late) {
+  const json order = json::parse(body);
+  const int first = order.at("rangeStart");
+  const int last = order.at("targetVersion");
+  const std::uint64_t token = order.at("fence");
+  for (int key = first; key <= last; ++key) {
+    if (holds_[key].token > token) {
+      return false;
+    }
+  }
+  const std::chrono::milliseconds hold(std::stoi(order.at("hold_time").get<std::string>()));
+  const TimePoint until = clock_.now() + std::chrono::duration_cast<Duration>(hold * kSlowClock);
+  for (int key = first; key <= last; ++key) {
+    holds_[key] = {token, std::max(holds_[key].until, until)};
+  }
+  log((late ? "late-take " : "take ") + std::to_string(first) + " " + std::to_string(last) + " " +
+      std::to_string(token));
+  return true;
+}
+
+void KeyServer::release(const std::string& body, const StandinResponder& responder) {
+  const json order = json::parse(body);
+  const int first = order.at("rangeStart");
+  const int last = order.at("targetVersion");
+  const std::uint64_t token = order.at("fence");
+  for (int key = first; key <= last; ++key) {
+    holds_[key].token = std::max(holds_[key].token, token);
+    holds_[key].until = {};
+  }
+  log("release " + std::to_string(first) + " " + std::to_string(last) + " " + std::to_string(token));
+  releases_.push_back({first, last, responder});
+  answerReleases();
+}
+
+void KeyServer::answerReleases() {
+  std::erase_if(releases_, [this](const Release& release) {
+    const auto key = running_keys_.lower_bound(release.first);
+    if (key != running_keys_.end() && key->first <= release.last) {
+      return false;
+    }
+    StandinResponder answer = release.responder;
+    answer.reply({kOk, {{"X-Handover", "h-" + instance_}}, {}});
+    return true;
+  });
+}
+
+void KeyServer::answer(const Work& work, int status, bool not_run) {
+  HttpResponse response{status, {{"X-Request-Id", work.id}, {"X-Instance-Id", instance_}}, {}};
+  if (not_run) {
+    response.headers.push_back({"X-Not-Executed", "1"});
+  } else {
+    response.headers.push_back({"X-Response-Seal", "seal-" + work.id});
+    response.body = "answer to " + work.id;
+  }
+  StandinResponder responder = work.responder;
+  responder.reply(response);
+}
+
+void KeyServer::handleWork(const StandinRequest& request, const StandinResponder& responder) {
+  auto work = std::make_shared<Work>(Work{request, responder, request.header("X-Request-Id"), -1});
+  const std::string key = request.header("X-Shard-Key");
+  if (config_.divided_by_key && !key.empty()) {
+    work->key = std::stoi(key);
+  }
+  if (work->id.empty() || (config_.divided_by_key && work->key < 0)) {
+    answer(*work, kBadRequest, true);
+  } else if (request.header("X-Expect-Instance") != instance_ ||
+             (work->key >= 0 && holds_[work->key].until <= clock_.now())) {
+    answer(*work, kMisdirected, true);
+  } else if (running_ < config_.slots) {
+    startWork(work);
+  } else if (waiting_.size() < kQueue) {
+    waiting_.push_back(work);
+  } else {
+    answer(*work, kUnavailable, true);
+  }
+}
+
+void KeyServer::startWork(const std::shared_ptr<Work>& work) {
+  ++running_;
+  if (work->key >= 0) {
+    ++running_keys_[work->key];
+  }
+  const std::uint64_t token = work->key >= 0 ? holds_[work->key].token : 0;
+  log("begin " + work->id + " " + std::to_string(work->key) + " " + std::to_string(token));
+  const auto time = std::chrono::duration_cast<Duration>(config_.work * faults_.slow);
+  loop_.runAfter(time, [this, work] { endWork(work); });
+}
+
+void KeyServer::endWork(const std::shared_ptr<Work>& work) {
+  --running_;
+  if (work->key >= 0 && --running_keys_[work->key] == 0) {
+    running_keys_.erase(work->key);
+    answerReleases();
+  }
+  if (work->key >= 0 && holds_[work->key].until <= clock_.now() && holds_[work->key].until != TimePoint{}) {
+    answer(*work, kServerError, false);
+  } else if (happens(faults_.lost)) {
+    StandinResponder responder = work->responder;
+    responder.drop();
+  } else if (happens(faults_.broken)) {
+    StandinResponder responder = work->responder;
+    responder.replyCut({kOk, {{"X-Request-Id", work->id}, {"X-Response-Seal", "s"}}, "answer to " + work->id});
+  } else {
+    answer(*work, kOk, false);
+  }
+  if (!waiting_.empty()) {
+    const std::shared_ptr<Work> next = waiting_.front();
+    waiting_.pop_front();
+    if (next->key >= 0 && holds_[next->key].until <= clock_.now()) {
+      answer(*next, kMisdirected, true);
+    } else {
+      startWork(next);
+    }
+  }
+}
+
+}  // namespace shedlever::standins
--- /dev/null
+++ b/standins/router/metadata_server.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// @file
+/// Stand-in for the platform's store: objects by kind and name over HTTP, with revisions and watches, and faults.
+
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "shedlever/errors.h"
+#include "standins/standin_http_server.h"
+
+namespace shedlever::standins {
+
+enum class StoreMode : std::uint8_t {
+  Up,
+  Silent,  ///< takes calls and never answers
+  Busy,    ///< answers 503
+  Reset,   ///< closes without an answer
+};
+
+struct MetadataFaults {
+  StoreMode mode = StoreMode::Up;
+  Duration delay{};
+  /// Chance that a write is done and not answered.
+  double lost = 0;
+  /// Chance that a write is done one to four seconds later and not answered.
+  double late = 0;
+};
+
+/// `POST /faults` sets the faults; `{"compact":true}` forgets the history.
+class MetadataServer {
+ public:
+  /// @return the server, or a NetworkError.
+  static leaf::result<std::unique_ptr<MetadataServer>> listen(EventLoop& loop, const Endpoint& endpoint,
+                                                              std::uint64_t seed);
+  const Endpoint& endpoint() const { return http_->endpoint(); }
+
+ private:
+  struct Object {
+    std::uint64_t revision = 0;
+    std::string spec;
+  };
+  struct Event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    std::string name;
+  };
+  struct Waiter {
+    std::uint64_t number = 0;
+    std::string kind;
+    std::uint64_t after = 0;
+    StandinResponder responder;
+  };
+
+  MetadataServer(EventLoop& loop, std::uint64_t seed) : loop_(loop), random_(seed) {}
+  void handle(const StandinRequest& request, const StandinResponder& responder);
+  void handleObjects(const StandinRequest& request, const StandinResponder& responder);
+  void setFaults(const std::string& body);
+  void list(const std::string& kind, const StandinResponder& responder) const;
+  void watch(const StandinRequest& request, const std::string& kind, const StandinResponder& responder);
+  void write(const StandinRequest& request, const std::string& kind, const std::string& name,
+             const StandinResponder& responder);
+  /// @return status and body.
+  std::pair<int, std::string> apply(const StandinRequest& request, const std::string& kind, const std::string& name);
+  void answerWatches();
+  std::string objectText(const std::string& name, const Object& object) const;
+  std::string eventsText(const std::string& kind, std::uint64_t after) const;
+  bool happens(double chance);
+
+  EventLoop& loop_;
+  std::mt19937_64 random_;
+  MetadataFaults faults_;
+  std::uint64_t revision_ = 0;
+  /// Changes up to this one are forgotten.
+  std::uint64_t forgotten_ = 0;
+  std::map<std::string, std::map<std::string, Object>> kinds_;
+  std::vector<Event> events_;
+  std::list<Waiter> waiters_;
+  std::uint64_t last_waiter_ = 0;
+  /// Answers that are never given; kept so that their connections stay open.
+  std::vector<StandinResponder> withheld_;
+  std::unique_ptr<StandinHttpServer> http_;
+};
+
+}  // namespace shedlever::standins
