Soak: ports that stay free, ends of routers noticed; lint findings

Its logs show one router that could not start: its port, from the kernel's range for connecting sockets, was taken meanwhile. The fault lay in the soak; ports now come from below that range, and a router that ends by itself is a finding.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -2,6 +2,7 @@
 /// Program `shedlever-soak`: real processes under random faults from outside. Ends by itself.
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -12,6 +13,8 @@
 int main(int argc, char** argv) {
   namespace options = boost::program_options;
   using namespace shedlever;
+  // Connections break all the time here.
+  std::signal(SIGPIPE, SIG_IGN);
   soak::SoakConfig config;
   int seconds = 60;
   std::uint64_t rounds = 1;
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -25,18 +25,26 @@
 constexpr const char* kSearch = "search";
 constexpr const char* kOrders = "orders";
 
-/// @return a port that was free a moment ago.
-std::uint16_t freePort(EventLoop& loop) {
-  const auto listener = leaf::try_handle_all(
-      [&] {
-        return TcpListener::open(loop, {"127.0.0.1", 0}, [](evutil_socket_t, const Endpoint&) {});
-      },
-      [] { return std::unique_ptr<TcpListener>(); });
-  return listener->endpoint().port;
+/// Ports below those that the kernel gives to connecting sockets: a process that is restarted must find its port free.
+constexpr std::uint16_t kFirstPort = 15000;
+constexpr std::uint16_t kPorts = 15000;
+
+/// @return an endpoint that was free a moment ago.
+Endpoint freeEndpoint(EventLoop& loop, std::mt19937_64& random) {
+  while (true) {
+    Endpoint endpoint{"127.0.0.1", static_cast<std::uint16_t>(kFirstPort + random() % kPorts)};
+    const bool is_free = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(TcpListener::open(loop, endpoint, [](evutil_socket_t, const Endpoint&) {}));
+          return true;
+        },
+        [] { return false; });
+    if (is_free) {
+      return endpoint;
+    }
+  }
 }
 
-Endpoint freeEndpoint(EventLoop& loop) { return {"127.0.0.1", freePort(loop)}; }
-
 template <class Value>
 std::unique_ptr<Value> orNull(leaf::result<std::unique_ptr<Value>> result) {
   return result ? std::move(result.value()) : nullptr;
@@ -80,7 +88,7 @@
 }
 
 void SoakWorld::startAll() {
-  store_endpoint_ = freeEndpoint(loop_);
+  store_endpoint_ = freeEndpoint(loop_, random_);
   store_ =
       orNull(test::ChildProcess::start({config_.binaries + "/standin-metadata",
                                         {"--listen", toString(store_endpoint_), "--seed", std::to_string(config_.seed)},
@@ -95,11 +103,11 @@
     node->name = "node-" + std::to_string(i);
     node->divided = i < kDividedNodes;
     node->service = node->divided ? kSearch : kOrders;
-    node->clients = freeEndpoint(loop_);
-    node->peers = freeEndpoint(loop_);
-    node->readiness = freeEndpoint(loop_);
-    node->reports = freeEndpoint(loop_);
-    node->server = freeEndpoint(loop_);
+    node->clients = freeEndpoint(loop_, random_);
+    node->peers = freeEndpoint(loop_, random_);
+    node->readiness = freeEndpoint(loop_, random_);
+    node->reports = freeEndpoint(loop_, random_);
+    node->server = freeEndpoint(loop_, random_);
     node->settings_file = config_.folder + "/" + node->name + ".json";
     node->server_log = config_.folder + "/" + node->name + "-server.log";
     node->store_link = orNull(FaultProxy::listen(loop_, store_endpoint_));
@@ -343,6 +351,11 @@
 void SoakWorld::keepRunning() {
   for (const auto& node : nodes_) {
     if (node->router_process && node->router_process->poll()) {
+      const test::ChildEnd end = *node->router_process->poll();
+      if (end.status > 0 || (end.signal != 0 && end.signal != SIGKILL)) {
+        broken_.push_back(node->name + ": its router ended by itself, status " + std::to_string(end.status) +
+                          ", signal " + std::to_string(end.signal));
+      }
       node->router_process.reset();
     }
     if (!node->router_process && node->router_wanted) {
--- a/test/core_router/owner_table_test.cc
+++ b/test/core_router/owner_table_test.cc
@@ -83,7 +83,7 @@
   }
 }
 
-RC_GTEST_PROP(OwnerTableProperty, TextBringsTheSameTableBackAndTokensRise, (std::vector<std::uint16_t> cuts)) {
+RC_GTEST_PROP(OwnerTableProperty, TextBringsTheSameTableBackAndTokensRise, (const std::vector<std::uint16_t>& cuts)) {
   OwnerTable table = OwnerTable::divide({kFirst, kSecond, kThird});
   const std::vector<OwnerPlace> places = {kFirst, kSecond, kThird};
   for (const std::uint16_t cut : cuts) {
--- a/test/core_router/slot_queue_test.cc
+++ b/test/core_router/slot_queue_test.cc
@@ -71,7 +71,7 @@
   EXPECT_EQ(queue.arrive(1, {0, kDeadline}, kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
 }
 
-RC_GTEST_PROP(SlotQueueProperty, NeverRunsMoreThanItsSlotsAndLosesNone, (std::vector<std::uint8_t> steps)) {
+RC_GTEST_PROP(SlotQueueProperty, NeverRunsMoreThanItsSlotsAndLosesNone, (const std::vector<std::uint8_t>& steps)) {
   constexpr std::uint32_t kSlots = 3;
   SlotQueue queue(kSlots);
   std::uint32_t running = 0;
--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -188,7 +188,7 @@
   HttpClientConfig config = configFor(server.endpoint());
   config.dead_peer_limit = std::chrono::milliseconds(1500);
   HttpClient client(loop, config);
-  client.send({"GET", "/watch", {}, {}}, kTestCap, [](HttpExchange) {});
+  client.send({"GET", "/watch", {}, {}}, kTestCap, [](const HttpExchange&) {});
   ASSERT_TRUE(loop.runUntil([&] { return userTimeoutOfConnectionTo(server.endpoint()).value_or(0) != 0; }, kTestCap));
   EXPECT_EQ(userTimeoutOfConnectionTo(server.endpoint()), 1500U);
 }
--- a/test/net/router_codec_test.cc
+++ b/test/net/router_codec_test.cc
@@ -86,7 +86,7 @@
   EXPECT_FALSE(decodes(encodeRouterFrame(forward)));
 }
 
-RC_GTEST_PROP(RouterCodecProperty, AnyBytesAreReadOrRefused, (std::string bytes)) { decodes(bytes); }
+RC_GTEST_PROP(RouterCodecProperty, AnyBytesAreReadOrRefused, (const std::string& bytes)) { decodes(bytes); }
 
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/router_world.cc
+++ b/test/support/router_world.cc
@@ -93,7 +93,7 @@
   });
 }
 
-void FakeMetadataStore::write(std::function<StoreAnswer()> apply, AnswerCallback done) {
+void FakeMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
   const auto unanswered = [this, done, alive_now = alive] {
     time_.after(kCallTimeout, [done, alive_now] {
       if (*alive_now) {
@@ -125,11 +125,11 @@
 }
 
 void FakeMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([this, kind, object] { return state_.create(kind, object); }, std::move(done));
+  write([this, kind, object] { return state_.create(kind, object); }, done);
 }
 
 void FakeMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([this, kind, object] { return state_.replace(kind, object); }, std::move(done));
+  write([this, kind, object] { return state_.replace(kind, object); }, done);
 }
 
 void FakeMetadataStore::list(const std::string& kind, ListCallback done) {
--- a/test/support/router_world.h
+++ b/test/support/router_world.h
@@ -86,7 +86,7 @@
   void watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) override;
 
  private:
-  void write(std::function<StoreAnswer()> apply, AnswerCallback done);
+  void write(std::function<StoreAnswer()> apply, const AnswerCallback& done);
   bool happens(double chance);
 
   VirtualTime& time_;
