Streams write at once what the kernel takes; counters are looked up once

Cause (profile of one router at 2,500 requests a second in all): two fifths of its time in the kernel, most of it writing and changing the event set: every write waited for a turn of the loop and cost two changes of the event set. Change: flushOutput writes at once on connected streams; the loop writes the rest and finds errors. Ruled out: epoll's change list in libevent (saves the changes, not the turn of the loop).

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -23,6 +23,7 @@
   flags.add_options()("help", "this text")("seed", options::value(&config.seed), "first seed")(
       "rounds", options::value(&rounds), "how many seeds, one after the other")("seconds", options::value(&seconds),
                                                                                 "of faults in each round")(
+      "rate", options::value(&config.requests_per_second), "requests a second")(
       "folder", options::value(&config.folder)->default_value("soak-run"), "for settings and logs; a folder a seed");
   options::variables_map given;
   try {
--- a/source/net/event_buffers.cc
+++ b/source/net/event_buffers.cc
@@ -33,4 +33,19 @@
 
 std::string takeAll(evbuffer* buffer) { return takeBytes(buffer, evbuffer_get_length(buffer)); }
 
+void flushOutput(bufferevent* stream) {
+  evbuffer* output = bufferevent_get_output(stream);
+  if (evbuffer_get_length(output) > 0) {
+    // A bufferevent keeps the front of its output frozen but while it writes itself.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(stream));
+    evbuffer_freeze(output, 1);
+  }
+  if (evbuffer_get_length(output) > 0) {
+    bufferevent_enable(stream, EV_WRITE);
+  } else {
+    bufferevent_disable(stream, EV_WRITE);
+  }
+}
+
 }  // namespace shedlever
--- a/source/net/event_buffers.h
+++ b/source/net/event_buffers.h
@@ -18,4 +18,8 @@
 /// Takes all bytes out of the buffer.
 std::string takeAll(evbuffer* buffer);
 
+/// Writes what a connected stream's output holds now, without a turn of the loop; the loop writes what the kernel does
+/// not take, and finds errors. Saves two changes of the event set and a wake-up for most writes.
+void flushOutput(bufferevent* stream);
+
 }  // namespace shedlever
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -58,6 +58,7 @@
   evbuffer* output = bufferevent_get_output(stream_.get());
   appendBytes(output, std::move(head_));
   appendBytes(output, std::move(body_));
+  flushOutput(stream_.get());
 }
 
 bool HttpConnection::sentAnything() const {
--- a/source/net/message_stream.cc
+++ b/source/net/message_stream.cc
@@ -104,6 +104,10 @@
   appendBytes(output, std::move(message));
   handed_over_ += size;
   message_ends_.push_back(handed_over_);
+  const bool connecting = connect_timer_ != 0;
+  if (!connecting) {
+    flushOutput(stream_.get());
+  }
   return true;
 }
 
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -231,6 +231,7 @@
     if (!is_head_) {
       appendBytes(output, std::move(response.body));
     }
+    flushOutput(stream_.get());
   }
 
   /// Answers what can't be handed over, and reads no further.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -33,13 +33,26 @@
                 .Add({}, kHeldBoundaries)) {}
 
 void RouterMetrics::onRequest(const std::string& outcome, Duration held) {
-  requests_.Add({{"outcome", outcome}}).Increment();
+  counterOf(request_counters_, requests_, "outcome", outcome).Increment();
   held_.Observe(static_cast<double>(held.count()) / kMicrosecondsPerSecond);
 }
 
-void RouterMetrics::onRetry(ForwardReason reason) { retries_.Add({{"reason", toString(reason)}}).Increment(); }
+void RouterMetrics::onRetry(ForwardReason reason) {
+  counterOf(retry_counters_, retries_, "reason", toString(reason)).Increment();
+}
+
+void RouterMetrics::onEvent(const std::string& event) {
+  counterOf(event_counters_, events_, "event", event).Increment();
+}
 
-void RouterMetrics::onEvent(const std::string& event) { events_.Add({{"event", event}}).Increment(); }
+prometheus::Counter& RouterMetrics::counterOf(Counters& counters, prometheus::Family<prometheus::Counter>& family,
+                                              const char* label, const std::string& value) {
+  prometheus::Counter*& counter = counters[value];
+  if (counter == nullptr) {
+    counter = &family.Add({{label, value}});
+  }
+  return *counter;
+}
 
 std::string RouterMetrics::text() const { return metricsText(registry_); }
 
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -8,6 +8,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <functional>
+#include <map>
 #include <string>
 
 #include "shedlever/router_frames.h"
@@ -31,7 +33,15 @@
   std::string text() const;
 
  private:
+  using Counters = std::map<std::string, prometheus::Counter*, std::less<>>;
+  static prometheus::Counter& counterOf(Counters& counters, prometheus::Family<prometheus::Counter>& family,
+                                        const char* label, const std::string& value);
+
   prometheus::Registry registry_;
+  /// Found once: a look-up by labels costs more than the rest of the count.
+  Counters request_counters_;
+  Counters retry_counters_;
+  Counters event_counters_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& events_;
