Whole paths through real routers in one process, as tests

Change: RouterCluster runs routers, stand-ins of servers and the store on one event loop; seven tests, among them that a leaving server begins nothing once its notice is acknowledged and that a stop cuts no request. A router says that it may end by a callback instead of ending the loop.

--- a/source/core/router/owner_view.cc
+++ b/source/core/router/owner_view.cc
@@ -12,7 +12,9 @@
   if (hint.revision <= table_revision || hint.last < hint.first) {
     return;
   }
-  const auto overlaps = [&hint](const OwnerHint& other) { return other.first <= hint.last && hint.first <= other.last; };
+  const auto overlaps = [&hint](const OwnerHint& other) {
+    return other.first <= hint.last && hint.first <= other.last;
+  };
   for (const auto& [first, other] : hints_) {
     if (overlaps(other) && other.revision > hint.revision) {
       return;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -137,6 +137,10 @@
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
+  // A port from the kernel is known only now.
+  if (settings_.peers_reached_at.port == 0) {
+    settings_.peers_reached_at = peer_server_->endpoint();
+  }
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client));
   clients_ = std::move(clients);
   BOOST_LEAF_AUTO(readiness, StrictHttpServer::listen(loop_, settings_.readiness_listen, {}, on_readiness));
@@ -550,11 +554,12 @@
   replier.reply({ready() ? kOk : kServiceUnavailable, {}, {}});
 }
 
-void RouterProcess::stop() {
+void RouterProcess::stop(std::function<void()> stopped) {
   if (stopping_) {
     return;
   }
   stopping_ = true;
+  stopped_ = std::move(stopped);
   stop_began_ = clock_.now();
   log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
   clients_->closeAfterAnswers();
@@ -587,7 +592,7 @@
     log_.write("router", "stop",
                {{"in_flight", std::to_string(gateway_->inFlight())}, {"keys_gone", keys_gone ? "1" : "0"}});
     log_.flush();
-    loop_.stop();
+    stopped_();
     return;
   }
   if (passed >= settings_.stop.clients_leave) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -3,6 +3,7 @@
 /// @file
 /// One router process beside one server: all parts wired together.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -37,8 +38,14 @@
   /// Opens all listeners and begins to read the store.
   leaf::result<void> open();
 
-  /// Stops in order: takes no new work, hands keys over, finishes what is in flight, then ends the loop.
-  void stop();
+  /// Stops in order: takes no new work, hands keys over, finishes what is in flight.
+  /// @param stopped runs from the loop once the process may end; of several calls the first counts.
+  void stop(std::function<void()> stopped);
+
+  /// Where clients and other nodes reach this process, with the ports in use.
+  const Endpoint& clientsEndpoint() const { return clients_->endpoint(); }
+  const Endpoint& reportsEndpoint() const { return reports_->endpoint(); }
+  const Endpoint& readinessEndpoint() const { return readiness_->endpoint(); }
 
   /// The settings file may have changed; what can change in a running process is taken over.
   void reload(const leaf::result<RouterSettings>& settings);
@@ -131,6 +138,7 @@
   bool reported_ = false;
 
   bool tick_planned_ = false;
+  std::function<void()> stopped_;
   bool stopping_ = false;
   bool leaving_ = false;
   TimePoint stop_began_{};
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -31,7 +31,7 @@
     : loop_(loop),
       config_(config),
       random_(config.seed),
-      instance_("i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000)),
+      instance_("i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000'000)),
       log_(config.log_file, std::ios::app),
       holds_(kKeyCount) {}
 
@@ -42,14 +42,25 @@
   };
   BOOST_LEAF_AUTO(http, StandinHttpServer::listen(loop, config.listen, 0, handler));
   server->http_ = std::move(http);
-  HttpClientConfig reporter;
-  reporter.server = config.reports_to;
-  server->reporter_ = std::make_unique<HttpClient>(loop, reporter);
   server->log("up " + server->instance_);
-  server->report();
+  if (config.reports_to.port != 0) {
+    server->reportTo(config.reports_to);
+  }
   return server;
 }
 
+void KeyServer::reportTo(const Endpoint& reports) {
+  HttpClientConfig reporter;
+  reporter.server = reports;
+  reporter_ = std::make_unique<HttpClient>(loop_, reporter);
+  report();
+}
+
+void KeyServer::leave(std::function<void()> acknowledged) {
+  draining_ = true;
+  on_acknowledged_ = std::move(acknowledged);
+}
+
 bool KeyServer::happens(double chance) { return std::uniform_real_distribution<>(0, 1)(random_) < chance; }
 
 void KeyServer::log(const std::string& line) {
@@ -66,8 +77,16 @@
                      {"coldRemaining", "0ms"},
                      {"callSeq", ++sequence_}};
   reporter_->send({"POST", "/instances/" + instance_ + "/heartbeat", {}, body.dump()}, kReportTimeout,
-                  [](const HttpExchange&) {});
-  loop_.runAfter(kReportInterval, [this] { report(); });
+                  [this, leaves = draining_](const HttpExchange& exchange) {
+                    if (leaves && exchange.status == HttpExchangeStatus::Complete && on_acknowledged_) {
+                      std::exchange(on_acknowledged_, {})();
+                    }
+                  });
+  loop_.runAfter(kReportInterval, [this, alive = alive_] {
+    if (*alive) {
+      report();
+    }
+  });
 }
 
 void KeyServer::handle(const StandinRequest& request, const StandinResponder& responder) {
@@ -91,7 +110,10 @@
   if (happens(faults_.late_orders)) {
     withheld_.push_back(responder);
     const std::chrono::milliseconds delay(2000 + random_() % 6000);
-    loop_.runAfter(delay, [this, body = request.http.body, grants, responder] {
+    loop_.runAfter(delay, [this, body = request.http.body, grants, responder, alive = alive_] {
+      if (!*alive) {
+        return;
+      }
       if (grants) {
         grant(body, true);
       } else {
@@ -194,7 +216,12 @@
   const std::uint64_t token = work->key >= 0 ? holds_[work->key].token : 0;
   log("begin " + work->id + " " + std::to_string(work->key) + " " + std::to_string(token));
   const auto time = std::chrono::duration_cast<Duration>(config_.work * faults_.slow);
-  loop_.runAfter(time, [this, work] { endWork(work); });
+  ++begun_;
+  loop_.runAfter(time, [this, work, alive = alive_] {
+    if (*alive) {
+      endWork(work);
+    }
+  });
 }
 
 void KeyServer::endWork(const std::shared_ptr<Work>& work) {
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -38,9 +39,23 @@
  public:
   /// @return the server, or a NetworkError.
   static leaf::result<std::unique_ptr<KeyServer>> start(EventLoop& loop, const KeyServerConfig& config);
+  ~KeyServer() { *alive_ = false; }
+  KeyServer(const KeyServer&) = delete;
+  KeyServer& operator=(const KeyServer&) = delete;
+
+  /// Where it listens, with the port in use.
+  const Endpoint& endpoint() const { return http_->endpoint(); }
+  const std::string& instance() const { return instance_; }
+
+  /// Begins to report itself to its router; a server that is started with a place to report to has begun.
+  void reportTo(const Endpoint& reports);
 
   /// Reports that it leaves; it serves on for a while.
-  void leave() { draining_ = true; }
+  /// @param acknowledged runs once the report was answered.
+  void leave(std::function<void()> acknowledged);
+
+  /// @return how many requests it has begun.
+  std::size_t begun() const { return begun_; }
 
  private:
   struct Hold {
@@ -94,7 +109,10 @@
   std::vector<Release> releases_;
   std::vector<StandinResponder> withheld_;
   bool draining_ = false;
+  std::function<void()> on_acknowledged_;
+  std::size_t begun_ = 0;
   std::uint64_t sequence_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<HttpClient> reporter_;
   std::unique_ptr<StandinHttpServer> http_;
 };
--- a/standins/router/standin_keys_main.cc
+++ b/standins/router/standin_keys_main.cc
@@ -41,7 +41,7 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(server, standins::KeyServer::start(loop, config));
-        loop.onSignal(SIGUSR1, [&server = server] { server->leave(); });
+        loop.onSignal(SIGUSR1, [&server = server] { server->leave([] {}); });
         standins::runUntilSignalled(loop, config.listen);
         return EXIT_SUCCESS;
       },
--- /dev/null
+++ b/test/router/router_process_test.cc
@@ -0,0 +1,146 @@
+/// @file
+/// Whole paths through real routers: serving, a server that leaves, a server that dies, a router that stops.
+
+#include <gtest/gtest.h>
+
+#include "source/net/http_headers.h"
+#include "test/support/router_cluster.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+
+class RouterProcessTest : public ::testing::Test {
+ protected:
+  void start(Duration orders_work = milliseconds(5)) {
+    cluster_.addNode("search");
+    cluster_.addNode("search");
+    cluster_.addNode("orders", orders_work);
+    cluster_.addNode("orders", orders_work);
+    ASSERT_TRUE(cluster_.runUntilServing());
+  }
+
+  RouterCluster::Node& node(std::size_t index) { return *cluster_.nodes()[index]; }
+
+  RouterCluster cluster_;
+};
+
+TEST_F(RouterProcessTest, ServesFromEveryNodeAndKnowsItsRoutes) {
+  start();
+  const ClientAnswer answer = cluster_.ask(node(0), "/orders/x?y=1");
+  EXPECT_EQ(answer.http.status, kOk);
+  EXPECT_TRUE(answer.http.body.starts_with("answer to r"));
+  EXPECT_EQ(cluster_.ask(node(0), "/nowhere/").http.status, 404);
+  EXPECT_EQ(cluster_.ask(node(3), "/search/x", "12345").http.status, kOk);
+}
+
+TEST_F(RouterProcessTest, LeavingServerGetsNothingOnceItsNoticeIsAcknowledged) {
+  start();
+  bool acknowledged = false;
+  std::size_t begun = 0;
+  node(2).server->leave([&] {
+    acknowledged = true;
+    begun = node(2).server->begun();
+  });
+  std::vector<std::shared_ptr<ClientAnswer>> answers;
+  // A steady load that leaves room, before the notice and across it.
+  const auto keep_busy = [&] {
+    if (answers.empty() || answers.back()->ended) {
+      answers.push_back(cluster_.send(node(answers.size() % 4), "/orders/x"));
+    }
+  };
+  ASSERT_TRUE(cluster_.runUntil([&] {
+    keep_busy();
+    return acknowledged;
+  }));
+  const std::size_t enough = answers.size() + 40;
+  ASSERT_TRUE(cluster_.runUntil([&] {
+    keep_busy();
+    return answers.size() >= enough;
+  }));
+  ASSERT_TRUE(cluster_.runUntil(
+      [&] { return std::all_of(answers.begin(), answers.end(), [](const auto& answer) { return answer->ended; }); }));
+  EXPECT_EQ(node(2).server->begun(), begun);
+  EXPECT_EQ(answers.back()->http.status, kOk);
+}
+
+TEST_F(RouterProcessTest, LeavingOwnersKeysAreServedByAnother) {
+  start();
+  bool acknowledged = false;
+  node(0).server->leave([&] { acknowledged = true; });
+  ASSERT_TRUE(cluster_.runUntil([&] { return acknowledged; }));
+  bool moved = false;
+  for (int tries = 0; tries < 100 && !moved; ++tries) {
+    const std::size_t before = node(0).server->begun();
+    moved = cluster_.ask(node(2), "/search/x", "0").http.status == kOk &&
+            cluster_.ask(node(2), "/search/x", "65535").http.status == kOk && node(0).server->begun() == before;
+  }
+  EXPECT_TRUE(moved);
+}
+
+TEST_F(RouterProcessTest, DeadOwnersKeysAreServedByAnother) {
+  start();
+  node(1).server.reset();
+  bool moved = false;
+  for (int tries = 0; tries < 200 && !moved; ++tries) {
+    moved = cluster_.ask(node(3), "/search/x", "0").http.status == kOk &&
+            cluster_.ask(node(3), "/search/x", "65535").http.status == kOk;
+  }
+  EXPECT_TRUE(moved);
+}
+
+TEST_F(RouterProcessTest, RefusalSaysWhenToComeBack) {
+  start();
+  node(2).server.reset();
+  node(3).server.reset();
+  ClientAnswer answer = cluster_.ask(node(0), "/orders/x");
+  for (int tries = 0; tries < 100 && answer.http.status != 503; ++tries) {
+    answer = cluster_.ask(node(0), "/orders/x");
+  }
+  EXPECT_EQ(answer.http.status, 503);
+  EXPECT_FALSE(headerValue(answer.http.headers, "Retry-After").empty());
+}
+
+TEST_F(RouterProcessTest, StopCutsNoRequest) {
+  start(milliseconds(300));
+  std::vector<std::shared_ptr<ClientAnswer>> answers;
+  for (int i = 0; i < 6; ++i) {
+    answers.push_back(cluster_.send(node(0), "/orders/x"));
+    answers.push_back(cluster_.send(node(2), "/orders/x"));
+  }
+  const std::size_t before = node(2).server->begun() + node(3).server->begun();
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(2).server->begun() + node(3).server->begun() > before; }));
+  node(2).router->stop([&] { node(2).stopped = true; });
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(2).stopped; }));
+  ASSERT_TRUE(cluster_.runUntil(
+      [&] { return std::all_of(answers.begin(), answers.end(), [](const auto& answer) { return answer->ended; }); }));
+  for (const auto& answer : answers) {
+    EXPECT_EQ(answer->how, HttpExchangeStatus::Complete);
+    EXPECT_EQ(answer->http.status, kOk);
+  }
+  EXPECT_EQ(cluster_.ask(node(1), "/orders/x").http.status, kOk);
+}
+
+TEST_F(RouterProcessTest, StoppingProcessIsNotReady) {
+  start();
+  HttpClientConfig config;
+  config.server = node(0).router->readinessEndpoint();
+  HttpClient client(cluster_.loop(), config);
+  const auto ready = [&] {
+    int status = 0;
+    client.send({"GET", "/readiness", {}, {}}, std::chrono::seconds(5),
+                [&status](const HttpExchange& exchange) { status = exchange.response.status; });
+    EXPECT_TRUE(cluster_.runUntil([&status] { return status != 0; }));
+    return status;
+  };
+  EXPECT_EQ(ready(), kOk);
+  node(0).router->stop([&] { node(0).stopped = true; });
+  EXPECT_EQ(ready(), 503);
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(0).stopped; }));
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/support/router_cluster.cc
@@ -0,0 +1,157 @@
+#include "test/support/router_cluster.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "test/support/scripted_server.h"
+
+namespace shedlever::test {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration kClientTimeout = seconds(20);
+constexpr int kOk = 200;
+
+template <class Value>
+std::unique_ptr<Value> valueOf(leaf::result<std::unique_ptr<Value>> result) {
+  EXPECT_TRUE(static_cast<bool>(result));
+  return result ? std::move(result.value()) : nullptr;
+}
+
+json route(const char* name, const char* prefix, const char* kind, const char* service) {
+  return {{"name", name},          {"host", "h"},   {"pathPrefix", prefix}, {"kind", kind},    {"timeout", "10s"},
+          {"targetLatency", "2s"}, {"priority", 1}, {"service", service},   {"maxAttempts", 2}};
+}
+
+}  // namespace
+
+RouterCluster::RouterCluster()
+    : folder_(std::filesystem::temp_directory_path() / ("router-cluster-" + std::to_string(getpid()))) {
+  std::filesystem::create_directories(folder_);
+  store_ = valueOf(standins::MetadataServer::listen(loop_, kAnyLoopbackPort, 1));
+  HttpClientConfig config;
+  config.server = store_->endpoint();
+  operator_ = std::make_unique<HttpClient>(loop_, config);
+  writeConfig();
+}
+
+RouterCluster::~RouterCluster() {
+  nodes_.clear();
+  std::filesystem::remove_all(folder_);
+}
+
+void RouterCluster::writeConfig() {
+  const json spec = {
+      {"version", "00000001"},
+      {"routes",
+       {route("search", "/search/", "idempotent", "search"), route("orders", "/orders/", "non_idempotent", "orders")}},
+      {"services",
+       {{{"name", "search"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"sharded", true}},
+        {{"name", "orders"}, {"healthPath", "/health"}, {"maxConnections", 100}}}},
+      {"limits", json::object()}};
+  const json object = {{"metadata", {{"name", "main"}}}, {"spec", spec}};
+  bool written = false;
+  operator_->send({"POST", "/objects/config", {}, object.dump()}, seconds(5),
+                  [&written](const HttpExchange&) { written = true; });
+  EXPECT_TRUE(runUntil([&written] { return written; }));
+}
+
+bool RouterCluster::runUntil(const std::function<bool()>& done) { return loop_.runUntil(done, kTestCap); }
+
+RouterCluster::Node& RouterCluster::addNode(const std::string& service, Duration work) {
+  auto node = std::make_unique<Node>();
+  const std::string name = "node-" + std::to_string(nodes_.size());
+  standins::KeyServerConfig server;
+  server.listen = kAnyLoopbackPort;
+  server.service = service;
+  server.divided_by_key = service == "search";
+  server.work = work;
+  server.log_file = (folder_ / (name + ".log")).string();
+  node->server = valueOf(standins::KeyServer::start(loop_, server));
+  RouterSettings settings;
+  settings.node = NodeName(name);
+  settings.zone = ZoneName("z");
+  settings.service = ServiceName(service);
+  settings.clients_listen = kAnyLoopbackPort;
+  settings.peers_listen = kAnyLoopbackPort;
+  settings.peers_reached_at = kAnyLoopbackPort;
+  settings.readiness_listen = kAnyLoopbackPort;
+  settings.reports_listen = kAnyLoopbackPort;
+  settings.server = node->server->endpoint();
+  settings.store = store_->endpoint();
+  settings.retry = {0.1, 100};
+  settings.ownership.first_division_delay = milliseconds(10);
+  settings.stop.clients_leave = milliseconds(750);
+  PlatformAdapters adapters;
+  adapters.requests = &requests_;
+  adapters.reports = &reports_;
+  adapters.config = &config_;
+  adapters.make_store = [](StoreCaller caller) { return std::make_unique<platform::PlatformStore>(std::move(caller)); };
+  node->router = std::make_unique<RouterProcess>(loop_, settings, adapters, open("/dev/null", O_WRONLY | O_CLOEXEC));
+  EXPECT_TRUE(static_cast<bool>(node->router->open()));
+  node->server->reportTo(node->router->reportsEndpoint());
+  HttpClientConfig client;
+  client.server = node->router->clientsEndpoint();
+  client.connections = 64;
+  client.keep_host = true;
+  client.close_framed = true;
+  node->client = std::make_unique<HttpClient>(loop_, client);
+  nodes_.push_back(std::move(node));
+  return *nodes_.back();
+}
+
+std::shared_ptr<ClientAnswer> RouterCluster::send(Node& node, const std::string& target, const std::string& key) {
+  auto answer = std::make_shared<ClientAnswer>();
+  HttpRequest request{
+      "POST",
+      target,
+      {{"Host", "h"}, {"X-Request-Id", "r" + std::to_string(++last_request_)}, {"X-Request-Deadline", "15000"}},
+      {}};
+  if (!key.empty()) {
+    request.headers.push_back({"X-Shard-Key", key});
+  }
+  node.client->send(std::move(request), kClientTimeout, [answer](HttpExchange exchange) {
+    answer->ended = true;
+    answer->how = exchange.status;
+    answer->http = std::move(exchange.response);
+  });
+  return answer;
+}
+
+ClientAnswer RouterCluster::ask(Node& node, const std::string& target, const std::string& key) {
+  const auto answer = send(node, target, key);
+  EXPECT_TRUE(runUntil([&answer] { return answer->ended; }));
+  return *answer;
+}
+
+bool RouterCluster::runUntilServing() {
+  const std::vector<std::string> keys = {"0", "20000", "40000", "65535"};
+  for (const auto& node : nodes_) {
+    bool served = false;
+    for (int tries = 0; tries < 200 && !served; ++tries) {
+      served = ask(*node, "/orders/x").http.status == kOk;
+      for (const std::string& key : keys) {
+        served = ask(*node, "/search/x", key).http.status == kOk && served;
+      }
+      if (!served) {
+        bool over = false;
+        loop_.runAfter(milliseconds(20), [&over] { over = true; });
+        runUntil([&over] { return over; });
+      }
+    }
+    if (!served) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/support/router_cluster.h
@@ -0,0 +1,74 @@
+#pragma once
+
+/// @file
+/// Routers, servers and the store in one process, on one event loop and over loopback: whole paths without the bench.
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/config_protocol.h"
+#include "platform/platform_store.h"
+#include "platform/report_protocol.h"
+#include "platform/request_protocol.h"
+#include "source/router/router_process.h"
+#include "standins/router/key_server.h"
+#include "standins/router/metadata_server.h"
+
+namespace shedlever::test {
+
+/// A request's end as its client saw it.
+struct ClientAnswer {
+  bool ended = false;
+  HttpExchangeStatus how = HttpExchangeStatus::NeverSent;
+  HttpResponse http;
+};
+
+class RouterCluster {
+ public:
+  struct Node {
+    std::unique_ptr<standins::KeyServer> server;
+    std::unique_ptr<RouterProcess> router;
+    std::unique_ptr<HttpClient> client;
+    bool stopped = false;
+  };
+
+  RouterCluster();
+  ~RouterCluster();
+  RouterCluster(const RouterCluster&) = delete;
+  RouterCluster& operator=(const RouterCluster&) = delete;
+
+  /// Starts a server and the router beside it. Services: "search", divided by key, and "orders", once-only.
+  Node& addNode(const std::string& service, Duration work = std::chrono::milliseconds(5));
+
+  /// Runs the loop until `done`.
+  bool runUntil(const std::function<bool()>& done);
+
+  /// Runs until every node answers a request for every key of a sample.
+  bool runUntilServing();
+
+  /// Sends a request to a node as a client does; the answer comes while the loop runs.
+  std::shared_ptr<ClientAnswer> send(Node& node, const std::string& target, const std::string& key = {});
+
+  /// As `send`, and runs until it has ended.
+  ClientAnswer ask(Node& node, const std::string& target, const std::string& key = {});
+
+  EventLoop& loop() { return loop_; }
+  std::vector<std::unique_ptr<Node>>& nodes() { return nodes_; }
+
+ private:
+  void writeConfig();
+
+  EventLoop loop_;
+  std::filesystem::path folder_;
+  platform::RequestProtocolImpl requests_;
+  platform::ReportProtocolImpl reports_;
+  platform::ConfigProtocolImpl config_;
+  std::unique_ptr<standins::MetadataServer> store_;
+  std::unique_ptr<HttpClient> operator_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace shedlever::test
