Router: a silent node is noticed while requests wait for it

Change: a stream that brings nothing for 300 ms while requests wait on it is asked, and given up after 500 ms without an answer; what may run again goes elsewhere, the rest is settled when the node can be reached. Tests seen failing first: RequestAtASilentNodeIsGivenUpSoon, OnceOnlyRequestAtASilentNodeIsNeverCalledNotRun. Ruled out: a shorter limit of the kernel's for unacknowledged bytes (lossy links would lose sound streams).

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -259,8 +259,19 @@
   }
 };
 
+/// Asks whether the other process is there; answered at once with `PongFrame`.
+struct PingFrame {
+  template <class Archive>
+  void serialize(Archive&) {}
+};
+
+struct PongFrame {
+  template <class Archive>
+  void serialize(Archive&) {}
+};
+
 using RouterFrame =
     std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, SettleFrame,
-                 SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, StateFrame>;
+                 SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, StateFrame, PingFrame, PongFrame>;
 
 }  // namespace shedlever
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -13,6 +13,11 @@
 /// A node that can't be reached is tried again after so long.
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
 /// A request is given up when the other process does not say so soon what became of it.
+constexpr Duration kSilenceCheck = std::chrono::milliseconds(100);
+/// A node that says nothing for so long, while requests wait for it, is asked whether it is there ...
+constexpr Duration kQuietLimit = std::chrono::milliseconds(300);
+/// ... and counts as lost when it does not answer that in this time.
+constexpr Duration kPongLimit = std::chrono::milliseconds(500);
 constexpr Duration kSettleLimit = std::chrono::milliseconds(700);
 
 }  // namespace
@@ -23,6 +28,8 @@
       : links(owner), node(std::move(to)), stream(owner.loop_, endpoint, peerStreamOptions(), *this) {}
 
   void onMessage(std::string_view message) override {
+    heard_at = links.clock_.now();
+    pinged_at = {};
     if (!up) {
       up = true;
       links.onLinkUp(node);
@@ -68,6 +75,9 @@
   NodeName node;
   MessageStream stream;
   std::deque<ExchangeId> sent;
+  TimePoint heard_at{};
+  /// When the question that waits for its answer was sent; zero when there is none.
+  TimePoint pinged_at{};
   /// A frame has come back, so the other process is there.
   bool up = false;
   bool ended = false;
@@ -108,6 +118,7 @@
   pending.node = node;
   pending.done = std::move(done);
   pending.sent_at = clock_.now();
+  pending.repeatable = mayRepeat(frame.kind);
   Link* link = linkTo(node);
   if (link == nullptr || !link->send(std::move(frame), exchange)) {
     loop_.post([this, alive = alive_, exchange] {
@@ -116,9 +127,72 @@
       }
     });
   }
+  checkSilenceLater();
   return exchange;
 }
 
+void PeerLinks::checkSilenceLater() {
+  if (check_planned_ || pending_.empty()) {
+    return;
+  }
+  check_planned_ = true;
+  loop_.runAfter(kSilenceCheck, [this, alive = alive_] {
+    if (*alive) {
+      check_planned_ = false;
+      checkSilence();
+      checkSilenceLater();
+    }
+  });
+}
+
+void PeerLinks::checkSilence() {
+  const TimePoint now = clock_.now();
+  std::map<NodeName, TimePoint> waiting_since;
+  for (const auto& [exchange, pending] : pending_) {
+    TimePoint& since = waiting_since.try_emplace(pending.node, pending.sent_at).first->second;
+    since = std::min(since, pending.sent_at);
+  }
+  for (const auto& [node, since] : waiting_since) {
+    const auto found = links_.find(node);
+    if (found == links_.end() || found->second->ended) {
+      continue;
+    }
+    Link& link = *found->second;
+    if (link.pinged_at != TimePoint{}) {
+      if (now - link.pinged_at >= kPongLimit) {
+        giveUpSilent(link);
+      }
+    } else if (now - std::max(since, link.heard_at) >= kQuietLimit) {
+      link.pinged_at = now;
+      link.send(PingFrame{}, 0);
+    }
+  }
+}
+
+void PeerLinks::giveUpSilent(Link& link) {
+  directory_.avoidUntil(link.node, clock_.now() + kReconnectDelay * 2);
+  events_.on_reachable(link.node, false);
+  const std::vector<ExchangeId> open = pendingAt(link.node);
+  link.stream.breakNow();
+  // Others are settled once the node can be reached again.
+  for (const ExchangeId exchange : open) {
+    const auto found = pending_.find(exchange);
+    if (found != pending_.end() && found->second.repeatable) {
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+    }
+  }
+}
+
+std::vector<ExchangeId> PeerLinks::pendingAt(const NodeName& node) const {
+  std::vector<ExchangeId> open;
+  for (const auto& [exchange, pending] : pending_) {
+    if (pending.node == node) {
+      open.push_back(exchange);
+    }
+  }
+  return open;
+}
+
 void PeerLinks::cancel(ExchangeId exchange) {
   const auto found = pending_.find(exchange);
   if (found == pending_.end()) {
@@ -244,12 +318,7 @@
   for (const ExchangeId exchange : unsent) {
     finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
   }
-  std::vector<ExchangeId> open;
-  for (const auto& [exchange, pending] : pending_) {
-    if (pending.node == node) {
-      open.push_back(exchange);
-    }
-  }
+  const std::vector<ExchangeId> open = pendingAt(node);
   if (open.empty()) {
     // A process that comes back may need what this one knows.
     retryLater(node, was_up);
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "shedlever/router_frames.h"
 #include "source/core/router/server_directory.h"
@@ -63,6 +64,8 @@
     NodeName node;
     ForwardCallback done;
     TimePoint sent_at{};
+    /// Whether it may run again, so that it need not be settled.
+    bool repeatable = false;
     /// The stream broke; the other process is asked what became of it.
     bool settling = false;
   };
@@ -80,6 +83,11 @@
   void onLinkUp(const NodeName& node);
   void onLinkEnd(Link& link);
   void settleOn(Link& link);
+  /// Asks nodes that are silent while requests wait for them, and gives up those that do not answer.
+  void checkSilence();
+  void checkSilenceLater();
+  void giveUpSilent(Link& link);
+  std::vector<ExchangeId> pendingAt(const NodeName& node) const;
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
   /// @param anyway whether or not the node counts as unreachable.
   void retryLater(const NodeName& node, bool anyway);
@@ -93,6 +101,7 @@
   std::unordered_map<ExchangeId, Pending> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
   ExchangeId last_exchange_ = 0;
+  bool check_planned_ = false;
   /// Set to false by the destructor, for posted work.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -105,6 +105,8 @@
     stream->sender = {hello->node, hello->incarnation};
     // Says that this process is there.
     stream->send(HelloFrame{{}, {}, ports_.needs_state()});
+  } else if (std::holds_alternative<PingFrame>(frame)) {
+    stream->send(PongFrame{});
   } else if (const auto* stopping = std::get_if<StoppingFrame>(&frame)) {
     ports_.on_stopping(stopping->node);
   } else if (const auto* settle = std::get_if<SettleFrame>(&frame)) {
--- /dev/null
+++ b/test/router/peer_links_test.cc
@@ -0,0 +1,78 @@
+/// @file
+/// What becomes of requests when the node that they were sent to falls silent or goes away.
+
+#include "source/router/peer_links.h"
+
+#include <gtest/gtest.h>
+
+#include "source/net/system_sources.h"
+#include "test/support/router_world.h"
+#include "test/support/scripted_server.h"
+
+namespace shedlever::test {
+namespace {
+
+class PeerLinksTest : public ::testing::Test {
+ protected:
+  PeerLinksTest()
+      : directory_(NodeName("self"), ZoneName("z"), {}, random_),
+        links_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
+               {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, TimePoint) {}}) {}
+
+  void knowNodeAt(const Endpoint& endpoint) {
+    NodeRecord record;
+    record.node = kNode;
+    record.peer = endpoint;
+    record.service = ServiceName("s");
+    record.instance = InstanceId("i-1");
+    directory_.update(record);
+  }
+
+  ForwardReplyFrame forward(RouteKind kind) {
+    ForwardFrame frame;
+    frame.kind = kind;
+    frame.remaining_us = Duration(std::chrono::seconds(20)).count();
+    std::optional<ForwardReplyFrame> reply;
+    links_.forward(kNode, frame, [&reply](ForwardReplyFrame told) { reply = std::move(told); });
+    EXPECT_TRUE(loop_.runUntil([&reply] { return reply.has_value(); }, kTestCap));
+    return reply.value_or(ForwardReplyFrame{});
+  }
+
+  const NodeName kNode{"other"};
+  EventLoop loop_;
+  BootClockImpl clock_;
+  SeededRandom random_{1};
+  ServerDirectory directory_;
+  PeerLinks links_;
+};
+
+// Seen on the bench: a machine without power says nothing. Requests to it waited to the end of their time, and more
+// were sent to it meanwhile.
+TEST_F(PeerLinksTest, RequestAtASilentNodeIsGivenUpSoon) {
+  ScriptedServer silent(loop_, [](ScriptedConnection&) {});
+  knowNodeAt(silent.endpoint());
+  const ForwardReplyFrame reply = forward(RouteKind::Idempotent);
+  EXPECT_EQ(reply.outcome, ForwardOutcome::Unknown);
+  EXPECT_EQ(reply.reason, ForwardReason::ConnectionLost);
+  EXPECT_TRUE(directory_.isUnreachable(kNode));
+}
+
+TEST_F(PeerLinksTest, OnceOnlyRequestAtASilentNodeIsNeverCalledNotRun) {
+  ScriptedServer silent(loop_, [](ScriptedConnection&) {});
+  knowNodeAt(silent.endpoint());
+  EXPECT_EQ(forward(RouteKind::OnceOnly).outcome, ForwardOutcome::Unknown);
+}
+
+TEST_F(PeerLinksTest, RequestThatCouldNotBeSentHasNotRun) {
+  knowNodeAt(closedEndpoint(loop_));
+  const ForwardReplyFrame reply = forward(RouteKind::OnceOnly);
+  EXPECT_EQ(reply.outcome, ForwardOutcome::NotRun);
+  EXPECT_TRUE(directory_.isUnreachable(kNode));
+}
+
+TEST_F(PeerLinksTest, RequestToAnUnknownNodeHasNotRun) {
+  EXPECT_EQ(forward(RouteKind::OnceOnly).outcome, ForwardOutcome::NotRun);
+}
+
+}  // namespace
+}  // namespace shedlever::test
