--- /dev/null
+++ b/source/core/router/report_filter.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// @file
+/// Tells reports of the server that count from those that come late or from elsewhere.
+
+#include <map>
+#include <set>
+
+#include "shedlever/platform_ports.h"
+
+namespace shedlever {
+
+class ReportFilter {
+ public:
+  /// @param service, address of the server beside this process; reports of others don't count.
+  ReportFilter(ServiceName service, Endpoint address) : service_(std::move(service)), address_(std::move(address)) {}
+
+  /// @return whether the report says something new of a life that has not ended.
+  bool counts(const ServerReport& report);
+
+  /// That life has ended; late reports of it don't count.
+  void ended(const InstanceId& instance) { ended_.insert(instance); }
+
+ private:
+  ServiceName service_;
+  Endpoint address_;
+  std::set<InstanceId> ended_;
+  /// Highest number of a report of each life.
+  std::map<InstanceId, std::uint64_t> sequences_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/cluster_knowledge.cc
@@ -0,0 +1,202 @@
+#include "source/router/cluster_knowledge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+constexpr std::string_view kTablePrefix = "owners-";
+constexpr std::string_view kNodePrefix = "node-";
+
+/// Between two answers of a watch that both brought changes.
+constexpr Duration kSharedPause = std::chrono::milliseconds(800);
+constexpr Duration kConfigPause = std::chrono::milliseconds(50);
+/// What two machines' clocks may differ by over the length of a lease, and some more.
+constexpr Duration kLeaseClockMargin = std::chrono::milliseconds(500);
+
+KindWatcher::Events watcherEvents(EventLog& log, const char* part,
+                                  std::function<void(const MetadataObject&, bool)> on_object,
+                                  std::function<void()> on_listed) {
+  return {std::move(on_object), std::move(on_listed),
+          [&log, part](bool available) { log.write(part, available ? "watch-regained" : "watch-lost", {}); }};
+}
+
+}  // namespace
+
+ClusterKnowledge::ClusterKnowledge(NodeName self, ServiceName own_service, const KnowledgePorts& ports,
+                                   KnowledgeEvents events)
+    : self_(std::move(self)),
+      own_service_(std::move(own_service)),
+      ports_(ports),
+      events_(std::move(events)),
+      config_watcher_(
+          *ports_.loop, *ports_.clock, *ports_.store, ports_.config->kind(), kConfigPause,
+          watcherEvents(
+              *ports_.log, "config", [this](const MetadataObject& object, bool) { onConfigObject(object); }, [] {})),
+      shared_watcher_(*ports_.loop, *ports_.clock, *ports_.store, kSharedKind, kSharedPause,
+                      watcherEvents(
+                          *ports_.log, "membership",
+                          [this](const MetadataObject& object, bool deleted) { onSharedObject(object, deleted); },
+                          [this] { onListed(); })) {}
+
+void ClusterKnowledge::start() {
+  config_watcher_.start();
+  shared_watcher_.start();
+}
+
+// Configuration.
+
+void ClusterKnowledge::onConfigObject(const MetadataObject& object) {
+  if (object.name != ports_.config->name() || object.revision <= config_object_.revision) {
+    return;
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config, ports_.config->decode(object.value));
+        adopt(std::move(config), object);
+        return {};
+      },
+      [&](const Findings& findings) {
+        ports_.log->write("config", "not-understood",
+                          {{"revision", std::to_string(object.revision)}, {"findings", toString(findings)}});
+      },
+      [] {});
+}
+
+void ClusterKnowledge::adopt(RouterConfig config, const MetadataObject& object) {
+  config_object_ = object;
+  routes_ = std::make_shared<const RouteTable>(std::move(config));
+  ports_.log->write("config", "adopted",
+                    {{"version", std::to_string(routes_->version())},
+                     {"revision", std::to_string(object.revision)},
+                     {"routes", std::to_string(routes_->config().routes.size())}});
+  events_.on_config();
+}
+
+// Nodes and owners.
+
+void ClusterKnowledge::onSharedObject(const MetadataObject& object, bool deleted) {
+  const auto known = shared_objects_.find(object.name);
+  if (known != shared_objects_.end() && object.revision < known->second.revision) {
+    return;
+  }
+  if (deleted) {
+    shared_objects_.erase(object.name);
+  } else {
+    shared_objects_[object.name] = object;
+  }
+  if (object.name.starts_with(kNodePrefix)) {
+    onNodeObject(object, deleted);
+  } else if (object.name.starts_with(kTablePrefix) && !deleted) {
+    onTableObject(object);
+  }
+}
+
+void ClusterKnowledge::onNodeObject(const MetadataObject& object, bool deleted) {
+  const auto record = decodeNodeRecord(object.value);
+  if (!record) {
+    return;
+  }
+  if (deleted) {
+    ports_.directory->remove(record->node);
+  } else if (record->node != self_) {
+    ports_.directory->update(*record);
+  }
+  events_.on_nodes();
+}
+
+void ClusterKnowledge::onTableObject(const MetadataObject& object) {
+  const ServiceName service(object.name.substr(kTablePrefix.size()));
+  if (service == own_service_) {
+    events_.on_own_table(object);
+    return;
+  }
+  std::unique_ptr<TableWriter>& table = tables_[service];
+  if (!table) {
+    table = std::make_unique<TableWriter>(service, *ports_.store, [this] { events_.on_owners(); });
+  }
+  table->onObject(object);
+}
+
+void ClusterKnowledge::onListed() {
+  listed_ = true;
+  events_.on_complete_list();
+}
+
+const MetadataObject* ClusterKnowledge::ownTableObject() const {
+  const auto found = shared_objects_.find(ownerTableName(own_service_));
+  return found == shared_objects_.end() ? nullptr : &found->second;
+}
+
+const TableWriter* ClusterKnowledge::tableOf(const ServiceName& service) const {
+  if (service == own_service_) {
+    return own_table_;
+  }
+  const auto found = tables_.find(service);
+  return found == tables_.end() ? nullptr : found->second.get();
+}
+
+KeyOwner ClusterKnowledge::ownerOf(const ServiceName& service, Key key) {
+  const TableWriter* table = tableOf(service);
+  return table == nullptr ? KeyOwner{} : views_[service].find(key, table->table(), table->revision());
+}
+
+void ClusterKnowledge::onHint(const ServiceName& service, const OwnerHint& hint) {
+  const TableWriter* table = tableOf(service);
+  views_[service].addHint(hint, table == nullptr ? 0 : table->revision());
+}
+
+void ClusterKnowledge::onTable(const ObjectCopy& table) {
+  if (table.name.starts_with(kTablePrefix)) {
+    onSharedObject({table.name, table.revision, table.value}, false);
+  }
+}
+
+// Other processes.
+
+void ClusterKnowledge::onSeenElsewhere(const KnownRevisions& revisions) {
+  config_watcher_.onSeenElsewhere(revisions.config);
+  shared_watcher_.onSeenElsewhere(revisions.shared);
+}
+
+void ClusterKnowledge::noteLease(const NodeName& node, TimePoint until) {
+  TimePoint& end = lease_ends_[node];
+  end = std::max(end, until);
+}
+
+std::optional<StateFrame> ClusterKnowledge::stateFor(const NodeName& node) const {
+  if (!complete()) {
+    return std::nullopt;
+  }
+  StateFrame state;
+  state.config = {config_object_.name, config_object_.revision, config_object_.value};
+  for (const auto& [name, object] : shared_objects_) {
+    state.shared.push_back({object.name, object.revision, object.value});
+  }
+  const auto lease = lease_ends_.find(node);
+  const TimePoint now = ports_.clock->now();
+  if (lease != lease_ends_.end() && lease->second - now > kLeaseClockMargin) {
+    state.lease_left_us = (lease->second - now - kLeaseClockMargin).count();
+  }
+  ports_.log->write("membership", "state-told",
+                    {{"node", node.value}, {"objects", std::to_string(state.shared.size())}});
+  return state;
+}
+
+void ClusterKnowledge::take(const StateFrame& state) {
+  ports_.log->write("membership", "state-heard",
+                    {{"config_revision", std::to_string(state.config.revision)},
+                     {"objects", std::to_string(state.shared.size())},
+                     {"lease_left_us", std::to_string(state.lease_left_us)}});
+  for (const ObjectCopy& copy : state.shared) {
+    onSharedObject({copy.name, copy.revision, copy.value}, false);
+  }
+  if (!routes_) {
+    onConfigObject({state.config.name, state.config.revision, state.config.value});
+  }
+  onListed();
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/cluster_knowledge.h
@@ -0,0 +1,108 @@
+#pragma once
+
+/// @file
+/// What one process knows of the whole deployment: configuration, nodes, owners of keys. From the store, from other
+/// processes' hints, and, while the store can't be reached, from what another process tells.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "shedlever/platform_ports.h"
+#include "source/core/router/owner_view.h"
+#include "source/core/router/route_table.h"
+#include "source/core/router/server_directory.h"
+#include "source/core/router/table_writer.h"
+#include "source/router/cluster_view.h"
+#include "source/router/event_log.h"
+
+namespace shedlever {
+
+/// What the knowledge is built from; everything outlives it.
+struct KnowledgePorts {
+  EventLoop* loop = nullptr;
+  const Clock* clock = nullptr;
+  MetadataStore* store = nullptr;
+  const ConfigProtocol* config = nullptr;
+  ServerDirectory* directory = nullptr;
+  EventLog* log = nullptr;
+};
+
+struct KnowledgeEvents {
+  /// A newer configuration is adopted.
+  std::function<void()> on_config;
+  /// The nodes have changed.
+  std::function<void()> on_nodes;
+  /// The owners of another service's keys have changed.
+  std::function<void()> on_owners;
+  /// The owner table of this node's service was read.
+  std::function<void(const MetadataObject&)> on_own_table;
+  /// All nodes and tables have been read once, or were told.
+  std::function<void()> on_complete_list;
+};
+
+class ClusterKnowledge {
+ public:
+  ClusterKnowledge(NodeName self, ServiceName own_service, const KnowledgePorts& ports, KnowledgeEvents events);
+
+  /// Begins to read the store.
+  void start();
+
+  /// @return the configuration in force; null while none is known.
+  const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  /// @return whether configuration, nodes and tables are known.
+  bool complete() const { return routes_ != nullptr && listed_; }
+  bool listed() const { return listed_; }
+
+  /// The table of this node's service is held there from now on.
+  void setOwnTable(const TableWriter* table) { own_table_ = table; }
+  /// @return the table object of this node's service; null while there is none.
+  const MetadataObject* ownTableObject() const;
+
+  /// @return who owns the key; empty while nobody does, or it is not known.
+  KeyOwner ownerOf(const ServiceName& service, Key key);
+  void onHint(const ServiceName& service, const OwnerHint& hint);
+  /// Another process has written this table.
+  void onTable(const ObjectCopy& table);
+
+  /// Another process has seen these.
+  void onSeenElsewhere(const KnownRevisions& revisions);
+  /// @return the newest objects seen here.
+  KnownRevisions seen() const { return {config_watcher_.seen(), shared_watcher_.seen(), 0}; }
+
+  /// The node's process has its lease until then at least.
+  void noteLease(const NodeName& node, TimePoint until);
+  /// @return what to tell the node's process, which knows nothing; none while this one does not know much itself.
+  std::optional<StateFrame> stateFor(const NodeName& node) const;
+  /// Another process told what it knows.
+  void take(const StateFrame& state);
+
+ private:
+  void onConfigObject(const MetadataObject& object);
+  void adopt(RouterConfig config, const MetadataObject& object);
+  void onSharedObject(const MetadataObject& object, bool deleted);
+  void onNodeObject(const MetadataObject& object, bool deleted);
+  void onTableObject(const MetadataObject& object);
+  void onListed();
+  const TableWriter* tableOf(const ServiceName& service) const;
+
+  NodeName self_;
+  ServiceName own_service_;
+  KnowledgePorts ports_;
+  KnowledgeEvents events_;
+  KindWatcher config_watcher_;
+  KindWatcher shared_watcher_;
+  std::shared_ptr<const RouteTable> routes_;
+  bool listed_ = false;
+  /// Objects as the store has them, for processes that start while it can't be reached.
+  MetadataObject config_object_;
+  std::map<std::string, MetadataObject> shared_objects_;
+  /// Tables of other services than this node's.
+  std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
+  const TableWriter* own_table_ = nullptr;
+  std::map<ServiceName, OwnerView> views_;
+  std::map<NodeName, TimePoint> lease_ends_;
+};
+
+}  // namespace shedlever
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "source/core/router/table_writer.h"
 #include "source/net/metrics_text.h"
 
 namespace shedlever {
@@ -14,19 +13,12 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kMetricsPath = "/metrics";
-constexpr const char* kTablePrefix = "owners-";
-constexpr const char* kNodePrefix = "node-";
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-/// Between two answers of a watch that both brought changes.
-constexpr Duration kSharedPause = std::chrono::milliseconds(800);
-constexpr Duration kConfigPause = std::chrono::milliseconds(50);
 /// Kept of the grace for the end of the process itself.
 constexpr Duration kEndReserve = std::chrono::milliseconds(900);
 /// Before clients have left, for handing over keys and finishing what runs.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
-/// What two machines' clocks may differ by over the length of a lease, and some more.
-constexpr Duration kLeaseClockMargin = std::chrono::milliseconds(500);
 constexpr Duration kStateQuestionInterval = std::chrono::milliseconds(200);
 constexpr Duration kIdentifyDelay = std::chrono::milliseconds(100);
 /// A leaving server gets no keyed request after this part of the time that it may still get some.
@@ -43,6 +35,7 @@
       log_(loop_, clock_, log_descriptor),
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
       server_link_(loop_, settings_.server, *platform_.requests),
+      report_filter_(settings_.service, settings_.server),
       gate_(loop_, clock_, settings_.queue, server_link_,
             {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
       links_(loop_, clock_, self_, directory_,
@@ -50,29 +43,37 @@
                 metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
                 log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
               },
-              [this](const NodeName& node) { tellState(node); },
-              [this](const NodeName& node, TimePoint until) {
-                TimePoint& end = lease_ends_[node];
-                end = std::max(end, until);
-              }}),
+              [this](const NodeName& node) {
+                if (const auto state = knowledge_.stateFor(node)) {
+                  links_.tell(node, *state);
+                }
+              },
+              [this](const NodeName& node, TimePoint until) { knowledge_.noteLease(node, until); }}),
       store_access_(loop_, clock_, settings_.store, links_, log_),
       store_(platform_.make_store(
           [this](HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
             store_access_.call(std::move(request), timeout, std::move(done));
           })),
       publisher_(loop_, *store_, log_),
-      config_watcher_(
-          loop_, clock_, *store_, platform_.config->kind(), kConfigPause,
-          {[this](const MetadataObject& object, bool) { onConfigObject(object); }, [] {},
-           [this](bool available) { log_.write("config", available ? "watch-regained" : "watch-lost", {}); }}),
-      shared_watcher_(
-          loop_, clock_, *store_, kSharedKind, kSharedPause,
-          {[this](const MetadataObject& object, bool deleted) { onSharedObject(object, deleted); },
-           [this] { onSharedListed(); },
-           [this](bool available) { log_.write("membership", available ? "watch-regained" : "watch-lost", {}); }}) {}
+      knowledge_(settings_.node, settings_.service,
+                 {&loop_, &clock_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()) {}
 
 RouterProcess::~RouterProcess() = default;
 
+KnowledgeEvents RouterProcess::knowledgeEvents() {
+  KnowledgeEvents events;
+  events.on_config = [this] { onConfig(); };
+  events.on_nodes = [this] { gateway_->setProcesses(directory_.nodes().size()); };
+  events.on_owners = [this] { gateway_->onOwnersChanged(); };
+  events.on_own_table = [this](const MetadataObject& table) {
+    if (keeper_) {
+      keeper_->onTableObject(table);
+    }
+  };
+  events.on_complete_list = [this] { onCompleteList(); };
+  return events;
+}
+
 GatewayDependencies RouterProcess::gatewayPorts() {
   GatewayDependencies ports;
   ports.loop = &loop_;
@@ -84,12 +85,9 @@
   ports.links = &links_;
   ports.log = &log_;
   ports.metrics = &metrics_;
-  ports.owner_of = [this](const ServiceName& service, Key key) { return ownerOf(service, key); };
-  ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) { onOwnerHint(service, hint); };
-  ports.on_known = [this](const KnownRevisions& revisions) {
-    config_watcher_.onSeenElsewhere(revisions.config);
-    shared_watcher_.onSeenElsewhere(revisions.shared);
-  };
+  ports.owner_of = [this](const ServiceName& service, Key key) { return knowledge_.ownerOf(service, key); };
+  ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) { knowledge_.onHint(service, hint); };
+  ports.on_known = [this](const KnownRevisions& revisions) { knowledge_.onSeenElsewhere(revisions); };
   return ports;
 }
 
@@ -103,8 +101,7 @@
   gateway_ = std::make_unique<Gateway>(settings_.node, settings_.service, settings_.retry, gatewayPorts());
   BOOST_LEAF_CHECK(openListeners());
   publishRecord();
-  config_watcher_.start();
-  shared_watcher_.start();
+  knowledge_.start();
   loop_.runAfter(kTick, [this] { tick(); });
   return {};
 }
@@ -128,11 +125,7 @@
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known = [this] { return known(); };
-  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) {
-    if (frame.table.name.starts_with(kTablePrefix)) {
-      onSharedObject({frame.table.name, frame.table.revision, frame.table.value}, false);
-    }
-  };
+  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
   peer_ports.needs_state = [this] { return asksForState(); };
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
@@ -150,46 +143,6 @@
   return {};
 }
 
-// What the store says.
-
-void RouterProcess::onConfigObject(const MetadataObject& object) {
-  if (object.name != platform_.config->name() || object.revision <= config_revision_) {
-    return;
-  }
-  leaf::try_handle_all(
-      [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(config, platform_.config->decode(object.value));
-        adoptConfig(std::move(config), object.revision);
-        config_object_ = object;
-        return {};
-      },
-      [&](const Findings& findings) {
-        log_.write("config", "not-understood",
-                   {{"revision", std::to_string(object.revision)}, {"findings", toString(findings)}});
-      },
-      [] {});
-}
-
-void RouterProcess::adoptConfig(RouterConfig config, StoreRevision revision) {
-  config_revision_ = revision;
-  routes_ = std::make_shared<const RouteTable>(std::move(config));
-  gateway_->setConfig(routes_);
-  const ClientLimits& limits = routes_->config().limits;
-  clients_->setLimits({limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
-  metrics_.onEvent("config-adopted");
-  log_.write("config", "adopted",
-             {{"version", std::to_string(routes_->version())},
-              {"revision", std::to_string(revision)},
-              {"routes", std::to_string(routes_->config().routes.size())}});
-  const RoutedService* own = routes_->service(settings_.service);
-  if (own != nullptr) {
-    gate_.setHealthPath(own->health_path);
-    if (own->divided_by_key && !keeper_) {
-      createKeeper();
-    }
-  }
-}
-
 OwnershipPorts RouterProcess::ownershipPorts() {
   OwnershipPorts ports;
   ports.store = store_.get();
@@ -217,10 +170,10 @@
 void RouterProcess::createKeeper() {
   keeper_ = std::make_unique<OwnershipKeeper>(self_, settings_.service, settings_.ownership, ownershipPorts());
   gate_.setKeeper(keeper_.get());
-  const auto early = shared_objects_.find(ownerTableName(settings_.service));
-  if (early != shared_objects_.end()) {
-    keeper_->onTableObject(early->second);
-  } else if (shared_listed_) {
+  knowledge_.setOwnTable(&keeper_->tableWriter());
+  if (const MetadataObject* table = knowledge_.ownTableObject()) {
+    keeper_->onTableObject(*table);
+  } else if (knowledge_.listed()) {
     keeper_->onTableAbsent();
   }
   if (!instance_.empty()) {
@@ -231,45 +184,35 @@
   }
 }
 
-TableWriter& RouterProcess::tableOf(const ServiceName& service) {
-  std::unique_ptr<TableWriter>& table = tables_[service];
-  if (!table) {
-    table = std::make_unique<TableWriter>(service, *store_, [this] { gateway_->onOwnersChanged(); });
-  }
-  return *table;
-}
+// What the store and other processes say.
 
-const TableWriter* RouterProcess::knownTable(const ServiceName& service) const {
-  if (keeper_ && service == settings_.service) {
-    return &keeper_->tableWriter();
+void RouterProcess::onConfig() {
+  const std::shared_ptr<const RouteTable>& routes = knowledge_.routes();
+  gateway_->setConfig(routes);
+  const ClientLimits& limits = routes->config().limits;
+  clients_->setLimits({limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  metrics_.onEvent("config-adopted");
+  const RoutedService* own = routes->service(settings_.service);
+  if (own == nullptr) {
+    return;
+  }
+  gate_.setHealthPath(own->health_path);
+  if (own->divided_by_key && !keeper_) {
+    createKeeper();
   }
-  const auto found = tables_.find(service);
-  return found == tables_.end() ? nullptr : found->second.get();
-}
-
-KeyOwner RouterProcess::ownerOf(const ServiceName& service, Key key) {
-  const TableWriter* table = knownTable(service);
-  return table == nullptr ? KeyOwner{} : owner_views_[service].find(key, table->table(), table->revision());
-}
-
-void RouterProcess::onOwnerHint(const ServiceName& service, const OwnerHint& hint) {
-  const TableWriter* table = knownTable(service);
-  owner_views_[service].addHint(hint, table == nullptr ? 0 : table->revision());
 }
 
-void RouterProcess::onOwnerTable(const std::string& name, const MetadataObject& object) {
-  const ServiceName service(name.substr(std::string_view(kTablePrefix).size()));
-  if (service != settings_.service) {
-    tableOf(service).onObject(object);
-    return;
+void RouterProcess::onCompleteList() {
+  if (keeper_ && !keeper_->tableWriter().exists()) {
+    keeper_->onTableAbsent();
   }
-  if (keeper_) {
-    keeper_->onTableObject(object);
+  if (!reported_ && directory_.node(self_.name) != nullptr) {
+    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
   }
 }
 
 KnownRevisions RouterProcess::known() const {
-  KnownRevisions revisions{config_watcher_.seen(), shared_watcher_.seen(), 0};
+  KnownRevisions revisions = knowledge_.seen();
   const TimePoint now = clock_.now();
   if (keeper_ && keeper_->leaseUntil() > now) {
     revisions.lease_left_us = (keeper_->leaseUntil() - now).count();
@@ -287,84 +230,17 @@
   return true;
 }
 
-void RouterProcess::tellState(const NodeName& node) {
-  if (!routes_) {
-    return;
-  }
-  StateFrame state;
-  state.config = {config_object_.name, config_object_.revision, config_object_.value};
-  for (const auto& [name, object] : shared_objects_) {
-    state.shared.push_back({object.name, object.revision, object.value});
-  }
-  const auto lease = lease_ends_.find(node);
-  const TimePoint now = clock_.now();
-  if (lease != lease_ends_.end() && lease->second - now > kLeaseClockMargin) {
-    state.lease_left_us = (lease->second - now - kLeaseClockMargin).count();
-  }
-  log_.write("membership", "state-told", {{"node", node.value}, {"objects", std::to_string(state.shared.size())}});
-  links_.tell(node, state);
-}
-
 void RouterProcess::onState(const StateFrame& state) {
   if (ready() || stopping_) {
     return;
   }
-  log_.write("membership", "state-heard",
-             {{"config_revision", std::to_string(state.config.revision)},
-              {"objects", std::to_string(state.shared.size())},
-              {"lease_left_us", std::to_string(state.lease_left_us)}});
-  for (const ObjectCopy& copy : state.shared) {
-    onSharedObject({copy.name, copy.revision, copy.value}, false);
-  }
-  if (!routes_) {
-    onConfigObject({state.config.name, state.config.revision, state.config.value});
-  }
-  shared_listed_ = true;
+  knowledge_.take(state);
   if (keeper_) {
     keeper_->inheritLease(clock_.now() + Duration(state.lease_left_us));
   }
   tickSoon();
 }
 
-void RouterProcess::onSharedObject(const MetadataObject& object, bool deleted) {
-  const auto known_object = shared_objects_.find(object.name);
-  if (known_object != shared_objects_.end() && object.revision < known_object->second.revision) {
-    return;
-  }
-  if (deleted) {
-    shared_objects_.erase(object.name);
-  } else {
-    shared_objects_[object.name] = object;
-  }
-  if (object.name.starts_with(kNodePrefix)) {
-    const auto record = decodeNodeRecord(object.value);
-    if (!record) {
-      return;
-    }
-    if (deleted) {
-      directory_.remove(record->node);
-    } else if (record->node != self_.name) {
-      directory_.update(*record);
-    }
-    gateway_->setProcesses(directory_.nodes().size());
-    return;
-  }
-  if (!object.name.starts_with(kTablePrefix) || deleted) {
-    return;
-  }
-  onOwnerTable(object.name, object);
-}
-
-void RouterProcess::onSharedListed() {
-  shared_listed_ = true;
-  if (keeper_ && !keeper_->tableWriter().exists()) {
-    keeper_->onTableAbsent();
-  }
-  if (!reported_ && directory_.node(self_.name) != nullptr) {
-    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
-  }
-}
-
 // What the server says.
 
 void RouterProcess::onReportRequest(const HttpRequest& request, const HttpReplier& replier) {
@@ -377,21 +253,6 @@
   replier.reply(platform_.reports->acknowledgement());
 }
 
-bool RouterProcess::isLateReport(const ServerReport& report) {
-  if (ended_instances_.contains(report.instance)) {
-    return true;
-  }
-  if (!report.sequence) {
-    return false;
-  }
-  const auto [last, is_new] = report_sequences_.try_emplace(report.instance, *report.sequence);
-  if (!is_new && *report.sequence <= last->second) {
-    return true;
-  }
-  last->second = *report.sequence;
-  return false;
-}
-
 void RouterProcess::onReport(const ServerReport& report) {
   reported_ = true;
   if (report.leaves) {
@@ -400,13 +261,12 @@
     }
     return;
   }
-  const bool ours = report.service == settings_.service && report.address == settings_.server;
-  if (!ours || isLateReport(report)) {
+  if (!report_filter_.counts(report)) {
     return;
   }
   if (report.instance != instance_) {
     if (!instance_.empty()) {
-      ended_instances_.insert(instance_);
+      report_filter_.ended(instance_);
     }
     instance_ = report.instance;
     server_draining_ = false;
@@ -426,7 +286,7 @@
 }
 
 void RouterProcess::identifyServer() {
-  const RoutedService* own = routes_ ? routes_->service(settings_.service) : nullptr;
+  const RoutedService* own = knowledge_.routes() ? knowledge_.routes()->service(settings_.service) : nullptr;
   if (reported_ || stopping_) {
     return;
   }
@@ -475,7 +335,7 @@
   }
   log_.write("server", "gone", {{"instance", instance_.value}});
   metrics_.onEvent("server-gone");
-  ended_instances_.insert(instance_);
+  report_filter_.ended(instance_);
   instance_ = {};
   slots_ = 0;
   gate_.serverEnded();
@@ -540,7 +400,7 @@
   }
 }
 
-bool RouterProcess::ready() const { return routes_ && shared_listed_ && !stopping_; }
+bool RouterProcess::ready() const { return knowledge_.complete() && !stopping_; }
 
 void RouterProcess::onReadinessRequest(const HttpRequest& request, const HttpReplier& replier) {
   if (request.target == kMetricsPath) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -11,8 +11,9 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/platform_ports.h"
+#include "source/core/router/report_filter.h"
 #include "source/net/system_sources.h"
-#include "source/router/cluster_view.h"
+#include "source/router/cluster_knowledge.h"
 #include "source/router/gateway.h"
 #include "source/router/peer_server.h"
 #include "source/router/store_caller.h"
@@ -55,27 +56,18 @@
   GatewayDependencies gatewayPorts();
   OwnershipPorts ownershipPorts();
 
-  void onConfigObject(const MetadataObject& object);
-  void onSharedObject(const MetadataObject& object, bool deleted);
-  void onSharedListed();
-  void adoptConfig(RouterConfig config, StoreRevision revision);
+  KnowledgeEvents knowledgeEvents();
+  void onConfig();
+  void onCompleteList();
   void createKeeper();
-  TableWriter& tableOf(const ServiceName& service);
-  /// @return the table of the service; null while none is known.
-  const TableWriter* knownTable(const ServiceName& service) const;
-  KeyOwner ownerOf(const ServiceName& service, Key key);
-  void onOwnerHint(const ServiceName& service, const OwnerHint& hint);
-  void onOwnerTable(const std::string& name, const MetadataObject& object);
   KnownRevisions known() const;
   /// @return whether to ask the process that has just connected for what it knows.
   bool asksForState();
-  void tellState(const NodeName& node);
   void onState(const StateFrame& state);
 
   void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReport(const ServerReport& report);
-  bool isLateReport(const ServerReport& report);
   void onServerDraining();
   void onServerGone();
   void onServerSilence(bool silent);
@@ -100,41 +92,26 @@
   RouterMetrics metrics_;
   ServerDirectory directory_;
   ServerLink server_link_;
+  ReportFilter report_filter_;
   ServerGate gate_;
   PeerLinks links_;
   StoreAccess store_access_;
   std::unique_ptr<MetadataStore> store_;
   RecordPublisher publisher_;
-  KindWatcher config_watcher_;
-  KindWatcher shared_watcher_;
+  ClusterKnowledge knowledge_;
   std::unique_ptr<OwnershipKeeper> keeper_;
-  /// Tables of services that this node has no server of.
-  std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
-  std::map<ServiceName, OwnerView> owner_views_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<PeerServer> peer_server_;
   std::unique_ptr<StrictHttpServer> clients_;
   std::unique_ptr<StrictHttpServer> readiness_;
   std::unique_ptr<StrictHttpServer> reports_;
 
-  std::shared_ptr<const RouteTable> routes_;
-  StoreRevision config_revision_ = 0;
-  bool shared_listed_ = false;
-  /// Objects as the store has them, for nodes that start while it can't be reached.
-  MetadataObject config_object_;
-  std::map<std::string, MetadataObject> shared_objects_;
-  /// Until when other nodes have their leases, at least.
-  std::map<NodeName, TimePoint> lease_ends_;
-
   TimePoint next_state_question_{};
 
   InstanceId instance_;
   std::uint32_t slots_ = 0;
   bool server_draining_ = false;
   bool server_silent_ = false;
-  /// Lives of the server that have ended; late reports of them are ignored.
-  std::set<InstanceId> ended_instances_;
-  std::map<InstanceId, std::uint64_t> report_sequences_;
   bool reported_ = false;
 
   bool tick_planned_ = false;
--- /dev/null
+++ b/test/core_router/report_filter_test.cc
@@ -0,0 +1,46 @@
+/// @file
+/// Which reports of a server count.
+
+#include "source/core/router/report_filter.h"
+
+#include <gtest/gtest.h>
+
+namespace shedlever::test {
+namespace {
+
+ServerReport report(const std::string& instance, std::uint64_t sequence) {
+  ServerReport made;
+  made.instance = InstanceId(instance);
+  made.service = ServiceName("s");
+  made.address = {"10.0.0.1", 80};
+  made.sequence = sequence;
+  return made;
+}
+
+TEST(ReportFilterTest, LateAndForeignReportsDontCount) {
+  ReportFilter filter(ServiceName("s"), {"10.0.0.1", 80});
+  EXPECT_TRUE(filter.counts(report("i-1", 4)));
+  EXPECT_FALSE(filter.counts(report("i-1", 4)));
+  EXPECT_FALSE(filter.counts(report("i-1", 3)));
+  EXPECT_TRUE(filter.counts(report("i-1", 5)));
+  EXPECT_TRUE(filter.counts(report("i-2", 1)));
+  filter.ended(InstanceId("i-1"));
+  EXPECT_FALSE(filter.counts(report("i-1", 9)));
+  ServerReport other = report("i-3", 1);
+  other.service = ServiceName("t");
+  EXPECT_FALSE(filter.counts(other));
+  other = report("i-3", 1);
+  other.address.port = 81;
+  EXPECT_FALSE(filter.counts(other));
+}
+
+TEST(ReportFilterTest, ReportsWithoutANumberCount) {
+  ReportFilter filter(ServiceName("s"), {"10.0.0.1", 80});
+  ServerReport unnumbered = report("i-1", 0);
+  unnumbered.sequence.reset();
+  EXPECT_TRUE(filter.counts(unnumbered));
+  EXPECT_TRUE(filter.counts(unnumbered));
+}
+
+}  // namespace
+}  // namespace shedlever::test
