--- a/source/router/event_log.cc
+++ b/source/router/event_log.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "source/net/system_sources.h"
+
 namespace shedlever {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr double kServedPerSecond = 5.0;
 constexpr double kFailedPerSecond = 100.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
 
 bool needsQuotes(std::string_view value) {
   return value.empty() || value.find_first_of(" \"=\n") != std::string_view::npos;
@@ -72,6 +75,7 @@
   }
   buffer_.append(part).append(": event=");
   appendValue(buffer_, event);
+  buffer_.append(" at_ms=").append(std::to_string(wallClockMicroseconds() / kMicrosecondsPerMillisecond));
   buffer_.append(" t_us=").append(std::to_string(clock_.now().time_since_epoch().count()));
   for (const LogField& field : fields) {
     buffer_.append(" ").append(field.key).append("=");
--- a/source/router/event_log.h
+++ b/source/router/event_log.h
@@ -22,6 +22,7 @@
   std::string value;
 };
 
+/// Each line tells the time of day (`at_ms`, to compare machines) and the boot time (`t_us`, which never jumps).
 /// Keeps lines in a buffer that is written in the background. Never blocks: when the buffer is full, lines are counted
 /// instead of kept, and the count is logged. Lines about single requests have a rate limit of their own, with a reserve
 /// for those that failed.
