shedlever explain: a request's way through the logs of many routers

Change: the command prints the request's lines in words, and what its node and the node that it was sent to believed from 5 s before, in order of time.

--- a/source/cli/cli.cc
+++ b/source/cli/cli.cc
@@ -4,6 +4,7 @@
 
 #include "source/cli/cli_context.h"
 #include "source/cli/config_commands.h"
+#include "source/cli/explain_command.h"
 #include "source/cli/history_command.h"
 #include "source/cli/operator_commands.h"
 #include "source/core/settings/near_miss.h"
@@ -98,6 +99,15 @@
        {"once-only", "partial"},
        "check journals of all processes of one run against the promises",
        runCheckHistory},
+      {"explain",
+       "ID FILES",
+       2,
+       kAnyNumber,
+       false,
+       false,
+       {},
+       "show a request's way through logs of routers, one file a node, each named after its node",
+       runExplain},
   };
   return rows;
 }
--- /dev/null
+++ b/source/cli/explain_command.cc
@@ -0,0 +1,65 @@
+#include "source/cli/explain_command.h"
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "source/core/operators/request_trace.h"
+
+namespace shedlever {
+
+namespace {
+
+void readLog(const std::string& path, std::vector<LogLine>& lines, Findings& findings) {
+  std::ifstream file(path);
+  if (!file) {
+    findings.add(path, "can't be read.");
+    return;
+  }
+  const std::string node = std::filesystem::path(path).stem().string();
+  std::string text;
+  while (std::getline(file, text)) {
+    if (auto line = parseLogLine(node, text)) {
+      lines.push_back(std::move(*line));
+    }
+  }
+}
+
+std::string otherFields(const LogLine& line) {
+  std::string text;
+  for (const auto& [key, value] : line.fields) {
+    if (key != "event" && key != "at_ms" && key != "t_us") {
+      text += (text.empty() ? "" : " ") + key + "=" + value;
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+ExitCode runExplain(CliContext& context) {
+  Findings findings;
+  std::vector<LogLine> lines;
+  for (std::size_t i = 1; i < context.words.size(); ++i) {
+    readLog(context.words[i], lines, findings);
+  }
+  if (!findings.empty()) {
+    return failWith(context, findings);
+  }
+  const std::string& id = context.words.front();
+  const std::vector<TraceStep> steps = traceRequest(lines, id);
+  if (steps.empty()) {
+    context.err << "no line has the id " << id
+                << ": it was served and its line left out, or its node's log is missing\n";
+    return ExitCode::Failed;
+  }
+  TextTable table({"at_ms", "node", "event", "what"});
+  for (const TraceStep& step : steps) {
+    table.add({std::to_string(step.line.at_ms), step.line.node, step.line.part + " " + step.line.event,
+               step.meaning.empty() ? otherFields(step.line) : step.meaning});
+  }
+  print(context, table);
+  return ExitCode::Done;
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/operators/request_trace.cc
@@ -0,0 +1,133 @@
+#include "source/core/operators/request_trace.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+
+namespace shedlever {
+
+namespace {
+
+/// Changes of belief so long before a request's end may have decided it.
+constexpr std::int64_t kLookBackMs = 5000;
+constexpr std::int64_t kLookAheadMs = 200;
+constexpr std::string_view kRequestPart = "gateway";
+
+struct ReasonMeaning {
+  std::string_view reason;
+  std::string_view meaning;
+};
+
+constexpr std::array<ReasonMeaning, 13> kMeanings = {
+    {{"none", "the server's answer was passed on"},
+     {"overloaded", "the server's queue was too long, or the wait was over; it has not run"},
+     {"wrong-instance", "another life of the server was there; it has not run"},
+     {"not-owner", "the key was another server's by then; it has not run"},
+     {"not-yet-owner", "the key was changing hands; it has not run"},
+     {"draining", "the server was leaving; it has not run"},
+     {"server-refused", "the server said that it had not run it"},
+     {"server-down", "the server, or its node, could not be reached; it has not run"},
+     {"connection-lost", "the connection broke after it was sent; whether it ran is not known"},
+     {"broken-answer", "the server's answer was cut or was not to this request; it may have run"},
+     {"timed-out", "its time was over before an answer came"},
+     {"cancelled", "its client went away"},
+     {"no-instance", "no server of the service was known; it has not run"}}};
+
+std::string meaningOf(const LogLine& line) {
+  const std::string reason = line.field("reason");
+  const auto found = std::find_if(kMeanings.begin(), kMeanings.end(),
+                                  [&reason](const ReasonMeaning& entry) { return entry.reason == reason; });
+  std::string sentence = line.event + " with status " + line.field("status") + " after " + line.field("held_ms") +
+                         " ms: " + std::string(found == kMeanings.end() ? "no reason is told" : found->meaning);
+  if (const std::string node = line.field("node"); !node.empty() && node != "-") {
+    sentence += "; tried last at " + node;
+  }
+  return sentence;
+}
+
+/// Takes one value off the front: a word, or a quoted text.
+std::string takeValue(std::string_view& rest) {
+  std::string value;
+  if (rest.empty() || rest.front() != '"') {
+    const std::size_t end = rest.find(' ');
+    value = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end);
+    return value;
+  }
+  rest.remove_prefix(1);
+  while (!rest.empty() && rest.front() != '"') {
+    if (rest.front() == '\\' && rest.size() > 1) {
+      rest.remove_prefix(1);
+    }
+    value += rest.front();
+    rest.remove_prefix(1);
+  }
+  rest.remove_prefix(std::min<std::size_t>(1, rest.size()));
+  return value;
+}
+
+}  // namespace
+
+std::string LogLine::field(std::string_view name) const {
+  const auto found = fields.find(name);
+  return found == fields.end() ? std::string() : found->second;
+}
+
+std::optional<LogLine> parseLogLine(const std::string& node, std::string_view text) {
+  const std::size_t colon = text.find(": event=");
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  LogLine line;
+  line.node = node;
+  // Whatever stands before the part was put there by who collected the logs.
+  const std::string_view before = text.substr(0, colon);
+  line.part = before.substr(before.rfind(' ') == std::string_view::npos ? 0 : before.rfind(' ') + 1);
+  std::string_view rest = text.substr(colon + 2);
+  while (!rest.empty()) {
+    const std::size_t equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+      break;
+    }
+    std::string key(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    line.fields[std::move(key)] = takeValue(rest);
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+  }
+  line.event = line.field("event");
+  const std::string at = line.field("at_ms");
+  std::from_chars(at.data(), at.data() + at.size(), line.at_ms);
+  return line;
+}
+
+std::vector<TraceStep> traceRequest(const std::vector<LogLine>& lines, const std::string& id) {
+  std::vector<TraceStep> steps;
+  std::set<std::string> nodes;
+  std::int64_t first = 0;
+  std::int64_t last = 0;
+  for (const LogLine& line : lines) {
+    if (line.part != kRequestPart || line.field("id") != id) {
+      continue;
+    }
+    first = steps.empty() ? line.at_ms : std::min(first, line.at_ms);
+    last = std::max(last, line.at_ms);
+    nodes.insert(line.node);
+    nodes.insert(line.field("node"));
+    steps.push_back({line, meaningOf(line)});
+  }
+  if (steps.empty()) {
+    return steps;
+  }
+  for (const LogLine& line : lines) {
+    const bool near = line.at_ms >= first - kLookBackMs && line.at_ms <= last + kLookAheadMs;
+    if (line.part != kRequestPart && near && nodes.contains(line.node)) {
+      steps.push_back({line, {}});
+    }
+  }
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const TraceStep& left, const TraceStep& right) { return left.line.at_ms < right.line.at_ms; });
+  return steps;
+}
+
+}  // namespace shedlever
--- a/test/cli/operator_commands_test.cc
+++ b/test/cli/operator_commands_test.cc
@@ -127,5 +127,18 @@
   EXPECT_EQ(bench.run("check-history " + bench.file("broken", "{")).code, ExitCode::Findings);
 }
 
+TEST(OperatorCommands, ExplainShowsARequestsWay) {
+  CliBench bench;
+  const std::string a = bench.file(
+      "a", "gateway: event=refused at_ms=10000 t_us=1 id=r1 status=503 node=b reason=overloaded held_ms=2\n");
+  const std::string b = bench.file("b", "server: event=silent at_ms=9000 t_us=1 instance=i-1\n");
+  const CommandResultText result = bench.run("explain r1 " + a + " " + b);
+  EXPECT_EQ(result.code, ExitCode::Done);
+  EXPECT_NE(result.out.find("the server's queue was too long"), std::string::npos) << result.out;
+  EXPECT_NE(result.out.find("server silent"), std::string::npos) << result.out;
+  EXPECT_EQ(bench.run("explain r9 " + a).code, ExitCode::Failed);
+  EXPECT_EQ(bench.run("explain r1 nowhere.log").code, ExitCode::Findings);
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/router/peer_links_test.cc
+++ b/test/router/peer_links_test.cc
@@ -21,7 +21,7 @@
 
   void knowNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
-    record.node = kNode;
+    record.node = node_;
     record.peer = endpoint;
     record.service = ServiceName("s");
     record.instance = InstanceId("i-1");
@@ -33,12 +33,12 @@
     frame.kind = kind;
     frame.remaining_us = Duration(std::chrono::seconds(20)).count();
     std::optional<ForwardReplyFrame> reply;
-    links_.forward(kNode, frame, [&reply](ForwardReplyFrame told) { reply = std::move(told); });
+    links_.forward(node_, frame, [&reply](ForwardReplyFrame told) { reply = std::move(told); });
     EXPECT_TRUE(loop_.runUntil([&reply] { return reply.has_value(); }, kTestCap));
     return reply.value_or(ForwardReplyFrame{});
   }
 
-  const NodeName kNode{"other"};
+  const NodeName node_{"other"};
   EventLoop loop_;
   BootClockImpl clock_;
   SeededRandom random_{1};
@@ -54,7 +54,7 @@
   const ForwardReplyFrame reply = forward(RouteKind::Idempotent);
   EXPECT_EQ(reply.outcome, ForwardOutcome::Unknown);
   EXPECT_EQ(reply.reason, ForwardReason::ConnectionLost);
-  EXPECT_TRUE(directory_.isUnreachable(kNode));
+  EXPECT_TRUE(directory_.isUnreachable(node_));
 }
 
 TEST_F(PeerLinksTest, OnceOnlyRequestAtASilentNodeIsNeverCalledNotRun) {
@@ -67,7 +67,7 @@
   knowNodeAt(closedEndpoint(loop_));
   const ForwardReplyFrame reply = forward(RouteKind::OnceOnly);
   EXPECT_EQ(reply.outcome, ForwardOutcome::NotRun);
-  EXPECT_TRUE(directory_.isUnreachable(kNode));
+  EXPECT_TRUE(directory_.isUnreachable(node_));
 }
 
 TEST_F(PeerLinksTest, RequestToAnUnknownNodeHasNotRun) {
