--- a/source/cli/explain_command.cc
+++ b/source/cli/explain_command.cc
@@ -28,9 +28,11 @@
 std::string otherFields(const LogLine& line) {
   std::string text;
   for (const auto& [key, value] : line.fields) {
-    if (key != "event" && key != "at_ms" && key != "t_us") {
-      text += (text.empty() ? "" : " ") + key + "=" + value;
+    if (key == "event" || key == "at_ms" || key == "t_us") {
+      continue;
     }
+    text += text.empty() ? "" : " ";
+    text.append(key).append("=").append(value);
   }
   return text;
 }
