--- /dev/null
+++ b/test/support/fake_metadata_store.cc
@@ -0,0 +1,142 @@
+#include "test/support/fake_metadata_store.h"
+
+#include <utility>
+
+namespace shedlever::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kStoreDelay = milliseconds(4);
+constexpr Duration kCallTimeout = milliseconds(1200);
+
+}  // namespace
+
+// Time.
+
+void VirtualTime::after(Duration delay, std::function<void()> event) {
+  events_.push({now_ + delay, ++last_number_, std::move(event)});
+}
+
+void VirtualTime::runFor(Duration span, const std::function<void()>& after_each) {
+  const TimePoint end = now_ + span;
+  while (!events_.empty() && events_.top().at <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.run();
+    after_each();
+  }
+  now_ = end;
+}
+
+// The store.
+
+StoreAnswer StoreState::get(const std::string& kind, const std::string& name) const {
+  const auto found = objects_.find({kind, name});
+  return found == objects_.end() ? StoreAnswer{StoreStatus::Absent, {}} : StoreAnswer{StoreStatus::Done, found->second};
+}
+
+StoreAnswer StoreState::create(const std::string& kind, const MetadataObject& object) {
+  const auto [place, is_new] = objects_.try_emplace({kind, object.name}, object);
+  if (!is_new) {
+    return {StoreStatus::Conflict, place->second};
+  }
+  place->second.revision = ++revision_;
+  return {StoreStatus::Done, place->second};
+}
+
+StoreAnswer StoreState::replace(const std::string& kind, const MetadataObject& object) {
+  const auto found = objects_.find({kind, object.name});
+  if (found == objects_.end()) {
+    return {StoreStatus::Absent, {}};
+  }
+  if (object.revision != 0 && object.revision != found->second.revision) {
+    return {StoreStatus::Conflict, found->second};
+  }
+  found->second.value = object.value;
+  found->second.revision = ++revision_;
+  return {StoreStatus::Done, found->second};
+}
+
+StoreListing StoreState::list(const std::string& kind) const {
+  StoreListing listing{true, revision_, {}};
+  for (const auto& [place, object] : objects_) {
+    if (place.first == kind) {
+      listing.objects.push_back(object);
+    }
+  }
+  return listing;
+}
+
+bool FakeMetadataStore::happens(double chance) {
+  constexpr std::uint64_t kSteps = 10000;
+  return static_cast<double>(random_.below(kSteps)) < chance * static_cast<double>(kSteps);
+}
+
+void FakeMetadataStore::get(const std::string& kind, const std::string& name, AnswerCallback done) {
+  const bool down = faults.down;
+  time_.after(down ? kCallTimeout : kStoreDelay, [this, down, kind, name, done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done(down ? StoreAnswer{} : state_.get(kind, name));
+    }
+  });
+}
+
+void FakeMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
+  const auto unanswered = [this, done, alive_now = alive] {
+    time_.after(kCallTimeout, [done, alive_now] {
+      if (*alive_now) {
+        done({});
+      }
+    });
+  };
+  if (faults.down) {
+    unanswered();
+    return;
+  }
+  if (happens(faults.late)) {
+    const auto delay = milliseconds(1000 + random_.below(5000));
+    time_.after(delay, [apply] { apply(); });
+    unanswered();
+    return;
+  }
+  if (happens(faults.lost)) {
+    time_.after(kStoreDelay, [apply] { apply(); });
+    unanswered();
+    return;
+  }
+  time_.after(kStoreDelay, [apply, done, alive_now = alive] {
+    const StoreAnswer answer = apply();
+    if (*alive_now) {
+      done(answer);
+    }
+  });
+}
+
+void FakeMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+  write([this, kind, object] { return state_.create(kind, object); }, done);
+}
+
+void FakeMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+  write([this, kind, object] { return state_.replace(kind, object); }, done);
+}
+
+void FakeMetadataStore::list(const std::string& kind, ListCallback done) {
+  time_.after(kStoreDelay, [this, kind, done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done(faults.down ? StoreListing{} : state_.list(kind));
+    }
+  });
+}
+
+void FakeMetadataStore::watch(const std::string&, StoreRevision, Duration wait, WatchCallback done) {
+  time_.after(wait, [done = std::move(done), alive_now = alive] {
+    if (*alive_now) {
+      done({});
+    }
+  });
+}
+
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/support/fake_metadata_store.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// @file
+/// A metadata store on virtual time that fails as told, and the time and random numbers that it runs on.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "shedlever/metadata_store.h"
+
+namespace shedlever::test {
+
+/// Virtual time with events in its order.
+class VirtualTime final : public Clock {
+ public:
+  TimePoint now() const override { return now_; }
+  void after(Duration delay, std::function<void()> event);
+  void runFor(Duration span, const std::function<void()>& after_each);
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t number = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+  };
+
+  TimePoint now_ = TimePoint(std::chrono::seconds(100));
+  std::uint64_t last_number_ = 0;
+  std::priority_queue<Event> events_;
+};
+
+class SeededRandom final : public RandomSource {
+ public:
+  explicit SeededRandom(std::uint64_t seed) : generator_(seed) {}
+  std::uint64_t next() override { return generator_(); }
+
+ private:
+  std::mt19937_64 generator_;
+};
+
+/// The metadata store's contents, linearizable.
+class StoreState {
+ public:
+  StoreAnswer get(const std::string& kind, const std::string& name) const;
+  StoreAnswer create(const std::string& kind, const MetadataObject& object);
+  StoreAnswer replace(const std::string& kind, const MetadataObject& object);
+  StoreListing list(const std::string& kind) const;
+  StoreRevision revision() const { return revision_; }
+
+ private:
+  StoreRevision revision_ = 0;
+  std::map<std::pair<std::string, std::string>, MetadataObject> objects_;
+};
+
+/// How calls from one node to the store go.
+struct StoreFaults {
+  bool down = false;
+  /// Chance that a write is done and its answer lost.
+  double lost = 0;
+  /// Chance that a write is done up to some seconds later, without an answer.
+  double late = 0;
+};
+
+/// One node's way to the store.
+class FakeMetadataStore final : public MetadataStore {
+ public:
+  FakeMetadataStore(VirtualTime& time, StoreState& state, SeededRandom& random)
+      : time_(time), state_(state), random_(random) {}
+
+  StoreFaults faults;
+  /// False once its node is dead: nothing is told any more.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  void get(const std::string& kind, const std::string& name, AnswerCallback done) override;
+  void create(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
+  void replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
+  void list(const std::string& kind, ListCallback done) override;
+  void watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) override;
+
+ private:
+  void write(std::function<StoreAnswer()> apply, const AnswerCallback& done);
+  bool happens(double chance);
+
+  VirtualTime& time_;
+  StoreState& state_;
+  SeededRandom& random_;
+};
+
+}  // namespace shedlever::test
