--- a/include/shedlever/identifiers.h
+++ b/include/shedlever/identifiers.h
@@ -77,24 +77,6 @@
   }
 };
 
-/// Fencing token: the epoch of the control group and the log index of the assignment. Strictly growing
-/// over all assignments of a cell; a server that has seen one refuses all lower ones.
-struct Token {
-  std::uint64_t epoch = 0;
-  std::uint64_t index = 0;
-  auto operator<=>(const Token&) const = default;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(epoch, index);
-  }
-};
-
-/// @return "epoch.index", as headers and logs show a token.
-inline std::string toString(const Token& token) {
-  return std::to_string(token.epoch) + "." + std::to_string(token.index);
-}
-
 /// @return "address:port".
 inline std::string toString(const Endpoint& endpoint) { return endpoint.address + ":" + std::to_string(endpoint.port); }
 
--- a/include/shedlever/metadata_store.h
+++ b/include/shedlever/metadata_store.h
@@ -73,6 +73,9 @@
   virtual void create(const std::string& kind, const MetadataObject& object, AnswerCallback done) = 0;
   /// Replaces the value if the object still has `object.revision`; any revision if that is 0.
   virtual void replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) = 0;
+  /// Removes the object if it still has that revision.
+  virtual void remove(const std::string& kind, const std::string& name, StoreRevision revision,
+                      AnswerCallback done) = 0;
   virtual void list(const std::string& kind, ListCallback done) = 0;
   /// Waits once for changes of a kind after a revision, for `wait` at most.
   virtual void watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) = 0;
--- a/include/shedlever/object_store.h
+++ b/include/shedlever/object_store.h
@@ -1,12 +1,11 @@
 #pragma once
 
 /// @file
-/// The platform's object API: named values with versions and watches. It bears few readers, may be slow
-/// or down for long, and may apply a write whose answer is lost.
+/// Named texts with versions, as operators' commands see the metadata store. It may be slow or down for long, and may
+/// apply a write whose answer is lost.
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -55,18 +54,6 @@
   ObjectVersion version = 0;
 };
 
-/// A change of one object as a watch tells it. May come late, twice, or out of order after a reconnect.
-struct ObjectEvent {
-  bool deleted = false;
-  StoredObject object;
-};
-
-/// A running watch; destroying it ends the watch.
-class Watch {
- public:
-  virtual ~Watch() = default;
-};
-
 /// Asynchronous client of the store. Callbacks run on the caller's event loop, exactly once, never
 /// inside the call that started them, and not after the client is destroyed.
 class ObjectStore {
@@ -82,11 +69,6 @@
 
   /// @param prefix names that begin with it are listed.
   virtual void list(const std::string& prefix, std::function<void(const ListResult&)> done) = 0;
-
-  /// Reports changes after `after`, reconnecting by itself.
-  /// @param on_event runs for each change, until the returned watch is destroyed.
-  virtual std::unique_ptr<Watch> watch(const std::string& prefix, ObjectVersion after,
-                                       std::function<void(const ObjectEvent&)> on_event) = 0;
 };
 
 }  // namespace shedlever
--- a/include/shedlever/outcome.h
+++ b/include/shedlever/outcome.h
@@ -27,20 +27,15 @@
   Overloaded,             ///< the server sheds load
   NoOwner,                ///< no server owns the key at the moment
   NotOwner,               ///< the server asked is not, or no longer, the owner ("moved")
-  StaleToken,             ///< the request carries a lower token than the server has seen
-  LeaseLapsed,            ///< the owner's lease is not valid
   Draining,               ///< the server takes no new work because it is leaving
   ServerUnavailable,      ///< no server of the service can be reached
-  ServerFrozen,           ///< the server makes no progress on work in hand
   ConnectionLost,         ///< the connection broke after the request was sent
   BadReply,               ///< the reply was cut, crossed or malformed
   Cancelled,              ///< the caller went away
   DuplicateInProgress,    ///< once-only: the same idempotency key is running
   DuplicateUnknown,       ///< once-only: the same key ran earlier and its outcome is unknown
-  ClaimsFull,             ///< once-only: no room to record another claim
   ClaimUnavailable,       ///< once-only: the claim could not be committed in time
   MissingIdempotencyKey,  ///< once-only: the request carries no idempotency key
-  RetryBudgetSpent,       ///< could be tried again but the tenant's budget is spent
   ShuttingDown,           ///< this process is stopping
 };
 
--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -1,26 +1,76 @@
 #pragma once
 
 /// @file
-/// What the router needs to be told in the platform's words and to say in them. Each adapter of a platform implements
-/// these; nothing else knows its names.
+/// What the router needs to be told in others' words and to say in them: by clients, by servers, by the store that
+/// holds the configuration. Each adapter implements these; nothing else knows its names.
 
+#include <functional>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "shedlever/errors.h"
+#include "shedlever/http_messages.h"
+#include "shedlever/metadata_store.h"
+#include "shedlever/outcome.h"
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/server_orders.h"
 
 namespace shedlever {
 
+/// Makes a call to the store; the answer is none when there was none.
+using StoreCaller =
+    std::function<void(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done)>;
+
+/// @return the store over calls made by `caller`.
+using StoreFactory = std::function<std::unique_ptr<MetadataStore>(StoreCaller caller)>;
+
 /// What a client's request says of itself.
 struct ClientRequestInfo {
-  RequestId id;
+  /// Why the request can't be taken; None if it can.
+  Reason refusal = Reason::None;
   /// How long the client will wait; none if it did not say.
   std::optional<Duration> time_left;
   /// The key that the request is about, for services that are divided by key.
   std::optional<Key> key;
+  /// Whose request it is; no name where clients are not told apart.
+  TenantShare tenant;
+  /// Requests with the same one run once; empty: none.
+  IdempotencyKey idempotency_key;
+};
+
+/// A request that is given up, as its client is to be told.
+struct Refusal {
+  RequestId id;
+  /// NotRun or Unknown.
+  Outcome outcome = Outcome::NotRun;
+  Reason reason = Reason::None;
+  /// When to come back; zero when nothing is known.
+  Duration retry_after = Duration::zero();
+};
+
+/// How clients speak.
+class ClientProtocol {
+ public:
+  virtual ~ClientProtocol() = default;
+
+  /// @return the id that the client gave the request; empty if the router is to give it one.
+  virtual RequestId idOf(const HttpRequest& request) const = 0;
+
+  /// @param service that the request goes to; null when the configuration does not describe it.
+  virtual ClientRequestInfo read(const HttpRequest& request, const Route& route,
+                                 const RoutedService* service) const = 0;
+
+  /// Takes out of a request what was meant for the router alone.
+  virtual void strip(HttpRequest& request) const = 0;
+
+  /// @return the final answer to a request that is given up.
+  virtual HttpResponse refusal(const Refusal& refusal) const = 0;
+
+  /// Makes a server's answer the client's.
+  virtual void complete(HttpResponse& answer, const RequestId& id) const = 0;
 };
 
 /// How a server's whole answer is to be taken.
@@ -32,17 +82,25 @@
   Broken,         ///< can't be the server's answer to this request
 };
 
-/// Requests, from clients and to servers.
-class RequestProtocol {
- public:
-  virtual ~RequestProtocol() = default;
+/// What a request tells its server beside what its client sent.
+struct ServerRequestHead {
+  RequestId id;
+  /// The life of the server that is meant.
+  InstanceId instance;
+  /// What is left of the request's time.
+  Duration remaining{};
+  /// Service of the machine where the request began.
+  ServiceName caller;
+  std::optional<Key> key;
+};
 
-  virtual ClientRequestInfo readClientRequest(const HttpRequest& request) const = 0;
+/// How servers speak.
+class ServerProtocol {
+ public:
+  virtual ~ServerProtocol() = default;
 
   /// Replaces the headers that only the router sets.
-  /// @param remaining what is left of the request's time.
-  virtual void dress(HttpRequest& request, const InstanceId& instance, Duration remaining,
-                     const ServiceName& caller) const = 0;
+  virtual void dress(HttpRequest& request, const ServerRequestHead& head) const = 0;
 
   /// @param id of the request that the answer should belong to.
   virtual AnswerKind classify(const HttpResponse& answer, const RequestId& id, const InstanceId& expected,
@@ -81,14 +139,19 @@
   virtual bool asksReadiness(const HttpRequest& request) const = 0;
 };
 
+/// Objects of one kind by name.
+using ObjectsByName = std::map<std::string, MetadataObject>;
+
 /// Where operators' configuration lies in the metadata store, and how to read it.
 class ConfigProtocol {
  public:
   virtual ~ConfigProtocol() = default;
   virtual std::string kind() const = 0;
-  virtual std::string name() const = 0;
+  /// @return whether the object of that name is a part of the configuration.
+  virtual bool isPart(const std::string& name) const = 0;
+  /// @param parts all parts known.
   /// @return the configuration, or Findings.
-  virtual leaf::result<RouterConfig> decode(const std::string& text) const = 0;
+  virtual leaf::result<RouterConfig> decode(const ObjectsByName& parts) const = 0;
 };
 
 }  // namespace shedlever
--- a/include/shedlever/router_config.h
+++ b/include/shedlever/router_config.h
@@ -7,10 +7,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "shedlever/identifiers.h"
+#include "shedlever/settings.h"
 #include "shedlever/time.h"
 
 namespace shedlever {
@@ -38,6 +40,7 @@
 
 struct Route {
   std::string name;
+  /// Empty: any host.
   std::string host;
   /// Begins and ends with a slash.
   std::string path_prefix;
@@ -51,6 +54,8 @@
   std::uint32_t max_attempts = 1;
   /// At least one.
   std::vector<ServiceShare> shares;
+  /// Whether each request must carry an idempotency key, under which it runs once.
+  bool needs_idempotency_key = false;
 };
 
 struct RoutedService {
@@ -60,6 +65,8 @@
   std::uint32_t max_connections = 1;
   /// Whether each key is held by one server alone.
   bool divided_by_key = false;
+  /// What the product's own settings say of the service; null where they do not rule.
+  std::shared_ptr<const ServiceSettings> settings;
 };
 
 /// What a client may send, and how long it may take.
--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -8,8 +8,9 @@
 #include <variant>
 #include <vector>
 
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
+#include "shedlever/outcome.h"
 #include "shedlever/router_config.h"
 
 namespace shedlever {
@@ -24,6 +25,21 @@
 inline constexpr std::uint32_t kKeyCount = 65536;
 using Key = std::uint16_t;
 
+/// A tenant's part in the queue of a server.
+struct TenantShare {
+  /// Empty: tenants are not told apart.
+  TenantName name;
+  /// Share of the queue, relative to the other tenants.
+  std::uint32_t weight = 1;
+  /// Requests of the tenant that may wait at one server; 0: no limit.
+  std::uint32_t queue_limit = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, weight, queue_limit);
+  }
+};
+
 /// A request for the server beside the receiving process.
 struct ForwardFrame {
   ExchangeId exchange = 0;
@@ -39,11 +55,12 @@
   Duration::rep target_us = 0;
   /// The service of the machine where the request began.
   ServiceName caller;
+  TenantShare tenant;
   HttpRequest http;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, id, instance, kind, priority, keyed, key, remaining_us, target_us, caller, http);
+    archive(exchange, id, instance, kind, priority, keyed, key, remaining_us, target_us, caller, tenant, http);
   }
 };
 
@@ -57,6 +74,7 @@
 enum class ForwardReason : std::uint8_t {
   None,
   Overloaded,      ///< the queue is too long
+  QueueFull,       ///< as many of the tenant's requests wait as may
   WrongInstance,   ///< another life of the server, or none
   NotOwner,        ///< the key is not held here
   NotYetOwner,     ///< the key comes here, its grant is under way
@@ -76,15 +94,21 @@
 /// @return a word for logs and metrics.
 const char* toString(ForwardReason reason);
 
+/// @return what a client is told.
+Reason reasonOf(ForwardReason reason);
+
 /// Work at one server as its process counts it.
 struct ServerLoad {
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
   std::uint32_t slots = 0;
+  /// How long large answers that are under way keep the machine's link busy, in milliseconds; 0 where the link is
+  /// never the limit.
+  std::uint32_t link_ms = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(running, queued, slots);
+    archive(running, queued, slots, link_ms);
   }
 };
 
@@ -139,6 +163,19 @@
   }
 };
 
+/// A piece of a large reply frame. The pieces of one reply come in order, with other frames between them.
+struct ReplyPartFrame {
+  ExchangeId exchange = 0;
+  /// Bytes of the encoded reply frame.
+  std::string bytes;
+  bool last = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, bytes, last);
+  }
+};
+
 /// The client went away, or its time is over.
 struct CancelForwardFrame {
   ExchangeId exchange = 0;
@@ -224,7 +261,7 @@
 
 /// What the sender has read from the store, for a process that has started while the store can't be reached.
 struct StateFrame {
-  ObjectCopy config;
+  std::vector<ObjectCopy> config;
   std::vector<ObjectCopy> shared;
   /// What is left for sure of the lease that the receiver's node had before; 0 when nothing is known.
   Duration::rep lease_left_us = 0;
@@ -270,8 +307,8 @@
   void serialize(Archive&) {}
 };
 
-using RouterFrame =
-    std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, SettleFrame,
-                 SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, StateFrame, PingFrame, PongFrame>;
+using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
+                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
+                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame>;
 
 }  // namespace shedlever
--- /dev/null
+++ b/soak/local_deployment.cc
@@ -0,0 +1,144 @@
+#include "soak/local_deployment.h"
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace shedlever::soak {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Ports below those that the kernel gives to connecting sockets: a process that is restarted must find its port free.
+constexpr std::uint16_t kFirstPort = 15000;
+constexpr std::uint16_t kPorts = 15000;
+constexpr Duration kStoreStart = milliseconds(200);
+
+/// @return an endpoint that was free a moment ago.
+Endpoint freeEndpoint(EventLoop& loop, std::mt19937_64& random) {
+  while (true) {
+    Endpoint endpoint{"127.0.0.1", static_cast<std::uint16_t>(kFirstPort + random() % kPorts)};
+    const bool is_free = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(TcpListener::open(loop, endpoint, [](evutil_socket_t, const Endpoint&) {}));
+          return true;
+        },
+        [] { return false; });
+    if (is_free) {
+      return endpoint;
+    }
+  }
+}
+
+template <class Value>
+std::unique_ptr<Value> orNull(leaf::result<std::unique_ptr<Value>> result) {
+  return result ? std::move(result.value()) : nullptr;
+}
+
+bool endedByItself(const test::ChildEnd& end) { return end.status != 0 && end.signal != SIGKILL; }
+
+}  // namespace
+
+LocalDeployment::LocalDeployment(EventLoop& loop, LocalDeploymentConfig config)
+    : loop_(loop), config_(std::move(config)), random_(config_.seed) {}
+
+LocalDeployment::~LocalDeployment() = default;
+
+void LocalDeployment::runFor(Duration span) {
+  loop_.runUntil([] { return false; }, span);
+}
+
+void LocalDeployment::startStore() {
+  store_endpoint_ = freeEndpoint(loop_, random_);
+  store_ =
+      orNull(test::ChildProcess::start({config_.binaries + "/standin-metadata",
+                                        {"--listen", toString(store_endpoint_), "--seed", std::to_string(config_.seed)},
+                                        logOf("store")}));
+  runFor(kStoreStart);
+}
+
+LocalNode& LocalDeployment::addNode(const std::string& service, bool divided) {
+  nodes_.push_back(std::make_unique<LocalNode>());
+  LocalNode& node = *nodes_.back();
+  node.name = "node-" + std::to_string(nodes_.size() - 1);
+  node.divided = divided;
+  node.service = service;
+  for (Endpoint* endpoint : {&node.clients, &node.peers, &node.readiness, &node.reports, &node.server}) {
+    *endpoint = freeEndpoint(loop_, random_);
+  }
+  node.settings_file = config_.folder + "/" + node.name + ".json";
+  node.server_log = logOf(node.name + "-server");
+  node.store_link = orNull(FaultProxy::listen(loop_, store_endpoint_));
+  node.peer_link = orNull(FaultProxy::listen(loop_, node.peers));
+  startServer(node);
+  startRouter(node);
+  return node;
+}
+
+void LocalDeployment::startRouter(LocalNode& node) {
+  const json settings = {
+      {"interface", config_.interface_kind},
+      {"node", {{"name", node.name}, {"zone", "z"}, {"service", node.service}}},
+      {"listen",
+       {{"clients", toString(node.clients)},
+        {"peers", toString(node.peers)},
+        {"peers_reached_at", toString(node.peer_link->endpoint())},
+        {"readiness", toString(node.readiness)},
+        {"reports", toString(node.reports)}}},
+      {"connect", {{"server", toString(node.server)}, {"store", toString(node.store_link->endpoint())}}},
+      {"retry", {{"ratio", 0.2}, {"slack", 50}}},
+      {"stop", {{"grace", "4s"}, {"clients_leave", "1s"}}}};
+  std::ofstream(node.settings_file) << settings.dump(1);
+  node.router_process = orNull(test::ChildProcess::start(
+      {config_.binaries + "/shedleverd", {"--settings", node.settings_file}, logOf(node.name)}));
+}
+
+void LocalDeployment::startServer(LocalNode& node) {
+  std::vector<std::string> arguments = {"--listen",     toString(node.server),
+                                        "--reports-to", toString(node.reports),
+                                        "--service",    node.service,
+                                        "--log",        node.server_log,
+                                        "--work-ms",    std::to_string(config_.work_ms),
+                                        "--seed",       std::to_string(random_())};
+  if (node.divided) {
+    arguments.emplace_back("--divided");
+  }
+  node.server_process = orNull(test::ChildProcess::start(
+      {config_.binaries + "/standin-keys", arguments, config_.folder + "/" + node.name + "-server.out"}));
+}
+
+std::vector<std::string> LocalDeployment::keepRunning() {
+  std::vector<std::string> ends;
+  for (const auto& node : nodes_) {
+    if (node->router_process) {
+      if (const auto end = node->router_process->poll()) {
+        if (endedByItself(*end)) {
+          ends.push_back(node->name + ": router ended by itself, status " + std::to_string(end->status) + ", signal " +
+                         std::to_string(end->signal));
+        }
+        node->router_process.reset();
+      }
+    }
+    if (!node->router_process && node->router_wanted) {
+      startRouter(*node);
+    }
+    if (node->server_process && node->server_process->poll()) {
+      node->server_process.reset();
+    }
+    if (!node->server_process && node->server_wanted) {
+      startServer(*node);
+    }
+  }
+  return ends;
+}
+
+int LocalDeployment::runProgram(const std::string& program, const std::vector<std::string>& arguments, Duration cap) {
+  const auto child = orNull(test::ChildProcess::start({config_.binaries + "/" + program, arguments, logOf(program)}));
+  const auto end = child ? child->waitForEnd(loop_, cap) : std::nullopt;
+  return end ? end->status : -1;
+}
+
+}  // namespace shedlever::soak
--- /dev/null
+++ b/soak/local_deployment.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// @file
+/// One deployment of real processes on loopback: the store, and nodes of a server with a router beside it.
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "soak/fault_proxy.h"
+#include "test/support/child_process.h"
+
+namespace shedlever::soak {
+
+struct LocalDeploymentConfig {
+  std::uint64_t seed = 1;
+  /// Where the programs are.
+  std::string binaries;
+  /// For settings and logs; exists.
+  std::string folder;
+  /// "shedlever" or "platform".
+  std::string interface_kind = "platform";
+  unsigned work_ms = 20;
+};
+
+/// A router, the server beside it, and the proxies on the router's links.
+struct LocalNode {
+  std::string name;
+  std::string service;
+  /// Whether the service is divided by key.
+  bool divided = false;
+  Endpoint clients;
+  Endpoint peers;
+  Endpoint readiness;
+  Endpoint reports;
+  Endpoint server;
+  std::string settings_file;
+  std::string server_log;
+  std::unique_ptr<FaultProxy> store_link;
+  std::unique_ptr<FaultProxy> peer_link;
+  /// Null while the process does not run.
+  std::unique_ptr<test::ChildProcess> router_process;
+  std::unique_ptr<test::ChildProcess> server_process;
+  /// Whether it is started again when it has ended.
+  bool router_wanted = true;
+  bool server_wanted = true;
+};
+
+class LocalDeployment {
+ public:
+  LocalDeployment(EventLoop& loop, LocalDeploymentConfig config);
+  ~LocalDeployment();
+  LocalDeployment(const LocalDeployment&) = delete;
+  LocalDeployment& operator=(const LocalDeployment&) = delete;
+
+  void startStore();
+  /// Starts a node's server and router.
+  LocalNode& addNode(const std::string& service, bool divided);
+
+  /// Starts again what has ended and is wanted.
+  /// @return how routers ended that nobody told to end, in words.
+  std::vector<std::string> keepRunning();
+
+  /// Runs a program to its end.
+  /// @return its exit status; -1 when a signal or the cap ended it.
+  int runProgram(const std::string& program, const std::vector<std::string>& arguments, Duration cap);
+
+  void runFor(Duration span);
+
+  const Endpoint& store() const { return store_endpoint_; }
+  std::vector<std::unique_ptr<LocalNode>>& nodes() { return nodes_; }
+  const LocalDeploymentConfig& config() const { return config_; }
+
+ private:
+  void startRouter(LocalNode& node);
+  void startServer(LocalNode& node);
+  std::string logOf(const std::string& name) const { return config_.folder + "/" + name + ".log"; }
+
+  EventLoop& loop_;
+  LocalDeploymentConfig config_;
+  std::mt19937_64 random_;
+  Endpoint store_endpoint_;
+  std::unique_ptr<test::ChildProcess> store_;
+  std::vector<std::unique_ptr<LocalNode>> nodes_;
+};
+
+}  // namespace shedlever::soak
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -47,7 +47,7 @@
     EventLoop loop;
     soak::SoakWorld world(loop, config);
     const std::vector<std::string> broken = world.run();
-    const soak::CheckCounts counts = world.checks().counts();
+    const check::CheckCounts counts = world.checks().counts();
     std::cout << "seed " << config.seed << ": " << (broken.empty() ? "kept" : "BROKEN")
               << " requests=" << counts.requests << " served=" << counts.served << " refused=" << counts.refused
               << " unanswered=" << counts.unanswered << " runs=" << counts.runs << " grants=" << counts.grants
--- a/source/cli/cli.cc
+++ b/source/cli/cli.cc
@@ -5,7 +5,6 @@
 #include "source/cli/cli_context.h"
 #include "source/cli/config_commands.h"
 #include "source/cli/explain_command.h"
-#include "source/cli/history_command.h"
 #include "source/cli/operator_commands.h"
 #include "source/core/settings/near_miss.h"
 
@@ -78,27 +77,9 @@
        "versions of a document, with who made them",
        runConfigHistory},
       {"config reference", "", 0, 0, false, false, {}, "all settings, as in docs/SETTINGS.md", runConfigReference},
-      {"status", "", 0, 0, false, true, {"operator"}, "daemons, servers and settings in force", runStatus},
-      {"owners", "", 0, 0, false, true, {"operator"}, "owner, token and durability of each slice", runOwners},
-      {"plan", "", 0, 0, false, true, {"operator"}, "the moves that the planner would make now", runPlan},
-      {"drain",
-       "[SERVER]",
-       0,
-       1,
-       false,
-       true,
-       {"operator"},
-       "empty a server; without SERVER the daemon named by --operator drains itself",
-       runDrain},
-      {"check-history",
-       "FILES",
-       1,
-       kAnyNumber,
-       false,
-       false,
-       {"once-only", "partial"},
-       "check journals of all processes of one run against the promises",
-       runCheckHistory},
+      {"status", "", 0, 0, false, true, {"operator"}, "what the routers named tell of themselves", runStatus},
+      {"owners", "", 0, 0, false, true, {"operator"}, "ranges of keys that the routers named own", runOwners},
+      {"drain", "", 0, 0, false, true, {"operator"}, "empty the server beside the router named", runDrain},
       {"explain",
        "ID FILES",
        2,
--- a/source/cli/cli_arguments.cc
+++ b/source/cli/cli_arguments.cc
@@ -20,10 +20,10 @@
   po::options_description options("Options");
   const auto text = [](const char* name) { return po::value<Texts>()->value_name(name); };
   auto add = options.add_options();
-  add("platform", text("IP:PORT"), "the platform's object API");
-  add("operator", text("IP:PORT"), "operator endpoint of a daemon; any will do, may be given more than once");
+  add("platform", text("IP:PORT"), "the metadata store");
+  add("operator", text("IP:PORT"), "readiness endpoint of a router; may be given more than once");
   add("json", "print JSON in place of tables");
-  add("wait", "apply: return when every live node has the versions in force");
+  add("wait", "apply: return when every router named has the versions in force");
   add("wait-ms", text("MS"), "apply: give up waiting after about this long (30000)");
   add("base", text("VERSION"), "apply: the version that the file was made from");
   add("author", text("NAME"), "apply: who makes the change (the user's name)");
@@ -31,8 +31,6 @@
   add("save", "apply: write the accepted change into the file, so that the next one starts from it");
   add("effective", "get: every value with its source");
   add("at", text("VERSION"), "get: an earlier version, from the history");
-  add("once-only", text("SERVICE"), "check-history: a service whose requests run at most once; may be repeated");
-  add("partial", "check-history: the journals don't go back to the start of each process");
   add("help", "print this text");
   add("version", "print the version");
   return options;
@@ -53,7 +51,7 @@
 
   void read(const std::string& name, const std::string& value) {
     const bool repeated = std::find(options_.given.begin(), options_.given.end(), name) != options_.given.end();
-    if (repeated && name != "operator" && name != "once-only") {
+    if (repeated && name != "operator") {
       findings_.add("--" + name, "is given a second time.");
     }
     options_.given.push_back(name);
@@ -75,7 +73,6 @@
     options_.wait = options_.wait || name == "wait";
     options_.save = options_.save || name == "save";
     options_.effective = options_.effective || name == "effective";
-    options_.partial = options_.partial || name == "partial";
   }
 
   void readPlace(const std::string& name, const std::string& value) {
@@ -116,8 +113,6 @@
       options_.author = value;
     } else if (name == "change-id") {
       options_.change_id = value;
-    } else if (name == "once-only") {
-      options_.once_only.push_back(value);
     }
   }
 
--- a/source/cli/cli_arguments.h
+++ b/source/cli/cli_arguments.h
@@ -30,10 +30,6 @@
   std::optional<SettingsVersion> at;
   std::string author;
   std::string change_id;
-  /// Services whose requests run at most once.
-  std::vector<std::string> once_only;
-  /// Journals that don't go back to the start.
-  bool partial = false;
   /// Names of the options given, without dashes.
   std::vector<std::string> given;
 };
--- a/source/cli/config_apply.cc
+++ b/source/cli/config_apply.cc
@@ -3,8 +3,8 @@
 #include "source/cli/config_commands.h"
 #include "source/cli/config_report.h"
 #include "source/cli/config_wait.h"
+#include "source/cli/settings_files.h"
 #include "source/core/settings/settings_write.h"
-#include "source/platform/settings_files.h"
 
 namespace shedlever {
 
--- a/source/cli/config_check.cc
+++ b/source/cli/config_check.cc
@@ -1,8 +1,8 @@
 #include "source/cli/config_commands.h"
+#include "source/cli/settings_files.h"
 #include "source/core/settings/settings_change.h"
 #include "source/core/settings/settings_diff.h"
 #include "source/core/settings/settings_reference.h"
-#include "source/platform/settings_files.h"
 
 namespace shedlever {
 
--- a/source/cli/config_get.cc
+++ b/source/cli/config_get.cc
@@ -47,9 +47,6 @@
 }
 
 leaf::result<std::vector<ValueSource>> explain(const SettingsDocuments& documents, const std::string& name) {
-  if (name == kDeploymentDocument) {
-    return explainCell(documents);
-  }
   const std::string_view prefix(kServicePrefix);
   const bool has_prefix = name.compare(0, prefix.size(), prefix) == 0;
   return explainSettings(documents, ServiceName(has_prefix ? name.substr(prefix.size()) : name));
--- a/source/cli/config_wait.cc
+++ b/source/cli/config_wait.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "source/cli/operator_session.h"
-#include "source/core/operators/status_json.h"
+#include "source/cli/operator_commands.h"
+#include "source/interface/settings_config_protocol.h"
 
 namespace shedlever {
 
@@ -11,71 +11,45 @@
 
 constexpr Duration kPollInterval = std::chrono::milliseconds(200);
 
-/// What one poll has shown.
-struct Progress {
-  /// The leader answered.
-  bool known = false;
-  std::uint32_t nodes = 0;
-  Findings findings;
-  /// Documents not yet in force everywhere, with the lowest version there is.
-  std::map<DocumentName, SettingsVersion> behind;
-};
-
-Progress compare(const SettingsStatus& settings, const std::map<DocumentName, SettingsVersion>& versions) {
-  Progress progress{true, settings.nodes, settings.findings, {}};
-  for (const auto& [name, version] : versions) {
-    const auto lowest = settings.lowest_in_force.find(name);
-    const SettingsVersion present = lowest == settings.lowest_in_force.end() ? 0 : lowest->second;
-    if (present < version) {
-      progress.behind[name] = present;
-    }
-  }
-  return progress;
+/// @return whether the router has all these versions, or later ones, in force.
+bool isInForce(const NodeStatus& status, const std::map<DocumentName, SettingsVersion>& versions) {
+  return std::all_of(versions.begin(), versions.end(), [&status](const auto& entry) {
+    const auto part = status.config_parts.find(settingsObjectName(entry.first));
+    return part != status.config_parts.end() && part->second >= entry.second;
+  });
 }
 
-Progress poll(CliContext& context, const std::map<DocumentName, SettingsVersion>& versions) {
-  const std::optional<Endpoint> leader = findLeader(context.ports, context.options.operators);
-  if (!leader) {
-    return {};
-  }
-  const OperatorAnswer answer = askDaemon(context.ports, *leader, "GET", "/status");
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<Progress> {
-        BOOST_LEAF_AUTO(status, readStatus(answer.body, TimePoint()));
-        // A leader that was deposed between the two calls no longer hears of all nodes.
-        return status.control && status.control->leader ? compare(status.settings, versions) : Progress{};
-      },
-      [] { return Progress{}; });
-}
-
-std::string describe(const Progress& progress, const std::map<DocumentName, SettingsVersion>& versions) {
-  if (!progress.known) {
-    return "written, but no control leader tells whether it is in force";
-  }
-  std::string text = "written, but not in force on all of " + std::to_string(progress.nodes) + " nodes:";
-  for (const auto& [name, lowest] : progress.behind) {
-    text += " " + name.value + " lowest " + std::to_string(lowest) + " of " + std::to_string(versions.at(name)) + ";";
+std::vector<std::string> routersBehind(CliContext& context, const std::map<DocumentName, SettingsVersion>& versions) {
+  std::vector<std::string> behind;
+  for (const Endpoint& router : context.options.operators) {
+    const std::optional<NodeStatus> status = askStatus(context.ports, router);
+    if (!status || !isInForce(*status, versions)) {
+      behind.push_back(status ? status->node.name.value : toString(router) + " (no answer)");
+    }
   }
-  return text;
+  return behind;
 }
 
 }  // namespace
 
 ExitCode waitUntilInForce(CliContext& context, const std::map<DocumentName, SettingsVersion>& versions) {
   const auto polls = std::max<Duration::rep>(1, context.options.wait_limit / kPollInterval);
-  Progress progress;
+  std::vector<std::string> behind;
   for (Duration::rep i = 0; i < polls; ++i) {
-    progress = poll(context, versions);
-    if (progress.known && progress.behind.empty()) {
+    behind = routersBehind(context, versions);
+    if (behind.empty()) {
       if (!context.options.json) {
-        context.out << "in force on " << progress.nodes << " nodes\n";
+        context.out << "in force on " << context.options.operators.size() << " routers\n";
       }
       return ExitCode::Done;
     }
     pause(context.ports, kPollInterval);
   }
-  context.err << toString(progress.findings);
-  return failWith(context, describe(progress, versions));
+  std::string text = "written, but not in force on";
+  for (const std::string& router : behind) {
+    text += " " + router;
+  }
+  return failWith(context, text);
 }
 
 }  // namespace shedlever
--- a/source/cli/config_wait.h
+++ b/source/cli/config_wait.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Waits until versions are in force on all live nodes.
+/// Waits until versions are in force on all routers named.
 
 #include <map>
 
@@ -9,8 +9,7 @@
 
 namespace shedlever {
 
-/// Asks the control leader, which hears of all live nodes, until the lowest version in force of each document
-/// is at least the one given, or `--wait-ms` is over.
+/// Asks each router until it has at least the version given of each document in force, or `--wait-ms` is over.
 /// @return Done, or Failed with a message that says what is missing.
 ExitCode waitUntilInForce(CliContext& context, const std::map<DocumentName, SettingsVersion>& versions);
 
--- /dev/null
+++ b/source/cli/metadata_object_store.cc
@@ -0,0 +1,85 @@
+#include "source/cli/metadata_object_store.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "source/interface/settings_config_protocol.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr const char* kKindPrefix = "shedlever-";
+constexpr int kIndent = 2;
+
+/// Where an object lies in the metadata store.
+struct ObjectPlace {
+  std::string kind;
+  std::string name;
+};
+
+ObjectPlace placeOf(const std::string& name) {
+  const std::size_t slash = name.find('/');
+  return {kKindPrefix + name.substr(0, slash), settingsObjectName(DocumentName(name.substr(slash + 1)))};
+}
+
+/// The store keeps values, not their layout.
+std::string readable(const std::string& value) {
+  const nlohmann::ordered_json document = nlohmann::ordered_json::parse(value, nullptr, false);
+  return document.is_discarded() ? value : document.dump(kIndent) + "\n";
+}
+
+WriteResult resultOf(const StoreAnswer& answer) {
+  switch (answer.status) {
+    case StoreStatus::Done:
+      return {WriteStatus::Accepted, answer.object.revision};
+    case StoreStatus::Conflict:
+      return {WriteStatus::Conflict, answer.object.revision};
+    case StoreStatus::Absent:
+      return {WriteStatus::Conflict, 0};
+    case StoreStatus::Refused:
+    case StoreStatus::Unknown:
+      break;
+  }
+  return {WriteStatus::Unknown, 0};
+}
+
+}  // namespace
+
+void MetadataObjectStore::get(const std::string& name, std::function<void(const ReadResult&)> done) {
+  const ObjectPlace place = placeOf(name);
+  store_.get(place.kind, place.name, [name, done = std::move(done)](const StoreAnswer& answer) {
+    if (answer.status == StoreStatus::Done) {
+      done({ReadStatus::Found, {name, answer.object.revision, readable(answer.object.value)}});
+    } else {
+      done({answer.status == StoreStatus::Absent ? ReadStatus::Absent : ReadStatus::Unavailable, {}});
+    }
+  });
+}
+
+void MetadataObjectStore::putIfVersion(const std::string& name, ObjectVersion expected, const std::string& value,
+                                       std::function<void(const WriteResult&)> done) {
+  const ObjectPlace place = placeOf(name);
+  const MetadataObject object{place.name, expected, value};
+  const auto answered = [done = std::move(done)](const StoreAnswer& answer) { done(resultOf(answer)); };
+  if (expected == 0) {
+    store_.create(place.kind, object, answered);
+  } else {
+    store_.replace(place.kind, object, answered);
+  }
+}
+
+void MetadataObjectStore::list(const std::string& prefix, std::function<void(const ListResult&)> done) {
+  const std::string kind = kKindPrefix + prefix.substr(0, prefix.find('/'));
+  store_.list(kind, [prefix, done = std::move(done)](const StoreListing& listing) {
+    ListResult result{listing.available, listing.at, {}};
+    for (const MetadataObject& object : listing.objects) {
+      if (const auto document = documentOfObject(object.name)) {
+        result.objects.push_back({prefix + document->value, object.revision, readable(object.value)});
+      }
+    }
+    done(result);
+  });
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/cli/metadata_object_store.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// @file
+/// Settings documents and their history as objects of the metadata store.
+
+#include "shedlever/metadata_store.h"
+#include "shedlever/object_store.h"
+
+namespace shedlever {
+
+/// A name is a kind's word, a slash and the object's name: "settings/deployment", "history/services/a".
+class MetadataObjectStore final : public ObjectStore {
+ public:
+  /// @param store outlives this one.
+  explicit MetadataObjectStore(MetadataStore& store) : store_(store) {}
+
+  void get(const std::string& name, std::function<void(const ReadResult&)> done) override;
+  void putIfVersion(const std::string& name, ObjectVersion expected, const std::string& value,
+                    std::function<void(const WriteResult&)> done) override;
+  void list(const std::string& prefix, std::function<void(const ListResult&)> done) override;
+
+ private:
+  MetadataStore& store_;
+};
+
+}  // namespace shedlever
--- a/source/cli/network_ports.cc
+++ b/source/cli/network_ports.cc
@@ -6,10 +6,10 @@
 #include <ctime>
 #include <map>
 
+#include "source/cli/metadata_object_store.h"
 #include "source/net/event_loop.h"
 #include "source/net/http_client.h"
 #include "source/net/system_sources.h"
-#include "source/platform/http_object_store.h"
 
 namespace shedlever {
 
@@ -64,18 +64,24 @@
   EventLoop& loop_;
 };
 
-HttpObjectStoreConfig storeConfig(const CliOptions& options) {
-  HttpObjectStoreConfig config;
+HttpClientConfig storeConfig(const CliOptions& options) {
+  HttpClientConfig config;
   config.server = options.platform.value_or(Endpoint{});
   return config;
 }
 
 class NetworkPorts final : public CliPorts {
  public:
-  explicit NetworkPorts(const CliOptions& options)
-      : operators_(loop_), timer_(loop_), store_(loop_, random_, storeConfig(options)) {}
-
-  ObjectStore& store() override { return store_; }
+  NetworkPorts(const CliOptions& options, const StoreFactory& make_store)
+      : operators_(loop_),
+        timer_(loop_),
+        store_client_(loop_, storeConfig(options)),
+        store_(make_store([this](HttpRequest request, Duration timeout, auto done) {
+          callStore(std::move(request), timeout, std::move(done));
+        })),
+        objects_(*store_) {}
+
+  ObjectStore& store() override { return objects_; }
   OperatorClient& operators() override { return operators_; }
   RetryTimer& timer() override { return timer_; }
   bool runUntil(const std::function<bool()>& done) override { return loop_.runUntil(done, kWaitCap); }
@@ -108,17 +114,28 @@
   }
 
  private:
+  void callStore(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
+    store_client_.send(std::move(request), timeout, [done = std::move(done)](HttpExchange exchange) {
+      const bool answered = exchange.status == HttpExchangeStatus::Complete;
+      done(answered ? std::optional<HttpResponse>(std::move(exchange.response)) : std::nullopt);
+    });
+  }
+
   EventLoop loop_;
   SystemRandom random_;
   HttpOperatorClient operators_;
   LoopTimer timer_;
-  HttpObjectStore store_;
+  HttpClient store_client_;
+  std::unique_ptr<MetadataStore> store_;
+  MetadataObjectStore objects_;
 };
 
 }  // namespace
 
-std::unique_ptr<CliPorts> makeNetworkPorts(const CliOptions& options) {
-  return std::make_unique<NetworkPorts>(options);
+CliPortsFactory networkPorts(StoreFactory make_store) {
+  return [make_store = std::move(make_store)](const CliOptions& options) {
+    return std::make_unique<NetworkPorts>(options, make_store);
+  };
 }
 
 }  // namespace shedlever
--- a/source/cli/network_ports.h
+++ b/source/cli/network_ports.h
@@ -3,15 +3,13 @@
 /// @file
 /// The commands' ports over the network and the machine's clock.
 
-#include <memory>
-#include <optional>
-
-#include "source/cli/cli_arguments.h"
-#include "source/cli/cli_ports.h"
+#include "shedlever/platform_ports.h"
+#include "source/cli/cli.h"
 
 namespace shedlever {
 
-/// @param options name the platform's endpoint.
-std::unique_ptr<CliPorts> makeNetworkPorts(const CliOptions& options);
+/// @param make_store speaks the store's protocol.
+/// @return makes ports for the endpoints that the options name.
+CliPortsFactory networkPorts(StoreFactory make_store);
 
 }  // namespace shedlever
--- a/source/cli/operator_commands.cc
+++ b/source/cli/operator_commands.cc
@@ -1,152 +1,133 @@
 #include "source/cli/operator_commands.h"
 
-#include <cstdio>
+#include <algorithm>
 
-#include "source/cli/operator_session.h"
-#include "source/core/operators/cell_json.h"
 #include "source/core/settings/endpoint_text.h"
 
 namespace shedlever {
 
 namespace {
 
-constexpr int kIndent = 2;
 constexpr int kHttpOk = 200;
-constexpr int kHttpUnavailable = 503;
-
-std::string decimal(double number) {
-  constexpr std::size_t kLongest = 64;
-  std::string text(kLongest, '\0');
-  const int length = std::snprintf(text.data(), text.size(), "%.3f", number);
-  text.resize(static_cast<std::size_t>(length));
-  return text;
-}
 
-std::string share(const KeyRange& range) {
-  constexpr double kPercent = 100;
-  return decimal(range.share() * kPercent) + "%";
+OperatorAnswer ask(CliPorts& ports, const Endpoint& router, const std::string& method, const std::string& target) {
+  return awaitResult<OperatorAnswer>(ports, [&](auto done) { ports.operators().call(router, method, target, done); });
 }
 
-ExitCode failWithoutAnswer(CliContext& context, const OperatorAnswer& answer) {
-  if (answer.status == OperatorCallStatus::Answered) {
-    return failWith(context, "no control leader was found: status " + std::to_string(answer.http_status));
+std::string stateOf(const NodeStatus& status) {
+  if (status.stopping) {
+    return "stopping";
   }
-  return failWith(context, "no daemon answers");
-}
-
-/// Asks the leader and prints its answer, as JSON or through `show`.
-template <class Read, class Show>
-ExitCode showFromLeader(CliContext& context, const std::string& target, const Read& read, const Show& show) {
-  const LeaderAnswer found = askLeader(context.ports, context.options.operators, "GET", target);
-  if (found.answer.status != OperatorCallStatus::Answered || found.answer.http_status != kHttpOk) {
-    return failWithoutAnswer(context, found.answer);
+  if (!status.ready) {
+    return "not ready";
   }
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<ExitCode> {
-        BOOST_LEAF_AUTO(content, read(found.answer.body));
-        if (context.options.json) {
-          context.out << OrderedJson::parse(found.answer.body).dump(kIndent) << "\n";
-        } else {
-          show(content);
-        }
-        return ExitCode::Done;
-      },
-      [&](const DecodeError& error) { return failWith(context, "the leader's answer can't be read: " + error.what); },
-      [&] { return failWith(context, "the leader's answer can't be read"); });
+  if (status.instance.empty()) {
+    return "no server";
+  }
+  if (status.silent) {
+    return "server silent";
+  }
+  return status.draining ? "draining" : "ready";
 }
 
-void showOwners(CliContext& context, const std::vector<OwnerRow>& rows) {
-  TextTable table({"service", "first", "last", "share", "phase", "owner", "token", "durability"});
-  for (const OwnerRow& row : rows) {
-    const SliceAssignment& slice = row.slice;
-    const bool owned = slice.phase != SlicePhase::Unowned;
-    table.add({row.service.value, std::to_string(slice.range.first), std::to_string(slice.range.last),
-               share(slice.range), toString(slice.phase), owned ? slice.owner.name.value : "-",
-               owned ? toString(slice.token) : "-", toString(row.durability)});
-  }
-  context.out << table.text();
+std::string milliseconds(Duration duration) {
+  return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
 }
 
-void showPlans(CliContext& context, const std::map<ServiceName, Plan>& plans) {
-  TextTable steps({"service", "step", "first", "last", "share", "from", "to"});
-  TextTable measures({"service", "imbalance-now", "imbalance-after", "churn"});
-  for (const auto& [service, plan] : plans) {
-    const auto add = [&, &name = service](const char* step, const SliceAssignment& slice, const std::string& to) {
-      const std::string from = slice.phase == SlicePhase::Unowned ? "-" : slice.owner.name.value;
-      steps.add({name.value, step, std::to_string(slice.range.first), std::to_string(slice.range.last),
-                 share(slice.range), from, to});
-    };
-    for (const PlannedAssignment& assignment : plan.assignments) {
-      add("assign", assignment.slice, assignment.owner.name.value);
-    }
-    for (const PlannedMove& move : plan.moves) {
-      add("move", move.slice, move.to.name.value);
-    }
-    for (const PlannedSplit& split : plan.splits) {
-      add("split", split.slice, "at " + std::to_string(split.at));
+/// Asks all routers named. @return the statuses; those that did not answer are told on `err`.
+std::vector<NodeStatus> askAll(CliContext& context) {
+  std::vector<NodeStatus> found;
+  for (const Endpoint& router : context.options.operators) {
+    if (auto status = askStatus(context.ports, router)) {
+      found.push_back(std::move(*status));
+    } else {
+      context.err << "shedlever: no status from " << toString(router) << "\n";
     }
-    measures.add({service.value, decimal(plan.measures.imbalance_before), decimal(plan.measures.imbalance_after),
-                  decimal(plan.measures.churn)});
   }
-  context.out << measures.text();
-  context.out << (steps.empty() ? "no steps\n" : steps.text());
+  return found;
 }
 
-ExitCode unknownDrain(CliContext& context, const std::string& what, const std::string& why) {
-  context.err << "shedlever: " << why << ": " << what << " may or may not be draining; ask again\n";
-  return ExitCode::Unknown;
+ExitCode exitCodeOf(const CliContext& context, const std::vector<NodeStatus>& found) {
+  return found.size() == context.options.operators.size() ? ExitCode::Done : ExitCode::Failed;
 }
 
-ExitCode reportDrain(CliContext& context, const std::string& what, const OperatorAnswer& answer) {
-  if (answer.status == OperatorCallStatus::NotSent) {
-    return failWith(context, "no daemon answers; nothing was asked");
-  }
-  if (answer.status == OperatorCallStatus::Lost) {
-    return unknownDrain(context, what, "the answer was lost");
-  }
-  if (answer.http_status == kHttpUnavailable) {
-    return failWithoutAnswer(context, answer);
+}  // namespace
+
+std::optional<NodeStatus> askStatus(CliPorts& ports, const Endpoint& router) {
+  const OperatorAnswer answer = ask(ports, router, "GET", "/status");
+  if (answer.status != OperatorCallStatus::Answered || answer.http_status != kHttpOk) {
+    return std::nullopt;
   }
   return leaf::try_handle_all(
-      [&]() -> leaf::result<ExitCode> {
-        BOOST_LEAF_AUTO(result, readCommand(answer.body));
-        if (result.status == CommandStatus::Done) {
-          context.out << what << " is draining\n";
-          return ExitCode::Done;
-        }
-        if (result.status == CommandStatus::Unknown) {
-          return unknownDrain(context, what, result.message);
-        }
-        return failWith(context, what + ": " + toString(result.status) + ": " + result.message);
+      [&]() -> leaf::result<std::optional<NodeStatus>> {
+        BOOST_LEAF_AUTO(status, decodeNodeStatus(answer.body));
+        return std::optional<NodeStatus>(std::move(status));
       },
-      [&] { return unknownDrain(context, what, "the answer can't be read"); });
+      [] { return std::optional<NodeStatus>(); });
 }
 
-}  // namespace
-
-ExitCode runOwners(CliContext& context) {
-  const auto show = [&context](const std::vector<OwnerRow>& rows) { showOwners(context, rows); };
-  return showFromLeader(context, "/owners", readOwners, show);
+ExitCode runStatus(CliContext& context) {
+  const std::vector<NodeStatus> found = askAll(context);
+  TextTable table({"node", "zone", "service", "version", "state", "instance", "running", "queued", "slots", "in-flight",
+                   "config", "lease-ms", "ranges"});
+  for (const NodeStatus& status : found) {
+    table.add({status.node.name.value, status.zone.value, status.service.value, status.version, stateOf(status),
+               status.instance.empty() ? "-" : status.instance.value, std::to_string(status.load.running),
+               std::to_string(status.load.queued), std::to_string(status.load.slots), std::to_string(status.in_flight),
+               std::to_string(status.config_version), milliseconds(status.lease_left),
+               std::to_string(status.ranges.size())});
+  }
+  print(context, table);
+  return exitCodeOf(context, found);
 }
 
-ExitCode runPlan(CliContext& context) {
-  const auto show = [&context](const std::map<ServiceName, Plan>& plans) { showPlans(context, plans); };
-  return showFromLeader(context, "/plan", readPlan, show);
+ExitCode runOwners(CliContext& context) {
+  const std::vector<NodeStatus> found = askAll(context);
+  struct Row {
+    std::string service;
+    OwnedRange range;
+    std::string node;
+  };
+  std::vector<Row> rows;
+  for (const NodeStatus& status : found) {
+    for (const OwnedRange& range : status.ranges) {
+      rows.push_back({status.service.value, range, status.node.name.value});
+    }
+  }
+  std::sort(rows.begin(), rows.end(), [](const Row& left, const Row& right) {
+    return std::tie(left.service, left.range.keys.first) < std::tie(right.service, right.range.keys.first);
+  });
+  TextTable table({"service", "first", "last", "node", "owner", "token", "phase"});
+  for (const Row& row : rows) {
+    table.add({row.service, std::to_string(row.range.keys.first), std::to_string(row.range.keys.last), row.node,
+               row.range.owner.value, std::to_string(row.range.token), row.range.releasing ? "releasing" : "owned"});
+  }
+  print(context, table);
+  return exitCodeOf(context, found);
 }
 
 ExitCode runDrain(CliContext& context) {
-  const std::vector<Endpoint>& daemons = context.options.operators;
-  if (!context.words.empty()) {
-    const std::string& server = context.words.front();
-    return reportDrain(context, server, askLeader(context.ports, daemons, "POST", "/drain?server=" + server).answer);
-  }
-  if (daemons.size() != 1) {
+  if (context.options.operators.size() != 1) {
     Findings findings;
-    findings.add("--operator", "must name the one daemon that is to drain itself, since no server is named.");
+    findings.add("--operator", "must name the one router whose server is to be emptied.");
     return failWith(context, findings);
   }
-  const std::string what = "the daemon at " + endpointText(daemons.front());
-  return reportDrain(context, what, askDaemon(context.ports, daemons.front(), "POST", "/drain"));
+  const Endpoint& router = context.options.operators.front();
+  const OperatorAnswer answer = ask(context.ports, router, "POST", "/drain");
+  switch (answer.status) {
+    case OperatorCallStatus::NotSent:
+      return failWith(context, "the router does not answer; nothing was asked");
+    case OperatorCallStatus::Lost:
+      context.err << "shedlever: the answer was lost: the server may or may not be draining; ask again\n";
+      return ExitCode::Unknown;
+    case OperatorCallStatus::Answered:
+      break;
+  }
+  if (answer.http_status != kHttpOk) {
+    return failWith(context, "the router answered with status " + std::to_string(answer.http_status));
+  }
+  context.out << "draining\n";
+  return ExitCode::Done;
 }
 
 }  // namespace shedlever
--- a/source/cli/operator_commands.h
+++ b/source/cli/operator_commands.h
@@ -1,22 +1,25 @@
 #pragma once
 
 /// @file
-/// Commands that ask daemons: `status`, `owners`, `plan`, `drain`.
+/// Commands that ask routers: `status`, `owners`, `drain`.
+
+#include <optional>
 
 #include "source/cli/cli_context.h"
+#include "source/core/operators/node_status.h"
 
 namespace shedlever {
 
-/// Shows the daemons named and the servers of the cell, as its leader knows them.
+/// Shows what each router named by `--operator` tells of itself.
 ExitCode runStatus(CliContext& context);
 
-/// Shows the owner of each slice, from the leader.
+/// Shows the ranges of keys that the routers own.
 ExitCode runOwners(CliContext& context);
 
-/// Shows the moves that the planner would make now.
-ExitCode runPlan(CliContext& context);
-
-/// Marks a server as leaving, or has the daemon named drain itself when no server is named.
+/// Empties the server beside the one router named.
 ExitCode runDrain(CliContext& context);
 
+/// @return the router's status; nothing when it does not answer, or with something else.
+std::optional<NodeStatus> askStatus(CliPorts& ports, const Endpoint& router);
+
 }  // namespace shedlever
--- a/source/platform/settings_files.cc
+++ b/source/cli/settings_files.cc
@@ -1,4 +1,4 @@
-#include "source/platform/settings_files.h"
+#include "source/cli/settings_files.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/source/platform/json_fields.cc
+++ b/source/core/json_fields.cc
@@ -1,4 +1,4 @@
-#include "source/platform/json_fields.h"
+#include "source/core/json_fields.h"
 
 namespace shedlever {
 
--- /dev/null
+++ b/source/core/operators/node_status.cc
@@ -0,0 +1,92 @@
+#include "source/core/operators/node_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace shedlever {
+
+using nlohmann::ordered_json;
+
+namespace {
+
+ordered_json encodeRange(const OwnedRange& range) {
+  return {{"first", range.keys.first},
+          {"last", range.keys.last},
+          {"owner", range.owner.value},
+          {"token", range.token},
+          {"releasing", range.releasing}};
+}
+
+OwnedRange decodeRange(const ordered_json& document) {
+  OwnedRange range;
+  range.keys = {document.at("first").get<Key>(), document.at("last").get<Key>()};
+  range.owner = InstanceId(document.at("owner").get<std::string>());
+  range.token = document.at("token").get<FenceToken>();
+  range.releasing = document.at("releasing").get<bool>();
+  return range;
+}
+
+NodeStatus decode(const ordered_json& document) {
+  NodeStatus status;
+  status.node.name = NodeName(document.at("node").get<std::string>());
+  status.node.incarnation.value = document.at("incarnation").get<std::uint64_t>();
+  status.zone = ZoneName(document.at("zone").get<std::string>());
+  status.service = ServiceName(document.at("service").get<std::string>());
+  status.version = document.at("version").get<std::string>();
+  status.ready = document.at("ready").get<bool>();
+  status.stopping = document.at("stopping").get<bool>();
+  const ordered_json& server = document.at("server");
+  status.instance = InstanceId(server.at("instance").get<std::string>());
+  status.draining = server.at("draining").get<bool>();
+  status.silent = server.at("silent").get<bool>();
+  status.load.running = server.at("running").get<std::uint32_t>();
+  status.load.queued = server.at("queued").get<std::uint32_t>();
+  status.load.slots = server.at("slots").get<std::uint32_t>();
+  status.in_flight = document.at("in_flight").get<std::uint64_t>();
+  status.nodes = document.at("nodes").get<std::uint64_t>();
+  const ordered_json& config = document.at("config");
+  status.config_version = config.at("version").get<ConfigVersion>();
+  status.config_parts = config.at("parts").get<std::map<std::string, StoreRevision>>();
+  status.lease_left = std::chrono::milliseconds(document.at("lease_left_ms").get<std::int64_t>());
+  for (const ordered_json& range : document.at("ranges")) {
+    status.ranges.push_back(decodeRange(range));
+  }
+  return status;
+}
+
+}  // namespace
+
+std::string encodeNodeStatus(const NodeStatus& status) {
+  ordered_json ranges = ordered_json::array();
+  for (const OwnedRange& range : status.ranges) {
+    ranges.push_back(encodeRange(range));
+  }
+  const ordered_json server = {{"instance", status.instance.value}, {"draining", status.draining},
+                               {"silent", status.silent},           {"running", status.load.running},
+                               {"queued", status.load.queued},      {"slots", status.load.slots}};
+  const ordered_json config = {{"version", status.config_version}, {"parts", status.config_parts}};
+  const auto lease_ms = std::chrono::floor<std::chrono::milliseconds>(status.lease_left).count();
+  return ordered_json{{"node", status.node.name.value},
+                      {"incarnation", status.node.incarnation.value},
+                      {"zone", status.zone.value},
+                      {"service", status.service.value},
+                      {"version", status.version},
+                      {"ready", status.ready},
+                      {"stopping", status.stopping},
+                      {"server", server},
+                      {"in_flight", status.in_flight},
+                      {"nodes", status.nodes},
+                      {"config", config},
+                      {"lease_left_ms", lease_ms},
+                      {"ranges", std::move(ranges)}}
+      .dump();
+}
+
+leaf::result<NodeStatus> decodeNodeStatus(const std::string& text) {
+  try {
+    return decode(ordered_json::parse(text));
+  } catch (const nlohmann::json::exception& error) {
+    return leaf::new_error(DecodeError{error.what()});
+  }
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/operators/node_status.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// @file
+/// What one router tells operators of itself, and its JSON text.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "shedlever/errors.h"
+#include "shedlever/metadata_store.h"
+#include "shedlever/router_frames.h"
+#include "source/core/router/owner_table.h"
+
+namespace shedlever {
+
+struct NodeStatus {
+  NodeIdentity node;
+  ZoneName zone;
+  ServiceName service;
+  std::string version;
+  bool ready = false;
+  bool stopping = false;
+  /// Empty while no server runs beside it.
+  InstanceId instance;
+  bool draining = false;
+  /// The server does not answer.
+  bool silent = false;
+  ServerLoad load;
+  /// Requests of clients without a final answer.
+  std::uint64_t in_flight = 0;
+  /// Nodes that it knows of.
+  std::uint64_t nodes = 0;
+  ConfigVersion config_version = 0;
+  /// Objects of the configuration in force, with their revisions.
+  std::map<std::string, StoreRevision> config_parts;
+  /// Zero for a node whose service is not divided by key.
+  Duration lease_left{};
+  /// Ranges of keys that the owner table gives to this node.
+  std::vector<OwnedRange> ranges;
+};
+
+/// @return JSON text.
+std::string encodeNodeStatus(const NodeStatus& status);
+
+/// @return the status, or a DecodeError.
+leaf::result<NodeStatus> decodeNodeStatus(const std::string& text);
+
+}  // namespace shedlever
--- a/source/core/operators/text_table.h
+++ b/source/core/operators/text_table.h
@@ -3,13 +3,15 @@
 /// @file
 /// A table for people (columns aligned) or for programs (JSON).
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-#include "source/core/operators/json_parts.h"
-
 namespace shedlever {
 
+/// Keeps members in the order written, so that people find them where they expect them.
+using OrderedJson = nlohmann::ordered_json;
+
 class TextTable {
  public:
   explicit TextTable(std::vector<std::string> columns);
--- /dev/null
+++ b/source/core/router/claim_keeper.h
@@ -0,0 +1,154 @@
+#pragma once
+
+/// @file
+/// Claims of once-only requests: before a request with an idempotency key is sent to a server, one create call on the
+/// metadata store makes the key its own. The store keeps claims whatever becomes of all processes.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "shedlever/http_messages.h"
+#include "shedlever/identifiers.h"
+#include "shedlever/metadata_store.h"
+
+namespace shedlever {
+
+/// Kind of claim objects in the store; nobody watches it.
+inline constexpr const char* kClaimKind = "shedlever-claims";
+
+/// What is claimed. Two tenants' keys are different keys.
+struct ClaimKey {
+  ServiceName service;
+  TenantName tenant;
+  IdempotencyKey key;
+};
+
+/// @return name of the claim's object: a digest, since keys are any text.
+std::string claimName(const ClaimKey& key);
+
+/// How far a claimed request has come.
+enum class ClaimState : std::uint8_t {
+  Open,      ///< it may run
+  NotRun,    ///< it has not run and never will: the key is free
+  Answered,  ///< it has run
+  Unknown,   ///< it may have run
+};
+
+/// Value of a claim object.
+struct ClaimRecord {
+  RequestId request;
+  /// The process that holds the claim.
+  NodeIdentity holder;
+  ClaimState state = ClaimState::Open;
+  /// With Answered: what the client got; none when that was too large to be kept.
+  std::optional<HttpResponse> answer;
+
+  std::string encode() const;
+  /// @return the record; one of unknown outcome for text that can't be read.
+  static ClaimRecord decode(const std::string& text);
+};
+
+enum class ClaimVerdict : std::uint8_t {
+  Granted,         ///< the request may run
+  Recorded,        ///< an earlier request with the key has run; its answer is known
+  InProgress,      ///< another request with the key may be running
+  OutcomeUnknown,  ///< an earlier request with the key may have run, or its answer was not kept
+  Unavailable,     ///< not decided in time; the request must not run
+};
+
+struct ClaimAnswer {
+  ClaimVerdict verdict = ClaimVerdict::Unavailable;
+  /// With Recorded.
+  HttpResponse recorded;
+};
+
+/// How a claimed request ended, as far as it is proved.
+enum class ClaimEnd : std::uint8_t { NotRun, Answered, Unknown };
+
+/// Names a claim of this process; 0 names none.
+using ClaimNumber = std::uint64_t;
+
+struct ClaimConfig {
+  /// Between two calls about one claim where the first had no answer.
+  Duration retry = std::chrono::milliseconds(150);
+  /// Largest answer that is kept for repeated requests, in bytes of its body.
+  std::size_t largest_answer = 64U << 10U;
+  /// How long a claim whose request has ended is kept.
+  Duration retention = std::chrono::hours(24);
+  /// Ended claims remembered for removal; older ones stay in the store.
+  std::size_t most_remembered = 100000;
+};
+
+/// A claim that is given up before it is decided may still be made by a late call. It is settled as not run, so that
+/// its key is free again and no later request is held up by it.
+class ClaimKeeper {
+ public:
+  using Decided = std::function<void(const ClaimAnswer&)>;
+
+  /// @param lives whether that life of a process still runs, as far as is known.
+  /// @param clock, store outlive the keeper.
+  ClaimKeeper(NodeIdentity self, MetadataStore& store, const Clock& clock,
+              std::function<bool(const NodeIdentity&)> lives);
+
+  void setConfig(const ClaimConfig& config) { config_ = config; }
+
+  /// @param decided runs once, never inside this call, unless the claim is finished first.
+  ClaimNumber begin(const ClaimKey& key, const RequestId& request, TimePoint deadline, Decided decided);
+
+  /// The request has ended. Does nothing for claims that were not granted and are decided.
+  void finish(ClaimNumber number, ClaimEnd end, const HttpResponse& answer);
+
+  /// Repeats what had no answer, removes what is old. Every 50 ms or so.
+  void tick(TimePoint now);
+
+  /// @return claims that are not decided, held, or not yet recorded as ended.
+  std::size_t open() const { return claims_.size(); }
+
+ private:
+  struct Claim {
+    std::string name;
+    ClaimRecord record;
+    TimePoint deadline{};
+    Decided decided;
+    /// Revision of the record in the store as last seen; 0: not seen.
+    StoreRevision revision = 0;
+    bool granted = false;
+    /// The request has ended: `record.state` is to be written.
+    bool ended = false;
+    bool in_flight = false;
+    TimePoint next{};
+  };
+
+  struct Ended {
+    TimePoint remove_at{};
+    std::string name;
+    StoreRevision revision = 0;
+  };
+
+  using Claims = std::map<ClaimNumber, Claim>;
+
+  void send(ClaimNumber number, Claim& claim);
+  void onAnswer(ClaimNumber number, const StoreAnswer& answer);
+  void onWritten(Claims::iterator claim, const MetadataObject& object);
+  void onOther(Claims::iterator claim, const MetadataObject& object);
+  void decide(Claims::iterator claim, ClaimAnswer answer);
+  void settle(Claim& claim, ClaimState state);
+  ClaimAnswer verdictOn(const ClaimRecord& other) const;
+  void remember(const std::string& name, StoreRevision revision);
+  void removeOld(TimePoint now);
+
+  NodeIdentity self_;
+  MetadataStore& store_;
+  const Clock& clock_;
+  std::function<bool(const NodeIdentity&)> lives_;
+  ClaimConfig config_;
+  ClaimNumber last_number_ = 0;
+  Claims claims_;
+  /// In order of their time.
+  std::deque<Ended> ended_;
+};
+
+}  // namespace shedlever
--- a/source/core/router/forward_reason.cc
+++ b/source/core/router/forward_reason.cc
@@ -8,6 +8,8 @@
       return "none";
     case ForwardReason::Overloaded:
       return "overloaded";
+    case ForwardReason::QueueFull:
+      return "queue-full";
     case ForwardReason::WrongInstance:
       return "wrong-instance";
     case ForwardReason::NotOwner:
@@ -34,4 +36,35 @@
   return "unknown";
 }
 
+Reason reasonOf(ForwardReason reason) {
+  switch (reason) {
+    case ForwardReason::None:
+      return Reason::None;
+    case ForwardReason::Overloaded:
+    case ForwardReason::ServerRefused:
+      return Reason::Overloaded;
+    case ForwardReason::QueueFull:
+      return Reason::QueueFull;
+    case ForwardReason::NotOwner:
+      return Reason::NotOwner;
+    case ForwardReason::NotYetOwner:
+      return Reason::NoOwner;
+    case ForwardReason::Draining:
+      return Reason::Draining;
+    case ForwardReason::WrongInstance:
+    case ForwardReason::ServerDown:
+    case ForwardReason::NoInstance:
+      return Reason::ServerUnavailable;
+    case ForwardReason::ConnectionLost:
+      return Reason::ConnectionLost;
+    case ForwardReason::BrokenAnswer:
+      return Reason::BadReply;
+    case ForwardReason::TimedOut:
+      return Reason::DeadlineExceeded;
+    case ForwardReason::Cancelled:
+      return Reason::Cancelled;
+  }
+  return Reason::None;
+}
+
 }  // namespace shedlever
--- /dev/null
+++ b/source/core/router/link_budget.cc
@@ -0,0 +1,45 @@
+#include "source/core/router/link_budget.h"
+
+#include <algorithm>
+
+namespace shedlever {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double seconds(Duration duration) { return static_cast<double>(duration.count()) / kMicrosecondsPerSecond; }
+
+}  // namespace
+
+double LinkBudget::capacity() const {
+  return std::max(static_cast<double>(config_.least_burst), config_.bytes_per_second * seconds(config_.burst));
+}
+
+void LinkBudget::refill(TimePoint now) {
+  if (refilled_ != TimePoint{}) {
+    tokens_ = std::min(capacity(), tokens_ + rate() * seconds(now - refilled_));
+  }
+  refilled_ = now;
+}
+
+void LinkBudget::spend(std::size_t bytes, TimePoint now) {
+  if (limited()) {
+    refill(now);
+    tokens_ -= static_cast<double>(bytes);
+  }
+}
+
+Duration LinkBudget::untilOpen(TimePoint now) {
+  if (!limited()) {
+    return Duration::zero();
+  }
+  refill(now);
+  return tokens_ > 0 ? Duration::zero() : std::max(timeFor(-tokens_), Duration(1));
+}
+
+Duration LinkBudget::timeFor(double bytes) const {
+  return limited() ? Duration(static_cast<Duration::rep>(bytes / rate() * kMicrosecondsPerSecond)) : Duration::zero();
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership_fields.cc
@@ -0,0 +1,34 @@
+#include "source/core/router/ownership_fields.h"
+
+#include <array>
+
+namespace shedlever {
+
+namespace {
+
+constexpr std::array<OwnershipDuration, 11> kDurations{{
+    {"lease", &OwnershipConfig::lease},
+    {"lease_renewal", &OwnershipConfig::lease_renewal},
+    {"lease_retry", &OwnershipConfig::lease_retry},
+    {"lease_margin", &OwnershipConfig::lease_margin},
+    {"grant_hold", &OwnershipConfig::grant_hold},
+    {"order_retry", &OwnershipConfig::order_retry},
+    {"first_division_delay", &OwnershipConfig::first_division_delay},
+    {"rank_delay", &OwnershipConfig::rank_delay},
+    {"suspicion", &OwnershipConfig::suspicion},
+    {"pause_limit", &OwnershipConfig::pause_limit},
+    {"balance_interval", &OwnershipConfig::balance_interval},
+}};
+
+constexpr std::array<OwnershipShare, 2> kShares{{
+    {"busy_occupancy", &OwnershipConfig::busy_occupancy},
+    {"occupancy_gap", &OwnershipConfig::occupancy_gap},
+}};
+
+}  // namespace
+
+std::span<const OwnershipDuration> ownershipDurations() { return kDurations; }
+
+std::span<const OwnershipShare> ownershipShares() { return kShares; }
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership_fields.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// @file
+/// Names of the times and numbers that ownership rests on, as settings and experiments give them.
+
+#include <span>
+#include <string_view>
+
+#include "source/core/router/ownership_config.h"
+
+namespace shedlever {
+
+struct OwnershipDuration {
+  std::string_view name;
+  Duration OwnershipConfig::*member;
+};
+
+struct OwnershipShare {
+  std::string_view name;
+  double OwnershipConfig::*member;
+};
+
+std::span<const OwnershipDuration> ownershipDurations();
+
+/// Numbers from 0 to 1.
+std::span<const OwnershipShare> ownershipShares();
+
+}  // namespace shedlever
--- a/source/core/router/route_table.cc
+++ b/source/core/router/route_table.cc
@@ -23,7 +23,10 @@
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view target) const {
-  const auto found = hosts_.find(lowerCase(host.substr(0, host.find(':'))));
+  auto found = hosts_.find(lowerCase(host.substr(0, host.find(':'))));
+  if (found == hosts_.end()) {
+    found = hosts_.find("");
+  }
   if (found == hosts_.end()) {
     return nullptr;
   }
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -19,6 +19,8 @@
 /// Cost of a full server in units of the usual service time, and of each further queue of the length of its slots.
 constexpr double kFullCost = 1.0;
 constexpr double kQueueCost = 4.0;
+/// Cost of each millisecond that a large answer waits for the machine's link.
+constexpr double kLinkCost = 0.01;
 /// Costs of two servers are told apart only beyond this share, so that all processes don't choose the same one.
 constexpr double kJitter = 0.2;
 
@@ -93,6 +95,9 @@
     cost += entry.slowness * kFullCost * over / (1.0 - config_.busy_occupancy);
   }
   cost += kQueueCost * std::max(occupancy - 1.0, 0.0);
+  if (kind == RouteKind::Download && now - entry.load_at <= kLoadAge) {
+    cost += entry.load.link_ms * kLinkCost;
+  }
   if (entry.record.zone != zone_) {
     cost += kind == RouteKind::Download ? config_.cross_zone_download_cost : config_.cross_zone_cost;
   }
--- a/source/core/router/shared_retry_budget.cc
+++ b/source/core/router/shared_retry_budget.cc
@@ -11,18 +11,23 @@
 
 }  // namespace
 
-double SharedRetryBudget::capacity() const {
-  const double part = config_.slack / static_cast<double>(std::max<std::size_t>(processes_, 1));
+const RetryBudgetConfig& SharedRetryBudget::configOf(const ServiceName& service) const {
+  const auto own = configs_.find(service);
+  return own == configs_.end() ? config_ : own->second;
+}
+
+double SharedRetryBudget::capacity(const ServiceName& service) const {
+  const double part = configOf(service).slack / static_cast<double>(std::max<std::size_t>(processes_, 1));
   return std::max(part, kSmallestCapacity);
 }
 
 double& SharedRetryBudget::bucketOf(const ServiceName& service) {
-  return buckets_.try_emplace(service, capacity()).first->second;
+  return buckets_.try_emplace(service, capacity(service)).first->second;
 }
 
 void SharedRetryBudget::onRequest(const ServiceName& service) {
   double& bucket = bucketOf(service);
-  bucket = std::min(bucket + config_.ratio, capacity());
+  bucket = std::min(bucket + configOf(service).ratio, capacity(service));
 }
 
 bool SharedRetryBudget::spend(const ServiceName& service) {
--- a/source/core/router/shared_retry_budget.h
+++ b/source/core/router/shared_retry_budget.h
@@ -27,6 +27,9 @@
 
   void setConfig(const RetryBudgetConfig& config) { config_ = config; }
 
+  /// A service that has a budget of its own.
+  void setServiceConfig(const ServiceName& service, const RetryBudgetConfig& config) { configs_[service] = config; }
+
   /// @param processes how many share the slack.
   void setProcesses(std::size_t processes) { processes_ = processes; }
 
@@ -38,10 +41,12 @@
   bool spend(const ServiceName& service);
 
  private:
-  double capacity() const;
+  const RetryBudgetConfig& configOf(const ServiceName& service) const;
+  double capacity(const ServiceName& service) const;
   double& bucketOf(const ServiceName& service);
 
   RetryBudgetConfig config_;
+  std::map<ServiceName, RetryBudgetConfig> configs_;
   std::size_t processes_ = 1;
   std::map<ServiceName, double> buckets_;
 };
--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/slot_queue.cc
@@ -39,6 +39,36 @@
   return {QueueVerdict::Wait, {}};
 }
 
+QueueDecision SlotQueue::arrive(QueueTicket ticket, const TenantShare& tenant, QueueRank rank, TimePoint now,
+                                Duration longest_wait) {
+  if (tenant.name.empty()) {
+    return arrive(ticket, rank, now, longest_wait);
+  }
+  const auto waiting = waiting_by_tenant_.find(tenant.name);
+  const std::uint32_t count = waiting == waiting_by_tenant_.end() ? 0 : waiting->second;
+  if (running_ >= slots_ && tenant.queue_limit != 0 && count >= tenant.queue_limit) {
+    return {QueueVerdict::TenantFull, predictedWait(rank)};
+  }
+  rank.turn = turns_.peek(tenant);
+  const QueueDecision decision = arrive(ticket, rank, now, longest_wait);
+  if (decision.verdict == QueueVerdict::Wait) {
+    turns_.take(tenant);
+    tenants_.emplace(ticket, tenant.name);
+    ++waiting_by_tenant_[tenant.name];
+  }
+  return decision;
+}
+
+void SlotQueue::forgetTenant(QueueTicket ticket) {
+  const auto tenant = tenants_.extract(ticket);
+  if (!tenant.empty() && --waiting_by_tenant_[tenant.mapped()] == 0) {
+    waiting_by_tenant_.erase(tenant.mapped());
+  }
+  if (waiting_.empty()) {
+    turns_.reset();
+  }
+}
+
 void SlotQueue::ended(std::optional<Duration> service_time) {
   running_ -= std::min(running_, 1U);
   if (service_time) {
@@ -50,9 +80,12 @@
   if (running_ >= slots_ || waiting_.empty()) {
     return std::nullopt;
   }
-  const QueueTicket ticket = waiting_.begin()->first.ticket;
+  const Place place = waiting_.begin()->first;
+  const QueueTicket ticket = place.ticket;
   waiting_.erase(waiting_.begin());
   ranks_.erase(ticket);
+  turns_.onServed(place.rank.turn);
+  forgetTenant(ticket);
   ++running_;
   return ticket;
 }
@@ -64,6 +97,7 @@
   }
   waiting_.erase(Place{found->second, ticket});
   ranks_.erase(found);
+  forgetTenant(ticket);
   return true;
 }
 
@@ -82,6 +116,6 @@
 
 std::vector<QueueTicket> SlotQueue::takeAll() { return takeOverdue(TimePoint::max()); }
 
-ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_}; }
+ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_, 0}; }
 
 }  // namespace shedlever
--- a/source/core/router/slot_queue.h
+++ b/source/core/router/slot_queue.h
@@ -8,18 +8,25 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "source/core/router/tenant_turns.h"
 
 namespace shedlever {
 
 /// Names a request in one queue.
 using QueueTicket = std::uint64_t;
 
-enum class QueueVerdict : std::uint8_t { Start, Wait, Refuse };
+enum class QueueVerdict : std::uint8_t {
+  Start,
+  Wait,
+  Refuse,      ///< it would wait too long
+  TenantFull,  ///< its tenant has as many waiting as it may
+};
 
 struct QueueDecision {
   QueueVerdict verdict = QueueVerdict::Refuse;
@@ -34,7 +41,13 @@
   /// Until when an answer is waited for. What has less time left goes first: most of all calls of other servers, each
   /// of which holds a slot there while it waits.
   TimePoint deadline{};
-  auto operator<=>(const QueueRank&) const = default;
+  /// Turn of its tenant, see `TenantTurns`; 0 where tenants are not told apart. Goes before the deadline.
+  double turn = 0;
+
+  bool operator==(const QueueRank&) const = default;
+  auto operator<=>(const QueueRank& other) const {
+    return std::tie(priority, turn, deadline) <=> std::tie(other.priority, other.turn, other.deadline);
+  }
 };
 
 /// Slots and a queue in order of rank and then of arrival. Refuses by predicted wait, at once.
@@ -49,6 +62,11 @@
   /// @param longest_wait it is refused when it would wait longer, and overdue once it has.
   QueueDecision arrive(QueueTicket ticket, const QueueRank& rank, TimePoint now, Duration longest_wait);
 
+  /// As `arrive`, for a request of a tenant: it gets its tenant's next turn, or is refused when the tenant has as many
+  /// waiting as it may.
+  QueueDecision arrive(QueueTicket ticket, const TenantShare& tenant, QueueRank rank, TimePoint now,
+                       Duration longest_wait);
+
   /// A running request ended.
   /// @param service_time how long it ran; none if that tells nothing about the next one.
   void ended(std::optional<Duration> service_time);
@@ -75,6 +93,8 @@
   Duration meanService() const { return mean_service_; }
 
  private:
+  void forgetTenant(QueueTicket ticket);
+
   struct Place {
     QueueRank rank;
     QueueTicket ticket = 0;
@@ -87,6 +107,10 @@
   /// Tickets rise with arrival, so the order is rank, then arrival. The value is the latest start.
   std::map<Place, TimePoint> waiting_;
   std::unordered_map<QueueTicket, QueueRank> ranks_;
+  TenantTurns turns_;
+  /// Tenant of each waiting request that has one.
+  std::unordered_map<QueueTicket, TenantName> tenants_;
+  std::map<TenantName, std::uint32_t> waiting_by_tenant_;
 };
 
 }  // namespace shedlever
--- a/source/core/settings/service_checks.cc
+++ b/source/core/settings/service_checks.cc
@@ -16,10 +16,6 @@
     checkKey();
     checkRuns();
     checkDeadlines();
-    checkBackend(Json::json_pointer("/backend"), service_.backend);
-    for (const auto& [name, backend] : service_.backend_overrides) {
-      checkBackend(Json::json_pointer("/backends") / name.value, backend);
-    }
     checkTenants();
   }
 
@@ -49,25 +45,9 @@
     if (service_.default_deadline > service_.longest_deadline) {
       add("/default_deadline_ms", "must not be longer than \"longest_deadline_ms\".");
     }
-  }
-
-  void checkBackend(const Json::json_pointer& place, const BackendSettings& backend) {
-    if (backend.cold_start_slots > backend.slots) {
-      addBackend(place, "cold_start_slots", "must not be more than \"slots\".");
-    }
-    if (backend.connections < backend.slots) {
-      addBackend(place, "connections", "must not be fewer than \"slots\": each running request needs one.");
+    if (service_.target_latency > service_.longest_deadline) {
+      add("/target_latency_ms", "must not be longer than \"longest_deadline_ms\".");
     }
-    if (backend.freeze_after > service_.longest_deadline) {
-      addBackend(place, "freeze_after_ms",
-                 "must not be longer than \"longest_deadline_ms\", or it never takes effect.");
-    }
-  }
-
-  /// A value that a back end inherits stands at the service's or the deployment's place.
-  void addBackend(const Json::json_pointer& place, const char* key, const char* message) {
-    const bool own = sourceOf(documents_, service_.name, place / key).has_value();
-    add((own ? place : Json::json_pointer("/backend")) / key, message);
   }
 
   void checkTenants() {
--- a/source/core/settings/settings_documents.h
+++ b/source/core/settings/settings_documents.h
@@ -16,7 +16,6 @@
 /// Key of the metadata that `config apply` writes into each document; no setting.
 inline constexpr const char* kChangeKey = "change";
 /// Keys of the deployment document.
-inline constexpr const char* kCellKey = "cell";
 inline constexpr const char* kServiceDefaultsKey = "service";
 /// Keys of a service's document beside its fields.
 inline constexpr const char* kBackendKey = "backend";
--- a/source/core/settings/settings_effective.cc
+++ b/source/core/settings/settings_effective.cc
@@ -35,18 +35,4 @@
   return object;
 }
 
-Json effectiveCell(const CellSettings& cell) { return writeGroup(cellFields(), cell); }
-
-std::map<DocumentName, SettingsDocument> effectiveDocuments(const DeploymentSettings& settings) {
-  std::map<DocumentName, SettingsDocument> documents;
-  const auto add = [&documents](const DocumentName& name, SettingsVersion version, const Json& json) {
-    documents[name] = {name, version, json.dump(2)};
-  };
-  add(DocumentName(kDeploymentDocument), settings.version, {{kCellKey, effectiveCell(settings.cell)}});
-  for (const auto& [name, service] : settings.services) {
-    add(serviceDocumentName(name), service.version, effectiveService(service));
-  }
-  return documents;
-}
-
 }  // namespace shedlever
--- a/source/core/settings/settings_explain.cc
+++ b/source/core/settings/settings_explain.cc
@@ -78,17 +78,4 @@
   return ServiceExplainer(parseDocuments(documents, findings), found->second).run();
 }
 
-leaf::result<std::vector<ValueSource>> explainCell(const std::map<DocumentName, SettingsDocument>& documents) {
-  BOOST_LEAF_AUTO(settings, resolveSettings(documents));
-  Findings findings;
-  const ParsedDocuments parsed = parseDocuments(documents, findings);
-  std::vector<ValueSource> values;
-  for (const FieldRow<CellSettings>& row : cellFields()) {
-    const Json::json_pointer pointer = Json::json_pointer() / kCellKey / std::string(row.name);
-    const char* source = parsed.deployment.contains(pointer) ? kDeploymentDocument : "default";
-    values.push_back({pointer.to_string(), writeField(row, settings.cell).dump(), source});
-  }
-  return values;
-}
-
 }  // namespace shedlever
--- a/source/core/settings/settings_field.h
+++ b/source/core/settings/settings_field.h
@@ -26,6 +26,7 @@
 enum class TextRule : std::uint8_t {
   Name,        ///< lower-case letters, digits and inner hyphens, at most 63
   PathPrefix,  ///< begins and ends with "/"
+  Path,        ///< begins with "/"
   HeaderName,  ///< an HTTP header name, or empty
   Sha256,      ///< 64 lower-case hex digits
 };
@@ -58,10 +59,8 @@
 template <class Owner>
 using FieldRows = std::span<const FieldRow<Owner>>;
 
-FieldRows<CellSettings> cellFields();
 FieldRows<ServiceSettings> serviceFields();
 FieldRows<RetrySettings> retryFields();
-FieldRows<PlannerSettings> plannerFields();
 FieldRows<BackendSettings> backendFields();
 FieldRows<TenantSettings> tenantFields();
 
@@ -138,7 +137,6 @@
 template <class Visitor>
 void visitServiceGroups(Visitor&& visit) {
   visit(std::string_view("retry"), &ServiceSettings::retry, retryFields());
-  visit(std::string_view("planner"), &ServiceSettings::planner, plannerFields());
   visit(std::string_view("backend"), &ServiceSettings::backend, backendFields());
 }
 
--- a/source/core/settings/settings_field_tables.cc
+++ b/source/core/settings/settings_field_tables.cc
@@ -16,31 +16,6 @@
 
 using Scope = FieldScope;
 
-constexpr std::array<FieldRow<CellSettings>, 7> kCellFields{{
-    {"lease_ms", &CellSettings::lease, {20, kMinuteMs}, "Length of a lease, from the sending of its renewal."},
-    {"renewal_interval_ms",
-     &CellSettings::renewal_interval,
-     {5, kMinuteMs},
-     "Time between two renewals of one agent; a lease must outlive the loss of one renewal."},
-    {"election_min_ms",
-     &CellSettings::election_min,
-     {10, kMinuteMs},
-     "Shortest wait of a voter that hears no leader before it stands for election."},
-    {"election_max_ms",
-     &CellSettings::election_max,
-     {10, kMinuteMs},
-     "Longest such wait; each voter draws its own between the two."},
-    {"heartbeat_ms", &CellSettings::heartbeat, {5, kMinuteMs}, "Time between two messages of the leader to a voter."},
-    {"drift_margin_ms",
-     &CellSettings::drift_margin,
-     {0, kMinuteMs},
-     "Clock drift allowed for over one lease; taken off by the holder and added by the leader."},
-    {"pause_limit_ms",
-     &CellSettings::pause_limit,
-     {1, kMinuteMs},
-     "A process that was not running for longer than this treats its lease as lapsed."},
-}};
-
 constexpr std::array<FieldRow<ServiceSettings>, 13> kServiceFields{{
     {"path_prefix",
      &ServiceSettings::path_prefix,
@@ -56,7 +31,6 @@
      &ServiceSettings::key_header,
      {0, 0, TextRule::HeaderName},
      "The header with the key; needed when `key_source` is \"header\"."},
-    {"slices", &ServiceSettings::slices, {1, 65536}, "Slices that the key space is cut into at first placement."},
     {"repeatable",
      &ServiceSettings::repeatable,
      {},
@@ -65,11 +39,18 @@
      &ServiceSettings::once_only,
      {},
      "Requests run at most once; each needs an `Idempotency-Key`. Excludes `repeatable`."},
-    {"claim_limit", &ServiceSettings::claim_limit, {1, 10e6}, "Claims that the cell keeps for a once-only service."},
     {"claim_retention_ms",
      &ServiceSettings::claim_retention,
      {kMinuteMs, 365 * kDayMs},
-     "How long the outcome of a finished claim is kept at least."},
+     "How long a once-only key stays taken after its request has ended."},
+    {"priority",
+     &ServiceSettings::priority,
+     {0, 100},
+     "Rank of the service's requests in a server's queue; 0 is the most urgent."},
+    {"target_latency_ms",
+     &ServiceSettings::target_latency,
+     {1, kHourMs},
+     "Time within which an answer is worth most; a request waits for a slot or for its key's owner for a part of it."},
     {"default_deadline_ms",
      &ServiceSettings::default_deadline,
      {1, kHourMs},
@@ -86,50 +67,20 @@
     {"budget_ratio",
      &RetrySettings::budget_ratio,
      {0, 1},
-     "Retries that a tenant earns with each request; 0.1 is one retry for ten requests."},
-    {"budget_burst", &RetrySettings::budget_burst, {0, 10000}, "Retries that a tenant may save up."},
-    {"attempts", &RetrySettings::attempts, {1, 10}, "Tries of one request, the first included."},
-}};
-
-constexpr std::array<FieldRow<PlannerSettings>, 7> kPlannerFields{{
-    {"imbalance_weight",
-     &PlannerSettings::imbalance_weight,
-     {0, 1e6},
-     "Value of taking 1.0 off (highest server load / mean server load)."},
-    {"churn_weight", &PlannerSettings::churn_weight, {0, 1e6}, "Cost of moving the whole key space once."},
-    {"unavailable_weight",
-     &PlannerSettings::unavailable_weight,
-     {0, 1e6},
-     "Cost of one second in which the whole key space can't answer."},
-    {"imbalance_tolerance",
-     &PlannerSettings::imbalance_tolerance,
-     {1, 100},
-     "No move is made for balance below this (highest server load / mean server load)."},
-    {"concurrent_moves", &PlannerSettings::concurrent_moves, {1, 1024}, "Moves of the service at the same time."},
-    {"interval_ms", &PlannerSettings::interval, {10, kHourMs}, "Time between two plans of the service."},
-    {"reassign_delay_ms",
-     &PlannerSettings::reassign_delay,
-     {0, kHourMs},
-     "How long the slices of a server with a lapsed lease wait for its return before others get them."},
+     "Repeats that are earned with each request; 0.1 is one repeat for ten requests."},
+    {"budget_slack", &RetrySettings::budget_slack, {0, 10000}, "Repeats allowed besides, for all processes together."},
+    {"attempts", &RetrySettings::attempts, {1, 10}, "Servers that one request is sent to at most."},
 }};
 
-constexpr std::array<FieldRow<BackendSettings>, 7> kBackendFields{{
-    {"slots", &BackendSettings::slots, {1, 10000}, "Requests that the server works on at the same time."},
-    {"connections", &BackendSettings::connections, {1, 100000}, "Connections that the server bears."},
-    {"cold_start_slots",
-     &BackendSettings::cold_start_slots,
+constexpr std::array<FieldRow<BackendSettings>, 2> kBackendFields{{
+    {"slots",
+     &BackendSettings::slots,
      {1, 10000},
-     "Slots in use right after a start; they grow linearly to `slots`."},
-    {"cold_start_ms", &BackendSettings::cold_start, {0, kHourMs}, "Time in which they grow to `slots`."},
-    {"freeze_after_ms",
-     &BackendSettings::freeze_after,
-     {10, kHourMs},
-     "Work in hand without any progress for this long: the server is taken as frozen."},
-    {"probe_interval_ms",
-     &BackendSettings::probe_interval,
-     {10, kHourMs},
-     "Time between active probes while no request tells of the server's health."},
-    {"drain_limit_ms", &BackendSettings::drain_limit, {0, kHourMs}, "How long a drain waits for work in hand."},
+     "Requests sent to the server at once at most; fewer if it reports fewer slots."},
+    {"health_path",
+     &BackendSettings::health_path,
+     {0, 0, TextRule::Path},
+     "Where the server is asked whether it lives."},
 }};
 
 constexpr std::array<FieldRow<TenantSettings>, 4> kTenantFields{{
@@ -147,10 +98,8 @@
 
 }  // namespace
 
-FieldRows<CellSettings> cellFields() { return kCellFields; }
 FieldRows<ServiceSettings> serviceFields() { return kServiceFields; }
 FieldRows<RetrySettings> retryFields() { return kRetryFields; }
-FieldRows<PlannerSettings> plannerFields() { return kPlannerFields; }
 FieldRows<BackendSettings> backendFields() { return kBackendFields; }
 FieldRows<TenantSettings> tenantFields() { return kTenantFields; }
 
--- a/source/core/settings/settings_reference.cc
+++ b/source/core/settings/settings_reference.cc
@@ -14,10 +14,10 @@
 
 The platform's store holds one document for the deployment and one for each service:
 
-| document | object in the store | file for `config apply` |
+| document | object in the store (kind, name) | file for `config apply` |
 |---|---|---|
-| `deployment` | `settings/deployment` | `deployment.json` |
-| `services/NAME` | `settings/services/NAME` | `services/NAME.json` |
+| `deployment` | `shedlever-settings`, `deployment` | `deployment.json` |
+| `services/NAME` | `shedlever-settings`, `services.NAME` | `services/NAME.json` |
 
 Each is a JSON object. A value that a back end (`/backends/NAME`) does not give is taken from its service
 (`/backend`), then from the deployment (`/service/backend`), then from the defaults below; a value that a
@@ -34,11 +34,7 @@
 constexpr const char* kRules = R"(
 ## Checked together
 
-- `lease_ms` less `drift_margin_ms` must hold two `renewal_interval_ms`; `pause_limit_ms` must fit into it.
-- `election_min_ms` must be less than `election_max_ms`, more than `drift_margin_ms` and at least two `heartbeat_ms`.
-- `drift_margin_ms` must be between a thousandth and a quarter of `lease_ms`.
-- `default_deadline_ms` and `freeze_after_ms` must not be longer than `longest_deadline_ms`.
-- `cold_start_slots` must not be more than `slots`, `connections` not fewer.
+- `default_deadline_ms` and `target_latency_ms` must not be longer than `longest_deadline_ms`.
 - `once_only` excludes `repeatable`; `key_source` "header" needs `key_header`.
 - Path prefixes of two services must not overlap.
 - Tenants of a service have different names and credentials; one credential names the same tenant everywhere.
@@ -64,7 +60,7 @@
 
 std::string historySection() {
   return "\n## History\n\nThe last " + std::to_string(kHistoryLimit) +
-         " versions of a document that were replaced are kept in the object `history/DOCUMENT`, outside of the\n"
+         " versions of a document that were replaced are kept under the kind `shedlever-history`, outside of the\n"
          "settings that nodes read. `config apply` records a version there before it replaces it.\n"
          "`shedlever config history DOCUMENT` lists them, `config get DOCUMENT --at VERSION` prints one.\n";
 }
@@ -73,14 +69,13 @@
 
 std::string settingsReference() {
   std::string page = kIntroduction;
-  page += table("Cell (deployment document)", "Timing of the cell.", "/cell/", cellFields());
   page +=
       table("Service", "In a service's own document; in the deployment document below `/service`, for all services.",
             "/", serviceFields());
   visitServiceGroups([&page](std::string_view name, auto, auto rows) {
     const bool backend = name == "backend";
-    const std::string text = backend ? "Below `/backends/NAME` the same keys hold for the back end beside the agent "
-                                       "with that node name."
+    const std::string text = backend ? "Below `/backends/NAME` the same keys hold for the back end beside the node "
+                                       "of that name."
                                      : "Belongs to a service, as above.";
     page += table("Service: " + std::string(name), text, "/" + std::string(name) + "/", rows);
   });
--- a/source/core/settings/settings_tree.cc
+++ b/source/core/settings/settings_tree.cc
@@ -16,7 +16,7 @@
   DeploymentSettings read() {
     DeploymentSettings settings;
     settings.version = documents_.deployment_version;
-    const ServiceSettings defaults = readDeployment(settings.cell);
+    const ServiceSettings defaults = readDeployment();
     for (const auto& [name, document] : documents_.services) {
       ServiceSettings& service = settings.services[name];
       service = defaults;
@@ -31,13 +31,9 @@
 
  private:
   /// @return what every service inherits.
-  ServiceSettings readDeployment(CellSettings& cell) {
+  ServiceSettings readDeployment() {
     const DocumentPlace place(kDeploymentDocument);
-    checkKeys(documents_.deployment, place, {kChangeKey, kCellKey, kServiceDefaultsKey}, findings_);
-    if (const Json* object = child(documents_.deployment, place, kCellKey)) {
-      readGroup(*object, place.below(kCellKey), cellFields(), cell);
-    }
-    findings_.append(checkCellSettings(cell, place.below(kCellKey).text()));
+    checkKeys(documents_.deployment, place, {kChangeKey, kServiceDefaultsKey}, findings_);
     ServiceSettings defaults;
     defaults.deployment_version = documents_.deployment_version;
     if (const Json* object = child(documents_.deployment, place, kServiceDefaultsKey)) {
--- a/source/core/settings/settings_tree.h
+++ b/source/core/settings/settings_tree.h
@@ -37,11 +37,4 @@
 leaf::result<std::vector<ValueSource>> explainSettings(const std::map<DocumentName, SettingsDocument>& documents,
                                                        const ServiceName& service);
 
-/// @return every value of the cell's timing with its source; paths begin with "/cell/".
-leaf::result<std::vector<ValueSource>> explainCell(const std::map<DocumentName, SettingsDocument>& documents);
-
-/// Checks the timing of a cell: lease against renewal, election, drift and pause.
-/// @param place what findings give as their place.
-Findings checkCellSettings(const CellSettings& settings, const std::string& place);
-
 }  // namespace shedlever
--- a/source/core/settings/settings_value.cc
+++ b/source/core/settings/settings_value.cc
@@ -50,14 +50,16 @@
          std::all_of(text.begin(), text.end(), allowed);
 }
 
-bool isPathPrefix(std::string_view text) {
+bool isPath(std::string_view text) {
   const auto allowed = [](char character) {
     return std::isgraph(static_cast<unsigned char>(character)) != 0 && character != '?' && character != '#';
   };
-  return !text.empty() && text.size() <= kLongestText && text.front() == '/' && text.back() == '/' &&
+  return !text.empty() && text.size() <= kLongestText && text.front() == '/' &&
          std::all_of(text.begin(), text.end(), allowed);
 }
 
+bool isPathPrefix(std::string_view text) { return isPath(text) && text.back() == '/'; }
+
 bool isHeaderName(std::string_view text) {
   constexpr std::string_view kOtherCharacters = "!#$%&'*+-.^_`|~";
   const auto allowed = [&](char character) {
@@ -80,6 +82,8 @@
       return "a name of lower-case letters, digits and inner hyphens, at most 63";
     case TextRule::PathPrefix:
       return "a path that begins and ends with \"/\"";
+    case TextRule::Path:
+      return "a path that begins with \"/\"";
     case TextRule::HeaderName:
       return "the name of an HTTP header";
     case TextRule::Sha256:
@@ -96,6 +100,8 @@
       return isName(text);
     case TextRule::PathPrefix:
       return isPathPrefix(text);
+    case TextRule::Path:
+      return isPath(text);
     case TextRule::HeaderName:
       return isHeaderName(text);
     case TextRule::Sha256:
--- a/source/core/routing/caller_reply.cc
+++ b/source/interface/caller_reply.cc
@@ -1,11 +1,11 @@
-#include "source/core/routing/caller_reply.h"
+#include "source/interface/caller_reply.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "source/core/routing/header_rules.h"
+#include "source/interface/header_rules.h"
 
 namespace shedlever {
 
@@ -36,16 +36,10 @@
       return "no server owns the key at the moment";
     case Reason::NotOwner:
       return "the server asked does not own the key";
-    case Reason::StaleToken:
-      return "the key's owner has changed";
-    case Reason::LeaseLapsed:
-      return "the owner's lease is not valid";
     case Reason::Draining:
       return "the server is leaving and takes no new work";
     case Reason::ServerUnavailable:
       return "no server of the service can be reached";
-    case Reason::ServerFrozen:
-      return "the server makes no progress";
     case Reason::ConnectionLost:
       return "the connection broke after the request was sent";
     case Reason::BadReply:
@@ -56,14 +50,10 @@
       return "a request with the same idempotency key is running";
     case Reason::DuplicateUnknown:
       return "the outcome of an earlier request with the same idempotency key is unknown";
-    case Reason::ClaimsFull:
-      return "no room is left to record another once-only request";
     case Reason::ClaimUnavailable:
       return "the once-only request could not be recorded in time";
     case Reason::MissingIdempotencyKey:
       return "requests of this service need an Idempotency-Key";
-    case Reason::RetryBudgetSpent:
-      return "another try was possible, but the tenant's retry budget is spent";
     case Reason::ShuttingDown:
       return "this gateway is stopping";
   }
@@ -91,6 +81,14 @@
   addHeader(response, "Shedlever-Retry-After-Ms", std::to_string(std::chrono::ceil<milliseconds>(retry_after).count()));
 }
 
+/// A gateway's error would say that the request may have run.
+int statusOf(const Refusal& refusal) {
+  constexpr int kBadGateway = 502;
+  constexpr int kServiceUnavailable = 503;
+  const int status = httpStatusFor(refusal.reason);
+  return refusal.outcome == Outcome::NotRun && status == kBadGateway ? kServiceUnavailable : status;
+}
+
 std::string bodyOf(const Refusal& refusal) {
   nlohmann::json body;
   body["outcome"] = toString(refusal.outcome);
@@ -105,8 +103,6 @@
 Duration usualRetryAfter(Reason reason) {
   switch (reason) {
     case Reason::NotOwner:
-    case Reason::StaleToken:
-    case Reason::LeaseLapsed:
     case Reason::Draining:
       return milliseconds(200);
     case Reason::NoOwner:
@@ -115,13 +111,9 @@
     case Reason::QueueFull:
     case Reason::Overloaded:
     case Reason::ServerUnavailable:
-    case Reason::ServerFrozen:
     case Reason::DuplicateInProgress:
-    case Reason::RetryBudgetSpent:
     case Reason::ShuttingDown:
       return seconds(1);
-    case Reason::ClaimsFull:
-      return seconds(10);
     default:
       return Duration::zero();
   }
@@ -129,7 +121,7 @@
 
 HttpResponse refusalResponse(const Refusal& refusal) {
   HttpResponse response;
-  response.status = httpStatusFor(refusal.reason);
+  response.status = statusOf(refusal);
   addHeader(response, "Content-Type", "application/json");
   addHeader(response, "Shedlever-Outcome", std::string(toString(refusal.outcome)));
   addHeader(response, "Shedlever-Reason", std::string(toString(refusal.reason)));
--- a/source/core/routing/caller_reply.h
+++ b/source/interface/caller_reply.h
@@ -3,21 +3,10 @@
 /// @file
 /// What goes back to the caller: headers of the product, and the body of refusals.
 
-#include "shedlever/outcome.h"
-#include "shedlever/request_frames.h"
-#include "shedlever/time.h"
+#include "shedlever/platform_ports.h"
 
 namespace shedlever {
 
-/// A request that was not answered.
-struct Refusal {
-  RequestId id;
-  Outcome outcome = Outcome::NotRun;
-  Reason reason = Reason::None;
-  /// When to come back, as the refusing part says; zero when it said nothing.
-  Duration retry_after = Duration::zero();
-};
-
 /// @return when a refused request is worth another try, where nobody knows better; zero when it never is.
 Duration usualRetryAfter(Reason reason);
 
--- a/source/core/routing/credentials.cc
+++ b/source/interface/credentials.cc
@@ -1,10 +1,9 @@
-#include "source/core/routing/credentials.h"
+#include "source/interface/credentials.h"
 
 #include <openssl/crypto.h>
 
-#include <cstring>
-
-#include "source/core/routing/header_rules.h"
+#include "source/core/sha256.h"
+#include "source/interface/header_rules.h"
 
 namespace shedlever {
 
@@ -12,12 +11,6 @@
 
 constexpr std::string_view kScheme = "Bearer ";
 
-std::uint64_t bucketOf(const Sha256Digest& digest) {
-  std::uint64_t bucket = 0;
-  std::memcpy(&bucket, digest.data(), sizeof(bucket));
-  return bucket;
-}
-
 std::optional<Sha256Digest> digestFromHex(const std::string& hex) {
   Sha256Digest digest{};
   std::size_t size = 0;
@@ -46,24 +39,16 @@
   return credential.substr(first);
 }
 
-Credentials::Credentials(const std::vector<TenantSettings>& tenants) {
-  for (std::size_t i = 0; i < tenants.size(); ++i) {
-    const std::optional<Sha256Digest> digest = digestFromHex(tenants[i].credential_sha256);
-    if (digest) {
-      entries_.emplace(bucketOf(*digest), Entry{*digest, i});
-    }
-  }
-}
-
-std::optional<std::size_t> Credentials::tenantOf(const Sha256Digest& digest) const {
-  const auto range = entries_.equal_range(bucketOf(digest));
-  std::optional<std::size_t> tenant;
-  for (auto entry = range.first; entry != range.second; ++entry) {
-    if (CRYPTO_memcmp(entry->second.digest.data(), digest.data(), digest.size()) == 0) {
-      tenant = entry->second.tenant;
+const TenantSettings* tenantOf(std::string_view credential, const std::vector<TenantSettings>& tenants) {
+  const Sha256Digest digest = sha256(credential);
+  const TenantSettings* found = nullptr;
+  for (const TenantSettings& tenant : tenants) {
+    const std::optional<Sha256Digest> expected = digestFromHex(tenant.credential_sha256);
+    if (expected && CRYPTO_memcmp(expected->data(), digest.data(), digest.size()) == 0) {
+      found = &tenant;
     }
   }
-  return tenant;
+  return found;
 }
 
 }  // namespace shedlever
--- a/source/core/routing/header_rules.cc
+++ b/source/interface/header_rules.cc
@@ -1,4 +1,4 @@
-#include "source/core/routing/header_rules.h"
+#include "source/interface/header_rules.h"
 
 #include <algorithm>
 #include <array>
@@ -17,10 +17,8 @@
     "trailer",   "upgrade",    "transfer-encoding",  "content-length",      "expect",
 };
 
-/// Set by the agent or meant for the gateway alone.
-constexpr std::array<std::string_view, 6> kRequestOnly = {
-    "authorization", "host", "request-id", "fencing-token", "key-point", "deadline-ms",
-};
+/// Meant for the router alone.
+constexpr std::array<std::string_view, 2> kRequestOnly = {"authorization", "host"};
 
 char lowered(char letter) {
   const bool is_upper = letter >= 'A' && letter <= 'Z';
--- a/source/core/routing/service_match.cc
+++ b/source/interface/request_target.cc
@@ -1,6 +1,10 @@
-#include "source/core/routing/service_match.h"
+#include "source/interface/request_target.h"
 
-#include "source/core/routing/header_rules.h"
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "source/interface/header_rules.h"
 
 namespace shedlever {
 
@@ -59,22 +63,27 @@
   return rest.substr(0, rest.find('/'));
 }
 
-std::optional<KeyPoint> pointOfSegment(std::string_view segment) {
+std::optional<Key> keyOfSegment(std::string_view segment) {
   if (segment.empty()) {
     return std::nullopt;
   }
   if (segment.find('%') == std::string_view::npos) {
-    return pointOf(segment);
+    return keyOf(segment);
   }
   const std::optional<std::string> key = percentDecoded(segment);
   if (!key) {
     return std::nullopt;
   }
-  return pointOf(*key);
+  return keyOf(*key);
 }
 
 }  // namespace
 
+Key keyOf(std::string_view text) {
+  constexpr unsigned kDroppedBits = 48;
+  return static_cast<Key>(XXH3_64bits(text.data(), text.size()) >> kDroppedBits);
+}
+
 std::optional<std::string> percentDecoded(std::string_view text) {
   std::string decoded;
   decoded.reserve(text.size());
@@ -109,16 +118,16 @@
   return decoded && !hasDotSegment(*decoded);
 }
 
-std::optional<KeyPoint> keyPointOf(const ServiceSettings& settings, const HttpRequest& request) {
+std::optional<Key> requestKey(const ServiceSettings& settings, const HttpRequest& request) {
   if (settings.key_source == KeySource::Path) {
-    return pointOfSegment(keySegment(settings, request.target));
+    return keyOfSegment(keySegment(settings, request.target));
   }
   const HeaderLookup header = lookUpHeader(request.headers, settings.key_header);
   // Two headers could name two owners; which one the server would take is not known here.
   if (header.count != 1 || header.value.empty()) {
     return std::nullopt;
   }
-  return pointOf(header.value);
+  return keyOf(header.value);
 }
 
 Reason checkLimits(const ServiceSettings& settings, const HttpRequest& request) {
--- /dev/null
+++ b/source/interface/settings_config_protocol.cc
@@ -0,0 +1,47 @@
+#include "source/interface/settings_config_protocol.h"
+
+#include <algorithm>
+
+#include "source/core/settings/settings_routes.h"
+#include "source/core/settings/settings_tree.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr char kSlash = '/';
+constexpr char kSlashInStore = '.';
+
+}  // namespace
+
+std::string settingsObjectName(const DocumentName& document) {
+  std::string name = document.value;
+  std::replace(name.begin(), name.end(), kSlash, kSlashInStore);
+  return name;
+}
+
+std::optional<DocumentName> documentOfObject(const std::string& object) {
+  std::string name = object;
+  std::replace(name.begin(), name.end(), kSlashInStore, kSlash);
+  if (name != kDeploymentDocument && !name.starts_with(kServicePrefix)) {
+    return std::nullopt;
+  }
+  return DocumentName(std::move(name));
+}
+
+bool SettingsConfigProtocol::isPart(const std::string& name) const { return documentOfObject(name).has_value(); }
+
+leaf::result<RouterConfig> SettingsConfigProtocol::decode(const ObjectsByName& parts) const {
+  std::map<DocumentName, SettingsDocument> documents;
+  ConfigVersion version = 0;
+  for (const auto& [name, object] : parts) {
+    if (const auto document = documentOfObject(name)) {
+      documents[*document] = {*document, object.revision, object.value};
+      version = std::max(version, object.revision);
+    }
+  }
+  BOOST_LEAF_AUTO(settings, resolveSettings(documents));
+  return routesOf(settings, version);
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/interface/shedlever_client_protocol.cc
@@ -0,0 +1,80 @@
+#include "source/interface/shedlever_client_protocol.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "source/interface/caller_reply.h"
+#include "source/interface/credentials.h"
+#include "source/interface/header_rules.h"
+#include "source/interface/request_target.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr std::string_view kDeadlineHeader = "shedlever-deadline";
+constexpr std::string_view kIdempotencyHeader = "idempotency-key";
+
+ClientRequestInfo refused(Reason reason) {
+  ClientRequestInfo info;
+  info.refusal = reason;
+  return info;
+}
+
+/// @return what the client says; nothing when it can't be understood.
+std::optional<Duration> waitOf(const HttpRequest& request, const ServiceSettings& settings) {
+  const HeaderLookup header = lookUpHeader(request.headers, kDeadlineHeader);
+  if (header.count == 0) {
+    return settings.default_deadline;
+  }
+  std::uint32_t milliseconds = 0;
+  const char* const end = header.value.data() + header.value.size();
+  const auto [read_to, error] = std::from_chars(header.value.data(), end, milliseconds);
+  if (header.count > 1 || error != std::errc() || read_to != end) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+}  // namespace
+
+ClientRequestInfo ShedleverClientProtocol::read(const HttpRequest& request, const Route& route,
+                                                const RoutedService* service) const {
+  if (service == nullptr || !service->settings) {
+    return refused(Reason::UnknownService);
+  }
+  const ServiceSettings& settings = *service->settings;
+  if (!isSafeTarget(request.target)) {
+    return refused(Reason::BadRequest);
+  }
+  const std::optional<std::string_view> credential = bearerCredential(request.headers);
+  const TenantSettings* tenant = credential ? tenantOf(*credential, settings.tenants) : nullptr;
+  if (tenant == nullptr) {
+    return refused(Reason::Unauthenticated);
+  }
+  ClientRequestInfo info;
+  info.refusal = checkLimits(settings, request);
+  info.tenant = {tenant->name, tenant->weight, tenant->queue_limit};
+  info.time_left = waitOf(request, settings);
+  const HeaderLookup idempotency = lookUpHeader(request.headers, kIdempotencyHeader);
+  info.idempotency_key = IdempotencyKey(std::string(idempotency.value));
+  if (settings.divided_by_key) {
+    info.key = requestKey(settings, request);
+  }
+  const bool key_missing = settings.divided_by_key && !info.key;
+  if (info.refusal == Reason::None && (!info.time_left || idempotency.count > 1 || key_missing)) {
+    info.refusal = Reason::BadRequest;
+  }
+  if (info.refusal == Reason::None && route.needs_idempotency_key && info.idempotency_key.empty()) {
+    info.refusal = Reason::MissingIdempotencyKey;
+  }
+  return info;
+}
+
+void ShedleverClientProtocol::strip(HttpRequest& request) const { keepRequestHeaders(request.headers); }
+
+HttpResponse ShedleverClientProtocol::refusal(const Refusal& refusal) const { return refusalResponse(refusal); }
+
+void ShedleverClientProtocol::complete(HttpResponse& answer, const RequestId& id) const { completeAnswer(answer, id); }
+
+}  // namespace shedlever
--- a/soak/run_checks.cc
+++ b/source/lab/check/run_checks.cc
@@ -1,11 +1,11 @@
-#include "soak/run_checks.h"
+#include "source/lab/check/run_checks.h"
 
 #include <algorithm>
 #include <fstream>
 #include <set>
 #include <sstream>
 
-namespace shedlever::soak {
+namespace shedlever::check {
 
 namespace {
 
@@ -125,4 +125,9 @@
   return counts;
 }
 
-}  // namespace shedlever::soak
+std::size_t RunChecks::runsOf(const std::string& id) const {
+  return static_cast<std::size_t>(
+      std::count_if(runs_.begin(), runs_.end(), [&id](const Run& run) { return run.id == id; }));
+}
+
+}  // namespace shedlever::check
--- a/soak/run_checks.h
+++ b/source/lab/check/run_checks.h
@@ -10,7 +10,7 @@
 
 #include "shedlever/time.h"
 
-namespace shedlever::soak {
+namespace shedlever::check {
 
 /// How a client's request ended, as the client saw it.
 struct ClientRecord {
@@ -46,6 +46,9 @@
 
   CheckCounts counts() const;
 
+  /// @return how often servers began the request.
+  std::size_t runsOf(const std::string& id) const;
+
  private:
   struct Run {
     std::int64_t at = 0;
@@ -71,4 +74,4 @@
   std::vector<Take> takes_;
 };
 
-}  // namespace shedlever::soak
+}  // namespace shedlever::check
--- a/source/lab/sim/sim_command.h
+++ b/source/lab/sim/sim_command.h
@@ -1,17 +1,15 @@
 #pragma once
 
 /// @file
-/// `shedlever-lab sim`.
+/// `shedlever-lab sim`: plays scenarios and variants of their settings, and prints a table to compare them.
 
 #include <string>
 #include <vector>
 
 namespace shedlever::sim {
 
-/// Runs a scenario file and prints its report.
-/// @param arguments behind the word `sim`.
-/// @return the process's exit status: 0 when nothing that must hold was broken, 1 when something was, 2 with
-///   wrong arguments or findings in the scenario.
+/// @param arguments without the subcommand's name.
+/// @return the process's exit status: failure for wrong usage, and when a promise was broken.
 int runSimCommand(const std::vector<std::string>& arguments);
 
 }  // namespace shedlever::sim
--- a/test/support/fake_metadata_store.cc
+++ b/source/lab/sim/virtual_store.cc
@@ -1,8 +1,8 @@
-#include "test/support/fake_metadata_store.h"
+#include "source/lab/sim/virtual_store.h"
 
 #include <utility>
 
-namespace shedlever::test {
+namespace shedlever::sim {
 
 namespace {
 
@@ -60,6 +60,20 @@
   return {StoreStatus::Done, found->second};
 }
 
+StoreAnswer StoreState::remove(const std::string& kind, const std::string& name, StoreRevision revision) {
+  const auto found = objects_.find({kind, name});
+  if (found == objects_.end()) {
+    return {StoreStatus::Absent, {}};
+  }
+  if (revision != 0 && revision != found->second.revision) {
+    return {StoreStatus::Conflict, found->second};
+  }
+  const MetadataObject removed = found->second;
+  objects_.erase(found);
+  ++revision_;
+  return {StoreStatus::Done, removed};
+}
+
 StoreListing StoreState::list(const std::string& kind) const {
   StoreListing listing{true, revision_, {}};
   for (const auto& [place, object] : objects_) {
@@ -70,12 +84,12 @@
   return listing;
 }
 
-bool FakeMetadataStore::happens(double chance) {
+bool VirtualMetadataStore::happens(double chance) {
   constexpr std::uint64_t kSteps = 10000;
   return static_cast<double>(random_.below(kSteps)) < chance * static_cast<double>(kSteps);
 }
 
-void FakeMetadataStore::get(const std::string& kind, const std::string& name, AnswerCallback done) {
+void VirtualMetadataStore::get(const std::string& kind, const std::string& name, AnswerCallback done) {
   const bool down = faults.down;
   time_.after(down ? kCallTimeout : kStoreDelay, [this, down, kind, name, done = std::move(done), alive_now = alive] {
     if (*alive_now) {
@@ -84,7 +98,7 @@
   });
 }
 
-void FakeMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
+void VirtualMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
   const auto unanswered = [this, done, alive_now = alive] {
     time_.after(kCallTimeout, [done, alive_now] {
       if (*alive_now) {
@@ -115,15 +129,20 @@
   });
 }
 
-void FakeMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+void VirtualMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
   write([this, kind, object] { return state_.create(kind, object); }, done);
 }
 
-void FakeMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
+void VirtualMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
   write([this, kind, object] { return state_.replace(kind, object); }, done);
 }
 
-void FakeMetadataStore::list(const std::string& kind, ListCallback done) {
+void VirtualMetadataStore::remove(const std::string& kind, const std::string& name, StoreRevision revision,
+                                  AnswerCallback done) {
+  write([this, kind, name, revision] { return state_.remove(kind, name, revision); }, done);
+}
+
+void VirtualMetadataStore::list(const std::string& kind, ListCallback done) {
   time_.after(kStoreDelay, [this, kind, done = std::move(done), alive_now = alive] {
     if (*alive_now) {
       done(faults.down ? StoreListing{} : state_.list(kind));
@@ -131,7 +150,7 @@
   });
 }
 
-void FakeMetadataStore::watch(const std::string&, StoreRevision, Duration wait, WatchCallback done) {
+void VirtualMetadataStore::watch(const std::string&, StoreRevision, Duration wait, WatchCallback done) {
   time_.after(wait, [done = std::move(done), alive_now = alive] {
     if (*alive_now) {
       done({});
@@ -139,4 +158,4 @@
   });
 }
 
-}  // namespace shedlever::test
+}  // namespace shedlever::sim
--- a/test/support/fake_metadata_store.h
+++ b/source/lab/sim/virtual_store.h
@@ -16,7 +16,7 @@
 
 #include "shedlever/metadata_store.h"
 
-namespace shedlever::test {
+namespace shedlever::sim {
 
 /// Virtual time with events in its order.
 class VirtualTime final : public Clock {
@@ -53,6 +53,7 @@
   StoreAnswer get(const std::string& kind, const std::string& name) const;
   StoreAnswer create(const std::string& kind, const MetadataObject& object);
   StoreAnswer replace(const std::string& kind, const MetadataObject& object);
+  StoreAnswer remove(const std::string& kind, const std::string& name, StoreRevision revision);
   StoreListing list(const std::string& kind) const;
   StoreRevision revision() const { return revision_; }
 
@@ -71,9 +72,9 @@
 };
 
 /// One node's way to the store.
-class FakeMetadataStore final : public MetadataStore {
+class VirtualMetadataStore final : public MetadataStore {
  public:
-  FakeMetadataStore(VirtualTime& time, StoreState& state, SeededRandom& random)
+  VirtualMetadataStore(VirtualTime& time, StoreState& state, SeededRandom& random)
       : time_(time), state_(state), random_(random) {}
 
   StoreFaults faults;
@@ -83,6 +84,7 @@
   void get(const std::string& kind, const std::string& name, AnswerCallback done) override;
   void create(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
   void replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) override;
+  void remove(const std::string& kind, const std::string& name, StoreRevision revision, AnswerCallback done) override;
   void list(const std::string& kind, ListCallback done) override;
   void watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) override;
 
@@ -95,4 +97,4 @@
   SeededRandom& random_;
 };
 
-}  // namespace shedlever::test
+}  // namespace shedlever::sim
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -12,8 +12,8 @@
 #include <functional>
 #include <memory>
 
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
 #include "shedlever/time.h"
 #include "source/net/event_loop.h"
 
--- a/source/net/http_headers.h
+++ b/source/net/http_headers.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "shedlever/request_frames.h"
+#include "shedlever/http_messages.h"
 
 namespace shedlever {
 
--- a/source/net/http_response_parser.h
+++ b/source/net/http_response_parser.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "shedlever/request_frames.h"
+#include "shedlever/http_messages.h"
 #include "shedlever/time.h"
 #include "source/net/event_handles.h"
 
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -8,8 +8,8 @@
 #include <memory>
 
 #include "shedlever/errors.h"
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
 #include "source/net/event_loop.h"
 
 namespace shedlever {
--- /dev/null
+++ b/source/net/link_pacer.cc
@@ -0,0 +1,88 @@
+#include "source/net/link_pacer.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+/// A piece takes the link about so long: what a small message may have to wait.
+constexpr Duration kPieceTime = std::chrono::milliseconds(8);
+constexpr std::size_t kLeastPiece = 4U << 10U;
+constexpr std::size_t kLargestPiece = 256U << 10U;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+}  // namespace
+
+LinkPacer::LinkPacer(EventLoop& loop, const Clock& clock, const LinkConfig& config)
+    : loop_(loop), clock_(clock), config_(config), budget_(config) {}
+
+LinkPacer::~LinkPacer() { loop_.cancel(timer_); }
+
+std::size_t LinkPacer::pieceSize() const {
+  if (!budget_.limited()) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const double bytes = config_.bytes_per_second * static_cast<double>(kPieceTime.count()) / kMicrosecondsPerSecond;
+  return std::clamp(static_cast<std::size_t>(bytes), kLeastPiece, kLargestPiece);
+}
+
+void LinkPacer::note(std::size_t bytes) {
+  if (budget_.limited()) {
+    budget_.spend(bytes, clock_.now());
+  }
+}
+
+TransferId LinkPacer::start(std::size_t bytes, Writer write) {
+  const TransferId id = ++last_id_;
+  transfers_.push_back({id, bytes, std::move(write)});
+  backlog_ += bytes;
+  if (timer_ == 0 && !running_) {
+    run();
+  }
+  return id;
+}
+
+void LinkPacer::cancel(TransferId transfer) {
+  const auto found = std::find_if(transfers_.begin(), transfers_.end(),
+                                  [transfer](const Transfer& entry) { return entry.id == transfer; });
+  // The one that writes just now ends when its writer returns.
+  if (found == transfers_.end() || (running_ && found == transfers_.begin())) {
+    return;
+  }
+  backlog_ -= found->left;
+  transfers_.erase(found);
+}
+
+void LinkPacer::run() {
+  running_ = true;
+  Duration wait{};
+  while (!transfers_.empty()) {
+    wait = budget_.untilOpen(clock_.now());
+    if (wait > Duration::zero()) {
+      break;
+    }
+    Transfer& transfer = transfers_.front();
+    const std::size_t most = std::min(pieceSize(), transfer.left);
+    const std::size_t written = transfer.write(most);
+    budget_.spend(written, clock_.now());
+    const bool done = written < most || written == transfer.left;
+    const std::size_t settled = done ? transfer.left : written;
+    backlog_ -= settled;
+    transfer.left -= settled;
+    if (done) {
+      transfers_.pop_front();
+    }
+  }
+  running_ = false;
+  if (!transfers_.empty()) {
+    timer_ = loop_.runAfter(wait, [this] {
+      timer_ = 0;
+      run();
+    });
+  }
+}
+
+}  // namespace shedlever
--- a/source/net/request_parser.h
+++ b/source/net/request_parser.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-#include "shedlever/request_frames.h"
+#include "shedlever/http_messages.h"
 #include "source/net/event_handles.h"
 
 namespace shedlever {
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -50,6 +50,7 @@
   std::unordered_map<StrictHttpConnection*, std::shared_ptr<StrictHttpConnection>> connections;
   bool close_after_answers = false;
   std::size_t in_flight = 0;
+  LinkPacer* pacer = nullptr;
 };
 
 /// One client connection; one request at a time.
@@ -63,13 +64,30 @@
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
   }
 
+  ~StrictHttpConnection() {
+    if (transfer_ != 0) {
+      server_.pacer->cancel(transfer_);
+    }
+  }
+  StrictHttpConnection(const StrictHttpConnection&) = delete;
+  StrictHttpConnection& operator=(const StrictHttpConnection&) = delete;
+
   void reply(std::uint64_t number, HttpResponse response) {
     if (number != number_ || !waiting_) {
       return;
     }
     endWaiting();
     const bool keep = parser_->keepsConnection() && !server_.close_after_answers;
+    if (isPaced(response)) {
+      writePaced(std::move(response), keep);
+      return;
+    }
     write(std::move(response), keep);
+    afterAnswer(keep);
+  }
+
+  /// The answer is written, or in the buffers.
+  void afterAnswer(bool keep) {
     if (!keep) {
       closing_ = true;
       finishClosing();
@@ -100,11 +118,14 @@
   }
 
   bool idle() const {
-    return !waiting_ && !closing_ && !in_request_ && evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0 &&
+    return !waiting_ && !closing_ && !in_request_ && !sending_ &&
+           evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0 &&
            evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
   }
 
-  bool busy() const { return waiting_ || closing_ || evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0; }
+  bool busy() const {
+    return waiting_ || closing_ || sending_ || evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
+  }
 
   void remove() { server_.connections.erase(this); }
 
@@ -148,7 +169,7 @@
       evbuffer_drain(input, evbuffer_get_length(input));
       return;
     }
-    if (waiting_) {
+    if (waiting_ || sending_) {
       return;
     }
     const RequestProgress progress = parser_->consume(bufferevent_get_input(stream_.get()));
@@ -215,7 +236,45 @@
     --server_.in_flight;
   }
 
-  void write(HttpResponse response, bool keep) {
+  bool isPaced(const HttpResponse& response) const {
+    return server_.pacer != nullptr && server_.pacer->limited() && !is_head_ && response.body.size() >= kPacedBytes;
+  }
+
+  /// Writes the head at once and the body piece by piece; the next request is read after the last one.
+  void writePaced(HttpResponse response, bool keep) {
+    sending_ = true;
+    body_ = std::move(response.body);
+    body_written_ = 0;
+    const std::string head = headOf(response, body_.size(), keep);
+    evbuffer_add(bufferevent_get_output(stream_.get()), head.data(), head.size());
+    const auto writer = [weak = weak_from_this(), keep](std::size_t most) {
+      const auto self = weak.lock();
+      return self ? self->writePiece(most, keep) : 0;
+    };
+    const TransferId transfer = server_.pacer->start(body_.size(), writer);
+    transfer_ = body_.empty() ? 0 : transfer;
+  }
+
+  std::size_t writePiece(std::size_t most, bool keep) {
+    const std::size_t size = std::min(most, body_.size() - body_written_);
+    evbuffer_add(bufferevent_get_output(stream_.get()), body_.data() + body_written_, size);
+    flushOutput(stream_.get());
+    body_written_ += size;
+    if (body_written_ == body_.size()) {
+      transfer_ = 0;
+      body_ = {};
+      // The pacer is at work: what follows may end this connection or start the next answer.
+      server_.loop.post([weak = weak_from_this(), keep] {
+        if (const auto self = weak.lock()) {
+          self->sending_ = false;
+          self->afterAnswer(keep);
+        }
+      });
+    }
+    return size;
+  }
+
+  static std::string headOf(const HttpResponse& response, std::size_t body_size, bool keep) {
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
     for (const HttpHeader& header : response.headers) {
       if (!isFramingHeader(header.name)) {
@@ -223,9 +282,17 @@
       }
     }
     if (response.status != kNoContent && response.status != kNotModified) {
-      head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+      head += "Content-Length: " + std::to_string(body_size) + "\r\n";
     }
     head += keep ? "\r\n" : "Connection: close\r\n\r\n";
+    return head;
+  }
+
+  void write(HttpResponse response, bool keep) {
+    std::string head = headOf(response, response.body.size(), keep);
+    if (server_.pacer != nullptr) {
+      server_.pacer->note(head.size() + response.body.size());
+    }
     evbuffer* output = bufferevent_get_output(stream_.get());
     appendBytes(output, std::move(head));
     if (!is_head_) {
@@ -284,6 +351,11 @@
   bool waiting_ = false;
   bool closing_ = false;
   bool is_head_ = false;
+  /// A large answer is being written piece by piece.
+  bool sending_ = false;
+  TransferId transfer_ = 0;
+  std::string body_;
+  std::size_t body_written_ = 0;
 };
 
 void HttpReplier::reply(HttpResponse response) const {
@@ -310,10 +382,11 @@
 
 leaf::result<std::unique_ptr<StrictHttpServer>> StrictHttpServer::listen(EventLoop& loop, const Endpoint& listen,
                                                                          const StrictHttpLimits& limits,
-                                                                         StrictHttpHandler handler) {
+                                                                         StrictHttpHandler handler, LinkPacer* pacer) {
   auto state = std::make_shared<State>(loop);
   state->limits = limits;
   state->handler = std::move(handler);
+  state->pacer = pacer;
   const auto accepted = [raw = state.get()](evutil_socket_t socket, const Endpoint&) {
     auto connection = std::make_shared<StrictHttpConnection>(*raw, socket);
     raw->connections.emplace(connection.get(), connection);
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -12,9 +12,10 @@
 #include <memory>
 
 #include "shedlever/errors.h"
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
 #include "source/net/event_loop.h"
+#include "source/net/link_pacer.h"
 
 namespace shedlever {
 
@@ -56,10 +57,11 @@
 /// Listens on one address. Requests that come pipelined are handed over one after the other.
 class StrictHttpServer {
  public:
+  /// @param pacer writes large answers at the pace of the machine's link; null: all are written at once.
   /// @return the server, or a NetworkError.
   static leaf::result<std::unique_ptr<StrictHttpServer>> listen(EventLoop& loop, const Endpoint& listen,
                                                                 const StrictHttpLimits& limits,
-                                                                StrictHttpHandler handler);
+                                                                StrictHttpHandler handler, LinkPacer* pacer = nullptr);
   ~StrictHttpServer();
   StrictHttpServer(const StrictHttpServer&) = delete;
   StrictHttpServer& operator=(const StrictHttpServer&) = delete;
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -31,10 +31,14 @@
       own_service_(std::move(own_service)),
       ports_(ports),
       events_(std::move(events)),
-      config_watcher_(
-          *ports_.loop, *ports_.clock, *ports_.store, ports_.config->kind(), kConfigPause,
-          watcherEvents(
-              *ports_.log, "config", [this](const MetadataObject& object, bool) { onConfigObject(object); }, [] {})),
+      config_watcher_(*ports_.loop, *ports_.clock, *ports_.store, ports_.config->kind(), kConfigPause,
+                      watcherEvents(
+                          *ports_.log, "config",
+                          [this](const MetadataObject& object, bool deleted) { onConfigObject(object, deleted); },
+                          [this] {
+                            config_listed_ = true;
+                            adoptConfig();
+                          })),
       shared_watcher_(*ports_.loop, *ports_.clock, *ports_.store, kSharedKind, kSharedPause,
                       watcherEvents(
                           *ports_.log, "membership",
@@ -48,29 +52,51 @@
 
 // Configuration.
 
-void ClusterKnowledge::onConfigObject(const MetadataObject& object) {
-  if (object.name != ports_.config->name() || object.revision <= config_object_.revision) {
+void ClusterKnowledge::onConfigObject(const MetadataObject& object, bool deleted) {
+  if (!ports_.config->isPart(object.name)) {
+    return;
+  }
+  const auto known = config_parts_.find(object.name);
+  if (known != config_parts_.end() && object.revision <= known->second.revision) {
     return;
   }
+  if (deleted) {
+    config_parts_.erase(object.name);
+  } else {
+    config_parts_[object.name] = object;
+  }
+  if (config_listed_) {
+    adoptConfig();
+  }
+}
+
+void ClusterKnowledge::adoptConfig() {
+  std::map<std::string, StoreRevision> revisions;
+  for (const auto& [name, object] : config_parts_) {
+    revisions[name] = object.revision;
+  }
+  if (revisions.empty() || revisions == tried_revisions_) {
+    return;
+  }
+  tried_revisions_ = std::move(revisions);
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(config, ports_.config->decode(object.value));
-        adopt(std::move(config), object);
+        BOOST_LEAF_AUTO(config, ports_.config->decode(config_parts_));
+        adopt(std::move(config));
         return {};
       },
       [&](const Findings& findings) {
         ports_.log->write("config", "not-understood",
-                          {{"revision", std::to_string(object.revision)}, {"findings", toString(findings)}});
+                          {{"revision", std::to_string(config_watcher_.seen())}, {"findings", toString(findings)}});
       },
       [] {});
 }
 
-void ClusterKnowledge::adopt(RouterConfig config, const MetadataObject& object) {
-  config_object_ = object;
+void ClusterKnowledge::adopt(RouterConfig config) {
   routes_ = std::make_shared<const RouteTable>(std::move(config));
   ports_.log->write("config", "adopted",
                     {{"version", std::to_string(routes_->version())},
-                     {"revision", std::to_string(object.revision)},
+                     {"revision", std::to_string(config_watcher_.seen())},
                      {"routes", std::to_string(routes_->config().routes.size())}});
   events_.on_config();
 }
@@ -171,7 +197,9 @@
     return std::nullopt;
   }
   StateFrame state;
-  state.config = {config_object_.name, config_object_.revision, config_object_.value};
+  for (const auto& [name, object] : config_parts_) {
+    state.config.push_back({object.name, object.revision, object.value});
+  }
   for (const auto& [name, object] : shared_objects_) {
     state.shared.push_back({object.name, object.revision, object.value});
   }
@@ -187,14 +215,18 @@
 
 void ClusterKnowledge::take(const StateFrame& state) {
   ports_.log->write("membership", "state-heard",
-                    {{"config_revision", std::to_string(state.config.revision)},
+                    {{"config_parts", std::to_string(state.config.size())},
                      {"objects", std::to_string(state.shared.size())},
                      {"lease_left_us", std::to_string(state.lease_left_us)}});
   for (const ObjectCopy& copy : state.shared) {
     onSharedObject({copy.name, copy.revision, copy.value}, false);
   }
   if (!routes_) {
-    onConfigObject({state.config.name, state.config.revision, state.config.value});
+    for (const ObjectCopy& copy : state.config) {
+      onConfigObject({copy.name, copy.revision, copy.value}, false);
+    }
+    config_listed_ = true;
+    adoptConfig();
   }
   onListed();
 }
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -51,6 +51,8 @@
 
   /// @return the configuration in force; null while none is known.
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  /// @return the parts of the newest configuration read, with their revisions.
+  const std::map<std::string, StoreRevision>& configRevisions() const { return tried_revisions_; }
   /// @return whether configuration, nodes and tables are known.
   bool complete() const { return routes_ != nullptr && listed_; }
   bool listed() const { return listed_; }
@@ -79,8 +81,10 @@
   void take(const StateFrame& state);
 
  private:
-  void onConfigObject(const MetadataObject& object);
-  void adopt(RouterConfig config, const MetadataObject& object);
+  void onConfigObject(const MetadataObject& object, bool deleted);
+  /// Reads the parts of the configuration that are known and takes them over if they are right together.
+  void adoptConfig();
+  void adopt(RouterConfig config);
   void onSharedObject(const MetadataObject& object, bool deleted);
   void onNodeObject(const MetadataObject& object, bool deleted);
   void onTableObject(const MetadataObject& object);
@@ -96,7 +100,11 @@
   std::shared_ptr<const RouteTable> routes_;
   bool listed_ = false;
   /// Objects as the store has them, for processes that start while it can't be reached.
-  MetadataObject config_object_;
+  ObjectsByName config_parts_;
+  /// Revisions of the parts that were decoded last.
+  std::map<std::string, StoreRevision> tried_revisions_;
+  /// All parts have been read once, or were told.
+  bool config_listed_ = false;
   std::map<std::string, MetadataObject> shared_objects_;
   /// Tables of other services than this node's.
   std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
