--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -75,6 +75,8 @@
   NodeName node;
   MessageStream stream;
   std::deque<ExchangeId> sent;
+  /// What has come of large replies.
+  std::unordered_map<ExchangeId, std::string> parts;
   TimePoint heard_at{};
   /// When the question that waits for its answer was sent; zero when there is none.
   TimePoint pinged_at{};
@@ -245,6 +247,8 @@
 void PeerLinks::onFrame(const NodeName& node, RouterFrame frame) {
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
     onReply(std::move(*reply));
+  } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
+    onPart(node, *part);
   } else if (const auto* settled = std::get_if<SettleReplyFrame>(&frame)) {
     onSettled(*settled);
   } else if (std::holds_alternative<StoppingFrame>(frame)) {
@@ -262,6 +266,32 @@
   }
 }
 
+void PeerLinks::onPart(const NodeName& node, const ReplyPartFrame& part) {
+  const auto found = links_.find(node);
+  if (found == links_.end()) {
+    return;
+  }
+  auto& parts = found->second->parts;
+  if (!pending_.contains(part.exchange)) {
+    parts.erase(part.exchange);
+    return;
+  }
+  std::string& bytes = parts[part.exchange];
+  bytes += part.bytes;
+  const bool too_long = bytes.size() > peerStreamOptions().message_limit;
+  if (!part.last && !too_long) {
+    return;
+  }
+  auto frame = decodeRouterFrame(bytes);
+  parts.erase(part.exchange);
+  auto* reply = frame ? std::get_if<ForwardReplyFrame>(&frame.value()) : nullptr;
+  if (reply == nullptr || too_long) {
+    found->second->stream.breakNow();
+    return;
+  }
+  onReply(std::move(*reply));
+}
+
 void PeerLinks::onReply(ForwardReplyFrame reply) {
   auto node = pending_.extract(reply.exchange);
   if (node.empty()) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -79,6 +79,7 @@
   Link* linkTo(const NodeName& node);
   void onFrame(const NodeName& node, RouterFrame frame);
   void onReply(ForwardReplyFrame reply);
+  void onPart(const NodeName& node, const ReplyPartFrame& part);
   void onSettled(const SettleReplyFrame& settled);
   void onLinkUp(const NodeName& node);
   void onLinkEnd(Link& link);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -40,7 +40,13 @@
     });
   }
 
-  bool send(const RouterFrame& frame) { return !ended && stream.send(encodeRouterFrame(frame)); }
+  bool send(const RouterFrame& frame) {
+    std::string bytes = encodeRouterFrame(frame);
+    server.ports_.pacer->note(bytes.size());
+    return sendEncoded(std::move(bytes));
+  }
+
+  bool sendEncoded(std::string bytes) { return !ended && stream.send(std::move(bytes)); }
 
   PeerServer& server;
   StreamNumber number;
@@ -49,6 +55,8 @@
   NodeIdentity sender;
   /// The last replies that were written to it.
   std::deque<ExchangeId> answered;
+  /// Large replies that are being written.
+  std::unordered_map<ExchangeId, TransferId> transfers;
   bool ended = false;
 };
 
@@ -101,6 +109,10 @@
       ports_.gate->cancel(work->second.ticket);
       works_.erase(work);
     }
+    const auto transfer = stream->transfers.extract(cancel->exchange);
+    if (!transfer.empty()) {
+      ports_.pacer->cancel(transfer.mapped());
+    }
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
     // Says that this process is there.
@@ -150,7 +162,7 @@
     if (stream->answered.size() > kRememberedReplies) {
       stream->answered.pop_front();
     }
-    stream->send(std::move(reply));
+    sendReply(number, *stream, std::move(reply));
     return;
   }
   unsent_replies_[key] = std::move(reply);
@@ -161,11 +173,42 @@
   });
 }
 
+void PeerServer::sendReply(StreamNumber number, Stream& stream, ForwardReplyFrame reply) {
+  const ExchangeId exchange = reply.exchange;
+  std::string bytes = encodeRouterFrame(std::move(reply));
+  if (!ports_.pacer->limited() || bytes.size() < kPacedBytes) {
+    ports_.pacer->note(bytes.size());
+    stream.sendEncoded(std::move(bytes));
+    return;
+  }
+  sendParts(number, stream, exchange, std::move(bytes));
+}
+
+void PeerServer::sendParts(StreamNumber number, Stream& stream, ExchangeId exchange, std::string bytes) {
+  const std::size_t size = bytes.size();
+  const auto write = [this, alive = alive_, number, exchange, bytes = std::move(bytes),
+                      written = std::size_t{0}](std::size_t most) mutable -> std::size_t {
+    Stream* to = *alive ? find(number) : nullptr;
+    if (to == nullptr || to->ended) {
+      return 0;
+    }
+    const std::size_t piece = std::min(most, bytes.size() - written);
+    ReplyPartFrame part{exchange, bytes.substr(written, piece), written + piece == bytes.size()};
+    written += piece;
+    if (part.last) {
+      to->transfers.erase(exchange);
+    }
+    return to->sendEncoded(encodeRouterFrame(std::move(part))) ? piece : 0;
+  };
+  const TransferId transfer = ports_.pacer->start(size, write);
+  stream.transfers[exchange] = transfer;
+}
+
 void PeerServer::onSettle(StreamNumber number, Stream& stream, const SettleFrame& settle) {
   const WorkKey key{{stream.sender.name, settle.incarnation}, settle.exchange};
   const auto reply = unsent_replies_.find(key);
   if (reply != unsent_replies_.end()) {
-    stream.send(reply->second);
+    sendReply(number, stream, std::move(reply->second));
     unsent_replies_.erase(reply);
     return;
   }
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -9,22 +9,21 @@
 #include <memory>
 #include <unordered_map>
 
+#include "shedlever/platform_ports.h"
+#include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
 #include "source/router/server_gate.h"
 
 namespace shedlever {
 
-/// Makes a call to the store; the answer is none when there was none.
-using StoreCaller =
-    std::function<void(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done)>;
-
 /// A request whose stream broke stays for a while: its sender may ask on a new stream what became of it, and gets the
 /// answer there. One that has not been begun by then never is.
 class PeerServer {
  public:
   struct Ports {
     ServerGate* gate = nullptr;
+    LinkPacer* pacer = nullptr;
     StoreCaller call_store;
     /// Newest objects that this process has seen, for every reply.
     std::function<KnownRevisions()> known;
@@ -77,6 +76,9 @@
   void onFrame(StreamNumber number, RouterFrame frame);
   void onForward(StreamNumber number, Stream& stream, ForwardFrame frame);
   void onReply(const WorkKey& key, ForwardReplyFrame reply);
+  void sendReply(StreamNumber number, Stream& stream, ForwardReplyFrame reply);
+  /// Writes a large reply piece by piece.
+  void sendParts(StreamNumber number, Stream& stream, ExchangeId exchange, std::string bytes);
   void onSettle(StreamNumber number, Stream& stream, const SettleFrame& settle);
   void onStoreCall(StreamNumber number, StoreCallFrame call);
   void onStreamEnd(StreamNumber number);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/core/operators/node_status.h"
 #include "source/net/metrics_text.h"
 
 namespace shedlever {
@@ -13,6 +14,9 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kMetricsPath = "/metrics";
+/// For operators, where the product's own interface is used.
+constexpr const char* kStatusPath = "/status";
+constexpr const char* kDrainPath = "/drain";
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
 /// Kept of the grace for the end of the process itself.
@@ -34,9 +38,11 @@
       self_{settings_.node, Incarnation{wallClockMicroseconds()}},
       log_(loop_, clock_, log_descriptor),
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
-      server_link_(loop_, settings_.server, *platform_.requests),
+      server_link_(loop_, settings_.server, *platform_.servers),
       report_filter_(settings_.service, settings_.server),
-      gate_(loop_, clock_, settings_.queue, server_link_,
+      pacer_(loop_, clock_, settings_.link),
+      gate_(clock_, settings_.queue, server_link_,
+            {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
             {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
       links_(loop_, clock_, self_, directory_,
              {[this](const NodeName& node, bool reachable) {
@@ -56,7 +62,11 @@
           })),
       publisher_(loop_, *store_, log_),
       knowledge_(settings_.node, settings_.service,
-                 {&loop_, &clock_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()) {}
+                 {&loop_, &clock_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
+      claims_(self_, *store_, clock_, [this](const NodeIdentity& holder) {
+        const NodeRecord* record = directory_.node(holder.name);
+        return record == nullptr || record->incarnation <= holder.incarnation;
+      }) {}
 
 RouterProcess::~RouterProcess() = default;
 
@@ -79,7 +89,8 @@
   ports.loop = &loop_;
   ports.clock = &clock_;
   ports.random = &random_;
-  ports.protocol = platform_.requests;
+  ports.protocol = platform_.clients;
+  ports.claims = &claims_;
   ports.directory = &directory_;
   ports.gate = &gate_;
   ports.links = &links_;
@@ -98,7 +109,7 @@
               {"zone", settings_.zone.value},
               {"service", settings_.service.value},
               {"version", SHEDLEVER_VERSION}});
-  gateway_ = std::make_unique<Gateway>(settings_.node, settings_.service, settings_.retry, gatewayPorts());
+  gateway_ = std::make_unique<Gateway>(self_, settings_.service, settings_.retry, gatewayPorts());
   BOOST_LEAF_CHECK(openListeners());
   publishRecord();
   knowledge_.start();
@@ -122,6 +133,7 @@
   };
   PeerServer::Ports peer_ports;
   peer_ports.gate = &gate_;
+  peer_ports.pacer = &pacer_;
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known = [this] { return known(); };
@@ -134,7 +146,7 @@
   if (settings_.peers_reached_at.port == 0) {
     settings_.peers_reached_at = peer_server_->endpoint();
   }
-  BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client));
+  BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client, &pacer_));
   clients_ = std::move(clients);
   BOOST_LEAF_AUTO(readiness, StrictHttpServer::listen(loop_, settings_.readiness_listen, {}, on_readiness));
   readiness_ = std::move(readiness);
@@ -197,11 +209,23 @@
     return;
   }
   gate_.setHealthPath(own->health_path);
+  applyOwnSettings(*own);
   if (own->divided_by_key && !keeper_) {
     createKeeper();
   }
 }
 
+void RouterProcess::applyOwnSettings(const RoutedService& own) {
+  if (!own.settings) {
+    return;
+  }
+  const auto override = own.settings->backend_overrides.find(settings_.node);
+  const BackendSettings& backend =
+      override == own.settings->backend_overrides.end() ? own.settings->backend : override->second;
+  gate_.setMostSlots(backend.slots);
+  gate_.setHealthPath(backend.health_path);
+}
+
 void RouterProcess::onCompleteList() {
   if (keeper_ && !keeper_->tableWriter().exists()) {
     keeper_->onTableAbsent();
@@ -381,6 +405,7 @@
 
 void RouterProcess::tick() {
   gate_.tick();
+  claims_.tick(clock_.now());
   if (keeper_) {
     const ServerLoad load = gate_.load();
     if (load.slots > 0) {
@@ -407,6 +432,9 @@
     replier.reply({kOk, {{"Content-Type", kMetricsContentType}}, metrics_.text()});
     return;
   }
+  if (onOperatorRequest(request, replier)) {
+    return;
+  }
   if (!platform_.reports->asksReadiness(request)) {
     replier.reply({kNotFound, {}, {}});
     return;
@@ -414,6 +442,45 @@
   replier.reply({ready() ? kOk : kServiceUnavailable, {}, {}});
 }
 
+bool RouterProcess::onOperatorRequest(const HttpRequest& request, const HttpReplier& replier) {
+  if (settings_.interface_kind != InterfaceKind::Shedlever) {
+    return false;
+  }
+  if (request.method == "GET" && request.target == kStatusPath) {
+    replier.reply({kOk, {{"Content-Type", "application/json"}}, statusText()});
+    return true;
+  }
+  if (request.method == "POST" && request.target == kDrainPath) {
+    onServerDraining();
+    replier.reply({kOk, {{"Content-Type", "application/json"}}, statusText()});
+    return true;
+  }
+  return false;
+}
+
+std::string RouterProcess::statusText() const {
+  NodeStatus status;
+  status.node = self_;
+  status.zone = settings_.zone;
+  status.service = settings_.service;
+  status.version = SHEDLEVER_VERSION;
+  status.ready = ready();
+  status.stopping = stopping_;
+  status.instance = instance_;
+  status.draining = server_draining_;
+  status.silent = server_silent_;
+  status.load = gate_.load();
+  status.in_flight = gateway_->inFlight();
+  status.nodes = directory_.nodes().size();
+  status.config_version = knowledge_.routes() ? knowledge_.routes()->version() : 0;
+  status.config_parts = knowledge_.configRevisions();
+  if (keeper_) {
+    status.lease_left = std::max(keeper_->leaseUntil() - clock_.now(), Duration::zero());
+    status.ranges = keeper_->tableWriter().table().ownedAt(self_.name);
+  }
+  return encodeNodeStatus(status);
+}
+
 void RouterProcess::stop(std::function<void()> stopped) {
   if (stopping_) {
     return;
@@ -445,7 +512,8 @@
   const Duration passed = clock_.now() - stop_began_;
   const bool keys_gone = !keeper_ || instance_.empty() || keeper_->holdsNothing();
   // An answer that is given but not written whole, or not taken, would be cut.
-  const bool all_written = clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0;
+  const bool all_written =
+      clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 && pacer_.backlog() == 0;
   const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keys_gone && all_written;
   const bool late = passed >= settings_.stop.grace - kEndReserve;
   if ((idle && passed >= settings_.stop.clients_leave) || late) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -11,6 +11,7 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/platform_ports.h"
+#include "source/core/router/claim_keeper.h"
 #include "source/core/router/report_filter.h"
 #include "source/net/system_sources.h"
 #include "source/router/cluster_knowledge.h"
@@ -22,11 +23,11 @@
 
 /// The platform as this process meets it; all outlive the process.
 struct PlatformAdapters {
-  const RequestProtocol* requests = nullptr;
+  const ClientProtocol* clients = nullptr;
+  const ServerProtocol* servers = nullptr;
   const ReportProtocol* reports = nullptr;
   const ConfigProtocol* config = nullptr;
-  /// @return the store over calls made by `caller`.
-  std::function<std::unique_ptr<MetadataStore>(StoreCaller caller)> make_store;
+  StoreFactory make_store;
 };
 
 class RouterProcess {
@@ -66,6 +67,10 @@
   void onState(const StateFrame& state);
 
   void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
+  /// @return whether it was a request of an operator; it is answered then.
+  bool onOperatorRequest(const HttpRequest& request, const HttpReplier& replier);
+  std::string statusText() const;
+  void applyOwnSettings(const RoutedService& own);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReport(const ServerReport& report);
   void onServerDraining();
@@ -93,6 +98,7 @@
   ServerDirectory directory_;
   ServerLink server_link_;
   ReportFilter report_filter_;
+  LinkPacer pacer_;
   ServerGate gate_;
   PeerLinks links_;
   StoreAccess store_access_;
@@ -100,6 +106,7 @@
   RecordPublisher publisher_;
   ClusterKnowledge knowledge_;
   std::unique_ptr<OwnershipKeeper> keeper_;
+  ClaimKeeper claims_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<PeerServer> peer_server_;
   std::unique_ptr<StrictHttpServer> clients_;
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "source/core/router/duration_text.h"
+#include "source/core/router/ownership_fields.h"
 #include "source/core/settings/endpoint_text.h"
 
 namespace shedlever {
@@ -96,6 +97,17 @@
   const json* object_ = nullptr;
 };
 
+void readInterface(const json& document, RouterSettings& settings, Findings& findings) {
+  const auto found = document.find("interface");
+  if (found == document.end() || *found == "shedlever") {
+    settings.interface_kind = InterfaceKind::Shedlever;
+  } else if (*found == "platform") {
+    settings.interface_kind = InterfaceKind::Platform;
+  } else {
+    findings.add("interface", "must be \"shedlever\" or \"platform\"");
+  }
+}
+
 void readPlaces(const json& document, RouterSettings& settings, Findings& findings) {
   const Section node(document, "node", findings);
   settings.node = NodeName(node.text("name"));
@@ -125,6 +137,13 @@
   stop.read("grace", settings.stop.grace);
   stop.read("clients_leave", settings.stop.clients_leave);
   stop.read("drain", settings.stop.drain);
+  constexpr double kMostMbps = 1e6;
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  double link_mbps = settings.link.bytes_per_second / kBytesPerMegabit;
+  const Section link(document, "link", findings);
+  link.read("mbps", link_mbps, 0.0, kMostMbps);
+  link.read("used_share", settings.link.used_share, 0.1, 1.0);
+  settings.link.bytes_per_second = link_mbps * kBytesPerMegabit;
   const Section queue(document, "queue", findings);
   queue.read("longest_wait_share", settings.queue.longest_wait_share, 0.0, 1.0);
   queue.read("least_wait_limit", settings.queue.least_wait_limit);
@@ -134,12 +153,12 @@
 void readOwnership(const json& document, RouterSettings& settings, Findings& findings) {
   const Section section(document, "ownership", findings);
   OwnershipConfig& config = settings.ownership;
-  section.read("lease", config.lease);
-  section.read("lease_renewal", config.lease_renewal);
-  section.read("grant_hold", config.grant_hold);
-  section.read("balance_interval", config.balance_interval);
-  section.read("busy_occupancy", config.busy_occupancy, 0.0, 1.0);
-  section.read("occupancy_gap", config.occupancy_gap, 0.0, 1.0);
+  for (const OwnershipDuration& field : ownershipDurations()) {
+    section.read(field.name.data(), config.*field.member);
+  }
+  for (const OwnershipShare& field : ownershipShares()) {
+    section.read(field.name.data(), config.*field.member, 0.0, 1.0);
+  }
   Duration longest_grant = config.grant_hold;
   section.read("longest_grant", longest_grant);
   config.grant_hold = std::min(config.grant_hold, longest_grant);
@@ -164,6 +183,7 @@
     return leaf::new_error(std::move(findings));
   }
   RouterSettings settings;
+  readInterface(document, settings, findings);
   readPlaces(document, settings, findings);
   readLimits(document, settings, findings);
   readOwnership(document, settings, findings);
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -7,6 +7,7 @@
 
 #include "shedlever/errors.h"
 #include "shedlever/identifiers.h"
+#include "source/core/router/link_budget.h"
 #include "source/core/router/ownership_config.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/shared_retry_budget.h"
@@ -32,7 +33,14 @@
   Duration drain = std::chrono::seconds(2);
 };
 
+/// Whose words clients and operators use.
+enum class InterfaceKind : std::uint8_t {
+  Shedlever,  ///< the product's own, see docs/PROTOCOLS.md
+  Platform,   ///< those of the platform that the process runs on
+};
+
 struct RouterSettings {
+  InterfaceKind interface_kind = InterfaceKind::Shedlever;
   NodeName node;
   ZoneName zone;
   /// The service of the server beside this process.
@@ -50,6 +58,8 @@
   ServerChoiceConfig choice;
   QueueConfig queue;
   StopConfig stop;
+  /// The machine's link.
+  LinkConfig link;
 };
 
 /// @param text JSON.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -18,9 +18,16 @@
 
 }  // namespace
 
-ServerGate::ServerGate(EventLoop& loop, const Clock& clock, const QueueConfig& config, ServerLink& link,
+ServerGate::ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link,
                        GateEvents events)
-    : loop_(loop), clock_(clock), config_(config), link_(link), events_(std::move(events)) {}
+    : clock_(clock), config_(config), link_(link), machine_link_(std::move(machine_link)), events_(std::move(events)) {}
+
+ServerLoad ServerGate::load() const {
+  ServerLoad load = queue_.load();
+  const auto wait = std::chrono::floor<std::chrono::milliseconds>(machine_link_.wait_for(expected_bytes_));
+  load.link_ms = static_cast<std::uint32_t>(wait.count());
+  return load;
+}
 
 void ServerGate::serverUp(const InstanceId& instance, std::uint32_t slots) {
   if (instance_ != instance) {
@@ -31,8 +38,20 @@
     silent_ = false;
     failed_connections_ = 0;
   }
-  const double used = std::max(1.0, slots * config_.slot_share);
-  queue_.setSlots(static_cast<std::uint32_t>(used));
+  reported_slots_ = slots;
+  applySlots();
+}
+
+void ServerGate::setMostSlots(std::uint32_t slots) {
+  most_slots_ = slots;
+  if (!instance_.empty()) {
+    applySlots();
+  }
+}
+
+void ServerGate::applySlots() {
+  const double used = std::max(1.0, reported_slots_ * config_.slot_share);
+  queue_.setSlots(std::min(static_cast<std::uint32_t>(used), most_slots_));
   startWaiting();
 }
 
@@ -92,7 +111,7 @@
   reply.outcome = ForwardOutcome::NotRun;
   reply.reason = reason;
   reply.retry_after_us = retry_after.count();
-  reply.load = queue_.load();
+  reply.load = load();
   if (frame.keyed && keeper_ != nullptr) {
     reply.hint = keeper_->hintFor(frame.key);
   }
@@ -153,12 +172,24 @@
   }
   const Duration remaining(frame.remaining_us);
   const Duration longest_wait = longestWait(frame);
-  const QueueDecision decision = queue_.arrive(ticket, {frame.priority, now + remaining}, now, longest_wait);
-  if (decision.verdict == QueueVerdict::Refuse) {
-    done(refusal(frame, ForwardReason::Overloaded, decision.predicted_wait));
+  const double expected_bytes = answer_sizes_.expected(frame.kind);
+  if (expected_bytes > 0) {
+    const Duration link_wait = machine_link_.wait_for(expected_bytes_);
+    if (link_wait > longest_wait) {
+      done(refusal(frame, ForwardReason::Overloaded, link_wait));
+      return;
+    }
+  }
+  const QueueRank rank{frame.priority, now + remaining, 0};
+  const QueueDecision decision = queue_.arrive(ticket, frame.tenant, rank, now, longest_wait);
+  if (decision.verdict == QueueVerdict::Refuse || decision.verdict == QueueVerdict::TenantFull) {
+    const bool tenant_full = decision.verdict == QueueVerdict::TenantFull;
+    done(refusal(frame, tenant_full ? ForwardReason::QueueFull : ForwardReason::Overloaded, decision.predicted_wait));
     return;
   }
   Entry& entry = entries_[ticket];
+  entry.expected_bytes = expected_bytes;
+  expected_bytes_ += expected_bytes;
   entry.deadline = now + remaining;
   entry.frame = std::move(frame);
   entry.done = std::move(done);
@@ -189,23 +220,29 @@
   }
   entry.running = true;
   entry.started = now;
-  ServerRequest request{std::move(entry.frame.http), entry.frame.id,   instance_, remaining,
-                        entry.frame.caller,          entry.frame.keyed};
+  ServerRequestHead head{entry.frame.id, instance_, remaining, entry.frame.caller, std::nullopt};
+  if (entry.frame.keyed) {
+    head.key = entry.frame.key;
+  }
+  ServerRequest request{std::move(entry.frame.http), std::move(head)};
   entry.exchange =
       link_.send(std::move(request), [this, ticket](ServerResult result) { onResult(ticket, std::move(result)); });
 }
 
 void ServerGate::onResult(QueueTicket ticket, ServerResult result) {
-  auto node = entries_.extract(ticket);
-  if (node.empty()) {
+  std::optional<Entry> taken = takeEntry(ticket);
+  if (!taken) {
     return;
   }
-  Entry& entry = node.mapped();
+  Entry& entry = *taken;
   const TimePoint now = clock_.now();
   const Duration service_time = now - entry.started;
   const bool answered = result.outcome == ForwardOutcome::Answered;
   queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
   noteAnswer(result);
+  if (answered) {
+    answer_sizes_.note(entry.frame.kind, result.http.body.size());
+  }
   ForwardReplyFrame reply;
   reply.exchange = entry.frame.exchange;
   reply.outcome = result.outcome;
@@ -213,7 +250,7 @@
   reply.reached_server = result.reached_server;
   reply.service_us = answered ? service_time.count() : 0;
   reply.http = std::move(result.http);
-  reply.load = queue_.load();
+  reply.load = load();
   if (!entry.abandoned) {
     entry.done(std::move(reply));
   }
@@ -247,10 +284,19 @@
 }
 
 void ServerGate::giveBack(QueueTicket ticket, ForwardReason reason, Duration retry_after) {
+  const std::optional<Entry> entry = takeEntry(ticket);
+  if (entry && !entry->abandoned) {
+    entry->done(refusal(entry->frame, reason, retry_after));
+  }
+}
+
+std::optional<ServerGate::Entry> ServerGate::takeEntry(QueueTicket ticket) {
   auto node = entries_.extract(ticket);
-  if (!node.empty() && !node.mapped().abandoned) {
-    node.mapped().done(refusal(node.mapped().frame, reason, retry_after));
+  if (node.empty()) {
+    return std::nullopt;
   }
+  expected_bytes_ = std::max(0.0, expected_bytes_ - node.mapped().expected_bytes);
+  return std::move(node.mapped());
 }
 
 void ServerGate::giveBackAll(ForwardReason reason) {
@@ -269,7 +315,7 @@
   Entry& entry = found->second;
   if (!entry.running) {
     queue_.remove(ticket);
-    entries_.erase(found);
+    takeEntry(ticket);
     return;
   }
   entry.abandoned = true;
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -5,10 +5,12 @@
 /// is the right one, is not leaving and holds the request's key.
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
 
+#include "source/core/router/answer_sizes.h"
 #include "source/core/router/ownership_keeper.h"
 #include "source/core/router/slot_queue.h"
 #include "source/router/router_settings.h"
@@ -19,6 +21,12 @@
 /// Where forwarded requests end: at this process's gate or at another's.
 using ForwardCallback = std::function<void(ForwardReplyFrame)>;
 
+/// What the machine's link has to carry; the gate refuses large answers that it could not.
+struct LinkView {
+  /// @return how long the link takes for what waits and so many bytes more; zero where it is never the limit.
+  std::function<Duration(double more_bytes)> wait_for;
+};
+
 struct GateEvents {
   /// Nothing listens at the server's address: it is dead for sure.
   std::function<void()> server_gone;
@@ -29,7 +37,7 @@
 class ServerGate {
  public:
   /// @param keeper null for a service that is not divided by key. All outlive the gate.
-  ServerGate(EventLoop& loop, const Clock& clock, const QueueConfig& config, ServerLink& link, GateEvents events);
+  ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link, GateEvents events);
 
   /// Where the standing of keys is asked; null while the service is not divided by key.
   void setKeeper(OwnershipKeeper* keeper) { keeper_ = keeper; }
@@ -37,6 +45,9 @@
   /// Where the server is asked whether it lives.
   void setHealthPath(const std::string& path) { health_path_ = path; }
 
+  /// However many slots it reports, no more are used.
+  void setMostSlots(std::uint32_t slots);
+
   /// A server runs, by its own report.
   void serverUp(const InstanceId& instance, std::uint32_t slots);
   /// It has ended: nothing more is begun, what waits is given back.
@@ -62,7 +73,7 @@
   /// Gives back what has waited too long; notices a silent server. Every 25 ms or so.
   void tick();
 
-  ServerLoad load() const { return queue_.load(); }
+  ServerLoad load() const;
   const InstanceId& instance() const { return instance_; }
   bool draining() const { return draining_; }
   bool empty() const { return entries_.empty() && held_.empty(); }
@@ -78,6 +89,8 @@
     /// The caller is gone; the answer goes nowhere.
     bool abandoned = false;
     HttpExchangeId exchange = 0;
+    /// Bytes of a large answer that is to be expected; 0 for others.
+    double expected_bytes = 0;
   };
 
   /// A keyed request whose key moves, or is not granted yet.
@@ -88,6 +101,7 @@
     TimePoint deadline{};
   };
 
+  void applySlots();
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   void retryHeld(QueueTicket ticket);
   /// @return how long the request may wait for a slot.
@@ -95,6 +109,8 @@
   ForwardReason reasonNotToBegin(const ForwardFrame& frame, TimePoint now) const;
   void begin(QueueTicket ticket);
   void onResult(QueueTicket ticket, ServerResult result);
+  /// Takes an entry out, and what it was expected to bring.
+  std::optional<Entry> takeEntry(QueueTicket ticket);
   void startWaiting();
   void giveBack(QueueTicket ticket, ForwardReason reason, Duration retry_after);
   void giveBackAll(ForwardReason reason);
@@ -102,14 +118,19 @@
   void noteAnswer(const ServerResult& result);
   void checkSilence(TimePoint now);
 
-  EventLoop& loop_;
   const Clock& clock_;
   const QueueConfig& config_;
   ServerLink& link_;
+  LinkView machine_link_;
   GateEvents events_;
+  AnswerSizes answer_sizes_;
+  /// Sum over all entries.
+  double expected_bytes_ = 0;
   OwnershipKeeper* keeper_ = nullptr;
   std::string health_path_ = "/";
   SlotQueue queue_{0};
+  std::uint32_t reported_slots_ = 0;
+  std::uint32_t most_slots_ = std::numeric_limits<std::uint32_t>::max();
   InstanceId instance_;
   bool draining_ = false;
   bool keys_closed_ = false;
--- a/source/router/server_link.cc
+++ b/source/router/server_link.cc
@@ -40,15 +40,16 @@
 
 }  // namespace
 
-ServerLink::ServerLink(EventLoop& loop, const Endpoint& server, const RequestProtocol& protocol)
+ServerLink::ServerLink(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol)
     : protocol_(protocol), requests_(loop, requestConfig(server)), orders_(loop, orderConfig(server)) {}
 
 HttpExchangeId ServerLink::send(ServerRequest request, std::function<void(ServerResult)> done) {
-  protocol_.dress(request.http, request.instance, request.remaining, request.caller);
-  const Duration remaining = request.remaining;
-  auto finished = [this, id = request.id, instance = request.instance, keyed = request.keyed, done = std::move(done)](
+  protocol_.dress(request.http, request.head);
+  const Duration remaining = request.head.remaining;
+  const bool keyed = request.head.key.has_value();
+  auto finished = [this, id = request.head.id, instance = request.head.instance, keyed, done = std::move(done)](
                       HttpExchange exchange) { done(resultOf(std::move(exchange), id, instance, keyed)); };
-  auto check = [this, id = request.id, instance = request.instance, keyed = request.keyed](const HttpResponse& answer) {
+  auto check = [this, id = request.head.id, instance = request.head.instance, keyed](const HttpResponse& answer) {
     return protocol_.classify(answer, id, instance, keyed) != AnswerKind::Broken;
   };
   return requests_.send(std::move(request.http), remaining, std::move(finished), std::move(check));
--- a/source/router/server_link.h
+++ b/source/router/server_link.h
@@ -27,17 +27,13 @@
 
 struct ServerRequest {
   HttpRequest http;
-  RequestId id;
-  InstanceId instance;
-  Duration remaining{};
-  ServiceName caller;
-  bool keyed = false;
+  ServerRequestHead head;
 };
 
 class ServerLink final : public ServerOrders {
  public:
   /// @param protocol outlives the link.
-  ServerLink(EventLoop& loop, const Endpoint& server, const RequestProtocol& protocol);
+  ServerLink(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol);
 
   /// @param done runs from the loop, once, unless the request is cancelled.
   HttpExchangeId send(ServerRequest request, std::function<void(ServerResult)> done);
@@ -54,7 +50,7 @@
  private:
   ServerResult resultOf(HttpExchange exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
 
-  const RequestProtocol& protocol_;
+  const ServerProtocol& protocol_;
   HttpClient requests_;
   HttpClient orders_;
 };
--- a/standins/router/metadata_server.cc
+++ b/standins/router/metadata_server.cc
@@ -133,12 +133,13 @@
   answer.replyJson(kOk, json{{"items", items}, {"more", false}, {"at", revision_}}.dump());
 }
 
-std::string MetadataServer::eventsText(const std::string& kind, std::uint64_t after) const {
+std::string MetadataServer::eventsText(const std::string& kind, std::uint64_t after) {
   json events = json::array();
   for (const Event& event : events_) {
     if (event.kind == kind && event.revision > after) {
-      const Object& object = kinds_.at(kind).at(event.name);
-      events.push_back({{"gone", false}, {"object", json::parse(objectText(event.name, object))}});
+      const Object& object = event.removed ? *event.removed : kinds_.at(kind)[event.name];
+      const bool gone = event.removed.has_value();
+      events.push_back({{"gone", gone}, {"object", json::parse(objectText(event.name, object))}});
     }
   }
   return events.empty() ? "" : json{{"events", events}, {"at", revision_}}.dump();
@@ -183,8 +184,31 @@
   }
 }
 
+std::pair<int, std::string> MetadataServer::remove(const StandinRequest& request, const std::string& kind,
+                                                   const std::string& name) {
+  auto& objects = kinds_[kind];
+  const auto found = objects.find(name);
+  if (found == objects.end()) {
+    return {kNotFound, "{}"};
+  }
+  const std::uint64_t wanted = numberOr(request.query, "revision");
+  if (wanted != 0 && wanted != found->second.revision) {
+    return {kConflict, objectText(name, found->second)};
+  }
+  Object removed = found->second;
+  objects.erase(found);
+  removed.revision = ++revision_;
+  std::erase_if(events_, [&](const Event& event) { return event.kind == kind && event.name == name; });
+  events_.push_back({removed.revision, kind, name, removed});
+  answerWatches();
+  return {kOk, objectText(name, removed)};
+}
+
 std::pair<int, std::string> MetadataServer::apply(const StandinRequest& request, const std::string& kind,
                                                   const std::string& name) {
+  if (request.http.method == "DELETE") {
+    return remove(request, kind, name);
+  }
   const json document = json::parse(request.http.body, nullptr, false);
   const json metadata = document.value("metadata", json::object());
   const bool creates = request.http.method == "POST";
@@ -204,7 +228,8 @@
   Object& object = objects[key];
   object.revision = ++revision_;
   object.spec = document.value("spec", json()).dump();
-  events_.push_back({object.revision, kind, key});
+  std::erase_if(events_, [&](const Event& event) { return event.kind == kind && event.name == key; });
+  events_.push_back({object.revision, kind, key, std::nullopt});
   answerWatches();
   return {kOk, objectText(key, object)};
 }
--- a/standins/router/metadata_server.h
+++ b/standins/router/metadata_server.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -44,10 +45,13 @@
     std::uint64_t revision = 0;
     std::string spec;
   };
+  /// The newest change of each object; a reader of changes needs no earlier ones.
   struct Event {
     std::uint64_t revision = 0;
     std::string kind;
     std::string name;
+    /// The object as it was, if it was removed.
+    std::optional<Object> removed;
   };
   struct Waiter {
     std::uint64_t number = 0;
@@ -65,10 +69,12 @@
   void write(const StandinRequest& request, const std::string& kind, const std::string& name,
              const StandinResponder& responder);
   /// @return status and body.
+  std::pair<int, std::string> remove(const StandinRequest& request, const std::string& kind, const std::string& name);
+  /// @return status and body.
   std::pair<int, std::string> apply(const StandinRequest& request, const std::string& kind, const std::string& name);
   void answerWatches();
   std::string objectText(const std::string& name, const Object& object) const;
-  std::string eventsText(const std::string& kind, std::uint64_t after) const;
+  std::string eventsText(const std::string& kind, std::uint64_t after);
   bool happens(double chance);
 
   EventLoop& loop_;
--- a/standins/standin_http_server.h
+++ b/standins/standin_http_server.h
@@ -12,8 +12,8 @@
 #include <unordered_map>
 
 #include "shedlever/errors.h"
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
 #include "source/net/event_loop.h"
 
 struct evhttp_request;
--- a/test/core_routing/caller_reply_test.cc
+++ b/test/interface/caller_reply_test.cc
@@ -1,10 +1,10 @@
-#include "source/core/routing/caller_reply.h"
+#include "source/interface/caller_reply.h"
 
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
 
-#include "source/core/routing/header_rules.h"
+#include "source/interface/header_rules.h"
 
 namespace shedlever {
 namespace {
--- a/test/support/http_call.h
+++ b/test/support/http_call.h
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string>
 
+#include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
-#include "shedlever/request_frames.h"
 #include "source/net/event_loop.h"
 
 namespace shedlever::test {
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -29,6 +29,9 @@
   void replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) override {
     replaces.push_back({kind, object, std::move(done)});
   }
+  void remove(const std::string& kind, const std::string& name, StoreRevision revision, AnswerCallback done) override {
+    removes.push_back({kind, {name, revision, {}}, std::move(done)});
+  }
   void list(const std::string& kind, ListCallback done) override { lists.push_back({kind, {}, std::move(done)}); }
   void watch(const std::string& kind, StoreRevision after, Duration, WatchCallback done) override {
     watches.push_back({kind, {"", after, {}}, std::move(done)});
@@ -38,6 +41,7 @@
   std::deque<Call<AnswerCallback>> gets;
   std::deque<Call<AnswerCallback>> creates;
   std::deque<Call<AnswerCallback>> replaces;
+  std::deque<Call<AnswerCallback>> removes;
   std::deque<Call<ListCallback>> lists;
   std::deque<Call<WatchCallback>> watches;
 };
