--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -10,10 +10,6 @@
 constexpr Duration kWorkHalfLife = std::chrono::seconds(2);
 /// Share of the newest value in the smoothed occupancy, a tick.
 constexpr double kOccupancyShare = 0.1;
-/// Part of the difference to a less loaded server that one move takes away.
-constexpr double kMovedPart = 0.4;
-/// A move may bring this much more work than wanted.
-constexpr double kMostOverWanted = 1.5;
 
 std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
 
@@ -40,7 +36,8 @@
                                   },
                                   [this] { ports_.on_server_gone(); }, [this] { ports_.on_change(); }}),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeFrom(node); }),
-      meter_(kWorkHalfLife) {}
+      meter_(kWorkHalfLife),
+      planner_(meter_, config_) {}
 
 void OwnershipKeeper::tell(const std::string& what, const std::string& detail) {
   if (ports_.on_event) {
@@ -120,16 +117,21 @@
 std::vector<OwnerPlace> OwnershipKeeper::targets(TimePoint now) const {
   std::vector<const NodeRecord*> ready = ports_.directory->ready(service_, now);
   std::erase_if(ready, [&](const NodeRecord* record) { return record->node == self_.name; });
-  const auto load = [&](const NodeRecord* record) {
-    const bool owns = !writer_.table().ownedBy(record->instance).empty();
-    return owns ? ports_.directory->occupancy(record->node, now) : 0.0;
+  struct Loaded {
+    OwnerPlace place;
+    double load;
   };
-  std::stable_sort(ready.begin(), ready.end(),
-                   [&](const NodeRecord* left, const NodeRecord* right) { return load(left) < load(right); });
-  std::vector<OwnerPlace> places;
-  places.reserve(ready.size());
+  std::vector<Loaded> loaded;
   for (const NodeRecord* record : ready) {
-    places.push_back({record->instance, record->node});
+    const OwnerPlace place{record->instance, record->node};
+    loaded.push_back({place, loadOf(place, now)});
+  }
+  std::stable_sort(loaded.begin(), loaded.end(),
+                   [](const Loaded& left, const Loaded& right) { return left.load < right.load; });
+  std::vector<OwnerPlace> places;
+  places.reserve(loaded.size());
+  for (const Loaded& entry : loaded) {
+    places.push_back(entry.place);
   }
   return places;
 }
@@ -337,46 +339,30 @@
     joinRanges();
     return;
   }
-  const std::vector<OwnerPlace> to = targets(now);
-  if (to.empty() || occupancy_ < config_.busy_occupancy) {
-    return;
-  }
-  const bool target_owns = !writer_.table().ownedBy(to.front().instance).empty();
-  const double other = target_owns ? ports_.directory->occupancy(to.front().node, now) : 0.0;
-  if (occupancy_ - other < config_.occupancy_gap) {
-    return;
+  const std::optional<PlannedMove> move = planner_.plan(balanceView(owned, now), now);
+  if (move) {
+    startMoves({move->keys}, {move->to});
   }
-  double total = 0;
-  for (const OwnedRange& range : owned) {
-    total += meter_.sum(range.keys, now);
-  }
-  const double wanted = total * movedPart(to.front(), now) * (occupancy_ - other) / occupancy_;
-  std::optional<KeySpan> best;
-  double best_work = 0;
-  for (const OwnedRange& range : owned) {
-    const auto cut = meter_.cut(range.keys, wanted, wanted * kMostOverWanted, now);
-    const double work = cut ? meter_.sum(*cut, now) : 0;
-    if (work > best_work) {
-      best = cut;
-      best_work = work;
-    }
+}
+
+BalanceView OwnershipKeeper::balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const {
+  BalanceView view;
+  view.owned = owned;
+  view.occupancy = occupancy_;
+  for (const OwnerPlace& place : targets(now)) {
+    view.targets.push_back({place, loadOf(place, now)});
   }
-  if (best) {
-    startMoves({*best}, {to.front()});
+  for (const BalanceTarget& target : view.targets) {
+    const bool is_least = target.place == view.targets.front().place;
+    view.other_givers += !is_least && target.occupancy >= config_.busy_occupancy ? 1 : 0;
   }
+  return view;
 }
 
-double OwnershipKeeper::movedPart(const OwnerPlace& to, TimePoint now) const {
-  // Others that are as busy see the same idle server and give to it at the same time.
-  std::size_t givers = 1;
-  for (const NodeRecord* record : ports_.directory->ready(service_, now)) {
-    const bool other = record->node != self_.name && record->node != to.node;
-    const bool owns = !writer_.table().ownedBy(record->instance).empty();
-    if (other && owns && ports_.directory->occupancy(record->node, now) >= config_.busy_occupancy) {
-      ++givers;
-    }
-  }
-  return kMovedPart * 2.0 / static_cast<double>(givers + 1);
+double OwnershipKeeper::loadOf(const OwnerPlace& place, TimePoint now) const {
+  // A server without keys is idle, whatever its last replies said.
+  const bool owns = !writer_.table().ownedBy(place.instance).empty();
+  return owns ? ports_.directory->occupancy(place.node, now) : 0.0;
 }
 
 void OwnershipKeeper::joinRanges() {
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -12,6 +12,7 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_orders.h"
+#include "source/core/router/balance_planner.h"
 #include "source/core/router/key_meter.h"
 #include "source/core/router/lease_keeper.h"
 #include "source/core/router/range_grants.h"
@@ -106,8 +107,8 @@
   void takeFrom(const NodeName& node);
   void drain(TimePoint now);
   void balance(TimePoint now);
-  /// @return the part of the difference to the other server that one move takes away.
-  double movedPart(const OwnerPlace& to, TimePoint now) const;
+  BalanceView balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const;
+  double loadOf(const OwnerPlace& place, TimePoint now) const;
   void joinRanges();
 
   void startMoves(const std::vector<KeySpan>& pieces, const std::vector<OwnerPlace>& to);
@@ -129,6 +130,7 @@
   RangeGrants grants_;
   TakeoverWatcher takeover_;
   KeyMeter meter_;
+  BalancePlanner planner_;
 
   /// Empty while no server runs here.
   InstanceId instance_;
@@ -138,6 +140,7 @@
   TimePoint last_tick_{};
   TimePoint next_balance_{};
   double occupancy_ = 0;
+
   bool draining_ = false;
   /// The lease was revoked: nothing is granted until the table has confirmed this node's ranges under new tokens.
   bool must_confirm_ = false;
--- a/source/router/kind_poller.cc
+++ b/source/router/kind_poller.cc
@@ -7,12 +7,7 @@
 
 KindPoller::KindPoller(EventLoop& loop, const Clock& clock, MetadataStore& store, std::string kind,
                        const KindPollerConfig& config, Events events)
-    : loop_(loop),
-      clock_(clock),
-      store_(store),
-      kind_(std::move(kind)),
-      config_(config),
-      events_(std::move(events)) {}
+    : loop_(loop), clock_(clock), store_(store), kind_(std::move(kind)), config_(config), events_(std::move(events)) {}
 
 KindPoller::~KindPoller() {
   loop_.cancel(timer_);
