--- a/source/cli/cli_ports.h
+++ b/source/cli/cli_ports.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// What the commands use of the world: the platform's store, operator endpoints of daemons, waiting.
+/// What the commands use of the world: the platform's store, endpoints of routers, waiting.
 
 #include <functional>
 #include <optional>
@@ -22,9 +22,9 @@
   Unknown = 4,   ///< it may or may not have been done
 };
 
-/// How a call to a daemon ended.
+/// How a call to a router ended.
 enum class OperatorCallStatus : std::uint8_t {
-  NotSent,   ///< proved: the daemon did not get it
+  NotSent,   ///< proved: the router did not get it
   Lost,      ///< it may have got it
   Answered,  ///< `http_status` and `body` are its answer
 };
@@ -35,13 +35,13 @@
   std::string body;
 };
 
-/// Calls the operator endpoint of one daemon.
+/// Calls the readiness endpoint of one router.
 class OperatorClient {
  public:
   virtual ~OperatorClient() = default;
 
   /// @param done runs exactly once, later.
-  virtual void call(const Endpoint& daemon, const std::string& method, const std::string& target,
+  virtual void call(const Endpoint& router, const std::string& method, const std::string& target,
                     std::function<void(const OperatorAnswer&)> done) = 0;
 };
 
--- a/source/cli/network_ports.cc
+++ b/source/cli/network_ports.cc
@@ -38,12 +38,12 @@
  public:
   explicit HttpOperatorClient(EventLoop& loop) : loop_(loop) {}
 
-  void call(const Endpoint& daemon, const std::string& method, const std::string& target,
+  void call(const Endpoint& router, const std::string& method, const std::string& target,
             std::function<void(const OperatorAnswer&)> done) override {
-    std::unique_ptr<HttpClient>& client = clients_[daemon];
+    std::unique_ptr<HttpClient>& client = clients_[router];
     if (!client) {
       HttpClientConfig config;
-      config.server = daemon;
+      config.server = router;
       client = std::make_unique<HttpClient>(loop_, config);
     }
     client->send({method, target, {}, ""}, kOperatorTimeout,
--- a/source/interface/header_rules.h
+++ b/source/interface/header_rules.h
@@ -24,8 +24,8 @@
 /// @param name in any case.
 HeaderLookup lookUpHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
-/// Drops what must not reach the server: hop-by-hop headers, the credential, and headers that only the
-/// agent may set (`Request-Id`, `Fencing-Token`, `Key-Point`, `Deadline-Ms`), so that no caller can forge them.
+/// Drops what must not reach the server: hop-by-hop headers, the credential, and the product's own headers. Those that
+/// only the router may set towards servers are replaced by `ServerProtocol::dress`, so that no client can forge them.
 void keepRequestHeaders(std::vector<HttpHeader>& headers);
 
 /// Drops what must not reach the caller: hop-by-hop headers and anything that begins with `Shedlever-`,
