Soak: no port is given twice

Its log says 'listen on TCP 127.0.0.1:22801: Address already in use', and that port stands in two places of the deployment's settings: a port was drawn for one endpoint while nobody listened yet at the other. Ruled out: a port taken by a connecting socket (ports are below the kernel's range).

LoopbackPorts remembers what it gave.

--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -12,27 +12,8 @@
 
 namespace {
 
-/// Ports below those that the kernel gives to connecting sockets: a process that is restarted must find its port free.
-constexpr std::uint16_t kFirstPort = 15000;
-constexpr std::uint16_t kPorts = 15000;
 constexpr Duration kStoreStart = milliseconds(200);
 
-/// @return an endpoint that was free a moment ago.
-Endpoint freeEndpoint(EventLoop& loop, std::mt19937_64& random) {
-  while (true) {
-    Endpoint endpoint{"127.0.0.1", static_cast<std::uint16_t>(kFirstPort + random() % kPorts)};
-    const bool is_free = leaf::try_handle_all(
-        [&]() -> leaf::result<bool> {
-          BOOST_LEAF_CHECK(TcpListener::open(loop, endpoint, [](evutil_socket_t, const Endpoint&) {}));
-          return true;
-        },
-        [] { return false; });
-    if (is_free) {
-      return endpoint;
-    }
-  }
-}
-
 template <class Value>
 std::unique_ptr<Value> orNull(leaf::result<std::unique_ptr<Value>> result) {
   return result ? std::move(result.value()) : nullptr;
@@ -43,7 +24,7 @@
 }  // namespace
 
 LocalDeployment::LocalDeployment(EventLoop& loop, LocalDeploymentConfig config)
-    : loop_(loop), config_(std::move(config)), random_(config_.seed) {}
+    : loop_(loop), config_(std::move(config)), random_(config_.seed), ports_(loop_, config_.seed) {}
 
 LocalDeployment::~LocalDeployment() = default;
 
@@ -52,7 +33,7 @@
 }
 
 void LocalDeployment::startStore() {
-  store_endpoint_ = freeEndpoint(loop_, random_);
+  store_endpoint_ = ports_.next();
   store_ =
       orNull(test::ChildProcess::start({config_.binaries + "/standin-metadata",
                                         {"--listen", toString(store_endpoint_), "--seed", std::to_string(config_.seed)},
@@ -67,7 +48,7 @@
   node.divided = divided;
   node.service = service;
   for (Endpoint* endpoint : {&node.clients, &node.peers, &node.readiness, &node.reports, &node.server}) {
-    *endpoint = freeEndpoint(loop_, random_);
+    *endpoint = ports_.next();
   }
   node.settings_file = config_.folder + "/" + node.name + ".json";
   node.server_log = logOf(node.name + "-server");
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "soak/fault_proxy.h"
+#include "soak/loopback_ports.h"
 #include "test/support/child_process.h"
 
 namespace shedlever::soak {
@@ -81,6 +82,7 @@
   EventLoop& loop_;
   LocalDeploymentConfig config_;
   std::mt19937_64 random_;
+  LoopbackPorts ports_;
   Endpoint store_endpoint_;
   std::unique_ptr<test::ChildProcess> store_;
   std::vector<std::unique_ptr<LocalNode>> nodes_;
--- a/test/router/router_process_test.cc
+++ b/test/router/router_process_test.cc
@@ -138,8 +138,10 @@
   for (int i = 0; i < 10; ++i) {
     EXPECT_EQ(cluster_.ask(node(0), "/orders/x?bytes=200000").http.status, kOk);
   }
+  constexpr std::size_t kAtOnce = 20;
   std::vector<std::shared_ptr<ClientAnswer>> answers;
-  for (int i = 0; i < 20; ++i) {
+  answers.reserve(kAtOnce);
+  for (std::size_t i = 0; i < kAtOnce; ++i) {
     answers.push_back(cluster_.send(node(0), "/orders/x?bytes=200000"));
   }
   ASSERT_TRUE(cluster_.runUntil([&] {
