Who asks for an earlier life of an owner is told the present one

Gateways had read the owner table before the owners took their ranges up again for their servers' new lives. Ruled out: the owners' own table writes (they hold the new table when they refuse).

Such a refusal carries the range with its present life, and the gateway asks again at once. A key that is waited for at its owner is not asked for again. Test: WhoAsksForAnEarlierLifeIsToldTheNewOne (the hint was empty before).

--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -103,7 +103,9 @@
 
 OwnerHint OwnershipKeeper::hintFor(Key key) const {
   const OwnedRange* range = writer_.table().find(key);
-  if (range == nullptr || range->owner.empty() || range->node == self_.name) {
+  // Who asked for an earlier life of this node's server is told the present one.
+  const bool earlier_life = range != nullptr && range->node == self_.name && range->owner != instance_;
+  if (range == nullptr || range->owner.empty() || earlier_life) {
     return {};
   }
   return {writer_.revision(), range->keys.first, range->keys.last, range->owner, range->node};
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -384,6 +384,8 @@
   return served;
 }
 
+OwnerHint OwnershipWorld::hint(std::size_t node, Key key) const { return nodes_[node]->keeper->hintFor(key); }
+
 std::vector<std::optional<std::size_t>> OwnershipWorld::servingNodes() const {
   std::vector<std::optional<std::size_t>> serving(kSamples);
   for (std::size_t i = 0; i < kSamples; ++i) {
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -85,6 +85,8 @@
   /// @return how many keys, of those looked at, some node would begin requests for.
   std::size_t servedKeys() const;
   std::size_t sampledKeys() const { return kSamples; }
+  /// @return what the node tells who asks it for the key in vain.
+  OwnerHint hint(std::size_t node, Key key) const;
   /// @return who would begin requests for each of the keys looked at; none where nobody would.
   std::vector<std::optional<std::size_t>> servingNodes() const;
   /// @return changes of the store's objects so far.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -113,7 +113,11 @@
   reply.retry_after_us = retry_after.count();
   reply.load = load();
   if (frame.keyed && keeper_ != nullptr) {
-    reply.hint = keeper_->hintFor(frame.key);
+    const OwnerHint hint = keeper_->hintFor(frame.key);
+    // A key that is this server's, but not granted yet, is waited for; only who named an earlier life asks again at
+    // once.
+    const bool waits_here = hint.owner == instance_ && reason != ForwardReason::WrongInstance;
+    reply.hint = waits_here ? OwnerHint{} : hint;
   }
   return reply;
 }
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -97,6 +97,20 @@
   expectAllServed();
 }
 
+// The incident inc-bd5d: after all machines had lost power, requests named the servers' earlier lives and were refused
+// for seconds, until their gateways had read the table again.
+TEST_F(OwnershipTest, WhoAsksForAnEarlierLifeIsToldTheNewOne) {
+  const Key key = 1;
+  const OwnerHint before = world_.hint(0, key);
+  world_.killServer(0);
+  world_.startServer(0);
+  world_.run(seconds(1));
+  const OwnerHint after = world_.hint(0, key);
+  EXPECT_GT(after.revision, before.revision);
+  EXPECT_NE(after.owner, before.owner);
+  EXPECT_FALSE(after.owner.empty());
+}
+
 TEST_F(OwnershipTest, StoreDownForAllKeepsKeysWhileTheLeaseLasts) {
   for (std::size_t node = 0; node < 4; ++node) {
     world_.setStoreFaults(node, {true, 0, 0});
