Answer a router's own pages in a class of their own

Cause: router_process.cc wired the parts together and also answered metrics, readiness and the operators' status and drain. Change: StatusPages answers them, from a request to a response, without a socket; RouterProcess gives it what it needs. No behaviour changes.

--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -3,20 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "source/core/operators/node_status.h"
-#include "source/net/metrics_text.h"
-
 namespace shedlever {
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kNotFound = 404;
-constexpr int kServiceUnavailable = 503;
-constexpr const char* kMetricsPath = "/metrics";
-/// For operators, where the product's own interface is used.
-constexpr const char* kStatusPath = "/status";
-constexpr const char* kDrainPath = "/drain";
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
 /// Kept of the grace for the end of the process itself.
@@ -63,10 +54,12 @@
       publisher_(loop_, *store_, log_),
       knowledge_(settings_.node, settings_.service,
                  {&loop_, &clock_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
-      claims_(self_, *store_, clock_, [this](const NodeIdentity& holder) {
-        const NodeRecord* record = directory_.node(holder.name);
-        return record == nullptr || record->incarnation <= holder.incarnation;
-      }) {}
+      claims_(self_, *store_, clock_,
+              [this](const NodeIdentity& holder) {
+                const NodeRecord* record = directory_.node(holder.name);
+                return record == nullptr || record->incarnation <= holder.incarnation;
+              }),
+      status_pages_(settings_.interface_kind, statusPorts()) {}
 
 RouterProcess::~RouterProcess() = default;
 
@@ -102,6 +95,16 @@
   return ports;
 }
 
+StatusPages::Ports RouterProcess::statusPorts() {
+  StatusPages::Ports ports;
+  ports.reports = platform_.reports;
+  ports.ready = [this] { return ready(); };
+  ports.metrics = [this] { return metrics_.text(); };
+  ports.status = [this] { return status(); };
+  ports.drain = [this] { onServerDraining(); };
+  return ports;
+}
+
 leaf::result<void> RouterProcess::open() {
   log_.write("router", "start",
              {{"node", settings_.node.value},
@@ -122,7 +125,7 @@
     gateway_->handle(std::move(request), replier);
   };
   const auto on_readiness = [this](const HttpRequest& request, const HttpReplier& replier) {
-    onReadinessRequest(request, replier);
+    replier.reply(status_pages_.answer(request));
   };
   const auto on_report = [this](const HttpRequest& request, const HttpReplier& replier) {
     onReportRequest(request, replier);
@@ -427,38 +430,7 @@
 
 bool RouterProcess::ready() const { return knowledge_.complete() && !stopping_; }
 
-void RouterProcess::onReadinessRequest(const HttpRequest& request, const HttpReplier& replier) {
-  if (request.target == kMetricsPath) {
-    replier.reply({kOk, {{"Content-Type", kMetricsContentType}}, metrics_.text()});
-    return;
-  }
-  if (onOperatorRequest(request, replier)) {
-    return;
-  }
-  if (!platform_.reports->asksReadiness(request)) {
-    replier.reply({kNotFound, {}, {}});
-    return;
-  }
-  replier.reply({ready() ? kOk : kServiceUnavailable, {}, {}});
-}
-
-bool RouterProcess::onOperatorRequest(const HttpRequest& request, const HttpReplier& replier) {
-  if (settings_.interface_kind != InterfaceKind::Shedlever) {
-    return false;
-  }
-  if (request.method == "GET" && request.target == kStatusPath) {
-    replier.reply({kOk, {{"Content-Type", "application/json"}}, statusText()});
-    return true;
-  }
-  if (request.method == "POST" && request.target == kDrainPath) {
-    onServerDraining();
-    replier.reply({kOk, {{"Content-Type", "application/json"}}, statusText()});
-    return true;
-  }
-  return false;
-}
-
-std::string RouterProcess::statusText() const {
+NodeStatus RouterProcess::status() const {
   NodeStatus status;
   status.node = self_;
   status.zone = settings_.zone;
@@ -478,7 +450,7 @@
     status.lease_left = std::max(keeper_->leaseUntil() - clock_.now(), Duration::zero());
     status.ranges = keeper_->tableWriter().table().ownedAt(self_.name);
   }
-  return encodeNodeStatus(status);
+  return status;
 }
 
 void RouterProcess::stop(std::function<void()> stopped) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -17,6 +17,7 @@
 #include "source/router/cluster_knowledge.h"
 #include "source/router/gateway.h"
 #include "source/router/peer_server.h"
+#include "source/router/status_pages.h"
 #include "source/router/store_caller.h"
 
 namespace shedlever {
@@ -56,6 +57,7 @@
   leaf::result<void> openListeners();
   GatewayDependencies gatewayPorts();
   OwnershipPorts ownershipPorts();
+  StatusPages::Ports statusPorts();
 
   KnowledgeEvents knowledgeEvents();
   void onConfig();
@@ -66,10 +68,7 @@
   bool asksForState();
   void onState(const StateFrame& state);
 
-  void onReadinessRequest(const HttpRequest& request, const HttpReplier& replier);
-  /// @return whether it was a request of an operator; it is answered then.
-  bool onOperatorRequest(const HttpRequest& request, const HttpReplier& replier);
-  std::string statusText() const;
+  NodeStatus status() const;
   void applyOwnSettings(const RoutedService& own);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReport(const ServerReport& report);
@@ -107,6 +106,7 @@
   ClusterKnowledge knowledge_;
   std::unique_ptr<OwnershipKeeper> keeper_;
   ClaimKeeper claims_;
+  StatusPages status_pages_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<PeerServer> peer_server_;
   std::unique_ptr<StrictHttpServer> clients_;
