Read whole files in one place

Cause: router settings and scenarios were read by the same nine lines. Change: readTextFile; both use it. The command line's reader of settings documents also takes an empty file for a finding, so it stays.

--- a/source/lab/sim/scenario.cc
+++ b/source/lab/sim/scenario.cc
@@ -2,12 +2,11 @@
 
 #include <array>
 #include <cstdlib>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "source/core/router/duration_text.h"
 #include "source/core/router/ownership_fields.h"
+#include "source/net/text_file.h"
 
 namespace shedlever::sim {
 
@@ -135,15 +134,8 @@
 }
 
 leaf::result<Scenario> readScenario(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    Findings findings;
-    findings.add(path, "can't be read");
-    return leaf::new_error(std::move(findings));
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return parseScenario(text.str());
+  BOOST_LEAF_AUTO(text, readTextFile(path));
+  return parseScenario(text);
 }
 
 std::string applyVariant(const std::string& variant, OwnershipConfig& config) {
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -1,13 +1,12 @@
 #include "source/router/router_settings.h"
 
 #include <algorithm>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "source/core/router/duration_text.h"
 #include "source/core/router/ownership_fields.h"
 #include "source/core/settings/endpoint_text.h"
+#include "source/net/text_file.h"
 
 namespace shedlever {
 
@@ -194,15 +193,8 @@
 }
 
 leaf::result<RouterSettings> readRouterSettings(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    Findings findings;
-    findings.add(path, "can't be read");
-    return leaf::new_error(std::move(findings));
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return parseRouterSettings(text.str());
+  BOOST_LEAF_AUTO(text, readTextFile(path));
+  return parseRouterSettings(text);
 }
 
 }  // namespace shedlever
