Compare without regard to case in one place

Cause: equalsIgnoringCase (interface) and sameHeaderName (net) were the same comparison, each with its own lowering of a letter. Change: the comparison stands in core; sameHeaderName keeps its name and calls it. The interface does not link net, so core is its place.

--- a/source/interface/credentials.cc
+++ b/source/interface/credentials.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/crypto.h>
 
+#include "source/core/ascii_case.h"
 #include "source/core/sha256.h"
 #include "source/interface/header_rules.h"
 
--- a/source/interface/header_rules.cc
+++ b/source/interface/header_rules.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstddef>
 
+#include "source/core/ascii_case.h"
+
 namespace shedlever {
 
 namespace {
@@ -20,11 +22,6 @@
 /// Meant for the router alone.
 constexpr std::array<std::string_view, 2> kRequestOnly = {"authorization", "host"};
 
-char lowered(char letter) {
-  const bool is_upper = letter >= 'A' && letter <= 'Z';
-  return is_upper ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
 /// One bit for each length that occurs: most headers are told apart by their length alone.
 template <std::size_t kSize>
 constexpr std::uint64_t lengthsOf(const std::array<std::string_view, kSize>& names) {
@@ -98,18 +95,6 @@
 
 }  // namespace
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right) {
-  if (left.size() != right.size()) {
-    return false;
-  }
-  for (std::size_t i = 0; i < left.size(); ++i) {
-    if (lowered(left[i]) != lowered(right[i])) {
-      return false;
-    }
-  }
-  return true;
-}
-
 HeaderLookup lookUpHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
   HeaderLookup lookup;
   for (const HttpHeader& header : headers) {
--- a/source/interface/header_rules.h
+++ b/source/interface/header_rules.h
@@ -18,9 +18,6 @@
   std::string_view value;
 };
 
-/// Compares ASCII text without regard to case.
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
-
 /// @param name in any case.
 HeaderLookup lookUpHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
--- a/source/net/http_headers.cc
+++ b/source/net/http_headers.cc
@@ -3,21 +3,18 @@
 #include <algorithm>
 #include <array>
 
+#include "source/core/ascii_case.h"
+
 namespace shedlever {
 
 namespace {
 
-char lowerCase(char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter; }
-
 constexpr std::array<std::string_view, 8> kFramingHeaders = {
     "connection", "content-length", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"};
 
 }  // namespace
 
-bool sameHeaderName(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                    [](char a, char b) { return lowerCase(a) == lowerCase(b); });
-}
+bool sameHeaderName(std::string_view left, std::string_view right) { return equalsIgnoringCase(left, right); }
 
 const HttpHeader* findHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
   const auto found = std::find_if(headers.begin(), headers.end(),
