--- a/source/core/operators/request_trace.cc
+++ b/source/core/operators/request_trace.cc
@@ -12,16 +12,18 @@
 /// Changes of belief so long before a request's end may have decided it.
 constexpr std::int64_t kLookBackMs = 5000;
 constexpr std::int64_t kLookAheadMs = 200;
-constexpr std::string_view kRequestPart = "gateway";
+constexpr std::string_view kGatewayPart = "gateway";
+constexpr std::string_view kGatePart = "gate";
 
 struct ReasonMeaning {
   std::string_view reason;
   std::string_view meaning;
 };
 
-constexpr std::array<ReasonMeaning, 13> kMeanings = {
+constexpr std::array<ReasonMeaning, 19> kMeanings = {
     {{"none", "the server's answer was passed on"},
      {"overloaded", "the server's queue was too long, or the wait was over; it has not run"},
+     {"queue-full", "as many requests of its tenant waited as may; it has not run"},
      {"wrong-instance", "another life of the server was there; it has not run"},
      {"not-owner", "the key was another server's by then; it has not run"},
      {"not-yet-owner", "the key was changing hands; it has not run"},
@@ -32,20 +34,56 @@
      {"broken-answer", "the server's answer was cut or was not to this request; it may have run"},
      {"timed-out", "its time was over before an answer came"},
      {"cancelled", "its client went away"},
-     {"no-instance", "no server of the service was known; it has not run"}}};
+     {"no-instance", "no server of the service was known; it has not run"},
+     {"unknown-service", "no route of the configuration in force takes it"},
+     {"server-unavailable", "this process knew no configuration yet; it has not run"},
+     {"shutting-down", "this process was about to end; it has not run"},
+     {"unauthenticated", "its credential names no tenant"},
+     {"bad-request", "it could not be understood"}}};
 
-std::string meaningOf(const LogLine& line) {
+std::string reasonMeaning(const LogLine& line) {
   const std::string reason = line.field("reason");
   const auto found = std::find_if(kMeanings.begin(), kMeanings.end(),
                                   [&reason](const ReasonMeaning& entry) { return entry.reason == reason; });
+  return std::string(found == kMeanings.end() ? "no reason is told" : found->meaning);
+}
+
+std::string meaningOfAttempt(const LogLine& line) {
+  return "came back from " + line.field("node") + " after " + line.field("held_ms") + " ms: " + reasonMeaning(line) +
+         "; next: " + line.field("next");
+}
+
+std::string meaningOfEnd(const LogLine& line) {
   std::string sentence = line.event + " with status " + line.field("status") + " after " + line.field("held_ms") +
-                         " ms: " + std::string(found == kMeanings.end() ? "no reason is told" : found->meaning);
+                         " ms: " + reasonMeaning(line);
   if (const std::string node = line.field("node"); !node.empty() && node != "-") {
     sentence += "; tried last at " + node;
   }
   return sentence;
 }
 
+std::string meaningOfGate(const LogLine& line) {
+  if (line.event == "refused") {
+    return "not begun here: " + reasonMeaning(line) + "; " + line.field("running") + " of " + line.field("slots") +
+           " slots were in use, " + line.field("queued") + " waited";
+  }
+  return "the server " + line.field("instance") + " gave no whole answer in " + line.field("ran_ms") +
+         " ms: " + reasonMeaning(line);
+}
+
+std::string meaningOf(const LogLine& line) {
+  if (line.part == kGatePart) {
+    return meaningOfGate(line);
+  }
+  if (line.event == "attempt-ended") {
+    return meaningOfAttempt(line);
+  }
+  return line.event == "refused-at-once" ? "refused at once: " + reasonMeaning(line) : meaningOfEnd(line);
+}
+
+/// @return whether the line is about a single request.
+bool isAboutARequest(const LogLine& line) { return line.part == kGatewayPart || line.part == kGatePart; }
+
 /// Takes one value off the front: a word, or a quoted text.
 std::string takeValue(std::string_view& rest) {
   std::string value;
@@ -107,7 +145,7 @@
   std::int64_t first = 0;
   std::int64_t last = 0;
   for (const LogLine& line : lines) {
-    if (line.part != kRequestPart || line.field("id") != id) {
+    if (!isAboutARequest(line) || line.field("id") != id) {
       continue;
     }
     first = steps.empty() ? line.at_ms : std::min(first, line.at_ms);
@@ -121,7 +159,7 @@
   }
   for (const LogLine& line : lines) {
     const bool near = line.at_ms >= first - kLookBackMs && line.at_ms <= last + kLookAheadMs;
-    if (line.part != kRequestPart && near && nodes.contains(line.node)) {
+    if (!isAboutARequest(line) && near && nodes.contains(line.node)) {
       steps.push_back({line, {}});
     }
   }
--- a/source/core/router/duration_text.cc
+++ b/source/core/router/duration_text.cc
@@ -30,8 +30,10 @@
   return Duration(static_cast<Duration::rep>(microseconds));
 }
 
-std::string durationText(Duration duration) {
-  return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count()) + "ms";
+std::string durationText(Duration duration) { return millisecondsText(duration) + "ms"; }
+
+std::string millisecondsText(Duration duration) {
+  return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
 }
 
 }  // namespace shedlever
--- a/source/core/router/duration_text.h
+++ b/source/core/router/duration_text.h
@@ -14,7 +14,10 @@
 /// @return the time; none if the text is no such time.
 std::optional<Duration> parseDuration(std::string_view text);
 
-/// @return whole milliseconds, rounded down.
+/// @return whole milliseconds, rounded down, with their unit.
 std::string durationText(Duration duration);
 
+/// @return whole milliseconds, rounded down, without a unit, as logs show times.
+std::string millisecondsText(Duration duration);
+
 }  // namespace shedlever
--- a/source/core/router/owner_view.cc
+++ b/source/core/router/owner_view.cc
@@ -30,11 +30,11 @@
     const auto after = hints_.upper_bound(key);
     if (after != hints_.begin() && key <= std::prev(after)->second.last) {
       const OwnerHint& hint = std::prev(after)->second;
-      return {hint.owner, hint.node};
+      return {hint.owner, hint.node, hint.revision};
     }
   }
   const OwnedRange* range = table.find(key);
-  return range == nullptr ? KeyOwner{} : KeyOwner{range->owner, range->node};
+  return range == nullptr ? KeyOwner{} : KeyOwner{range->owner, range->node, table_revision};
 }
 
 }  // namespace shedlever
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -87,6 +87,12 @@
   return found == entries_.end() ? 0 : occupancyOf(found->second, now);
 }
 
+Duration ServerDirectory::loadAge(const NodeName& node, TimePoint now) const {
+  const auto found = entries_.find(node);
+  const bool told = found != entries_.end() && found->second.load_at != TimePoint{};
+  return told ? now - found->second.load_at : Duration::max();
+}
+
 double ServerDirectory::costOf(const Entry& entry, RouteKind kind, TimePoint now) const {
   const double occupancy = occupancyOf(entry, now);
   double cost = entry.slowness;
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -83,6 +83,8 @@
 
   /// @return occupied share of the node's slots, as last told; more than 1 while requests wait.
   double occupancy(const NodeName& node, TimePoint now) const;
+  /// @return how long ago the node told its load; the longest duration when it has not.
+  Duration loadAge(const NodeName& node, TimePoint now) const;
 
  private:
   struct Entry {
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -46,6 +46,7 @@
   EventLoop& loop;
   StrictHttpLimits limits;
   StrictHttpHandler handler;
+  std::function<void(int status)> refused;
   std::unique_ptr<TcpListener> listener;
   std::unordered_map<StrictHttpConnection*, std::shared_ptr<StrictHttpConnection>> connections;
   bool close_after_answers = false;
@@ -304,6 +305,9 @@
   /// Answers what can't be handed over, and reads no further.
   void refuse(int status) {
     is_head_ = false;
+    if (server_.refused) {
+      server_.refused(status);
+    }
     write({status, {}, {}}, false);
     closing_ = true;
     finishClosing();
@@ -400,6 +404,8 @@
 
 void StrictHttpServer::setLimits(const StrictHttpLimits& limits) { state_->limits = limits; }
 
+void StrictHttpServer::onRefused(std::function<void(int status)> refused) { state_->refused = std::move(refused); }
+
 void StrictHttpServer::closeAfterAnswers() { state_->close_after_answers = true; }
 
 void StrictHttpServer::closeIdle() {
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -71,6 +71,9 @@
   /// For requests that begin from now on.
   void setLimits(const StrictHttpLimits& limits);
 
+  /// @param refused runs with the status of each answer to what could not be handed over.
+  void onRefused(std::function<void(int status)> refused);
+
   /// Every answer from now on closes its connection.
   void closeAfterAnswers();
 
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -132,6 +132,13 @@
   if (!record) {
     return;
   }
+  ports_.log->write("membership", deleted ? "node-removed" : "node-changed",
+                    {{"node", record->node.value},
+                     {"incarnation", std::to_string(record->incarnation.value)},
+                     {"instance", record->instance.empty() ? "-" : record->instance.value},
+                     {"slots", std::to_string(record->slots)},
+                     {"draining", record->draining ? "1" : "0"},
+                     {"revision", std::to_string(object.revision)}});
   if (deleted) {
     ports_.directory->remove(record->node);
   } else if (record->node != self_) {
--- a/source/router/event_log.cc
+++ b/source/router/event_log.cc
@@ -16,6 +16,7 @@
 constexpr Duration kFlushDelay = std::chrono::milliseconds(100);
 constexpr double kServedPerSecond = 5.0;
 constexpr double kFailedPerSecond = 100.0;
+constexpr double kAttemptsPerSecond = 50.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
 
@@ -45,7 +46,8 @@
       clock_(clock),
       file_descriptor_(file_descriptor),
       served_{kServedPerSecond, kServedPerSecond, kServedPerSecond, {}},
-      failed_{kFailedPerSecond, kFailedPerSecond, kFailedPerSecond, {}} {
+      failed_{kFailedPerSecond, kFailedPerSecond, kFailedPerSecond, {}},
+      attempts_{kAttemptsPerSecond, kAttemptsPerSecond, kAttemptsPerSecond, {}} {
   fcntl(file_descriptor_, F_SETFL, fcntl(file_descriptor_, F_GETFL) | O_NONBLOCK);
 }
 
@@ -68,6 +70,8 @@
 
 bool EventLog::mayWriteFailed() { return take(failed_); }
 
+bool EventLog::mayWriteAttempt() { return take(attempts_); }
+
 void EventLog::write(const char* part, std::string_view event, std::initializer_list<LogField> fields) {
   if (buffer_.size() > kBufferLimit) {
     ++lost_;
--- a/source/router/event_log.h
+++ b/source/router/event_log.h
@@ -40,8 +40,10 @@
   /// A request that was served as it should be; few lines a second are kept.
   /// @return whether a line would be kept now; the caller makes its fields only then.
   bool mayWriteServed();
-  /// A request that was refused or failed; most are kept.
+  /// A request that was refused, failed or came late; most are kept.
   bool mayWriteFailed();
+  /// An attempt that did not end its request, or what a gate made of one.
+  bool mayWriteAttempt();
 
   /// Lines that were not kept.
   std::uint64_t lost() const { return lost_; }
@@ -70,6 +72,7 @@
   std::uint64_t told_lost_ = 0;
   RateLimit served_;
   RateLimit failed_;
+  RateLimit attempts_;
 };
 
 }  // namespace shedlever
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -26,10 +26,6 @@
 /// Clients honour a time up to a third of what they have left.
 constexpr int kMostRetryAfterDivisor = 4;
 
-std::string milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 Gateway::Gateway(NodeIdentity self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayDependencies ports)
@@ -37,6 +33,7 @@
       ids_(self),
       own_service_(std::move(own_service)),
       ports_(std::move(ports)),
+      recorder_(*ports_.clock, *ports_.log, *ports_.metrics),
       budget_(budget),
       policy_(budget_),
       splits_(static_cast<std::size_t>(ports_.random->next())) {}
@@ -51,20 +48,9 @@
   }
 }
 
-void Gateway::refuseAtOnce(const HttpReplier& replier, const Refusal& refusal) {
+void Gateway::refuseAtOnce(const HttpRequest& http, const HttpReplier& replier, const Refusal& refusal) {
   replier.reply(ports_.protocol->refusal(refusal));
-  ports_.metrics->onRequest(std::string(toString(refusal.reason)), {});
-}
-
-void Gateway::rejectUnrouted(const HttpRequest& http, const HttpReplier& replier, const RequestId& id) {
-  refuseAtOnce(replier, {id, Outcome::NotRun, Reason::UnknownService, {}});
-  if (ports_.log->mayWriteFailed()) {
-    ports_.log->write("gateway", "no-route",
-                      {{"id", id.value},
-                       {"host", std::string(headerValue(http.headers, "host"))},
-                       {"target", http.target},
-                       {"config", std::to_string(routes_->version())}});
-  }
+  recorder_.refusedAtOnce(http, refusal.id, refusal.reason, routes_ ? routes_->version() : 0);
 }
 
 void Gateway::handle(HttpRequest http, const HttpReplier& replier) {
@@ -75,19 +61,19 @@
   }
   if (!routes_ || refusing_) {
     const Reason reason = refusing_ ? Reason::ShuttingDown : Reason::ServerUnavailable;
-    refuseAtOnce(replier, {id, Outcome::NotRun, reason, spread(kAbsenceRetryAfter, Duration::max())});
+    refuseAtOnce(http, replier, {id, Outcome::NotRun, reason, spread(kAbsenceRetryAfter, Duration::max())});
     return;
   }
   const Route* route = routes_->find(headerValue(http.headers, "host"), http.target);
   if (route == nullptr) {
-    rejectUnrouted(http, replier, id);
+    refuseAtOnce(http, replier, {id, Outcome::NotRun, Reason::UnknownService, {}});
     return;
   }
   const ServiceName& chosen = splits_.pick(*route);
   const RoutedService* service = routes_->service(chosen);
   ClientRequestInfo info = ports_.protocol->read(http, *route, service);
   if (info.refusal != Reason::None) {
-    refuseAtOnce(replier, {id, Outcome::NotRun, info.refusal, {}});
+    refuseAtOnce(http, replier, {id, Outcome::NotRun, info.refusal, {}});
     return;
   }
   const RequestNumber number = ++last_number_;
@@ -236,11 +222,12 @@
       finish(number, std::move(reply.http), "answered", ClaimEnd::Answered);
       return;
     case NextStep::TryAnother:
+      recorder_.attemptEnded(request, reply, step, inputsOf(request));
       request.tried.insert(request.attempt.instance);
-      ports_.metrics->onRetry(reply.reason);
       dispatch(number);
       return;
     case NextStep::AwaitOwner:
+      recorder_.attemptEnded(request, reply, step, inputsOf(request));
       if (reply.hint.revision != 0) {
         dispatch(number);
       } else {
@@ -372,31 +359,19 @@
   }
   parked_.erase(number);
   ports_.loop->cancel(request.timer);
-  logEnd(request, response.status, outcome);
-  ports_.metrics->onRequest(outcome, ports_.clock->now() - request.arrived);
+  recorder_.ended(request, response.status, outcome);
   request.replier.reply(std::move(response));
 }
 
-void Gateway::logEnd(const Request& request, int status, const char* outcome) {
-  const bool served = request.last_reason == ForwardReason::None;
-  if (served ? !ports_.log->mayWriteServed() : !ports_.log->mayWriteFailed()) {
-    return;
-  }
+AttemptInputs Gateway::inputsOf(const Request& request) const {
   const TimePoint now = ports_.clock->now();
-  ports_.log->write("gateway", outcome,
-                    {{"id", request.id.value},
-                     {"status", std::to_string(status)},
-                     {"route", request.route->name},
-                     {"service", request.service.value},
-                     {"config", std::to_string(request.routes->version())},
-                     {"key", request.keyed ? std::to_string(*request.info.key) : "-"},
-                     {"node", request.attempt.node.value.empty() ? "-" : request.attempt.node.value},
-                     {"instance", request.attempt.instance.empty() ? "-" : request.attempt.instance.value},
-                     {"reason", toString(request.last_reason)},
-                     {"attempts", std::to_string(request.attempts)},
-                     {"reached", std::to_string(request.reached)},
-                     {"held_ms", milliseconds(now - request.arrived)},
-                     {"left_ms", milliseconds(request.deadline - now)}});
+  AttemptInputs inputs;
+  inputs.occupancy = ports_.directory->occupancy(request.attempt.node, now);
+  inputs.load_age = ports_.directory->loadAge(request.attempt.node, now);
+  if (request.keyed) {
+    inputs.table = ports_.owner_of(request.service, *request.info.key).revision;
+  }
+  return inputs;
 }
 
 }  // namespace shedlever
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -8,18 +8,14 @@
 #include <memory>
 #include <set>
 
-#include "shedlever/platform_ports.h"
-#include "source/core/router/claim_keeper.h"
 #include "source/core/router/owner_view.h"
 #include "source/core/router/request_ids.h"
 #include "source/core/router/retry_policy.h"
-#include "source/core/router/route_table.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/split_picker.h"
-#include "source/net/strict_http_server.h"
-#include "source/router/event_log.h"
+#include "source/router/gateway_recorder.h"
+#include "source/router/gateway_request.h"
 #include "source/router/peer_links.h"
-#include "source/router/router_metrics.h"
 #include "source/router/server_gate.h"
 
 namespace shedlever {
@@ -51,6 +47,8 @@
   Gateway(NodeIdentity self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayDependencies ports);
 
   void setConfig(std::shared_ptr<const RouteTable> routes);
+  /// For services whose own settings give no budget.
+  void setRetryBudget(const RetryBudgetConfig& budget) { budget_.setConfig(budget); }
   void setProcesses(std::size_t processes) { budget_.setProcesses(processes); }
 
   /// A request has arrived whole.
@@ -67,48 +65,9 @@
  private:
   using RequestNumber = std::uint64_t;
 
-  /// Where the present attempt is.
-  struct Attempt {
-    NodeName node;
-    InstanceId instance;
-    bool local = false;
-    /// Ticket at the own gate, or exchange at another process; 0 while there is none.
-    std::uint64_t handle = 0;
-    bool open = false;
-  };
-
-  struct Request {
-    Request(HttpRequest its_http, HttpReplier its_replier, std::shared_ptr<const RouteTable> its_routes)
-        : http(std::move(its_http)), replier(std::move(its_replier)), routes(std::move(its_routes)) {}
-
-    HttpRequest http;
-    HttpReplier replier;
-    std::shared_ptr<const RouteTable> routes;
-    const Route* route = nullptr;
-    ServiceName service;
-    RequestId id;
-    ClientRequestInfo info;
-    /// Its claim of an idempotency key; 0 for none.
-    ClaimNumber claim = 0;
-    /// Waits for its claim to be decided.
-    bool claiming = false;
-    bool keyed = false;
-    TimePoint arrived{};
-    TimePoint deadline{};
-    /// Servers that have been tried.
-    std::set<InstanceId> tried;
-    std::uint32_t reached = 0;
-    std::uint32_t attempts = 0;
-    Attempt attempt;
-    /// Waits for its key's owner.
-    bool parked = false;
-    TimePoint parked_until{};
-    ForwardReason last_reason = ForwardReason::None;
-    TimerId timer = 0;
-  };
-
-  void refuseAtOnce(const HttpReplier& replier, const Refusal& refusal);
-  void rejectUnrouted(const HttpRequest& http, const HttpReplier& replier, const RequestId& id);
+  using Request = GatewayRequest;
+
+  void refuseAtOnce(const HttpRequest& http, const HttpReplier& replier, const Refusal& refusal);
   void claim(RequestNumber number);
   void onClaim(RequestNumber number, ClaimAnswer answer);
   void dispatch(RequestNumber number);
@@ -123,7 +82,8 @@
   void onClientGone(RequestNumber number);
   void cancelAttempt(Request& request);
   void finish(RequestNumber number, HttpResponse response, const char* outcome, ClaimEnd claim_end);
-  void logEnd(const Request& request, int status, const char* outcome);
+  /// What is known now of the server that the last attempt went to.
+  AttemptInputs inputsOf(const Request& request) const;
   /// @return when to come back: some time after `wanted`, so that not all come at once.
   Duration spread(Duration wanted, Duration remaining);
 
@@ -131,6 +91,7 @@
   RequestIds ids_;
   ServiceName own_service_;
   GatewayDependencies ports_;
+  GatewayRecorder recorder_;
   SharedRetryBudget budget_;
   RetryPolicy policy_;
   SplitPicker splits_;
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -1,5 +1,7 @@
 #include "source/router/router_metrics.h"
 
+#include <utility>
+
 #include "source/net/metrics_text.h"
 
 namespace shedlever {
@@ -7,53 +9,162 @@
 namespace {
 
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMillisecondsPerSecond = 1e3;
+
+const prometheus::Histogram::BucketBoundaries kSecondsBoundaries = {0.005, 0.01, 0.025, 0.05, 0.1,
+                                                                    0.2,   0.4,  0.8,   1.6,  3.2};
+
+double secondsOf(Duration duration) { return static_cast<double>(duration.count()) / kMicrosecondsPerSecond; }
+
+prometheus::Family<prometheus::Histogram>& histograms(prometheus::Registry& registry, const char* name,
+                                                      const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
 
-const prometheus::Histogram::BucketBoundaries kHeldBoundaries = {0.005, 0.01, 0.025, 0.05, 0.1,
-                                                                 0.2,   0.4,  0.8,   1.6,  3.2};
+const char* wordOf(ForwardOutcome outcome) {
+  switch (outcome) {
+    case ForwardOutcome::Answered:
+      return "answered";
+    case ForwardOutcome::NotRun:
+      return "not-run";
+    case ForwardOutcome::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+/// The store's answer in a word.
+const char* wordOf(int status) {
+  constexpr int kConflict = 409;
+  constexpr int kFirstError = 400;
+  if (status == 0) {
+    return "no-answer";
+  }
+  if (status < kFirstError) {
+    return "done";
+  }
+  return status == kConflict ? "conflict" : "refused";
+}
 
 }  // namespace
 
-RouterMetrics::RouterMetrics()
-    : requests_(prometheus::BuildCounter()
-                    .Name("shedlever_requests_total")
-                    .Help("Requests of clients by their final outcome")
-                    .Register(registry_)),
-      retries_(prometheus::BuildCounter()
-                   .Name("shedlever_retries_total")
-                   .Help("Further attempts by the reason for them")
-                   .Register(registry_)),
-      events_(prometheus::BuildCounter()
-                  .Name("shedlever_events_total")
-                  .Help("Changes of what the process believes")
-                  .Register(registry_)),
-      held_(prometheus::BuildHistogram()
-                .Name("shedlever_request_seconds")
-                .Help("Time from a request's arrival to its final answer")
-                .Register(registry_)
-                .Add({}, kHeldBoundaries)) {}
-
-void RouterMetrics::onRequest(const std::string& outcome, Duration held) {
-  counterOf(request_counters_, requests_, "outcome", outcome).Increment();
-  held_.Observe(static_cast<double>(held.count()) / kMicrosecondsPerSecond);
-}
-
-void RouterMetrics::onRetry(ForwardReason reason) {
-  counterOf(retry_counters_, retries_, "reason", toString(reason)).Increment();
-}
-
-void RouterMetrics::onEvent(const std::string& event) {
-  counterOf(event_counters_, events_, "event", event).Increment();
-}
-
-prometheus::Counter& RouterMetrics::counterOf(Counters& counters, prometheus::Family<prometheus::Counter>& family,
-                                              const char* label, const std::string& value) {
-  prometheus::Counter*& counter = counters[value];
+prometheus::Counter& RouterMetrics::CounterFamily::at(const std::string& key,
+                                                      const std::function<prometheus::Labels()>& labels) {
+  prometheus::Counter*& counter = found[key];
   if (counter == nullptr) {
-    counter = &family.Add({{label, value}});
+    counter = &family.Add(labels());
   }
   return *counter;
 }
 
-std::string RouterMetrics::text() const { return metricsText(registry_); }
+prometheus::Counter& RouterMetrics::CounterFamily::at(const char* label, const std::string& value) {
+  return at(value, [&] { return prometheus::Labels{{label, value}}; });
+}
+
+RouterMetrics::CounterFamily RouterMetrics::counters(const char* name, const char* help) {
+  return {prometheus::BuildCounter().Name(name).Help(help).Register(registry_), {}};
+}
+
+prometheus::Gauge& RouterMetrics::gauge(const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({});
+}
+
+RouterMetrics::RouterMetrics()
+    : requests_(counters("shedlever_requests_total", "Requests of clients by service, final outcome and last reason")),
+      refused_at_once_(
+          counters("shedlever_requests_refused_at_once_total", "Requests refused before they had a route, by reason")),
+      retries_(counters("shedlever_retries_total", "Further attempts by the reason for them")),
+      gate_refusals_(counters("shedlever_gate_refusals_total", "Requests that the gate did not begin, by reason")),
+      server_ends_(counters("shedlever_server_requests_total",
+                            "Requests sent to the server beside this process, by outcome and reason")),
+      store_calls_(counters("shedlever_store_calls_total", "Calls to the metadata store by method and outcome")),
+      events_(counters("shedlever_events_total", "Changes of what the process believes")),
+      held_(histograms(registry_, "shedlever_request_seconds",
+                       "Time from a request's arrival to its final answer, by route")),
+      queued_(histograms(registry_, "shedlever_queue_seconds", "Time for which begun requests waited for a slot")
+                  .Add({}, kSecondsBoundaries)),
+      ran_(histograms(registry_, "shedlever_server_seconds", "Time that the server took for requests it answered")
+               .Add({}, kSecondsBoundaries)),
+      store_seconds_(histograms(registry_, "shedlever_store_call_seconds", "Time to the store's answer, watches apart")
+                         .Add({}, kSecondsBoundaries)),
+      slots_(gauge("shedlever_server_slots", "Slots of the server that are used")),
+      running_(gauge("shedlever_server_running", "Requests that run at the server")),
+      waiting_(gauge("shedlever_server_waiting", "Requests that wait for a slot")),
+      link_wait_(gauge("shedlever_link_wait_seconds", "How long large answers keep the machine's link busy")),
+      in_flight_(gauge("shedlever_requests_in_flight", "Requests of clients without their final answer")),
+      nodes_(gauge("shedlever_nodes", "Nodes known")),
+      peer_streams_(gauge("shedlever_peer_streams", "Streams to other nodes that are up")),
+      config_version_(gauge("shedlever_config_version", "Version of the configuration in force")),
+      config_age_(gauge("shedlever_config_age_seconds", "Time since the configuration in force was taken over")),
+      owner_table_(gauge("shedlever_owner_table_revision", "Revision of the service's own owner table")),
+      owned_ranges_(gauge("shedlever_owned_ranges", "Ranges of keys that the server beside this process owns")),
+      lease_left_(gauge("shedlever_lease_left_seconds", "What is left of the node's lease")),
+      store_reached_(gauge("shedlever_store_reached", "1 while the last straight call to the store had an answer")),
+      log_lines_dropped_(gauge("shedlever_log_lines_dropped", "Log lines left out since the start")) {}
+
+prometheus::Histogram& RouterMetrics::routeHistogram(const std::string& route) {
+  prometheus::Histogram*& histogram = held_by_route_[route];
+  if (histogram == nullptr) {
+    histogram = &held_.Add({{"route", route}}, kSecondsBoundaries);
+  }
+  return *histogram;
+}
+
+void RouterMetrics::onRequest(const RequestEnd& end) {
+  std::string key = end.service.value;
+  key.append(1, ' ').append(end.outcome).append(1, ' ').append(toString(end.reason));
+  const auto labels = [&end] {
+    return prometheus::Labels{
+        {"service", end.service.value}, {"outcome", std::string(end.outcome)}, {"reason", toString(end.reason)}};
+  };
+  requests_.at(key, labels).Increment();
+  routeHistogram(end.route).Observe(secondsOf(end.held));
+}
+
+void RouterMetrics::onRefusedAtOnce(Reason reason) {
+  refused_at_once_.at("reason", std::string(toString(reason))).Increment();
+}
+
+void RouterMetrics::onRetry(ForwardReason reason) { retries_.at("reason", toString(reason)).Increment(); }
+
+void RouterMetrics::onGateRefusal(ForwardReason reason) { gate_refusals_.at("reason", toString(reason)).Increment(); }
+
+void RouterMetrics::onServerEnd(ForwardOutcome outcome, ForwardReason reason, Duration queued, Duration ran) {
+  const std::string key = std::string(wordOf(outcome)) + " " + toString(reason);
+  const auto labels = [=] { return prometheus::Labels{{"outcome", wordOf(outcome)}, {"reason", toString(reason)}}; };
+  server_ends_.at(key, labels).Increment();
+  queued_.Observe(secondsOf(queued));
+  if (outcome == ForwardOutcome::Answered) {
+    ran_.Observe(secondsOf(ran));
+  }
+}
+
+void RouterMetrics::onStoreCall(const std::string& method, int status, Duration took) {
+  const auto labels = [&] { return prometheus::Labels{{"method", method}, {"outcome", wordOf(status)}}; };
+  store_calls_.at(method + " " + wordOf(status), labels).Increment();
+  if (status != 0 && method != "watch") {
+    store_seconds_.Observe(secondsOf(took));
+  }
+}
+
+void RouterMetrics::onEvent(const std::string& event) { events_.at("event", event).Increment(); }
+
+std::string RouterMetrics::text(const RouterLevels& levels) {
+  slots_.Set(levels.load.slots);
+  running_.Set(levels.load.running);
+  waiting_.Set(levels.load.queued);
+  link_wait_.Set(levels.load.link_ms / kMillisecondsPerSecond);
+  in_flight_.Set(static_cast<double>(levels.in_flight));
+  nodes_.Set(static_cast<double>(levels.nodes));
+  peer_streams_.Set(static_cast<double>(levels.peer_streams));
+  config_version_.Set(static_cast<double>(levels.config_version));
+  config_age_.Set(secondsOf(levels.config_age));
+  owner_table_.Set(static_cast<double>(levels.owner_table));
+  owned_ranges_.Set(static_cast<double>(levels.owned_ranges));
+  lease_left_.Set(secondsOf(levels.lease_left));
+  store_reached_.Set(levels.store_reached ? 1 : 0);
+  log_lines_dropped_.Set(static_cast<double>(levels.log_lines_dropped));
+  return metricsText(registry_);
+}
 
 }  // namespace shedlever
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -1,51 +1,117 @@
 #pragma once
 
 /// @file
-/// Counters and histograms of one router process.
+/// Counters, gauges and histograms of one router process.
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
+#include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
 
 namespace shedlever {
 
+/// How a client's request ended.
+struct RequestEnd {
+  const ServiceName& service;
+  const std::string& route;
+  /// "answered", "refused", "failed", ...
+  std::string_view outcome;
+  ForwardReason reason = ForwardReason::None;
+  /// From its arrival to its final answer.
+  Duration held{};
+};
+
+/// What stands at the moment when the metrics are read.
+struct RouterLevels {
+  ServerLoad load;
+  std::size_t in_flight = 0;
+  std::size_t nodes = 0;
+  std::size_t peer_streams = 0;
+  ConfigVersion config_version = 0;
+  /// Since the configuration in force was taken over.
+  Duration config_age{};
+  std::uint64_t owner_table = 0;
+  std::size_t owned_ranges = 0;
+  Duration lease_left{};
+  bool store_reached = false;
+  std::uint64_t log_lines_dropped = 0;
+};
+
 class RouterMetrics {
  public:
   RouterMetrics();
 
   /// A client's request has had its final answer.
-  /// @param outcome "answered", "refused", "failed", ...
-  void onRequest(const std::string& outcome, Duration held);
+  void onRequest(const RequestEnd& end);
+  /// A client's request was refused before it had a route.
+  void onRefusedAtOnce(Reason reason);
   /// A request goes to another server, or to the same one again.
   void onRetry(ForwardReason reason);
+  /// The gate did not begin a request.
+  void onGateRefusal(ForwardReason reason);
+  /// A request that was begun has ended at the server beside this process.
+  void onServerEnd(ForwardOutcome outcome, ForwardReason reason, Duration queued, Duration ran);
+  /// A call to the store has ended. @param status of the answer; 0 when there was none.
+  void onStoreCall(const std::string& method, int status, Duration took);
   /// The process changed what it believes.
   void onEvent(const std::string& event);
 
   /// @return all metrics in Prometheus's text format.
-  std::string text() const;
+  std::string text(const RouterLevels& levels);
 
  private:
   using Counters = std::map<std::string, prometheus::Counter*, std::less<>>;
-  static prometheus::Counter& counterOf(Counters& counters, prometheus::Family<prometheus::Counter>& family,
-                                        const char* label, const std::string& value);
+
+  /// Counters told apart by labels. Found once by a key: a look-up by labels costs more than the rest of the count.
+  struct CounterFamily {
+    prometheus::Family<prometheus::Counter>& family;
+    Counters found;
+
+    prometheus::Counter& at(const std::string& key, const std::function<prometheus::Labels()>& labels);
+    prometheus::Counter& at(const char* label, const std::string& value);
+  };
+
+  CounterFamily counters(const char* name, const char* help);
+  prometheus::Gauge& gauge(const char* name, const char* help);
+  prometheus::Histogram& routeHistogram(const std::string& route);
 
   prometheus::Registry registry_;
-  /// Found once: a look-up by labels costs more than the rest of the count.
-  Counters request_counters_;
-  Counters retry_counters_;
-  Counters event_counters_;
-  prometheus::Family<prometheus::Counter>& requests_;
-  prometheus::Family<prometheus::Counter>& retries_;
-  prometheus::Family<prometheus::Counter>& events_;
-  prometheus::Histogram& held_;
+  CounterFamily requests_;
+  CounterFamily refused_at_once_;
+  CounterFamily retries_;
+  CounterFamily gate_refusals_;
+  CounterFamily server_ends_;
+  CounterFamily store_calls_;
+  CounterFamily events_;
+  prometheus::Family<prometheus::Histogram>& held_;
+  std::map<std::string, prometheus::Histogram*, std::less<>> held_by_route_;
+  prometheus::Histogram& queued_;
+  prometheus::Histogram& ran_;
+  prometheus::Histogram& store_seconds_;
+  prometheus::Gauge& slots_;
+  prometheus::Gauge& running_;
+  prometheus::Gauge& waiting_;
+  prometheus::Gauge& link_wait_;
+  prometheus::Gauge& in_flight_;
+  prometheus::Gauge& nodes_;
+  prometheus::Gauge& peer_streams_;
+  prometheus::Gauge& config_version_;
+  prometheus::Gauge& config_age_;
+  prometheus::Gauge& owner_table_;
+  prometheus::Gauge& owned_ranges_;
+  prometheus::Gauge& lease_left_;
+  prometheus::Gauge& store_reached_;
+  prometheus::Gauge& log_lines_dropped_;
 };
 
 }  // namespace shedlever
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -29,12 +29,13 @@
       self_{settings_.node, Incarnation{wallClockMicroseconds()}},
       log_(loop_, clock_, log_descriptor),
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
+      gate_recorder_(log_, metrics_),
       server_link_(loop_, settings_.server, *platform_.servers),
       report_filter_(settings_.service, settings_.server),
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_link_,
             {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
-            {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
+            gate_recorder_, {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
       links_(loop_, clock_, self_, directory_,
              {[this](const NodeName& node, bool reachable) {
                 metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
@@ -46,7 +47,7 @@
                 }
               },
               [this](const NodeName& node, TimePoint until) { knowledge_.noteLease(node, until); }}),
-      store_access_(loop_, clock_, settings_.store, links_, log_),
+      store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
           [this](HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
             store_access_.call(std::move(request), timeout, std::move(done));
@@ -99,7 +100,7 @@
   StatusPages::Ports ports;
   ports.reports = platform_.reports;
   ports.ready = [this] { return ready(); };
-  ports.metrics = [this] { return metrics_.text(); };
+  ports.metrics = [this] { return metrics_.text(levels()); };
   ports.status = [this] { return status(); };
   ports.drain = [this] { onServerDraining(); };
   return ports;
@@ -151,6 +152,12 @@
   }
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client, &pacer_));
   clients_ = std::move(clients);
+  clients_->onRefused([this](int status) {
+    metrics_.onEvent("unreadable-request");
+    if (log_.mayWriteFailed()) {
+      log_.write("clients", "unreadable-request", {{"status", std::to_string(status)}});
+    }
+  });
   BOOST_LEAF_AUTO(readiness, StrictHttpServer::listen(loop_, settings_.readiness_listen, {}, on_readiness));
   readiness_ = std::move(readiness);
   BOOST_LEAF_AUTO(reports, StrictHttpServer::listen(loop_, settings_.reports_listen, {}, on_report));
@@ -207,6 +214,7 @@
   const ClientLimits& limits = routes->config().limits;
   clients_->setLimits({limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
   metrics_.onEvent("config-adopted");
+  config_adopted_at_ = clock_.now();
   const RoutedService* own = routes->service(settings_.service);
   if (own == nullptr) {
     return;
@@ -453,6 +461,27 @@
   return status;
 }
 
+RouterLevels RouterProcess::levels() const {
+  const TimePoint now = clock_.now();
+  RouterLevels levels;
+  levels.load = gate_.load();
+  levels.in_flight = gateway_->inFlight();
+  levels.nodes = directory_.nodes().size();
+  levels.peer_streams = links_.connected().size();
+  if (knowledge_.routes()) {
+    levels.config_version = knowledge_.routes()->version();
+    levels.config_age = now - config_adopted_at_;
+  }
+  if (keeper_) {
+    levels.owner_table = keeper_->tableWriter().revision();
+    levels.owned_ranges = keeper_->tableWriter().table().ownedAt(self_.name).size();
+    levels.lease_left = std::max(keeper_->leaseUntil() - now, Duration::zero());
+  }
+  levels.store_reached = store_access_.straightWorks();
+  levels.log_lines_dropped = log_.lost();
+  return levels;
+}
+
 void RouterProcess::stop(std::function<void()> stopped) {
   if (stopping_) {
     return;
@@ -503,16 +532,17 @@
   loop_.runAfter(kTick, [this] { stopWhenDone(); });
 }
 
-void RouterProcess::reload(const leaf::result<RouterSettings>& settings) {
-  if (!settings) {
-    log_.write("settings", "not-understood", {});
-    return;
-  }
-  settings_.retry = settings->retry;
-  settings_.ownership = settings->ownership;
-  settings_.queue = settings->queue;
-  settings_.stop = settings->stop;
+void RouterProcess::reload(const RouterSettings& settings) {
+  settings_.retry = settings.retry;
+  settings_.ownership = settings.ownership;
+  settings_.queue = settings.queue;
+  settings_.stop = settings.stop;
+  gateway_->setRetryBudget(settings_.retry);
   log_.write("settings", "reloaded", {});
 }
 
+void RouterProcess::onWrongSettings(const Findings& findings) {
+  log_.write("settings", "not-understood", {{"findings", toString(findings)}});
+}
+
 }  // namespace shedlever
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -50,8 +50,10 @@
   const Endpoint& reportsEndpoint() const { return reports_->endpoint(); }
   const Endpoint& readinessEndpoint() const { return readiness_->endpoint(); }
 
-  /// The settings file may have changed; what can change in a running process is taken over.
-  void reload(const leaf::result<RouterSettings>& settings);
+  /// The settings have changed; what can change in a running process is taken over.
+  void reload(const RouterSettings& settings);
+  /// They have changed and can't be used: the ones before stay in force.
+  void onWrongSettings(const Findings& findings);
 
  private:
   leaf::result<void> openListeners();
@@ -69,6 +71,7 @@
   void onState(const StateFrame& state);
 
   NodeStatus status() const;
+  RouterLevels levels() const;
   void applyOwnSettings(const RoutedService& own);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   void onReport(const ServerReport& report);
@@ -95,6 +98,7 @@
   EventLog log_;
   RouterMetrics metrics_;
   ServerDirectory directory_;
+  GateRecorder gate_recorder_;
   ServerLink server_link_;
   ReportFilter report_filter_;
   LinkPacer pacer_;
@@ -123,6 +127,7 @@
 
   bool tick_planned_ = false;
   std::function<void()> stopped_;
+  TimePoint config_adopted_at_{};
   bool stopping_ = false;
   bool leaving_ = false;
   TimePoint stop_began_{};
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -19,8 +19,13 @@
 }  // namespace
 
 ServerGate::ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link,
-                       GateEvents events)
-    : clock_(clock), config_(config), link_(link), machine_link_(std::move(machine_link)), events_(std::move(events)) {}
+                       GateRecorder& recorder, GateEvents events)
+    : clock_(clock),
+      config_(config),
+      link_(link),
+      machine_link_(std::move(machine_link)),
+      recorder_(recorder),
+      events_(std::move(events)) {}
 
 ServerLoad ServerGate::load() const {
   ServerLoad load = queue_.load();
@@ -105,7 +110,7 @@
   return ForwardReason::NotOwner;
 }
 
-ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) const {
+ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) {
   ForwardReplyFrame reply;
   reply.exchange = frame.exchange;
   reply.outcome = ForwardOutcome::NotRun;
@@ -119,6 +124,12 @@
     const bool waits_here = hint.owner == instance_ && reason != ForwardReason::WrongInstance;
     reply.hint = waits_here ? OwnerHint{} : hint;
   }
+  GateInputs inputs{instance_, reply.load, longestWait(frame), 0, {}};
+  if (frame.keyed && keeper_ != nullptr) {
+    inputs.table = keeper_->tableWriter().revision();
+    inputs.lease_left = std::max(keeper_->leaseUntil() - clock_.now(), Duration::zero());
+  }
+  recorder_.refused(frame, reason, retry_after, inputs);
   return reply;
 }
 
@@ -195,6 +206,7 @@
   entry.expected_bytes = expected_bytes;
   expected_bytes_ += expected_bytes;
   entry.deadline = now + remaining;
+  entry.arrived = now;
   entry.frame = std::move(frame);
   entry.done = std::move(done);
   if (decision.verdict == QueueVerdict::Start) {
@@ -243,6 +255,7 @@
   const Duration service_time = now - entry.started;
   const bool answered = result.outcome == ForwardOutcome::Answered;
   queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
+  recorder_.ended(entry.frame, result, entry.started - entry.arrived, service_time);
   noteAnswer(result);
   if (answered) {
     answer_sizes_.note(entry.frame.kind, result.http.body.size());
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -13,6 +13,7 @@
 #include "source/core/router/answer_sizes.h"
 #include "source/core/router/ownership_keeper.h"
 #include "source/core/router/slot_queue.h"
+#include "source/router/gate_recorder.h"
 #include "source/router/router_settings.h"
 #include "source/router/server_link.h"
 
@@ -37,7 +38,8 @@
 class ServerGate {
  public:
   /// @param keeper null for a service that is not divided by key. All outlive the gate.
-  ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link, GateEvents events);
+  ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link,
+             GateRecorder& recorder, GateEvents events);
 
   /// Where the standing of keys is asked; null while the service is not divided by key.
   void setKeeper(OwnershipKeeper* keeper) { keeper_ = keeper; }
@@ -84,6 +86,7 @@
     ForwardFrame frame;
     ForwardCallback done;
     TimePoint deadline{};
+    TimePoint arrived{};
     TimePoint started{};
     bool running = false;
     /// The caller is gone; the answer goes nowhere.
@@ -114,7 +117,8 @@
   void startWaiting();
   void giveBack(QueueTicket ticket, ForwardReason reason, Duration retry_after);
   void giveBackAll(ForwardReason reason);
-  ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) const;
+  /// Makes a refusal and records what decided it.
+  ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after);
   void noteAnswer(const ServerResult& result);
   void checkSilence(TimePoint now);
 
@@ -122,6 +126,7 @@
   const QueueConfig& config_;
   ServerLink& link_;
   LinkView machine_link_;
+  GateRecorder& recorder_;
   GateEvents events_;
   AnswerSizes answer_sizes_;
   /// Sum over all entries.
--- a/source/router/store_caller.cc
+++ b/source/router/store_caller.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/router/duration_text.h"
+
 namespace shedlever {
 
 namespace {
@@ -29,25 +31,32 @@
 
 }  // namespace
 
-StoreAccess::StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log)
+StoreAccess::StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log,
+                         RouterMetrics& metrics)
     : loop_(loop),
       clock_(clock),
       links_(links),
       log_(log),
+      metrics_(metrics),
       calls_(loop, clientConfig(store, kCallConnections)),
       watches_(loop, clientConfig(store, kWatchConnections)) {}
 
 void StoreAccess::callStraight(HttpRequest request, Duration timeout,
                                std::function<void(std::optional<HttpResponse>)> done) {
-  HttpClient& client = timeout > kLongestCall ? watches_ : calls_;
-  client.send(std::move(request), timeout, [this, done = std::move(done)](HttpExchange exchange) {
+  const bool watches = timeout > kLongestCall;
+  HttpClient& client = watches ? watches_ : calls_;
+  const std::string method = watches ? "watch" : request.method;
+  const auto on_end = [this, method, sent = clock_.now(), done = std::move(done)](HttpExchange exchange) {
     const bool answered = exchange.status == HttpExchangeStatus::Complete;
+    metrics_.onStoreCall(method, answered ? exchange.response.status : 0, clock_.now() - sent);
     if (answered != straight_works_) {
       straight_works_ = answered;
-      log_.write("store", answered ? "regained" : "lost", {});
+      log_.write("store", answered ? "regained" : "lost",
+                 {{"method", method}, {"took_ms", millisecondsText(clock_.now() - sent)}});
     }
     done(answered ? std::optional<HttpResponse>(std::move(exchange.response)) : std::nullopt);
-  });
+  };
+  client.send(std::move(request), timeout, on_end);
 }
 
 void StoreAccess::call(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done) {
--- a/source/router/store_caller.h
+++ b/source/router/store_caller.h
@@ -10,6 +10,7 @@
 #include "source/router/event_log.h"
 #include "source/router/peer_links.h"
 #include "source/router/peer_server.h"
+#include "source/router/router_metrics.h"
 
 namespace shedlever {
 
@@ -17,7 +18,8 @@
 /// one that was carried out after all fails the second time and is told as a conflict.
 class StoreAccess {
  public:
-  StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log);
+  StoreAccess(EventLoop& loop, const Clock& clock, const Endpoint& store, PeerLinks& links, EventLog& log,
+              RouterMetrics& metrics);
 
   /// A call of this process.
   void call(HttpRequest request, Duration timeout, std::function<void(std::optional<HttpResponse>)> done);
@@ -36,6 +38,7 @@
   const Clock& clock_;
   PeerLinks& links_;
   EventLog& log_;
+  RouterMetrics& metrics_;
   HttpClient calls_;
   HttpClient watches_;
   bool straight_works_ = true;
--- a/test/core_operators/request_trace_test.cc
+++ b/test/core_operators/request_trace_test.cc
@@ -43,6 +43,38 @@
       "refused with status 503 after 75 ms: the key was another server's by then; it has not run; tried last at b");
 }
 
+TEST(RequestTraceTest, ShowsEachAttemptAndWhatTheGatesDecided) {
+  const std::vector<LogLine> lines = {
+      line("a", "gateway: event=refused at_ms=130 t_us=1 id=r1 status=503 node=c reason=server-down held_ms=30"),
+      line("a",
+           "gateway: event=attempt-ended at_ms=110 t_us=1 id=r1 next=try-another reason=overloaded node=b held_ms=10"),
+      line("b", "gate: event=refused at_ms=105 t_us=7 id=r1 reason=overloaded running=18 slots=18 queued=40"),
+      line("b", "gate: event=refused at_ms=106 t_us=7 id=r2 reason=overloaded running=18 slots=18 queued=41"),
+      line("c", "gate: event=not-answered at_ms=128 t_us=9 id=r1 reason=connection-lost instance=i-1 ran_ms=12"),
+  };
+  const std::vector<TraceStep> steps = traceRequest(lines, "r1");
+  ASSERT_EQ(steps.size(), 4U);
+  EXPECT_EQ(
+      steps[0].meaning,
+      "not begun here: the server's queue was too long, or the wait was over; it has not run; 18 of 18 slots were "
+      "in use, 40 waited");
+  EXPECT_EQ(
+      steps[1].meaning,
+      "came back from b after 10 ms: the server's queue was too long, or the wait was over; it has not run; next: "
+      "try-another");
+  EXPECT_EQ(steps[2].meaning,
+            "the server i-1 gave no whole answer in 12 ms: the connection broke after it was sent; whether it ran is "
+            "not known");
+  EXPECT_TRUE(steps[3].meaning.starts_with("refused with status 503"));
+}
+
+TEST(RequestTraceTest, RequestRefusedBeforeItHadARouteSaysWhy) {
+  const std::vector<TraceStep> steps = traceRequest(
+      {line("a", "gateway: event=refused-at-once at_ms=5 t_us=1 id=r1 reason=unknown-service host=h target=/x")}, "r1");
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_EQ(steps[0].meaning, "refused at once: no route of the configuration in force takes it");
+}
+
 TEST(RequestTraceTest, UnknownRequestHasNoWay) { EXPECT_TRUE(traceRequest(logs(), "r9").empty()); }
 
 }  // namespace
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -126,6 +126,15 @@
   }
 }
 
+TEST_F(StrictHttpServerTest, TellsOfEachRequestThatItCouldNotHandOver) {
+  std::vector<int> refused;
+  server_->onRefused([&](int status) { refused.push_back(status); });
+  RawClient client(loop_, server_->endpoint());
+  client.send("GET /x HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(runUntil([&] { return client.closed || !client.received.empty(); }));
+  EXPECT_EQ(refused, std::vector<int>{400});
+}
+
 TEST_F(StrictHttpServerTest, TakesLengthsAndChunks) {
   RawClient client(loop_, server_->endpoint());
   client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
--- /dev/null
+++ b/test/router/recorders_test.cc
@@ -0,0 +1,175 @@
+/// @file
+/// What gateway and gate log and count of their decisions.
+
+#include <fcntl.h>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "source/lab/sim/ownership_world.h"
+#include "source/router/gate_recorder.h"
+#include "source/router/gateway_recorder.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+using ::testing::HasSubstr;
+
+class RecordersTest : public ::testing::Test {
+ protected:
+  RecordersTest() {
+    EXPECT_EQ(pipe2(pipe_.data(), O_CLOEXEC | O_NONBLOCK), 0);
+    log_ = std::make_unique<EventLog>(loop_, time_, pipe_[1]);
+    RouterConfig config;
+    Route route;
+    route.name = "search";
+    route.path_prefix = "/";
+    route.target_latency = milliseconds(300);
+    route.shares = {{ServiceName("lookup"), 1}};
+    config.version = 12;
+    config.routes = {route};
+    routes_ = std::make_shared<const RouteTable>(std::move(config));
+  }
+  ~RecordersTest() override {
+    log_.reset();
+    close(pipe_[0]);
+    close(pipe_[1]);
+  }
+
+  std::string logged() {
+    log_->flush();
+    std::string text(1U << 16U, '\0');
+    const ssize_t size = read(pipe_[0], text.data(), text.size());
+    text.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+    return text;
+  }
+
+  GatewayRequest request() {
+    GatewayRequest request({}, HttpReplier({}, 0), routes_);
+    request.route = &routes_->config().routes.front();
+    request.service = ServiceName("lookup");
+    request.id = RequestId("r1");
+    request.arrived = time_.now();
+    request.deadline = time_.now() + milliseconds(1000);
+    request.attempt.node = NodeName("b");
+    request.attempt.instance = InstanceId("i-1");
+    return request;
+  }
+
+  std::string metrics() { return metrics_.text({}); }
+
+  std::array<int, 2> pipe_{};
+  EventLoop loop_;
+  sim::VirtualTime time_;
+  std::unique_ptr<EventLog> log_;
+  RouterMetrics metrics_;
+  std::shared_ptr<const RouteTable> routes_;
+};
+
+TEST_F(RecordersTest, AttemptThatCameBackTellsWhatChoseItsServer) {
+  GatewayRecorder recorder(time_, *log_, metrics_);
+  ForwardReplyFrame reply;
+  reply.reason = ForwardReason::Overloaded;
+  recorder.attemptEnded(request(), reply, NextStep::TryAnother, {0.5, milliseconds(40), 0});
+  const std::string line = logged();
+  EXPECT_THAT(line, HasSubstr("gateway: event=attempt-ended "));
+  EXPECT_THAT(line, HasSubstr(" id=r1 next=try-another reason=overloaded "));
+  EXPECT_THAT(line, HasSubstr(" node=b instance=i-1 "));
+  EXPECT_THAT(line, HasSubstr(" load_age_ms=40 table=- "));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_retries_total{reason=\"overloaded\"} 1"));
+}
+
+TEST_F(RecordersTest, LateAnswerIsLoggedAmongThoseThatFailed) {
+  GatewayRecorder recorder(time_, *log_, metrics_);
+  // Uses up what is kept of requests that were served in time.
+  while (log_->mayWriteServed()) {
+  }
+  const GatewayRequest in_time = request();
+  recorder.ended(in_time, 200, "answered");
+  EXPECT_EQ(logged(), "");
+  const GatewayRequest late = request();
+  time_.runFor(milliseconds(301), [] {});
+  while (log_->mayWriteServed()) {
+  }
+  recorder.ended(late, 200, "answered");
+  EXPECT_THAT(logged(), HasSubstr(" held_ms=301 target_ms=300 left_ms=699"));
+  EXPECT_THAT(metrics(),
+              HasSubstr("shedlever_requests_total{outcome=\"answered\",reason=\"none\",service=\"lookup\"} 2"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_request_seconds_count{route=\"search\"} 2"));
+}
+
+TEST_F(RecordersTest, RequestWithoutARouteIsLoggedWithTheConfigurationThatHasNone) {
+  GatewayRecorder recorder(time_, *log_, metrics_);
+  recorder.refusedAtOnce({"GET", "/nowhere", {{"Host", "h"}}, {}}, RequestId("r2"), Reason::UnknownService, 12);
+  EXPECT_THAT(logged(), HasSubstr(" id=r2 reason=unknown-service host=h target=/nowhere config=12"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_requests_refused_at_once_total{reason=\"unknown-service\"} 1"));
+}
+
+TEST_F(RecordersTest, GateTellsWhatARefusalWasDecidedBy) {
+  GateRecorder recorder(*log_, metrics_);
+  ForwardFrame frame;
+  frame.id = RequestId("r3");
+  frame.instance = InstanceId("i-old");
+  frame.keyed = true;
+  frame.key = 77;
+  GateInputs inputs{InstanceId("i-new"), {18, 40, 18, 0}, milliseconds(105), 901, milliseconds(7000)};
+  recorder.refused(frame, ForwardReason::WrongInstance, milliseconds(100), inputs);
+  const std::string line = logged();
+  EXPECT_THAT(line, HasSubstr("gate: event=refused "));
+  EXPECT_THAT(line, HasSubstr(" id=r3 reason=wrong-instance "));
+  EXPECT_THAT(line, HasSubstr(" key=77 asked_for=i-old instance=i-new running=18 queued=40 slots=18 "));
+  EXPECT_THAT(line, HasSubstr(" longest_wait_ms=105 table=901 lease_left_ms=7000 "));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_gate_refusals_total{reason=\"wrong-instance\"} 1"));
+}
+
+TEST_F(RecordersTest, GateLogsOnlyWhatTheServerDidNotAnswer) {
+  GateRecorder recorder(*log_, metrics_);
+  ForwardFrame frame;
+  frame.id = RequestId("r4");
+  ServerResult result;
+  result.outcome = ForwardOutcome::Answered;
+  recorder.ended(frame, result, milliseconds(3), milliseconds(20));
+  EXPECT_EQ(logged(), "");
+  result.outcome = ForwardOutcome::Unknown;
+  result.reason = ForwardReason::ConnectionLost;
+  result.reached_server = true;
+  recorder.ended(frame, result, milliseconds(3), milliseconds(20));
+  EXPECT_THAT(logged(), HasSubstr("gate: event=not-answered "));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_server_seconds_count 1"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_queue_seconds_count 2"));
+}
+
+TEST_F(RecordersTest, AttemptLinesAreBounded) {
+  GatewayRecorder recorder(time_, *log_, metrics_);
+  constexpr int kAttempts = 1000;
+  for (int i = 0; i < kAttempts; ++i) {
+    recorder.attemptEnded(request(), {}, NextStep::TryAnother, {});
+  }
+  EXPECT_EQ(log_->lost(), 950U);
+  EXPECT_THAT(metrics_.text({}), HasSubstr("shedlever_retries_total{reason=\"none\"} 1000"));
+}
+
+TEST_F(RecordersTest, LevelsStandAsTheyWereWhenAsked) {
+  RouterLevels levels;
+  levels.load = {3, 2, 18, 500};
+  levels.config_version = 12;
+  levels.config_age = milliseconds(1500);
+  levels.lease_left = milliseconds(7500);
+  levels.store_reached = true;
+  metrics_.onStoreCall("GET", 200, milliseconds(4));
+  metrics_.onStoreCall("PUT", 0, milliseconds(900));
+  const std::string text = metrics_.text(levels);
+  EXPECT_THAT(text, HasSubstr("shedlever_server_running 3"));
+  EXPECT_THAT(text, HasSubstr("shedlever_link_wait_seconds 0.5"));
+  EXPECT_THAT(text, HasSubstr("shedlever_config_age_seconds 1.5"));
+  EXPECT_THAT(text, HasSubstr("shedlever_lease_left_seconds 7.5"));
+  EXPECT_THAT(text, HasSubstr("shedlever_store_reached 1"));
+  EXPECT_THAT(text, HasSubstr("shedlever_store_calls_total{method=\"PUT\",outcome=\"no-answer\"} 1"));
+  EXPECT_THAT(text, HasSubstr("shedlever_store_call_seconds_count 1"));
+}
+
+}  // namespace
+}  // namespace shedlever::test
