Streams know which node, and which life of it, is at the other end

Cause: nothing told a stream whom it had reached. (1) A machine went for good and its address was given to a machine of another service: the process there answered, so the gone node counted as reachable, refused every request as of a wrong instance, and its keys were never taken over. (2) A process that came back at an address was asked what had become of requests to its earlier life and said 'never begun', which it can't know: a 503 for a request that may have run. Change: hellos name both ends. Who means another node is taken nothing from, and learns it: its requests have not run, the node counts as unreachable. Only the life that had a request is asked about it.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -189,14 +189,18 @@
 
 /// First frame on a stream, from both sides.
 struct HelloFrame {
+  /// The process that says it.
   NodeName node;
   Incarnation incarnation;
   /// The process has just started and the store has told it nothing yet.
   bool needs_state = false;
+  /// From the side that connects: the node it means to reach. Its address may be another node's by now, which then
+  /// takes nothing from the stream.
+  NodeName wanted;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(node, incarnation, needs_state);
+    archive(node, incarnation, needs_state, wanted);
   }
 };
 
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -30,18 +30,28 @@
   void onMessage(std::string_view message) override {
     heard_at = links.clock_.now();
     pinged_at = {};
-    if (!up) {
-      up = true;
-      links.onLinkUp(node);
-    }
     auto frame = decodeRouterFrame(message);
-    if (!frame) {
+    if (!frame || (!up && !meets(frame.value()))) {
       stream.breakNow();
       return;
     }
     links.onFrame(node, std::move(frame.value()));
   }
 
+  /// The first frame tells who is there.
+  /// @return false when it is another node, or does not say.
+  bool meets(const RouterFrame& first) {
+    const auto* hello = std::get_if<HelloFrame>(&first);
+    if (hello == nullptr || hello->node != node) {
+      misdirected = hello != nullptr;
+      return false;
+    }
+    up = true;
+    incarnation = hello->incarnation;
+    links.onLinkUp(*this);
+    return true;
+  }
+
   void onEnd() override {
     // The stream must not be destroyed by what follows while its own callback runs.
     ended = true;
@@ -80,8 +90,12 @@
   TimePoint heard_at{};
   /// When the question that waits for its answer was sent; zero when there is none.
   TimePoint pinged_at{};
-  /// A frame has come back, so the other process is there.
+  /// The node's process is there and has said so.
   bool up = false;
+  /// Its life; valid while `up`.
+  Incarnation incarnation;
+  /// Another node's process is there, which takes nothing from this stream.
+  bool misdirected = false;
   bool ended = false;
 };
 
@@ -107,7 +121,7 @@
   auto link = std::make_unique<Link>(*this, node, record->peer);
   Link* raw = link.get();
   links_.emplace(node, std::move(link));
-  raw->send(HelloFrame{self_.name, self_.incarnation, false}, 0);
+  raw->send(HelloFrame{self_.name, self_.incarnation, false, node}, 0);
   return raw;
 }
 
@@ -317,9 +331,10 @@
   }
 }
 
-void PeerLinks::onLinkUp(const NodeName& node) {
-  directory_.onReachable(node);
-  events_.on_reachable(node, true);
+void PeerLinks::onLinkUp(Link& link) {
+  directory_.onReachable(link.node);
+  events_.on_reachable(link.node, true);
+  settleOn(link);
 }
 
 void PeerLinks::finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason) {
@@ -355,44 +370,65 @@
     return;
   }
   if (!was_up) {
-    // A second stream failed as well: nobody can say what became of them.
-    for (const ExchangeId exchange : open) {
-      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
-    }
+    finishUnsettled(open, link.misdirected);
     retryLater(node, false);
     return;
   }
-  if (Link* again = linkTo(node)) {
-    settleOn(*again);
+  linkTo(node);
+  for (const ExchangeId exchange : open) {
+    pending_.at(exchange).asked_life = link.incarnation;
+    giveUpUnsettledLater(exchange);
   }
 }
 
-void PeerLinks::settleOn(Link& link) {
-  std::vector<ExchangeId> open;
-  for (auto& [exchange, pending] : pending_) {
-    if (pending.node == link.node && !pending.settling) {
-      pending.settling = true;
-      open.push_back(exchange);
+void PeerLinks::finishUnsettled(const std::vector<ExchangeId>& open, bool misdirected) {
+  for (const ExchangeId exchange : open) {
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end()) {
+      continue;
+    }
+    if (misdirected && !found->second.asked_life) {
+      // Another node's process has it, and takes nothing that is not meant for it.
+      finish(exchange, ForwardOutcome::NotRun, ForwardReason::ServerDown);
+    } else {
+      // A second stream failed as well: nobody can say what became of it.
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
     }
   }
-  for (const ExchangeId exchange : open) {
+}
+
+void PeerLinks::settleOn(Link& link) {
+  for (const ExchangeId exchange : pendingAt(link.node)) {
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end() || !found->second.asked_life || found->second.settling) {
+      continue;
+    }
+    if (*found->second.asked_life != link.incarnation) {
+      // The life that could tell is over.
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+      continue;
+    }
+    found->second.settling = true;
     link.send(SettleFrame{exchange, self_.incarnation}, 0);
-    loop_.runAfter(kSettleLimit, [this, alive = alive_, exchange] {
-      if (!*alive) {
-        return;
-      }
-      const auto found = pending_.find(exchange);
-      if (found == pending_.end()) {
-        return;
-      }
-      const auto current = links_.find(found->second.node);
-      if (current == links_.end() || !current->second->up) {
-        finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
-      }
-    });
   }
 }
 
+void PeerLinks::giveUpUnsettledLater(ExchangeId exchange) {
+  loop_.runAfter(kSettleLimit, [this, alive = alive_, exchange] {
+    if (!*alive) {
+      return;
+    }
+    const auto found = pending_.find(exchange);
+    if (found == pending_.end()) {
+      return;
+    }
+    const auto current = links_.find(found->second.node);
+    if (current == links_.end() || !current->second->up) {
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+    }
+  });
+}
+
 void PeerLinks::retryLater(const NodeName& node, bool anyway) {
   loop_.runAfter(kReconnectDelay, [this, alive = alive_, node, anyway] {
     if (*alive && (anyway || directory_.isUnreachable(node))) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -66,7 +66,9 @@
     TimePoint sent_at{};
     /// Whether it may run again, so that it need not be settled.
     bool repeatable = false;
-    /// The stream broke; the other process is asked what became of it.
+    /// The stream broke: the life of the other process that had it, and alone can say what became of it.
+    std::optional<Incarnation> asked_life;
+    /// That life has been asked.
     bool settling = false;
   };
 
@@ -81,9 +83,15 @@
   void onReply(ForwardReplyFrame reply);
   void onPart(const NodeName& node, const ReplyPartFrame& part);
   void onSettled(const SettleReplyFrame& settled);
-  void onLinkUp(const NodeName& node);
+  void onLinkUp(Link& link);
   void onLinkEnd(Link& link);
+  /// Asks what became of requests whose stream broke before this one came up.
   void settleOn(Link& link);
+  /// Ends a request if its node is not there soon to say what became of it.
+  void giveUpUnsettledLater(ExchangeId exchange);
+  /// Ends requests that nobody can be asked about.
+  /// @param misdirected whether another node's process is at the node's address.
+  void finishUnsettled(const std::vector<ExchangeId>& open, bool misdirected);
   /// Asks nodes that are silent while requests wait for them, and gives up those that do not answer.
   void checkSilence();
   void checkSilenceLater();
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -53,6 +53,8 @@
   MessageStream stream;
   /// Known after its hello.
   NodeIdentity sender;
+  /// The other end means another node, which had this address before: nothing is taken from it.
+  bool misdirected = false;
   /// The last replies that were written to it.
   std::deque<ExchangeId> answered;
   /// Large replies that are being written.
@@ -101,6 +103,9 @@
   if (stream == nullptr) {
     return;
   }
+  if (stream->misdirected) {
+    return;
+  }
   if (auto* forward = std::get_if<ForwardFrame>(&frame)) {
     onForward(number, *stream, std::move(*forward));
   } else if (const auto* cancel = std::get_if<CancelForwardFrame>(&frame)) {
@@ -115,8 +120,9 @@
     }
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
-    // Says that this process is there.
-    stream->send(HelloFrame{{}, {}, ports_.needs_state()});
+    stream->misdirected = hello->wanted != ports_.self.name;
+    const bool asks_for_state = !stream->misdirected && ports_.needs_state();
+    stream->send(HelloFrame{ports_.self.name, ports_.self.incarnation, asks_for_state, {}});
   } else if (std::holds_alternative<PingFrame>(frame)) {
     stream->send(PongFrame{});
   } else if (const auto* stopping = std::get_if<StoppingFrame>(&frame)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -22,6 +22,8 @@
 class PeerServer {
  public:
   struct Ports {
+    /// This process.
+    NodeIdentity self;
     ServerGate* gate = nullptr;
     LinkPacer* pacer = nullptr;
     StoreCaller call_store;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -136,6 +136,7 @@
     store_access_.callStraight(std::move(request), timeout, std::move(done));
   };
   PeerServer::Ports peer_ports;
+  peer_ports.self = self_;
   peer_ports.gate = &gate_;
   peer_ports.pacer = &pacer_;
   peer_ports.call_store = call_store;
--- a/test/router/peer_links_test.cc
+++ b/test/router/peer_links_test.cc
@@ -7,6 +7,7 @@
 
 #include "source/lab/sim/ownership_world.h"
 #include "source/net/system_sources.h"
+#include "test/support/fake_peer.h"
 #include "test/support/scripted_server.h"
 
 namespace shedlever::test {
@@ -70,6 +71,43 @@
   EXPECT_TRUE(directory_.isUnreachable(node_));
 }
 
+// Seen on the bench: a machine went for good and its address was given to a machine of another service. The process
+// there answered, so the node that was gone counted as there, and nobody took its keys over.
+TEST_F(PeerLinksTest, ProcessOfAnotherNodeAtItsAddressIsNotTakenForTheNode) {
+  FakePeer stranger(loop_, {NodeName("stranger"), Incarnation{7}});
+  knowNodeAt(stranger.endpoint());
+  const ForwardReplyFrame reply = forward(RouteKind::OnceOnly);
+  EXPECT_EQ(reply.outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(reply.reason, ForwardReason::ServerDown);
+  EXPECT_TRUE(directory_.isUnreachable(node_));
+  EXPECT_TRUE(links_.connected().empty());
+}
+
+// The process that comes after the one that had the request can't know whether that one began it.
+TEST_F(PeerLinksTest, RestartedNodeCantSayThatARequestToItsEarlierLifeHasNotRun) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  knowNodeAt(peer.endpoint());
+  std::optional<ForwardReplyFrame> reply;
+  links_.forward(node_, {}, [&reply](ForwardReplyFrame told) { reply = std::move(told); });
+  ASSERT_TRUE(loop_.runUntil([&] { return peer.forwards == 1; }, kTestCap));
+  peer.restartAs({node_, Incarnation{8}});
+  ASSERT_TRUE(loop_.runUntil([&] { return reply.has_value(); }, kTestCap));
+  EXPECT_EQ(reply->outcome, ForwardOutcome::Unknown);
+  EXPECT_EQ(reply->reason, ForwardReason::ConnectionLost);
+}
+
+TEST_F(PeerLinksTest, SameLifeOfANodeSaysThatARequestHasNotRun) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  knowNodeAt(peer.endpoint());
+  std::optional<ForwardReplyFrame> reply;
+  links_.forward(node_, {}, [&reply](ForwardReplyFrame told) { reply = std::move(told); });
+  ASSERT_TRUE(loop_.runUntil([&] { return peer.forwards == 1; }, kTestCap));
+  peer.restartAs({node_, Incarnation{7}});
+  ASSERT_TRUE(loop_.runUntil([&] { return reply.has_value(); }, kTestCap));
+  EXPECT_EQ(reply->outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(peer.settles, 1U);
+}
+
 TEST_F(PeerLinksTest, RequestToAnUnknownNodeHasNotRun) {
   EXPECT_EQ(forward(RouteKind::OnceOnly).outcome, ForwardOutcome::NotRun);
 }
--- /dev/null
+++ b/test/support/fake_peer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// The other end of streams between routers, with an identity and a behaviour that the test decides.
+
+#include <cstddef>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "source/net/message_stream.h"
+#include "source/net/tcp_listener.h"
+#include "source/router/peer_options.h"
+#include "test/support/scripted_server.h"
+
+namespace shedlever::test {
+
+/// Answers each hello with its identity, and each question what became of a request with "never begun".
+class FakePeer {
+ public:
+  FakePeer(EventLoop& loop, NodeIdentity identity) : loop_(loop), identity_(std::move(identity)) {
+    auto listener = TcpListener::open(loop, kAnyLoopbackPort, [this](evutil_socket_t socket, const Endpoint&) {
+      streams_.push_back(std::make_unique<Stream>(*this, socket));
+    });
+    listener_ = std::move(listener.value());
+  }
+
+  const Endpoint& endpoint() const { return listener_->endpoint(); }
+
+  /// The process ends, and another one begins at the same address.
+  void restartAs(NodeIdentity identity) {
+    identity_ = std::move(identity);
+    streams_.clear();
+  }
+
+  std::size_t forwards = 0;
+  std::size_t settles = 0;
+
+ private:
+  struct Stream final : public MessageStreamCallbacks {
+    Stream(FakePeer& owner, evutil_socket_t socket)
+        : peer(owner), stream(owner.loop_, socket, peerStreamOptions(), *this) {}
+
+    void onMessage(std::string_view message) override {
+      const RouterFrame frame = decodeRouterFrame(message).value();
+      if (std::holds_alternative<HelloFrame>(frame)) {
+        stream.send(encodeRouterFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}}));
+      } else if (const auto* settle = std::get_if<SettleFrame>(&frame)) {
+        ++peer.settles;
+        stream.send(encodeRouterFrame(SettleReplyFrame{settle->exchange, SettleState::NotBegun}));
+      } else if (std::holds_alternative<ForwardFrame>(frame)) {
+        ++peer.forwards;
+      }
+    }
+    void onEnd() override {}
+
+    FakePeer& peer;
+    MessageStream stream;
+  };
+
+  EventLoop& loop_;
+  NodeIdentity identity_;
+  std::unique_ptr<TcpListener> listener_;
+  std::vector<std::unique_ptr<Stream>> streams_;
+};
+
+}  // namespace shedlever::test
