Servers at which requests fail are avoided, and lose their keys

Cause: choice knew a server's room and speed, not whether its requests went well. One that fails all at once looked fast and idle and drew the most; an owner whose server failed kept its keys. An owner gives its keys to servers at which far fewer fail; failing ones are targets only where there are no others. Ruled out: probing health (it is what lies here); ejecting at a fixed number of failures (an inner service's failures show as errors of all its callers alike: cost is relative, and owners compare).

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -105,10 +105,12 @@
   /// How long large answers that are under way keep the machine's link busy, in milliseconds; 0 where the link is
   /// never the limit.
   std::uint32_t link_ms = 0;
+  /// Requests of a thousand that have failed at the server of late.
+  std::uint32_t failing_permille = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(running, queued, slots, link_ms);
+    archive(running, queued, slots, link_ms, failing_permille);
   }
 };
 
--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -37,6 +37,10 @@
   double busy_occupancy = 0.6;
   /// Difference of occupancy that a move is worth.
   double occupancy_gap = 0.25;
+  /// Share of failed requests above which an owner's server is not trusted with keys ...
+  double failing_share = 0.4;
+  /// ... if it is so much above that of the servers that could take them.
+  double failing_gap = 0.3;
   /// Ranges of one owner above which neighbours are joined.
   std::size_t most_ranges = 6;
 };
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership_fields.cc
@@ -20,9 +20,11 @@
     {"balance_interval", &OwnershipConfig::balance_interval},
 }};
 
-constexpr std::array<OwnershipShare, 2> kShares{{
+constexpr std::array<OwnershipShare, 4> kShares{{
     {"busy_occupancy", &OwnershipConfig::busy_occupancy},
     {"occupancy_gap", &OwnershipConfig::occupancy_gap},
+    {"failing_share", &OwnershipConfig::failing_share},
+    {"failing_gap", &OwnershipConfig::failing_gap},
 }};
 
 }  // namespace
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -50,6 +50,7 @@
     return;
   }
   instance_ = instance;
+  failing_ = 0;
   dead_instance_ = {};
   draining_ = false;
   server_since_ = now;
@@ -119,6 +120,13 @@
 std::vector<OwnerPlace> OwnershipKeeper::targets(TimePoint now) const {
   std::vector<const NodeRecord*> ready = ports_.directory->ready(service_, now);
   std::erase_if(ready, [&](const NodeRecord* record) { return record->node == self_.name; });
+  // Servers at which requests fail are taken only where there are no others.
+  const auto is_sound = [&](const NodeRecord* record) {
+    return ports_.directory->failing(record->node, now) < config_.failing_share;
+  };
+  if (std::any_of(ready.begin(), ready.end(), is_sound)) {
+    std::erase_if(ready, [&](const NodeRecord* record) { return !is_sound(record); });
+  }
   struct Loaded {
     OwnerPlace place;
     double load;
@@ -196,7 +204,7 @@
   watchOthers(now);
   if (!changing_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (draining_) {
-      drain(now);
+      giveAll(targets(now), now);
     } else {
       balance(now);
     }
@@ -316,8 +324,18 @@
   });
 }
 
-void OwnershipKeeper::drain(TimePoint now) {
-  const std::vector<OwnerPlace> to = targets(now);
+std::vector<OwnerPlace> OwnershipKeeper::sounderTargets(TimePoint now) const {
+  if (failing_ < config_.failing_share) {
+    return {};
+  }
+  std::vector<OwnerPlace> sounder = targets(now);
+  std::erase_if(sounder, [&](const OwnerPlace& place) {
+    return ports_.directory->failing(place.node, now) > failing_ - config_.failing_gap;
+  });
+  return sounder;
+}
+
+void OwnershipKeeper::giveAll(const std::vector<OwnerPlace>& to, TimePoint now) {
   if (to.empty()) {
     return;
   }
@@ -336,6 +354,10 @@
     return;
   }
   next_balance_ = now + config_.balance_interval;
+  if (const std::vector<OwnerPlace> sounder = sounderTargets(now); !sounder.empty()) {
+    giveAll(sounder, now);
+    return;
+  }
   const std::vector<OwnedRange> owned = writer_.table().ownedBy(instance_);
   if (owned.size() > config_.most_ranges && writer_.table().hasNeighbours(instance_)) {
     joinRanges();
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -78,6 +78,8 @@
   void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
   /// @param occupancy of this node's server; more than 1 while requests wait.
   void setOccupancy(double occupancy);
+  /// @param share of the requests at this node's server that fail of late.
+  void setFailing(double share) { failing_ = share; }
 
   /// @return whether no key is left here, so that the node may stop.
   bool holdsNothing() const;
@@ -105,7 +107,10 @@
   void giveAwayDead(TimePoint now);
   void watchOthers(TimePoint now);
   void takeFrom(const NodeName& node);
-  void drain(TimePoint now);
+  /// Hands all keys over to these.
+  void giveAll(const std::vector<OwnerPlace>& to, TimePoint now);
+  /// @return servers at which far fewer requests fail than here; empty while few fail here.
+  std::vector<OwnerPlace> sounderTargets(TimePoint now) const;
   void balance(TimePoint now);
   BalanceView balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const;
   double loadOf(const OwnerPlace& place, TimePoint now) const;
@@ -140,6 +145,7 @@
   TimePoint last_tick_{};
   TimePoint next_balance_{};
   double occupancy_ = 0;
+  double failing_ = 0;
 
   bool draining_ = false;
   /// The lease was revoked: nothing is granted until the table has confirmed this node's ranges under new tokens.
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -1,6 +1,7 @@
 #include "source/core/router/server_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace shedlever {
@@ -10,6 +11,7 @@
 /// A load that was told longer ago than this says nothing any more.
 constexpr Duration kLoadAge = std::chrono::seconds(2);
 /// Occupancy taken where nothing is known.
+constexpr double kPermille = 1000.0;
 constexpr double kUnknownOccupancy = 0.4;
 /// Share of the newest value in the running means.
 constexpr double kSlownessShare = 0.08;
@@ -23,6 +25,8 @@
 constexpr double kLinkCost = 0.01;
 /// Costs of two servers are told apart only beyond this share, so that all processes don't choose the same one.
 constexpr double kJitter = 0.2;
+/// A server that is sent nothing tells nothing: what it told of its failures fades, so that it is tried again.
+constexpr Duration kFailingHalfLife = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -34,6 +38,7 @@
   if (entry.record.instance != record.instance) {
     entry.load = {};
     entry.load_at = {};
+    entry.failing = 0;
     entry.slowness = 1.0;
   }
   if (entry.record.incarnation != record.incarnation) {
@@ -93,6 +98,19 @@
   return told ? now - found->second.load_at : Duration::max();
 }
 
+double ServerDirectory::failingOf(const Entry& entry, TimePoint now) {
+  if (entry.failing == 0) {
+    return 0;
+  }
+  const auto age = static_cast<double>((now - entry.load_at).count());
+  return entry.failing * std::exp2(-age / static_cast<double>(kFailingHalfLife.count()));
+}
+
+double ServerDirectory::failing(const NodeName& node, TimePoint now) const {
+  const auto found = entries_.find(node);
+  return found == entries_.end() ? 0 : failingOf(found->second, now);
+}
+
 double ServerDirectory::costOf(const Entry& entry, RouteKind kind, TimePoint now) const {
   const double occupancy = occupancyOf(entry, now);
   double cost = entry.slowness;
@@ -101,6 +119,7 @@
     cost += entry.slowness * kFullCost * over / (1.0 - config_.busy_occupancy);
   }
   cost += kQueueCost * std::max(occupancy - 1.0, 0.0);
+  cost += config_.failing_cost * failingOf(entry, now);
   if (kind == RouteKind::Download && now - entry.load_at <= kLoadAge) {
     cost += entry.load.link_ms * kLinkCost;
   }
@@ -165,6 +184,7 @@
     entry.avoid_until = {};
     entry.unreachable = false;
     entry.load = reply.load;
+    entry.failing = reply.load.failing_permille / kPermille;
     entry.load_at = now;
   }
   if (reply.service_us <= 0 || reply.outcome != ForwardOutcome::Answered) {
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -42,6 +42,8 @@
   double busy_occupancy = 0.7;
   /// Share of the small requests that go to a random server, to learn how fast it is.
   double exploration = 0.02;
+  /// Cost of a server at which every request fails; in proportion for one at which some do.
+  double failing_cost = 6.0;
 };
 
 class ServerDirectory {
@@ -85,12 +87,16 @@
   double occupancy(const NodeName& node, TimePoint now) const;
   /// @return how long ago the node told its load; the longest duration when it has not.
   Duration loadAge(const NodeName& node, TimePoint now) const;
+  /// @return share of the requests at the node's server that fail, as far as is known; fades when nothing is told.
+  double failing(const NodeName& node, TimePoint now) const;
 
  private:
   struct Entry {
     NodeRecord record;
     ServerLoad load;
     TimePoint load_at{};
+    /// Share of requests that failed, as told at `load_at`.
+    double failing = 0;
     std::uint32_t in_flight = 0;
     /// Service time as a multiple of what is usual for the same route.
     double slowness = 1.0;
@@ -99,6 +105,7 @@
   };
 
   double occupancyOf(const Entry& entry, TimePoint now) const;
+  static double failingOf(const Entry& entry, TimePoint now);
   double costOf(const Entry& entry, RouteKind kind, TimePoint now) const;
   double randomShare();
 
--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/slot_queue.cc
@@ -116,6 +116,6 @@
 
 std::vector<QueueTicket> SlotQueue::takeAll() { return takeOverdue(TimePoint::max()); }
 
-ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_, 0}; }
+ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_, 0, 0}; }
 
 }  // namespace shedlever
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -75,6 +75,7 @@
   StoreFaults store_faults;
   NodeRecord record;
   double occupancy = 0;
+  double failing = 0;
   /// Of the process that was killed last.
   TimePoint lease_until{};
   /// Numbers the lives of the process; ticks of an earlier one do nothing.
@@ -214,6 +215,7 @@
   if (!node.paused) {
     node.store->faults = node.store_faults;
     node.keeper->setOccupancy(node.occupancy);
+    node.keeper->setFailing(node.failing);
     node.keeper->tick(time_.now());
     spreadTable();
   }
@@ -348,12 +350,23 @@
 
 void OwnershipWorld::setOccupancy(std::size_t node, double occupancy) {
   nodes_[node]->occupancy = occupancy;
+  tellLoad(node);
+}
+
+void OwnershipWorld::setFailing(std::size_t node, double share) {
+  nodes_[node]->failing = share;
+  tellLoad(node);
+}
+
+void OwnershipWorld::tellLoad(std::size_t node) {
+  constexpr std::uint32_t kSlots = 10;
+  constexpr double kPermille = 1000.0;
+  ForwardReplyFrame reply;
+  reply.load.running = static_cast<std::uint32_t>(nodes_[node]->occupancy * kSlots);
+  reply.load.slots = kSlots;
+  reply.load.failing_permille = static_cast<std::uint32_t>(nodes_[node]->failing * kPermille);
   for (const auto& other : nodes_) {
     if (other->keeper) {
-      ForwardReplyFrame reply;
-      constexpr std::uint32_t kSlots = 100;
-      reply.load = {static_cast<std::uint32_t>(occupancy * kSlots), 0, 10};
-      reply.load.running /= 10;
       other->directory->onReply(nodeName(node), "r", reply, time_.now());
     }
   }
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -78,6 +78,8 @@
   void scatterRanges(std::size_t first, std::size_t second, std::size_t ranges);
   /// Occupancy that the node's server shows from now on.
   void setOccupancy(std::size_t node, double occupancy);
+  /// Share of failed requests that the node's server shows from now on.
+  void setFailing(std::size_t node, double share);
   void addKeyWork(std::size_t node, Key key, int requests);
   /// As `addKeyWork`, for each of the keys looked at.
   void addWorkOnAllKeys(std::size_t node, int requests);
@@ -106,6 +108,8 @@
   bool serves(const Node& node, Key key) const;
   void startProcess(Node& node);
   void tickNode(std::size_t index, std::uint64_t life);
+  /// Every live node hears what the node's server shows.
+  void tellLoad(std::size_t node);
   void spreadRecords();
   void spreadTable();
   void check();
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -423,6 +423,7 @@
     if (load.slots > 0) {
       keeper_->setOccupancy(static_cast<double>(load.running + load.queued) / load.slots);
     }
+    keeper_->setFailing(gate_.failingShare());
     keeper_->tick(clock_.now());
     keepOwnersReachable();
   }
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -169,6 +169,7 @@
   choice.read("cross_zone_cost", settings.choice.cross_zone_cost, 0.0, kMostCost);
   choice.read("cross_zone_download_cost", settings.choice.cross_zone_download_cost, 0.0, kMostCost);
   choice.read("busy_occupancy", settings.choice.busy_occupancy, 0.0, 0.99);
+  choice.read("failing_cost", settings.choice.failing_cost, 0.0, kMostCost);
   choice.read("exploration", settings.choice.exploration, 0.0, 1.0);
 }
 
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -15,6 +15,8 @@
 /// Part of the latency objective that a request is held while its key moves.
 constexpr int kHoldDivisor = 4;
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
+constexpr double kPermille = 1000.0;
+constexpr int kFirstServerError = 500;
 
 }  // namespace
 
@@ -31,6 +33,7 @@
   ServerLoad load = queue_.load();
   const auto wait = std::chrono::floor<std::chrono::milliseconds>(machine_link_.wait_for(expected_bytes_));
   load.link_ms = static_cast<std::uint32_t>(wait.count());
+  load.failing_permille = static_cast<std::uint32_t>(failingShare() * kPermille);
   return load;
 }
 
@@ -42,6 +45,7 @@
     keys_closed_ = false;
     silent_ = false;
     failed_connections_ = 0;
+    failures_.reset();
   }
   reported_slots_ = slots;
   applySlots();
@@ -257,6 +261,7 @@
   queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, result, entry.started - entry.arrived, service_time);
   noteAnswer(result);
+  noteFailure(result);
   if (answered) {
     answer_sizes_.note(entry.frame.kind, result.http.body.size());
   }
@@ -294,6 +299,16 @@
   }
 }
 
+void ServerGate::noteFailure(const ServerResult& result) {
+  // What the caller took back, and keys that are elsewhere, say nothing about the server.
+  const bool says_nothing = result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::NotOwner ||
+                            result.reason == ForwardReason::WrongInstance;
+  if (!says_nothing) {
+    const bool failed = result.outcome != ForwardOutcome::Answered || result.http.status >= kFirstServerError;
+    failures_.note(failed, clock_.now());
+  }
+}
+
 void ServerGate::startWaiting() {
   while (const auto ticket = queue_.startNext()) {
     begin(*ticket);
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "source/core/router/answer_sizes.h"
+#include "source/core/router/failure_meter.h"
 #include "source/core/router/ownership_keeper.h"
 #include "source/core/router/slot_queue.h"
 #include "source/router/gate_recorder.h"
@@ -76,6 +77,8 @@
   void tick();
 
   ServerLoad load() const;
+  /// @return share of the server's requests that fail of late.
+  double failingShare() const { return failures_.share(clock_.now()); }
   const InstanceId& instance() const { return instance_; }
   bool draining() const { return draining_; }
   bool empty() const { return entries_.empty() && held_.empty(); }
@@ -120,6 +123,7 @@
   /// Makes a refusal and records what decided it.
   ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after);
   void noteAnswer(const ServerResult& result);
+  void noteFailure(const ServerResult& result);
   void checkSilence(TimePoint now);
 
   const Clock& clock_;
@@ -129,6 +133,7 @@
   GateRecorder& recorder_;
   GateEvents events_;
   AnswerSizes answer_sizes_;
+  FailureMeter failures_;
   /// Sum over all entries.
   double expected_bytes_ = 0;
   OwnershipKeeper* keeper_ = nullptr;
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -207,6 +207,35 @@
   expectAllServed();
 }
 
+// Seen on the bench: a server whose health was good failed all its requests, and kept its keys.
+TEST_F(OwnershipTest, FailingServersKeysGoToSounderOnes) {
+  world_.setFailing(1, 0.9);
+  world_.run(seconds(2));
+  EXPECT_EQ(world_.servedBy(1), 0U);
+  expectAllServed();
+}
+
+TEST_F(OwnershipTest, ServersThatAllFailAlikeKeepTheirKeys) {
+  // Replies tell it again and again.
+  for (int round = 0; round < 10; ++round) {
+    for (std::size_t node = 0; node < 4; ++node) {
+      world_.setFailing(node, 0.8);
+    }
+    world_.run(milliseconds(300));
+  }
+  for (std::size_t node = 0; node < 4; ++node) {
+    EXPECT_EQ(world_.servedBy(node), world_.sampledKeys() / 4);
+  }
+}
+
+TEST_F(OwnershipTest, DeadServersKeysDontGoToAFailingOne) {
+  world_.setFailing(3, 0.9);
+  world_.killServer(1);
+  world_.run(seconds(1));
+  EXPECT_EQ(world_.servedBy(3), 0U);
+  expectAllServed();
+}
+
 // Three owners that each give the larger part of the difference to one idle server would bury it.
 TEST_F(OwnershipTest, OwnersTogetherDoNotBuryAnIdleServer) {
   world_.killServer(3);
--- a/test/core_router/server_directory_test.cc
+++ b/test/core_router/server_directory_test.cc
@@ -86,6 +86,18 @@
   EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
 }
 
+// Seen on the bench: a server that failed all its requests at once looked fast and idle, and drew the most of them.
+TEST_F(ServerDirectoryTest, FailingServerIsLeftAloneUntilWhatItToldHasFaded) {
+  ForwardReplyFrame reply;
+  reply.outcome = ForwardOutcome::Answered;
+  reply.service_us = 1000;
+  reply.load = {0, 0, 10, 0, 800};
+  directory_.onReply(NodeName("a"), "r", reply, kNow);
+  EXPECT_EQ(choose(RouteKind::OnceOnly, 100)["a"], 0);
+  EXPECT_NEAR(directory_.failing(NodeName("a"), kNow + seconds(2)), 0.4, 0.01);
+  EXPECT_LT(directory_.failing(NodeName("a"), kNow + seconds(10)), 0.03);
+}
+
 TEST_F(ServerDirectoryTest, TriedDrainingAndUnreachableServersAreLeftOut) {
   EXPECT_EQ(choose(RouteKind::OnceOnly, 10, {InstanceId("i-a"), InstanceId("i-b"), InstanceId("i-c")})["none"], 10);
   directory_.markDraining(NodeName("a"));
