A node that can't be reached is not chosen before it is heard of again

Cause: a node that fell silent was left alone for one second, then chosen again; the requests of that moment waited 0.8 s for it, each second anew. Its stream is tried again all the time anyway. Change: the directory keeps one state, unreachable, until the node's stream is up, a reply came or a new life of it is recorded; the time limit beside it leaves. Tests: one, which fails on the code before (the limit was over); 258 of 258 pass.

--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -118,7 +118,7 @@
 }
 
 std::vector<OwnerPlace> OwnershipKeeper::targets(TimePoint now) const {
-  std::vector<const NodeRecord*> ready = ports_.directory->ready(service_, now);
+  std::vector<const NodeRecord*> ready = ports_.directory->ready(service_);
   std::erase_if(ready, [&](const NodeRecord* record) { return record->node == self_.name; });
   // Servers at which requests fail are taken only where there are no others.
   const auto is_sound = [&](const NodeRecord* record) {
@@ -146,8 +146,8 @@
   return places;
 }
 
-std::size_t OwnershipKeeper::rank(TimePoint now) const {
-  const auto ready = ports_.directory->ready(service_, now);
+std::size_t OwnershipKeeper::rank() const {
+  const auto ready = ports_.directory->ready(service_);
   return static_cast<std::size_t>(
       std::count_if(ready.begin(), ready.end(), [&](const NodeRecord* record) { return record->node < self_.name; }));
 }
@@ -215,12 +215,12 @@
   if (!writer_.known() || !hasServer() || draining_) {
     return;
   }
-  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(rank(now));
+  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(rank());
   if (now - server_since_ < delay) {
     return;
   }
   std::vector<OwnerPlace> places;
-  for (const NodeRecord* record : ports_.directory->ready(service_, now)) {
+  for (const NodeRecord* record : ports_.directory->ready(service_)) {
     places.push_back({record->instance, record->node});
   }
   if (!places.empty()) {
@@ -302,7 +302,7 @@
       }
     }
   }
-  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(rank(now)), now);
+  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(rank()), now);
 }
 
 void OwnershipKeeper::takeFrom(const NodeName& node) {
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -99,7 +99,7 @@
   bool hasServer() const { return !instance_.empty(); }
   std::vector<OwnedRange> grantable() const;
   std::vector<OwnerPlace> targets(TimePoint now) const;
-  std::size_t rank(TimePoint now) const;
+  std::size_t rank() const;
 
   void onLeaseRevoked();
   void divideFirst(TimePoint now);
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -42,7 +42,6 @@
     entry.slowness = 1.0;
   }
   if (entry.record.incarnation != record.incarnation) {
-    entry.avoid_until = {};
     entry.unreachable = false;
   }
   entry.record = record;
@@ -63,10 +62,10 @@
   return records;
 }
 
-std::vector<const NodeRecord*> ServerDirectory::ready(const ServiceName& service, TimePoint now) const {
+std::vector<const NodeRecord*> ServerDirectory::ready(const ServiceName& service) const {
   std::vector<const NodeRecord*> records;
   for (const auto& [name, entry] : entries_) {
-    if (entry.record.service == service && entry.record.serves() && entry.avoid_until <= now) {
+    if (entry.takesRequestsFor(service)) {
       records.push_back(&entry.record);
     }
   }
@@ -135,8 +134,7 @@
   const Entry* best = nullptr;
   double best_cost = 0;
   for (const auto& [name, entry] : entries_) {
-    if (entry.record.service != service || !entry.record.serves() || entry.avoid_until > now ||
-        excluded.contains(entry.record.instance)) {
+    if (!entry.takesRequestsFor(service) || excluded.contains(entry.record.instance)) {
       continue;
     }
     candidates.push_back(&entry);
@@ -181,7 +179,6 @@
   Entry& entry = found->second;
   // Replies made up on this side, for a stream that broke, carry no load and say nothing about the node.
   if (reply.load.slots > 0) {
-    entry.avoid_until = {};
     entry.unreachable = false;
     entry.load = reply.load;
     entry.failing = reply.load.failing_permille / kPermille;
@@ -197,10 +194,9 @@
   entry.slowness += (ratio - entry.slowness) * kSlownessShare;
 }
 
-void ServerDirectory::avoidUntil(const NodeName& node, TimePoint until) {
+void ServerDirectory::markUnreachable(const NodeName& node) {
   const auto found = entries_.find(node);
   if (found != entries_.end()) {
-    found->second.avoid_until = std::max(found->second.avoid_until, until);
     found->second.load_at = {};
     found->second.unreachable = true;
   }
@@ -209,7 +205,6 @@
 void ServerDirectory::onReachable(const NodeName& node) {
   const auto found = entries_.find(node);
   if (found != entries_.end()) {
-    found->second.avoid_until = {};
     found->second.unreachable = false;
   }
 }
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -58,7 +58,7 @@
   const NodeRecord* node(const NodeName& node) const;
   std::vector<const NodeRecord*> nodes() const;
   /// @return servers of the service that take requests and can be reached.
-  std::vector<const NodeRecord*> ready(const ServiceName& service, TimePoint now) const;
+  std::vector<const NodeRecord*> ready(const ServiceName& service) const;
 
   /// Chooses a server for a request without a key.
   /// @param excluded servers that have been tried.
@@ -73,8 +73,8 @@
   /// @param route names requests of like cost. @param reply as the node's process gave it.
   void onReply(const NodeName& node, const std::string& route, const ForwardReplyFrame& reply, TimePoint now);
 
-  /// The node's process can't be reached now; it is left alone until then.
-  void avoidUntil(const NodeName& node, TimePoint until);
+  /// The node's process can't be reached; it is left alone until it is heard of again.
+  void markUnreachable(const NodeName& node);
   /// The node's process has answered.
   void onReachable(const NodeName& node);
   /// @return whether the last try to reach the node's process failed, or nothing is known of it.
@@ -100,8 +100,11 @@
     std::uint32_t in_flight = 0;
     /// Service time as a multiple of what is usual for the same route.
     double slowness = 1.0;
-    TimePoint avoid_until{};
     bool unreachable = false;
+
+    bool takesRequestsFor(const ServiceName& service) const {
+      return record.service == service && record.serves() && !unreachable;
+    }
   };
 
   double occupancyOf(const Entry& entry, TimePoint now) const;
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -234,7 +234,7 @@
       }
       to->directory->update(from->record);
       if (!from->keeper || from->paused) {
-        to->directory->avoidUntil(from->record.node, TimePoint::max());
+        to->directory->markUnreachable(from->record.node);
       } else {
         to->directory->onReachable(from->record.node);
       }
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -186,7 +186,7 @@
 }
 
 void PeerLinks::giveUpSilent(Link& link) {
-  directory_.avoidUntil(link.node, clock_.now() + kReconnectDelay * 2);
+  directory_.markUnreachable(link.node);
   events_.on_reachable(link.node, false);
   const std::vector<ExchangeId> open = pendingAt(link.node);
   link.stream.breakNow();
@@ -350,7 +350,7 @@
   const NodeName node = link.node;
   const bool was_up = link.up;
   if (!was_up) {
-    directory_.avoidUntil(node, clock_.now() + kReconnectDelay * 2);
+    directory_.markUnreachable(node);
     events_.on_reachable(node, false);
   }
   std::vector<ExchangeId> unsent;
--- a/test/core_router/server_directory_test.cc
+++ b/test/core_router/server_directory_test.cc
@@ -101,27 +101,37 @@
 TEST_F(ServerDirectoryTest, TriedDrainingAndUnreachableServersAreLeftOut) {
   EXPECT_EQ(choose(RouteKind::OnceOnly, 10, {InstanceId("i-a"), InstanceId("i-b"), InstanceId("i-c")})["none"], 10);
   directory_.markDraining(NodeName("a"));
-  directory_.avoidUntil(NodeName("b"), kNow + seconds(1));
+  directory_.markUnreachable(NodeName("b"));
   EXPECT_EQ(choose(RouteKind::OnceOnly, 10)["c"], 10);
   EXPECT_TRUE(directory_.isUnreachable(NodeName("b")));
   directory_.onReachable(NodeName("b"));
   EXPECT_FALSE(directory_.isUnreachable(NodeName("b")));
-  EXPECT_EQ(directory_.ready(kService, kNow).size(), 2U);
+  EXPECT_EQ(directory_.ready(kService).size(), 2U);
+}
+
+// Seen on the bench: each second some requests went to a machine without power, and waited for it.
+TEST_F(ServerDirectoryTest, UnreachableServerIsNotChosenBeforeItAnswers) {
+  directory_.markUnreachable(NodeName("a"));
+  const NodeRecord* later = directory_.choose(kService, RouteKind::OnceOnly, {}, kNow + seconds(60));
+  ASSERT_NE(later, nullptr);
+  EXPECT_NE(later->node, NodeName("a"));
+  directory_.onReachable(NodeName("a"));
+  EXPECT_GT(choose(RouteKind::OnceOnly, 50)["a"], 0);
 }
 
 TEST_F(ServerDirectoryTest, NewLifeOfANodeCountsAsReachable) {
-  directory_.avoidUntil(NodeName("b"), kNow + seconds(9));
+  directory_.markUnreachable(NodeName("b"));
   NodeRecord restarted = record("b", "far");
   restarted.incarnation = Incarnation{5};
   directory_.update(restarted);
   EXPECT_FALSE(directory_.isUnreachable(NodeName("b")));
-  EXPECT_EQ(directory_.ready(kService, kNow).size(), 3U);
+  EXPECT_EQ(directory_.ready(kService).size(), 3U);
 }
 
 // Seen on the bench: the reply that is made up for a broken stream made a dead node look alive, and it was asked again
 // and again.
 TEST_F(ServerDirectoryTest, MadeUpReplyIsNoSignOfLife) {
-  directory_.avoidUntil(NodeName("b"), kNow + seconds(1));
+  directory_.markUnreachable(NodeName("b"));
   ForwardReplyFrame made_up;
   made_up.outcome = ForwardOutcome::NotRun;
   made_up.reason = ForwardReason::ConnectionLost;
