What is known of the server beside a process stands in a core class

A process that had restarted acknowledged that its server leaves without keeping it, so a late report would have brought that server back. And the question of the server's health after a restart could never lead to anything: the record it compared with was this process's own, without slots; it cost a probe a start. Change: ServerPresence decides what a report changes; a leaving life that is not the present one never counts again; the question leaves.

--- /dev/null
+++ b/source/core/router/server_presence.cc
@@ -0,0 +1,42 @@
+#include "source/core/router/server_presence.h"
+
+namespace shedlever {
+
+PresenceChange ServerPresence::onReport(const ServerReport& report) {
+  if (!filter_.counts(report)) {
+    return PresenceChange::None;
+  }
+  slots_ = report.slots;
+  if (report.instance == instance_) {
+    return PresenceChange::Updated;
+  }
+  if (!instance_.empty()) {
+    filter_.ended(instance_);
+  }
+  instance_ = report.instance;
+  draining_ = false;
+  silent_ = false;
+  return PresenceChange::NewLife;
+}
+
+bool ServerPresence::onLeaving(const InstanceId& instance) {
+  if (instance == instance_) {
+    return true;
+  }
+  filter_.ended(instance);
+  return false;
+}
+
+bool ServerPresence::startDraining() {
+  const bool is_new = !draining_;
+  draining_ = true;
+  return is_new;
+}
+
+void ServerPresence::onGone() {
+  filter_.ended(instance_);
+  instance_ = {};
+  slots_ = 0;
+}
+
+}  // namespace shedlever
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -15,7 +15,6 @@
 /// Before clients have left, for handing over keys and finishing what runs.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
 constexpr Duration kStateQuestionInterval = std::chrono::milliseconds(200);
-constexpr Duration kIdentifyDelay = std::chrono::milliseconds(100);
 /// A leaving server gets no keyed request after this part of the time that it may still get some.
 constexpr int kKeysClosePart = 2;
 constexpr int kKeysCloseParts = 3;
@@ -31,7 +30,7 @@
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
       gate_recorder_(log_, metrics_),
       server_link_(loop_, settings_.server, *platform_.servers),
-      report_filter_(settings_.service, settings_.server),
+      server_(settings_.service, settings_.server),
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_link_,
             {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
@@ -199,10 +198,10 @@
   } else if (knowledge_.listed()) {
     keeper_->onTableAbsent();
   }
-  if (!instance_.empty()) {
-    keeper_->serverUp(instance_, clock_.now());
+  if (!server_.instance().empty()) {
+    keeper_->serverUp(server_.instance(), clock_.now());
   }
-  if (server_draining_ || leaving_) {
+  if (server_.draining() || leaving_) {
     keeper_->startDraining();
   }
 }
@@ -242,9 +241,6 @@
   if (keeper_ && !keeper_->tableWriter().exists()) {
     keeper_->onTableAbsent();
   }
-  if (!reported_ && directory_.node(self_.name) != nullptr) {
-    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
-  }
 }
 
 KnownRevisions RouterProcess::known() const {
@@ -290,30 +286,23 @@
 }
 
 void RouterProcess::onReport(const ServerReport& report) {
-  reported_ = true;
   if (report.leaves) {
-    if (report.instance == instance_) {
+    if (server_.onLeaving(report.instance)) {
       onServerDraining();
     }
     return;
   }
-  if (!report_filter_.counts(report)) {
+  const PresenceChange change = server_.onReport(report);
+  if (change == PresenceChange::None) {
     return;
   }
-  if (report.instance != instance_) {
-    if (!instance_.empty()) {
-      report_filter_.ended(instance_);
-    }
-    instance_ = report.instance;
-    server_draining_ = false;
-    server_silent_ = false;
-    log_.write("server", "up", {{"instance", instance_.value}, {"slots", std::to_string(report.slots)}});
+  if (change == PresenceChange::NewLife) {
+    log_.write("server", "up", {{"instance", report.instance.value}, {"slots", std::to_string(report.slots)}});
     if (keeper_) {
-      keeper_->serverUp(instance_, clock_.now());
+      keeper_->serverUp(report.instance, clock_.now());
     }
   }
-  slots_ = report.slots;
-  gate_.serverUp(instance_, slots_);
+  gate_.serverUp(report.instance, report.slots);
   if (report.draining) {
     onServerDraining();
   }
@@ -321,43 +310,19 @@
   tickSoon();
 }
 
-void RouterProcess::identifyServer() {
-  const RoutedService* own = knowledge_.routes() ? knowledge_.routes()->service(settings_.service) : nullptr;
-  if (reported_ || stopping_) {
-    return;
-  }
-  if (own == nullptr) {
-    loop_.runAfter(kIdentifyDelay, [this] { identifyServer(); });
-    return;
-  }
-  server_link_.identify(own->health_path, [this](const InstanceId& instance, bool) {
-    const NodeRecord* earlier = directory_.node(self_.name);
-    if (reported_ || instance.empty() || earlier == nullptr || earlier->slots == 0) {
-      return;
-    }
-    ServerReport report;
-    report.instance = instance;
-    report.service = settings_.service;
-    report.address = settings_.server;
-    report.slots = earlier->slots;
-    onReport(report);
-  });
-}
-
 void RouterProcess::onServerDraining() {
-  if (server_draining_) {
+  if (!server_.startDraining()) {
     return;
   }
-  server_draining_ = true;
-  log_.write("server", "draining", {{"instance", instance_.value}});
+  log_.write("server", "draining", {{"instance", server_.instance().value}});
   gate_.startDraining();
   peer_server_->tellStopping(self_.name);
   if (keeper_) {
     keeper_->startDraining();
   }
   const Duration until_keys_close = settings_.stop.drain * kKeysClosePart / kKeysCloseParts;
-  loop_.runAfter(until_keys_close, [this, leaving = instance_] {
-    if (leaving == instance_ && server_draining_) {
+  loop_.runAfter(until_keys_close, [this, leaving = server_.instance()] {
+    if (leaving == server_.instance() && server_.draining()) {
       gate_.closeKeys();
     }
   });
@@ -366,14 +331,12 @@
 }
 
 void RouterProcess::onServerGone() {
-  if (instance_.empty()) {
+  if (server_.instance().empty()) {
     return;
   }
-  log_.write("server", "gone", {{"instance", instance_.value}});
+  log_.write("server", "gone", {{"instance", server_.instance().value}});
   metrics_.onEvent("server-gone");
-  report_filter_.ended(instance_);
-  instance_ = {};
-  slots_ = 0;
+  server_.onGone();
   gate_.serverEnded();
   if (keeper_) {
     keeper_->serverDead();
@@ -383,8 +346,8 @@
 }
 
 void RouterProcess::onServerSilence(bool silent) {
-  server_silent_ = silent;
-  log_.write("server", silent ? "silent" : "answers-again", {{"instance", instance_.value}});
+  server_.setSilent(silent);
+  log_.write("server", silent ? "silent" : "answers-again", {{"instance", server_.instance().value}});
   publishRecord();
 }
 
@@ -395,9 +358,9 @@
   record.peer = settings_.peers_reached_at;
   record.zone = settings_.zone;
   record.service = settings_.service;
-  record.instance = instance_;
-  record.slots = slots_;
-  record.draining = server_draining_ || server_silent_ || leaving_;
+  record.instance = server_.instance();
+  record.slots = server_.slots();
+  record.draining = server_.draining() || server_.silent() || leaving_;
   directory_.update(record);
   publisher_.publish(record);
 }
@@ -448,9 +411,9 @@
   status.version = SHEDLEVER_VERSION;
   status.ready = ready();
   status.stopping = stopping_;
-  status.instance = instance_;
-  status.draining = server_draining_;
-  status.silent = server_silent_;
+  status.instance = server_.instance();
+  status.draining = server_.draining();
+  status.silent = server_.silent();
   status.load = gate_.load();
   status.in_flight = gateway_->inFlight();
   status.nodes = directory_.nodes().size();
@@ -494,7 +457,8 @@
   log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
   clients_->closeAfterAnswers();
   // The server goes on without this process, but nobody reaches it then: it is used until shortly before the end.
-  const Duration until_leaving = instance_.empty() ? Duration::zero() : settings_.stop.clients_leave - kLeaveNotice;
+  const Duration until_leaving =
+      server_.instance().empty() ? Duration::zero() : settings_.stop.clients_leave - kLeaveNotice;
   loop_.runAfter(until_leaving, [this] { leave(); });
 }
 
@@ -513,7 +477,7 @@
 
 void RouterProcess::stopWhenDone() {
   const Duration passed = clock_.now() - stop_began_;
-  const bool keys_gone = !keeper_ || instance_.empty() || keeper_->holdsNothing();
+  const bool keys_gone = !keeper_ || server_.instance().empty() || keeper_->holdsNothing();
   // An answer that is given but not written whole, or not taken, would be cut.
   const bool all_written =
       clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 && pacer_.backlog() == 0;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -12,7 +12,7 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/platform_ports.h"
 #include "source/core/router/claim_keeper.h"
-#include "source/core/router/report_filter.h"
+#include "source/core/router/server_presence.h"
 #include "source/net/system_sources.h"
 #include "source/router/cluster_knowledge.h"
 #include "source/router/gateway.h"
@@ -79,7 +79,6 @@
   void onServerGone();
   void onServerSilence(bool silent);
   void publishRecord();
-  void identifyServer();
 
   void tick();
   void tickSoon();
@@ -100,7 +99,7 @@
   ServerDirectory directory_;
   GateRecorder gate_recorder_;
   ServerLink server_link_;
-  ReportFilter report_filter_;
+  ServerPresence server_;
   LinkPacer pacer_;
   ServerGate gate_;
   PeerLinks links_;
@@ -119,12 +118,6 @@
 
   TimePoint next_state_question_{};
 
-  InstanceId instance_;
-  std::uint32_t slots_ = 0;
-  bool server_draining_ = false;
-  bool server_silent_ = false;
-  bool reported_ = false;
-
   bool tick_planned_ = false;
   std::function<void()> stopped_;
   TimePoint config_adopted_at_{};
--- /dev/null
+++ b/test/core_router/server_presence_test.cc
@@ -0,0 +1,72 @@
+/// @file
+/// Which life of the server beside a process counts, and what it does.
+
+#include "source/core/router/server_presence.h"
+
+#include <gtest/gtest.h>
+
+namespace shedlever::test {
+namespace {
+
+class ServerPresenceTest : public ::testing::Test {
+ protected:
+  static ServerReport report(const std::string& instance, std::uint64_t sequence) {
+    ServerReport made;
+    made.instance = InstanceId(instance);
+    made.service = ServiceName("s");
+    made.address = {"10.0.0.1", 80};
+    made.slots = 18;
+    made.sequence = sequence;
+    return made;
+  }
+
+  ServerPresence presence_{ServiceName("s"), {"10.0.0.1", 80}};
+};
+
+TEST_F(ServerPresenceTest, NothingIsThereBeforeTheFirstReport) {
+  EXPECT_TRUE(presence_.instance().empty());
+  EXPECT_EQ(presence_.slots(), 0U);
+}
+
+TEST_F(ServerPresenceTest, NewLifeTakesThePlaceOfTheOldAndIsNotDraining) {
+  EXPECT_EQ(presence_.onReport(report("i-1", 1)), PresenceChange::NewLife);
+  EXPECT_EQ(presence_.onReport(report("i-1", 2)), PresenceChange::Updated);
+  EXPECT_TRUE(presence_.startDraining());
+  EXPECT_FALSE(presence_.startDraining());
+  EXPECT_EQ(presence_.onReport(report("i-2", 1)), PresenceChange::NewLife);
+  EXPECT_FALSE(presence_.draining());
+  EXPECT_EQ(presence_.onReport(report("i-1", 9)), PresenceChange::None);
+  EXPECT_EQ(presence_.instance(), InstanceId("i-2"));
+}
+
+TEST_F(ServerPresenceTest, ReportOfTheSameLifeDoesNotEndItsDraining) {
+  presence_.onReport(report("i-1", 1));
+  presence_.startDraining();
+  EXPECT_EQ(presence_.onReport(report("i-1", 2)), PresenceChange::Updated);
+  EXPECT_TRUE(presence_.draining());
+}
+
+// A process that has just restarted acknowledges that a server leaves before it knows any; a late report of that server
+// must not bring it back.
+TEST_F(ServerPresenceTest, LateReportOfALifeWhoseLeavingWasAcknowledgedDoesNotCount) {
+  EXPECT_FALSE(presence_.onLeaving(InstanceId("i-1")));
+  EXPECT_EQ(presence_.onReport(report("i-1", 7)), PresenceChange::None);
+  EXPECT_TRUE(presence_.instance().empty());
+}
+
+TEST_F(ServerPresenceTest, LeavingOfThePresentLifeIsItsOwn) {
+  presence_.onReport(report("i-1", 1));
+  EXPECT_TRUE(presence_.onLeaving(InstanceId("i-1")));
+  EXPECT_EQ(presence_.instance(), InstanceId("i-1"));
+}
+
+TEST_F(ServerPresenceTest, DeadLifeDoesNotComeBack) {
+  presence_.onReport(report("i-1", 1));
+  presence_.onGone();
+  EXPECT_TRUE(presence_.instance().empty());
+  EXPECT_EQ(presence_.onReport(report("i-1", 2)), PresenceChange::None);
+  EXPECT_EQ(presence_.onReport(report("i-2", 1)), PresenceChange::NewLife);
+}
+
+}  // namespace
+}  // namespace shedlever::test
