--- a/source/core/operators/request_trace.cc
+++ b/source/core/operators/request_trace.cc
@@ -14,6 +14,8 @@
 constexpr std::int64_t kLookAheadMs = 200;
 constexpr std::string_view kGatewayPart = "gateway";
 constexpr std::string_view kGatePart = "gate";
+constexpr std::string_view kPeerPart = "peer";
+constexpr std::string_view kMembershipPart = "membership";
 
 struct ReasonMeaning {
   std::string_view reason;
@@ -84,6 +86,13 @@
 /// @return whether the line is about a single request.
 bool isAboutARequest(const LogLine& line) { return line.part == kGatewayPart || line.part == kGatePart; }
 
+/// @return whether the line says something of the request's nodes; what one of them heard of others does not.
+bool concerns(const LogLine& line, const std::set<std::string>& nodes) {
+  const bool tells_of_a_node = line.part == kPeerPart || line.part == kMembershipPart;
+  const std::string told_of = tells_of_a_node ? line.field("node") : std::string();
+  return nodes.contains(line.node) && (told_of.empty() || nodes.contains(told_of));
+}
+
 /// Takes one value off the front: a word, or a quoted text.
 std::string takeValue(std::string_view& rest) {
   std::string value;
@@ -159,7 +168,7 @@
   }
   for (const LogLine& line : lines) {
     const bool near = line.at_ms >= first - kLookBackMs && line.at_ms <= last + kLookAheadMs;
-    if (!isAboutARequest(line) && near && nodes.contains(line.node)) {
+    if (!isAboutARequest(line) && near && concerns(line, nodes)) {
       steps.push_back({line, {}});
     }
   }
--- a/test/core_operators/request_trace_test.cc
+++ b/test/core_operators/request_trace_test.cc
@@ -68,6 +68,18 @@
   EXPECT_TRUE(steps[3].meaning.starts_with("refused with status 503"));
 }
 
+TEST(RequestTraceTest, LeavesOutWhatItsNodesHeardOfOthers) {
+  std::vector<LogLine> lines = logs();
+  lines.push_back(line("a", "peer: event=lost at_ms=9500 t_us=1 node=c"));
+  lines.push_back(line("a", "peer: event=lost at_ms=9600 t_us=1 node=b"));
+  lines.push_back(line("a", "membership: event=node-changed at_ms=9700 t_us=1 node=c"));
+  lines.push_back(line("a", "membership: event=watch-lost at_ms=9800 t_us=1"));
+  const std::vector<TraceStep> steps = traceRequest(lines, "r1");
+  ASSERT_EQ(steps.size(), 5U);
+  EXPECT_EQ(steps[2].line.at_ms, 9600);
+  EXPECT_EQ(steps[3].line.event, "watch-lost");
+}
+
 TEST(RequestTraceTest, RequestRefusedBeforeItHadARouteSaysWhy) {
   const std::vector<TraceStep> steps = traceRequest(
       {line("a", "gateway: event=refused-at-once at_ms=5 t_us=1 id=r1 reason=unknown-service host=h target=/x")}, "r1");
