Owner tables that should be there are looked for until they are read

Cause: owner tables are listed when a reply tells of a newer one, else every 8 s once any table was read. With several services divided by key the first list held the table of the first service alone; the others were not asked for again before the traffic began, and each request for their keys was refused as not-yet-owner (1,571 logged in two seconds). Change: while a service that is divided by key and has servers has no table here, the list is repeated each second, also after a change of configuration or of the nodes. Ruled out: late first divisions (all tables were written before the traffic); moves of keys at the start (they go on after the mend). Tests: two, seen failing; 267 of 267 pass.

--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -48,7 +48,8 @@
 
 KindPoller::Events ClusterKnowledge::pollerEvents() {
   return {[this](const MetadataObject& object) { onSharedObject(object, false); }, [this] { onListed(tables_listed_); },
-          [this](bool available) { ports_.log->write("owners", available ? "list-regained" : "list-lost", {}); }};
+          [this](bool available) { ports_.log->write("owners", available ? "list-regained" : "list-lost", {}); },
+          [this] { return isMissingTables(); }};
 }
 
 void ClusterKnowledge::start() {
@@ -106,6 +107,7 @@
                      {"revision", std::to_string(config_watcher_.seen())},
                      {"routes", std::to_string(routes_->config().routes.size())}});
   events_.on_config();
+  table_poller_.lookForMissing();
 }
 
 // Nodes and owners.
@@ -145,6 +147,19 @@
     ports_.directory->update(*record);
   }
   events_.on_nodes();
+  table_poller_.lookForMissing();
+}
+
+bool ClusterKnowledge::isMissingTables() const {
+  if (!routes_) {
+    return false;
+  }
+  const auto& services = routes_->config().services;
+  return std::any_of(services.begin(), services.end(), [this](const auto& entry) {
+    const auto& [name, service] = entry;
+    return service.divided_by_key && !shared_objects_.contains(ownerTableName(name)) &&
+           !ports_.directory->ready(name).empty();
+  });
 }
 
 void ClusterKnowledge::onTableObject(const MetadataObject& object) {
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -92,6 +92,8 @@
   void onTableObject(const MetadataObject& object);
   void onListed(bool& list);
   const TableWriter* tableOf(const ServiceName& service) const;
+  /// @return whether a service that is divided by key, and has servers, has no table here.
+  bool isMissingTables() const;
 
   NodeName self_;
   ServiceName own_service_;
--- a/source/router/kind_poller.cc
+++ b/source/router/kind_poller.cc
@@ -23,6 +23,13 @@
   listAfter(std::max(config_.pause - since, Duration::zero()));
 }
 
+void KindPoller::lookForMissing() {
+  if (!in_flight_ && events_.is_missing_some()) {
+    const Duration since = clock_.now() - listed_at_;
+    listAfter(std::max(config_.empty - since, Duration::zero()));
+  }
+}
+
 void KindPoller::listAfter(Duration delay) {
   const TimePoint at = clock_.now() + delay;
   if (timer_ != 0 && next_list_ <= at) {
@@ -60,7 +67,8 @@
     seen_ = std::max(seen_, object.revision);
     events_.on_object(object);
   }
-  listAfter(listing.objects.empty() ? config_.empty : config_.idle);
+  const bool is_missing_some = listing.objects.empty() || events_.is_missing_some();
+  listAfter(is_missing_some ? config_.empty : config_.idle);
   if (seen_elsewhere_ > seen_) {
     listAfter(config_.pause);
   }
--- a/source/router/kind_poller.h
+++ b/source/router/kind_poller.h
@@ -21,7 +21,7 @@
   Duration pause = std::chrono::milliseconds(2500);
   /// Between two lists while nobody does.
   Duration idle = std::chrono::seconds(8);
-  /// Between two lists while there is no object at all.
+  /// Between two lists while there is no object at all, or one that should be there is missing.
   Duration empty = std::chrono::seconds(1);
   /// After a list without an answer.
   Duration retry = std::chrono::milliseconds(400);
@@ -35,6 +35,8 @@
     std::function<void()> on_listed;
     /// The store was lost, or regained.
     std::function<void(bool available)> on_available;
+    /// @return whether an object that should be there has not been read.
+    std::function<bool()> is_missing_some;
   };
 
   KindPoller(EventLoop& loop, const Clock& clock, MetadataStore& store, std::string kind,
@@ -48,6 +50,9 @@
   /// Another process has seen an object of this kind with that revision.
   void onSeenElsewhere(StoreRevision revision);
 
+  /// An object that should be there by now may be missing.
+  void lookForMissing();
+
   /// @return the newest revision of an object seen.
   StoreRevision seen() const { return seen_; }
 
--- a/test/router/kind_poller_test.cc
+++ b/test/router/kind_poller_test.cc
@@ -44,13 +44,15 @@
   std::vector<StoreRevision> seen_;
   int listed_ = 0;
   std::vector<bool> available_;
-  KindPoller poller_{loop_,
-                     clock_,
-                     store_,
-                     "k",
-                     config(),
-                     {[this](const MetadataObject& object) { seen_.push_back(object.revision); }, [this] { ++listed_; },
-                      [this](bool available) { available_.push_back(available); }}};
+  bool is_missing_some_ = false;
+  KindPoller poller_{
+      loop_,
+      clock_,
+      store_,
+      "k",
+      config(),
+      {[this](const MetadataObject& object) { seen_.push_back(object.revision); }, [this] { ++listed_; },
+       [this](bool available) { available_.push_back(available); }, [this] { return is_missing_some_; }}};
 };
 
 TEST_F(KindPollerTest, ListsAgainOnceOthersHaveSeenMore) {
@@ -80,6 +82,28 @@
   EXPECT_TRUE(runUntilLists(2));
 }
 
+// Seen on the bench: with several services divided by key, the first list held the first service's table alone, and the
+// others were not looked for until the traffic began.
+TEST_F(KindPollerTest, LooksSoonForAnObjectThatIsMissing) {
+  is_missing_some_ = true;
+  answer({{"a", 5, "{}"}});
+  ASSERT_TRUE(runUntilLists(2));
+  is_missing_some_ = false;
+  answer({{"a", 5, "{}"}, {"b", 6, "{}"}});
+  runOnce();
+  EXPECT_EQ(store_.lists.size(), 2U);
+}
+
+TEST_F(KindPollerTest, LooksSoonWhenToldThatOneMayBeMissing) {
+  answer({{"a", 5, "{}"}});
+  poller_.lookForMissing();
+  runOnce();
+  EXPECT_EQ(store_.lists.size(), 1U);
+  is_missing_some_ = true;
+  poller_.lookForMissing();
+  EXPECT_TRUE(runUntilLists(2));
+}
+
 TEST_F(KindPollerTest, AsksAgainWhenTheStoreDoesNotAnswer) {
   answer({}, false);
   EXPECT_EQ(listed_, 0);
