--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Fixed seed: the same verdict every time. `make fuzz` leaves it free.
 export RC_PARAMS ?= seed=20261202
 
-.PHONY: packages build test demo bench soak capacity format format-check lint fuzz clean
+.PHONY: packages build test demo kinds soak format format-check lint fuzz clean
 
 packages:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && apt-get install -y -qq $(PACKAGES))
@@ -31,20 +31,15 @@
 fuzz: build
 	cd $(BUILD) && RC_PARAMS="max_success=1000" ctest --output-on-failure -j $(JOBS) $(FUZZ)
 
-# Measurements on real processes on loopback; the tables go to docs/MEASUREMENTS.md by hand.
-bench: build
-	$(BUILD)/shedlever-bench-loss demo/settings
-	$(BUILD)/shedlever-bench-latency bench/settings
-	$(BUILD)/shedlever-bench-surge bench/settings
+# One day for each kind of disruption on the users' bench: BENCH names its program, SITE the site file, WHY the journal's
+# line. TREES are copies of this repository, as the bench builds in them.
+kinds:
+	bench/play_kinds.py --bench $(BENCH) --site $(SITE) --trees $(or $(TREES),.) --why "$(WHY)"
 
 # Real processes under random faults; SEED and SECONDS as wanted. The logs lie in soak-run/.
 soak: build
 	$(BUILD)/shedlever-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
-# Reruns the slopes on hollow nodes and rewrites the measured tables.
-capacity: build
-	$(BUILD)/shedlever-lab capacity docs/CAPACITY.md
-
 format:
 	@clang-format-14 -i $(CXX_FILES)
 
--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -44,14 +44,12 @@
 LocalNode& LocalDeployment::addNode(const std::string& service, bool divided) {
   nodes_.push_back(std::make_unique<LocalNode>());
   LocalNode& node = *nodes_.back();
-  node.name = "node-" + std::to_string(nodes_.size() - 1);
+  nameNode(node);
   node.divided = divided;
   node.service = service;
   for (Endpoint* endpoint : {&node.clients, &node.peers, &node.readiness, &node.reports, &node.server}) {
     *endpoint = ports_.next();
   }
-  node.settings_file = config_.folder + "/" + node.name + ".json";
-  node.server_log = logOf(node.name + "-server");
   node.store_link = orNull(FaultProxy::listen(loop_, store_endpoint_));
   node.peer_link = orNull(FaultProxy::listen(loop_, node.peers));
   startServer(node);
@@ -59,6 +57,24 @@
   return node;
 }
 
+void LocalDeployment::nameNode(LocalNode& node) {
+  node.name = "node-" + std::to_string(server_logs_.size());
+  node.settings_file = config_.folder + "/" + node.name + ".json";
+  node.server_log = logOf(node.name + "-server");
+  server_logs_.push_back(node.server_log);
+}
+
+void LocalDeployment::replaceNode(LocalNode& node, const std::string& service, bool divided) {
+  for (auto* process : {node.router_process.get(), node.server_process.get()}) {
+    if (process != nullptr) {
+      process->signal(SIGKILL);
+    }
+  }
+  nameNode(node);
+  node.service = service;
+  node.divided = divided;
+}
+
 void LocalDeployment::startRouter(LocalNode& node) {
   const json settings = {
       {"interface", config_.interface_kind},
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -60,6 +60,10 @@
   /// Starts a node's server and router.
   LocalNode& addNode(const std::string& service, bool divided);
 
+  /// The node and its server are lost for good; a new node of that service gets its addresses. Its processes are
+  /// started by `keepRunning`.
+  void replaceNode(LocalNode& node, const std::string& service, bool divided);
+
   /// Starts again what has ended and is wanted.
   /// @return how routers ended that nobody told to end, in words.
   std::vector<std::string> keepRunning();
@@ -72,9 +76,13 @@
 
   const Endpoint& store() const { return store_endpoint_; }
   std::vector<std::unique_ptr<LocalNode>>& nodes() { return nodes_; }
+  /// Logs of all servers there have been.
+  const std::vector<std::string>& serverLogs() const { return server_logs_; }
   const LocalDeploymentConfig& config() const { return config_; }
 
  private:
+  /// Gives the node a name that no node had before, and files by it.
+  void nameNode(LocalNode& node);
   void startRouter(LocalNode& node);
   void startServer(LocalNode& node);
   std::string logOf(const std::string& name) const { return config_.folder + "/" + name + ".log"; }
@@ -86,6 +94,7 @@
   Endpoint store_endpoint_;
   std::unique_ptr<test::ChildProcess> store_;
   std::vector<std::unique_ptr<LocalNode>> nodes_;
+  std::vector<std::string> server_logs_;
 };
 
 }  // namespace shedlever::soak
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -16,6 +17,10 @@
 
 constexpr std::size_t kDividedNodes = 3;
 constexpr std::size_t kOtherNodes = 3;
+/// Each service keeps so many nodes.
+constexpr std::ptrdiff_t kLeastNodes = 2;
+/// One fault in so many is the loss of a node for good.
+constexpr std::uint64_t kOneReplacedIn = 12;
 constexpr Duration kClientTimeout = milliseconds(2500);
 constexpr Duration kWarmUp = seconds(6);
 constexpr Duration kRecovery = seconds(14);
@@ -132,6 +137,10 @@
 
 void SoakWorld::fault() {
   LocalNode& node = *deployment_.nodes()[below(deployment_.nodes().size())];
+  if (below(kOneReplacedIn) == 0) {
+    replaceNode(node);
+    return;
+  }
   switch (below(5)) {
     case 0:
       faultProcess(node);
@@ -249,6 +258,18 @@
   }
 }
 
+void SoakWorld::replaceNode(LocalNode& node) {
+  const auto& nodes = deployment_.nodes();
+  const auto alike =
+      std::count_if(nodes.begin(), nodes.end(), [&node](const auto& other) { return other->divided == node.divided; });
+  if (alike <= kLeastNodes) {
+    return;
+  }
+  const std::string lost = node.name;
+  deployment_.replaceNode(node, node.divided ? kOrders : kSearch, !node.divided);
+  note(lost + ": lost for good, " + node.name + " of " + node.service + " at its addresses");
+}
+
 void SoakWorld::keepRunning() {
   const std::vector<std::string> ends = deployment_.keepRunning();
   broken_.insert(broken_.end(), ends.begin(), ends.end());
@@ -307,8 +328,8 @@
   checkRecovery();
   loading_ = false;
   deployment_.runFor(kClientTimeout);
-  for (const auto& node : deployment_.nodes()) {
-    checks_.readLog(node->server_log);
+  for (const std::string& log : deployment_.serverLogs()) {
+    checks_.readLog(log);
   }
   std::vector<std::string> found = checks_.violations();
   found.insert(found.end(), broken_.begin(), broken_.end());
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -47,6 +47,8 @@
   void faultLink(LocalNode& node);
   void faultStore();
   void faultServer(LocalNode& node);
+  /// The node is lost for good, and its addresses go to a node of the other service.
+  void replaceNode(LocalNode& node);
   void keepRunning();
   void heal();
   void checkRecovery();
