First division gives each server up to four ranges, in turn

Change: up to four ranges a server, taking turns, and at most 32 in all, so that the tables of large services stay as they are.

--- a/source/core/router/owner_table.cc
+++ b/source/core/router/owner_table.cc
@@ -8,15 +8,15 @@
 
 using nlohmann::json;
 
-OwnerTable OwnerTable::divide(const std::vector<OwnerPlace>& places) {
+OwnerTable OwnerTable::divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each) {
   OwnerTable table;
-  const auto count = static_cast<std::uint32_t>(places.size());
+  const auto count = static_cast<std::uint32_t>(places.size()) * ranges_each;
   for (std::uint32_t i = 0; i < count; ++i) {
     OwnedRange range;
     range.keys.first = static_cast<Key>(kKeyCount * i / count);
     range.keys.last = static_cast<Key>(kKeyCount * (i + 1) / count - 1);
-    range.owner = places[i].instance;
-    range.node = places[i].node;
+    range.owner = places[i % places.size()].instance;
+    range.node = places[i % places.size()].node;
     range.token = ++table.last_token_;
     table.ranges_.push_back(range);
   }
--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -55,8 +55,9 @@
  public:
   OwnerTable() = default;
 
-  /// @return a first table that divides all keys evenly; `places` is not empty.
-  static OwnerTable divide(const std::vector<OwnerPlace>& places);
+  /// @param places not empty. @param ranges_each that each of them gets, in turn with the others.
+  /// @return a first table that divides all keys evenly.
+  static OwnerTable divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each = 1);
 
   /// @return the range of the key; null in an empty table.
   const OwnedRange* find(Key key) const;
--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -23,6 +23,10 @@
   double clock_drift = 1.02;
   /// After a grant or release without an answer.
   Duration order_retry = std::chrono::milliseconds(50);
+  /// Ranges of each server after the first division, taking turns: keys that are asked for often lie close together.
+  std::uint32_t first_ranges = 4;
+  /// But not more in all, so that the tables of large services stay small.
+  std::uint32_t most_first_ranges = 32;
   /// Before the first division, for other servers to show up.
   Duration first_division_delay = std::chrono::milliseconds(1500);
   /// Further wait of each node after the first, in order of names, before it does what one node should do.
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -224,7 +224,8 @@
     places.push_back({record->instance, record->node});
   }
   if (!places.empty()) {
-    writer_.create(OwnerTable::divide(places));
+    const auto each = config_.most_first_ranges / static_cast<std::uint32_t>(places.size());
+    writer_.create(OwnerTable::divide(places, std::clamp(each, 1U, config_.first_ranges)));
   }
 }
 
--- a/test/core_router/owner_table_test.cc
+++ b/test/core_router/owner_table_test.cc
@@ -35,6 +35,18 @@
   EXPECT_EQ(table.find(kKeyCount - 1)->owner, kThird.instance);
 }
 
+// Seen on the bench: the busiest keys lie close together, and fell to one server at first.
+TEST(OwnerTableTest, FirstDivisionMayGiveRangesInTurn) {
+  const OwnerTable table = OwnerTable::divide({kFirst, kSecond}, 3);
+  ASSERT_EQ(table.ranges().size(), 6U);
+  std::uint32_t keys = 0;
+  for (std::size_t i = 0; i < 6; ++i) {
+    EXPECT_EQ(table.ranges()[i].owner, i % 2 == 0 ? kFirst.instance : kSecond.instance);
+    keys += table.ranges()[i].keys.size();
+  }
+  EXPECT_EQ(keys, kKeyCount);
+}
+
 TEST(OwnerTableTest, ReleaseLeavesRoomForItsOwnToken) {
   OwnerTable table = OwnerTable::divide({kFirst, kSecond});
   const auto released = table.beginRelease({100, 199}, kFirst.instance);
