--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,10 @@
 kinds:
 	bench/play_kinds.py --bench $(BENCH) --site $(SITE) --trees $(or $(TREES),.) --why "$(WHY)"
 
-# Real processes under random faults; SEED and SECONDS as wanted. The logs lie in soak-run/.
+# Real processes under random faults; SEED and SECONDS as wanted; HEARTBEAT=1: servers take their keys by heartbeat. The
+# logs lie in soak-run/.
 soak: build
-	$(BUILD)/shedlever-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+	$(BUILD)/shedlever-soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60) $(if $(HEARTBEAT),--keys-by-heartbeat)
 
 format:
 	@clang-format-14 -i $(CXX_FILES)
--- a/demo/demo_main.cc
+++ b/demo/demo_main.cc
@@ -108,15 +108,17 @@
   return rules.allHold();
 }
 
-int runDemo(const std::string& settings, const std::string& folder) {
+int runDemo(const std::string& settings, const std::string& folder, bool keys_by_heartbeat) {
   EventLoop loop;
   soak::LocalDeploymentConfig config;
   config.binaries = std::filesystem::canonical("/proc/self/exe").parent_path().string();
   config.folder = folder;
   config.interface_kind = "shedlever";
   config.work_ms = 10;
+  config.keys_by_heartbeat = keys_by_heartbeat;
   soak::LocalDeployment deployment(loop, config);
-  say("starting the store, six servers with a router beside each; logs in " + folder);
+  say("starting the store, six servers with a router beside each, keys by " +
+      std::string(keys_by_heartbeat ? "heartbeat" : "request") + "; logs in " + folder);
   deployment.startStore();
   const std::string store = toString(deployment.store());
   if (deployment.runProgram("shedlever", {"config", "apply", settings, "--platform", store}, kProgramCap) != 0) {
@@ -155,6 +157,13 @@
   }
   const std::string folder = "demo-run";
   std::filesystem::remove_all(folder);
-  std::filesystem::create_directories(folder);
-  return runDemo(arguments.front(), folder);
+  for (const bool keys_by_heartbeat : {false, true}) {
+    const std::string run_folder = folder + (keys_by_heartbeat ? "/heartbeat" : "/request");
+    std::filesystem::create_directories(run_folder);
+    const int status = runDemo(arguments.front(), run_folder, keys_by_heartbeat);
+    if (status != EXIT_SUCCESS) {
+      return status;
+    }
+  }
+  return EXIT_SUCCESS;
 }
--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -12,6 +12,7 @@
 
 #include "shedlever/errors.h"
 #include "shedlever/http_messages.h"
+#include "shedlever/key_report.h"
 #include "shedlever/metadata_store.h"
 #include "shedlever/outcome.h"
 #include "shedlever/router_config.h"
@@ -127,6 +128,8 @@
   bool leaves = false;
   /// Rises with each report of one life; none if it does not say.
   std::optional<std::uint64_t> sequence;
+  /// For servers that take their keys by heartbeat; none if the report does not speak of keys.
+  std::optional<KeyReport> keys;
 };
 
 /// Reports of servers, and the question whether this process is ready.
@@ -135,7 +138,8 @@
   virtual ~ReportProtocol() = default;
   /// @return the report; none when the request is no report, or makes no sense.
   virtual std::optional<ServerReport> readReport(const HttpRequest& request) const = 0;
-  virtual HttpResponse acknowledgement() const = 0;
+  /// @param keys all that the server is to hold; null to say nothing of keys.
+  virtual HttpResponse acknowledgement(const KeyAssignment* keys) const = 0;
   virtual bool asksReadiness(const HttpRequest& request) const = 0;
 };
 
--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -86,6 +86,7 @@
         {"readiness", toString(node.readiness)},
         {"reports", toString(node.reports)}}},
       {"connect", {{"server", toString(node.server)}, {"store", toString(node.store_link->endpoint())}}},
+      {"ownership", {{"grants", config_.keys_by_heartbeat ? "heartbeat" : "request"}}},
       {"retry", {{"ratio", 0.2}, {"slack", 50}}},
       {"stop", {{"grace", "4s"}, {"clients_leave", "1s"}}}};
   std::ofstream(node.settings_file) << settings.dump(1);
@@ -103,6 +104,9 @@
   if (node.divided) {
     arguments.emplace_back("--divided");
   }
+  if (config_.keys_by_heartbeat) {
+    arguments.emplace_back("--keys-by-heartbeat");
+  }
   node.server_process = orNull(test::ChildProcess::start(
       {config_.binaries + "/standin-keys", arguments, config_.folder + "/" + node.name + "-server.out"}));
 }
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -24,6 +24,8 @@
   /// "shedlever" or "platform".
   std::string interface_kind = "platform";
   unsigned work_ms = 20;
+  /// Servers take their keys in the acknowledgements of their heartbeats.
+  bool keys_by_heartbeat = false;
 };
 
 /// A router, the server beside it, and the proxies on the router's links.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -24,6 +24,7 @@
       "rounds", options::value(&rounds), "how many seeds, one after the other")("seconds", options::value(&seconds),
                                                                                 "of faults in each round")(
       "rate", options::value(&config.requests_per_second), "requests a second")(
+      "keys-by-heartbeat", options::bool_switch(&config.keys_by_heartbeat), "servers take keys by heartbeat")(
       "folder", options::value(&config.folder)->default_value("soak-run"), "for settings and logs; a folder a seed");
   options::variables_map given;
   try {
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -36,7 +36,10 @@
     : loop_(loop),
       config_(std::move(config)),
       random_(config_.seed),
-      deployment_(loop_, {config_.seed, config_.binaries, config_.folder}) {}
+      deployment_(loop_, {.seed = config_.seed,
+                          .binaries = config_.binaries,
+                          .folder = config_.folder,
+                          .keys_by_heartbeat = config_.keys_by_heartbeat}) {}
 
 SoakWorld::~SoakWorld() = default;
 
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -23,6 +23,8 @@
   /// For settings and logs.
   std::string folder;
   int requests_per_second = 120;
+  /// Servers take their keys in the acknowledgements of their heartbeats.
+  bool keys_by_heartbeat = false;
 };
 
 class SoakWorld {
--- /dev/null
+++ b/source/core/router/heartbeat_grants.cc
@@ -0,0 +1,281 @@
+#include "source/core/router/heartbeat_grants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever {
+
+namespace {
+
+/// An acknowledgement that comes later after its heartbeat was sent does not count for the server (the platform's
+/// protocol). As much of a grant is not relied on, since the time of sending is not known here.
+constexpr Duration kAcknowledgementLimit = std::chrono::seconds(1);
+/// A server that has not been heard of for so much longer than a grant lasts holds nothing any more.
+constexpr Duration kLapseMargin = std::chrono::milliseconds(300);
+/// Heartbeats in a row that don't report a range they were told before the range counts as not held.
+constexpr unsigned kUnconfirmedNotHeld = 2;
+/// ... and before the server is taken to refuse its token.
+constexpr unsigned kUnconfirmedRefused = 4;
+/// Ranges told at once: with 42 bytes each they fit the 4 KiB that an acknowledgement may have.
+constexpr std::size_t kMostRanges = 94;
+/// Handovers remembered of ranges that nobody has asked for.
+constexpr std::size_t kMostHandovers = 128;
+
+KeySpan spanOf(const ReleasedRange& range) { return {range.first, range.last}; }
+KeySpan spanOf(const ReportedRange& range) { return {range.first, range.last}; }
+
+bool overlap(const KeySpan& left, const KeySpan& right) { return left.first <= right.last && right.first <= left.last; }
+
+bool contains(const KeySpan& outer, const KeySpan& inner) {
+  return outer.first <= inner.first && inner.last <= outer.last;
+}
+
+/// @return whether the spans together hold all of `keys`.
+bool cover(std::vector<KeySpan> spans, const KeySpan& keys) {
+  std::sort(spans.begin(), spans.end());
+  std::uint32_t next = keys.first;
+  for (const KeySpan& span : spans) {
+    if (span.first <= next && next <= span.last) {
+      next = static_cast<std::uint32_t>(span.last) + 1;
+    }
+  }
+  return next > keys.last;
+}
+
+/// @return whether the server reports all of the range as held under its token.
+bool reports(const KeyReport& report, const OwnedRange& range) {
+  std::vector<KeySpan> spans;
+  for (const ReportedRange& held : report.held) {
+    if (held.token == range.token) {
+      spans.push_back(spanOf(held));
+    }
+  }
+  return cover(std::move(spans), range.keys);
+}
+
+}  // namespace
+
+HeartbeatGrants::HeartbeatGrants(const OwnershipConfig& config, TimePoint started, Events events)
+    : config_(config), started_(started), events_(std::move(events)) {}
+
+void HeartbeatGrants::update(const std::vector<OwnedRange>&, TimePoint, TimePoint now) {
+  std::erase_if(fading_, [now](const Told& told) { return told.may_hold_until <= now; });
+  endReleases(now);
+}
+
+const HeartbeatGrants::Told* HeartbeatGrants::toldFor(Key key) const {
+  const auto after = told_.upper_bound(key);
+  if (after == told_.begin()) {
+    return nullptr;
+  }
+  const Told& told = std::prev(after)->second;
+  return told.range.keys.contains(key) ? &told : nullptr;
+}
+
+bool HeartbeatGrants::held(Key key, TimePoint now) const {
+  const Told* told = toldFor(key);
+  return told != nullptr && now < told->held_until;
+}
+
+void HeartbeatGrants::onKeyRefused(Key key) {
+  if (const Told* told = toldFor(key)) {
+    told_.at(told->range.keys.first).held_until = {};
+  }
+}
+
+bool HeartbeatGrants::isBeingReleased(const KeySpan& keys) const {
+  return std::any_of(releases_.begin(), releases_.end(),
+                     [&](const Release& release) { return overlap(release.range.keys, keys); });
+}
+
+void HeartbeatGrants::release(const OwnedRange& range, ReleaseCallback done) {
+  releases_.push_back({range, std::move(done), {}, false});
+}
+
+void HeartbeatGrants::forgetAll() {
+  told_.clear();
+  fading_.clear();
+  releases_.clear();
+  handovers_.clear();
+}
+
+// What heartbeats say.
+
+void HeartbeatGrants::onReport(const KeyReport& report, TimePoint received) {
+  last_report_ = received;
+  noteReleased(report);
+  noteHeld(report);
+  endReleases(received);
+}
+
+void HeartbeatGrants::noteReleased(const KeyReport& report) {
+  for (const ReleasedRange& piece : report.released) {
+    handovers_[piece.first] = piece;
+    for (Release& release : releases_) {
+      if (release.left_out && overlap(release.range.keys, spanOf(piece))) {
+        release.pieces.push_back(piece);
+      }
+    }
+  }
+  while (handovers_.size() > kMostHandovers) {
+    handovers_.erase(handovers_.begin());
+  }
+}
+
+void HeartbeatGrants::noteHeld(const KeyReport& report) {
+  std::vector<OwnedRange> refused;
+  for (auto& [first, told] : told_) {
+    if (reports(report, told.range)) {
+      told.unconfirmed = 0;
+      continue;
+    }
+    ++told.unconfirmed;
+    if (told.unconfirmed >= kUnconfirmedNotHeld) {
+      told.held_until = {};
+    }
+    if (told.unconfirmed % kUnconfirmedRefused == 0) {
+      refused.push_back(told.range);
+    }
+  }
+  std::erase_if(handovers_, [&](const auto& entry) {
+    return std::any_of(report.held.begin(), report.held.end(),
+                       [&](const ReportedRange& held) { return overlap(spanOf(held), spanOf(entry.second)); });
+  });
+  for (const OwnedRange& range : refused) {
+    events_.superseded(range);
+  }
+}
+
+TimePoint HeartbeatGrants::mayHoldUntil(const KeySpan& keys) const {
+  // What an earlier process told before this one started is not known.
+  TimePoint until = started_ + std::chrono::duration_cast<Duration>(config_.heartbeat_hold * config_.clock_drift);
+  const auto note = [&](const Told& told) {
+    if (overlap(told.range.keys, keys)) {
+      until = std::max(until, told.may_hold_until);
+    }
+  };
+  for (const auto& [first, told] : told_) {
+    note(told);
+  }
+  std::for_each(fading_.begin(), fading_.end(), note);
+  return until;
+}
+
+void HeartbeatGrants::endReleases(TimePoint now) {
+  std::vector<std::pair<ReleaseCallback, ReleaseResult>> ended;
+  std::erase_if(releases_, [&](Release& release) {
+    std::vector<KeySpan> spans;
+    std::transform(release.pieces.begin(), release.pieces.end(), std::back_inserter(spans),
+                   [](const ReleasedRange& piece) { return spanOf(piece); });
+    const bool told = cover(std::move(spans), release.range.keys);
+    const bool lapsed = now >= mayHoldUntil(release.range.keys);
+    if (!told && !lapsed) {
+      return false;
+    }
+    ++(told ? counts_.released : counts_.lapsed);
+    const std::string handover = told ? release.pieces.front().handover : handoverFor(release.range, {});
+    ended.emplace_back(std::move(release.done), ReleaseResult{OrderStatus::Done, handover});
+    return true;
+  });
+  for (const auto& [done, result] : ended) {
+    done(result);
+  }
+}
+
+// What acknowledgements tell.
+
+std::string HeartbeatGrants::handoverFor(const OwnedRange& range, const KeyReport& report) const {
+  const bool holds_some = std::any_of(report.held.begin(), report.held.end(),
+                                      [&](const ReportedRange& held) { return overlap(spanOf(held), range.keys); });
+  if (holds_some) {
+    return {};
+  }
+  const auto covers = [&](const auto& entry) { return contains(spanOf(entry.second), range.keys); };
+  const auto known = std::find_if(handovers_.begin(), handovers_.end(), covers);
+  return known == handovers_.end() ? range.handover : known->second.handover;
+}
+
+std::vector<OwnedRange> HeartbeatGrants::tellable(const std::vector<OwnedRange>& wanted,
+                                                  const KeyReport& report) const {
+  std::vector<OwnedRange> ranges = wanted;
+  std::erase_if(ranges, [this](const OwnedRange& range) { return isBeingReleased(range.keys); });
+  if (ranges.size() > kMostRanges) {
+    std::stable_partition(ranges.begin(), ranges.end(),
+                          [&](const OwnedRange& range) { return reports(report, range); });
+    ranges.resize(kMostRanges);
+  }
+  return ranges;
+}
+
+bool HeartbeatGrants::wouldChange(const std::vector<OwnedRange>& wanted, const KeyReport& report) const {
+  const std::vector<OwnedRange> ranges = tellable(wanted, report);
+  const auto is_reported = [&](const OwnedRange& range) { return reports(report, range); };
+  const auto is_told = [&](const ReportedRange& held) {
+    std::vector<KeySpan> spans;
+    for (const OwnedRange& range : ranges) {
+      if (range.token == held.token) {
+        spans.push_back(range.keys);
+      }
+    }
+    return cover(std::move(spans), spanOf(held));
+  };
+  return !std::all_of(ranges.begin(), ranges.end(), is_reported) ||
+         !std::all_of(report.held.begin(), report.held.end(), is_told);
+}
+
+std::optional<KeyAssignment> HeartbeatGrants::assign(const std::vector<OwnedRange>& wanted, const KeyReport& report,
+                                                     TimePoint lease_until, TimePoint received, TimePoint now) {
+  ++counts_.acknowledgements;
+  const auto room = std::chrono::duration_cast<Duration>((lease_until - received) / config_.clock_drift);
+  const Duration hold = std::chrono::floor<std::chrono::milliseconds>(std::min(config_.heartbeat_hold, room));
+  if (hold < config_.least_grant + (now - received)) {
+    ++counts_.silent;
+    return std::nullopt;
+  }
+  const std::vector<OwnedRange> ranges = tellable(wanted, report);
+  tell(ranges, report, hold, received);
+  KeyAssignment assignment;
+  assignment.hold = hold;
+  for (const OwnedRange& range : ranges) {
+    assignment.ranges.push_back({range.keys.first, range.keys.last, range.token, handoverFor(range, report)});
+  }
+  for (Release& release : releases_) {
+    release.left_out = true;
+  }
+  return assignment;
+}
+
+void HeartbeatGrants::tell(const std::vector<OwnedRange>& ranges, const KeyReport& report, Duration hold,
+                           TimePoint received) {
+  std::map<Key, Told> before = std::exchange(told_, {});
+  const auto may_hold = std::chrono::duration_cast<Duration>(hold * config_.clock_drift);
+  for (const OwnedRange& range : ranges) {
+    Told told{range, received + may_hold, received + hold - kAcknowledgementLimit, 0};
+    const auto earlier = before.find(range.keys.first);
+    if (earlier != before.end() && earlier->second.range.keys == range.keys &&
+        earlier->second.range.token == range.token) {
+      told.unconfirmed = earlier->second.unconfirmed;
+    }
+    if (told.unconfirmed >= kUnconfirmedNotHeld) {
+      told.held_until = {};
+    }
+    told_new_ = told_new_ || !reports(report, range);
+    told_.emplace(range.keys.first, told);
+  }
+  for (auto& [first, told] : before) {
+    fading_.push_back(told);
+  }
+}
+
+void HeartbeatGrants::onAcknowledged() {
+  if (std::exchange(told_new_, false)) {
+    events_.newly_held();
+  }
+}
+
+bool HeartbeatGrants::allLapsed(TimePoint now) const {
+  const auto longest = std::chrono::duration_cast<Duration>(config_.heartbeat_hold * config_.clock_drift);
+  return now - std::max(last_report_, started_) > longest + kLapseMargin;
+}
+
+}  // namespace shedlever
--- a/source/core/router/ordered_grants.cc
+++ b/source/core/router/ordered_grants.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/range_grants.h"
+#include "source/core/router/ordered_grants.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,10 +16,10 @@
 
 }  // namespace
 
-RangeGrants::RangeGrants(const OwnershipConfig& config, ServerOrders& orders, const Clock& clock, Events events)
+OrderedGrants::OrderedGrants(const OwnershipConfig& config, ServerOrders& orders, const Clock& clock, Events events)
     : config_(config), orders_(orders), clock_(clock), events_(std::move(events)) {}
 
-void RangeGrants::tick(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) {
+void OrderedGrants::update(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) {
   const auto is_wanted = [&](const OwnedRange& range) {
     return std::any_of(wanted.begin(), wanted.end(), [&](const OwnedRange& other) { return sameGrant(range, other); });
   };
@@ -38,7 +38,7 @@
   }
 }
 
-void RangeGrants::send(Grant& grant, Duration hold, TimePoint now) {
+void OrderedGrants::send(Grant& grant, Duration hold, TimePoint now) {
   grant.in_flight = true;
   grant.send_number = ++last_send_;
   const OwnedRange& range = grant.range;
@@ -48,7 +48,7 @@
   });
 }
 
-void RangeGrants::onAnswer(Key first, std::uint64_t send_number, OrderStatus status, TimePoint sent, Duration hold) {
+void OrderedGrants::onAnswer(Key first, std::uint64_t send_number, OrderStatus status, TimePoint sent, Duration hold) {
   if (status == OrderStatus::ServerGone) {
     events_.server_gone();
   }
@@ -73,7 +73,7 @@
   }
 }
 
-bool RangeGrants::held(Key key, TimePoint now) const {
+bool OrderedGrants::held(Key key, TimePoint now) const {
   const auto after = grants_.upper_bound(key);
   if (after == grants_.begin()) {
     return false;
@@ -82,6 +82,9 @@
   return grant.range.keys.contains(key) && now < grant.held_until;
 }
 
-void RangeGrants::forget(const KeySpan& keys) { grants_.erase(keys.first); }
+void OrderedGrants::release(const OwnedRange& range, ReleaseCallback done) {
+  grants_.erase(range.keys.first);
+  orders_.release({range.keys.first, range.keys.last, range.token + 1}, std::move(done));
+}
 
 }  // namespace shedlever
--- a/source/core/router/ordered_grants.h
+++ b/source/core/router/ordered_grants.h
@@ -1,41 +1,26 @@
 #pragma once
 
 /// @file
-/// Grants of this node's ranges to the server beside it: sent, renewed, and until when the server holds each.
+/// Grants by orders to the server: sent, renewed, and until when the server holds each range.
 
-#include <functional>
 #include <map>
 
-#include "shedlever/server_orders.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/grant_channel.h"
 #include "source/core/router/ownership_config.h"
 
 namespace shedlever {
 
-class RangeGrants {
+class OrderedGrants final : public GrantChannel {
  public:
-  struct Events {
-    /// The server has seen a higher token for the range.
-    std::function<void(const OwnedRange&)> superseded;
-    /// Nothing listens at the server's address.
-    std::function<void()> server_gone;
-    /// A range is held now that was not before.
-    std::function<void()> newly_held;
-  };
-
-  RangeGrants(const OwnershipConfig& config, ServerOrders& orders, const Clock& clock, Events events);
-
-  /// Sends what is due. Ranges that are missing from `wanted` are forgotten: the server lets them lapse, or was told to
-  /// release them.
-  /// @param lease_until no grant outlasts it.
-  void tick(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now);
-
-  /// @return whether the server holds the key for sure.
-  bool held(Key key, TimePoint now) const;
-
-  /// Forgets the range at once: it is about to be released.
-  void forget(const KeySpan& keys);
-  void forgetAll() { grants_.clear(); }
+  OrderedGrants(const OwnershipConfig& config, ServerOrders& orders, const Clock& clock, Events events);
+
+  void update(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) override;
+  bool held(Key key, TimePoint now) const override;
+  /// Nothing to do: a grant that the server has lost is renewed soon.
+  void onKeyRefused(Key) override {}
+  /// The server refuses all older grants of the range from then on, also late ones.
+  void release(const OwnedRange& range, ReleaseCallback done) override;
+  void forgetAll() override { grants_.clear(); }
 
  private:
   struct Grant {
--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -3,11 +3,20 @@
 /// @file
 /// Times that ownership of keys rests on.
 
+#include <cstdint>
+
 #include "shedlever/time.h"
 
 namespace shedlever {
 
+/// How servers take their keys.
+enum class GrantForm : std::uint8_t {
+  Request,    ///< by requests to the server
+  Heartbeat,  ///< in the acknowledgements of its heartbeats
+};
+
 struct OwnershipConfig {
+  GrantForm grants = GrantForm::Request;
   /// How long a node owns what the table gives it after it sent a renewal that succeeded.
   Duration lease = std::chrono::seconds(10);
   Duration lease_renewal = std::chrono::milliseconds(2500);
@@ -15,8 +24,12 @@
   Duration lease_retry = std::chrono::milliseconds(300);
   /// How much longer than the lease a challenger waits, for clocks that run apart.
   Duration lease_margin = std::chrono::milliseconds(500);
-  /// How long a grant to the server lasts.
+  /// How long a grant by request lasts.
   Duration grant_hold = std::chrono::seconds(2);
+  /// How long a grant by heartbeat lasts: three heartbeats of 1.3 s, the longest seen on a deployment.
+  Duration heartbeat_hold = std::chrono::seconds(4);
+  /// How long the acknowledgement of a heartbeat waits for keys to come or go. The server takes none after 1 s.
+  Duration heartbeat_wait = std::chrono::milliseconds(600);
   /// Shortest grant worth sending.
   Duration least_grant = std::chrono::milliseconds(200);
   /// Servers' clocks may count a grant this much longer.
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership_fields.cc
@@ -6,12 +6,14 @@
 
 namespace {
 
-constexpr std::array<OwnershipDuration, 11> kDurations{{
+constexpr std::array<OwnershipDuration, 13> kDurations{{
     {"lease", &OwnershipConfig::lease},
     {"lease_renewal", &OwnershipConfig::lease_renewal},
     {"lease_retry", &OwnershipConfig::lease_retry},
     {"lease_margin", &OwnershipConfig::lease_margin},
     {"grant_hold", &OwnershipConfig::grant_hold},
+    {"heartbeat_hold", &OwnershipConfig::heartbeat_hold},
+    {"heartbeat_wait", &OwnershipConfig::heartbeat_wait},
     {"order_retry", &OwnershipConfig::order_retry},
     {"first_division_delay", &OwnershipConfig::first_division_delay},
     {"rank_delay", &OwnershipConfig::rank_delay},
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -23,21 +23,32 @@
       ports_(std::move(ports)),
       writer_(service_, *ports_.store, [this] { ports_.on_change(); }),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
-      grants_(config_, *ports_.orders, *ports_.clock,
-              RangeGrants::Events{[this](const OwnedRange& range) {
-                                    change("token raised",
-                                           [keys = range.keys, token = range.token,
-                                            place = OwnerPlace{instance_, self_.name}](OwnerTable& table) {
-                                             const OwnedRange* now = table.find(keys.first);
-                                             return now != nullptr && now->keys == keys && now->token == token &&
-                                                    now->owner == place.instance && !now->releasing &&
-                                                    table.assign(keys, place, now->handover);
-                                           });
-                                  },
-                                  [this] { ports_.on_server_gone(); }, [this] { ports_.on_change(); }}),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeFrom(node); }),
       meter_(kWorkHalfLife),
-      planner_(meter_, config_) {}
+      planner_(meter_, config_) {
+  if (config_.grants == GrantForm::Heartbeat) {
+    auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
+    heartbeats_ = grants.get();
+    grants_ = std::move(grants);
+  } else {
+    grants_ = std::make_unique<OrderedGrants>(config_, *ports_.orders, *ports_.clock, grantEvents());
+  }
+}
+
+GrantChannel::Events OwnershipKeeper::grantEvents() {
+  GrantChannel::Events events;
+  events.superseded = [this](const OwnedRange& range) {
+    const OwnerPlace place{instance_, self_.name};
+    change("token raised", [keys = range.keys, token = range.token, place](OwnerTable& table) {
+      const OwnedRange* now = table.find(keys.first);
+      return now != nullptr && now->keys == keys && now->token == token && now->owner == place.instance &&
+             !now->releasing && table.assign(keys, place, now->handover);
+    });
+  };
+  events.server_gone = [this] { ports_.on_server_gone(); };
+  events.newly_held = [this] { ports_.on_change(); };
+  return events;
+}
 
 void OwnershipKeeper::tell(const std::string& what, const std::string& detail) {
   if (ports_.on_event) {
@@ -56,7 +67,7 @@
   server_since_ = now;
   moves_.clear();
   ++batch_;
-  grants_.forgetAll();
+  grants_->forgetAll();
 }
 
 void OwnershipKeeper::serverDead() {
@@ -66,7 +77,7 @@
   dead_instance_ = std::exchange(instance_, {});
   moves_.clear();
   ++batch_;
-  grants_.forgetAll();
+  grants_->forgetAll();
 }
 
 void OwnershipKeeper::setOccupancy(double occupancy) { occupancy_ += (occupancy - occupancy_) * kOccupancyShare; }
@@ -74,7 +85,7 @@
 void OwnershipKeeper::onLeaseRevoked() {
   tell("lease revoked", "");
   must_confirm_ = true;
-  grants_.forgetAll();
+  grants_->forgetAll();
 }
 
 std::vector<OwnedRange> OwnershipKeeper::grantable() const {
@@ -90,16 +101,84 @@
   return ranges;
 }
 
+std::vector<OwnedRange> OwnershipKeeper::tellable(const KeyReport& report) const {
+  if (!tableIsRead()) {
+    return resumable(report);
+  }
+  std::vector<OwnedRange> ranges = grantable();
+  // A release that an earlier process began and the server has not heard of is about to be taken back.
+  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
+    const ReportedRange same{range.keys.first, range.keys.last, range.token};
+    const bool still_held = std::find(report.held.begin(), report.held.end(), same) != report.held.end();
+    if (range.releasing && moves_.empty() && still_held && hasServer() && !must_confirm_) {
+      ranges.push_back(range);
+    }
+  }
+  return ranges;
+}
+
+/// What the server holds was not given away by this node's earlier process, since that waits for the server to let go,
+/// nor by another node while the earlier process's lease lasts.
+std::vector<OwnedRange> OwnershipKeeper::resumable(const KeyReport& report) const {
+  std::vector<OwnedRange> ranges;
+  if (!hasServer() || must_confirm_) {
+    return ranges;
+  }
+  for (const ReportedRange& held : report.held) {
+    const auto is_others = [&](const OwnedRange& range) {
+      return range.keys.first <= held.last && held.first <= range.keys.last && range.owner != instance_;
+    };
+    const std::vector<OwnedRange>& known = writer_.table().ranges();
+    if (std::none_of(known.begin(), known.end(), is_others)) {
+      OwnedRange range;
+      range.keys = {held.first, held.last};
+      range.owner = instance_;
+      range.node = self_.name;
+      range.token = held.token;
+      ranges.push_back(range);
+    }
+  }
+  return ranges;
+}
+
+void OwnershipKeeper::onKeyReport(const KeyReport& report) {
+  if (heartbeats_ != nullptr) {
+    heartbeats_->onReport(report, ports_.clock->now());
+  }
+}
+
+bool OwnershipKeeper::wouldChange(const KeyReport& report) const {
+  const bool may_tell = hasServer() && !must_confirm_ && lease_.valid(ports_.clock->now());
+  return heartbeats_ != nullptr && may_tell && heartbeats_->wouldChange(tellable(report), report);
+}
+
+std::optional<KeyAssignment> OwnershipKeeper::assign(const KeyReport& report, TimePoint received) {
+  if (heartbeats_ == nullptr || !hasServer() || must_confirm_) {
+    return std::nullopt;
+  }
+  return heartbeats_->assign(tellable(report), report, lease_.validUntil(), received, ports_.clock->now());
+}
+
+void OwnershipKeeper::onAcknowledged() {
+  if (heartbeats_ != nullptr) {
+    heartbeats_->onAcknowledged();
+  }
+}
+
 KeyStanding OwnershipKeeper::standing(Key key, TimePoint now) const {
   const OwnedRange* range = writer_.table().find(key);
-  if (range == nullptr || range->owner != instance_ || !hasServer()) {
+  const bool is_own = range != nullptr && range->owner == instance_;
+  if (!hasServer() || (!is_own && tableIsRead())) {
     return KeyStanding::Elsewhere;
   }
-  if (range->releasing) {
-    return KeyStanding::Moving;
+  // Also while the range is being released, until the server has been told so.
+  if (!must_confirm_ && lease_.valid(now) && grants_->held(key, now)) {
+    return KeyStanding::Held;
+  }
+  if (!is_own) {
+    return KeyStanding::Elsewhere;
   }
-  const bool held = !must_confirm_ && lease_.valid(now) && grants_.held(key, now);
-  return held ? KeyStanding::Held : KeyStanding::Pending;
+  return range->releasing ? KeyStanding::Moving : KeyStanding::Pending;
 }
 
 OwnerHint OwnershipKeeper::hintFor(Key key) const {
@@ -194,7 +273,7 @@
     divideFirst(now);
     return;
   }
-  grants_.tick(grantable(), lease_.validUntil(), now);
+  grants_->update(grantable(), lease_.validUntil(), now);
   if (!changing_) {
     settleLeftovers();
   }
@@ -203,7 +282,7 @@
   }
   watchOthers(now);
   if (!changing_ && moves_.empty() && hasServer() && lease_.valid(now)) {
-    if (draining_) {
+    if (draining_ || serverLapsed(now)) {
       giveAll(targets(now), now);
     } else {
       balance(now);
@@ -415,17 +494,14 @@
              }
            }
            for (std::size_t i = 0; i < moves_.size(); ++i) {
-             grants_.forget(moves_[i].range.keys);
              releaseMove(i);
            }
          });
 }
 
 void OwnershipKeeper::releaseMove(std::size_t index) {
-  const OwnedRange& range = moves_[index].range;
-  ports_.orders->release(
-      {range.keys.first, range.keys.last, range.token + 1},
-      [this, index, batch = batch_](const ReleaseResult& result) { onReleased(index, batch, result); });
+  grants_->release(moves_[index].range,
+                   [this, index, batch = batch_](const ReleaseResult& result) { onReleased(index, batch, result); });
 }
 
 void OwnershipKeeper::onReleased(std::size_t index, std::uint64_t batch, const ReleaseResult& result) {
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -13,9 +13,10 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_orders.h"
 #include "source/core/router/balance_planner.h"
+#include "source/core/router/heartbeat_grants.h"
 #include "source/core/router/key_meter.h"
 #include "source/core/router/lease_keeper.h"
-#include "source/core/router/range_grants.h"
+#include "source/core/router/ordered_grants.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/table_writer.h"
 #include "source/core/router/takeover_watcher.h"
@@ -44,6 +45,9 @@
   ServerDirectory* directory = nullptr;
   /// The owner table changed, or a range is newly held: requests that wait for their owner may go on.
   std::function<void()> on_change;
+  /// @return whether the store itself has told the owner table since this process started. What other processes tell
+  /// may be older than the last change of this node's process before this one.
+  std::function<bool()> table_read;
   /// Nothing listens at the server's address.
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
@@ -64,6 +68,23 @@
   /// It leaves, or this node stops: its keys go to others, in order. Holds until the next `serverUp`.
   void startDraining() { draining_ = true; }
 
+  /// A heartbeat of the server, newer than all before it. Only for servers that take their keys that way, as is all
+  /// that speaks of heartbeats below.
+  void onKeyReport(const KeyReport& report);
+  /// @return whether acknowledging the heartbeat now would change what the server holds.
+  bool wouldChange(const KeyReport& report) const;
+  /// @return all that the server is to hold; none when nothing may be said of keys.
+  std::optional<KeyAssignment> assign(const KeyReport& report, TimePoint received);
+  /// An acknowledgement has been given.
+  void onAcknowledged();
+  /// @return whether the server's keys have run out since nothing was heard of it.
+  bool serverLapsed(TimePoint now) const { return hasServer() && heartbeats_ && heartbeats_->allLapsed(now); }
+  /// @return what heartbeats have told and were told; null when they don't tell of keys.
+  const HeartbeatGrantCounts* heartbeatCounts() const { return heartbeats_ ? &heartbeats_->counts() : nullptr; }
+
+  /// The server refused a request since it does not hold the key.
+  void onKeyRefused(Key key) { grants_->onKeyRefused(key); }
+
   /// Objects of the shared kind, as listed or watched.
   void onTableObject(const MetadataObject& object) { writer_.onObject(object); }
   void onTableAbsent() { writer_.onAbsent(); }
@@ -96,8 +117,12 @@
     std::string handover;
   };
 
+  GrantChannel::Events grantEvents();
   bool hasServer() const { return !instance_.empty(); }
+  bool tableIsRead() const { return !ports_.table_read || ports_.table_read(); }
   std::vector<OwnedRange> grantable() const;
+  std::vector<OwnedRange> tellable(const KeyReport& report) const;
+  std::vector<OwnedRange> resumable(const KeyReport& report) const;
   std::vector<OwnerPlace> targets(TimePoint now) const;
   std::size_t rank() const;
 
@@ -132,7 +157,9 @@
   OwnershipPorts ports_;
   TableWriter writer_;
   LeaseKeeper lease_;
-  RangeGrants grants_;
+  std::unique_ptr<GrantChannel> grants_;
+  /// The same object if the server takes its keys by heartbeat; null otherwise.
+  HeartbeatGrants* heartbeats_ = nullptr;
   TakeoverWatcher takeover_;
   KeyMeter meter_;
   BalancePlanner planner_;
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/core/router/heartbeat_responder.h"
+
 namespace shedlever::sim {
 
 namespace {
@@ -13,62 +15,32 @@
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kOrderTimeout = milliseconds(300);
 constexpr Duration kTableDelay = milliseconds(30);
-constexpr double kClockDrift = 1.02;
+/// Between heartbeats, and while keys are let go of.
+constexpr Duration kHeartbeat = milliseconds(870);
+constexpr Duration kUrgentHeartbeat = milliseconds(100);
+constexpr Duration kLoopbackDelay = milliseconds(1);
+/// An acknowledgement that comes later after its heartbeat was sent counts for nothing.
+constexpr Duration kAcknowledgementLimit = seconds(1);
 const ServiceName kService("search");
 
 NodeName nodeName(std::size_t index) { return NodeName("node-" + std::to_string(index)); }
 
 }  // namespace
 
-// Servers.
-
-SimulatedServer::SimulatedServer(VirtualTime& time, InstanceId its_instance)
-    : instance(std::move(its_instance)),
-      taken(kKeyCount, 0),
-      time_(time),
-      seen_(kKeyCount, 0),
-      until_(kKeyCount, TimePoint{}),
-      late_(kKeyCount, false) {}
-
-bool SimulatedServer::grant(const GrantOrder& order, bool late) {
-  for (std::uint32_t key = order.first; key <= order.last; ++key) {
-    if (seen_[key] > order.token) {
-      return false;
-    }
-  }
-  const auto hold = std::chrono::duration_cast<Duration>(order.hold * kClockDrift);
-  for (std::uint32_t key = order.first; key <= order.last; ++key) {
-    const bool held_soundly = until_[key] > time_.now() && !late_[key];
-    seen_[key] = order.token;
-    until_[key] = std::max(until_[key], time_.now() + hold);
-    late_[key] = late && !held_soundly;
-    if (!late) {
-      taken[key] = std::max(taken[key], order.token);
-    }
-  }
-  return true;
-}
-
-std::string SimulatedServer::release(const ReleaseOrder& order) {
-  for (std::uint32_t key = order.first; key <= order.last; ++key) {
-    seen_[key] = std::max(seen_[key], order.token);
-    until_[key] = {};
-  }
-  return "handover-" + std::to_string(order.token);
-}
-
-void SimulatedServer::forgetAll() { std::fill(until_.begin(), until_.end(), TimePoint{}); }
-
-bool SimulatedServer::holds(Key key) const { return until_[key] > time_.now() && !late_[key]; }
-
-// Nodes.
-
 struct OwnershipWorld::Node {
   std::size_t index = 0;
   std::unique_ptr<VirtualMetadataStore> store;
   std::unique_ptr<Orders> orders;
   std::unique_ptr<ServerDirectory> directory;
   std::unique_ptr<OwnershipKeeper> keeper;
+  std::unique_ptr<HeartbeatResponder> responder;
+  /// Of the present process: the newest heartbeat of each life of the server, and whether the store has told the table.
+  std::map<InstanceId, std::uint64_t> sequences;
+  bool table_read = false;
+  /// Table that others tell a process that starts.
+  MetadataObject told_table;
+  /// Of the present life of the server: its heartbeats so far.
+  std::uint64_t last_sequence = 0;
   /// Null while no server runs.
   std::shared_ptr<SimulatedServer> server;
   OrderFaults order_faults;
@@ -94,7 +66,7 @@
         return OrderStatus::Superseded;
       }
       if (!late) {
-        world_.noteTake(server, order);
+        world_.noteTake(server, order.first, order.last, order.token);
       }
       return OrderStatus::Done;
     };
@@ -121,11 +93,10 @@
       }
     };
     if (!server) {
-      time.after(milliseconds(1), [tell, gone] { tell(gone); });
+      time.after(kLoopbackDelay, [tell, gone] { tell(gone); });
       return;
     }
-    constexpr std::uint64_t kSteps = 10000;
-    const bool late = static_cast<double>(world_.random_.below(kSteps)) < node_.order_faults.late * kSteps;
+    const bool late = world_.happens(node_.order_faults.late);
     if (node_.order_faults.silent || late) {
       if (late) {
         time.after(milliseconds(2000 + world_.random_.below(10000)), [apply, server] { apply(*server, true); });
@@ -133,7 +104,7 @@
       time.after(kOrderTimeout, [tell, no_answer] { tell(no_answer); });
       return;
     }
-    time.after(milliseconds(1),
+    time.after(kLoopbackDelay,
                [this, apply, server, tell, gone] { tell(node_.server == server ? apply(*server, false) : gone); });
   }
 
@@ -178,6 +149,7 @@
   ports.clock = &time_;
   ports.directory = node.directory.get();
   ports.on_change = [] {};
+  ports.table_read = [&node] { return node.table_read; };
   ports.on_server_gone = [this, &node, life = node.life] {
     time_.after(Duration::zero(), [this, &node, life] {
       if (node.life == life && !node.server && node.keeper) {
@@ -193,12 +165,20 @@
   node.record.service = kService;
   node.record.slots = 10;
   node.keeper = std::make_unique<OwnershipKeeper>(self, kService, config_, std::move(ports));
-  const StoreAnswer table = store_.get(kTableKind, ownerTableName(kService));
-  if (table.status == StoreStatus::Done) {
-    node.keeper->onTableObject(table.object);
-  } else {
-    node.keeper->onTableAbsent();
+  HeartbeatResponder::Ports responder;
+  responder.clock = &time_;
+  responder.assign = [&node](const KeyReport& report, TimePoint received) {
+    return node.keeper->assign(report, received);
+  };
+  responder.would_change = [&node](const KeyReport& report) { return node.keeper->wouldChange(report); };
+  responder.acknowledged = [&node] { node.keeper->onAcknowledged(); };
+  node.responder = std::make_unique<HeartbeatResponder>(config_.heartbeat_wait, std::move(responder));
+  node.sequences.clear();
+  node.table_read = false;
+  if (node.told_table.revision != 0) {
+    node.keeper->onTableObject(node.told_table);
   }
+  readTable(node);
   if (node.server) {
     node.keeper->serverUp(node.server->instance, time_.now());
     node.record.instance = node.server->instance;
@@ -207,6 +187,95 @@
   time_.after(kTick, [this, index = node.index, life = node.life] { tickNode(index, life); });
 }
 
+void OwnershipWorld::readTable(Node& node) {
+  node.store->list(kTableKind, [this, &node, life = node.life](const StoreListing& listing) {
+    if (node.life != life) {
+      return;
+    }
+    if (!listing.available) {
+      time_.after(kOrderTimeout, [this, &node, life] {
+        if (node.life == life) {
+          readTable(node);
+        }
+      });
+      return;
+    }
+    node.table_read = true;
+    if (listing.objects.empty()) {
+      node.keeper->onTableAbsent();
+    } else {
+      node.keeper->onTableObject(listing.objects.front());
+    }
+  });
+}
+
+bool OwnershipWorld::happens(double chance) {
+  constexpr std::uint64_t kSteps = 10000;
+  return chance > 0 && static_cast<double>(random_.below(kSteps)) < chance * kSteps;
+}
+
+// Heartbeats.
+
+void OwnershipWorld::beat(Node& node) {
+  const std::shared_ptr<SimulatedServer> server = node.server;
+  const KeyReport report = server->assigned.report();
+  const TimePoint sent = time_.now();
+  const std::uint64_t sequence = ++node.last_sequence;
+  const OrderFaults& faults = node.order_faults;
+  const auto arrive = [this, &node, server, report, sequence, sent] {
+    if (node.server == server) {
+      deliver(node, report, sequence, sent);
+    }
+  };
+  if (happens(faults.late)) {
+    time_.after(milliseconds(2000 + random_.below(10000)), arrive);
+  } else if (!faults.silent) {
+    time_.after(kLoopbackDelay, arrive);
+    if (happens(faults.repeated)) {
+      time_.after(milliseconds(10 + random_.below(3000)), arrive);
+    }
+  }
+  beatAfter(node, server->assigned.isLettingGo() ? kUrgentHeartbeat : kHeartbeat);
+}
+
+void OwnershipWorld::beatAfter(Node& node, Duration pause) {
+  time_.after(pause, [this, &node, server = node.server, sequence = node.last_sequence] {
+    if (node.server == server && node.last_sequence == sequence) {
+      beat(node);
+    }
+  });
+}
+
+void OwnershipWorld::deliver(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent) {
+  if (!node.keeper || node.paused) {
+    return;
+  }
+  const std::shared_ptr<SimulatedServer> server = node.server;
+  const bool lost = happens(node.order_faults.unacknowledged);
+  const auto reply = [this, &node, server, report, sent, lost](const std::optional<KeyAssignment>& assignment) {
+    time_.after(kLoopbackDelay, [this, &node, server, report, sent, lost, assignment] {
+      if (lost || node.server != server || time_.now() - sent >= kAcknowledgementLimit) {
+        return;
+      }
+      for (const AssignedRange& range : server->assigned.onAcknowledged(assignment, report.released, sent)) {
+        std::fill(server->taken.begin() + range.first, server->taken.begin() + range.last + 1, range.token);
+        noteTake(*server, range.first, range.last, range.token);
+      }
+      if (server->assigned.isLettingGo()) {
+        beatAfter(node, kUrgentHeartbeat);
+      }
+    });
+  };
+  std::uint64_t& newest = node.sequences[server->instance];
+  if (sequence <= newest) {
+    reply(std::nullopt);
+    return;
+  }
+  newest = sequence;
+  node.keeper->onKeyReport(report);
+  node.responder->take(report, reply);
+}
+
 void OwnershipWorld::tickNode(std::size_t index, std::uint64_t life) {
   Node& node = *nodes_[index];
   if (node.life != life || !node.keeper) {
@@ -217,6 +286,7 @@
     node.keeper->setOccupancy(node.occupancy);
     node.keeper->setFailing(node.failing);
     node.keeper->tick(time_.now());
+    node.responder->check();
     spreadTable();
   }
   time_.after(kTick, [this, index, life] { tickNode(index, life); });
@@ -250,6 +320,7 @@
   spread_ = table.object.revision;
   time_.after(kTableDelay, [this, object = table.object] {
     for (const auto& node : nodes_) {
+      node->told_table = object;
       if (node->keeper && !node->paused && !node->store_faults.down) {
         node->keeper->onTableObject(object);
       }
@@ -279,6 +350,13 @@
   nodes_[node]->keeper->inheritLease(until);
 }
 
+void OwnershipWorld::restartNodeTold(std::size_t node, const MetadataObject& table) {
+  nodes_[node]->told_table = table;
+  restartNodeWithLease(node);
+}
+
+MetadataObject OwnershipWorld::table() const { return store_.get(kTableKind, ownerTableName(kService)).object; }
+
 void OwnershipWorld::pauseNode(std::size_t node) {
   nodes_[node]->paused = true;
   spreadRecords();
@@ -308,6 +386,10 @@
     place.keeper->serverUp(place.server->instance, time_.now());
     spreadRecords();
   }
+  place.last_sequence = 0;
+  if (config_.grants == GrantForm::Heartbeat) {
+    beat(place);
+  }
 }
 
 void OwnershipWorld::drainServer(std::size_t node) {
@@ -419,15 +501,15 @@
   return served;
 }
 
-void OwnershipWorld::noteTake(const SimulatedServer& server, const GrantOrder& order) {
+void OwnershipWorld::noteTake(const SimulatedServer& server, Key first, Key last, FenceToken token) {
   for (std::size_t i = 0; i < kSamples; ++i) {
     const Key key = sampleKey(i);
-    if (key < order.first || order.last < key) {
+    if (key < first || last < key) {
       continue;
     }
     for (const auto& other : nodes_) {
-      if (other->server && other->server.get() != &server && other->server->taken[key] >= order.token) {
-        violations_.push_back("key " + std::to_string(key) + ": token " + std::to_string(order.token) +
+      if (other->server && other->server.get() != &server && other->server->taken[key] >= token) {
+        violations_.push_back("key " + std::to_string(key) + ": token " + std::to_string(token) +
                               " is not above that of another server");
       }
     }
@@ -439,7 +521,7 @@
     const Key key = sampleKey(i);
     std::size_t holders = 0;
     for (const auto& node : nodes_) {
-      holders += node->server && node->server->holds(key) ? 1 : 0;
+      holders += node->server && node->server->occupies(key) ? 1 : 0;
     }
     if (holders > 1) {
       violations_.push_back("key " + std::to_string(key) + " is held by " + std::to_string(holders) + " servers at " +
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -15,39 +15,21 @@
 #include <vector>
 
 #include "source/core/router/ownership_keeper.h"
+#include "source/lab/sim/simulated_server.h"
 #include "source/lab/sim/virtual_store.h"
 
 namespace shedlever::sim {
 
-/// How orders to one server go.
+/// How orders to one server go, or its heartbeats.
 struct OrderFaults {
-  /// Nothing answers, nothing is done.
+  /// Nothing answers, nothing is done; heartbeats don't arrive.
   bool silent = false;
-  /// Chance that an order gets no answer and is carried out 2 to 12 s later.
+  /// Chance that an order gets no answer and is carried out 2 to 12 s later; that a heartbeat comes so late.
   double late = 0;
-};
-
-/// A server that holds keys as it is told.
-class SimulatedServer {
- public:
-  SimulatedServer(VirtualTime& time, InstanceId instance);
-
-  bool grant(const GrantOrder& order, bool late);
-  std::string release(const ReleaseOrder& order);
-  /// Holds nothing until it is granted anew.
-  void forgetAll();
-  /// @return whether it holds the key by a grant that was not taken late.
-  bool holds(Key key) const;
-
-  InstanceId instance;
-  /// Highest token with which it took each key by a grant that was not taken late.
-  std::vector<FenceToken> taken;
-
- private:
-  VirtualTime& time_;
-  std::vector<FenceToken> seen_;
-  std::vector<TimePoint> until_;
-  std::vector<bool> late_;
+  /// Chance that a heartbeat's acknowledgement is lost.
+  double unacknowledged = 0;
+  /// Chance that a heartbeat comes twice.
+  double repeated = 0;
 };
 
 /// See the file's comment.
@@ -63,6 +45,10 @@
   void restartNode(std::size_t node);
   /// As `restartNode`; others tell the process what is left of the lease of the one before it.
   void restartNodeWithLease(std::size_t node);
+  /// As `restartNodeWithLease`; the table that others tell is this one.
+  void restartNodeTold(std::size_t node, const MetadataObject& table);
+  /// @return the owner table as the store has it.
+  MetadataObject table() const;
   /// The process stands still; its server goes on.
   void pauseNode(std::size_t node);
   void resumeNode(std::size_t node);
@@ -107,13 +93,20 @@
   Key sampleKey(std::size_t index) const;
   bool serves(const Node& node, Key key) const;
   void startProcess(Node& node);
+  void readTable(Node& node);
+  /// The server beside the node sends a heartbeat, and plans the next one.
+  void beat(Node& node);
+  /// Plans a heartbeat, unless another one is sent before.
+  void beatAfter(Node& node, Duration pause);
+  void deliver(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent);
   void tickNode(std::size_t index, std::uint64_t life);
   /// Every live node hears what the node's server shows.
   void tellLoad(std::size_t node);
   void spreadRecords();
   void spreadTable();
   void check();
-  void noteTake(const SimulatedServer& server, const GrantOrder& order);
+  void noteTake(const SimulatedServer& server, Key first, Key last, FenceToken token);
+  bool happens(double chance);
 
   VirtualTime time_;
   SeededRandom random_;
--- /dev/null
+++ b/source/lab/sim/simulated_server.cc
@@ -0,0 +1,61 @@
+#include "source/lab/sim/simulated_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shedlever::sim {
+
+namespace {
+
+constexpr double kClockDrift = 1.02;
+/// Work that runs on keys when the server is to let go of them.
+constexpr Duration kWork = std::chrono::milliseconds(220);
+
+}  // namespace
+
+SimulatedServer::SimulatedServer(VirtualTime& time, InstanceId its_instance)
+    : instance(std::move(its_instance)),
+      assigned(time, [&time](const KeySpan&, TimePoint let_go) { return time.now() < let_go + kWork; }),
+      taken(kKeyCount, 0),
+      time_(time),
+      seen_(kKeyCount, 0),
+      until_(kKeyCount, TimePoint{}),
+      late_(kKeyCount, false) {}
+
+bool SimulatedServer::grant(const GrantOrder& order, bool late) {
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    if (seen_[key] > order.token) {
+      return false;
+    }
+  }
+  const Duration hold = std::chrono::duration_cast<Duration>(order.hold * kClockDrift);
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    const bool held_soundly = until_[key] > time_.now() && !late_[key];
+    seen_[key] = order.token;
+    until_[key] = std::max(until_[key], time_.now() + hold);
+    late_[key] = late && !held_soundly;
+    if (!late) {
+      taken[key] = std::max(taken[key], order.token);
+    }
+  }
+  return true;
+}
+
+std::string SimulatedServer::release(const ReleaseOrder& order) {
+  for (std::uint32_t key = order.first; key <= order.last; ++key) {
+    seen_[key] = std::max(seen_[key], order.token);
+    until_[key] = {};
+  }
+  return "handover-" + std::to_string(order.token);
+}
+
+void SimulatedServer::forgetAll() {
+  std::fill(until_.begin(), until_.end(), TimePoint{});
+  assigned.forgetAll();
+}
+
+bool SimulatedServer::holds(Key key) const {
+  return (until_[key] > time_.now() && !late_[key]) || assigned.tokenOf(key) != 0;
+}
+
+}  // namespace shedlever::sim
--- /dev/null
+++ b/source/lab/sim/simulated_server.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// A server of the simulation: takes keys by orders, or in the acknowledgements of its heartbeats.
+
+#include <string>
+#include <vector>
+
+#include "shedlever/server_orders.h"
+#include "source/lab/sim/assigned_keys.h"
+#include "source/lab/sim/virtual_store.h"
+
+namespace shedlever::sim {
+
+/// A server that holds keys as it is told. Its clock runs 2% slow.
+class SimulatedServer {
+ public:
+  SimulatedServer(VirtualTime& time, InstanceId instance);
+
+  // Orders; a server that takes its keys by heartbeat gets none.
+
+  /// @param late the order is carried out long after it was sent.
+  /// @return false if it has seen a higher token for one of the keys.
+  bool grant(const GrantOrder& order, bool late);
+  std::string release(const ReleaseOrder& order);
+
+  /// Holds nothing until it is granted anew.
+  void forgetAll();
+  /// @return whether it begins requests for the key, by a grant that was not taken late.
+  bool holds(Key key) const;
+  /// @return as `holds`, or whether it still works on requests for the key within its lease.
+  bool occupies(Key key) const { return holds(key) || assigned.occupies(key); }
+
+  InstanceId instance;
+  /// What it was told in acknowledgements.
+  AssignedKeys assigned;
+  /// Highest token with which it took each key by a grant that was not taken late.
+  std::vector<FenceToken> taken;
+
+ private:
+  VirtualTime& time_;
+  std::vector<FenceToken> seen_;
+  std::vector<TimePoint> until_;
+  std::vector<bool> late_;
+};
+
+}  // namespace shedlever::sim
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -47,7 +47,11 @@
       table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, KindPollerConfig{}, pollerEvents()) {}
 
 KindPoller::Events ClusterKnowledge::pollerEvents() {
-  return {[this](const MetadataObject& object) { onSharedObject(object, false); }, [this] { onListed(tables_listed_); },
+  return {[this](const MetadataObject& object) { onSharedObject(object, false); },
+          [this] {
+            tables_read_ = true;
+            onListed(tables_listed_);
+          },
           [this](bool available) { ports_.log->write("owners", available ? "list-regained" : "list-lost", {}); },
           [this] { return isMissingTables(); }};
 }
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -58,6 +58,9 @@
   bool complete() const { return routes_ != nullptr && listed(); }
   bool listed() const { return nodes_listed_ && tables_listed_; }
 
+  /// @return whether the store itself has told the owner tables since this process started.
+  bool tablesRead() const { return tables_read_; }
+
   /// The table of this node's service is held there from now on.
   void setOwnTable(const TableWriter* table) { own_table_ = table; }
   /// @return the table object of this node's service; null while there is none.
@@ -105,6 +108,7 @@
   std::shared_ptr<const RouteTable> routes_;
   bool nodes_listed_ = false;
   bool tables_listed_ = false;
+  bool tables_read_ = false;
   /// Objects as the store has them, for processes that start while it can't be reached.
   ObjectsByName config_parts_;
   /// Revisions of the parts that were decoded last.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -54,6 +54,7 @@
       publisher_(loop_, *store_, log_),
       knowledge_(settings_.node, settings_.service,
                  {&loop_, &clock_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
+      responder_(settings_.ownership.heartbeat_wait, responderPorts()),
       claims_(self_, *store_, clock_,
               [this](const NodeIdentity& holder) {
                 const NodeRecord* record = directory_.node(holder.name);
@@ -181,6 +182,7 @@
       links_.tell(node, OwnerTableFrame{{table.name, table.revision, table.value}});
     }
   };
+  ports.table_read = [this] { return knowledge_.tablesRead(); };
   ports.on_server_gone = [this] { onServerGone(); };
   ports.on_event = [this](const OwnershipEvent& event) {
     metrics_.onEvent("ownership-change");
@@ -275,26 +277,59 @@
 
 // What the server says.
 
+HeartbeatResponder::Ports RouterProcess::responderPorts() {
+  HeartbeatResponder::Ports ports;
+  ports.clock = &clock_;
+  ports.assign = [this](const KeyReport& report, TimePoint received) {
+    return keeper_ ? keeper_->assign(report, received) : std::nullopt;
+  };
+  ports.would_change = [this](const KeyReport& report) { return keeper_ && keeper_->wouldChange(report); };
+  ports.acknowledged = [this] {
+    if (keeper_) {
+      keeper_->onAcknowledged();
+    }
+  };
+  return ports;
+}
+
 void RouterProcess::onReportRequest(const HttpRequest& request, const HttpReplier& replier) {
   const auto report = platform_.reports->readReport(request);
   if (!report) {
     replier.reply({kNotFound, {}, {}});
     return;
   }
-  onReport(*report);
-  replier.reply(platform_.reports->acknowledgement());
+  const bool counts = onReport(*report) != PresenceChange::None;
+  // A late or repeated report is no news, and its answer must not be either.
+  if (!counts || !report->keys || !keeper_) {
+    replier.reply(platform_.reports->acknowledgement(nullptr));
+    return;
+  }
+  keeper_->onKeyReport(*report->keys);
+  noteLapse(false);
+  responder_.take(*report->keys, [this, replier](const std::optional<KeyAssignment>& keys) {
+    replier.reply(platform_.reports->acknowledgement(keys ? &*keys : nullptr));
+  });
 }
 
-void RouterProcess::onReport(const ServerReport& report) {
+void RouterProcess::noteLapse(bool lapsed) {
+  if (lapsed == keys_lapsed_) {
+    return;
+  }
+  keys_lapsed_ = lapsed;
+  log_.write("server", lapsed ? "keys-lapsed" : "heard-again", {{"instance", server_.instance().value}});
+  publishRecord();
+}
+
+PresenceChange RouterProcess::onReport(const ServerReport& report) {
   if (report.leaves) {
     if (server_.onLeaving(report.instance)) {
       onServerDraining();
     }
-    return;
+    return PresenceChange::None;
   }
   const PresenceChange change = server_.onReport(report);
   if (change == PresenceChange::None) {
-    return;
+    return change;
   }
   if (change == PresenceChange::NewLife) {
     log_.write("server", "up", {{"instance", report.instance.value}, {"slots", std::to_string(report.slots)}});
@@ -308,6 +343,7 @@
   }
   publishRecord();
   tickSoon();
+  return change;
 }
 
 void RouterProcess::onServerDraining() {
@@ -360,7 +396,7 @@
   record.service = settings_.service;
   record.instance = server_.instance();
   record.slots = server_.slots();
-  record.draining = server_.draining() || server_.silent() || leaving_;
+  record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
   directory_.update(record);
   publisher_.publish(record);
 }
@@ -375,6 +411,7 @@
   loop_.post([this] {
     tick_planned_ = false;
     keeper_->tick(clock_.now());
+    responder_.check();
   });
 }
 
@@ -388,6 +425,8 @@
     }
     keeper_->setFailing(gate_.failingShare());
     keeper_->tick(clock_.now());
+    responder_.check();
+    noteLapse(keeper_->serverLapsed(clock_.now()));
     keepOwnersReachable();
   }
   loop_.runAfter(kTick, [this] { tick(); });
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -12,6 +12,7 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/platform_ports.h"
 #include "source/core/router/claim_keeper.h"
+#include "source/core/router/heartbeat_responder.h"
 #include "source/core/router/server_presence.h"
 #include "source/net/system_sources.h"
 #include "source/router/cluster_knowledge.h"
@@ -73,8 +74,10 @@
   NodeStatus status() const;
   RouterLevels levels() const;
   void applyOwnSettings(const RoutedService& own);
+  HeartbeatResponder::Ports responderPorts();
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
-  void onReport(const ServerReport& report);
+  PresenceChange onReport(const ServerReport& report);
+  void noteLapse(bool lapsed);
   void onServerDraining();
   void onServerGone();
   void onServerSilence(bool silent);
@@ -108,6 +111,7 @@
   RecordPublisher publisher_;
   ClusterKnowledge knowledge_;
   std::unique_ptr<OwnershipKeeper> keeper_;
+  HeartbeatResponder responder_;
   ClaimKeeper claims_;
   StatusPages status_pages_;
   std::unique_ptr<Gateway> gateway_;
@@ -121,6 +125,8 @@
   bool tick_planned_ = false;
   std::function<void()> stopped_;
   TimePoint config_adopted_at_{};
+  /// The server's keys have run out since it was not heard of.
+  bool keys_lapsed_ = false;
   bool stopping_ = false;
   bool leaving_ = false;
   TimePoint stop_began_{};
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -1,6 +1,7 @@
 #include "source/router/router_settings.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "source/core/router/duration_text.h"
@@ -29,6 +30,25 @@
     }
   }
 
+  /// One of several words. Absent fields keep the value.
+  template <class Value>
+  void read(const char* field, Value& value, const std::map<std::string, Value>& words) const {
+    const json* given = find(field);
+    if (given == nullptr) {
+      return;
+    }
+    const auto word = given->is_string() ? words.find(given->get<std::string>()) : words.end();
+    if (word == words.end()) {
+      std::string message = "must be one of";
+      for (const auto& [name, unused] : words) {
+        message += " " + name;
+      }
+      complain(field, message);
+      return;
+    }
+    value = word->second;
+  }
+
   bool has(const char* field) const { return find(field) != nullptr; }
 
   std::string text(const char* field) const {
@@ -158,12 +178,14 @@
   for (const OwnershipShare& field : ownershipShares()) {
     section.read(field.name.data(), config.*field.member, 0.0, 1.0);
   }
-  Duration longest_grant = config.grant_hold;
+  Duration longest_grant = config.heartbeat_hold;
   section.read("longest_grant", longest_grant);
   config.grant_hold = std::min(config.grant_hold, longest_grant);
+  config.heartbeat_hold = std::min(config.heartbeat_hold, longest_grant);
   if (config.lease_renewal * 2 > config.lease) {
     findings.add("ownership/lease_renewal", "must be at most half of ownership/lease");
   }
+  section.read("grants", config.grants, {{"request", GrantForm::Request}, {"heartbeat", GrantForm::Heartbeat}});
   const Section choice(document, "choice", findings);
   constexpr double kMostCost = 100.0;
   choice.read("cross_zone_cost", settings.choice.cross_zone_cost, 0.0, kMostCost);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -262,6 +262,9 @@
   recorder_.ended(entry.frame, result, entry.started - entry.arrived, service_time);
   noteAnswer(result);
   noteFailure(result);
+  if (result.reason == ForwardReason::NotOwner && keeper_ != nullptr) {
+    keeper_->onKeyRefused(entry.frame.key);
+  }
   if (answered) {
     answer_sizes_.note(entry.frame.kind, result.http.body.size());
   }
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -21,6 +21,8 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kQueue = 64;
 constexpr Duration kReportInterval = std::chrono::milliseconds(1000);
+/// Between reports while keys are let go of.
+constexpr Duration kUrgentReportInterval = std::chrono::milliseconds(100);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(800);
 /// Its clock runs slow: a grant lasts this much longer than it says.
 constexpr double kSlowClock = 1.02;
@@ -33,7 +35,8 @@
       random_(config.seed),
       instance_("i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000'000)),
       log_(config.log_file, std::ios::app),
-      holds_(kKeyCount) {}
+      holds_(kKeyCount),
+      assigned_(clock_, [this](const KeySpan& keys, TimePoint) { return isRunningOn(keys.first, keys.last); }) {}
 
 leaf::result<std::unique_ptr<KeyServer>> KeyServer::start(EventLoop& loop, const KeyServerConfig& config) {
   std::unique_ptr<KeyServer> server(new KeyServer(loop, config));
@@ -68,27 +71,76 @@
 }
 
 void KeyServer::report() {
-  const json body = {{"service", config_.service},
-                     {"address", toString(http_->endpoint())},
-                     {"zone", "z"},
-                     {"version", "v1"},
-                     {"slots", config_.slots},
-                     {"state", draining_ ? "draining" : "ready"},
-                     {"coldRemaining", "0ms"},
-                     {"callSeq", ++sequence_}};
+  json body = {{"service", config_.service},
+               {"address", toString(http_->endpoint())},
+               {"zone", "z"},
+               {"version", "v1"},
+               {"slots", config_.slots},
+               {"state", draining_ ? "draining" : "ready"},
+               {"coldRemaining", "0ms"},
+               {"callSeq", ++sequence_}};
+  const KeyReport keys = assigned_.report();
+  if (config_.keys_by_heartbeat) {
+    body["holds"] = json::array();
+    for (const ReportedRange& range : keys.held) {
+      body["holds"].push_back({range.first, range.last, range.token});
+    }
+    body["released"] = json::array();
+    for (const ReleasedRange& range : keys.released) {
+      body["released"].push_back({range.first, range.last, range.handover});
+    }
+  }
   reporter_->send({"POST", "/instances/" + instance_ + "/heartbeat", {}, body.dump()}, kReportTimeout,
-                  [this, leaves = draining_](const HttpExchange& exchange) {
+                  [this, leaves = draining_, keys, sent = clock_.now()](const HttpExchange& exchange) {
                     if (leaves && exchange.status == HttpExchangeStatus::Complete && on_acknowledged_) {
                       std::exchange(on_acknowledged_, {})();
                     }
+                    onAcknowledged(exchange, keys, sent);
                   });
-  loop_.runAfter(kReportInterval, [this, alive = alive_] {
-    if (*alive) {
+  reportAfter(assigned_.isLettingGo() ? kUrgentReportInterval : kReportInterval);
+}
+
+void KeyServer::reportAfter(Duration pause) {
+  loop_.runAfter(pause, [this, alive = alive_, sequence = sequence_] {
+    if (*alive && sequence == sequence_) {
       report();
     }
   });
 }
 
+void KeyServer::onAcknowledged(const HttpExchange& exchange, const KeyReport& reported, TimePoint sent) {
+  if (exchange.status != HttpExchangeStatus::Complete || exchange.response.status != kOk) {
+    return;
+  }
+  const json body = json::parse(exchange.response.body, nullptr, false);
+  std::optional<KeyAssignment> assignment;
+  if (body.is_object() && body.contains("holds")) {
+    assignment.emplace();
+    assignment->hold = std::chrono::milliseconds(std::stoi(body.at("hold_time").get<std::string>()));
+    for (const json& row : body.at("holds")) {
+      assignment->ranges.push_back({row.at(0), row.at(1), row.at(2), row.at(3)});
+    }
+  }
+  for (const AssignedRange& range : assigned_.onAcknowledged(assignment, reported.released, sent)) {
+    log("take " + std::to_string(range.first) + " " + std::to_string(range.last) + " " + std::to_string(range.token));
+  }
+  if (assigned_.isLettingGo()) {
+    reportAfter(kUrgentReportInterval);
+  }
+}
+
+std::uint64_t KeyServer::tokenFor(int key) const {
+  if (config_.keys_by_heartbeat) {
+    return assigned_.tokenOf(static_cast<Key>(key));
+  }
+  return holds_[key].until > clock_.now() ? holds_[key].token : 0;
+}
+
+bool KeyServer::isRunningOn(int first, int last) const {
+  const auto key = running_keys_.lower_bound(first);
+  return key != running_keys_.end() && key->first <= last;
+}
+
 void KeyServer::handle(const StandinRequest& request, const StandinResponder& responder) {
   StandinResponder answer = responder;
   if (request.path == "/faults") {
@@ -166,8 +218,7 @@
 
 void KeyServer::answerReleases() {
   std::erase_if(releases_, [this](const Release& release) {
-    const auto key = running_keys_.lower_bound(release.first);
-    if (key != running_keys_.end() && key->first <= release.last) {
+    if (isRunningOn(release.first, release.last)) {
       return false;
     }
     StandinResponder answer = release.responder;
@@ -200,8 +251,7 @@
   }
   if (work->id.empty() || (config_.divided_by_key && work->key < 0)) {
     answer(*work, kBadRequest, true);
-  } else if (request.header("X-Expect-Instance") != instance_ ||
-             (work->key >= 0 && holds_[work->key].until <= clock_.now())) {
+  } else if (request.header("X-Expect-Instance") != instance_ || (work->key >= 0 && tokenFor(work->key) == 0)) {
     answer(*work, kMisdirected, true);
   } else if (running_ < config_.slots) {
     startWork(work);
@@ -217,7 +267,7 @@
   if (work->key >= 0) {
     ++running_keys_[work->key];
   }
-  const std::uint64_t token = work->key >= 0 ? holds_[work->key].token : 0;
+  const std::uint64_t token = work->key >= 0 ? tokenFor(work->key) : 0;
   log("begin " + work->id + " " + std::to_string(work->key) + " " + std::to_string(token));
   const auto time = std::chrono::duration_cast<Duration>(config_.work * faults_.slow);
   ++begun_;
@@ -234,7 +284,9 @@
     running_keys_.erase(work->key);
     answerReleases();
   }
-  if (work->key >= 0 && holds_[work->key].until <= clock_.now() && holds_[work->key].until != TimePoint{}) {
+  const bool lapsed = work->key >= 0 && !config_.keys_by_heartbeat && holds_[work->key].until <= clock_.now() &&
+                      holds_[work->key].until != TimePoint{};
+  if (lapsed) {
     answer(*work, kServerError, false);
   } else if (happens(faults_.lost)) {
     StandinResponder responder = work->responder;
@@ -248,7 +300,7 @@
   if (!waiting_.empty()) {
     const std::shared_ptr<Work> next = waiting_.front();
     waiting_.pop_front();
-    if (next->key >= 0 && holds_[next->key].until <= clock_.now()) {
+    if (next->key >= 0 && tokenFor(next->key) == 0) {
       answer(*next, kMisdirected, true);
     } else {
       startWork(next);
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "shedlever/errors.h"
+#include "source/lab/sim/assigned_keys.h"
 #include "source/net/http_client.h"
 #include "source/net/system_sources.h"
 #include "standins/standin_http_server.h"
@@ -25,6 +26,8 @@
   Endpoint listen;
   std::string service;
   bool divided_by_key = false;
+  /// Takes its keys in the acknowledgements of its heartbeats, and not by orders.
+  bool keys_by_heartbeat = false;
   std::uint32_t slots = 8;
   Duration work = std::chrono::milliseconds(20);
   /// Where it reports itself.
@@ -86,7 +89,13 @@
   void endWork(const std::shared_ptr<Work>& work);
   void answer(const Work& work, int status, bool not_run);
   void answerReleases();
+  /// Sends a heartbeat, and plans the next one.
   void report();
+  void reportAfter(Duration pause);
+  void onAcknowledged(const HttpExchange& exchange, const KeyReport& reported, TimePoint sent);
+  /// @return whether requests for the key may begin now, and under which token; 0: they may not.
+  std::uint64_t tokenFor(int key) const;
+  bool isRunningOn(int first, int last) const;
   void log(const std::string& line);
   bool happens(double chance);
 
@@ -98,6 +107,7 @@
   std::ofstream log_;
   Faults faults_;
   std::vector<Hold> holds_;
+  sim::AssignedKeys assigned_;
   std::uint32_t running_ = 0;
   std::deque<std::shared_ptr<Work>> waiting_;
   /// How many run on each key.
--- a/standins/router/standin_keys_main.cc
+++ b/standins/router/standin_keys_main.cc
@@ -22,6 +22,7 @@
       "reports-to", options::value(&reports_to)->required(), "IP:PORT of the router's reports")(
       "service", options::value(&config.service)->required(), "its service")(
       "divided", options::bool_switch(&config.divided_by_key), "its service is divided by key")(
+      "keys-by-heartbeat", options::bool_switch(&config.keys_by_heartbeat), "it takes its keys by heartbeat")(
       "slots", options::value(&config.slots), "requests at once")("work-ms", options::value(&work_ms), "of a request")(
       "log", options::value(&config.log_file)->required(), "file for runs and grants")(
       "seed", options::value(&config.seed), "of its faults");
--- /dev/null
+++ b/test/core_router/heartbeat_responder_test.cc
@@ -0,0 +1,81 @@
+/// @file
+/// When heartbeats are acknowledged.
+
+#include "source/core/router/heartbeat_responder.h"
+
+#include <gtest/gtest.h>
+
+#include "source/lab/sim/virtual_store.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+class HeartbeatResponderTest : public ::testing::Test {
+ protected:
+  HeartbeatResponder::Ports ports() {
+    HeartbeatResponder::Ports ports;
+    ports.clock = &time_;
+    ports.assign = [](const KeyReport&, TimePoint) { return KeyAssignment{}; };
+    ports.would_change = [this](const KeyReport&) { return news_; };
+    ports.acknowledged = [this] { ++acknowledged_; };
+    return ports;
+  }
+
+  void take() {
+    responder_.take({}, [this](const std::optional<KeyAssignment>& keys) { replies_.push_back(keys.has_value()); });
+  }
+
+  sim::VirtualTime time_;
+  Duration longest_wait_ = milliseconds(600);
+  bool news_ = false;
+  int acknowledged_ = 0;
+  /// Whether each reply told of keys.
+  std::vector<bool> replies_;
+  HeartbeatResponder responder_{longest_wait_, ports()};
+};
+
+TEST_F(HeartbeatResponderTest, NewsIsToldAtOnce) {
+  news_ = true;
+  take();
+  EXPECT_EQ(replies_, std::vector<bool>{true});
+  EXPECT_EQ(acknowledged_, 1);
+}
+
+TEST_F(HeartbeatResponderTest, WithoutNewsItWaitsForSome) {
+  take();
+  time_.runFor(milliseconds(300), [] {});
+  responder_.check();
+  EXPECT_TRUE(replies_.empty());
+  news_ = true;
+  responder_.check();
+  EXPECT_EQ(replies_, std::vector<bool>{true});
+}
+
+TEST_F(HeartbeatResponderTest, NoHeartbeatWaitsLongerThanItsLimit) {
+  take();
+  time_.runFor(milliseconds(600), [] {});
+  responder_.check();
+  EXPECT_EQ(replies_, std::vector<bool>{true});
+  responder_.check();
+  EXPECT_EQ(replies_.size(), 1U);
+}
+
+TEST_F(HeartbeatResponderTest, EarlierHeartbeatIsToldNothingOnceALaterOneIsThere) {
+  take();
+  take();
+  EXPECT_EQ(replies_, std::vector<bool>{false});
+  news_ = true;
+  responder_.check();
+  EXPECT_EQ(replies_, (std::vector<bool>{false, true}));
+}
+
+TEST_F(HeartbeatResponderTest, WithoutAWaitEveryHeartbeatIsAcknowledgedAtOnce) {
+  longest_wait_ = Duration::zero();
+  take();
+  EXPECT_EQ(replies_, std::vector<bool>{true});
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -160,6 +160,34 @@
   }
 }
 
+TEST(ReportProtocolTest, ReadsKeysOfAHeartbeat) {
+  const ReportProtocolImpl protocol;
+  const auto plain = protocol.readReport(
+      report("/instances/i-7/heartbeat", R"({"service":"s","address":"10.0.0.1:80","slots":1,"callSeq":4})"));
+  ASSERT_TRUE(plain);
+  EXPECT_FALSE(plain->keys);
+  const auto beat = protocol.readReport(report("/instances/i-7/heartbeat", R"({"service":"s","address":"10.0.0.1:80",
+      "slots":1,"callSeq":4,"holds":[[0,4095,7],[9,3,1],[70000,70001,2],[1,2],[1,2,"x"],"y"],
+      "released":[[4096,8191,"5c0e"],[1,2,3]]})"));
+  ASSERT_TRUE(beat && beat->keys);
+  EXPECT_EQ(beat->keys->held, (std::vector<ReportedRange>{{0, 4095, 7}}));
+  ASSERT_EQ(beat->keys->released.size(), 1U);
+  EXPECT_EQ(beat->keys->released.front().handover, "5c0e");
+}
+
+TEST(ReportProtocolTest, TellsKeysInTheAcknowledgement) {
+  const ReportProtocolImpl protocol;
+  EXPECT_EQ(protocol.acknowledgement(nullptr).body, "{}");
+  KeyAssignment keys;
+  keys.hold = std::chrono::seconds(4);
+  keys.ranges = {{0, 4095, 7, ""}, {9000, 9999, 12, "7a21"}};
+  EXPECT_EQ(protocol.acknowledgement(&keys).body,
+            R"({"hold_time":"4000ms","holds":[[0,4095,7,""],[9000,9999,12,"7a21"]]})");
+  // As many ranges as are told at once, each as long as it can be.
+  keys.ranges.assign(94, {65535, 65535, 9'999'999, "0123456789abcdef"});
+  EXPECT_LE(protocol.acknowledgement(&keys).body.size(), 4096U);
+}
+
 const char* const kConfig = R"({"version":"0000000c","routes":[
   {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"non_idempotent","timeout":"1200ms","targetLatency":"400ms",
    "priority":1,"service":"s1","maxAttempts":2},
--- a/test/router/router_process_test.cc
+++ b/test/router/router_process_test.cc
@@ -92,6 +92,44 @@
   EXPECT_TRUE(moved);
 }
 
+/// Servers of "search" take their keys in the acknowledgements of their heartbeats.
+class HeartbeatRouterProcessTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    cluster_.addNode("search");
+    cluster_.addNode("search");
+    cluster_.addNode("orders");
+    ASSERT_TRUE(cluster_.runUntilServing());
+  }
+
+  RouterCluster::Node& node(std::size_t index) { return *cluster_.nodes()[index]; }
+
+  bool isServed(const std::string& key) { return cluster_.ask(node(2), "/search/x", key).http.status == kOk; }
+
+  RouterCluster cluster_{GrantForm::Heartbeat};
+};
+
+TEST_F(HeartbeatRouterProcessTest, LeavingOwnersKeysAreServedByAnother) {
+  bool acknowledged = false;
+  node(0).server->leave([&] { acknowledged = true; });
+  ASSERT_TRUE(cluster_.runUntil([&] { return acknowledged; }));
+  bool moved = false;
+  for (int tries = 0; tries < 200 && !moved; ++tries) {
+    const std::size_t before = node(0).server->begun();
+    moved = isServed("0") && isServed("65535") && node(0).server->begun() == before;
+  }
+  EXPECT_TRUE(moved);
+}
+
+TEST_F(HeartbeatRouterProcessTest, DeadOwnersKeysAreServedByAnother) {
+  node(1).server.reset();
+  bool moved = false;
+  for (int tries = 0; tries < 200 && !moved; ++tries) {
+    moved = isServed("0") && isServed("65535");
+  }
+  EXPECT_TRUE(moved);
+}
+
 TEST_F(RouterProcessTest, RefusalSaysWhenToComeBack) {
   start();
   node(2).server.reset();
--- a/test/router/status_pages_test.cc
+++ b/test/router/status_pages_test.cc
@@ -15,7 +15,7 @@
 class ReadinessAtReady : public ReportProtocol {
  public:
   std::optional<ServerReport> readReport(const HttpRequest&) const override { return std::nullopt; }
-  HttpResponse acknowledgement() const override { return {}; }
+  HttpResponse acknowledgement(const KeyAssignment*) const override { return {}; }
   bool asksReadiness(const HttpRequest& request) const override { return request.target == "/ready"; }
 };
 
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -33,8 +33,9 @@
 
 }  // namespace
 
-RouterCluster::RouterCluster()
-    : folder_(std::filesystem::temp_directory_path() / ("router-cluster-" + std::to_string(getpid()))) {
+RouterCluster::RouterCluster(GrantForm grants)
+    : grants_(grants),
+      folder_(std::filesystem::temp_directory_path() / ("router-cluster-" + std::to_string(getpid()))) {
   std::filesystem::create_directories(folder_);
   store_ = valueOf(standins::MetadataServer::listen(loop_, kAnyLoopbackPort, 1));
   HttpClientConfig config;
@@ -73,6 +74,7 @@
   server.listen = kAnyLoopbackPort;
   server.service = service;
   server.divided_by_key = service == "search";
+  server.keys_by_heartbeat = grants_ == GrantForm::Heartbeat;
   server.work = work;
   server.log_file = (folder_ / (name + ".log")).string();
   node->server = valueOf(standins::KeyServer::start(loop_, server));
@@ -88,6 +90,7 @@
   settings.server = node->server->endpoint();
   settings.store = store_->endpoint();
   settings.retry = {0.1, 100};
+  settings.ownership.grants = grants_;
   settings.ownership.first_division_delay = milliseconds(10);
   settings.stop.clients_leave = milliseconds(750);
   settings.link.bytes_per_second = link_bytes_per_second;
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -35,7 +35,8 @@
     bool stopped = false;
   };
 
-  RouterCluster();
+  /// @param grants how the servers of "search" take their keys.
+  explicit RouterCluster(GrantForm grants = GrantForm::Request);
   ~RouterCluster();
   RouterCluster(const RouterCluster&) = delete;
   RouterCluster& operator=(const RouterCluster&) = delete;
@@ -63,6 +64,7 @@
  private:
   void writeConfig();
 
+  GrantForm grants_;
   EventLoop loop_;
   std::filesystem::path folder_;
   platform::ClientProtocolImpl clients_;
