--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -53,6 +53,8 @@
   Duration::rep remaining_us = 0;
   /// The route's latency objective.
   Duration::rep target_us = 0;
+  /// How long the request's gateway has had it when this is sent.
+  Duration::rep held_us = 0;
   /// The service of the machine where the request began.
   ServiceName caller;
   TenantShare tenant;
@@ -60,7 +62,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, id, instance, kind, priority, keyed, key, remaining_us, target_us, caller, tenant, http);
+    archive(exchange, id, instance, kind, priority, keyed, key, remaining_us, target_us, held_us, caller, tenant, http);
   }
 };
 
--- a/source/core/router/slot_queue.h
+++ b/source/core/router/slot_queue.h
@@ -38,15 +38,19 @@
 struct QueueRank {
   /// 0 is the most urgent.
   std::uint32_t priority = 0;
-  /// Until when an answer is waited for. What has less time left goes first: most of all calls of other servers, each
-  /// of which holds a slot there while it waits.
-  TimePoint deadline{};
-  /// Turn of its tenant, see `TenantTurns`; 0 where tenants are not told apart. Goes before the deadline.
+  /// Turn of its tenant, see `TenantTurns`; 0 where tenants are not told apart.
   double turn = 0;
+  /// Latency objective; shorter ones go first: most of all calls of other servers, each of which holds a slot there
+  /// while it waits.
+  Duration target{};
+  /// Until when an answer is waited for. What has more time left goes first: there is a queue only while there is too
+  /// little room for all, and who has waited long would be answered late.
+  TimePoint deadline{};
 
   bool operator==(const QueueRank&) const = default;
   auto operator<=>(const QueueRank& other) const {
-    return std::tie(priority, turn, deadline) <=> std::tie(other.priority, other.turn, other.deadline);
+    return std::tie(priority, turn, target, other.deadline) <=>
+           std::tie(other.priority, other.turn, other.target, deadline);
   }
 };
 
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -172,6 +172,7 @@
   frame.key = request.info.key.value_or(0);
   frame.remaining_us = (request.deadline - now).count();
   frame.target_us = request.route->target_latency.count();
+  frame.held_us = (now - request.arrived).count();
   frame.caller = own_service_;
   frame.tenant = request.info.tenant;
   frame.http = request.http;
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -199,7 +199,7 @@
       return;
     }
   }
-  const QueueRank rank{frame.priority, now + remaining, 0};
+  const QueueRank rank{frame.priority, 0, Duration(frame.target_us), now + remaining};
   const QueueDecision decision = queue_.arrive(ticket, frame.tenant, rank, now, longest_wait);
   if (decision.verdict == QueueVerdict::Refuse || decision.verdict == QueueVerdict::TenantFull) {
     const bool tenant_full = decision.verdict == QueueVerdict::TenantFull;
@@ -222,7 +222,8 @@
   const Duration remaining(frame.remaining_us);
   const double share = static_cast<double>(frame.target_us) * config_.longest_wait_share;
   const Duration wanted = std::max(Duration(static_cast<Duration::rep>(share)), config_.least_wait_limit);
-  return std::min(wanted, remaining - kLeastRemaining);
+  // What it has waited elsewhere counts.
+  return std::min(wanted - Duration(frame.held_us), remaining - kLeastRemaining);
 }
 
 void ServerGate::begin(QueueTicket ticket) {
--- a/test/net/router_codec_test.cc
+++ b/test/net/router_codec_test.cc
@@ -33,6 +33,7 @@
   frame.key = 65535;
   frame.remaining_us = 1'234'567;
   frame.target_us = 300'000;
+  frame.held_us = 40'000;
   frame.caller = ServiceName("maps");
   frame.http = {"GET", "/a?b", {{"Host", "h"}}, "body"};
   return frame;
@@ -46,6 +47,7 @@
   EXPECT_EQ(frame->kind, RouteKind::Download);
   EXPECT_EQ(frame->key, 65535);
   EXPECT_EQ(frame->remaining_us, 1'234'567);
+  EXPECT_EQ(frame->held_us, 40'000);
   EXPECT_EQ(frame->http.target, "/a?b");
   EXPECT_EQ(frame->http.headers, (std::vector<HttpHeader>{{"Host", "h"}}));
 }
