Owners balance by what is asked of each server, towards the average of all

Change: a server's demand (requests a second for its keys x time of a run, refused ones half) goes with each reply; the planner gives each server below the average its part of this owner's excess; the table tells the next owner the rate of what it gets; keys stay for 3 s where they came. The simulator's world shows a demand that fits the requests it made.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -109,10 +109,15 @@
   std::uint32_t link_ms = 0;
   /// Requests of a thousand that have failed at the server of late.
   std::uint32_t failing_permille = 0;
+  /// Slots that all requests for the server's keys would keep busy, in hundredths; more than 100 times `slots` while
+  /// some are refused. 0 for services that are not divided by key.
+  std::uint32_t demand_hundredths = 0;
+  /// Mean time that a request runs, in milliseconds.
+  std::uint32_t service_ms = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(running, queued, slots, link_ms, failing_permille);
+    archive(running, queued, slots, link_ms, failing_permille, demand_hundredths, service_ms);
   }
 };
 
--- a/source/core/router/balance_planner.cc
+++ b/source/core/router/balance_planner.cc
@@ -1,43 +1,151 @@
 #include "source/core/router/balance_planner.h"
 
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
 namespace shedlever {
 
 namespace {
 
-/// Part of the difference to a less loaded server that one move takes away.
-constexpr double kMovedPart = 0.4;
+/// Moves begun at once: each costs its keys a moment without service, and the table a range.
+constexpr std::size_t kMostMoves = 4;
+/// Slots' worth of work below which a server is not given any.
+constexpr double kLeastPart = 0.4;
+/// Against division by nothing, before a request has been timed.
+constexpr double kLeastServiceSeconds = 1e-6;
 /// A move may bring this much more work than wanted.
-constexpr double kMostOverWanted = 1.5;
+constexpr double kMostOverWanted = 1.4;
+/// A whole range is moved rather than cut if it brings at least so much of the work wanted.
+constexpr double kWholeRangeShare = 0.7;
 
-}  // namespace
+/// What one server is to be given.
+struct Part {
+  OwnerPlace place;
+  /// Requests a second.
+  double rate = 0;
+};
+
+double meanUtilization(const BalanceView& view) {
+  double demand = view.own.demand;
+  double slots = view.own.slots;
+  for (const BalanceTarget& target : view.targets) {
+    demand += target.work.demand;
+    slots += target.work.slots;
+  }
+  return slots > 0 ? demand / slots : 0;
+}
 
-double BalancePlanner::workOf(const std::vector<OwnedRange>& ranges, TimePoint now) const {
-  double work = 0;
-  for (const OwnedRange& range : ranges) {
-    work += meter_.sum(range.keys, now);
+/// @return parts of this owner's excess for those below the average, the largest first.
+std::vector<Part> partsOf(const BalanceView& view, double average) {
+  double all_excess = view.own.demand - average * view.own.slots;
+  double all_room = 0;
+  for (const BalanceTarget& target : view.targets) {
+    const double above = target.work.demand - average * target.work.slots;
+    all_excess += std::max(above, 0.0);
+    all_room += std::max(-above, 0.0);
+  }
+  const double excess = view.own.demand - average * view.own.slots;
+  std::vector<Part> parts;
+  for (const BalanceTarget& target : view.targets) {
+    const double room = average * target.work.slots - target.work.demand;
+    const double part = all_room > 0 ? excess * room / std::max(all_room, all_excess) : 0;
+    if (room > 0 && part >= kLeastPart) {
+      const double seconds = std::max(view.own.service_seconds, target.work.service_seconds);
+      parts.push_back({target.place, part / std::max(seconds, kLeastServiceSeconds)});
+    }
+  }
+  std::sort(parts.begin(), parts.end(), [](const Part& left, const Part& right) { return left.rate > right.rate; });
+  if (parts.size() > kMostMoves) {
+    parts.resize(kMostMoves);
   }
-  return work;
+  return parts;
 }
 
-std::optional<PlannedMove> BalancePlanner::plan(const BalanceView& view, TimePoint now) const {
-  if (view.targets.empty() || view.occupancy < config_.busy_occupancy ||
-      view.occupancy - view.targets.front().occupancy < config_.occupancy_gap) {
-    return std::nullopt;
-  }
-  const BalanceTarget& to = view.targets.front();
-  const double part = kMovedPart * 2.0 / static_cast<double>(view.other_givers + 2);
-  const double wanted = workOf(view.owned, now) * part * (view.occupancy - to.occupancy) / view.occupancy;
-  std::optional<KeySpan> best;
-  double best_work = 0;
-  for (const OwnedRange& range : view.owned) {
-    const auto cut = meter_.cut(range.keys, wanted, wanted * kMostOverWanted, now);
-    const double work = cut ? meter_.sum(*cut, now) : 0;
-    if (work > best_work) {
-      best = cut;
-      best_work = work;
-    }
-  }
-  return best ? std::optional<PlannedMove>({*best, to.place}) : std::nullopt;
+/// The keys that an owner still has while it plans one move after the other.
+class Remaining {
+ public:
+  Remaining(const KeyMeter& meter, const std::vector<OwnedRange>& owned, TimePoint now) : meter_(meter), now_(now) {
+    for (const OwnedRange& range : owned) {
+      spans_.push_back(range.keys);
+    }
+  }
+
+  /// @return keys that bring about that many requests a second, taken out: a whole range where one fits, else the end
+  /// of
+  ///   one; none when no part of a range fits.
+  std::optional<KeySpan> take(double rate) {
+    std::optional<Choice> best;
+    for (std::size_t i = 0; i < spans_.size() && spans_.size() > 1; ++i) {
+      const double whole = meter_.rate(spans_[i], now_);
+      if (whole >= rate * kWholeRangeShare && whole <= rate * kMostOverWanted) {
+        consider(best, {i, spans_[i], std::abs(whole - rate)});
+      }
+    }
+    if (!best) {
+      considerEnds(best, rate);
+    }
+    if (best) {
+      remove(best->index, best->keys);
+    }
+    return best ? std::optional<KeySpan>(best->keys) : std::nullopt;
+  }
+
+ private:
+  struct Choice {
+    std::size_t index = 0;
+    KeySpan keys;
+    /// How far its requests a second are from those wanted.
+    double distance = 0;
+  };
+
+  static void consider(std::optional<Choice>& best, const Choice& choice) {
+    if (!best || choice.distance < best->distance) {
+      best = choice;
+    }
+  }
+
+  void considerEnds(std::optional<Choice>& best, double rate) const {
+    const double wanted = rate * meter_.seconds(now_);
+    for (std::size_t i = 0; i < spans_.size(); ++i) {
+      if (const auto keys = meter_.cut(spans_[i], wanted, wanted * kMostOverWanted, now_)) {
+        consider(best, {i, *keys, std::abs(meter_.rate(*keys, now_) - rate)});
+      }
+    }
+  }
+
+  void remove(std::size_t index, const KeySpan& keys) {
+    const KeySpan whole = spans_[index];
+    if (keys == whole) {
+      spans_.erase(spans_.begin() + static_cast<std::ptrdiff_t>(index));
+    } else if (keys.first == whole.first) {
+      spans_[index].first = static_cast<Key>(keys.last + 1);
+    } else {
+      spans_[index].last = static_cast<Key>(keys.first - 1);
+    }
+  }
+
+  const KeyMeter& meter_;
+  TimePoint now_;
+  std::vector<KeySpan> spans_;
+};
+
+}  // namespace
+
+std::vector<PlannedMove> BalancePlanner::plan(const BalanceView& view, TimePoint now) const {
+  std::vector<PlannedMove> moves;
+  const double average = meanUtilization(view);
+  const double above = view.own.utilization() - average;
+  if (view.targets.empty() || view.own.utilization() < config_.busy_occupancy || above < config_.occupancy_gap) {
+    return moves;
+  }
+  Remaining remaining(meter_, view.owned, now);
+  for (const Part& part : partsOf(view, average)) {
+    if (const auto keys = remaining.take(part.rate)) {
+      moves.push_back({*keys, part.place});
+    }
+  }
+  return moves;
 }
 
 }  // namespace shedlever
--- a/source/core/router/balance_planner.h
+++ b/source/core/router/balance_planner.h
@@ -1,9 +1,9 @@
 #pragma once
 
 /// @file
-/// Which keys a busy owner gives to which others, so that load evens out with few moves.
+/// Which keys a busy owner gives to which others. All owners work from the same figures, what is asked of each server
+/// and how much it can take, so that together they even the load out in one step without giving too much.
 
-#include <optional>
 #include <vector>
 
 #include "source/core/router/key_meter.h"
@@ -12,22 +12,29 @@
 
 namespace shedlever {
 
+/// Work that is asked of one server.
+struct OfferedWork {
+  /// Slots that all requests for its keys would keep busy; more than it has while some are refused.
+  double demand = 0;
+  double slots = 0;
+  /// Time that one request runs there, in seconds: a slow server's is longer.
+  double service_seconds = 0;
+
+  double utilization() const { return slots > 0 ? demand / slots : 0; }
+};
+
 /// A server that could take keys.
 struct BalanceTarget {
   OwnerPlace place;
-  /// Requests running and waiting there, as a share of its slots.
-  double occupancy = 0;
+  OfferedWork work;
 };
 
 /// What the owner sees when it decides.
 struct BalanceView {
   std::vector<OwnedRange> owned;
-  /// Others of the service that take requests, the least loaded first.
+  OfferedWork own;
+  /// Others of the service that take requests.
   std::vector<BalanceTarget> targets;
-  /// Other owners that are as busy, and see the same idle servers.
-  std::size_t other_givers = 0;
-  /// Own occupancy, smoothed.
-  double occupancy = 0;
 };
 
 /// Keys for one server.
@@ -41,12 +48,11 @@
   /// @param meter, config outlive the planner.
   BalancePlanner(const KeyMeter& meter, const OwnershipConfig& config) : meter_(meter), config_(config) {}
 
-  /// @return the next move: a part of the difference to the least loaded server; none when the load is even enough.
-  std::optional<PlannedMove> plan(const BalanceView& view, TimePoint now) const;
+  /// @return the moves that bring this owner down to what all have on average, each server below the average taking its
+  ///   part; none while the load is even enough, or there is room.
+  std::vector<PlannedMove> plan(const BalanceView& view, TimePoint now) const;
 
  private:
-  double workOf(const std::vector<OwnedRange>& ranges, TimePoint now) const;
-
   const KeyMeter& meter_;
   const OwnershipConfig& config_;
 };
--- a/source/core/router/key_meter.cc
+++ b/source/core/router/key_meter.cc
@@ -1,6 +1,8 @@
 #include "source/core/router/key_meter.h"
 
+#include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace shedlever {
 
@@ -8,6 +10,8 @@
 
 /// Half-lives after which the sums are brought back to the present, before they leave the range of a float.
 constexpr double kRescaleAfter = 40.0;
+/// Seconds below which a meter is too young for a rate.
+constexpr double kLeastAge = 0.2;
 
 struct EndCut {
   KeySpan keys;
@@ -21,7 +25,16 @@
   return std::exp2(half_lives);
 }
 
+double KeyMeter::seconds(TimePoint now) const {
+  const double half_life = std::chrono::duration<double>(half_life_).count();
+  const double age = std::max(std::chrono::duration<double>(now - since_).count(), kLeastAge);
+  return half_life / std::numbers::ln2 * (1.0 - std::exp2(-age / half_life));
+}
+
 void KeyMeter::add(Key key, double amount, TimePoint now) {
+  if (since_ == TimePoint{}) {
+    since_ = now;
+  }
   double scale = scaleAt(now);
   if (scale > std::exp2(kRescaleAfter)) {
     for (float& work : work_) {
--- a/source/core/router/key_meter.h
+++ b/source/core/router/key_meter.h
@@ -23,6 +23,13 @@
   /// @return decayed work of the keys.
   double sum(const KeySpan& keys, TimePoint now) const;
 
+  /// @return work of the keys a second.
+  double rate(const KeySpan& keys, TimePoint now) const { return sum(keys, now) / seconds(now); }
+
+  /// @return time that decayed sums stand for: their amount at a steady rate is the rate times this. Shorter while the
+  ///   meter is young.
+  double seconds(TimePoint now) const;
+
   /// Divides the range into at most `parts` runs that bring about the same work each.
   std::vector<KeySpan> split(const KeySpan& range, std::size_t parts, TimePoint now) const;
 
@@ -37,6 +44,8 @@
   Duration half_life_;
   /// Work is kept as if done at `reference_`; newer work is scaled up instead of scaling all old work down.
   TimePoint reference_{};
+  /// When the first work was noted.
+  TimePoint since_{};
   std::vector<float> work_;
 };
 
--- a/source/core/router/owner_table.cc
+++ b/source/core/router/owner_table.cc
@@ -100,7 +100,7 @@
   }
 }
 
-bool OwnerTable::assign(const KeySpan& keys, const OwnerPlace& place, const std::string& handover) {
+bool OwnerTable::assign(const KeySpan& keys, const OwnerPlace& place, const std::string& handover, std::uint32_t rate) {
   OwnedRange* range = exactly(keys);
   if (range == nullptr) {
     return false;
@@ -110,6 +110,7 @@
   range->node = place.node;
   range->handover = handover;
   range->releasing = false;
+  range->rate = rate;
   return true;
 }
 
@@ -142,6 +143,7 @@
     left.token = std::max(left.token, right.token);
     left.token = tokenAbove(left);
     left.handover.clear();
+    left.rate = 0;
     ranges_.erase(ranges_.begin() + static_cast<std::ptrdiff_t>(i) + 1);
     joined = true;
   }
@@ -175,17 +177,20 @@
 }  // namespace
 
 // Many nodes read each change of the table over links that may be slow, so it is written short: a range is a list of
-// its first key, its owner's number, its token, and, where there is more to say, handover and releasing.
+// its first key, its owner's number, its token, and, where there is more to say, handover, releasing (0 or 1) and rate.
 std::string OwnerTable::encode() const {
   OwnerList owners;
   json list = json::array();
   for (const OwnedRange& range : ranges_) {
     json entry = {range.keys.first, owners.numberOf(range), range.token};
-    if (!range.handover.empty() || range.releasing) {
+    if (!range.handover.empty() || range.releasing || range.rate != 0) {
       entry.push_back(range.handover);
     }
-    if (range.releasing) {
-      entry.push_back(1);
+    if (range.releasing || range.rate != 0) {
+      entry.push_back(range.releasing ? 1 : 0);
+    }
+    if (range.rate != 0) {
+      entry.push_back(range.rate);
     }
     list.push_back(std::move(entry));
   }
@@ -197,6 +202,7 @@
 OwnedRange rangeFrom(const json& entry, const std::vector<OwnerPlace>& owners) {
   constexpr std::size_t kHandover = 3;
   constexpr std::size_t kReleasing = 4;
+  constexpr std::size_t kRate = 5;
   OwnedRange range;
   range.keys.first = entry.at(0).get<Key>();
   const auto owner = entry.at(1).get<std::size_t>();
@@ -207,7 +213,8 @@
   }
   range.token = entry.at(2).get<FenceToken>();
   range.handover = entry.size() > kHandover ? entry.at(kHandover).get<std::string>() : std::string();
-  range.releasing = entry.size() > kReleasing;
+  range.releasing = entry.size() > kReleasing && entry.at(kReleasing).get<int>() != 0;
+  range.rate = entry.size() > kRate ? entry.at(kRate).get<std::uint32_t>() : 0;
   return range;
 }
 
--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -39,6 +39,8 @@
   /// The owner is about to let go: its server was, or will be, told to with `token` + 1, and no owner after it gets
   /// a token that is not above that.
   bool releasing = false;
+  /// Requests a second that the last owner saw for these keys when it gave them; 0 where that is not known.
+  std::uint32_t rate = 0;
 
   auto operator<=>(const OwnedRange&) const = default;
 };
@@ -84,8 +86,9 @@
   void abortRelease(const KeySpan& keys);
 
   /// Gives exactly this range to an owner with a token above all that its owners had.
+  /// @param rate requests a second that are to be expected for it; 0: not known.
   /// @return false when the table holds no such range.
-  bool assign(const KeySpan& keys, const OwnerPlace& place, const std::string& handover);
+  bool assign(const KeySpan& keys, const OwnerPlace& place, const std::string& handover, std::uint32_t rate = 0);
 
   /// @return whether `joinNeighbours` would join anything.
   bool hasNeighbours(const InstanceId& owner) const;
--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -50,10 +50,14 @@
   Duration pause_limit = std::chrono::milliseconds(1000);
   /// Between two decisions about balance.
   Duration balance_interval = std::chrono::milliseconds(500);
-  /// Occupancy below which an owner keeps its keys.
+  /// After moves, until what others tell of their work shows them.
+  Duration balance_settle = std::chrono::milliseconds(1000);
+  /// How long keys stay with an owner that has just got them, until it has seen where their work lies.
+  Duration gain_settle = std::chrono::seconds(3);
+  /// Share of its slots that an owner's work asks for, below which it keeps its keys.
   double busy_occupancy = 0.6;
-  /// Difference of occupancy that a move is worth.
-  double occupancy_gap = 0.25;
+  /// How far above the average of all servers, as a share of its slots, an owner's work must be for a move.
+  double occupancy_gap = 0.15;
   /// Share of failed requests above which an owner's server is not trusted with keys ...
   double failing_share = 0.4;
   /// ... if it is so much above that of the servers that could take them.
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership_fields.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<OwnershipDuration, 13> kDurations{{
+constexpr std::array<OwnershipDuration, 15> kDurations{{
     {"lease", &OwnershipConfig::lease},
     {"lease_renewal", &OwnershipConfig::lease_renewal},
     {"lease_retry", &OwnershipConfig::lease_retry},
@@ -19,6 +19,8 @@
     {"rank_delay", &OwnershipConfig::rank_delay},
     {"suspicion", &OwnershipConfig::suspicion},
     {"pause_limit", &OwnershipConfig::pause_limit},
+    {"balance_settle", &OwnershipConfig::balance_settle},
+    {"gain_settle", &OwnershipConfig::gain_settle},
     {"balance_interval", &OwnershipConfig::balance_interval},
 }};
 
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -1,6 +1,7 @@
 #include "source/core/router/ownership_keeper.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace shedlever {
@@ -8,8 +9,8 @@
 namespace {
 
 constexpr Duration kWorkHalfLife = std::chrono::seconds(2);
-/// Share of the newest value in the smoothed occupancy, a tick.
-constexpr double kOccupancyShare = 0.1;
+/// After which what a giver saw of keys counts for nothing: five half-lives.
+constexpr Duration kGainMemory = std::chrono::seconds(10);
 
 std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
 
@@ -21,7 +22,11 @@
       service_(std::move(service)),
       config_(config),
       ports_(std::move(ports)),
-      writer_(service_, *ports_.store, [this] { ports_.on_change(); }),
+      writer_(service_, *ports_.store,
+              [this] {
+                noteGains();
+                ports_.on_change();
+              }),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeFrom(node); }),
       meter_(kWorkHalfLife),
@@ -80,8 +85,6 @@
   grants_->forgetAll();
 }
 
-void OwnershipKeeper::setOccupancy(double occupancy) { occupancy_ += (occupancy - occupancy_) * kOccupancyShare; }
-
 void OwnershipKeeper::onLeaseRevoked() {
   tell("lease revoked", "");
   must_confirm_ = true;
@@ -266,6 +269,10 @@
   }
   last_tick_ = now;
   writer_.tick(now);
+  request_rate_ = expectedRate(now);
+  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
+    request_rate_ += meter_.rate(range.keys, now);
+  }
   if (hasServer()) {
     lease_.tick(now);
   }
@@ -443,26 +450,75 @@
     joinRanges();
     return;
   }
-  const std::optional<PlannedMove> move = planner_.plan(balanceView(owned, now), now);
-  if (move) {
-    startMoves({move->keys}, {move->to});
+  const std::vector<PlannedMove> moves = planner_.plan(balanceView(owned, now), now);
+  if (moves.empty()) {
+    return;
+  }
+  std::vector<KeySpan> pieces;
+  std::vector<OwnerPlace> to;
+  for (const PlannedMove& move : moves) {
+    pieces.push_back(move.keys);
+    to.push_back(move.to);
   }
+  startMoves(pieces, to);
 }
 
 BalanceView OwnershipKeeper::balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const {
+  constexpr double kHundredths = 100.0;
+  constexpr double kMilliseconds = 1000.0;
   BalanceView view;
   view.owned = owned;
-  view.occupancy = occupancy_;
+  // Where the work lies in ranges that came a moment ago is not known yet.
+  std::erase_if(view.owned, [&](const OwnedRange& range) { return isYoung(range.keys, now); });
+  view.own = work_;
   for (const OwnerPlace& place : targets(now)) {
-    view.targets.push_back({place, loadOf(place, now)});
-  }
-  for (const BalanceTarget& target : view.targets) {
-    const bool is_least = target.place == view.targets.front().place;
-    view.other_givers += !is_least && target.occupancy >= config_.busy_occupancy ? 1 : 0;
+    const ServerLoad* load = ports_.directory->load(place.node, now);
+    const bool owns = !writer_.table().ownedBy(place.instance).empty();
+    // A server that this node has sent nothing to of late is asked for little.
+    OfferedWork work{0, work_.slots, work_.service_seconds};
+    if (load != nullptr && load->slots > 0) {
+      work.slots = load->slots;
+      work.demand = owns ? load->demand_hundredths / kHundredths : 0.0;
+      work.service_seconds = load->service_ms / kMilliseconds;
+    }
+    view.targets.push_back({place, work});
   }
   return view;
 }
 
+std::uint32_t OwnershipKeeper::rateOf(const KeySpan& keys, TimePoint now) const {
+  return static_cast<std::uint32_t>(std::lround(std::max(meter_.rate(keys, now), 0.0)));
+}
+
+void OwnershipKeeper::noteGains() {
+  const TimePoint now = ports_.clock->now();
+  std::erase_if(gains_, [now](const Gain& gain) { return now - gain.at > kGainMemory; });
+  FenceToken newest = newest_token_;
+  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
+    if (range.rate != 0 && range.token > newest_token_) {
+      gains_.push_back({range.keys, static_cast<double>(range.rate), now});
+    }
+    newest = std::max(newest, range.token);
+  }
+  newest_token_ = newest;
+}
+
+bool OwnershipKeeper::isYoung(const KeySpan& keys, TimePoint now) const {
+  return std::any_of(gains_.begin(), gains_.end(), [&](const Gain& gain) {
+    return now - gain.at < config_.gain_settle && gain.keys.first <= keys.last && keys.first <= gain.keys.last;
+  });
+}
+
+/// As the meter sees more of the new keys' requests, what the giver saw counts less.
+double OwnershipKeeper::expectedRate(TimePoint now) const {
+  double rate = 0;
+  for (const Gain& gain : gains_) {
+    const auto half_lives = std::chrono::duration<double>(now - gain.at) / kWorkHalfLife;
+    rate += gain.rate * std::exp2(-half_lives);
+  }
+  return rate;
+}
+
 double OwnershipKeeper::loadOf(const OwnerPlace& place, TimePoint now) const {
   // A server without keys is idle, whatever its last replies said.
   const bool owns = !writer_.table().ownedBy(place.instance).empty();
@@ -490,7 +546,7 @@
            for (std::size_t i = 0; i < pieces.size(); ++i) {
              const OwnedRange* range = writer_.table().find(pieces[i].first);
              if (range != nullptr && range->keys == pieces[i] && range->releasing && range->owner == instance_) {
-               moves_.push_back({*range, to[i % to.size()], false, {}});
+               moves_.push_back({*range, to[i % to.size()], false, {}, rateOf(pieces[i], ports_.clock->now())});
              }
            }
            for (std::size_t i = 0; i < moves_.size(); ++i) {
@@ -537,7 +593,7 @@
     for (const Move& move : moves) {
       const OwnedRange* range = table.find(move.range.keys.first);
       if (range != nullptr && range->keys == move.range.keys && range->owner == owner && range->releasing) {
-        changed = table.assign(move.range.keys, move.target, move.handover) || changed;
+        changed = table.assign(move.range.keys, move.target, move.handover, move.rate) || changed;
       }
     }
     return changed;
@@ -548,6 +604,7 @@
   }
   give("ranges moved to " + moves_.front().target.node.value, gainers, assign, [this](bool) {
     moves_.clear();
+    next_balance_ = ports_.clock->now() + config_.balance_settle;
     ++batch_;
   });
 }
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -95,10 +95,14 @@
   KeyStanding standing(Key key, TimePoint now) const;
   /// @return who owns the key, for a process that asks here in vain.
   OwnerHint hintFor(Key key) const;
-  /// Counts a request's work for its key.
+  /// Counts a request for its key.
   void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
-  /// @param occupancy of this node's server; more than 1 while requests wait.
-  void setOccupancy(double occupancy);
+  /// That request was refused since the server is full. Its client comes back once, so that two such are one request.
+  void onKeyRequestRefused(Key key, TimePoint now) { meter_.add(key, -kRefusedShare, now); }
+  /// @return requests a second for the keys of this node's server, as of the last tick.
+  double requestRate() const { return request_rate_; }
+  /// @param work asked of this node's server.
+  void setWork(const OfferedWork& work) { work_ = work; }
   /// @param share of the requests at this node's server that fail of late.
   void setFailing(double share) { failing_ = share; }
 
@@ -109,15 +113,27 @@
   TimePoint leaseUntil() const { return lease_.validUntil(); }
 
  private:
+  static constexpr double kRefusedShare = 0.5;
+
   /// Keys on their way from this node's server to others.
   struct Move {
     OwnedRange range;
     OwnerPlace target;
     bool released = false;
     std::string handover;
+    /// Requests a second for them when the move began.
+    std::uint32_t rate = 0;
   };
 
   GrantChannel::Events grantEvents();
+  /// Keys that another owner has given to this node's server.
+  struct Gain {
+    KeySpan keys;
+    /// Requests a second that the giver saw.
+    double rate = 0;
+    TimePoint at{};
+  };
+
   bool hasServer() const { return !instance_.empty(); }
   bool tableIsRead() const { return !ports_.table_read || ports_.table_read(); }
   std::vector<OwnedRange> grantable() const;
@@ -138,6 +154,11 @@
   std::vector<OwnerPlace> sounderTargets(TimePoint now) const;
   void balance(TimePoint now);
   BalanceView balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const;
+  std::uint32_t rateOf(const KeySpan& keys, TimePoint now) const;
+  /// Notes which ranges this node has got from others, and what those saw of them.
+  void noteGains();
+  bool isYoung(const KeySpan& keys, TimePoint now) const;
+  double expectedRate(TimePoint now) const;
   double loadOf(const OwnerPlace& place, TimePoint now) const;
   void joinRanges();
 
@@ -171,7 +192,11 @@
   TimePoint server_since_{};
   TimePoint last_tick_{};
   TimePoint next_balance_{};
-  double occupancy_ = 0;
+  OfferedWork work_;
+  double request_rate_ = 0;
+  std::vector<Gain> gains_;
+  /// Token of the newest range that was looked at for gains.
+  FenceToken newest_token_ = 0;
   double failing_ = 0;
 
   bool draining_ = false;
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -97,6 +97,13 @@
   return told ? now - found->second.load_at : Duration::max();
 }
 
+const ServerLoad* ServerDirectory::load(const NodeName& node, TimePoint now) const {
+  const auto found = entries_.find(node);
+  const bool told =
+      found != entries_.end() && found->second.load_at != TimePoint{} && now - found->second.load_at <= kLoadAge;
+  return told ? &found->second.load : nullptr;
+}
+
 double ServerDirectory::failingOf(const Entry& entry, TimePoint now) {
   if (entry.failing == 0) {
     return 0;
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -87,6 +87,8 @@
   double occupancy(const NodeName& node, TimePoint now) const;
   /// @return how long ago the node told its load; the longest duration when it has not.
   Duration loadAge(const NodeName& node, TimePoint now) const;
+  /// @return what the node told of its load; null when that is too old, or it has told nothing.
+  const ServerLoad* load(const NodeName& node, TimePoint now) const;
   /// @return share of the requests at the node's server that fail, as far as is known; fades when nothing is told.
   double failing(const NodeName& node, TimePoint now) const;
 
--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/slot_queue.cc
@@ -116,6 +116,13 @@
 
 std::vector<QueueTicket> SlotQueue::takeAll() { return takeOverdue(TimePoint::max()); }
 
-ServerLoad SlotQueue::load() const { return {running_, static_cast<std::uint32_t>(waiting_.size()), slots_, 0, 0}; }
+ServerLoad SlotQueue::load() const {
+  ServerLoad load;
+  load.running = running_;
+  load.queued = static_cast<std::uint32_t>(waiting_.size());
+  load.slots = slots_;
+  load.service_ms = static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(mean_service_).count());
+  return load;
+}
 
 }  // namespace shedlever
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -21,6 +21,8 @@
 constexpr Duration kLoopbackDelay = milliseconds(1);
 /// An acknowledgement that comes later after its heartbeat was sent counts for nothing.
 constexpr Duration kAcknowledgementLimit = seconds(1);
+constexpr std::uint32_t kSlots = 10;
+constexpr double kServiceSeconds = 0.1;
 const ServiceName kService("search");
 
 NodeName nodeName(std::size_t index) { return NodeName("node-" + std::to_string(index)); }
@@ -283,7 +285,10 @@
   }
   if (!node.paused) {
     node.store->faults = node.store_faults;
-    node.keeper->setOccupancy(node.occupancy);
+    // As long a service time as makes the requests seen ask for that many slots.
+    const double rate = node.keeper->requestRate();
+    const double demand = rate > 0 ? node.occupancy * kSlots : 0.0;
+    node.keeper->setWork({demand, kSlots, rate > 0 ? demand / rate : kServiceSeconds});
     node.keeper->setFailing(node.failing);
     node.keeper->tick(time_.now());
     node.responder->check();
@@ -441,11 +446,12 @@
 }
 
 void OwnershipWorld::tellLoad(std::size_t node) {
-  constexpr std::uint32_t kSlots = 10;
   constexpr double kPermille = 1000.0;
+  constexpr double kHundredths = 100.0;
   ForwardReplyFrame reply;
   reply.load.running = static_cast<std::uint32_t>(nodes_[node]->occupancy * kSlots);
   reply.load.slots = kSlots;
+  reply.load.demand_hundredths = static_cast<std::uint32_t>(nodes_[node]->occupancy * kSlots * kHundredths);
   reply.load.failing_permille = static_cast<std::uint32_t>(nodes_[node]->failing * kPermille);
   for (const auto& other : nodes_) {
     if (other->keeper) {
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -419,10 +419,7 @@
   gate_.tick();
   claims_.tick(clock_.now());
   if (keeper_) {
-    const ServerLoad load = gate_.load();
-    if (load.slots > 0) {
-      keeper_->setOccupancy(static_cast<double>(load.running + load.queued) / load.slots);
-    }
+    keeper_->setWork(gate_.offeredWork());
     keeper_->setFailing(gate_.failingShare());
     keeper_->tick(clock_.now());
     responder_.check();
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -16,6 +16,7 @@
 constexpr int kHoldDivisor = 4;
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
 constexpr double kPermille = 1000.0;
+constexpr double kHundredths = 100.0;
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -34,9 +35,18 @@
   const auto wait = std::chrono::floor<std::chrono::milliseconds>(machine_link_.wait_for(expected_bytes_));
   load.link_ms = static_cast<std::uint32_t>(wait.count());
   load.failing_permille = static_cast<std::uint32_t>(failingShare() * kPermille);
+  load.demand_hundredths = static_cast<std::uint32_t>(std::max(offeredWork().demand, 0.0) * kHundredths);
   return load;
 }
 
+OfferedWork ServerGate::offeredWork() const {
+  OfferedWork work;
+  work.slots = queue_.load().slots;
+  work.service_seconds = std::chrono::duration<double>(queue_.meanService()).count();
+  work.demand = keeper_ == nullptr ? 0.0 : keeper_->requestRate() * work.service_seconds;
+  return work;
+}
+
 void ServerGate::serverUp(const InstanceId& instance, std::uint32_t slots) {
   if (instance_ != instance) {
     giveBackAll(ForwardReason::WrongInstance);
@@ -121,6 +131,9 @@
   reply.reason = reason;
   reply.retry_after_us = retry_after.count();
   reply.load = load();
+  if (frame.keyed && keeper_ != nullptr && reason == ForwardReason::Overloaded) {
+    keeper_->onKeyRequestRefused(frame.key, clock_.now());
+  }
   if (frame.keyed && keeper_ != nullptr) {
     const OwnerHint hint = keeper_->hintFor(frame.key);
     // A key that is this server's, but not granted yet, is waited for; only who named an earlier life asks again at
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -70,6 +70,9 @@
   /// @return whether the request has been sent to the server; false for one that has ended.
   bool isRunning(QueueTicket ticket) const;
 
+  /// @return what the requests for the server's keys ask of it.
+  OfferedWork offeredWork() const;
+
   /// The standing of keys has changed: requests that are held for it go on.
   void onKeysChanged();
 
