A range that the server still holds under another token is not taken as released

A joined range has a new token, so the server lets go of the rows with the old ones and tells so, with their work, while it holds the new one; a piece of the range counted as released by that.

--- a/source/core/router/heartbeat_grants.cc
+++ b/source/core/router/heartbeat_grants.cc
@@ -53,6 +53,12 @@
   return cover(std::move(spans), range.keys);
 }
 
+/// @return whether the server holds, or works on, any of the keys.
+bool holdsAny(const KeyReport& report, const KeySpan& keys) {
+  return std::any_of(report.held.begin(), report.held.end(),
+                     [&](const ReportedRange& held) { return overlap(spanOf(held), keys); });
+}
+
 }  // namespace
 
 HeartbeatGrants::HeartbeatGrants(const OwnershipConfig& config, TimePoint started, Events events)
@@ -60,7 +66,7 @@
 
 void HeartbeatGrants::update(const std::vector<OwnedRange>&, TimePoint, TimePoint now) {
   std::erase_if(fading_, [now](const Told& told) { return told.may_hold_until <= now; });
-  endReleases(now);
+  endReleases(now, nullptr);
 }
 
 const HeartbeatGrants::Told* HeartbeatGrants::toldFor(Key key) const {
@@ -105,7 +111,7 @@
   last_report_ = received;
   noteReleased(report);
   noteHeld(report);
-  endReleases(received);
+  endReleases(received, &report);
 }
 
 void HeartbeatGrants::noteReleased(const KeyReport& report) {
@@ -161,19 +167,22 @@
   return until;
 }
 
-void HeartbeatGrants::endReleases(TimePoint now) {
+/// A range that was told under a new token is reported as released under its old one while the server goes on holding
+/// it, so that the word alone is not enough: the server must hold, and work on, none of its keys.
+void HeartbeatGrants::endReleases(TimePoint now, const KeyReport* report) {
   std::vector<std::pair<ReleaseCallback, ReleaseResult>> ended;
   std::erase_if(releases_, [&](Release& release) {
     std::vector<KeySpan> spans;
     std::transform(release.pieces.begin(), release.pieces.end(), std::back_inserter(spans),
                    [](const ReleasedRange& piece) { return spanOf(piece); });
-    const bool told = cover(std::move(spans), release.range.keys);
+    const bool told =
+        report != nullptr && cover(std::move(spans), release.range.keys) && !holdsAny(*report, release.range.keys);
     const bool lapsed = now >= mayHoldUntil(release.range.keys);
     if (!told && !lapsed) {
       return false;
     }
     ++(told ? counts_.released : counts_.lapsed);
-    const std::string handover = told ? release.pieces.front().handover : handoverFor(release.range, {});
+    const std::string handover = told ? release.pieces.back().handover : handoverFor(release.range, {});
     ended.emplace_back(std::move(release.done), ReleaseResult{OrderStatus::Done, handover});
     return true;
   });
--- a/source/core/router/heartbeat_grants.h
+++ b/source/core/router/heartbeat_grants.h
@@ -93,7 +93,8 @@
   void tell(const std::vector<OwnedRange>& ranges, const KeyReport& report, Duration hold, TimePoint received);
   void noteReleased(const KeyReport& report);
   void noteHeld(const KeyReport& report);
-  void endReleases(TimePoint now);
+  /// @param report the heartbeat that has come now; null when time has passed only.
+  void endReleases(TimePoint now, const KeyReport* report);
 
   const OwnershipConfig& config_;
   TimePoint started_;
--- a/test/core_router/heartbeat_grants_test.cc
+++ b/test/core_router/heartbeat_grants_test.cc
@@ -126,6 +126,23 @@
   EXPECT_TRUE(released_.empty());
 }
 
+// Seen on the bench (scale-2 of krathong-bkk, OWNER): ranges were joined under a new token, the server said that it had
+// released an old one while it held the joined one, and a piece of that went to another server.
+TEST_F(HeartbeatGrantsTest, RangeThatIsHeldUnderANewTokenIsNotReleasedByItsOldOne) {
+  const OwnedRange joined = ownRange(0, 99, 9);
+  acknowledge({ownRange(0, 49, 4), ownRange(50, 99, 5)}, {}, kLater);
+  acknowledge({joined}, {{{0, 49, 4}, {50, 99, 5}}, {}}, kLater + milliseconds(100));
+  OwnedRange piece = joined;
+  piece.keys = {10, 19};
+  release(piece);
+  acknowledge({}, {{{0, 99, 9}, {0, 49, 4}}, {}}, kLater + milliseconds(200));
+  // Work under the old token has ended; under the new one it goes on.
+  acknowledge({}, {{{0, 99, 9}}, {{0, 49, "old"}}}, kLater + milliseconds(300));
+  EXPECT_TRUE(released_.empty());
+  acknowledge({}, {{}, {{0, 99, "new"}}}, kLater + milliseconds(400));
+  EXPECT_EQ(released_, std::vector<std::string>{"new"});
+}
+
 TEST_F(HeartbeatGrantsTest, UnansweredReleaseEndsWhenAllThatWasToldHasRunOut) {
   const OwnedRange range = ownRange(0, 9, 4);
   acknowledge({range}, {}, kLater);
