Acknowledged heartbeats are logged where keys change, and counted

Cause: the counters of HeartbeatGrants were not shown anywhere, and a log could not tell when a server was told what. Change: ownership: event=keys-told (ranges told, reported, released, hold, table, lease) where an acknowledgement does more than renew; four gauges. No decision changes.

--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -98,6 +98,11 @@
       config_age_(gauge("shedlever_config_age_seconds", "Time since the configuration in force was taken over")),
       owner_table_(gauge("shedlever_owner_table_revision", "Revision of the service's own owner table")),
       owned_ranges_(gauge("shedlever_owned_ranges", "Ranges of keys that the server beside this process owns")),
+      acknowledgements_(
+          gauge("shedlever_heartbeats_acknowledged", "Heartbeats acknowledged, of servers that take keys so")),
+      silent_acknowledgements_(gauge("shedlever_heartbeats_without_keys", "Of these, told nothing of keys")),
+      released_(gauge("shedlever_ranges_released", "Ranges that the server said it has let go of")),
+      lapsed_(gauge("shedlever_ranges_lapsed", "Ranges whose release ended since they had run out")),
       lease_left_(gauge("shedlever_lease_left_seconds", "What is left of the node's lease")),
       store_reached_(gauge("shedlever_store_reached", "1 while the last straight call to the store had an answer")),
       log_lines_dropped_(gauge("shedlever_log_lines_dropped", "Log lines left out since the start")) {}
@@ -161,6 +166,10 @@
   config_age_.Set(secondsOf(levels.config_age));
   owner_table_.Set(static_cast<double>(levels.owner_table));
   owned_ranges_.Set(static_cast<double>(levels.owned_ranges));
+  acknowledgements_.Set(static_cast<double>(levels.heartbeats.acknowledgements));
+  silent_acknowledgements_.Set(static_cast<double>(levels.heartbeats.silent));
+  released_.Set(static_cast<double>(levels.heartbeats.released));
+  lapsed_.Set(static_cast<double>(levels.heartbeats.lapsed));
   lease_left_.Set(secondsOf(levels.lease_left));
   store_reached_.Set(levels.store_reached ? 1 : 0);
   log_lines_dropped_.Set(static_cast<double>(levels.log_lines_dropped));
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -17,6 +17,7 @@
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "source/core/router/heartbeat_grants.h"
 
 namespace shedlever {
 
@@ -42,6 +43,8 @@
   Duration config_age{};
   std::uint64_t owner_table = 0;
   std::size_t owned_ranges = 0;
+  /// Where the server takes its keys by heartbeat.
+  HeartbeatGrantCounts heartbeats;
   Duration lease_left{};
   bool store_reached = false;
   std::uint64_t log_lines_dropped = 0;
@@ -109,6 +112,10 @@
   prometheus::Gauge& config_age_;
   prometheus::Gauge& owner_table_;
   prometheus::Gauge& owned_ranges_;
+  prometheus::Gauge& acknowledgements_;
+  prometheus::Gauge& silent_acknowledgements_;
+  prometheus::Gauge& released_;
+  prometheus::Gauge& lapsed_;
   prometheus::Gauge& lease_left_;
   prometheus::Gauge& store_reached_;
   prometheus::Gauge& log_lines_dropped_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/core/router/duration_text.h"
+
 namespace shedlever {
 
 namespace {
@@ -306,11 +308,27 @@
   }
   keeper_->onKeyReport(*report->keys);
   noteLapse(false);
-  responder_.take(*report->keys, [this, replier](const std::optional<KeyAssignment>& keys) {
+  responder_.take(*report->keys, [this, replier, report = *report->keys](const std::optional<KeyAssignment>& keys) {
     replier.reply(platform_.reports->acknowledgement(keys ? &*keys : nullptr));
+    logAcknowledgement(report, keys);
   });
 }
 
+/// Acknowledgements that only renew what the server holds are not logged.
+void RouterProcess::logAcknowledgement(const KeyReport& report, const std::optional<KeyAssignment>& keys) {
+  const bool renews = keys && keys->ranges.size() == report.held.size() && report.released.empty();
+  if (renews || (report.held.empty() && !keys)) {
+    return;
+  }
+  log_.write("ownership", keys ? "keys-told" : "no-keys-told",
+             {{"told", std::to_string(keys ? keys->ranges.size() : 0)},
+              {"reported", std::to_string(report.held.size())},
+              {"released", std::to_string(report.released.size())},
+              {"hold_ms", keys ? millisecondsText(keys->hold) : "-"},
+              {"table", std::to_string(keeper_->tableWriter().revision())},
+              {"lease_left_ms", millisecondsText(keeper_->leaseUntil() - clock_.now())}});
+}
+
 void RouterProcess::noteLapse(bool lapsed) {
   if (lapsed == keys_lapsed_) {
     return;
@@ -477,6 +495,9 @@
     levels.owner_table = keeper_->tableWriter().revision();
     levels.owned_ranges = keeper_->tableWriter().table().ownedAt(self_.name).size();
     levels.lease_left = std::max(keeper_->leaseUntil() - now, Duration::zero());
+    if (const HeartbeatGrantCounts* counts = keeper_->heartbeatCounts()) {
+      levels.heartbeats = *counts;
+    }
   }
   levels.store_reached = store_access_.straightWorks();
   levels.log_lines_dropped = log_.lost();
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -77,6 +77,8 @@
   HeartbeatResponder::Ports responderPorts();
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   PresenceChange onReport(const ServerReport& report);
+  void logAcknowledgement(const KeyReport& report, const std::optional<KeyAssignment>& keys);
+  /// The server's keys have run out since nothing was heard of it, or it was heard again.
   void noteLapse(bool lapsed);
   void onServerDraining();
   void onServerGone();
