--- a/test/core_router/heartbeat_grants_test.cc
+++ b/test/core_router/heartbeat_grants_test.cc
@@ -31,7 +31,7 @@
   std::optional<KeyAssignment> acknowledge(const std::vector<OwnedRange>& wanted, const KeyReport& report,
                                            TimePoint now) {
     grants_.onReport(report, now);
-    const auto assignment = grants_.assign(wanted, report, lease_until_, now, now);
+    auto assignment = grants_.assign(wanted, report, lease_until_, now, now);
     grants_.onAcknowledged();
     return assignment;
   }
