Simulated store's calls no longer touch a client that is gone

With AddressSanitizer the same suite stops at once: heap-use-after-free in VirtualMetadataStore::write; the call under way referred to its client, which a restarted process has replaced. Change: a call holds the store's state, which outlives all clients.

--- a/source/lab/sim/virtual_store.cc
+++ b/source/lab/sim/virtual_store.cc
@@ -98,6 +98,7 @@
   });
 }
 
+/// @param apply runs after this client may be gone, as a call under way does: it must not touch it.
 void VirtualMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
   const auto unanswered = [this, done, alive_now = alive] {
     time_.after(kCallTimeout, [done, alive_now] {
@@ -130,16 +131,16 @@
 }
 
 void VirtualMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([this, kind, object] { return state_.create(kind, object); }, done);
+  write([&state = state_, kind, object] { return state.create(kind, object); }, done);
 }
 
 void VirtualMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([this, kind, object] { return state_.replace(kind, object); }, done);
+  write([&state = state_, kind, object] { return state.replace(kind, object); }, done);
 }
 
 void VirtualMetadataStore::remove(const std::string& kind, const std::string& name, StoreRevision revision,
                                   AnswerCallback done) {
-  write([this, kind, name, revision] { return state_.remove(kind, name, revision); }, done);
+  write([&state = state_, kind, name, revision] { return state.remove(kind, name, revision); }, done);
 }
 
 void VirtualMetadataStore::list(const std::string& kind, ListCallback done) {
