--- a/bench/compare.py
+++ b/bench/compare.py
@@ -134,6 +134,12 @@
     return "\n".join(lines)
 
 
+def build(bench: str, tree: str, why: str) -> None:
+    built = subprocess.run([bench, "build", "--why", f"{why} (build)"], cwd=tree, capture_output=True, text=True, check=False)
+    if built.returncode != 0:
+        raise SystemExit(f"{tree} was not built: {(built.stdout + built.stderr)[-500:]}")
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--bench", required=True)
@@ -145,10 +151,7 @@
     parser.add_argument("--jobs", type=int, default=4)
     options = parser.parse_args()
     for tree in options.trees:
-        built = subprocess.run([options.bench, "build", "--why", f"{options.why} (build)"], cwd=tree, capture_output=True,
-                               text=True, check=False)
-        if built.returncode != 0:
-            raise SystemExit(f"{tree} was not built: {(built.stdout + built.stderr)[-500:]}")
+        build(options.bench, tree, options.why)
     plays = [Play(tree, day, seed) for seed in options.seeds for day in options.days for tree in options.trees]
     results = {}
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
