A silent owner's lease is over when its process said so

Without an outage the count begins a second after the last sign of life. Ruled out: a shorter lease (a store that is down for as long would take all keys away, docs/DESIGN.md, section 2). Change: replies tell which revision of the lease object the process's lease rests on. A challenger that reads that very revision knows by when the lease is over; with any other revision it counts as before. Told only after a renewal by this process; a renewed lease no longer grows by what peers tell. The simulator's nodes tell each other their leases, so that the soak tests play it.

--- a/source/core/router/lease_keeper.cc
+++ b/source/core/router/lease_keeper.cc
@@ -32,6 +32,12 @@
                          std::function<void()> on_revoked)
     : self_(std::move(self)), config_(config), store_(store), clock_(clock), on_revoked_(std::move(on_revoked)) {}
 
+void LeaseKeeper::inherit(TimePoint until) {
+  if (renewed_revision_ == 0) {
+    valid_until_ = std::max(valid_until_, until);
+  }
+}
+
 void LeaseKeeper::tick(TimePoint now) {
   if (!in_flight_ && now >= next_) {
     send(now);
@@ -56,6 +62,7 @@
   switch (answer.status) {
     case StoreStatus::Done:
       revision_ = answer.object.revision;
+      renewed_revision_ = revision_;
       valid_until_ = sent + config_.lease;
       next_ = sent + config_.lease_renewal;
       return;
--- a/source/core/router/lease_keeper.h
+++ b/source/core/router/lease_keeper.h
@@ -26,6 +26,16 @@
   static LeaseRecord decode(const std::string& text);
 };
 
+/// What another node's process told of its lease.
+struct HeardLease {
+  /// Of the lease object that it rests on; 0: not told.
+  StoreRevision revision = 0;
+  /// It lasts until then at least, unless it is revoked.
+  TimePoint valid_until{};
+  /// It is over by then, by a clock that may run apart, unless the object has changed.
+  TimePoint over_by{};
+};
+
 /// Counts the lease from when the renewal was sent, so that the holder never believes in it longer than others do.
 class LeaseKeeper {
  public:
@@ -35,14 +45,16 @@
               std::function<void()> on_revoked);
 
   /// The node's process before this one had the lease for so long at least. There is one process of a node at a time,
-  /// so nobody can hold what the lease stands for until then but this one.
-  void inherit(TimePoint until) { valid_until_ = std::max(valid_until_, until); }
+  /// so nobody can hold what the lease stands for until then but this one. Counts until this process has renewed it.
+  void inherit(TimePoint until);
 
   /// Renews when it is time.
   void tick(TimePoint now);
 
   bool valid(TimePoint now) const { return now < valid_until_; }
   TimePoint validUntil() const { return valid_until_; }
+  /// @return revision of the lease object whose renewal by this process `validUntil` rests on; 0 when it rests on none.
+  StoreRevision renewedRevision() const { return renewed_revision_; }
 
  private:
   void send(TimePoint now);
@@ -55,6 +67,7 @@
   std::function<void()> on_revoked_;
   /// 0: not known, or the object does not exist.
   StoreRevision revision_ = 0;
+  StoreRevision renewed_revision_ = 0;
   std::uint64_t count_ = 0;
   bool in_flight_ = false;
   TimePoint next_{};
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -65,6 +65,8 @@
   void serverDead();
   /// The lease of this node's process before this one, as others know it.
   void inheritLease(TimePoint until) { lease_.inherit(until); }
+  /// Another node's process has told of its lease.
+  void noteLease(const NodeName& node, const HeardLease& lease) { takeover_.noteLease(node, lease); }
   /// It leaves, or this node stops: its keys go to others, in order. Holds until the next `serverUp`.
   void startDraining() { draining_ = true; }
 
@@ -111,6 +113,7 @@
 
   const TableWriter& tableWriter() const { return writer_; }
   TimePoint leaseUntil() const { return lease_.validUntil(); }
+  StoreRevision leaseRevision() const { return lease_.renewedRevision(); }
 
  private:
   static constexpr double kRefusedShare = 0.5;
--- a/source/core/router/takeover_watcher.cc
+++ b/source/core/router/takeover_watcher.cc
@@ -1,5 +1,6 @@
 #include "source/core/router/takeover_watcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shedlever {
@@ -21,6 +22,25 @@
   }
 }
 
+void TakeoverWatcher::noteLease(const NodeName& node, const HeardLease& lease) {
+  if (lease.revision == 0) {
+    return;
+  }
+  HeardLease& heard = heard_[node];
+  if (lease.revision > heard.revision) {
+    heard = lease;
+  } else if (lease.revision == heard.revision) {
+    heard.over_by = std::min(heard.over_by, lease.over_by);
+  }
+}
+
+TimePoint TakeoverWatcher::overBy(const NodeName& node, const Challenge& challenge) const {
+  const TimePoint by_own_count = challenge.read_at + config_.lease;
+  const auto heard = heard_.find(node);
+  const bool same = !challenge.absent && heard != heard_.end() && heard->second.revision == challenge.revision;
+  return same ? std::min(by_own_count, heard->second.over_by) : by_own_count;
+}
+
 void TakeoverWatcher::step(const NodeName& node, Challenge& challenge, Duration delay, TimePoint now) {
   if (now - challenge.since < config_.suspicion) {
     return;
@@ -30,7 +50,7 @@
     readLease(node);
     return;
   }
-  if (now - challenge.read_at >= config_.lease + config_.lease_margin + delay) {
+  if (now >= overBy(node, challenge) + config_.lease_margin + delay) {
     challenge.in_flight = true;
     revoke(node, challenge);
   }
--- a/source/core/router/takeover_watcher.h
+++ b/source/core/router/takeover_watcher.h
@@ -14,9 +14,9 @@
 
 namespace shedlever {
 
-/// Challenges a node only after its lease has stood unchanged for the whole lease on this process's own clock. The
-/// revocation is conditional on that unchanged revision: a renewal that arrives later fails, and one that arrives
-/// before makes the revocation fail.
+/// Challenges a node only after its lease is over: its object has stood unchanged for the whole lease on this process's
+/// own clock, or is still the one of which the node's process told when it ends. The revocation is conditional on that
+/// unchanged revision: a renewal that arrives later fails, and one that arrives before makes the revocation fail.
 class TakeoverWatcher {
  public:
   /// @param on_revoked the node's lease is revoked: its ranges may be given to others.
@@ -27,6 +27,9 @@
   /// @param delay further wait before this process takes from anyone.
   void tick(const std::set<NodeName>& suspects, Duration delay, TimePoint now);
 
+  /// A node's process has told of its lease.
+  void noteLease(const NodeName& node, const HeardLease& lease);
+
   /// The process stood still: what it saw before says nothing about the time between.
   void startAgain() { challenges_.clear(); }
 
@@ -41,6 +44,8 @@
     bool in_flight = false;
   };
 
+  /// @return when the lease of a node, as it was read, is over.
+  TimePoint overBy(const NodeName& node, const Challenge& challenge) const;
   void step(const NodeName& node, Challenge& challenge, Duration delay, TimePoint now);
   void readLease(const NodeName& node);
   void revoke(const NodeName& node, const Challenge& challenge);
@@ -51,6 +56,8 @@
   const Clock& clock_;
   std::function<void(const NodeName&)> on_revoked_;
   std::map<NodeName, Challenge> challenges_;
+  /// The newest lease that each node told of.
+  std::map<NodeName, HeardLease> heard_;
 };
 
 }  // namespace shedlever
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -59,17 +59,18 @@
 };
 
 /// The way from a node to its server.
+/// What is under way refers to the world and the node, never to this object: a restarted process has a new one.
 class OwnershipWorld::Orders final : public ServerOrders {
  public:
   Orders(OwnershipWorld& world, Node& node) : world_(world), node_(node) {}
 
   void grant(const GrantOrder& order, std::function<void(OrderStatus)> done) override {
-    const auto apply = [this, order](SimulatedServer& server, bool late) {
+    const auto apply = [&world = world_, order](SimulatedServer& server, bool late) {
       if (!server.grant(order, late)) {
         return OrderStatus::Superseded;
       }
       if (!late) {
-        world_.noteTake(server, order.first, order.last, order.token);
+        world.noteTake(server, order.first, order.last, order.token);
       }
       return OrderStatus::Done;
     };
@@ -107,8 +108,9 @@
       time.after(kOrderTimeout, [tell, no_answer] { tell(no_answer); });
       return;
     }
-    time.after(kLoopbackDelay,
-               [this, apply, server, tell, gone] { tell(node_.server == server ? apply(*server, false) : gone); });
+    time.after(kLoopbackDelay, [&node = node_, apply, server, tell, gone] {
+      tell(node.server == server ? apply(*server, false) : gone);
+    });
   }
 
   OwnershipWorld& world_;
@@ -294,6 +296,7 @@
     node.keeper->tick(time_.now());
     node.responder->check();
     spreadTable();
+    tellLease(node);
   }
   time_.after(kTick, [this, index, life] { tickNode(index, life); });
 }
@@ -337,6 +340,15 @@
   });
 }
 
+void OwnershipWorld::tellLease(const Node& from) {
+  const TimePoint until = from.keeper->leaseUntil();
+  for (const auto& to : nodes_) {
+    if (to->index != from.index && to->keeper && !to->paused) {
+      to->keeper->noteLease(from.record.node, {from.keeper->leaseRevision(), until, until});
+    }
+  }
+}
+
 void OwnershipWorld::run(Duration span) {
   time_.runFor(span, [this] { check(); });
 }
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -107,6 +107,8 @@
   void tellLoad(std::size_t node);
   void spreadRecords();
   void spreadTable();
+  /// Other live nodes hear of the node's lease, as from its replies.
+  void tellLease(const Node& from);
   void check();
   void noteTake(const SimulatedServer& server, Key first, Key last, FenceToken token);
   bool happens(double chance);
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -264,7 +264,7 @@
 }
 
 KnownRevisions ClusterKnowledge::seen() const {
-  return {config_watcher_.seen(), node_watcher_.seen(), tableRevision(own_service_), 0};
+  return {config_watcher_.seen(), node_watcher_.seen(), tableRevision(own_service_), 0, 0};
 }
 
 std::optional<ObjectCopy> ClusterKnowledge::ownTableNewerThan(StoreRevision known) const {
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -314,8 +314,10 @@
     return;
   }
   if (reply.known.lease_left_us > 0) {
-    // What was left when the reply was made, which was not before the request was sent.
-    events_.on_lease(node.mapped().node, node.mapped().sent_at + Duration(reply.known.lease_left_us));
+    // What was left when the reply was made: not before the request was sent, and not after the reply came.
+    const Duration left(reply.known.lease_left_us);
+    const HeardLease lease{reply.known.lease_revision, node.mapped().sent_at + left, clock_.now() + left};
+    events_.on_lease(node.mapped().node, lease);
   }
   node.mapped().done(std::move(reply));
 }
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/lease_keeper.h"
 #include "source/core/router/server_directory.h"
 #include "source/net/message_stream.h"
 #include "source/router/server_gate.h"
@@ -29,8 +30,8 @@
     std::function<void(const NodeName&, bool reachable)> on_reachable;
     /// The node's process has just started and knows nothing.
     std::function<void(const NodeName&)> on_state_wanted;
-    /// The node's process has its lease until then at least.
-    std::function<void(const NodeName&, TimePoint until)> on_lease;
+    /// The node's process has told of its lease.
+    std::function<void(const NodeName&, const HeardLease&)> on_lease;
     /// A node has told its service's owner table, which it was asked for.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
   };
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -47,7 +47,12 @@
                   links_.tell(node, *state);
                 }
               },
-              [this](const NodeName& node, TimePoint until) { knowledge_.noteLease(node, until); },
+              [this](const NodeName& node, const HeardLease& lease) {
+                knowledge_.noteLease(node, lease.valid_until);
+                if (keeper_) {
+                  keeper_->noteLease(node, lease);
+                }
+              },
               [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); }}),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
@@ -259,6 +264,7 @@
   const TimePoint now = clock_.now();
   if (keeper_ && keeper_->leaseUntil() > now) {
     revisions.lease_left_us = (keeper_->leaseUntil() - now).count();
+    revisions.lease_revision = keeper_->leaseRevision();
   }
   return revisions;
 }
--- /dev/null
+++ b/test/core_router/takeover_watcher_test.cc
@@ -0,0 +1,108 @@
+/// @file
+/// When the lease of a silent owner counts as over.
+
+#include "source/core/router/takeover_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include "test/support/scripted_store.h"
+#include "test/support/set_clock.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class TakeoverWatcherTest : public ::testing::Test {
+ protected:
+  /// The node has been silent long enough; its lease object is read at that revision.
+  void readLeaseAt(StoreRevision revision) {
+    tick();
+    clock_.advance(config_.suspicion);
+    tick();
+    ASSERT_EQ(store_.gets.size(), 1U);
+    const LeaseRecord record{Incarnation{1}, 1, false};
+    store_.gets.back().done({StoreStatus::Done, {node_.value, revision, record.encode()}});
+  }
+
+  void tick() { watcher_.tick({node_}, Duration::zero(), clock_.now()); }
+
+  bool revokesAfter(Duration span) {
+    clock_.advance(span);
+    tick();
+    return !store_.replaces.empty();
+  }
+
+  const NodeName node_{"silent"};
+  OwnershipConfig config_;
+  ScriptedStore store_;
+  SetClock clock_;
+  TakeoverWatcher watcher_{config_, store_, clock_, [](const NodeName&) {}};
+};
+
+TEST_F(TakeoverWatcherTest, LeaseOfWhichNothingWasToldIsCountedFromWhenItWasRead) {
+  readLeaseAt(7);
+  EXPECT_FALSE(revokesAfter(config_.lease + config_.lease_margin - milliseconds(1)));
+  EXPECT_TRUE(revokesAfter(milliseconds(1)));
+}
+
+// Seen on the bench: an owner went for good while the store was down for all; its keys stayed without service for 16 s.
+TEST_F(TakeoverWatcherTest, LeaseIsOverWhenItsHolderSaidSoIfItStillStands) {
+  const TimePoint end = clock_.now() + seconds(3);
+  watcher_.noteLease(node_, {7, end, end});
+  readLeaseAt(7);
+  EXPECT_FALSE(revokesAfter(end + config_.lease_margin - milliseconds(1) - clock_.now()));
+  EXPECT_TRUE(revokesAfter(milliseconds(1)));
+  EXPECT_EQ(store_.replaces.back().object.revision, 7U);
+}
+
+TEST_F(TakeoverWatcherTest, RenewalThatWasNotHeardOfCountsInFull) {
+  const TimePoint end = clock_.now() + seconds(3);
+  watcher_.noteLease(node_, {7, end, end});
+  readLeaseAt(8);
+  EXPECT_FALSE(revokesAfter(config_.lease + config_.lease_margin - milliseconds(1)));
+  EXPECT_TRUE(revokesAfter(milliseconds(1)));
+}
+
+TEST_F(TakeoverWatcherTest, WhatIsHeardLateOfAnEarlierRenewalIsForgotten) {
+  const TimePoint end = clock_.now() + seconds(6);
+  watcher_.noteLease(node_, {8, end, end});
+  watcher_.noteLease(node_, {7, end - seconds(4), end - seconds(4)});
+  readLeaseAt(8);
+  EXPECT_FALSE(revokesAfter(end + config_.lease_margin - milliseconds(1) - clock_.now()));
+  EXPECT_TRUE(revokesAfter(milliseconds(1)));
+}
+
+class LeaseKeeperTest : public ::testing::Test {
+ protected:
+  OwnershipConfig config_;
+  ScriptedStore store_;
+  SetClock clock_;
+  LeaseKeeper lease_{{NodeName("self"), Incarnation{3}}, config_, store_, clock_, [] {}};
+};
+
+TEST_F(LeaseKeeperTest, OnlyARenewalOfThisProcessIsTold) {
+  lease_.inherit(clock_.now() + seconds(5));
+  lease_.tick(clock_.now());
+  ASSERT_EQ(store_.creates.size(), 1U);
+  const LeaseRecord earlier{Incarnation{2}, 9, false};
+  store_.creates.back().done({StoreStatus::Conflict, {"self", 11, earlier.encode()}});
+  EXPECT_EQ(lease_.renewedRevision(), 0U);
+  lease_.tick(clock_.now());
+  ASSERT_EQ(store_.replaces.size(), 1U);
+  store_.replaces.back().done({StoreStatus::Done, {"self", 12, "{}"}});
+  EXPECT_EQ(lease_.renewedRevision(), 12U);
+}
+
+// Others may have been told when it ends: it must not grow without a change of the object.
+TEST_F(LeaseKeeperTest, RenewedLeaseDoesNotGrowByWhatPeersTell) {
+  lease_.tick(clock_.now());
+  const TimePoint sent = clock_.now();
+  store_.creates.back().done({StoreStatus::Done, {"self", 4, "{}"}});
+  lease_.inherit(sent + config_.lease + seconds(5));
+  EXPECT_EQ(lease_.validUntil(), sent + config_.lease);
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/router/cluster_knowledge_test.cc
+++ b/test/router/cluster_knowledge_test.cc
@@ -8,6 +8,7 @@
 
 #include "source/net/system_sources.h"
 #include "test/support/scripted_store.h"
+#include "test/support/set_clock.h"
 
 namespace shedlever::test {
 namespace {
@@ -21,15 +22,6 @@
   leaf::result<RouterConfig> decode(const ObjectsByName&) const override { return RouterConfig{}; }
 };
 
-class SetClock final : public Clock {
- public:
-  TimePoint now() const override { return now_; }
-  void advance(Duration span) { now_ += span; }
-
- private:
-  TimePoint now_{std::chrono::seconds(100)};
-};
-
 class ClusterKnowledgeTest : public ::testing::Test {
  protected:
   ClusterKnowledgeTest() {
@@ -48,7 +40,7 @@
     return events;
   }
 
-  static KnownRevisions withTable(StoreRevision revision) { return {0, 0, revision, 0}; }
+  static KnownRevisions withTable(StoreRevision revision) { return {0, 0, revision, 0, 0}; }
 
   ObjectCopy tableAt(StoreRevision revision) const {
     const OwnerTable table = OwnerTable::divide({{InstanceId("i-1"), owner_}});
--- /dev/null
+++ b/test/support/set_clock.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/// @file
+/// A clock that stands still until the test sets it on.
+
+#include "shedlever/time.h"
+
+namespace shedlever::test {
+
+class SetClock final : public Clock {
+ public:
+  TimePoint now() const override { return now_; }
+  void advance(Duration span) { now_ += span; }
+
+ private:
+  TimePoint now_{std::chrono::seconds(100)};
+};
+
+}  // namespace shedlever::test
