--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -12,7 +12,12 @@
 
 /// Between two answers of a watch that both brought changes: each costs every node a call.
 constexpr Duration kNodePause = std::chrono::milliseconds(800);
-constexpr Duration kConfigPause = std::chrono::milliseconds(300);
+constexpr Duration kConfigPause = std::chrono::milliseconds(800);
+/// Once a process knows the nodes that started with it: for each node, so that all together look 25 times a second.
+/// What is not known yet of a server is told by the refusals of its node.
+constexpr Duration kNodePauseEach = std::chrono::milliseconds(40);
+/// All machines start within a second; their servers report within two more.
+constexpr Duration kStartTime = std::chrono::seconds(6);
 /// Between two questions for a service's owner table. Refusals tell the next owner of single keys meanwhile.
 constexpr Duration kTableQuestionPause = std::chrono::seconds(1);
 /// Time for the answer, over a stream that exists; the longest way on a deployment is some 50 ms.
@@ -48,7 +53,8 @@
                         *ports_.log, "membership",
                         [this](const MetadataObject& object, bool deleted) { onSharedObject(object, deleted); },
                         [this] { onListed(nodes_listed_); })),
-      table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, ListTimes{}, pollerEvents()) {}
+      table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, ListTimes{}, pollerEvents()),
+      started_(ports_.clock->now()) {}
 
 KindPoller::Events ClusterKnowledge::pollerEvents() {
   return {[this](const MetadataObject& object) { onSharedObject(object, false); },
@@ -155,9 +161,17 @@
     ports_.directory->update(*record);
   }
   events_.on_nodes();
+  paceNodeWatch();
   table_poller_.plan();
 }
 
+void ClusterKnowledge::paceNodeWatch() {
+  if (ports_.clock->now() - started_ >= kStartTime) {
+    const auto nodes = static_cast<int>(ports_.directory->nodes().size());
+    node_watcher_.setPause(std::max(kNodePause, kNodePauseEach * nodes));
+  }
+}
+
 bool ClusterKnowledge::isMissingTables() const {
   if (!routes_) {
     return false;
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -99,6 +99,8 @@
   void adopt(RouterConfig config);
   void onSharedObject(const MetadataObject& object, bool deleted);
   void onNodeObject(const MetadataObject& object, bool deleted);
+  /// The more nodes there are, the longer each waits between two looks at their records.
+  void paceNodeWatch();
   void onTableObject(const MetadataObject& object);
   void onListed(bool& list);
   const TableWriter* tableOf(const ServiceName& service) const;
@@ -117,6 +119,7 @@
   KindWatcher config_watcher_;
   KindWatcher node_watcher_;
   KindPoller table_poller_;
+  TimePoint started_;
   std::shared_ptr<const RouteTable> routes_;
   bool nodes_listed_ = false;
   bool tables_listed_ = false;
--- a/source/router/cluster_view.h
+++ b/source/router/cluster_view.h
@@ -42,6 +42,9 @@
 
   void start() { list(); }
 
+  /// Changes the pause from the next answer on.
+  void setPause(Duration pause) { pause_ = pause; }
+
   /// Another process has seen an object of this kind with that revision: if this one does not hear of it soon, its
   /// watch is not to be trusted, and the kind is listed anew.
   void onSeenElsewhere(StoreRevision revision);
