What is expected of keys that came a moment ago stands in a class of its own

Change: GainedKeys (core, tests on virtual time); the keeper asks it. The memory is told in half-lives. No decision changes: 10 s before, ten half-lives of 1 s now.

--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -10,8 +10,6 @@
 
 /// Hot keys change within seconds; measured against 2 s and 0.6 s (docs/ROUNDS.md).
 constexpr Duration kWorkHalfLife = std::chrono::seconds(1);
-/// After which what a giver saw of keys counts for nothing: ten half-lives.
-constexpr Duration kGainMemory = std::chrono::seconds(10);
 
 std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
 
@@ -25,12 +23,13 @@
       ports_(std::move(ports)),
       writer_(service_, *ports_.store,
               [this] {
-                noteGains();
+                gains_.note(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeFrom(node); }),
       meter_(kWorkHalfLife),
+      gains_(kWorkHalfLife),
       planner_(meter_, config_) {
   if (config_.grants == GrantForm::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
@@ -272,7 +271,7 @@
   }
   last_tick_ = now;
   writer_.tick(now);
-  request_rate_ = expectedRate(now);
+  request_rate_ = gains_.expectedRate(now);
   for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
     request_rate_ += meter_.rate(range.keys, now);
   }
@@ -472,7 +471,8 @@
   BalanceView view;
   view.owned = owned;
   // Where the work lies in ranges that came a moment ago is not known yet.
-  std::erase_if(view.owned, [&](const OwnedRange& range) { return isYoung(range.keys, now); });
+  std::erase_if(view.owned,
+                [&](const OwnedRange& range) { return gains_.cameWithin(config_.gain_settle, range.keys, now); });
   view.own = work_;
   for (const OwnerPlace& place : targets(now)) {
     const ServerLoad* load = ports_.directory->load(place.node, now);
@@ -493,35 +493,6 @@
   return static_cast<std::uint32_t>(std::lround(std::max(meter_.rate(keys, now), 0.0)));
 }
 
-void OwnershipKeeper::noteGains() {
-  const TimePoint now = ports_.clock->now();
-  std::erase_if(gains_, [now](const Gain& gain) { return now - gain.at > kGainMemory; });
-  FenceToken newest = newest_token_;
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    if (range.rate != 0 && range.token > newest_token_) {
-      gains_.push_back({range.keys, static_cast<double>(range.rate), now});
-    }
-    newest = std::max(newest, range.token);
-  }
-  newest_token_ = newest;
-}
-
-bool OwnershipKeeper::isYoung(const KeySpan& keys, TimePoint now) const {
-  return std::any_of(gains_.begin(), gains_.end(), [&](const Gain& gain) {
-    return now - gain.at < config_.gain_settle && gain.keys.first <= keys.last && keys.first <= gain.keys.last;
-  });
-}
-
-/// As the meter sees more of the new keys' requests, what the giver saw counts less.
-double OwnershipKeeper::expectedRate(TimePoint now) const {
-  double rate = 0;
-  for (const Gain& gain : gains_) {
-    const auto half_lives = std::chrono::duration<double>(now - gain.at) / kWorkHalfLife;
-    rate += gain.rate * std::exp2(-half_lives);
-  }
-  return rate;
-}
-
 double OwnershipKeeper::loadOf(const OwnerPlace& place, TimePoint now) const {
   // A server without keys is idle, whatever its last replies said.
   const bool owns = !writer_.table().ownedBy(place.instance).empty();
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -13,6 +13,7 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_orders.h"
 #include "source/core/router/balance_planner.h"
+#include "source/core/router/gained_keys.h"
 #include "source/core/router/heartbeat_grants.h"
 #include "source/core/router/key_meter.h"
 #include "source/core/router/lease_keeper.h"
@@ -129,14 +130,6 @@
   };
 
   GrantChannel::Events grantEvents();
-  /// Keys that another owner has given to this node's server.
-  struct Gain {
-    KeySpan keys;
-    /// Requests a second that the giver saw.
-    double rate = 0;
-    TimePoint at{};
-  };
-
   bool hasServer() const { return !instance_.empty(); }
   bool tableIsRead() const { return !ports_.table_read || ports_.table_read(); }
   std::vector<OwnedRange> grantable() const;
@@ -159,10 +152,6 @@
   void balance(TimePoint now);
   BalanceView balanceView(const std::vector<OwnedRange>& owned, TimePoint now) const;
   std::uint32_t rateOf(const KeySpan& keys, TimePoint now) const;
-  /// Notes which ranges this node has got from others, and what those saw of them.
-  void noteGains();
-  bool isYoung(const KeySpan& keys, TimePoint now) const;
-  double expectedRate(TimePoint now) const;
   double loadOf(const OwnerPlace& place, TimePoint now) const;
   void joinRanges();
 
@@ -187,6 +176,7 @@
   HeartbeatGrants* heartbeats_ = nullptr;
   TakeoverWatcher takeover_;
   KeyMeter meter_;
+  GainedKeys gains_;
   BalancePlanner planner_;
 
   /// Empty while no server runs here.
@@ -198,9 +188,6 @@
   TimePoint next_balance_{};
   OfferedWork work_;
   double request_rate_ = 0;
-  std::vector<Gain> gains_;
-  /// Token of the newest range that was looked at for gains.
-  FenceToken newest_token_ = 0;
   double failing_ = 0;
 
   bool draining_ = false;
