Questions for owner tables are named as what they are

Reading the diff: a field of the record was never read, and its name spoke of tables where it holds the last question.

--- a/source/core/router/gained_keys.h
+++ b/source/core/router/gained_keys.h
@@ -10,7 +10,8 @@
 
 namespace shedlever {
 
-/// An owner sees how often its new keys are asked for only after a while. Until then what their giver saw stands for it.
+/// An owner sees how often its new keys are asked for only after a while. Until then what their giver saw stands for
+/// it.
 class GainedKeys {
  public:
   /// @param half_life of the meter that sees the keys' requests: as it sees more, what the giver saw counts less.
--- a/source/core/router/list_schedule.h
+++ b/source/core/router/list_schedule.h
@@ -3,6 +3,8 @@
 /// @file
 /// When a kind of objects is to be listed again.
 
+#include <cstdint>
+
 #include "shedlever/time.h"
 #include "source/core/router/retry_backoff.h"
 
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -188,7 +188,7 @@
   if (isMissingTables()) {
     return ListNeed::Missing;
   }
-  const bool newer = std::any_of(newer_tables_.begin(), newer_tables_.end(), [this](const auto& entry) {
+  const bool newer = std::any_of(table_questions_.begin(), table_questions_.end(), [this](const auto& entry) {
     return entry.second.not_told > tableRevision(entry.first);
   });
   return newer ? ListNeed::Newer : ListNeed::Nothing;
@@ -261,17 +261,16 @@
 }
 
 void ClusterKnowledge::onNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision) {
-  NewerTable& newer = newer_tables_[service];
-  newer.revision = std::max(newer.revision, revision);
+  TableQuestion& question = table_questions_[service];
   const TimePoint now = ports_.clock->now();
-  if (newer.asked_at != TimePoint{} && now - newer.asked_at < kTableQuestionPause) {
+  if (question.asked_at != TimePoint{} && now - question.asked_at < kTableQuestionPause) {
     return;
   }
-  newer.asked_at = now;
+  question.asked_at = now;
   events_.ask_table(node, tableRevision(service));
   ports_.loop->runAfter(kTableAnswerLimit, [this, alive = alive_, service, asked = revision] {
     if (*alive) {
-      newer_tables_[service].not_told = asked;
+      table_questions_[service].not_told = asked;
       table_poller_.plan();
     }
   });
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -109,7 +109,7 @@
   /// @return what owner tables are lacking.
   ListNeed tableNeed() const;
   StoreRevision tableRevision(const ServiceName& service) const;
-  /// Notes that there is a newer table, and asks the process that has it; the store only if that does not answer.
+  /// Asks the process that has a newer table, at most now and then; the store only if that does not answer.
   void onNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision);
 
   NodeName self_;
@@ -134,14 +134,13 @@
   /// Tables of other services than this node's.
   std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
   const TableWriter* own_table_ = nullptr;
-  /// A newer owner table that another process has told of.
-  struct NewerTable {
-    StoreRevision revision = 0;
+  /// The last question for a service's owner table.
+  struct TableQuestion {
     TimePoint asked_at{};
     /// The process did not answer with a table of this revision: the store is asked. 0: it has time left, or did.
     StoreRevision not_told = 0;
   };
-  std::map<ServiceName, NewerTable> newer_tables_;
+  std::map<ServiceName, TableQuestion> table_questions_;
   std::map<ServiceName, OwnerView> views_;
   std::map<NodeName, TimePoint> lease_ends_;
   /// Set to false by the destructor, for timers.
