A leaving server that refuses connections is not taken for dead while its heartbeats tell of keys

Its log: 22.939 draining, 23.516 server gone (a refused connection), at once dead server's ranges given away, 24.121 a heartbeat of the same life that reports four ranges; the server ended at 24.370. So it takes no connections any more while it ends its work. Change: where heartbeats tell of keys, a refused connection proves the end of a server that does not leave; a leaving one hands its keys over as its heartbeats say, or they lapse. Decided in ServerPresence, with a test.

--- a/source/core/router/server_presence.h
+++ b/source/core/router/server_presence.h
@@ -42,6 +42,11 @@
   /// Empty while no server runs.
   const InstanceId& instance() const { return instance_; }
   std::uint32_t slots() const { return slots_; }
+  /// @param reports_keys its heartbeats tell which keys it holds.
+  /// @return whether a refused connection proves that it has ended. A leaving server may take no connections any more
+  ///   while it still works and holds keys; what it holds is then told by its heartbeats alone.
+  bool refusalProvesEnd(bool reports_keys) const { return !(draining_ && reports_keys); }
+
   bool draining() const { return draining_; }
   bool silent() const { return silent_; }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -398,7 +398,8 @@
 }
 
 void RouterProcess::onServerGone() {
-  if (server_.instance().empty()) {
+  const bool reports_keys = keeper_ && settings_.ownership.grants == GrantForm::Heartbeat;
+  if (server_.instance().empty() || !server_.refusalProvesEnd(reports_keys)) {
     return;
   }
   log_.write("server", "gone", {{"instance", server_.instance().value}});
--- a/test/core_router/server_presence_test.cc
+++ b/test/core_router/server_presence_test.cc
@@ -68,5 +68,14 @@
   EXPECT_EQ(presence_.onReport(report("i-2", 1)), PresenceChange::NewLife);
 }
 
+// Seen on the bench (krathong-bkk, scale-2): a server refused connections 0.6 s after it had said that it leaves. It
+// was taken for dead and its keys were given away, while it worked and held them for 0.9 s more.
+TEST_F(ServerPresenceTest, LeavingServerThatRefusesConnectionsMayStillHoldKeys) {
+  EXPECT_TRUE(presence_.refusalProvesEnd(true));
+  presence_.startDraining();
+  EXPECT_FALSE(presence_.refusalProvesEnd(true));
+  EXPECT_TRUE(presence_.refusalProvesEnd(false));
+}
+
 }  // namespace
 }  // namespace shedlever::test
