A refusal never says not run of a request of which an attempt has run, or may have

Cause: an idempotent request whose first attempt ended with an unknown outcome, or with the server's own error, was tried again; if that attempt was refused, no server was left, or its key's owner was away, the client got a 503, which says that nothing has run. Change: the gateway keeps why an attempt's outcome is unknown, and a whole answer that it did not pass on. Every way to a refusal asks both first: the answer is delivered, else the request ends as unknown. A claim of an idempotency key ends as unknown alike.

--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -225,16 +225,21 @@
   if (reply.reached_server || reply.outcome == ForwardOutcome::Answered) {
     ++request.reached;
   }
+  if (reply.outcome == ForwardOutcome::Unknown) {
+    request.unknown_reason = reply.reason;
+  }
   const AttemptState state{request.route, request.service, request.keyed, request.reached, request.deadline - now};
   const NextStep step = policy_.decide(state, reply);
   request.last_reason = reply.reason;
   switch (step) {
     case NextStep::Answer:
-      ports_.protocol->complete(reply.http, request.id);
-      finish(number, std::move(reply.http), "answered", ClaimEnd::Answered);
+      answer(number, std::move(reply.http));
       return;
     case NextStep::TryAnother:
       recorder_.attemptEnded(request, reply, step, inputsOf(request));
+      if (reply.outcome == ForwardOutcome::Answered) {
+        request.earlier_answer = std::move(reply.http);
+      }
       request.tried.insert(request.attempt.instance);
       dispatch(number);
       return;
@@ -321,6 +326,9 @@
 }
 
 void Gateway::refuseFor(RequestNumber number, Reason reason, Duration retry_after) {
+  if (endAsRun(number)) {
+    return;
+  }
   const Request& request = requests_.at(number);
   const TimePoint now = ports_.clock->now();
   const Duration time_left = request.info.time_left.value_or(request.route->timeout) - (now - request.arrived);
@@ -328,9 +336,27 @@
   finish(number, ports_.protocol->refusal(refusal), "refused", ClaimEnd::NotRun);
 }
 
+bool Gateway::endAsRun(RequestNumber number) {
+  const Request& request = requests_.at(number);
+  if (!request.earlier_answer && !request.unknown_reason) {
+    return false;
+  }
+  fail(number, request.unknown_reason.value_or(request.last_reason));
+  return true;
+}
+
+void Gateway::answer(RequestNumber number, HttpResponse response) {
+  ports_.protocol->complete(response, requests_.at(number).id);
+  finish(number, std::move(response), "answered", ClaimEnd::Answered);
+}
+
 void Gateway::fail(RequestNumber number, ForwardReason reason) {
   Request& request = requests_.at(number);
   request.last_reason = reason;
+  if (request.earlier_answer) {
+    answer(number, std::move(*request.earlier_answer));
+    return;
+  }
   const Refusal refusal{request.id, Outcome::Unknown, reasonOf(reason), {}};
   finish(number, ports_.protocol->refusal(refusal), "failed", ClaimEnd::Unknown);
 }
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -86,6 +86,10 @@
   void refuse(RequestNumber number, ForwardReason reason, Duration retry_after);
   void refuseFor(RequestNumber number, Reason reason, Duration retry_after);
   void fail(RequestNumber number, ForwardReason reason);
+  /// Ends a request of which an attempt has run, or may have: a refusal would say that none has.
+  /// @return whether it was such a request.
+  bool endAsRun(RequestNumber number);
+  void answer(RequestNumber number, HttpResponse response);
   void onDeadline(RequestNumber number);
   void onClientGone(RequestNumber number);
   void cancelAttempt(Request& request);
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "shedlever/platform_ports.h"
@@ -52,6 +53,10 @@
   /// Zero while it does not wait for it.
   TimePoint parked_since{};
   ForwardReason last_reason = ForwardReason::None;
+  /// Why the outcome of an attempt is unknown; none while every attempt that has ended is known to have run or not.
+  std::optional<ForwardReason> unknown_reason;
+  /// The server's whole answer to an earlier attempt, an error, after which another server was tried.
+  std::optional<HttpResponse> earlier_answer;
   TimerId timer = 0;
 };
 
--- /dev/null
+++ b/test/router/gateway_test.cc
@@ -0,0 +1,193 @@
+/// @file
+/// What a client is told at the end of a request that was tried more than once. "Not run" must be true of all attempts.
+
+#include "source/router/gateway.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+
+#include "platform/client_protocol.h"
+#include "source/lab/sim/ownership_world.h"
+#include "source/net/http_headers.h"
+#include "source/net/system_sources.h"
+#include "test/support/fake_peer.h"
+#include "test/support/http_call.h"
+
+namespace shedlever::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+ForwardReplyFrame reply(ForwardOutcome outcome, ForwardReason reason, bool reached) {
+  ForwardReplyFrame frame;
+  frame.outcome = outcome;
+  frame.reason = reason;
+  frame.reached_server = reached;
+  return frame;
+}
+
+ForwardReplyFrame unknown() { return reply(ForwardOutcome::Unknown, ForwardReason::ConnectionLost, true); }
+
+ForwardReplyFrame refused() {
+  ForwardReplyFrame frame = reply(ForwardOutcome::NotRun, ForwardReason::Overloaded, false);
+  frame.retry_after_us = Duration(milliseconds(200)).count();
+  return frame;
+}
+
+ForwardReplyFrame answered(int status, const std::string& body) {
+  ForwardReplyFrame frame = reply(ForwardOutcome::Answered, ForwardReason::None, true);
+  frame.http = {status, {}, body};
+  return frame;
+}
+
+/// Two servers of a service without keys, whose processes answer each attempt in turn as the test says.
+class GatewayTest : public ::testing::Test {
+ protected:
+  GatewayTest()
+      : log_(loop_, clock_, open("/dev/null", O_WRONLY | O_CLOEXEC)),
+        directory_(self_.name, ZoneName("z"), {}, random_),
+        links_(loop_, clock_, self_, directory_,
+               {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
+                [](const OwnerTableFrame&) {}}),
+        gateway_(self_, ServiceName("own"), {1.0, 100}, ports()) {
+    RouterConfig config;
+    config.version = 1;
+    config.services[service_] = {service_, "/health", 100, false, nullptr};
+    config.routes.push_back(route());
+    gateway_.setConfig(std::make_shared<const RouteTable>(std::move(config)));
+    auto clients = StrictHttpServer::listen(
+        loop_, kAnyLoopbackPort, {},
+        [this](HttpRequest request, const HttpReplier& replier) { gateway_.handle(std::move(request), replier); });
+    clients_ = std::move(clients.value());
+    for (FakePeer* peer : {&first_, &second_}) {
+      peer->on_forward = [this](const ForwardFrame&) { return nextAnswer(); };
+    }
+    know(first_, "node-1");
+    know(second_, "node-2");
+  }
+
+  Route route() const {
+    Route route;
+    route.name = "read";
+    route.path_prefix = "/read/";
+    route.kind = RouteKind::Idempotent;
+    route.target_latency = seconds(2);
+    route.max_attempts = 3;
+    route.shares.push_back({service_, 1});
+    return route;
+  }
+
+  GatewayDependencies ports() {
+    GatewayDependencies ports;
+    ports.loop = &loop_;
+    ports.clock = &clock_;
+    ports.random = &random_;
+    ports.protocol = &protocol_;
+    ports.directory = &directory_;
+    ports.links = &links_;
+    ports.log = &log_;
+    ports.metrics = &metrics_;
+    ports.owner_of = [](const ServiceName&, Key) { return KeyOwner{}; };
+    ports.on_hint = [](const ServiceName&, const OwnerHint&) {};
+    ports.on_known = [](const NodeName&, const ServiceName&, const KnownRevisions&) {};
+    return ports;
+  }
+
+  void know(const FakePeer& peer, const std::string& name) {
+    NodeRecord record;
+    record.node = NodeName(name);
+    record.peer = peer.endpoint();
+    record.zone = ZoneName("z");
+    record.service = service_;
+    record.instance = InstanceId("i-" + name);
+    record.slots = 4;
+    directory_.update(record);
+  }
+
+  std::optional<ForwardReplyFrame> nextAnswer() {
+    if (next_ == answers_.size()) {
+      return std::nullopt;
+    }
+    return answers_[next_++];
+  }
+
+  /// @param answers to the attempts, in their order; attempts after the last one stay without an answer.
+  HttpResponse ask(std::vector<ForwardReplyFrame> answers, Duration deadline = seconds(10)) {
+    answers_ = std::move(answers);
+    next_ = 0;
+    const auto deadline_ms = std::chrono::floor<milliseconds>(deadline).count();
+    const auto response = httpCall(
+        loop_, clients_->endpoint(),
+        {"GET", "/read/x", {{"Host", "h"}, {"X-Request-Deadline", std::to_string(deadline_ms)}}, {}}, kTestCap);
+    EXPECT_TRUE(response.has_value());
+    return response.value_or(HttpResponse{});
+  }
+
+  static bool saysWhenToComeBack(const HttpResponse& response) {
+    return !headerValue(response.headers, "Retry-After").empty();
+  }
+
+  const NodeIdentity self_{NodeName("self"), Incarnation{1}};
+  const ServiceName service_{"reads"};
+  EventLoop loop_;
+  BootClockImpl clock_;
+  sim::SeededRandom random_{1};
+  EventLog log_;
+  RouterMetrics metrics_;
+  platform::ClientProtocolImpl protocol_;
+  ServerDirectory directory_;
+  PeerLinks links_;
+  Gateway gateway_;
+  std::unique_ptr<StrictHttpServer> clients_;
+  FakePeer first_{loop_, {NodeName("node-1"), Incarnation{1}}};
+  FakePeer second_{loop_, {NodeName("node-2"), Incarnation{1}}};
+  std::vector<ForwardReplyFrame> answers_;
+  std::size_t next_ = 0;
+};
+
+TEST_F(GatewayTest, RequestThatNoAttemptHasRunIsRefusedWithATimeToComeBack) {
+  const HttpResponse response = ask({refused(), refused()});
+  EXPECT_EQ(response.status, kUnavailable);
+  EXPECT_TRUE(saysWhenToComeBack(response));
+}
+
+// The first attempt may have run: a refusal of the second one says nothing about it.
+TEST_F(GatewayTest, RefusalAfterAnAttemptOfUnknownOutcomeDoesNotSayNotRun) {
+  const HttpResponse response = ask({unknown(), refused()});
+  EXPECT_EQ(response.status, kBadGateway);
+  EXPECT_FALSE(saysWhenToComeBack(response));
+}
+
+TEST_F(GatewayTest, NoServerLeftAfterAnAttemptOfUnknownOutcomeDoesNotSayNotRun) {
+  directory_.remove(NodeName("node-2"));
+  EXPECT_EQ(ask({unknown()}).status, kBadGateway);
+}
+
+TEST_F(GatewayTest, TimeOverAfterAnAttemptOfUnknownOutcomeDoesNotSayNotRun) {
+  EXPECT_EQ(ask({unknown()}, milliseconds(700)).status, kGatewayTimeout);
+}
+
+// It has run, and its answer is there.
+TEST_F(GatewayTest, ServersOwnErrorIsDeliveredIfNoFurtherAttemptIsServed) {
+  const HttpResponse response = ask({answered(500, "broken here"), refused()});
+  EXPECT_EQ(response.status, 500);
+  EXPECT_EQ(response.body, "broken here");
+}
+
+TEST_F(GatewayTest, ServersOwnErrorIsDeliveredIfTheNextAttemptsOutcomeIsUnknown) {
+  EXPECT_EQ(ask({answered(500, "broken here"), unknown()}).status, 500);
+}
+
+TEST_F(GatewayTest, LaterAnswerCountsAfterAnAttemptOfUnknownOutcome) {
+  const HttpResponse response = ask({unknown(), answered(200, "here")});
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(response.body, "here");
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -4,7 +4,9 @@
 /// The other end of streams between routers, with an identity and a behaviour that the test decides.
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -39,6 +41,8 @@
   std::size_t store_calls = 0;
   std::size_t forwards = 0;
   std::size_t settles = 0;
+  /// Answers requests; none, or no function: the request stays without an answer.
+  std::function<std::optional<ForwardReplyFrame>(const ForwardFrame&)> on_forward;
 
  private:
   struct Stream final : public MessageStreamCallbacks {
@@ -55,12 +59,21 @@
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
         stream.send(encodeRouterFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}}));
-      } else if (std::holds_alternative<ForwardFrame>(frame)) {
+      } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
         ++peer.forwards;
+        answer(*forward);
       }
     }
     void onEnd() override {}
 
+    void answer(const ForwardFrame& forward) {
+      std::optional<ForwardReplyFrame> reply = peer.on_forward ? peer.on_forward(forward) : std::nullopt;
+      if (reply) {
+        reply->exchange = forward.exchange;
+        stream.send(encodeRouterFrame(std::move(*reply)));
+      }
+    }
+
     FakePeer& peer;
     MessageStream stream;
   };
