Processes tell each other of changes in the store; calls are counted by kind, verb and end

Ruled out: longer pauses and fewer checks (a change is to be in force in time); hints in replies alone (they are there; at 194 machines too few requests pass between any two); following by agreement or lease (nothing promised rests on who tells whom). Change: one process watches, the first of each other zone follows it, the rest follow the first of their zone (RelayOrder, ranked by zone and name without agreement). A follower asks once and is told all changes, objects in full from its own position on, and twice a second how new that is. How old what it knows may be stays with each: time counts from its own question, cut by clock drift, so that a relay that is frozen, or a path that holds things up, makes news older and never newer; above its limit it asks the store. A silent or stale relay is left for the next. A process that starts reads the node list and is told the rest. Store calls carry what they do and to which kind; a counter by kind, verb and end, and a line of counts each 5 s, show them.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -342,6 +342,69 @@
   }
 };
 
+/// An object of the store as it stands, or its deletion.
+struct ObjectNews {
+  ObjectCopy object;
+  bool deleted = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(object, deleted);
+  }
+};
+
+/// All that has changed of a kind of objects.
+struct KindUpdate {
+  KindNews news;
+  /// The store's revision behind which no change is left out.
+  std::uint64_t after = 0;
+  std::vector<ObjectNews> objects;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(news, after, objects);
+  }
+};
+
+/// The store's revisions up to which a process has seen all changes; 0: it knows nothing.
+struct NewsPosition {
+  std::uint64_t config = 0;
+  std::uint64_t nodes = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(config, nodes);
+  }
+};
+
+/// Asks a process to tell all changes from now on, for as long as the stream lives.
+struct NewsQuestionFrame {
+  /// Rises with each question of the sender.
+  std::uint64_t number = 0;
+  NewsPosition known;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number, known);
+  }
+};
+
+/// What has changed in the store since the last one of these on the stream, and how new that is.
+struct NewsFrame {
+  /// The last question that the sender has read on the stream ...
+  std::uint64_t question = 0;
+  /// ... and how long before this frame was made. So who asked knows a time before which it was not made, however long
+  /// it was on its way.
+  Duration::rep since_question_us = 0;
+  KindUpdate config;
+  KindUpdate nodes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(question, since_question_us, config, nodes);
+  }
+};
+
 /// Asks whether the other process is there; answered at once with `PongFrame`.
 struct PingFrame {
   template <class Archive>
@@ -355,6 +418,7 @@
 
 using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
                                  SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
-                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame>;
+                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame, NewsQuestionFrame,
+                                 NewsFrame>;
 
 }  // namespace shedlever
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -12,16 +12,27 @@
 constexpr std::string_view kTablePrefix = "owners-";
 constexpr std::string_view kNodePrefix = "node-";
 
-/// Between two answers of a watch that both brought changes: each costs every node a call.
-constexpr Duration kNodePause = std::chrono::milliseconds(800);
-constexpr Duration kConfigPause = std::chrono::milliseconds(800);
-/// Once a process knows the nodes that started with it: for each node, so that all together look 25 times a second.
-/// What is not known yet of a server is told by the refusals of its node.
-constexpr Duration kNodePauseEach = std::chrono::milliseconds(40);
-/// New servers have some seconds before they must be used; of most other changes what a node refuses tells before.
-constexpr StalenessLimits kNodeStaleness{std::chrono::milliseconds(2000), std::chrono::milliseconds(4000), 2};
-/// All machines start within a second; their servers report within two more.
-constexpr Duration kStartTime = std::chrono::seconds(6);
+/// Between two answers of a watch that both brought changes: each costs a call of the few processes that watch.
+constexpr Duration kConfigPause = std::chrono::milliseconds(100);
+constexpr Duration kNodePause = std::chrono::milliseconds(400);
+/// All machines of a deployment start within a second: a watch before that would be answered again and again, for each
+/// of them, as nobody knows yet whom to follow.
+constexpr Duration kFirstNodeWatch = std::chrono::milliseconds(800);
+/// Time for a relay to tell the configuration to a process that has just started, two steps on the way.
+constexpr Duration kFirstConfigWait = std::chrono::milliseconds(300);
+
+/// How old the configuration may become before a process asks the store by itself. The source asks for all others; who
+/// comes after it does so only when it hears nothing in time, each later than those that tell it. A change is to be in
+/// force after 2 s also when a relay goes at the worst moment.
+constexpr StalenessLimits kSourceConfig{std::chrono::milliseconds(500), std::chrono::milliseconds(500), 4};
+constexpr StalenessLimits kZoneConfig{std::chrono::milliseconds(800), std::chrono::milliseconds(1000), 8};
+constexpr StalenessLimits kFollowerConfig{std::chrono::milliseconds(1100), std::chrono::milliseconds(1600), 4};
+/// As above, of the node records. New servers have some seconds before they must be used; of most other changes what a
+/// node refuses tells before.
+constexpr StalenessLimits kSourceNodes{std::chrono::milliseconds(1500), std::chrono::milliseconds(1500), 2};
+constexpr StalenessLimits kZoneNodes{std::chrono::milliseconds(2200), std::chrono::milliseconds(2600), 4};
+constexpr StalenessLimits kFollowerNodes{std::chrono::milliseconds(3000), std::chrono::milliseconds(4500), 2};
+
 /// Between two questions for a service's owner table. Refusals tell the next owner of single keys meanwhile.
 constexpr Duration kTableQuestionPause = std::chrono::seconds(1);
 /// Time for the answer, over a stream that exists; the longest way on a deployment is some 50 ms.
@@ -51,7 +62,7 @@
       ports_(ports),
       events_(std::move(events)),
       config_watcher_(*ports_.loop, *ports_.clock, *ports_.random, *ports_.store,
-                      {ports_.config->kind(), kConfigPause, StalenessLimits{}},
+                      {ports_.config->kind(), kConfigPause, kSourceConfig},
                       watcherEvents(
                           *ports_.log, "config",
                           [this](const MetadataObject& object, bool deleted) { onConfigObject(object, deleted); },
@@ -59,13 +70,13 @@
                             config_listed_ = true;
                             adoptConfig();
                           })),
-      node_watcher_(*ports_.loop, *ports_.clock, *ports_.random, *ports_.store, {kNodeKind, kNodePause, kNodeStaleness},
+      node_watcher_(*ports_.loop, *ports_.clock, *ports_.random, *ports_.store,
+                    {kNodeKind, kNodePause, kSourceNodes, kFirstNodeWatch},
                     watcherEvents(
                         *ports_.log, "membership",
                         [this](const MetadataObject& object, bool deleted) { onSharedObject(object, deleted); },
                         [this] { onListed(nodes_listed_); })),
-      table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, ListTimes{}, pollerEvents()),
-      started_(ports_.clock->now()) {}
+      table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, ListTimes{}, pollerEvents()) {}
 
 KindPoller::Events ClusterKnowledge::pollerEvents() {
   return {[this](const MetadataObject& object) { onSharedObject(object, false); },
@@ -78,11 +89,50 @@
 }
 
 void ClusterKnowledge::start() {
-  config_watcher_.start();
+  config_watcher_.startAfter(kFirstConfigWait);
   node_watcher_.start();
   table_poller_.start();
 }
 
+// What is told from process to process.
+
+void ClusterKnowledge::setRank(RelayRank rank) {
+  const bool watches = rank == RelayRank::Source || rank == RelayRank::Alone;
+  config_watcher_.setWatching(watches);
+  node_watcher_.setWatching(watches);
+  switch (rank) {
+    case RelayRank::Source:
+      config_watcher_.setStalenessLimits(kSourceConfig);
+      node_watcher_.setStalenessLimits(kSourceNodes);
+      return;
+    case RelayRank::Zone:
+      config_watcher_.setStalenessLimits(kZoneConfig);
+      node_watcher_.setStalenessLimits(kZoneNodes);
+      return;
+    case RelayRank::Follower:
+    case RelayRank::Alone:
+      config_watcher_.setStalenessLimits(kFollowerConfig);
+      node_watcher_.setStalenessLimits(kFollowerNodes);
+      return;
+  }
+}
+
+void ClusterKnowledge::readConfigNow() {
+  if (!config_watcher_.listed()) {
+    config_watcher_.start();
+  }
+}
+
+void ClusterKnowledge::addNewsAfter(const NewsPosition& position, NewsFrame& frame) const {
+  frame.config = config_watcher_.newsAfter(position.config);
+  frame.nodes = node_watcher_.newsAfter(position.nodes);
+}
+
+void ClusterKnowledge::onNews(const NewsFrame& news, std::optional<TimePoint> told_at) {
+  node_watcher_.onNews(news.nodes, told_at);
+  config_watcher_.onNews(news.config, told_at);
+}
+
 // Configuration.
 
 void ClusterKnowledge::onConfigObject(const MetadataObject& object, bool deleted) {
@@ -172,17 +222,9 @@
     ports_.directory->update(*record);
   }
   events_.on_nodes();
-  paceNodeWatch();
   table_poller_.plan();
 }
 
-void ClusterKnowledge::paceNodeWatch() {
-  if (ports_.clock->now() - started_ >= kStartTime) {
-    const auto nodes = static_cast<int>(ports_.directory->nodes().size());
-    node_watcher_.setPause(std::max(kNodePause, kNodePauseEach * nodes));
-  }
-}
-
 bool ClusterKnowledge::isMissingTables() const {
   if (!routes_) {
     return false;
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -10,6 +10,8 @@
 #include <string>
 
 #include "shedlever/platform_ports.h"
+#include "source/core/router/knowledge/news_followers.h"
+#include "source/core/router/knowledge/relay_order.h"
 #include "source/core/router/owner_view.h"
 #include "source/core/router/route_table.h"
 #include "source/core/router/server_directory.h"
@@ -88,6 +90,20 @@
   /// requests come: what nobody needs may be old.
   void tick();
 
+  /// This process's place among those that tell each other of changes: whether it watches the store, and how old what
+  /// it knows may become before it asks by itself.
+  void setRank(RelayRank rank);
+  /// The nodes are known, and there is nobody to tell the configuration.
+  void readConfigNow();
+  /// @return up to where this process knows all changes.
+  NewsPosition position() const { return {config_watcher_.position(), node_watcher_.position()}; }
+  KnownNews news() const { return {config_watcher_.news(), node_watcher_.news()}; }
+  /// Adds all that has changed since then to the frame.
+  void addNewsAfter(const NewsPosition& position, NewsFrame& frame) const;
+  /// The process that this one follows has told news. @param told_at as `KindWatcher::onNews` takes it.
+  void onNews(const NewsFrame& news, std::optional<TimePoint> told_at);
+  bool nodesListed() const { return nodes_listed_; }
+
   /// @return how long ago the configuration that is known was the newest for sure.
   Duration configStaleness() const { return config_watcher_.staleness(); }
   /// As `configStaleness`, of the node records.
@@ -110,8 +126,6 @@
   void adopt(RouterConfig config);
   void onSharedObject(const MetadataObject& object, bool deleted);
   void onNodeObject(const MetadataObject& object, bool deleted);
-  /// The more nodes there are, the longer each waits between two looks at their records.
-  void paceNodeWatch();
   void onTableObject(const MetadataObject& object);
   void onListed(bool& list);
   const TableWriter* tableOf(const ServiceName& service) const;
@@ -130,7 +144,6 @@
   KindWatcher config_watcher_;
   KindWatcher node_watcher_;
   KindPoller table_poller_;
-  TimePoint started_;
   std::shared_ptr<const RouteTable> routes_;
   bool nodes_listed_ = false;
   bool tables_listed_ = false;
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -147,8 +147,24 @@
   return exchange;
 }
 
+void PeerLinks::probe(const NodeName& node) {
+  const auto found = links_.find(node);
+  if (found == links_.end() || found->second->ended || found->second->pinged_at != TimePoint{}) {
+    return;
+  }
+  found->second->pinged_at = clock_.now();
+  found->second->send(PingFrame{}, 0);
+  checkSilenceLater();
+}
+
+bool PeerLinks::waitsForAnyPong() const {
+  return std::any_of(links_.begin(), links_.end(), [](const auto& entry) {
+    return !entry.second->ended && entry.second->pinged_at != TimePoint{};
+  });
+}
+
 void PeerLinks::checkSilenceLater() {
-  if (check_planned_ || pending_.empty()) {
+  if (check_planned_ || (pending_.empty() && !waitsForAnyPong())) {
     return;
   }
   check_planned_ = true;
@@ -163,6 +179,19 @@
 
 void PeerLinks::checkSilence() {
   const TimePoint now = clock_.now();
+  askSilentNodes(now);
+  std::vector<Link*> silent;
+  for (const auto& [node, link] : links_) {
+    if (!link->ended && link->pinged_at != TimePoint{} && now - link->pinged_at >= kPongLimit) {
+      silent.push_back(link.get());
+    }
+  }
+  for (Link* link : silent) {
+    giveUpSilent(*link);
+  }
+}
+
+void PeerLinks::askSilentNodes(TimePoint now) {
   std::map<NodeName, TimePoint> waiting_since;
   for (const auto& [exchange, pending] : pending_) {
     TimePoint& since = waiting_since.try_emplace(pending.node, pending.sent_at).first->second;
@@ -170,15 +199,11 @@
   }
   for (const auto& [node, since] : waiting_since) {
     const auto found = links_.find(node);
-    if (found == links_.end() || found->second->ended) {
+    if (found == links_.end() || found->second->ended || found->second->pinged_at != TimePoint{}) {
       continue;
     }
     Link& link = *found->second;
-    if (link.pinged_at != TimePoint{}) {
-      if (now - link.pinged_at >= kPongLimit) {
-        giveUpSilent(link);
-      }
-    } else if (now - std::max(since, link.heard_at) >= kQuietLimit) {
+    if (now - std::max(since, link.heard_at) >= kQuietLimit) {
       link.pinged_at = now;
       link.send(PingFrame{}, 0);
     }
@@ -273,6 +298,8 @@
     }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     events_.on_owner_table(*table);
+  } else if (const auto* news = std::get_if<NewsFrame>(&frame)) {
+    events_.on_news(node, *news);
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
     auto call = store_calls_.extract(answer->exchange);
     if (!call.empty()) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -34,6 +34,8 @@
     std::function<void(const NodeName&, const HeardLease&)> on_lease;
     /// A node has told its service's owner table, which it was asked for.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// A node has told what has changed in the store, which it was asked for.
+    std::function<void(const NodeName&, const NewsFrame&)> on_news;
   };
 
   PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
@@ -48,6 +50,9 @@
   /// Opens a stream to the node, if there is none, to see whether it can be reached.
   void keepOpen(const NodeName& node);
 
+  /// Asks the node whether it is there; its stream is broken, and opened again when it is needed, if it does not answer.
+  void probe(const NodeName& node);
+
   /// Makes a call to the store through the node.
   void callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done);
 
@@ -97,6 +102,8 @@
   void finishUnsettled(const std::vector<ExchangeId>& open, bool misdirected);
   /// Asks nodes that are silent while requests wait for them, and gives up those that do not answer.
   void checkSilence();
+  void askSilentNodes(TimePoint now);
+  bool waitsForAnyPong() const;
   void checkSilenceLater();
   void giveUpSilent(Link& link);
   std::vector<ExchangeId> pendingAt(const NodeName& node) const;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -39,6 +39,9 @@
     std::function<void(const StateFrame&)> on_state;
     /// A process said that it stops.
     std::function<void(const NodeName&)> on_stopping;
+    /// The process at the other end of a stream wants to be told of changes in the store.
+    std::function<void(std::uint64_t stream, const NewsQuestionFrame&)> on_news_question;
+    std::function<void(std::uint64_t stream)> on_stream_end;
   };
 
   /// @return the server, or a NetworkError.
@@ -49,6 +52,9 @@
 
   const Endpoint& endpoint() const { return listener_->endpoint(); }
 
+  /// Sends a frame on a stream, if that has not ended.
+  void tell(std::uint64_t stream, const RouterFrame& frame);
+
   /// Tells all processes with a stream that the server beside this one takes nothing new.
   void tellStopping(const NodeName& self);
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -12,13 +12,15 @@
 constexpr int kNotFound = 404;
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-/// A process that had a request within so long looks after the age of what it knows; the others save the calls, and
-/// look within one tick after their next request.
+/// A process that had a request within so long, or tells others, looks after the age of what it knows; the rest save
+/// the calls, and look within one tick after their next request.
 constexpr Duration kRequestsCome = std::chrono::seconds(2);
 /// Kept of the grace for the end of the process itself.
 constexpr Duration kEndReserve = std::chrono::milliseconds(900);
 /// Before clients have left, for handing over keys and finishing what runs.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
+/// Between two lines that count calls to the store.
+constexpr Duration kCallLogInterval = std::chrono::seconds(5);
 constexpr Duration kStateQuestionInterval = std::chrono::milliseconds(200);
 /// A leaving server gets no keyed request after this part of the time that it may still get some.
 constexpr int kKeysClosePart = 2;
@@ -56,13 +58,15 @@
                   keeper_->noteLease(node, lease);
                 }
               },
-              [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); }}),
+              [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); },
+              [this](const NodeName& node, const NewsFrame& news) { news_.onNews(node, news); }}),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
           [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); })),
       publisher_(loop_, *store_, log_),
       knowledge_(settings_.node, settings_.service,
                  {&loop_, &clock_, &random_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
+      news_(settings_.node, settings_.zone, newsPorts()),
       responder_(settings_.ownership.heartbeat_wait, responderPorts()),
       claims_(self_, *store_, clock_,
               [this](const NodeIdentity& holder) {
@@ -90,6 +94,18 @@
   return events;
 }
 
+NewsExchange::Ports RouterProcess::newsPorts() {
+  NewsExchange::Ports ports;
+  ports.clock = &clock_;
+  ports.directory = &directory_;
+  ports.links = &links_;
+  ports.knowledge = &knowledge_;
+  ports.log = &log_;
+  ports.metrics = &metrics_;
+  ports.send = [this](FollowerNumber follower, const NewsFrame& frame) { peer_server_->tell(follower, frame); };
+  return ports;
+}
+
 GatewayDependencies RouterProcess::gatewayPorts() {
   GatewayDependencies ports;
   ports.loop = &loop_;
@@ -159,6 +175,10 @@
   peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
   peer_ports.needs_state = [this] { return asksForState(); };
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
+  peer_ports.on_news_question = [this](FollowerNumber follower, const NewsQuestionFrame& question) {
+    news_.onQuestion(follower, question);
+  };
+  peer_ports.on_stream_end = [this](FollowerNumber follower) { news_.onFollowerGone(follower); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   // A port from the kernel is known only now.
@@ -475,9 +495,10 @@
 void RouterProcess::tick() {
   gate_.tick();
   claims_.tick(clock_.now());
-  if (clock_.now() - gateway_->lastRequestAt() < kRequestsCome) {
+  if (news_.hasFollowers() || clock_.now() - gateway_->lastRequestAt() < kRequestsCome) {
     knowledge_.tick();
   }
+  news_.tick();
   if (keeper_) {
     keeper_->setWork(gate_.offeredWork());
     keeper_->setFailing(gate_.failingShare());
@@ -486,6 +507,10 @@
     noteLapse(keeper_->serverLapsed(clock_.now()));
     keepServiceReachable();
   }
+  if (clock_.now() >= next_call_log_) {
+    next_call_log_ = clock_.now() + kCallLogInterval;
+    store_access_.logCalls();
+  }
   loop_.runAfter(kTick, [this] { tick(); });
 }
 
@@ -598,6 +623,7 @@
                 {"running", std::to_string(load.running)},
                 {"waiting", std::to_string(load.queued)},
                 {"keys_gone", keys_gone ? "1" : "0"}});
+    store_access_.logCalls();
     log_.flush();
     stopped_();
     return;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -17,6 +17,7 @@
 #include "source/net/system_sources.h"
 #include "source/router/cluster_knowledge.h"
 #include "source/router/gateway.h"
+#include "source/router/news_exchange.h"
 #include "source/router/peer_server.h"
 #include "source/router/status_pages.h"
 #include "source/router/store_caller.h"
@@ -63,6 +64,7 @@
   StatusPages::Ports statusPorts();
 
   KnowledgeEvents knowledgeEvents();
+  NewsExchange::Ports newsPorts();
   void onConfig();
   void onCompleteList();
   void createKeeper();
@@ -115,6 +117,7 @@
   std::unique_ptr<MetadataStore> store_;
   RecordPublisher publisher_;
   ClusterKnowledge knowledge_;
+  NewsExchange news_;
   std::unique_ptr<OwnershipKeeper> keeper_;
   HeartbeatResponder responder_;
   ClaimKeeper claims_;
@@ -126,6 +129,7 @@
   std::unique_ptr<StrictHttpServer> reports_;
 
   TimePoint next_state_question_{};
+  TimePoint next_call_log_{};
 
   bool tick_planned_ = false;
   std::function<void()> stopped_;
--- a/test/router/store_caller_test.cc
+++ b/test/router/store_caller_test.cc
@@ -29,7 +29,7 @@
 
   int call(StoreConnection connection = StoreConnection::Kept) {
     std::optional<std::optional<HttpResponse>> answer;
-    access_.call({{"GET", "/objects/k", {}, {}}, std::chrono::seconds(4), connection},
+    access_.call({{"GET", "/objects/k", {}, {}}, std::chrono::seconds(4), connection, "get", "k"},
                  [&answer](std::optional<HttpResponse> told) { answer = std::move(told); });
     EXPECT_TRUE(loop_.runUntil([&answer] { return answer.has_value(); }, kTestCap));
     return answer && *answer ? (*answer)->status : 0;
@@ -54,7 +54,7 @@
                    {NodeName("self"), Incarnation{1}},
                    directory_,
                    {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                    [](const OwnerTableFrame&) {}}};
+                    [](const OwnerTableFrame&) {}, [](const NodeName&, const NewsFrame&) {}}};
   EventLog log_{loop_, clock_, dup(STDERR_FILENO)};
   RouterMetrics metrics_;
   StoreAccess access_{loop_, clock_, store_.endpoint(), links_, log_, metrics_};
