Owners hear what is asked of all others, give larger parts to some, and keep their keys while all are full

A run of hot keys (a third of all requests) could be given to four servers a round. Third: after the loss of all machines each full owner moved keys about while nobody had room, and these were out of service for 2 to 4 s (2,000 to 3,500 refusals a second as not-yet-owner). Change: where the parts of all make up less than 0.3 of what is to be given, some servers get parts of 1.5 slots, each taken as often as its room is a part of all room, from an offset of the owner's own; an owner that is over its slots may give to 24 at once. Each owner tells the process that writes for all what is asked of its server, and hears of all once a second. Above 0.95 of all slots keys stay. A request for a key whose node was silent for 0.8 s is asked after on a new stream (nobody else can serve it) in place of being given up.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -312,6 +312,29 @@
   }
 };
 
+/// What is asked of one server.
+struct ServerDemand {
+  NodeName node;
+  ServerLoad load;
+  /// How long ago that was so, when this is told.
+  Duration::rep age_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, load, age_us);
+  }
+};
+
+/// From an owner to the process that gathers these: what is asked of its own server. Back: what is asked of all.
+struct DemandsFrame {
+  std::vector<ServerDemand> servers;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(servers);
+  }
+};
+
 /// How a change of a table ended that another process was asked for.
 enum class TableEditStatus : std::uint8_t {
   Made,           ///< it stands in the store
@@ -445,7 +468,7 @@
 
 using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
                                  SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
-                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame, NewsQuestionFrame,
-                                 NewsFrame, TableEditFrame, TableEditReplyFrame>;
+                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame,
+                                 NewsQuestionFrame, NewsFrame, TableEditFrame, TableEditReplyFrame, DemandsFrame>;
 
 }  // namespace shedlever
--- a/source/core/router/knowledge/relay_follower.h
+++ b/source/core/router/knowledge/relay_follower.h
@@ -32,7 +32,8 @@
   /// @param question that it had read last, that long before it told them.
   /// @return the time before which it did not tell them, however long they were on their way; none if that can't be
   ///   said, as the question was not this process's last one to this relay.
-  std::optional<TimePoint> onNews(const NodeName& relay, std::uint64_t question, Duration since_question, TimePoint now);
+  std::optional<TimePoint> onNews(const NodeName& relay, std::uint64_t question, Duration since_question,
+                                  TimePoint now);
 
   /// @return whom this process follows; empty while it follows nobody.
   const NodeName& relay() const { return relay_; }
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership_fields.cc
@@ -24,8 +24,9 @@
     {"balance_interval", &OwnershipConfig::balance_interval},
 }};
 
-constexpr std::array<OwnershipShare, 4> kShares{{
+constexpr std::array<OwnershipShare, 5> kShares{{
     {"busy_occupancy", &OwnershipConfig::busy_occupancy},
+    {"full_occupancy", &OwnershipConfig::full_occupancy},
     {"occupancy_gap", &OwnershipConfig::occupancy_gap},
     {"failing_share", &OwnershipConfig::failing_share},
     {"failing_gap", &OwnershipConfig::failing_gap},
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -260,7 +260,7 @@
   }
   const auto on_end = [this, gainers, done = std::move(done)](bool written) {
     if (written && ports_.on_given) {
-      ports_.on_given({ownerTableName(service_), writer_.revision(), writer_.table().encode()}, gainers);
+      ports_.on_given(writer_.object(), gainers);
     }
     if (done) {
       done(written);
@@ -481,10 +481,13 @@
   std::erase_if(view.owned,
                 [&](const OwnedRange& range) { return gains_.cameWithin(config_.gain_settle, range.keys, now); });
   view.own = work_;
+  constexpr std::size_t kOffsets = 997;
+  const std::size_t own_number = std::hash<NodeName>{}(self_.name) + batch_;
+  view.offset = static_cast<double>(own_number % kOffsets) / kOffsets;
   for (const OwnerPlace& place : targets(now)) {
-    const ServerLoad* load = ports_.directory->load(place.node, now);
+    const ServerLoad* load = ports_.directory->demand(place.node, now);
     const bool owns = !writer_.table().ownedBy(place.instance).empty();
-    // A server that this node has sent nothing to of late is asked for little.
+    // A server that nothing was heard of lately is asked for little.
     OfferedWork work{0, work_.slots, work_.service_seconds};
     if (load != nullptr && load->slots > 0) {
       work.slots = load->slots;
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -10,8 +10,8 @@
 
 /// A change that finds another one made before it tries so often at once, then waits for the next tick.
 constexpr unsigned kConflictsInARow = 2;
-/// Changes of other processes are gathered for so long from the write before. At 95 owners it makes one write of several
-/// changes, and adds half of it to the time that a move takes.
+/// Changes of other processes are gathered for so long from the write before. At 95 owners it makes one write of
+/// several changes, and adds half of it to the time that a move takes.
 constexpr Duration kGatherTime = std::chrono::milliseconds(30);
 /// After a call that was refused or had no answer; doubles with each, so that a store that refuses this node for
 /// seconds is not asked at each tick.
@@ -29,7 +29,7 @@
       backoff_(kRetryDelay, kMostRetryDelay) {}
 
 void TableWriter::onObject(const MetadataObject& object) {
-  if (object.revision <= revision_) {
+  if (object.revision <= revision()) {
     return;
   }
   auto table = OwnerTable::decode(object.value);
@@ -37,7 +37,7 @@
     return;
   }
   table_ = std::move(table.value());
-  revision_ = object.revision;
+  object_ = object;
   on_table_();
 }
 
@@ -113,13 +113,13 @@
   }
   in_flight_ = true;
   const auto on_edited = [this](const TableEditAnswer& answer) { onEdited(answer); };
-  if (direct || !edit_elsewhere_ || !edit_elsewhere_(deltaBetween(table_, changed), revision_, on_edited)) {
+  if (direct || !edit_elsewhere_ || !edit_elsewhere_(deltaBetween(table_, changed), revision(), on_edited)) {
     writeDirect(changed);
   }
 }
 
 void TableWriter::writeDirect(const OwnerTable& changed) {
-  store_.replace(kTableKind, {ownerTableName(service_), revision_, changed.encode()},
+  store_.replace(kTableKind, {ownerTableName(service_), revision(), changed.encode()},
                  [this](const StoreAnswer& answer) { onWritten(answer); });
 }
 
@@ -157,7 +157,7 @@
 
 void TableWriter::onEdited(const TableEditAnswer& answer) {
   in_flight_ = false;
-  const StoreRevision before = revision_;
+  const StoreRevision before = revision();
   if (answer.table.revision != 0) {
     onObject(answer.table);
   }
@@ -165,7 +165,7 @@
     case TableEditStatus::Made:
       conflicts_ = 0;
       // Without the table that has it the change can't be looked at: read it.
-      if (revision_ == before) {
+      if (revision() == before) {
         read_first_ = true;
         direct_next_ = true;
         next();
@@ -175,7 +175,7 @@
       return;
     case TableEditStatus::NotApplicable:
       // Who writes for all may know an older table than this process.
-      direct_next_ = revision_ == before;
+      direct_next_ = revision() == before;
       onConflict();
       return;
     case TableEditStatus::Refused:
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -63,10 +63,12 @@
   void onAbsent() { absence_known_ = true; }
 
   /// @return whether there is a table, or it is known that there is none.
-  bool known() const { return revision_ != 0 || absence_known_; }
-  bool exists() const { return revision_ != 0; }
+  bool known() const { return exists() || absence_known_; }
+  bool exists() const { return object_.revision != 0; }
   const OwnerTable& table() const { return table_; }
-  StoreRevision revision() const { return revision_; }
+  StoreRevision revision() const { return object_.revision; }
+  /// @return the table as the store has it.
+  const MetadataObject& object() const { return object_; }
 
   void setEditElsewhere(EditElsewhere edit_elsewhere) { edit_elsewhere_ = std::move(edit_elsewhere); }
 
@@ -113,7 +115,8 @@
   MetadataStore& store_;
   std::function<void()> on_table_;
   OwnerTable table_;
-  StoreRevision revision_ = 0;
+  /// Kept as it was read: it is told to others more often than it changes.
+  MetadataObject object_;
   bool absence_known_ = false;
   /// Conflicts since the last write that was done.
   unsigned conflicts_ = 0;
--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -254,8 +254,8 @@
   if (happens(edit_faults_->lost)) {
     return true;
   }
-  const auto to = std::find_if(nodes_.begin(), nodes_.end(),
-                               [&](const auto& other) { return other->record.node == chosen; });
+  const auto to =
+      std::find_if(nodes_.begin(), nodes_.end(), [&](const auto& other) { return other->record.node == chosen; });
   const bool answer_lost = happens(edit_faults_->unanswered);
   const auto reply = [this, end, answer_lost](const TableEditAnswer& told) {
     if (!answer_lost) {
@@ -280,7 +280,7 @@
     const TableWriter& writer = to.keeper->tableWriter();
     TableEditAnswer answer{written ? TableEditStatus::Made : TableEditStatus::NotApplicable, {}};
     if (writer.revision() > known) {
-      answer.table = {ownerTableName(kService), writer.revision(), writer.table().encode()};
+      answer.table = writer.object();
     }
     reply(answer);
   });
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -343,7 +343,8 @@
   if (own_table_ == nullptr || own_table_->revision() <= known) {
     return std::nullopt;
   }
-  return ObjectCopy{ownerTableName(own_service_), own_table_->revision(), own_table_->table().encode()};
+  const MetadataObject& table = own_table_->object();
+  return ObjectCopy{table.name, table.revision, table.value};
 }
 
 void ClusterKnowledge::noteLease(const NodeName& node, TimePoint until) {
--- a/source/router/kind_watcher.cc
+++ b/source/router/kind_watcher.cc
@@ -135,9 +135,7 @@
   onSeenElsewhere(news.revision);
 }
 
-KindNews KindWatcher::news() const {
-  return listed_ ? KindNews{seen(), state_.at(), staleness().count()} : KindNews{};
-}
+KindNews KindWatcher::news() const { return listed_ ? KindNews{seen(), state_.at(), staleness().count()} : KindNews{}; }
 
 KindUpdate KindWatcher::newsAfter(StoreRevision revision) const {
   if (!listed_) {
--- a/source/router/news_exchange.cc
+++ b/source/router/news_exchange.cc
@@ -91,8 +91,7 @@
 }
 
 void NewsExchange::onNews(const NodeName& from, const NewsFrame& news) {
-  const auto told_at =
-      follower_.onNews(from, news.question, Duration(news.since_question_us), ports_.clock->now());
+  const auto told_at = follower_.onNews(from, news.question, Duration(news.since_question_us), ports_.clock->now());
   ports_.knowledge->onNews(news, told_at);
 }
 
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -134,7 +134,8 @@
   pending.node = node;
   pending.done = std::move(done);
   pending.sent_at = clock_.now();
-  pending.repeatable = mayRepeat(frame.kind);
+  // Nobody else can run a request for the node's key: its answer is waited for where the node has just been slow.
+  pending.repeatable = mayRepeat(frame.kind) && !frame.keyed;
   Link* link = linkTo(node);
   if (link == nullptr || !link->send(std::move(frame), exchange)) {
     loop_.post([this, alive = alive_, exchange] {
@@ -158,9 +159,8 @@
 }
 
 bool PeerLinks::waitsForAnyPong() const {
-  return std::any_of(links_.begin(), links_.end(), [](const auto& entry) {
-    return !entry.second->ended && entry.second->pinged_at != TimePoint{};
-  });
+  return std::any_of(links_.begin(), links_.end(),
+                     [](const auto& entry) { return !entry.second->ended && entry.second->pinged_at != TimePoint{}; });
 }
 
 void PeerLinks::checkSilenceLater() {
@@ -302,6 +302,8 @@
     events_.on_news(node, *news);
   } else if (const auto* edited = std::get_if<TableEditReplyFrame>(&frame)) {
     events_.on_table_edited(*edited);
+  } else if (const auto* demands = std::get_if<DemandsFrame>(&frame)) {
+    events_.on_demands(*demands);
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
     auto call = store_calls_.extract(answer->exchange);
     if (!call.empty()) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -38,6 +38,8 @@
     std::function<void(const NodeName&, const NewsFrame&)> on_news;
     /// A node has answered a request to change an owner table.
     std::function<void(const TableEditReplyFrame&)> on_table_edited;
+    /// A node has told what is asked of all servers of its service.
+    std::function<void(const DemandsFrame&)> on_demands;
   };
 
   PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
@@ -52,7 +54,8 @@
   /// Opens a stream to the node, if there is none, to see whether it can be reached.
   void keepOpen(const NodeName& node);
 
-  /// Asks the node whether it is there; its stream is broken, and opened again when it is needed, if it does not answer.
+  /// Asks the node whether it is there; its stream is broken, and opened again when it is needed, if it does not
+  /// answer.
   void probe(const NodeName& node);
 
   /// Makes a call to the store through the node.
@@ -74,7 +77,7 @@
     NodeName node;
     ForwardCallback done;
     TimePoint sent_at{};
-    /// Whether it may run again, so that it need not be settled.
+    /// Whether it may run again elsewhere, so that it need not be settled.
     bool repeatable = false;
     /// The stream broke: the life of the other process that had it, and alone can say what became of it.
     std::optional<Incarnation> asked_life;
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -139,6 +139,8 @@
     ports_.on_news_question(number, *news);
   } else if (const auto* edit = std::get_if<TableEditFrame>(&frame)) {
     ports_.on_table_edit(number, *edit);
+  } else if (const auto* demands = std::get_if<DemandsFrame>(&frame)) {
+    ports_.on_demands(number, *demands);
   } else if (const auto* question = std::get_if<TableQuestionFrame>(&frame)) {
     if (auto newer = ports_.table_newer_than(question->known)) {
       stream->send(OwnerTableFrame{std::move(*newer)});
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -44,6 +44,8 @@
     std::function<void(std::uint64_t stream)> on_stream_end;
     /// It asks for a change of the owner table.
     std::function<void(std::uint64_t stream, const TableEditFrame&)> on_table_edit;
+    /// It tells what is asked of its server.
+    std::function<void(std::uint64_t stream, const DemandsFrame&)> on_demands;
   };
 
   /// @return the server, or a NetworkError.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -65,7 +65,8 @@
       gate_refusals_(counters("shedlever_gate_refusals_total", "Requests that the gate did not begin, by reason")),
       server_ends_(counters("shedlever_server_requests_total",
                             "Requests sent to the server beside this process, by outcome and reason")),
-      store_calls_(counters("shedlever_store_calls_total", "Calls to the metadata store by kind of objects, verb and outcome")),
+      store_calls_(
+          counters("shedlever_store_calls_total", "Calls to the metadata store by kind of objects, verb and outcome")),
       events_(counters("shedlever_events_total", "Changes of what the process believes")),
       held_(histograms(registry_, "shedlever_request_seconds",
                        "Time from a request's arrival to its final answer, by route")),
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -60,7 +60,8 @@
               },
               [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); },
               [this](const NodeName& node, const NewsFrame& news) { news_.onNews(node, news); },
-              [this](const TableEditReplyFrame& reply) { table_edits_.onReply(reply); }}),
+              [this](const TableEditReplyFrame& reply) { table_edits_.onReply(reply); },
+              [this](const DemandsFrame& demands) { demands_.onDemands(demands); }}),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
           [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); })),
@@ -69,6 +70,7 @@
                  {&loop_, &clock_, &random_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
       news_(settings_.node, settings_.zone, newsPorts()),
       table_edits_(settings_.node, settings_.service, tableEditPorts()),
+      demands_(settings_.node, settings_.service, demandPorts()),
       responder_(settings_.ownership.heartbeat_wait, responderPorts()),
       claims_(self_, *store_, clock_,
               [this](const NodeIdentity& holder) {
@@ -116,12 +118,25 @@
   ports.links = &links_;
   ports.log = &log_;
   ports.metrics = &metrics_;
-  ports.serves = [this] { return !server_.instance().empty() && !server_.draining() && !leaving_; };
+  ports.serves = [this] { return serves(); };
   ports.keeper = [this] { return keeper_.get(); };
   ports.send = [this](std::uint64_t stream, const RouterFrame& frame) { peer_server_->tell(stream, frame); };
   return ports;
 }
 
+DemandExchange::Ports RouterProcess::demandPorts() {
+  DemandExchange::Ports ports;
+  ports.clock = &clock_;
+  ports.directory = &directory_;
+  ports.links = &links_;
+  ports.serves = [this] { return serves(); };
+  ports.load = [this] { return gate_.load(); };
+  ports.send = [this](std::uint64_t stream, const RouterFrame& frame) { peer_server_->tell(stream, frame); };
+  return ports;
+}
+
+bool RouterProcess::serves() const { return !server_.instance().empty() && !server_.draining() && !leaving_; }
+
 GatewayDependencies RouterProcess::gatewayPorts() {
   GatewayDependencies ports;
   ports.loop = &loop_;
@@ -197,7 +212,13 @@
   peer_ports.on_table_edit = [this](std::uint64_t stream, const TableEditFrame& edit) {
     table_edits_.onEdit(stream, edit);
   };
-  peer_ports.on_stream_end = [this](FollowerNumber follower) { news_.onFollowerGone(follower); };
+  peer_ports.on_demands = [this](std::uint64_t stream, const DemandsFrame& demands) {
+    demands_.onTold(stream, demands);
+  };
+  peer_ports.on_stream_end = [this](std::uint64_t stream) {
+    news_.onFollowerGone(stream);
+    demands_.onStreamEnd(stream);
+  };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   // A port from the kernel is known only now.
@@ -529,6 +550,7 @@
     responder_.check();
     noteLapse(keeper_->serverLapsed(clock_.now()));
     keepServiceReachable();
+    demands_.tick();
   }
   if (clock_.now() >= next_call_log_) {
     next_call_log_ = clock_.now() + kCallLogInterval;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -16,6 +16,7 @@
 #include "source/core/router/server_presence.h"
 #include "source/net/system_sources.h"
 #include "source/router/cluster_knowledge.h"
+#include "source/router/demand_exchange.h"
 #include "source/router/gateway.h"
 #include "source/router/news_exchange.h"
 #include "source/router/peer_server.h"
@@ -67,6 +68,9 @@
   KnowledgeEvents knowledgeEvents();
   NewsExchange::Ports newsPorts();
   TableEdits::Ports tableEditPorts();
+  DemandExchange::Ports demandPorts();
+  /// @return whether a server that is to stay runs beside this process.
+  bool serves() const;
   void onConfig();
   void onCompleteList();
   void createKeeper();
@@ -121,6 +125,7 @@
   ClusterKnowledge knowledge_;
   NewsExchange news_;
   TableEdits table_edits_;
+  DemandExchange demands_;
   std::unique_ptr<OwnershipKeeper> keeper_;
   HeartbeatResponder responder_;
   ClaimKeeper claims_;
--- a/source/router/table_edits.cc
+++ b/source/router/table_edits.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 TableEdits::TableEdits(NodeName self, ServiceName service, Ports ports)
-    : ports_(std::move(ports)), service_(service), combiner_(std::move(self), std::move(service)) {}
+    : ports_(std::move(ports)), combiner_(std::move(self), std::move(service)) {}
 
 TableEdits::~TableEdits() {
   *alive_ = false;
@@ -86,8 +86,8 @@
   answer.status = status;
   const OwnershipKeeper* keeper = ports_.keeper();
   if (keeper != nullptr && keeper->tableWriter().revision() > edit.known) {
-    const TableWriter& writer = keeper->tableWriter();
-    answer.table = {ownerTableName(service_), writer.revision(), writer.table().encode()};
+    const MetadataObject& table = keeper->tableWriter().object();
+    answer.table = {table.name, table.revision, table.value};
   }
   ports_.send(stream, answer);
 }
--- a/source/router/table_edits.h
+++ b/source/router/table_edits.h
@@ -57,7 +57,6 @@
   void reply(std::uint64_t stream, const TableEditFrame& edit, TableEditStatus status) const;
 
   Ports ports_;
-  ServiceName service_;
   WriteCombiner combiner_;
   std::unordered_map<ExchangeId, Asked> asked_;
   ExchangeId last_exchange_ = 0;
--- a/test/core_router/ownership/table_delta_test.cc
+++ b/test/core_router/ownership/table_delta_test.cc
@@ -15,9 +15,7 @@
 
 OwnerTable tableOfThree() { return OwnerTable::divide({kFirst, kSecond, kThird}); }
 
-KeySpan keysOf(const OwnerTable& table, const OwnerPlace& place) {
-  return table.ownedBy(place.instance).front().keys;
-}
+KeySpan keysOf(const OwnerTable& table, const OwnerPlace& place) { return table.ownedBy(place.instance).front().keys; }
 
 TableDelta releaseOf(const OwnerTable& table, const KeySpan& keys, const OwnerPlace& owner) {
   OwnerTable changed = table;
--- a/test/core_router/ownership/table_writer_test.cc
+++ b/test/core_router/ownership/table_writer_test.cc
@@ -31,7 +31,8 @@
   }
 
   void change(TableWriter::Edit edit, TableWriter::Way way = TableWriter::Way::Any) {
-    writer_.change(std::move(edit), [this](bool written) { ended_.push_back(written); }, way);
+    writer_.change(
+        std::move(edit), [this](bool written) { ended_.push_back(written); }, way);
   }
 
   TableDelta deltaOf(const TableWriter::Edit& edit) const {
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -354,7 +354,9 @@
 
 // One node writes the table for all: it is killed, stands still, has no store; requests to it and its answers are lost,
 // or come up to 8 s late.
-TEST_P(OwnershipSoakTest, KeepsOneOwnerWhileOneWritesForAll) { playRandomFaults(GetParam(), EditFaults{0.1, 0.2, 0.1}); }
+TEST_P(OwnershipSoakTest, KeepsOneOwnerWhileOneWritesForAll) {
+  playRandomFaults(GetParam(), EditFaults{0.1, 0.2, 0.1});
+}
 
 INSTANTIATE_TEST_SUITE_P(Seeds, OwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 25));
 
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -54,7 +54,7 @@
         links_(loop_, clock_, self_, directory_,
                {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
                 [](const OwnerTableFrame&) {}, [](const NodeName&, const NewsFrame&) {},
-                [](const TableEditReplyFrame&) {}}),
+                [](const TableEditReplyFrame&) {}, [](const DemandsFrame&) {}}),
         gateway_(self_, ServiceName("own"), {1.0, 100}, ports()) {
     RouterConfig config;
     config.version = 1;
--- a/test/router/store_caller_test.cc
+++ b/test/router/store_caller_test.cc
@@ -55,7 +55,7 @@
                    directory_,
                    {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
                     [](const OwnerTableFrame&) {}, [](const NodeName&, const NewsFrame&) {},
-                [](const TableEditReplyFrame&) {}}};
+                    [](const TableEditReplyFrame&) {}, [](const DemandsFrame&) {}}};
   EventLog log_{loop_, clock_, dup(STDERR_FILENO)};
   RouterMetrics metrics_;
   StoreAccess access_{loop_, clock_, store_.endpoint(), links_, log_, metrics_};
