Processes tell each other rows of owner tables, not whole tables; owners move nothing to servers that nothing is known of

Ruled out: compressing tables (a library for a fifth of it); keeping past versions to tell differences (memory, and versions that the other does not have). Change: rows above the last token known. As tokens rise over the whole table and each new owner of a key gets a new one, these rows bring all owners up to date; of the rest whether a release has begun may be old, so a table made of rows is read before it is written direct. An edit may take 1 s; who is lost is told at once. Servers that own keys and have told nothing are no targets.

--- a/include/shedlever/owned_range.h
+++ b/include/shedlever/owned_range.h
@@ -74,4 +74,21 @@
   }
 };
 
+/// Rows of an owner table that have changed, for a process that knows an earlier version: all that were given an owner
+/// since `after_token` was the last token given out. As tokens rise over the whole table, nothing else has another
+/// owner.
+struct TableRows {
+  ServiceName service;
+  /// The table's revision in the store as the sender knows it.
+  std::uint64_t revision = 0;
+  FenceToken after_token = 0;
+  FenceToken last_token = 0;
+  std::vector<OwnedRange> rows;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, revision, after_token, last_token, rows);
+  }
+};
+
 }  // namespace shedlever
--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -278,20 +278,24 @@
   }
 };
 
-/// Asks a process for the owner table of its own service, if it has a newer one; answered with `OwnerTableFrame`.
+/// Asks a process for what has changed in the owner table of its own service; answered with `TableRowsFrame` if it
+/// knows a newer one.
 struct TableQuestionFrame {
   /// Revision that the sender has; 0 for none.
   std::uint64_t known = 0;
+  /// The last token given out in that.
+  FenceToken last_token = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(known);
+    archive(known, last_token);
   }
 };
 
-/// An owner table: one that the sender has just written, for those that it gives keys to, or one that was asked for.
-struct OwnerTableFrame {
-  ObjectCopy table;
+/// Changes of an owner table: for those that the sender has just given keys to, or as an answer. Whole tables would
+/// fill slow links: 25 KB at 95 owners, which each of 194 gateways asks for once a second while keys move.
+struct TableRowsFrame {
+  TableRows table;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -302,13 +306,14 @@
 /// Asks a process of the same service to change its owner table, together with the changes of others.
 struct TableEditFrame {
   ExchangeId exchange = 0;
-  /// Revision of the table that the sender has.
+  /// Revision of the table that the sender has, and the last token given out in that.
   std::uint64_t known = 0;
+  FenceToken last_token = 0;
   TableDelta delta;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, known, delta);
+    archive(exchange, known, last_token, delta);
   }
 };
 
@@ -346,8 +351,8 @@
 struct TableEditReplyFrame {
   ExchangeId exchange = 0;
   TableEditStatus status = TableEditStatus::Unknown;
-  /// The table as it stands, if it is newer than the asker's; revision 0 if not.
-  ObjectCopy table;
+  /// What has changed since the asker's version, and the rows at the keys of its change; revision 0 if its is as new.
+  TableRows table;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -467,7 +472,7 @@
 };
 
 using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
-                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
+                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, TableRowsFrame,
                                  StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame,
                                  NewsQuestionFrame, NewsFrame, TableEditFrame, TableEditReplyFrame, DemandsFrame>;
 
--- a/source/core/router/owner_table.cc
+++ b/source/core/router/owner_table.cc
@@ -185,6 +185,63 @@
   return true;
 }
 
+std::vector<OwnedRange> OwnerTable::rowsAbove(FenceToken token) const {
+  std::vector<OwnedRange> rows;
+  std::copy_if(ranges_.begin(), ranges_.end(), std::back_inserter(rows),
+               [token](const OwnedRange& range) { return range.token > token; });
+  return rows;
+}
+
+std::vector<OwnedRange> OwnerTable::rowsAt(const KeySpan& keys) const {
+  std::vector<OwnedRange> rows;
+  std::copy_if(ranges_.begin(), ranges_.end(), std::back_inserter(rows), [&keys](const OwnedRange& range) {
+    return range.keys.first <= keys.last && keys.first <= range.keys.last;
+  });
+  return rows;
+}
+
+namespace {
+
+/// Cuts the keys out of the ranges.
+std::vector<OwnedRange> without(const std::vector<OwnedRange>& ranges, const KeySpan& keys) {
+  std::vector<OwnedRange> rest;
+  for (const OwnedRange& range : ranges) {
+    if (range.keys.last < keys.first || keys.last < range.keys.first) {
+      rest.push_back(range);
+      continue;
+    }
+    if (range.keys.first < keys.first) {
+      rest.push_back(range);
+      rest.back().keys.last = static_cast<Key>(keys.first - 1);
+    }
+    if (keys.last < range.keys.last) {
+      rest.push_back(range);
+      rest.back().keys.first = static_cast<Key>(keys.last + 1);
+    }
+  }
+  return rest;
+}
+
+}  // namespace
+
+bool OwnerTable::overlay(const std::vector<OwnedRange>& rows, FenceToken last_token) {
+  std::vector<OwnedRange> merged = ranges_;
+  for (const OwnedRange& row : rows) {
+    if (row.keys.last < row.keys.first) {
+      return false;
+    }
+    merged = without(merged, row.keys);
+    merged.push_back(row);
+  }
+  std::sort(merged.begin(), merged.end());
+  if (!coverAllKeys(merged)) {
+    return false;
+  }
+  ranges_ = std::move(merged);
+  last_token_ = std::max(last_token_, last_token);
+  return true;
+}
+
 namespace {
 
 bool mayJoin(const OwnedRange& left, const OwnedRange& right, const InstanceId& owner) {
--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -70,6 +70,16 @@
   ///   those in their place cover the same keys.
   bool apply(const TableDelta& delta);
 
+  /// @return all rows with a token above that.
+  std::vector<OwnedRange> rowsAbove(FenceToken token) const;
+  /// @return rows that hold any of the keys.
+  std::vector<OwnedRange> rowsAt(const KeySpan& keys) const;
+
+  /// Lays newer rows over this table. Owners are then as in the table that the rows are from, if this one knew all
+  /// owners of when the rows' first token was given out; of other rows whether they are being released may be old.
+  /// @return false, and nothing is changed, when the rows make no table together with this one.
+  bool overlay(const std::vector<OwnedRange>& rows, FenceToken last_token);
+
   /// @return JSON text.
   std::string encode() const;
 
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -11,6 +11,9 @@
 /// Hot keys change within seconds; measured against 2 s and 0.6 s (docs/ROUNDS.md).
 constexpr Duration kWorkHalfLife = std::chrono::seconds(1);
 
+/// Whom keys are given to is told the rows of the last changes; who has missed more asks for it.
+constexpr FenceToken kToldTokens = 64;
+
 std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
 
 }  // namespace
@@ -260,7 +263,8 @@
   }
   const auto on_end = [this, gainers, done = std::move(done)](bool written) {
     if (written && ports_.on_given) {
-      ports_.on_given(writer_.object(), gainers);
+      const FenceToken last = writer_.table().lastToken();
+      ports_.on_given(writer_.rowsAfter(last - std::min(last, kToldTokens)), gainers);
     }
     if (done) {
       done(written);
@@ -487,7 +491,10 @@
   for (const OwnerPlace& place : targets(now)) {
     const ServerLoad* load = ports_.directory->demand(place.node, now);
     const bool owns = !writer_.table().ownedBy(place.instance).empty();
-    // A server that nothing was heard of lately is asked for little.
+    if (owns && load == nullptr) {
+      // It may be as full as this one: after a common start, keys would be moved about between servers without room.
+      continue;
+    }
     OfferedWork work{0, work_.slots, work_.service_seconds};
     if (load != nullptr && load->slots > 0) {
       work.slots = load->slots;
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -53,7 +53,7 @@
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
   /// A table was written that gives keys to these nodes: they should hear of it at once.
-  std::function<void(const MetadataObject& table, const std::set<NodeName>& gainers)> on_given;
+  std::function<void(const TableRows& rows, const std::set<NodeName>& gainers)> on_given;
   /// Asks another process to change the table; may be empty.
   TableWriter::EditElsewhere edit_elsewhere;
 };
@@ -93,6 +93,8 @@
   /// Objects of the shared kind, as listed or watched.
   void onTableObject(const MetadataObject& object) { writer_.onObject(object); }
   void onTableAbsent() { writer_.onAbsent(); }
+  /// As `TableWriter::onRows`.
+  bool onTableRows(const TableRows& rows) { return writer_.onRows(rows); }
 
   /// Does what is due; every 100 ms or so, and after events.
   void tick(TimePoint now);
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -29,7 +29,8 @@
       backoff_(kRetryDelay, kMostRetryDelay) {}
 
 void TableWriter::onObject(const MetadataObject& object) {
-  if (object.revision <= revision()) {
+  const bool is_news = object.revision > revision_ || (object.revision == revision_ && !exact_);
+  if (!is_news) {
     return;
   }
   auto table = OwnerTable::decode(object.value);
@@ -37,10 +38,42 @@
     return;
   }
   table_ = std::move(table.value());
-  object_ = object;
+  revision_ = object.revision;
+  exact_ = true;
   on_table_();
 }
 
+bool TableWriter::onRows(const TableRows& rows) {
+  if (rows.revision <= revision_) {
+    return true;
+  }
+  const bool gap = rows.after_token > table_.lastToken();
+  if (gap || !table_.overlay(rows.rows, rows.last_token)) {
+    return false;
+  }
+  revision_ = rows.revision;
+  exact_ = false;
+  on_table_();
+  return true;
+}
+
+TableRows TableWriter::rowsAfter(FenceToken token) const {
+  return {service_, revision_, token, table_.lastToken(), table_.rowsAbove(token)};
+}
+
+TableRows TableWriter::rowsFor(const TableEditFrame& edit) const {
+  TableRows rows = rowsAfter(edit.last_token);
+  // A range that is being released keeps its token.
+  for (const OwnedRange& changed : edit.delta.after) {
+    for (OwnedRange& row : table_.rowsAt(changed.keys)) {
+      if (row.token <= edit.last_token) {
+        rows.rows.push_back(std::move(row));
+      }
+    }
+  }
+  return rows;
+}
+
 void TableWriter::change(Edit edit, Done done, Way way) {
   changes_.push_back({std::move(edit), std::move(done), way == Way::Direct, false, false});
   if (changes_.size() == 1) {
@@ -113,13 +146,20 @@
   }
   in_flight_ = true;
   const auto on_edited = [this](const TableEditAnswer& answer) { onEdited(answer); };
-  if (direct || !edit_elsewhere_ || !edit_elsewhere_(deltaBetween(table_, changed), revision(), on_edited)) {
+  const bool elsewhere = !direct && edit_elsewhere_ &&
+                         edit_elsewhere_(deltaBetween(table_, changed), revision_, table_.lastToken(), on_edited);
+  if (!elsewhere) {
     writeDirect(changed);
   }
 }
 
 void TableWriter::writeDirect(const OwnerTable& changed) {
-  store_.replace(kTableKind, {ownerTableName(service_), revision(), changed.encode()},
+  if (!exact_) {
+    direct_next_ = true;
+    readAgain();
+    return;
+  }
+  store_.replace(kTableKind, {ownerTableName(service_), revision_, changed.encode()},
                  [this](const StoreAnswer& answer) { onWritten(answer); });
 }
 
@@ -157,15 +197,15 @@
 
 void TableWriter::onEdited(const TableEditAnswer& answer) {
   in_flight_ = false;
-  const StoreRevision before = revision();
+  const StoreRevision before = revision_;
   if (answer.table.revision != 0) {
-    onObject(answer.table);
+    onRows(answer.table);
   }
   switch (answer.status) {
     case TableEditStatus::Made:
       conflicts_ = 0;
       // Without the table that has it the change can't be looked at: read it.
-      if (revision() == before) {
+      if (revision_ == before) {
         read_first_ = true;
         direct_next_ = true;
         next();
@@ -175,7 +215,7 @@
       return;
     case TableEditStatus::NotApplicable:
       // Who writes for all may know an older table than this process.
-      direct_next_ = revision() == before;
+      direct_next_ = revision_ == before;
       onConflict();
       return;
     case TableEditStatus::Refused:
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -24,8 +24,8 @@
 /// How a change that another process was asked to make has ended.
 struct TableEditAnswer {
   TableEditStatus status = TableEditStatus::Unknown;
-  /// The table as it stands; revision 0 if it was not told.
-  MetadataObject table;
+  /// What has changed in the table since the revision that was known; revision 0 if nothing was told.
+  TableRows table;
 };
 
 /// Holds the newest table known. A change is an edit that looks at the table and says whether it still applies; it is
@@ -41,11 +41,12 @@
   using Edit = std::function<bool(OwnerTable&)>;
   /// @param written whether the edit stands in the store now; false when it applied no more.
   using Done = std::function<void(bool written)>;
-  /// Asks another process to make a change. @param known revision of the table that it was worked out on.
+  /// Asks another process to make a change.
+  /// @param known revision of the table that it was worked out on. @param last_token given out in that.
   /// @param answer runs once, never inside the call.
   /// @return false when there is none to be asked; `answer` never runs then.
-  using EditElsewhere =
-      std::function<bool(const TableDelta&, StoreRevision known, std::function<void(const TableEditAnswer&)> answer)>;
+  using EditElsewhere = std::function<bool(const TableDelta&, StoreRevision known, FenceToken last_token,
+                                           std::function<void(const TableEditAnswer&)> answer)>;
 
   /// Who may make a change.
   enum class Way : std::uint8_t {
@@ -59,16 +60,23 @@
   /// A table was read or watched; older ones than the one held are ignored.
   void onObject(const MetadataObject& object);
 
+  /// Another process has told what has changed. The table that this makes knows all owners, but is not the store's word
+  /// for word: the store is read before this process writes it.
+  /// @return false when changes are missing between the table held and these.
+  bool onRows(const TableRows& rows);
+  /// @return what has changed since that token was the last one given out.
+  TableRows rowsAfter(FenceToken token) const;
+  /// @return what to tell who asked for a change: what has changed since its version, and the rows at its keys.
+  TableRows rowsFor(const TableEditFrame& edit) const;
+
   /// The kind was listed and holds no table.
   void onAbsent() { absence_known_ = true; }
 
   /// @return whether there is a table, or it is known that there is none.
   bool known() const { return exists() || absence_known_; }
-  bool exists() const { return object_.revision != 0; }
+  bool exists() const { return revision_ != 0; }
   const OwnerTable& table() const { return table_; }
-  StoreRevision revision() const { return object_.revision; }
-  /// @return the table as the store has it.
-  const MetadataObject& object() const { return object_; }
+  StoreRevision revision() const { return revision_; }
 
   void setEditElsewhere(EditElsewhere edit_elsewhere) { edit_elsewhere_ = std::move(edit_elsewhere); }
 
@@ -115,8 +123,9 @@
   MetadataStore& store_;
   std::function<void()> on_table_;
   OwnerTable table_;
-  /// Kept as it was read: it is told to others more often than it changes.
-  MetadataObject object_;
+  StoreRevision revision_ = 0;
+  /// The table is as the store has it at that revision, in every row.
+  bool exact_ = false;
   bool absence_known_ = false;
   /// Conflicts since the last write that was done.
   unsigned conflicts_ = 0;
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -232,8 +232,8 @@
   const auto& services = routes_->config().services;
   return std::any_of(services.begin(), services.end(), [this](const auto& entry) {
     const auto& [name, service] = entry;
-    return service.divided_by_key && !shared_objects_.contains(ownerTableName(name)) &&
-           !ports_.directory->ready(name).empty();
+    const bool known = tableRevision(name) != 0 || shared_objects_.contains(ownerTableName(name));
+    return service.divided_by_key && !known && !ports_.directory->ready(name).empty();
   });
 }
 
@@ -252,17 +252,26 @@
   return table == nullptr ? 0 : table->revision();
 }
 
+TableQuestionFrame ClusterKnowledge::tableQuestion(const ServiceName& service) const {
+  const TableWriter* table = tableOf(service);
+  return table == nullptr ? TableQuestionFrame{} : TableQuestionFrame{table->revision(), table->table().lastToken()};
+}
+
 void ClusterKnowledge::onTableObject(const MetadataObject& object) {
   const ServiceName service(object.name.substr(kTablePrefix.size()));
   if (service == own_service_) {
     events_.on_own_table(object);
     return;
   }
+  otherTable(service).onObject(object);
+}
+
+TableWriter& ClusterKnowledge::otherTable(const ServiceName& service) {
   std::unique_ptr<TableWriter>& table = tables_[service];
   if (!table) {
     table = std::make_unique<TableWriter>(service, *ports_.store, [this] { events_.on_owners(); });
   }
-  table->onObject(object);
+  return *table;
 }
 
 void ClusterKnowledge::onListed(bool& list) {
@@ -295,11 +304,13 @@
   views_[service].addHint(hint, table == nullptr ? 0 : table->revision());
 }
 
-void ClusterKnowledge::onTable(const ObjectCopy& table) {
-  if (table.name.starts_with(kTablePrefix)) {
-    onSharedObject({table.name, table.revision, table.value}, false);
-    table_poller_.plan();
+void ClusterKnowledge::onTableRows(const NodeName& from, const TableRows& rows) {
+  const bool taken = rows.service == own_service_ ? events_.on_own_rows(rows) : otherTable(rows.service).onRows(rows);
+  if (!taken) {
+    events_.ask_table(from, tableQuestion(rows.service));
+    return;
   }
+  table_poller_.plan();
 }
 
 void ClusterKnowledge::tick() {
@@ -326,7 +337,7 @@
     return;
   }
   question.asked_at = now;
-  events_.ask_table(node, tableRevision(service));
+  events_.ask_table(node, tableQuestion(service));
   ports_.loop->runAfter(kTableAnswerLimit, [this, alive = alive_, service, asked = revision] {
     if (*alive) {
       table_questions_[service].not_told = asked;
@@ -339,12 +350,11 @@
   return {config_watcher_.news(), node_watcher_.news(), tableRevision(own_service_), 0, 0};
 }
 
-std::optional<ObjectCopy> ClusterKnowledge::ownTableNewerThan(StoreRevision known) const {
-  if (own_table_ == nullptr || own_table_->revision() <= known) {
+std::optional<TableRows> ClusterKnowledge::answerTo(const TableQuestionFrame& question) const {
+  if (own_table_ == nullptr || own_table_->revision() <= question.known) {
     return std::nullopt;
   }
-  const MetadataObject& table = own_table_->object();
-  return ObjectCopy{table.name, table.revision, table.value};
+  return own_table_->rowsAfter(question.last_token);
 }
 
 void ClusterKnowledge::noteLease(const NodeName& node, TimePoint until) {
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -46,7 +46,9 @@
   /// All nodes and tables have been read once, or were told.
   std::function<void()> on_complete_list;
   /// The node's process has a newer owner table of its service than this one, which has that revision.
-  std::function<void(const NodeName&, StoreRevision known)> ask_table;
+  std::function<void(const NodeName&, const TableQuestionFrame&)> ask_table;
+  /// Changes of the owner table of this node's service were told. @return false when others are missing before them.
+  std::function<bool(const TableRows&)> on_own_rows;
 };
 
 class ClusterKnowledge {
@@ -79,7 +81,7 @@
   KeyOwner ownerOf(const ServiceName& service, Key key);
   void onHint(const ServiceName& service, const OwnerHint& hint);
   /// Another process has written this table.
-  void onTable(const ObjectCopy& table);
+  void onTableRows(const NodeName& from, const TableRows& rows);
 
   /// The node's process, of that service, has seen these.
   void onSeenElsewhere(const NodeName& node, const ServiceName& service, const KnownRevisions& revisions);
@@ -108,8 +110,9 @@
   Duration configStaleness() const { return config_watcher_.staleness(); }
   /// As `configStaleness`, of the node records.
   Duration nodesStaleness() const { return node_watcher_.staleness(); }
-  /// @return the owner table of this node's service if it is newer than that revision.
-  std::optional<ObjectCopy> ownTableNewerThan(StoreRevision known) const;
+  /// @return the changes of the owner table of this node's service that the asker does not know; none if there are
+  /// none.
+  std::optional<TableRows> answerTo(const TableQuestionFrame& question) const;
 
   /// The node's process has its lease until then at least.
   void noteLease(const NodeName& node, TimePoint until);
@@ -134,6 +137,9 @@
   /// @return what owner tables are lacking.
   ListNeed tableNeed() const;
   StoreRevision tableRevision(const ServiceName& service) const;
+  /// @return the question for what has changed in a service's table since the one known here.
+  TableQuestionFrame tableQuestion(const ServiceName& service) const;
+  TableWriter& otherTable(const ServiceName& service);
   /// Asks the process that has a newer table, at most now and then; the store only if that does not answer.
   void onNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision);
 
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -296,8 +296,8 @@
     if (hello->needs_state) {
       events_.on_state_wanted(node);
     }
-  } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
-    events_.on_owner_table(*table);
+  } else if (const auto* rows = std::get_if<TableRowsFrame>(&frame)) {
+    events_.on_table_rows(node, *rows);
   } else if (const auto* news = std::get_if<NewsFrame>(&frame)) {
     events_.on_news(node, *news);
   } else if (const auto* edited = std::get_if<TableEditReplyFrame>(&frame)) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -32,8 +32,8 @@
     std::function<void(const NodeName&)> on_state_wanted;
     /// The node's process has told of its lease.
     std::function<void(const NodeName&, const HeardLease&)> on_lease;
-    /// A node has told its service's owner table, which it was asked for.
-    std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// A node has told changes of its service's owner table, which it was asked for.
+    std::function<void(const NodeName&, const TableRowsFrame&)> on_table_rows;
     /// A node has told what has changed in the store, which it was asked for.
     std::function<void(const NodeName&, const NewsFrame&)> on_news;
     /// A node has answered a request to change an owner table.
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -142,11 +142,11 @@
   } else if (const auto* demands = std::get_if<DemandsFrame>(&frame)) {
     ports_.on_demands(number, *demands);
   } else if (const auto* question = std::get_if<TableQuestionFrame>(&frame)) {
-    if (auto newer = ports_.table_newer_than(question->known)) {
-      stream->send(OwnerTableFrame{std::move(*newer)});
+    if (auto newer = ports_.answer_table(*question)) {
+      stream->send(TableRowsFrame{std::move(*newer)});
     }
-  } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
-    ports_.on_owner_table(*table);
+  } else if (const auto* rows = std::get_if<TableRowsFrame>(&frame)) {
+    ports_.on_table_rows(stream->sender.name, *rows);
   } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
     ports_.on_state(*state);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -29,10 +29,10 @@
     StoreCaller call_store;
     /// Newest objects that this process has seen, for every reply.
     std::function<KnownRevisions()> known;
-    /// @return the owner table of this process's service if it is newer than that revision.
-    std::function<std::optional<ObjectCopy>(std::uint64_t known)> table_newer_than;
-    /// Another process has written an owner table.
-    std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// @return the changes of this process's owner table that the asker does not know; none if there are none.
+    std::function<std::optional<TableRows>(const TableQuestionFrame&)> answer_table;
+    /// A node has changed its owner table.
+    std::function<void(const NodeName&, const TableRowsFrame&)> on_table_rows;
     /// @return whether this process knows nothing yet and the store does not answer.
     std::function<bool()> needs_state;
     /// Another process tells what it knows.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -46,6 +46,9 @@
              {[this](const NodeName& node, bool reachable) {
                 metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
                 log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
+                if (!reachable) {
+                  table_edits_.onLost(node);
+                }
               },
               [this](const NodeName& node) {
                 if (const auto state = knowledge_.stateFor(node)) {
@@ -58,7 +61,7 @@
                   keeper_->noteLease(node, lease);
                 }
               },
-              [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); },
+              [this](const NodeName& node, const TableRowsFrame& frame) { knowledge_.onTableRows(node, frame.table); },
               [this](const NodeName& node, const NewsFrame& news) { news_.onNews(node, news); },
               [this](const TableEditReplyFrame& reply) { table_edits_.onReply(reply); },
               [this](const DemandsFrame& demands) { demands_.onDemands(demands); }}),
@@ -92,9 +95,8 @@
     }
   };
   events.on_complete_list = [this] { onCompleteList(); };
-  events.ask_table = [this](const NodeName& node, StoreRevision known) {
-    links_.tell(node, TableQuestionFrame{known});
-  };
+  events.on_own_rows = [this](const TableRows& rows) { return !keeper_ || keeper_->onTableRows(rows); };
+  events.ask_table = [this](const NodeName& node, const TableQuestionFrame& question) { links_.tell(node, question); };
   return events;
 }
 
@@ -202,8 +204,10 @@
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known = [this] { return known(); };
-  peer_ports.table_newer_than = [this](std::uint64_t known) { return knowledge_.ownTableNewerThan(known); };
-  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
+  peer_ports.answer_table = [this](const TableQuestionFrame& question) { return knowledge_.answerTo(question); };
+  peer_ports.on_table_rows = [this](const NodeName& node, const TableRowsFrame& frame) {
+    knowledge_.onTableRows(node, frame.table);
+  };
   peer_ports.needs_state = [this] { return asksForState(); };
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
   peer_ports.on_news_question = [this](FollowerNumber follower, const NewsQuestionFrame& question) {
@@ -251,15 +255,15 @@
     gateway_->onOwnersChanged();
     tickSoon();
   };
-  ports.on_given = [this](const MetadataObject& table, const std::set<NodeName>& gainers) {
+  ports.on_given = [this](const TableRows& rows, const std::set<NodeName>& gainers) {
     for (const NodeName& node : gainers) {
-      links_.tell(node, OwnerTableFrame{{table.name, table.revision, table.value}});
+      links_.tell(node, TableRowsFrame{rows});
     }
   };
   ports.table_read = [this] { return knowledge_.tablesRead(); };
-  ports.edit_elsewhere = [this](const TableDelta& delta, StoreRevision known,
+  ports.edit_elsewhere = [this](const TableDelta& delta, StoreRevision known, FenceToken last_token,
                                 std::function<void(const TableEditAnswer&)> answer) {
-    return table_edits_.editElsewhere(delta, known, std::move(answer));
+    return table_edits_.editElsewhere(delta, known, last_token, std::move(answer));
   };
   ports.on_server_gone = [this] { onServerGone(); };
   ports.on_event = [this](const OwnershipEvent& event) {
--- a/source/router/table_edits.cc
+++ b/source/router/table_edits.cc
@@ -1,13 +1,17 @@
 #include "source/router/table_edits.h"
 
 #include <utility>
+#include <vector>
 
 namespace shedlever {
 
 namespace {
 
-/// Gathering takes up to 50 ms, the store 4 ms and 50 times that when it is slow.
-constexpr Duration kAnswerLimit = std::chrono::milliseconds(400);
+/// Gathering takes up to 50 ms, the store 4 ms and 50 times that when it is slow, twice if the write before is under
+/// way. Who writes by itself then meets the writes of all others, each as slow.
+constexpr Duration kAnswerLimit = std::chrono::milliseconds(1000);
+/// A process without an answer for so long is asked whether it is there; half a second later it counts as lost.
+constexpr Duration kProbeAfter = std::chrono::milliseconds(300);
 /// Changes that wait here beyond this are refused: whoever asks writes by itself then.
 constexpr std::size_t kMostWaiting = 64;
 
@@ -23,7 +27,7 @@
   }
 }
 
-bool TableEdits::editElsewhere(const TableDelta& delta, StoreRevision known,
+bool TableEdits::editElsewhere(const TableDelta& delta, StoreRevision known, FenceToken last_token,
                                std::function<void(const TableEditAnswer&)> answer) {
   const NodeName node = combiner_.choose(*ports_.directory, ports_.serves(), ports_.clock->now());
   if (node.empty()) {
@@ -33,17 +37,34 @@
   Asked& asked = asked_[exchange];
   asked.node = node;
   asked.answer = std::move(answer);
-  asked.timer = ports_.loop->runAfter(kAnswerLimit, [this, exchange] { onSilence(exchange); });
-  ports_.links->tell(node, TableEditFrame{exchange, known, delta});
+  asked.timer = ports_.loop->runAfter(kProbeAfter, [this, exchange] { probe(exchange); });
+  ports_.links->tell(node, TableEditFrame{exchange, known, last_token, delta});
   return true;
 }
 
+void TableEdits::probe(ExchangeId exchange) {
+  Asked& asked = asked_.at(exchange);
+  ports_.links->probe(asked.node);
+  asked.timer = ports_.loop->runAfter(kAnswerLimit - kProbeAfter, [this, exchange] { onSilence(exchange); });
+}
+
+void TableEdits::onLost(const NodeName& node) {
+  std::vector<ExchangeId> lost;
+  for (const auto& [exchange, asked] : asked_) {
+    if (asked.node == node) {
+      lost.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : lost) {
+    onSilence(exchange);
+  }
+}
+
 void TableEdits::onSilence(ExchangeId exchange) {
   const NodeName node = asked_.at(exchange).node;
   ports_.log->write("ownership", "edit-unanswered", {{"node", node.value}});
   ports_.metrics->onEvent("table-edit-unanswered");
   combiner_.onFailed(node, ports_.clock->now());
-  ports_.links->probe(node);
   end(exchange, {});
 }
 
@@ -59,10 +80,7 @@
   node.mapped().answer(answer);
 }
 
-void TableEdits::onReply(const TableEditReplyFrame& reply) {
-  const ObjectCopy& table = reply.table;
-  end(reply.exchange, {reply.status, {table.name, table.revision, table.value}});
-}
+void TableEdits::onReply(const TableEditReplyFrame& reply) { end(reply.exchange, {reply.status, reply.table}); }
 
 void TableEdits::onEdit(std::uint64_t stream, const TableEditFrame& edit) {
   OwnershipKeeper* keeper = ports_.keeper();
@@ -86,8 +104,7 @@
   answer.status = status;
   const OwnershipKeeper* keeper = ports_.keeper();
   if (keeper != nullptr && keeper->tableWriter().revision() > edit.known) {
-    const MetadataObject& table = keeper->tableWriter().object();
-    answer.table = {table.name, table.revision, table.value};
+    answer.table = keeper->tableWriter().rowsFor(edit);
   }
   ports_.send(stream, answer);
 }
--- a/source/router/table_edits.h
+++ b/source/router/table_edits.h
@@ -38,10 +38,13 @@
   TableEdits& operator=(const TableEdits&) = delete;
 
   /// As `TableWriter::EditElsewhere`.
-  bool editElsewhere(const TableDelta& delta, StoreRevision known, std::function<void(const TableEditAnswer&)> answer);
+  bool editElsewhere(const TableDelta& delta, StoreRevision known, FenceToken last_token,
+                     std::function<void(const TableEditAnswer&)> answer);
 
   /// The process that was asked has answered.
   void onReply(const TableEditReplyFrame& reply);
+  /// The node's process can't be reached.
+  void onLost(const NodeName& node);
   /// Another process asks this one.
   void onEdit(std::uint64_t stream, const TableEditFrame& edit);
 
@@ -53,6 +56,7 @@
   };
 
   void end(ExchangeId exchange, const TableEditAnswer& answer);
+  void probe(ExchangeId exchange);
   void onSilence(ExchangeId exchange);
   void reply(std::uint64_t stream, const TableEditFrame& edit, TableEditStatus status) const;
 
--- a/test/core_router/ownership/table_delta_test.cc
+++ b/test/core_router/ownership/table_delta_test.cc
@@ -132,5 +132,52 @@
   RC_ASSERT(OwnerTable::decode(theirs.encode()).value() == theirs);
 }
 
+// What processes tell each other in place of whole tables: rows by their tokens.
+RC_GTEST_PROP(TableRowsProperty, RowsAboveTheLastTokenKnownBringAllOwnersUpToDate, ()) {
+  const std::vector<OwnerPlace> places{kFirst, kSecond, kThird};
+  OwnerTable table = tableOfThree();
+  OwnerTable known = table;
+  const auto change = [&] {
+    const std::vector<OwnedRange>& ranges = table.ranges();
+    const OwnedRange range = ranges[*rc::gen::inRange<std::size_t>(0, ranges.size())];
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        table.joinNeighbours(range.owner);
+        return;
+      case 1:
+        table.abortRelease(range.keys);
+        return;
+      case 2:
+        table.assign(range.keys, places[*rc::gen::inRange<std::size_t>(0, places.size())], "h", 3);
+        return;
+      default:
+        const auto first = static_cast<Key>(*rc::gen::inRange<int>(range.keys.first, range.keys.last + 1));
+        const auto last = static_cast<Key>(*rc::gen::inRange<int>(first, range.keys.last + 1));
+        table.beginRelease({first, last}, range.owner);
+        return;
+    }
+  };
+  for (int told = *rc::gen::inRange(1, 4); told > 0; --told) {
+    for (int changes = *rc::gen::inRange(0, 12); changes > 0; --changes) {
+      change();
+    }
+    RC_ASSERT(known.overlay(table.rowsAbove(known.lastToken()), table.lastToken()));
+    for (std::uint32_t key = 0; key < kKeyCount; key += 7) {
+      const OwnedRange* here = known.find(static_cast<Key>(key));
+      const OwnedRange* there = table.find(static_cast<Key>(key));
+      RC_ASSERT(here->owner == there->owner && here->node == there->node && here->token == there->token);
+    }
+    RC_ASSERT(known.lastToken() == table.lastToken());
+  }
+}
+
+TEST(TableRowsTest, RowsThatMakeNoTableChangeNothing) {
+  OwnerTable table;
+  EXPECT_FALSE(table.overlay({OwnedRange{{5, 9}, InstanceId("i"), NodeName("n"), 7, {}, false, 0}}, 9));
+  EXPECT_TRUE(table.ranges().empty());
+  EXPECT_TRUE(table.overlay(tableOfThree().ranges(), 3));
+  EXPECT_EQ(table, tableOfThree());
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -278,6 +278,40 @@
   expectAllServed();
 }
 
+/// Plays many owners of which some are asked for more than they have.
+/// @return writes of the table within the time, also those that met another's.
+std::uint64_t tableWritesWhileManyMove(bool one_writes_for_all) {
+  constexpr std::size_t kNodes = 40;
+  constexpr std::size_t kBusy = 12;
+  constexpr std::uint32_t kKeyStep = 64;
+  OwnershipWorld world(kNodes, kSeed);
+  if (one_writes_for_all) {
+    world.combineWrites();
+  }
+  world.run(seconds(4));
+  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+  const std::uint64_t before = world.tableWrites();
+  for (int second = 0; second < 8; ++second) {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      world.setOccupancy(node, node < kBusy ? 1.4 : 0.3);
+      for (std::uint32_t key = 0; key < kKeyCount; key += kKeyStep) {
+        world.addKeyWork(node, static_cast<Key>(key), 1);
+      }
+    }
+    world.run(seconds(1));
+  }
+  expectSound(world);
+  return world.tableWrites() - before;
+}
+
+// At 95 owners 5,207 of 21,000 calls to the store were writes of one table, most of which met another's.
+TEST(ManyOwnersTest, OneWritesTheMovesOfAllInFewerWrites) {
+  const std::uint64_t each_by_itself = tableWritesWhileManyMove(false);
+  const std::uint64_t by_one = tableWritesWhileManyMove(true);
+  EXPECT_GT(each_by_itself, 60U);
+  EXPECT_LT(2 * by_one, each_by_itself);
+}
+
 /// Faults of all kinds at random times, on seeds that the test names.
 class OwnershipSoakTest : public ::testing::TestWithParam<std::uint64_t> {};
 
