--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -55,6 +55,9 @@
   Duration balance_settle = std::chrono::milliseconds(1000);
   /// How long keys stay with an owner that has just got them, until it has seen where their work lies.
   Duration gain_settle = std::chrono::seconds(3);
+  /// How long a server that has just started gives no keys away to even out load: it runs at a fraction of its speed at
+  /// first, as do all after a common start, and a move takes as long as the requests on its keys.
+  Duration cold_time = std::chrono::seconds(4);
   /// Share of its slots that an owner's work asks for, below which it keeps its keys.
   double busy_occupancy = 0.6;
   /// How far above the average of all servers, as a share of its slots, an owner's work must be for a move.
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership_fields.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<OwnershipDuration, 15> kDurations{{
+constexpr std::array<OwnershipDuration, 16> kDurations{{
     {"lease", &OwnershipConfig::lease},
     {"lease_renewal", &OwnershipConfig::lease_renewal},
     {"lease_retry", &OwnershipConfig::lease_retry},
@@ -21,6 +21,7 @@
     {"pause_limit", &OwnershipConfig::pause_limit},
     {"balance_settle", &OwnershipConfig::balance_settle},
     {"gain_settle", &OwnershipConfig::gain_settle},
+    {"cold_time", &OwnershipConfig::cold_time},
     {"balance_interval", &OwnershipConfig::balance_interval},
 }};
 
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -450,7 +450,7 @@
 }
 
 void OwnershipKeeper::balance(TimePoint now) {
-  if (now < next_balance_) {
+  if (now < next_balance_ || now - server_since_ < config_.cold_time) {
     return;
   }
   next_balance_ = now + config_.balance_interval;
@@ -604,6 +604,7 @@
     return changed;
   };
   std::vector<OwnerPlace> gainers;
+  gainers.reserve(released.size());
   for (const Move& move : released) {
     gainers.push_back(move.target);
   }
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -278,6 +278,25 @@
   expectAllServed();
 }
 
+// After a common start all are slow: keys that were moved about then were out of service for 2 to 4 s.
+TEST_F(OwnershipTest, ServerThatHasJustStartedGivesNoKeysAwayForItsLoad) {
+  world_.killServer(1);
+  world_.startServer(1);
+  world_.run(seconds(1));
+  const std::size_t keys = world_.servedBy(1);
+  for (int second = 0; second < 2; ++second) {
+    for (std::size_t node = 0; node < 4; ++node) {
+      world_.setOccupancy(node, node == 1 ? 1.6 : 0.2);
+    }
+    for (std::uint32_t key = 0; key < kKeyCount; key += 64) {
+      world_.addKeyWork(1, static_cast<Key>(key), 1);
+    }
+    world_.run(seconds(1));
+  }
+  ASSERT_GT(keys, 0U);
+  EXPECT_EQ(world_.servedBy(1), keys);
+}
+
 // Moves whose releases were never answered stood in the way of all later ones, up to the server's next life.
 TEST_F(OwnershipTest, OwnerWhoseLeaseWasRevokedAmidMovesHandsOverLater) {
   world_.silenceServer(1, true);
