--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -577,6 +577,18 @@
   }
 }
 
+void OwnershipWorld::overload(std::size_t node) {
+  constexpr double kFull = 1.6;
+  constexpr double kIdle = 0.2;
+  constexpr std::uint32_t kKeyStep = 64;
+  for (const auto& other : nodes_) {
+    setOccupancy(other->index, other->index == node ? kFull : kIdle);
+  }
+  for (std::uint32_t key = 0; key < kKeyCount; key += kKeyStep) {
+    addKeyWork(node, static_cast<Key>(key), 1);
+  }
+}
+
 bool OwnershipWorld::serves(const Node& node, Key key) const {
   return node.keeper && !node.paused && node.keeper->standing(key, time_.now()) == KeyStanding::Held && node.server &&
          node.server->holds(key);
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -83,6 +83,9 @@
   /// As `addKeyWork`, for each of the keys looked at.
   void addWorkOnAllKeys(std::size_t node, int requests);
 
+  /// One node is asked for more than its server has, on many keys; the others for little.
+  void overload(std::size_t node);
+
   /// @return how many keys, of those looked at, some node would begin requests for.
   std::size_t servedKeys() const;
   std::size_t sampledKeys() const { return kSamples; }
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -42,29 +42,7 @@
       gate_(clock_, settings_.queue, server_link_,
             {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
             gate_recorder_, {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
-      links_(loop_, clock_, self_, directory_,
-             {[this](const NodeName& node, bool reachable) {
-                metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
-                log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
-                if (!reachable) {
-                  table_edits_.onLost(node);
-                }
-              },
-              [this](const NodeName& node) {
-                if (const auto state = knowledge_.stateFor(node)) {
-                  links_.tell(node, *state);
-                }
-              },
-              [this](const NodeName& node, const HeardLease& lease) {
-                knowledge_.noteLease(node, lease.valid_until);
-                if (keeper_) {
-                  keeper_->noteLease(node, lease);
-                }
-              },
-              [this](const NodeName& node, const TableRowsFrame& frame) { knowledge_.onTableRows(node, frame.table); },
-              [this](const NodeName& node, const NewsFrame& news) { news_.onNews(node, news); },
-              [this](const TableEditReplyFrame& reply) { table_edits_.onReply(reply); },
-              [this](const DemandsFrame& demands) { demands_.onDemands(demands); }}),
+      links_(loop_, clock_, self_, directory_, peerEvents()),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
           [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); })),
@@ -84,91 +62,8 @@
 
 RouterProcess::~RouterProcess() = default;
 
-KnowledgeEvents RouterProcess::knowledgeEvents() {
-  KnowledgeEvents events;
-  events.on_config = [this] { onConfig(); };
-  events.on_nodes = [this] { gateway_->setProcesses(directory_.nodes().size()); };
-  events.on_owners = [this] { gateway_->onOwnersChanged(); };
-  events.on_own_table = [this](const MetadataObject& table) {
-    if (keeper_) {
-      keeper_->onTableObject(table);
-    }
-  };
-  events.on_complete_list = [this] { onCompleteList(); };
-  events.on_own_rows = [this](const TableRows& rows) { return !keeper_ || keeper_->onTableRows(rows); };
-  events.ask_table = [this](const NodeName& node, const TableQuestionFrame& question) { links_.tell(node, question); };
-  return events;
-}
-
-NewsExchange::Ports RouterProcess::newsPorts() {
-  NewsExchange::Ports ports;
-  ports.clock = &clock_;
-  ports.directory = &directory_;
-  ports.links = &links_;
-  ports.knowledge = &knowledge_;
-  ports.log = &log_;
-  ports.metrics = &metrics_;
-  ports.send = [this](FollowerNumber follower, const NewsFrame& frame) { peer_server_->tell(follower, frame); };
-  return ports;
-}
-
-TableEdits::Ports RouterProcess::tableEditPorts() {
-  TableEdits::Ports ports;
-  ports.loop = &loop_;
-  ports.clock = &clock_;
-  ports.directory = &directory_;
-  ports.links = &links_;
-  ports.log = &log_;
-  ports.metrics = &metrics_;
-  ports.serves = [this] { return serves(); };
-  ports.keeper = [this] { return keeper_.get(); };
-  ports.send = [this](std::uint64_t stream, const RouterFrame& frame) { peer_server_->tell(stream, frame); };
-  return ports;
-}
-
-DemandExchange::Ports RouterProcess::demandPorts() {
-  DemandExchange::Ports ports;
-  ports.clock = &clock_;
-  ports.directory = &directory_;
-  ports.links = &links_;
-  ports.serves = [this] { return serves(); };
-  ports.load = [this] { return gate_.load(); };
-  ports.send = [this](std::uint64_t stream, const RouterFrame& frame) { peer_server_->tell(stream, frame); };
-  return ports;
-}
-
 bool RouterProcess::serves() const { return !server_.instance().empty() && !server_.draining() && !leaving_; }
 
-GatewayDependencies RouterProcess::gatewayPorts() {
-  GatewayDependencies ports;
-  ports.loop = &loop_;
-  ports.clock = &clock_;
-  ports.random = &random_;
-  ports.protocol = platform_.clients;
-  ports.claims = &claims_;
-  ports.directory = &directory_;
-  ports.gate = &gate_;
-  ports.links = &links_;
-  ports.log = &log_;
-  ports.metrics = &metrics_;
-  ports.owner_of = [this](const ServiceName& service, Key key) { return knowledge_.ownerOf(service, key); };
-  ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) { knowledge_.onHint(service, hint); };
-  ports.on_known = [this](const NodeName& node, const ServiceName& service, const KnownRevisions& revisions) {
-    knowledge_.onSeenElsewhere(node, service, revisions);
-  };
-  return ports;
-}
-
-StatusPages::Ports RouterProcess::statusPorts() {
-  StatusPages::Ports ports;
-  ports.reports = platform_.reports;
-  ports.ready = [this] { return ready(); };
-  ports.metrics = [this] { return metrics_.text(levels()); };
-  ports.status = [this] { return status(); };
-  ports.drain = [this] { onServerDraining(); };
-  return ports;
-}
-
 leaf::result<void> RouterProcess::open() {
   log_.write("router", "start",
              {{"node", settings_.node.value},
@@ -194,36 +89,7 @@
   const auto on_report = [this](const HttpRequest& request, const HttpReplier& replier) {
     onReportRequest(request, replier);
   };
-  const auto call_store = [this](StoreCall call, StoreAccess::Callback done) {
-    store_access_.callStraight(std::move(call), std::move(done));
-  };
-  PeerServer::Ports peer_ports;
-  peer_ports.self = self_;
-  peer_ports.gate = &gate_;
-  peer_ports.pacer = &pacer_;
-  peer_ports.call_store = call_store;
-  peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
-  peer_ports.known = [this] { return known(); };
-  peer_ports.answer_table = [this](const TableQuestionFrame& question) { return knowledge_.answerTo(question); };
-  peer_ports.on_table_rows = [this](const NodeName& node, const TableRowsFrame& frame) {
-    knowledge_.onTableRows(node, frame.table);
-  };
-  peer_ports.needs_state = [this] { return asksForState(); };
-  peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
-  peer_ports.on_news_question = [this](FollowerNumber follower, const NewsQuestionFrame& question) {
-    news_.onQuestion(follower, question);
-  };
-  peer_ports.on_table_edit = [this](std::uint64_t stream, const TableEditFrame& edit) {
-    table_edits_.onEdit(stream, edit);
-  };
-  peer_ports.on_demands = [this](std::uint64_t stream, const DemandsFrame& demands) {
-    demands_.onTold(stream, demands);
-  };
-  peer_ports.on_stream_end = [this](std::uint64_t stream) {
-    news_.onFollowerGone(stream);
-    demands_.onStreamEnd(stream);
-  };
-  BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
+  BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, peerPorts()));
   peer_server_ = std::move(peers);
   // A port from the kernel is known only now.
   if (settings_.peers_reached_at.port == 0) {
@@ -244,35 +110,6 @@
   return {};
 }
 
-OwnershipPorts RouterProcess::ownershipPorts() {
-  OwnershipPorts ports;
-  ports.store = store_.get();
-  ports.orders = &server_link_;
-  ports.clock = &clock_;
-  ports.directory = &directory_;
-  ports.on_change = [this] {
-    loop_.post([this] { gate_.onKeysChanged(); });
-    gateway_->onOwnersChanged();
-    tickSoon();
-  };
-  ports.on_given = [this](const TableRows& rows, const std::set<NodeName>& gainers) {
-    for (const NodeName& node : gainers) {
-      links_.tell(node, TableRowsFrame{rows});
-    }
-  };
-  ports.table_read = [this] { return knowledge_.tablesRead(); };
-  ports.edit_elsewhere = [this](const TableDelta& delta, StoreRevision known, FenceToken last_token,
-                                std::function<void(const TableEditAnswer&)> answer) {
-    return table_edits_.editElsewhere(delta, known, last_token, std::move(answer));
-  };
-  ports.on_server_gone = [this] { onServerGone(); };
-  ports.on_event = [this](const OwnershipEvent& event) {
-    metrics_.onEvent("ownership-change");
-    log_.write("ownership", event.what, {{"detail", event.detail}});
-  };
-  return ports;
-}
-
 void RouterProcess::createKeeper() {
   keeper_ = std::make_unique<OwnershipKeeper>(self_, settings_.service, settings_.ownership, ownershipPorts());
   gate_.setKeeper(keeper_.get());
@@ -360,21 +197,6 @@
 
 // What the server says.
 
-HeartbeatResponder::Ports RouterProcess::responderPorts() {
-  HeartbeatResponder::Ports ports;
-  ports.clock = &clock_;
-  ports.assign = [this](const KeyReport& report, TimePoint received) {
-    return keeper_ ? keeper_->assign(report, received) : std::nullopt;
-  };
-  ports.would_change = [this](const KeyReport& report) { return keeper_ && keeper_->wouldChange(report); };
-  ports.acknowledged = [this] {
-    if (keeper_) {
-      keeper_->onAcknowledged();
-    }
-  };
-  return ports;
-}
-
 void RouterProcess::onReportRequest(const HttpRequest& request, const HttpReplier& replier) {
   const auto report = platform_.reports->readReport(request);
   if (!report) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -60,15 +60,19 @@
   void onWrongSettings(const Findings& findings);
 
  private:
-  leaf::result<void> openListeners();
+  // What each part is given of the others (router_process_ports.cc).
   GatewayDependencies gatewayPorts();
   OwnershipPorts ownershipPorts();
   StatusPages::Ports statusPorts();
-
   KnowledgeEvents knowledgeEvents();
+  PeerLinks::Events peerEvents();
+  PeerServer::Ports peerPorts();
   NewsExchange::Ports newsPorts();
   TableEdits::Ports tableEditPorts();
   DemandExchange::Ports demandPorts();
+  HeartbeatResponder::Ports responderPorts();
+
+  leaf::result<void> openListeners();
   /// @return whether a server that is to stay runs beside this process.
   bool serves() const;
   void onConfig();
@@ -82,7 +86,6 @@
   NodeStatus status() const;
   RouterLevels levels() const;
   void applyOwnSettings(const RoutedService& own);
-  HeartbeatResponder::Ports responderPorts();
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   PresenceChange onReport(const ServerReport& report);
   /// Asks the server which life it is; the report counts only if it is of that one.
--- a/test/core_router/heartbeat_ownership_test.cc
+++ b/test/core_router/heartbeat_ownership_test.cc
@@ -74,13 +74,7 @@
 // As of the same name in OwnershipTest: what stood in the way of later moves was a release that was forgotten together
 // with the lease.
 TEST_F(HeartbeatOwnershipTest, OwnerWhoseLeaseWasRevokedAmidMovesHandsOverLater) {
-  for (std::size_t other : {0U, 2U, 3U}) {
-    world_.setOccupancy(other, 0.2);
-  }
-  world_.setOccupancy(1, 1.6);
-  for (std::uint32_t key = 0; key < kKeyCount; key += 64) {
-    world_.addKeyWork(1, static_cast<Key>(key), 1);
-  }
+  world_.overload(1);
   world_.silenceServer(1, true);
   world_.run(milliseconds(700));
   const OwnerTable table = OwnerTable::decode(world_.table().value).value();
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -285,12 +285,7 @@
   world_.run(seconds(1));
   const std::size_t keys = world_.servedBy(1);
   for (int second = 0; second < 2; ++second) {
-    for (std::size_t node = 0; node < 4; ++node) {
-      world_.setOccupancy(node, node == 1 ? 1.6 : 0.2);
-    }
-    for (std::uint32_t key = 0; key < kKeyCount; key += 64) {
-      world_.addKeyWork(1, static_cast<Key>(key), 1);
-    }
+    world_.overload(1);
     world_.run(seconds(1));
   }
   ASSERT_GT(keys, 0U);
@@ -300,13 +295,7 @@
 // Moves whose releases were never answered stood in the way of all later ones, up to the server's next life.
 TEST_F(OwnershipTest, OwnerWhoseLeaseWasRevokedAmidMovesHandsOverLater) {
   world_.silenceServer(1, true);
-  world_.setOccupancy(1, 1.6);
-  for (std::size_t other : {0U, 2U, 3U}) {
-    world_.setOccupancy(other, 0.2);
-  }
-  for (std::uint32_t key = 0; key < kKeyCount; key += 64) {
-    world_.addKeyWork(1, static_cast<Key>(key), 1);
-  }
+  world_.overload(1);
   world_.run(seconds(1));
   const OwnerTable table = OwnerTable::decode(world_.table().value).value();
   ASSERT_TRUE(std::any_of(table.ranges().begin(), table.ranges().end(), [](const auto& row) { return row.releasing; }));
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -51,10 +51,7 @@
   GatewayTest()
       : log_(loop_, clock_, open("/dev/null", O_WRONLY | O_CLOEXEC)),
         directory_(self_.name, ZoneName("z"), {}, random_),
-        links_(loop_, clock_, self_, directory_,
-               {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                [](const NodeName&, const TableRowsFrame&) {}, [](const NodeName&, const NewsFrame&) {},
-                [](const TableEditReplyFrame&) {}, [](const DemandsFrame&) {}}),
+        links_(loop_, clock_, self_, directory_, unheardPeerEvents()),
         gateway_(self_, ServiceName("own"), {1.0, 100}, ports()) {
     RouterConfig config;
     config.version = 1;
--- a/test/router/peer_links_test.cc
+++ b/test/router/peer_links_test.cc
@@ -17,10 +17,7 @@
  protected:
   PeerLinksTest()
       : directory_(NodeName("self"), ZoneName("z"), {}, random_),
-        links_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
-               {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                [](const NodeName&, const TableRowsFrame&) {}, [](const NodeName&, const NewsFrame&) {},
-                [](const TableEditReplyFrame&) {}, [](const DemandsFrame&) {}}) {}
+        links_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_, unheardPeerEvents()) {}
 
   void knowNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
--- a/test/router/store_caller_test.cc
+++ b/test/router/store_caller_test.cc
@@ -49,13 +49,7 @@
                           }
                         }};
   ServerDirectory directory_{NodeName("self"), ZoneName("z"), {}, random_};
-  PeerLinks links_{loop_,
-                   clock_,
-                   {NodeName("self"), Incarnation{1}},
-                   directory_,
-                   {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                    [](const NodeName&, const TableRowsFrame&) {}, [](const NodeName&, const NewsFrame&) {},
-                    [](const TableEditReplyFrame&) {}, [](const DemandsFrame&) {}}};
+  PeerLinks links_{loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_, unheardPeerEvents()};
   EventLog log_{loop_, clock_, dup(STDERR_FILENO)};
   RouterMetrics metrics_;
   StoreAccess access_{loop_, clock_, store_.endpoint(), links_, log_, metrics_};
