Who has no way to the store follows any that has; requests for keys are given up like others again

A third of the nodes had no way to the store there, the first of a zone among them; a node that had none itself could follow only those that rank before it, and each step to the next took a second. Change: while what is known is older than 1 s a node also follows one that ranks behind it (first of other zones, last of its own), also the source, which goes on watching; a relay that leaves it so old is left after 250 ms. Taken back: the question after a request for a key on a new stream.

--- a/source/core/router/knowledge/kind_state.cc
+++ b/source/core/router/knowledge/kind_state.cc
@@ -1,7 +1,5 @@
 #include "source/core/router/knowledge/kind_state.h"
 
-#include <algorithm>
-
 namespace shedlever {
 
 bool KindState::take(const MetadataObject& object, bool deleted) {
--- a/source/core/router/knowledge/kind_state.h
+++ b/source/core/router/knowledge/kind_state.h
@@ -3,6 +3,7 @@
 /// @file
 /// The newest state of each object of one kind, as far as a process has heard.
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
--- a/source/core/router/knowledge/news_followers.h
+++ b/source/core/router/knowledge/news_followers.h
@@ -4,7 +4,6 @@
 /// The processes that hear of changes in the store from this one, and what each has been told.
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <vector>
 
--- a/source/core/router/knowledge/relay_follower.cc
+++ b/source/core/router/knowledge/relay_follower.cc
@@ -13,7 +13,9 @@
 /// What the processes before this one ask the store keeps news younger than this; a relay that leaves them older has no
 /// way to the store.
 constexpr Duration kStaleLimit = std::chrono::milliseconds(1000);
-constexpr Duration kStalePause = std::chrono::seconds(2);
+constexpr Duration kStalePause = std::chrono::seconds(3);
+/// A relay that is asked tells what it knows within that, two zones away and on a busy machine.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(250);
 /// The clocks of two machines run apart by up to 2%: over this time by a tenth of a second.
 constexpr Duration kQuestionInterval = std::chrono::seconds(5);
 /// By which a relay's count of time is cut, for that drift.
@@ -33,30 +35,48 @@
   }
   if (now - std::max(followed_since_, heard_at_) > kSilenceLimit) {
     passed_over_[relay_] = {Fault::Silent, now + kSilentPause};
-  } else if (staleness > kStaleLimit && now - followed_since_ > kStaleLimit) {
+  } else if (staleness > kStaleLimit && now - followed_since_ > kAnswerTime) {
     passed_over_[relay_] = {Fault::Stale, now + kStalePause};
   }
 }
 
-NodeName RelayFollower::best(const std::vector<NodeName>& relays, TimePoint now) const {
-  NodeName stale;
+bool RelayFollower::isPassedOver(const NodeName& relay, TimePoint now) const {
+  const auto found = passed_over_.find(relay);
+  return found != passed_over_.end() && now < found->second.until;
+}
+
+NodeName RelayFollower::best(const std::vector<NodeName>& relays, const std::vector<NodeName>& others,
+                             Duration staleness, TimePoint now) const {
   for (const NodeName& relay : relays) {
-    const auto found = passed_over_.find(relay);
-    if (found == passed_over_.end() || now >= found->second.until) {
+    if (!isPassedOver(relay, now)) {
       return relay;
     }
-    // Better than none: what it hears it tells on.
-    if (found->second.fault == Fault::Stale && stale.empty()) {
-      stale = relay;
+  }
+  const bool keeps_other = std::find(others.begin(), others.end(), relay_) != others.end();
+  if (keeps_other && !isPassedOver(relay_, now)) {
+    return relay_;
+  }
+  if (staleness > kStaleLimit) {
+    for (const NodeName& other : others) {
+      if (!isPassedOver(other, now)) {
+        return other;
+      }
+    }
+  }
+  // One whose news are old is better than none: what it hears it tells on.
+  for (const NodeName& relay : relays) {
+    if (passed_over_.at(relay).fault == Fault::Stale) {
+      return relay;
     }
   }
-  return stale;
+  return {};
 }
 
-std::optional<RelayQuestion> RelayFollower::tick(const std::vector<NodeName>& relays, Duration staleness,
+std::optional<RelayQuestion> RelayFollower::tick(const std::vector<NodeName>& relays,
+                                                 const std::vector<NodeName>& others, Duration staleness,
                                                  TimePoint now) {
   judge(staleness, now);
-  const NodeName next = best(relays, now);
+  const NodeName next = best(relays, others, staleness, now);
   if (next != relay_) {
     relay_ = next;
     followed_since_ = now;
--- a/source/core/router/knowledge/relay_follower.h
+++ b/source/core/router/knowledge/relay_follower.h
@@ -23,10 +23,11 @@
 /// and never a promise: the follower counts how old what it knows is from when its question was sent.
 class RelayFollower {
  public:
-  /// @param relays whom to follow, the best first.
+  /// @param relays whom to follow, the best first. @param others whom to follow only while what is known here is old.
   /// @param staleness of what is known here.
   /// @return a question that is due. To be called every 50 ms or so.
-  std::optional<RelayQuestion> tick(const std::vector<NodeName>& relays, Duration staleness, TimePoint now);
+  std::optional<RelayQuestion> tick(const std::vector<NodeName>& relays, const std::vector<NodeName>& others,
+                                    Duration staleness, TimePoint now);
 
   /// A relay has told news.
   /// @param question that it had read last, that long before it told them.
@@ -48,7 +49,9 @@
 
   /// Leaves the relay alone for a while if it is of no use.
   void judge(Duration staleness, TimePoint now);
-  NodeName best(const std::vector<NodeName>& relays, TimePoint now) const;
+  NodeName best(const std::vector<NodeName>& relays, const std::vector<NodeName>& others, Duration staleness,
+                TimePoint now) const;
+  bool isPassedOver(const NodeName& relay, TimePoint now) const;
   RelayQuestion ask(TimePoint now);
 
   NodeName relay_;
--- a/source/core/router/knowledge/relay_order.h
+++ b/source/core/router/knowledge/relay_order.h
@@ -7,6 +7,8 @@
 /// zone and name, without agreeing on it. Two that see different processes may both watch the store, or follow one that
 /// follows another: that costs calls or a step on the way, as each bounds by itself how old what it knows may be.
 
+#include <cstdint>
+#include <functional>
 #include <vector>
 
 #include "source/core/router/server_directory.h"
@@ -25,6 +27,9 @@
   RelayRank rank = RelayRank::Source;
   /// Whom to follow, the best first; empty for who watches the store.
   std::vector<NodeName> relays;
+  /// Whom else to follow while all of these are silent, or have no way to the store. They may rank behind this process:
+  /// a third of all may be cut off from the store, this one and all before it among them.
+  std::vector<NodeName> others;
 };
 
 /// @param nodes all that are known, in any order.
--- a/source/router/news_exchange.cc
+++ b/source/router/news_exchange.cc
@@ -51,7 +51,7 @@
 void NewsExchange::follow(TimePoint now) {
   const NodeName before = follower_.relay();
   const Duration staleness = ports_.knowledge->configStaleness();
-  if (const auto question = follower_.tick(place_.relays, staleness, now)) {
+  if (const auto question = follower_.tick(place_.relays, place_.others, staleness, now)) {
     ports_.links->tell(question->relay, NewsQuestionFrame{question->number, ports_.knowledge->position()});
   }
   if (follower_.relay() != before) {
@@ -64,6 +64,7 @@
       ports_.links->probe(before);
     }
   }
+  // The source goes on watching the store while it follows another: that is how it hears first that it can again.
   const bool is_alone = follower_.relay().empty() && !place_.relays.empty();
   setRank(is_alone ? RelayRank::Alone : place_.rank);
   if (follower_.relay().empty()) {
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -134,8 +134,7 @@
   pending.node = node;
   pending.done = std::move(done);
   pending.sent_at = clock_.now();
-  // Nobody else can run a request for the node's key: its answer is waited for where the node has just been slow.
-  pending.repeatable = mayRepeat(frame.kind) && !frame.keyed;
+  pending.repeatable = mayRepeat(frame.kind);
   Link* link = linkTo(node);
   if (link == nullptr || !link->send(std::move(frame), exchange)) {
     loop_.post([this, alive = alive_, exchange] {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -77,7 +77,7 @@
     NodeName node;
     ForwardCallback done;
     TimePoint sent_at{};
-    /// Whether it may run again elsewhere, so that it need not be settled.
+    /// Whether it may run again, so that it need not be settled.
     bool repeatable = false;
     /// The stream broke: the life of the other process that had it, and alone can say what became of it.
     std::optional<Incarnation> asked_life;
--- a/source/router/table_edits.h
+++ b/source/router/table_edits.h
@@ -4,6 +4,7 @@
 /// Changes of an owner table that one process makes for the others of its service.
 
 #include <functional>
+#include <memory>
 #include <unordered_map>
 
 #include "source/core/router/ownership/write_combiner.h"
--- a/test/core_router/knowledge/relay_order_test.cc
+++ b/test/core_router/knowledge/relay_order_test.cc
@@ -79,6 +79,16 @@
   EXPECT_EQ(placeOf("b", "b-3").relays, (std::vector<NodeName>{NodeName("b-1"), NodeName("b-2")}));
 }
 
+TEST_F(RelayOrderTest, OthersBehindANodeAreKnownToItToo) {
+  add("a", "a-1");
+  add("b", "b-1");
+  add("b", "b-2");
+  add("b", "b-3");
+  add("c", "c-1");
+  EXPECT_EQ(placeOf("a", "a-1").others, (std::vector<NodeName>{NodeName("b-1"), NodeName("c-1")}));
+  EXPECT_EQ(placeOf("b", "b-2").others, (std::vector<NodeName>{NodeName("a-1"), NodeName("c-1"), NodeName("b-3")}));
+}
+
 TEST_F(RelayOrderTest, NodesThatLeaveOrCantBeReachedAreNotFollowed) {
   add("b", "b-1").draining = true;
   add("b", "b-2");
