--- a/test/core_router/ownership/table_writer_test.cc
+++ b/test/core_router/ownership/table_writer_test.cc
@@ -99,6 +99,7 @@
   constexpr int kOwners = 20;
   constexpr Duration kTick = milliseconds(5);
   std::vector<OwnerPlace> places;
+  places.reserve(kOwners);
   for (int i = 0; i < kOwners; ++i) {
     places.push_back({InstanceId("i-" + std::to_string(i)), NodeName("n-" + std::to_string(i))});
   }
