Sight: what a server was at work on when it ended, and which requests are the same one again

Requests that the same life has run well before are left out. No logic depends on it yet. Ruled out: hashing by the id (each repeat has its own), xxHash (a caller could make a request that is taken for another's).

--- a/source/router/gate_recorder.cc
+++ b/source/router/gate_recorder.cc
@@ -35,7 +35,8 @@
               {"left_ms", millisecondsText(Duration(frame.remaining_us))}});
 }
 
-void GateRecorder::ended(const ForwardFrame& frame, const ServerResult& result, Duration queued, Duration ran) {
+void GateRecorder::ended(const ForwardFrame& frame, const RequestFingerprint& fingerprint, const ServerResult& result,
+                         Duration queued, Duration ran) {
   metrics_.onServerEnd(result.outcome, result.reason, queued, ran);
   if (result.outcome == ForwardOutcome::Answered || !log_.mayWriteAttempt()) {
     return;
@@ -46,6 +47,7 @@
               {"reached", result.reached_server ? "1" : "0"},
               {"key", keyOf(frame)},
               {"instance", frame.instance.value},
+              {"fingerprint", toString(fingerprint)},
               {"queued_ms", millisecondsText(queued)},
               {"ran_ms", millisecondsText(ran)}});
 }
--- a/source/router/gate_recorder.h
+++ b/source/router/gate_recorder.h
@@ -3,6 +3,7 @@
 /// @file
 /// Logs and counts what the gate decides about each request that comes to its server.
 
+#include "shedlever/request_fingerprint.h"
 #include "source/router/event_log.h"
 #include "source/router/router_metrics.h"
 #include "source/router/server_link.h"
@@ -33,7 +34,8 @@
 
   /// The server's part of the request has ended.
   /// @param queued before it was sent to the server. @param ran until it ended.
-  void ended(const ForwardFrame& frame, const ServerResult& result, Duration queued, Duration ran);
+  void ended(const ForwardFrame& frame, const RequestFingerprint& fingerprint, const ServerResult& result,
+             Duration queued, Duration ran);
 
  private:
   EventLog& log_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -39,7 +39,11 @@
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_link_,
             {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
-            gate_recorder_, {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); }}),
+            gate_recorder_,
+            {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); },
+             [this](const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
+               onLifeEnded(instance, unanswered);
+             }}),
       links_(loop_, clock_, self_, directory_,
              {[this](const NodeName& node, bool reachable) {
                 metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
@@ -444,6 +448,18 @@
   publishRecord();
 }
 
+void RouterProcess::onLifeEnded(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
+  std::string fingerprints;
+  for (const RequestFingerprint& request : unanswered) {
+    fingerprints += (fingerprints.empty() ? "" : ",") + toString(request);
+  }
+  metrics_.onEvent("server-ended-at-work");
+  log_.write("server", "ended-at-work",
+             {{"instance", instance.value},
+              {"unanswered", std::to_string(unanswered.size())},
+              {"fingerprints", fingerprints.empty() ? "-" : fingerprints}});
+}
+
 void RouterProcess::publishRecord() {
   NodeRecord record;
   record.node = settings_.node;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -86,6 +86,7 @@
   void onServerDraining();
   void onServerGone();
   void onServerSilence(bool silent);
+  void onLifeEnded(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered);
   void publishRecord();
 
   void tick();
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/router/quarantine/fingerprint.h"
+
 namespace shedlever {
 
 namespace {
@@ -47,6 +49,7 @@
 
 void ServerGate::serverUp(const InstanceId& instance, std::uint32_t slots) {
   if (instance_ != instance) {
+    endLife();
     giveBackAll(ForwardReason::WrongInstance);
     instance_ = instance;
     draining_ = false;
@@ -73,7 +76,17 @@
   startWaiting();
 }
 
+void ServerGate::endLife() {
+  // A server that leaves ends by plan, whatever it still runs.
+  if (instance_.empty() || draining_) {
+    unanswered_.clear();
+    return;
+  }
+  events_.life_ended(instance_, unanswered_.takeAtEnd());
+}
+
 void ServerGate::serverEnded() {
+  endLife();
   instance_ = {};
   giveBackAll(ForwardReason::ServerDown);
 }
@@ -288,6 +301,8 @@
   }
   entry.running = true;
   entry.started = now;
+  entry.fingerprint = fingerprintOf(entry.frame.caller, entry.frame.http);
+  unanswered_.begun(ticket, entry.fingerprint);
   ServerRequestHead head{entry.frame.id, instance_, remaining, entry.frame.caller, std::nullopt};
   if (entry.frame.keyed) {
     head.key = entry.frame.key;
@@ -307,7 +322,8 @@
   const Duration service_time = now - entry.started;
   const bool answered = result.outcome == ForwardOutcome::Answered;
   queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
-  recorder_.ended(entry.frame, result, entry.started - entry.arrived, service_time);
+  recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
+  noteEnd(ticket, result);
   noteAnswer(result);
   noteFailure(result);
   if (result.reason == ForwardReason::NotOwner && keeper_ != nullptr) {
@@ -331,6 +347,19 @@
   startWaiting();
 }
 
+void ServerGate::noteEnd(QueueTicket ticket, const ServerResult& result) {
+  const TimePoint now = clock_.now();
+  if (!result.reached_server || result.reason == ForwardReason::WrongInstance) {
+    unanswered_.notReached(ticket);
+  } else if (result.outcome != ForwardOutcome::Unknown) {
+    unanswered_.answered(ticket, result.outcome == ForwardOutcome::Answered, now);
+  } else if (result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::TimedOut) {
+    unanswered_.abandoned(ticket, now);
+  } else {
+    unanswered_.broken(ticket, now);
+  }
+}
+
 void ServerGate::noteAnswer(const ServerResult& result) {
   if (result.server_gone) {
     events_.server_gone();
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -9,11 +9,13 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "source/core/router/answer_sizes.h"
 #include "source/core/router/failure_meter.h"
 #include "source/core/router/key_waits.h"
 #include "source/core/router/ownership_keeper.h"
+#include "source/core/router/quarantine/unanswered_requests.h"
 #include "source/core/router/service_times.h"
 #include "source/core/router/slot_queue.h"
 #include "source/router/gate_recorder.h"
@@ -36,6 +38,9 @@
   std::function<void()> server_gone;
   /// The server has been silent, or answers again.
   std::function<void(bool silent)> silence;
+  /// A life of the server has ended that had not said that it leaves. @param unanswered what it may have been at work
+  /// on.
+  std::function<void(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered)> life_ended;
 };
 
 class ServerGate {
@@ -101,6 +106,8 @@
     TimePoint arrived{};
     TimePoint started{};
     bool running = false;
+    /// Known once it runs.
+    RequestFingerprint fingerprint;
     /// The caller is gone; the answer goes nowhere.
     bool abandoned = false;
     HttpExchangeId exchange = 0;
@@ -117,6 +124,10 @@
   };
 
   void applySlots();
+  /// The present life of the server is over; another one runs, or none.
+  void endLife();
+  /// What a request's end says of what the server was at work on.
+  void noteEnd(QueueTicket ticket, const ServerResult& result);
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   /// Holds a request whose key is on its way, if it can still be served in time.
   void hold(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
@@ -154,6 +165,7 @@
   ServiceTimes service_times_;
   KeyWaits key_waits_;
   FailureMeter failures_;
+  UnansweredRequests unanswered_;
   /// Sum over all entries.
   double expected_bytes_ = 0;
   OwnershipKeeper* keeper_ = nullptr;
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -131,12 +131,12 @@
   frame.id = RequestId("r4");
   ServerResult result;
   result.outcome = ForwardOutcome::Answered;
-  recorder.ended(frame, result, milliseconds(3), milliseconds(20));
+  recorder.ended(frame, {1, 2}, result, milliseconds(3), milliseconds(20));
   EXPECT_EQ(logged(), "");
   result.outcome = ForwardOutcome::Unknown;
   result.reason = ForwardReason::ConnectionLost;
   result.reached_server = true;
-  recorder.ended(frame, result, milliseconds(3), milliseconds(20));
+  recorder.ended(frame, {1, 2}, result, milliseconds(3), milliseconds(20));
   EXPECT_THAT(logged(), HasSubstr("gate: event=not-answered "));
   EXPECT_THAT(metrics(), HasSubstr("shedlever_server_seconds_count 1"));
   EXPECT_THAT(metrics(), HasSubstr("shedlever_queue_seconds_count 2"));
