--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -271,6 +271,9 @@
   log("begin " + work->id + " " + std::to_string(work->key) + " " + std::to_string(token));
   const auto time = std::chrono::duration_cast<Duration>(config_.work * faults_.slow);
   ++begun_;
+  if (isFatal(*work)) {
+    config_.on_fatal_begin();
+  }
   loop_.runAfter(time, [this, work, alive = alive_] {
     if (*alive) {
       endWork(work);
@@ -278,7 +281,15 @@
   });
 }
 
+bool KeyServer::isFatal(const Work& work) const {
+  return !config_.fatal_path.empty() && work.request.path == config_.fatal_path;
+}
+
 void KeyServer::endWork(const std::shared_ptr<Work>& work) {
+  if (isFatal(*work)) {
+    config_.on_fatal_end();
+    return;
+  }
   --running_;
   if (work->key >= 0 && --running_keys_[work->key] == 0) {
     running_keys_.erase(work->key);
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -34,6 +34,12 @@
   Endpoint reports_to;
   std::string log_file;
   std::uint64_t seed = 1;
+  /// Path of a request under which it ends, once it has worked on it; empty for none.
+  std::string fatal_path;
+  /// Such a request begins.
+  std::function<void()> on_fatal_begin;
+  /// It has come to its end: whoever owns the server is to destroy it, from the loop.
+  std::function<void()> on_fatal_end;
 };
 
 /// `POST /faults` sets chances: `lost` (run, not answered), `broken` (answer cut), `late_orders` (orders carried out
@@ -89,6 +95,7 @@
   void handleWork(const StandinRequest& request, const StandinResponder& responder);
   void startWork(const std::shared_ptr<Work>& work);
   void endWork(const std::shared_ptr<Work>& work);
+  bool isFatal(const Work& work) const;
   void answer(const Work& work, int status, bool not_run);
   void answerReleases();
   /// Sends a heartbeat, and plans the next one.
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -85,17 +85,27 @@
 bool RouterCluster::runUntil(const std::function<bool()>& done) { return loop_.runUntil(done, kTestCap); }
 
 RouterCluster::Node& RouterCluster::addNode(const std::string& service, Duration work, double link_bytes_per_second) {
-  auto node = std::make_unique<Node>();
-  const std::string name = "node-" + std::to_string(nodes_.size());
-  standins::KeyServerConfig server;
+  nodes_.push_back(std::make_unique<Node>());
+  Node& node = *nodes_.back();
+  const std::string name = "node-" + std::to_string(nodes_.size() - 1);
+  standins::KeyServerConfig& server = node.server_config;
   server.listen = kAnyLoopbackPort;
   server.service = service;
   server.divided_by_key = service == "search";
   server.keys_by_heartbeat = grants_ == GrantForm::Heartbeat;
   server.work = work;
   server.log_file = (folder_ / (name + ".log")).string();
-  node->server = valueOf(standins::KeyServer::start(loop_, server));
-  RouterSettings settings;
+  server.fatal_path = fatal_path_;
+  server.on_fatal_begin = [this] { ++fatal_begun_; };
+  server.on_fatal_end = [this, &node] {
+    loop_.post([this, &node] {
+      ++servers_ended_;
+      node.server.reset();
+      startServer(node);
+    });
+  };
+  startServer(node);
+  RouterSettings& settings = node.settings;
   settings.node = NodeName(name);
   settings.zone = ZoneName("z");
   settings.service = ServiceName(service);
@@ -104,7 +114,7 @@
   settings.peers_reached_at = kAnyLoopbackPort;
   settings.readiness_listen = kAnyLoopbackPort;
   settings.reports_listen = kAnyLoopbackPort;
-  settings.server = node->server->endpoint();
+  settings.server = node.server->endpoint();
   settings.store = store_->endpoint();
   settings.retry = {0.1, 100};
   settings.ownership.grants = grants_;
@@ -112,23 +122,41 @@
   settings.stop.clients_leave = milliseconds(750);
   settings.stop.grace = grace_;
   settings.link.bytes_per_second = link_bytes_per_second;
+  startRouter(node);
+  return node;
+}
+
+void RouterCluster::startServer(Node& node) {
+  node.server = valueOf(standins::KeyServer::start(loop_, node.server_config));
+  node.server_config.listen = node.server->endpoint();
+  if (node.router) {
+    node.server->reportTo(node.router->reportsEndpoint());
+  }
+}
+
+void RouterCluster::startRouter(Node& node) {
   PlatformAdapters adapters;
   adapters.clients = &clients_;
   adapters.servers = &servers_;
   adapters.reports = &reports_;
   adapters.config = &config_;
   adapters.make_store = [](StoreCaller caller) { return std::make_unique<platform::PlatformStore>(std::move(caller)); };
-  node->router = std::make_unique<RouterProcess>(loop_, settings, adapters, open("/dev/null", O_WRONLY | O_CLOEXEC));
-  EXPECT_TRUE(static_cast<bool>(node->router->open()));
-  node->server->reportTo(node->router->reportsEndpoint());
+  node.router =
+      std::make_unique<RouterProcess>(loop_, node.settings, adapters, open("/dev/null", O_WRONLY | O_CLOEXEC));
+  EXPECT_TRUE(static_cast<bool>(node.router->open()));
+  node.server->reportTo(node.router->reportsEndpoint());
   HttpClientConfig client;
-  client.server = node->router->clientsEndpoint();
+  client.server = node.router->clientsEndpoint();
   client.connections = 64;
   client.keep_host = true;
   client.close_framed = true;
-  node->client = std::make_unique<HttpClient>(loop_, client);
-  nodes_.push_back(std::move(node));
-  return *nodes_.back();
+  node.client = std::make_unique<HttpClient>(loop_, client);
+}
+
+void RouterCluster::restartRouter(Node& node) {
+  node.client.reset();
+  node.router.reset();
+  startRouter(node);
 }
 
 std::shared_ptr<ClientAnswer> RouterCluster::send(Node& node, const std::string& target, const std::string& key) {
@@ -157,6 +185,12 @@
   return *answer;
 }
 
+void RouterCluster::pause(Duration time) {
+  bool over = false;
+  loop_.runAfter(time, [&over] { over = true; });
+  runUntil([&over] { return over; });
+}
+
 bool RouterCluster::runUntilServing() {
   const std::vector<std::string> keys = {"0", "20000", "40000", "65535"};
   for (const auto& node : nodes_) {
@@ -167,9 +201,7 @@
         served = ask(*node, "/search/x", key).http.status == kOk && served;
       }
       if (!served) {
-        bool over = false;
-        loop_.runAfter(milliseconds(20), [&over] { over = true; });
-        runUntil([&over] { return over; });
+        pause(milliseconds(20));
       }
     }
     if (!served) {
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -29,7 +29,9 @@
 class RouterCluster {
  public:
   struct Node {
+    standins::KeyServerConfig server_config;
     std::unique_ptr<standins::KeyServer> server;
+    RouterSettings settings;
     std::unique_ptr<RouterProcess> router;
     std::unique_ptr<HttpClient> client;
     bool stopped = false;
@@ -43,6 +45,14 @@
   /// How long clients say that they wait, of requests that are sent from now on.
   void setClientDeadline(Duration deadline) { client_deadline_ = deadline; }
 
+  /// Path of a request under which servers end; each is back at once, as a new life. Of servers added from now on.
+  void setFatalPath(const std::string& path) { fatal_path_ = path; }
+  /// @return how many such requests have begun at a server, and how many servers have ended.
+  std::size_t fatalBegun() const { return fatal_begun_; }
+  std::size_t serversEnded() const { return servers_ended_; }
+  /// The process beside a server ends as by a kill, and another one starts in its place.
+  void restartRouter(Node& node);
+
   /// Sets the store's faults. @param mode as the store's stand-in takes it: "up", "silent", ...
   void setStoreMode(const std::string& mode);
   /// Writes a configuration. @param routes by path prefix: "/search/", "/orders/".
@@ -73,6 +83,10 @@
 
  private:
   void callOperator(HttpRequest request);
+  void startServer(Node& node);
+  void startRouter(Node& node);
+  /// Runs the loop for a while.
+  void pause(Duration time);
 
   GrantForm grants_;
   EventLoop loop_;
@@ -88,6 +102,9 @@
   Duration grace_ = StopConfig{}.grace;
   Duration client_deadline_ = std::chrono::seconds(15);
   bool config_exists_ = false;
+  std::string fatal_path_;
+  std::size_t fatal_begun_ = 0;
+  std::size_t servers_ended_ = 0;
 };
 
 }  // namespace shedlever::test
