A request under which servers ended is kept from servers: two or three ends a request, not one each send

Class: work whose failure costs others is judged one attempt at a time, by one process. Ruled out: the router's own repeats as the cause (the failing test of a route that is never repeated); load (ends stop with the request). Change: CrashQuarantine (no I/O) keeps ends of servers with what each may have been at work on, and when such a request was answered since. Three ends prove it, or two at which it was the only one of which two are known; what is judged does not depend on the order of news. Gates report the ends of their servers (UnansweredRequests), tell all processes over the streams, new streams begin with what is known, and the records of the nodes that saw an end name what is quarantined, so that it outlives all processes at no call while there is none. Gateways and gates refuse it at once as not run, with the whole time until it may come back. A request is cleared by an answer; and a life that has answered it before never names it.

--- a/include/shedlever/identifiers.h
+++ b/include/shedlever/identifiers.h
@@ -36,6 +36,8 @@
 using ZoneName = StrongName<struct ZoneNameTag>;
 /// One process of the system, by its configured name; stays the same over restarts.
 using NodeName = StrongName<struct NodeNameTag>;
+/// Names one life of a server.
+using InstanceId = StrongName<struct InstanceIdTag>;
 /// Identifies one request from its arrival at a gateway; unique over all gateways.
 using RequestId = StrongName<struct RequestIdTag>;
 /// The caller's key under which a once-only request runs at most once.
--- a/include/shedlever/outcome.h
+++ b/include/shedlever/outcome.h
@@ -37,6 +37,7 @@
   ClaimUnavailable,       ///< once-only: the claim could not be committed in time
   MissingIdempotencyKey,  ///< once-only: the request carries no idempotency key
   ShuttingDown,           ///< this process is stopping
+  Quarantined,            ///< servers have ended while at work on the same request; none gets it for some time
 };
 
 /// @return the word for the `Shedlever-Outcome` header: "answered", "not-run" or "unknown".
--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -12,15 +12,13 @@
 #include "shedlever/identifiers.h"
 #include "shedlever/outcome.h"
 #include "shedlever/router_config.h"
+#include "shedlever/server_ends.h"
 
 namespace shedlever {
 
 /// Names a request on its way between two processes; unique in one incarnation of the sender.
 using ExchangeId = std::uint64_t;
 
-/// Names one life of a server.
-using InstanceId = StrongName<struct InstanceIdTag>;
-
 /// Number of keys of a service that is divided by key.
 inline constexpr std::uint32_t kKeyCount = 65536;
 using Key = std::uint16_t;
@@ -90,11 +88,12 @@
   BrokenAnswer,    ///< the server's answer was cut short or made no sense
   TimedOut,
   Cancelled,
-  NoInstance,  ///< no server of the service is known
+  NoInstance,   ///< no server of the service is known
+  Quarantined,  ///< servers have ended while at work on the same request
 };
 
 /// Last value, for the decoder.
-inline constexpr ForwardReason kLastForwardReason = ForwardReason::NoInstance;
+inline constexpr ForwardReason kLastForwardReason = ForwardReason::Quarantined;
 
 /// @return a word for logs and metrics.
 const char* toString(ForwardReason reason);
@@ -355,6 +354,6 @@
 
 using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
                                  SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
-                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame>;
+                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame, ServerEndsFrame>;
 
 }  // namespace shedlever
--- a/source/core/operators/request_trace.cc
+++ b/source/core/operators/request_trace.cc
@@ -22,7 +22,7 @@
   std::string_view meaning;
 };
 
-constexpr std::array<ReasonMeaning, 19> kMeanings = {
+constexpr std::array<ReasonMeaning, 20> kMeanings = {
     {{"none", "the server's answer was passed on"},
      {"overloaded", "the server's queue was too long, or the wait was over; it has not run"},
      {"queue-full", "as many requests of its tenant waited as may; it has not run"},
@@ -40,6 +40,7 @@
      {"unknown-service", "no route of the configuration in force takes it"},
      {"server-unavailable", "this process knew no configuration yet; it has not run"},
      {"shutting-down", "this process was about to end; it has not run"},
+     {"quarantined", "servers had ended while at work on the same request; it has not run"},
      {"unauthenticated", "its credential names no tenant"},
      {"bad-request", "it could not be understood"}}};
 
--- a/source/core/outcome.cc
+++ b/source/core/outcome.cc
@@ -35,6 +35,7 @@
     ReasonRow{Reason::ClaimUnavailable, "claim-unavailable", 503},
     ReasonRow{Reason::MissingIdempotencyKey, "missing-idempotency-key", 400},
     ReasonRow{Reason::ShuttingDown, "shutting-down", 503},
+    ReasonRow{Reason::Quarantined, "quarantined", 503},
 };
 
 const ReasonRow& rowOf(Reason reason) { return kReasonRows.at(static_cast<std::size_t>(reason)); }
--- a/source/core/router/forward_reason.cc
+++ b/source/core/router/forward_reason.cc
@@ -32,6 +32,8 @@
       return "cancelled";
     case ForwardReason::NoInstance:
       return "no-instance";
+    case ForwardReason::Quarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -63,6 +65,8 @@
       return Reason::DeadlineExceeded;
     case ForwardReason::Cancelled:
       return Reason::Cancelled;
+    case ForwardReason::Quarantined:
+      return Reason::Quarantined;
   }
   return Reason::None;
 }
--- /dev/null
+++ b/source/core/router/quarantine/crash_quarantine.h
@@ -0,0 +1,126 @@
+#pragma once
+
+/// @file
+/// Which requests are not sent to servers any more, since servers ended while at work on them.
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "shedlever/server_ends.h"
+
+namespace shedlever {
+
+struct QuarantineConfig {
+  /// Ends of servers that prove it of a request that was unanswered at each of them.
+  std::uint32_t ends = 3;
+  /// How long such a request is kept from servers after the last of these ends, and how long an end is remembered: a
+  /// release that mends the servers takes longer than minutes, and each try may cost a server and all it was doing.
+  Duration time = std::chrono::minutes(30);
+};
+
+/// A server that ends tells nobody which of the requests on it was the cause. The same request at three ends, and never
+/// answered between, is no chance; two are enough where no other request was at two: requests that were lost beside it
+/// are repeated like itself, and may meet it again at the next server. So one request costs the service two or three
+/// servers, not each that it is sent to.
+///
+/// All processes hold the same news, in whatever order they hear it: ends by their id, and of each request the last
+/// time that it was answered, which clears it of all ends before.
+class CrashQuarantine {
+ public:
+  explicit CrashQuarantine(const QuarantineConfig& config) : config_(config) {}
+
+  void setConfig(const QuarantineConfig& config) { config_ = config; }
+
+  /// A server beside this process ended.
+  /// @return what all others are to be told.
+  ServerEndsFrame onOwnEnd(const ServerEndId& id, const std::vector<RequestFingerprint>& unanswered, TimePoint now);
+
+  /// Another process has told this.
+  /// @return what is to be passed on to others; empty where nothing is new, or nothing points at one request yet.
+  ServerEndsFrame take(const ServerEndsFrame& told, TimePoint now);
+
+  /// A server has run the request and answered it.
+  /// @return what all others are to be told; empty unless they may be counting ends against it.
+  ServerEndsFrame onServed(const RequestFingerprint& request, TimePoint now);
+
+  /// @return what a process should know that has just been reached.
+  ServerEndsFrame summary(TimePoint now) const;
+
+  /// A node's record names the request as quarantined.
+  /// @param own_record whether it is the record of this node, which goes on naming it.
+  void onRecorded(const RequestFingerprint& request, TimePoint until, bool own_record, TimePoint now);
+
+  /// @return how much longer the request is kept from servers; none if it may be sent.
+  std::optional<Duration> timeLeft(const RequestFingerprint& request, TimePoint now) const;
+
+  /// @return whether any request is quarantined; costs nothing, so that others' fingerprints need not be computed.
+  bool isActive() const { return quarantined_ > 0; }
+
+  struct Quarantined {
+    RequestFingerprint request;
+    TimePoint until{};
+    /// Ends that count against it, oldest first; none where only a record tells of it.
+    std::vector<ServerEndId> ends;
+    /// This node's record is to name it: it saw one of the ends, or its record has named it before.
+    bool recorded_here = false;
+  };
+  std::vector<Quarantined> quarantined() const;
+
+  /// Forgets what is too old. @return whether a request is free again.
+  bool forget(TimePoint now);
+
+  std::size_t rememberedEnds() const { return ends_.size(); }
+
+ private:
+  struct End {
+    TimePoint at{};
+    std::vector<RequestFingerprint> unanswered;
+    bool own = false;
+  };
+  using Ends = std::map<ServerEndId, End>;
+
+  struct Suspect {
+    /// Ends at which it was unanswered, in no order; also those before it was served.
+    std::vector<ServerEndId> ends;
+    TimePoint served_at{};
+    /// By the ends; zero where they don't prove it.
+    TimePoint proved_until{};
+    /// By records; zero where none names it.
+    TimePoint recorded_until{};
+    bool recorded_here = false;
+
+    /// @return when its quarantine ends; zero where it is in none.
+    TimePoint until() const { return std::max(proved_until, recorded_until); }
+    bool isQuarantined() const { return until() != TimePoint{}; }
+  };
+
+  bool addEnd(const ServerEndId& id, End end);
+  void dropEnd(Ends::iterator end);
+  bool noteServed(const RequestFingerprint& request, TimePoint at);
+  /// @return ends that count against it: since it was served last.
+  std::size_t countOf(const Suspect& suspect) const;
+  std::size_t countOf(const RequestFingerprint& request) const;
+  /// @return ends that counted against it at that time.
+  std::size_t countAt(const RequestFingerprint& request, TimePoint time) const;
+  /// @return whether that end proves it of the request, with the ends before.
+  bool proves(const End& end, const RequestFingerprint& request) const;
+  /// What is judged depends on the ends and on what was served alone, not on the order of the news.
+  void judge(const RequestFingerprint& request, Suspect& suspect);
+  /// Judges anew what a change to the request's ends can bear on: all that were unanswered at one of them.
+  void judgeAllBeside(const RequestFingerprint& request);
+  /// @return all ends at which the request was unanswered.
+  void addEndsOf(const RequestFingerprint& request, TimePoint now, std::map<ServerEndId, ServerEnd>& found) const;
+  ServerEnd copyOf(const Ends::value_type& end, TimePoint now) const;
+  void setUntil(Suspect& suspect, TimePoint proved, TimePoint recorded);
+
+  QuarantineConfig config_;
+  Ends ends_;
+  std::unordered_map<RequestFingerprint, Suspect> suspects_;
+  std::size_t quarantined_ = 0;
+};
+
+}  // namespace shedlever
--- a/source/core/router/retry_policy.cc
+++ b/source/core/router/retry_policy.cc
@@ -22,7 +22,7 @@
 
 NextStep RetryPolicy::afterNotRun(const AttemptState& attempt, const ForwardReplyFrame& reply) {
   const bool owner_changes = reply.reason == ForwardReason::NotOwner || reply.reason == ForwardReason::NotYetOwner;
-  if (reply.reached_server && !mayRepeatNow(attempt)) {
+  if (reply.reason == ForwardReason::Quarantined || (reply.reached_server && !mayRepeatNow(attempt))) {
     return NextStep::Refuse;
   }
   if (attempt.keyed && reply.reason == ForwardReason::NotYetOwner && reply.hint.revision == 0) {
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -27,6 +27,8 @@
   std::uint32_t slots = 0;
   /// The server is leaving, or the node is stopping.
   bool draining = false;
+  /// Requests under which servers ended, this node's among them.
+  std::vector<QuarantinedRequest> quarantined;
 
   bool operator==(const NodeRecord&) const = default;
   /// @return whether it has a server that takes requests.
--- a/source/interface/caller_reply.cc
+++ b/source/interface/caller_reply.cc
@@ -56,6 +56,8 @@
       return "requests of this service need an Idempotency-Key";
     case Reason::ShuttingDown:
       return "this gateway is stopping";
+    case Reason::Quarantined:
+      return "servers have ended while at work on the same request";
   }
   return "no further detail is known";
 }
--- a/source/lab/load/unavailability_meter.cc
+++ b/source/lab/load/unavailability_meter.cc
@@ -11,8 +11,8 @@
 
 bool tellsOfAvailability(const RequestRecord& record) {
   constexpr std::array kOwnFault = {
-      Reason::BadRequest,       Reason::Unauthenticated,     Reason::UnknownService,       Reason::TooLarge,
-      Reason::DuplicateUnknown, Reason::DuplicateInProgress, Reason::MissingIdempotencyKey};
+      Reason::BadRequest,       Reason::Unauthenticated,     Reason::UnknownService,        Reason::TooLarge,
+      Reason::DuplicateUnknown, Reason::DuplicateInProgress, Reason::MissingIdempotencyKey, Reason::Quarantined};
   if (record.outcome == CallerOutcome::NotSent) {
     return false;
   }
--- a/source/net/router_codec.h
+++ b/source/net/router_codec.h
@@ -12,7 +12,7 @@
 namespace shedlever {
 
 /// First word on every stream between router processes; raised with each change of the encoding.
-inline constexpr std::uint32_t kRouterPreface = 0x53'4C'52'04;
+inline constexpr std::uint32_t kRouterPreface = 0x53'4C'52'05;
 
 std::string encodeRouterFrame(const RouterFrame& frame);
 
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -166,6 +166,9 @@
                      {"slots", std::to_string(record->slots)},
                      {"draining", record->draining ? "1" : "0"},
                      {"revision", std::to_string(object.revision)}});
+  if (!deleted) {
+    events_.on_record(*record, record->node == self_);
+  }
   if (deleted) {
     ports_.directory->remove(record->node);
   } else if (record->node != self_) {
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -37,6 +37,8 @@
   std::function<void()> on_config;
   /// The nodes have changed.
   std::function<void()> on_nodes;
+  /// A node's record was read. @param own of this node.
+  std::function<void(const NodeRecord& record, bool own)> on_record;
   /// The owners of another service's keys have changed.
   std::function<void()> on_owners;
   /// The owner table of this node's service was read.
--- a/source/router/event_log.cc
+++ b/source/router/event_log.cc
@@ -51,7 +51,10 @@
   fcntl(file_descriptor_, F_SETFL, fcntl(file_descriptor_, F_GETFL) | O_NONBLOCK);
 }
 
-EventLog::~EventLog() { flush(); }
+EventLog::~EventLog() {
+  *alive_ = false;
+  flush();
+}
 
 bool EventLog::take(RateLimit& limit) {
   const TimePoint now = clock_.now();
@@ -94,7 +97,10 @@
     return;
   }
   flush_planned_ = true;
-  loop_.runAfter(kFlushDelay, [this] {
+  loop_.runAfter(kFlushDelay, [this, alive = alive_] {
+    if (!*alive) {
+      return;
+    }
     flush_planned_ = false;
     if (lost_ > told_lost_) {
       told_lost_ = lost_;
--- a/source/router/event_log.h
+++ b/source/router/event_log.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -73,6 +74,8 @@
   RateLimit served_;
   RateLimit failed_;
   RateLimit attempts_;
+  /// Set to false by the destructor, for what the loop still holds.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace shedlever
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/router/quarantine/fingerprint.h"
 #include "source/net/http_headers.h"
 
 namespace shedlever {
@@ -88,9 +89,16 @@
   request.arrived = now;
   const Duration hold = std::min(request.info.time_left.value_or(route->timeout), route->timeout);
   request.deadline = now + hold;
-  request.timer = ports_.loop->runAfter(hold, [this, number] { onDeadline(number); });
+  request.timer = ports_.loop->runAfter(hold, [this, alive = alive_, number] {
+    if (*alive) {
+      onDeadline(number);
+    }
+  });
   replier.onGone([this, number] { onClientGone(number); });
   budget_.onRequest(request.service);
+  if (refuseQuarantined(number)) {
+    return;
+  }
   if (request.route->needs_idempotency_key && ports_.claims != nullptr) {
     claim(number);
   } else {
@@ -98,6 +106,18 @@
   }
 }
 
+bool Gateway::refuseQuarantined(RequestNumber number) {
+  if (!ports_.quarantine->isActive()) {
+    return false;
+  }
+  const RequestFingerprint fingerprint = fingerprintOf(own_service_, requests_.at(number).http);
+  const std::optional<Duration> left = ports_.quarantine->timeLeft(fingerprint, ports_.clock->now());
+  if (left) {
+    refuse(number, ForwardReason::Quarantined, *left);
+  }
+  return left.has_value();
+}
+
 void Gateway::claim(RequestNumber number) {
   Request& request = requests_.at(number);
   request.claiming = true;
@@ -139,6 +159,9 @@
 }
 
 void Gateway::dispatch(RequestNumber number) {
+  if (refuseQuarantined(number)) {
+    return;
+  }
   Request& request = requests_.at(number);
   const TimePoint now = ports_.clock->now();
   request.parked = false;
@@ -277,7 +300,10 @@
   request.parked = true;
   parked_.insert(number);
   const Duration wait = std::min(kParkStep, in_time_until - now);
-  ports_.loop->runAfter(wait, [this, number] {
+  ports_.loop->runAfter(wait, [this, alive = alive_, number] {
+    if (!*alive) {
+      return;
+    }
     const auto found = requests_.find(number);
     if (found != requests_.end() && found->second.parked) {
       parked_.erase(number);
@@ -332,7 +358,9 @@
   const Request& request = requests_.at(number);
   const TimePoint now = ports_.clock->now();
   const Duration time_left = request.info.time_left.value_or(request.route->timeout) - (now - request.arrived);
-  const Refusal refusal{request.id, Outcome::NotRun, reason, spread(retry_after, time_left)};
+  // Who comes back before a quarantine is over is refused again: it is told the whole time, also beyond its deadline.
+  const Duration told = reason == Reason::Quarantined ? retry_after : spread(retry_after, time_left);
+  const Refusal refusal{request.id, Outcome::NotRun, reason, told};
   finish(number, ports_.protocol->refusal(refusal), "refused", ClaimEnd::NotRun);
 }
 
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "source/core/router/owner_view.h"
+#include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/request_ids.h"
 #include "source/core/router/retry_policy.h"
 #include "source/core/router/server_directory.h"
@@ -30,6 +31,7 @@
   /// Null where no route needs idempotency keys.
   ClaimKeeper* claims = nullptr;
   ServerDirectory* directory = nullptr;
+  const CrashQuarantine* quarantine = nullptr;
   ServerGate* gate = nullptr;
   PeerLinks* links = nullptr;
   EventLog* log = nullptr;
@@ -47,6 +49,10 @@
   /// @param own_service of the server on this machine, where all requests begin.
   Gateway(NodeIdentity self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayDependencies ports);
 
+  ~Gateway() { *alive_ = false; }
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
   void setConfig(std::shared_ptr<const RouteTable> routes);
   /// For services whose own settings give no budget.
   void setRetryBudget(const RetryBudgetConfig& budget) { budget_.setConfig(budget); }
@@ -75,6 +81,8 @@
   void claim(RequestNumber number);
   void onClaim(RequestNumber number, ClaimAnswer answer);
   void dispatch(RequestNumber number);
+  /// Refuses a request that is kept from all servers. @return whether it is.
+  bool refuseQuarantined(RequestNumber number);
   void sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance);
   ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint now) const;
   void onReply(RequestNumber number, ForwardReplyFrame reply);
@@ -118,6 +126,8 @@
   RequestNumber last_number_ = 0;
   std::map<RequestNumber, Request> requests_;
   std::set<RequestNumber> parked_;
+  /// Set to false by the destructor, for what the loop still holds.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace shedlever
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -30,6 +30,9 @@
   if (record.draining) {
     document["draining"] = true;
   }
+  for (const QuarantinedRequest& one : record.quarantined) {
+    document["quarantined"].push_back({one.request.high, one.request.low, one.until_s});
+  }
   return document.dump();
 }
 
@@ -52,14 +55,23 @@
     record.slots = document.at("slots").get<std::uint32_t>();
     record.instance = InstanceId(document.value("instance", std::string()));
     record.draining = document.value("draining", false);
+    for (const json& row : document.value("quarantined", json::array())) {
+      record.quarantined.push_back(
+          {{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()}, row.at(2).get<std::uint64_t>()});
+    }
     return record;
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
 
-RecordPublisher::RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log)
-    : loop_(loop), store_(store), log_(log), backoff_(kRetryDelay, kMostRetryDelay) {}
+RecordPublisher::RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log,
+                                 std::function<void(const NodeRecord&)> on_earlier)
+    : loop_(loop),
+      store_(store),
+      log_(log),
+      on_earlier_(std::move(on_earlier)),
+      backoff_(kRetryDelay, kMostRetryDelay) {}
 
 void RecordPublisher::publish(const NodeRecord& record) {
   wanted_ = record;
@@ -100,6 +112,9 @@
       return;
     case StoreStatus::Conflict:
       exists_ = true;
+      if (const auto earlier = decodeNodeRecord(answer.object.value)) {
+        on_earlier_(*earlier);
+      }
       write();
       return;
     case StoreStatus::Absent:
--- a/source/router/node_records.h
+++ b/source/router/node_records.h
@@ -3,6 +3,7 @@
 /// @file
 /// The record by which nodes know each other, and writing this node's own.
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,7 +30,9 @@
 /// Writes this node's record whenever it changes, until the store has it.
 class RecordPublisher {
  public:
-  RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log);
+  /// @param on_earlier the store has this record of the node already: an earlier life of the process wrote it.
+  RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log,
+                  std::function<void(const NodeRecord&)> on_earlier);
   ~RecordPublisher() { *alive_ = false; }
 
   /// A record that is equal to the last one is not written again.
@@ -42,6 +45,7 @@
   EventLoop& loop_;
   MetadataStore& store_;
   EventLog& log_;
+  std::function<void(const NodeRecord&)> on_earlier_;
   RetryBackoff backoff_;
   std::optional<NodeRecord> wanted_;
   std::optional<NodeRecord> written_;
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -258,6 +258,14 @@
   }
 }
 
+void PeerLinks::tellAll(const ServerEndsFrame& news) {
+  for (const auto& [node, link] : links_) {
+    if (link->up) {
+      link->send(news, 0);
+    }
+  }
+}
+
 void PeerLinks::onFrame(const NodeName& node, RouterFrame frame) {
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
     onReply(std::move(*reply));
@@ -273,6 +281,8 @@
     }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     events_.on_owner_table(*table);
+  } else if (const auto* ends = std::get_if<ServerEndsFrame>(&frame)) {
+    events_.on_server_ends(*ends);
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
     auto call = store_calls_.extract(answer->exchange);
     if (!call.empty()) {
@@ -338,6 +348,10 @@
 void PeerLinks::onLinkUp(Link& link) {
   directory_.onReachable(link.node);
   events_.on_reachable(link.node, true);
+  const ServerEndsFrame ends = events_.server_ends();
+  if (!ends.empty()) {
+    link.send(ends, 0);
+  }
   settleOn(link);
 }
 
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -34,6 +34,10 @@
     std::function<void(const NodeName&, const HeardLease&)> on_lease;
     /// A node has told its service's owner table, which it was asked for.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// @return what a process is to be told of server ends that has just been reached.
+    std::function<ServerEndsFrame()> server_ends;
+    /// Another process has told of server ends.
+    std::function<void(const ServerEndsFrame&)> on_server_ends;
   };
 
   PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
@@ -59,6 +63,8 @@
 
   /// Tells all nodes with a stream that this process stops.
   void tellStopping();
+  /// Tells all nodes with a stream that is up; others are told once it is.
+  void tellAll(const ServerEndsFrame& news);
 
  private:
   struct Link;
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -90,6 +90,14 @@
   }
 }
 
+void PeerServer::tellAll(const ServerEndsFrame& news) {
+  for (const auto& [number, stream] : streams_) {
+    if (!stream->misdirected && !stream->sender.name.empty()) {
+      stream->send(news);
+    }
+  }
+}
+
 std::size_t PeerServer::unsentBytes() const {
   std::size_t bytes = 0;
   for (const auto& [number, stream] : streams_) {
@@ -123,6 +131,10 @@
     stream->misdirected = hello->wanted != ports_.self.name;
     const bool asks_for_state = !stream->misdirected && ports_.needs_state();
     stream->send(HelloFrame{ports_.self.name, ports_.self.incarnation, asks_for_state, {}});
+    const ServerEndsFrame ends = ports_.server_ends();
+    if (!stream->misdirected && !ends.empty()) {
+      stream->send(ends);
+    }
   } else if (std::holds_alternative<PingFrame>(frame)) {
     stream->send(PongFrame{});
   } else if (const auto* stopping = std::get_if<StoppingFrame>(&frame)) {
@@ -137,6 +149,8 @@
     ports_.on_owner_table(*table);
   } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
     ports_.on_state(*state);
+  } else if (const auto* ends = std::get_if<ServerEndsFrame>(&frame)) {
+    ports_.on_server_ends(*ends);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
     onStoreCall(number, std::move(*call));
   }
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -37,6 +37,10 @@
     std::function<bool()> needs_state;
     /// Another process tells what it knows.
     std::function<void(const StateFrame&)> on_state;
+    /// @return what a process is to be told of server ends that has just been reached.
+    std::function<ServerEndsFrame()> server_ends;
+    /// Another process has told of server ends.
+    std::function<void(const ServerEndsFrame&)> on_server_ends;
     /// A process said that it stops.
     std::function<void(const NodeName&)> on_stopping;
   };
@@ -51,6 +55,8 @@
 
   /// Tells all processes with a stream that the server beside this one takes nothing new.
   void tellStopping(const NodeName& self);
+  /// Tells all processes with a stream.
+  void tellAll(const ServerEndsFrame& news);
 
   /// @return bytes of answers that are not written yet.
   std::size_t unsentBytes() const;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -33,38 +33,19 @@
       self_{settings_.node, Incarnation{wallClockMicroseconds()}},
       log_(loop_, clock_, log_descriptor),
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
+      quarantine_(settings_.quarantine, quarantinePorts()),
       gate_recorder_(log_, metrics_),
       server_link_(loop_, settings_.server, *platform_.servers),
       server_(settings_.service, settings_.server),
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_link_,
             {[this](double more_bytes) { return pacer_.limited() ? pacer_.waitFor(more_bytes) : Duration::zero(); }},
-            gate_recorder_,
-            {[this] { onServerGone(); }, [this](bool silent) { onServerSilence(silent); },
-             [this](const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
-               onLifeEnded(instance, unanswered);
-             }}),
-      links_(loop_, clock_, self_, directory_,
-             {[this](const NodeName& node, bool reachable) {
-                metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
-                log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
-              },
-              [this](const NodeName& node) {
-                if (const auto state = knowledge_.stateFor(node)) {
-                  links_.tell(node, *state);
-                }
-              },
-              [this](const NodeName& node, const HeardLease& lease) {
-                knowledge_.noteLease(node, lease.valid_until);
-                if (keeper_) {
-                  keeper_->noteLease(node, lease);
-                }
-              },
-              [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); }}),
+            gate_recorder_, gateEvents()),
+      links_(loop_, clock_, self_, directory_, linkEvents()),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
           [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); })),
-      publisher_(loop_, *store_, log_),
+      publisher_(loop_, *store_, log_, [this](const NodeRecord& earlier) { quarantine_.onRecord(earlier, true); }),
       knowledge_(settings_.node, settings_.service,
                  {&loop_, &clock_, &random_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
       responder_(settings_.ownership.heartbeat_wait, responderPorts()),
@@ -73,14 +54,83 @@
                 const NodeRecord* record = directory_.node(holder.name);
                 return record == nullptr || record->incarnation <= holder.incarnation;
               }),
-      status_pages_(settings_.interface_kind, statusPorts()) {}
+      status_pages_(settings_.interface_kind, statusPorts()) {
+  gate_.setQuarantine(quarantine_.quarantine());
+}
+
+RouterProcess::~RouterProcess() { *alive_ = false; }
+
+void RouterProcess::after(Duration delay, std::function<void()> step) {
+  loop_.runAfter(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive) {
+      step();
+    }
+  });
+}
+
+void RouterProcess::soon(std::function<void()> step) {
+  loop_.post([alive = alive_, step = std::move(step)] {
+    if (*alive) {
+      step();
+    }
+  });
+}
+
+QuarantineCoordinator::Ports RouterProcess::quarantinePorts() {
+  QuarantineCoordinator::Ports ports;
+  ports.clock = &clock_;
+  ports.log = &log_;
+  ports.metrics = &metrics_;
+  ports.tell_all = [this](const ServerEndsFrame& news) {
+    links_.tellAll(news);
+    peer_server_->tellAll(news);
+  };
+  ports.on_change = [this] {
+    soon([this] { gate_.onQuarantineChanged(); });
+    publishRecord();
+  };
+  return ports;
+}
 
-RouterProcess::~RouterProcess() = default;
+GateEvents RouterProcess::gateEvents() {
+  GateEvents events;
+  events.server_gone = [this] { onServerGone(); };
+  events.silence = [this](bool silent) { onServerSilence(silent); };
+  events.life_ended = [this](const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
+    quarantine_.onServerEnd(instance, unanswered);
+  };
+  events.served = [this](const RequestFingerprint& request) { quarantine_.onServed(request); };
+  return events;
+}
+
+PeerLinks::Events RouterProcess::linkEvents() {
+  PeerLinks::Events events;
+  events.on_reachable = [this](const NodeName& node, bool reachable) {
+    metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
+    log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
+  };
+  events.on_state_wanted = [this](const NodeName& node) {
+    if (const auto state = knowledge_.stateFor(node)) {
+      links_.tell(node, *state);
+    }
+  };
+  events.on_lease = [this](const NodeName& node, const HeardLease& lease) {
+    knowledge_.noteLease(node, lease.valid_until);
+    if (keeper_) {
+      keeper_->noteLease(node, lease);
+    }
+  };
+  events.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
+  events.server_ends = [this] { return quarantine_.summary(); };
+  events.on_server_ends = [this](const ServerEndsFrame& told) { quarantine_.onTold(told); };
+  return events;
+}
 
 KnowledgeEvents RouterProcess::knowledgeEvents() {
   KnowledgeEvents events;
   events.on_config = [this] { onConfig(); };
   events.on_nodes = [this] { gateway_->setProcesses(directory_.nodes().size()); };
+  events.on_record = [this](const NodeRecord& record, bool own) { quarantine_.onRecord(record, own); };
   events.on_owners = [this] { gateway_->onOwnersChanged(); };
   events.on_own_table = [this](const MetadataObject& table) {
     if (keeper_) {
@@ -102,6 +152,7 @@
   ports.protocol = platform_.clients;
   ports.claims = &claims_;
   ports.directory = &directory_;
+  ports.quarantine = &quarantine_.quarantine();
   ports.gate = &gate_;
   ports.links = &links_;
   ports.log = &log_;
@@ -135,7 +186,7 @@
   BOOST_LEAF_CHECK(openListeners());
   publishRecord();
   knowledge_.start();
-  loop_.runAfter(kTick, [this] { tick(); });
+  after(kTick, [this] { tick(); });
   return {};
 }
 
@@ -163,6 +214,8 @@
   peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
   peer_ports.needs_state = [this] { return asksForState(); };
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
+  peer_ports.server_ends = [this] { return quarantine_.summary(); };
+  peer_ports.on_server_ends = [this](const ServerEndsFrame& told) { quarantine_.onTold(told); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   // A port from the kernel is known only now.
@@ -191,7 +244,7 @@
   ports.clock = &clock_;
   ports.directory = &directory_;
   ports.on_change = [this] {
-    loop_.post([this] { gate_.onKeysChanged(); });
+    soon([this] { gate_.onKeysChanged(); });
     gateway_->onOwnersChanged();
     tickSoon();
   };
@@ -417,7 +470,7 @@
     keeper_->startDraining();
   }
   const Duration until_keys_close = settings_.stop.drain * kKeysClosePart / kKeysCloseParts;
-  loop_.runAfter(until_keys_close, [this, leaving = server_.instance()] {
+  after(until_keys_close, [this, leaving = server_.instance()] {
     if (leaving == server_.instance() && server_.draining()) {
       gate_.closeKeys();
     }
@@ -448,18 +501,6 @@
   publishRecord();
 }
 
-void RouterProcess::onLifeEnded(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
-  std::string fingerprints;
-  for (const RequestFingerprint& request : unanswered) {
-    fingerprints += (fingerprints.empty() ? "" : ",") + toString(request);
-  }
-  metrics_.onEvent("server-ended-at-work");
-  log_.write("server", "ended-at-work",
-             {{"instance", instance.value},
-              {"unanswered", std::to_string(unanswered.size())},
-              {"fingerprints", fingerprints.empty() ? "-" : fingerprints}});
-}
-
 void RouterProcess::publishRecord() {
   NodeRecord record;
   record.node = settings_.node;
@@ -470,6 +511,7 @@
   record.instance = server_.instance();
   record.slots = server_.slots();
   record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
+  record.quarantined = quarantine_.toRecord();
   directory_.update(record);
   publisher_.publish(record);
 }
@@ -481,7 +523,7 @@
     return;
   }
   tick_planned_ = true;
-  loop_.post([this] {
+  soon([this] {
     tick_planned_ = false;
     keeper_->tick(clock_.now());
     responder_.check();
@@ -490,6 +532,7 @@
 
 void RouterProcess::tick() {
   gate_.tick();
+  quarantine_.tick();
   claims_.tick(clock_.now());
   if (clock_.now() - gateway_->lastRequestAt() < kRequestsCome) {
     knowledge_.tick();
@@ -502,7 +545,7 @@
     noteLapse(keeper_->serverLapsed(clock_.now()));
     keepServiceReachable();
   }
-  loop_.runAfter(kTick, [this] { tick(); });
+  after(kTick, [this] { tick(); });
 }
 
 void RouterProcess::keepServiceReachable() {
@@ -583,7 +626,7 @@
   // The server goes on without this process, but nobody reaches it then: it is used until shortly before the end.
   const Duration until_leaving =
       server_.instance().empty() ? Duration::zero() : settings_.stop.clients_leave - kLeaveNotice;
-  loop_.runAfter(until_leaving, [this] { leave(); });
+  after(until_leaving, [this] { leave(); });
 }
 
 void RouterProcess::leave() {
@@ -623,7 +666,7 @@
     gateway_->refuseNew();
     clients_->closeIdle();
   }
-  loop_.runAfter(kTick, [this] { stopWhenDone(); });
+  after(kTick, [this] { stopWhenDone(); });
 }
 
 void RouterProcess::reload(const RouterSettings& settings) {
@@ -631,6 +674,7 @@
   settings_.ownership = settings.ownership;
   settings_.queue = settings.queue;
   settings_.stop = settings.stop;
+  quarantine_.setConfig(settings.quarantine);
   gateway_->setRetryBudget(settings_.retry);
   log_.write("settings", "reloaded", {});
 }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -18,6 +18,7 @@
 #include "source/router/cluster_knowledge.h"
 #include "source/router/gateway.h"
 #include "source/router/peer_server.h"
+#include "source/router/quarantine_coordinator.h"
 #include "source/router/status_pages.h"
 #include "source/router/store_caller.h"
 
@@ -57,6 +58,9 @@
   void onWrongSettings(const Findings& findings);
 
  private:
+  /// Runs a step from the loop, later or next, unless this object is gone by then.
+  void after(Duration delay, std::function<void()> step);
+  void soon(std::function<void()> step);
   leaf::result<void> openListeners();
   GatewayDependencies gatewayPorts();
   OwnershipPorts ownershipPorts();
@@ -86,7 +90,9 @@
   void onServerDraining();
   void onServerGone();
   void onServerSilence(bool silent);
-  void onLifeEnded(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered);
+  QuarantineCoordinator::Ports quarantinePorts();
+  GateEvents gateEvents();
+  PeerLinks::Events linkEvents();
   void publishRecord();
 
   void tick();
@@ -106,6 +112,7 @@
   EventLog log_;
   RouterMetrics metrics_;
   ServerDirectory directory_;
+  QuarantineCoordinator quarantine_;
   GateRecorder gate_recorder_;
   ServerLink server_link_;
   ServerPresence server_;
@@ -138,6 +145,8 @@
   bool stopping_ = false;
   bool leaving_ = false;
   TimePoint stop_began_{};
+  /// Set to false by the destructor, for what the loop still holds.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace shedlever
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -9,6 +9,7 @@
 #include "shedlever/identifiers.h"
 #include "source/core/router/link_budget.h"
 #include "source/core/router/ownership_config.h"
+#include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/shared_retry_budget.h"
 
@@ -57,6 +58,7 @@
   ServerChoiceConfig choice;
   QueueConfig queue;
   StopConfig stop;
+  QuarantineConfig quarantine;
   /// The machine's link.
   LinkConfig link;
 };
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -114,12 +114,28 @@
   }
 }
 
+void ServerGate::onQuarantineChanged() {
+  giveBackIf([this](const Entry& entry) { return quarantineLeft(entry.frame).has_value(); },
+             ForwardReason::Quarantined);
+  onKeysChanged();
+}
+
+std::optional<Duration> ServerGate::quarantineLeft(const ForwardFrame& frame) const {
+  if (quarantine_ == nullptr || !quarantine_->isActive()) {
+    return std::nullopt;
+  }
+  return quarantine_->timeLeft(fingerprintOf(frame.caller, frame.http), clock_.now());
+}
+
 void ServerGate::closeKeys() {
   keys_closed_ = true;
   giveBackAll(ForwardReason::Draining);
 }
 
 ForwardReason ServerGate::reasonNotToBegin(const ForwardFrame& frame, TimePoint deadline, TimePoint now) const {
+  if (quarantineLeft(frame)) {
+    return ForwardReason::Quarantined;
+  }
   if (instance_.empty() || silent_) {
     return ForwardReason::ServerDown;
   }
@@ -153,7 +169,7 @@
   reply.exchange = frame.exchange;
   reply.outcome = ForwardOutcome::NotRun;
   reply.reason = reason;
-  reply.retry_after_us = retry_after.count();
+  reply.retry_after_us = quarantineLeft(frame).value_or(retry_after).count();
   reply.load = load();
   if (frame.keyed && keeper_ != nullptr && reason == ForwardReason::Overloaded) {
     keeper_->onKeyRequestRefused(frame.key, clock_.now());
@@ -323,7 +339,7 @@
   const bool answered = result.outcome == ForwardOutcome::Answered;
   queue_.ended(answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
-  noteEnd(ticket, result);
+  noteEnd(ticket, entry.fingerprint, result);
   noteAnswer(result);
   noteFailure(result);
   if (result.reason == ForwardReason::NotOwner && keeper_ != nullptr) {
@@ -347,12 +363,16 @@
   startWaiting();
 }
 
-void ServerGate::noteEnd(QueueTicket ticket, const ServerResult& result) {
+void ServerGate::noteEnd(QueueTicket ticket, const RequestFingerprint& fingerprint, const ServerResult& result) {
   const TimePoint now = clock_.now();
   if (!result.reached_server || result.reason == ForwardReason::WrongInstance) {
     unanswered_.notReached(ticket);
   } else if (result.outcome != ForwardOutcome::Unknown) {
-    unanswered_.answered(ticket, result.outcome == ForwardOutcome::Answered, now);
+    const bool ran = result.outcome == ForwardOutcome::Answered;
+    unanswered_.answered(ticket, ran, now);
+    if (ran) {
+      events_.served(fingerprint);
+    }
   } else if (result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::TimedOut) {
     unanswered_.abandoned(ticket, now);
   } else {
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "source/core/router/failure_meter.h"
 #include "source/core/router/key_waits.h"
 #include "source/core/router/ownership_keeper.h"
+#include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/quarantine/unanswered_requests.h"
 #include "source/core/router/service_times.h"
 #include "source/core/router/slot_queue.h"
@@ -41,6 +43,8 @@
   /// A life of the server has ended that had not said that it leaves. @param unanswered what it may have been at work
   /// on.
   std::function<void(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered)> life_ended;
+  /// The server has run the request and answered it.
+  std::function<void(const RequestFingerprint& request)> served;
 };
 
 class ServerGate {
@@ -49,6 +53,11 @@
   ServerGate(const Clock& clock, const QueueConfig& config, ServerLink& link, LinkView machine_link,
              GateRecorder& recorder, GateEvents events);
 
+  /// Which requests are not begun; none are kept back before this is set. @param quarantine outlives the gate.
+  void setQuarantine(const CrashQuarantine& quarantine) { quarantine_ = &quarantine; }
+  /// More requests are quarantined, or fewer: those of them that wait are given back.
+  void onQuarantineChanged();
+
   /// Where the standing of keys is asked; null while the service is not divided by key.
   void setKeeper(OwnershipKeeper* keeper) { keeper_ = keeper; }
 
@@ -127,7 +136,7 @@
   /// The present life of the server is over; another one runs, or none.
   void endLife();
   /// What a request's end says of what the server was at work on.
-  void noteEnd(QueueTicket ticket, const ServerResult& result);
+  void noteEnd(QueueTicket ticket, const RequestFingerprint& fingerprint, const ServerResult& result);
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   /// Holds a request whose key is on its way, if it can still be served in time.
   void hold(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
@@ -140,6 +149,8 @@
   Duration longestWait(const ForwardFrame& frame) const;
   /// @param deadline when the request's time is over.
   ForwardReason reasonNotToBegin(const ForwardFrame& frame, TimePoint deadline, TimePoint now) const;
+  /// @return how much longer the request is kept from servers; none if it may be sent.
+  std::optional<Duration> quarantineLeft(const ForwardFrame& frame) const;
   /// Gives back what waits and fits.
   void giveBackIf(const std::function<bool(const Entry&)>& fits, ForwardReason reason);
   void begin(QueueTicket ticket);
@@ -169,6 +180,7 @@
   /// Sum over all entries.
   double expected_bytes_ = 0;
   OwnershipKeeper* keeper_ = nullptr;
+  const CrashQuarantine* quarantine_ = nullptr;
   std::string health_path_ = "/";
   SlotQueue queue_{0};
   std::uint32_t reported_slots_ = 0;
--- a/test/router/cluster_knowledge_test.cc
+++ b/test/router/cluster_knowledge_test.cc
@@ -35,6 +35,7 @@
   KnowledgeEvents events() {
     KnowledgeEvents events;
     events.on_config = events.on_nodes = events.on_owners = events.on_complete_list = [] {};
+    events.on_record = [](const NodeRecord&, bool) {};
     events.on_own_table = [](const MetadataObject&) {};
     events.ask_table = [this](const NodeName& node, StoreRevision known) { asked_.emplace_back(node, known); };
     return events;
--- a/test/router/fatal_request_test.cc
+++ b/test/router/fatal_request_test.cc
@@ -11,11 +11,14 @@
 
 #include <gtest/gtest.h>
 
+#include "source/net/http_headers.h"
 #include "test/support/router_cluster.h"
 
 namespace shedlever::test {
 namespace {
 
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kMostBegun = 6;
 constexpr std::size_t kRepeats = 14;
 
@@ -40,6 +43,16 @@
     }
   }
 
+  /// Repeats until no more servers end by it. @return how often it was begun.
+  std::size_t repeatUntilKnown() {
+    std::size_t begun = 0;
+    do {
+      begun = cluster_.fatalBegun();
+      repeat(cluster_.nodes().size());
+    } while (cluster_.fatalBegun() > begun);
+    return begun;
+  }
+
   std::string fatal_path_;
   RouterCluster cluster_;
   ClientAnswer last_;
@@ -59,5 +72,43 @@
   EXPECT_LE(cluster_.fatalBegun(), kMostBegun);
 }
 
+TEST_F(FatalRequestTest, IsRefusedAtOnceAsNotRunAndToldWhenToComeBack) {
+  start("/search/fatal");
+  repeatUntilKnown();
+  EXPECT_EQ(last_.http.status, kUnavailable);
+  const std::string told(headerValue(last_.http.headers, "Retry-After"));
+  ASSERT_FALSE(told.empty());
+  EXPECT_GT(std::stod(told), 60.0);
+}
+
+TEST_F(FatalRequestTest, OtherRequestsAreServedOn) {
+  start("/search/fatal");
+  repeatUntilKnown();
+  EXPECT_EQ(cluster_.ask(node(0), "/search/fatal2", "7").http.status, kOk);
+}
+
+TEST_F(FatalRequestTest, IsKnownToARouterThatHasStartedSince) {
+  start("/search/fatal");
+  const std::size_t begun = repeatUntilKnown();
+  cluster_.restartRouter(node(1));
+  ASSERT_TRUE(cluster_.runUntilServing());
+  for (int i = 0; i < 4; ++i) {
+    cluster_.ask(node(1), fatal_path_, "7");
+  }
+  EXPECT_EQ(cluster_.fatalBegun(), begun);
+}
+
+// The nodes' records outlive all processes.
+TEST_F(FatalRequestTest, IsKnownAfterAllRoutersWereKilledAtOnce) {
+  start("/search/fatal");
+  const std::size_t begun = repeatUntilKnown();
+  for (const auto& node : cluster_.nodes()) {
+    cluster_.restartRouter(*node);
+  }
+  ASSERT_TRUE(cluster_.runUntilServing());
+  repeat(4);
+  EXPECT_EQ(cluster_.fatalBegun(), begun);
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -53,7 +53,7 @@
         directory_(self_.name, ZoneName("z"), {}, random_),
         links_(loop_, clock_, self_, directory_,
                {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                [](const OwnerTableFrame&) {}}),
+                [](const OwnerTableFrame&) {}, [] { return ServerEndsFrame{}; }, [](const ServerEndsFrame&) {}}),
         gateway_(self_, ServiceName("own"), {1.0, 100}, ports()) {
     RouterConfig config;
     config.version = 1;
@@ -89,6 +89,7 @@
     ports.random = &random_;
     ports.protocol = &protocol_;
     ports.directory = &directory_;
+    ports.quarantine = &quarantine_;
     ports.links = &links_;
     ports.log = &log_;
     ports.metrics = &metrics_;
@@ -141,6 +142,7 @@
   RouterMetrics metrics_;
   platform::ClientProtocolImpl protocol_;
   ServerDirectory directory_;
+  CrashQuarantine quarantine_{{}};
   PeerLinks links_;
   Gateway gateway_;
   std::unique_ptr<StrictHttpServer> clients_;
--- a/test/router/node_records_test.cc
+++ b/test/router/node_records_test.cc
@@ -25,6 +25,8 @@
   record.instance = InstanceId("i-1");
   record.draining = true;
   EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
+  record.quarantined = {{{0xffffffffffffffff, 2}, 1'800'000'000}};
+  EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
   for (const char* text : {"", "[]", "{}", R"({"node":"n"})"}) {
     EXPECT_FALSE(decodeNodeRecord(text)) << text;
   }
@@ -32,7 +34,9 @@
 
 class RecordPublisherTest : public ::testing::Test {
  protected:
-  RecordPublisherTest() : log_(loop_, clock_, dup(STDERR_FILENO)), publisher_(loop_, store_, log_) {
+  RecordPublisherTest()
+      : log_(loop_, clock_, dup(STDERR_FILENO)),
+        publisher_(loop_, store_, log_, [this](const NodeRecord& record) { earlier_ = record; }) {
     record_.node = NodeName("n");
     record_.peer = {"10.0.0.1", 99};
   }
@@ -41,6 +45,7 @@
   BootClockImpl clock_;
   ScriptedStore store_;
   EventLog log_;
+  std::optional<NodeRecord> earlier_;
   RecordPublisher publisher_;
   NodeRecord record_;
 };
@@ -63,6 +68,16 @@
   EXPECT_EQ(store_.replaces.back().object.revision, 0U);
 }
 
+// What the earlier life knew is told before it is overwritten, and goes into what is written next.
+TEST_F(RecordPublisherTest, TellsTheRecordOfItsEarlierLife) {
+  publisher_.publish(record_);
+  NodeRecord earlier = record_;
+  earlier.quarantined = {{{1, 2}, 1'800'000'000}};
+  store_.creates.back().done({StoreStatus::Conflict, {"node-n", 3, encodeNodeRecord(earlier)}});
+  EXPECT_EQ(earlier_, earlier);
+  EXPECT_EQ(store_.replaces.size(), 1U);
+}
+
 TEST_F(RecordPublisherTest, WritesTheNewestAfterALostAnswer) {
   publisher_.publish(record_);
   record_.slots = 5;
--- a/test/router/peer_links_test.cc
+++ b/test/router/peer_links_test.cc
@@ -19,7 +19,7 @@
       : directory_(NodeName("self"), ZoneName("z"), {}, random_),
         links_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
                {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                [](const OwnerTableFrame&) {}}) {}
+                [](const OwnerTableFrame&) {}, [] { return ServerEndsFrame{}; }, [](const ServerEndsFrame&) {}}) {}
 
   void knowNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
--- a/test/router/store_caller_test.cc
+++ b/test/router/store_caller_test.cc
@@ -54,7 +54,7 @@
                    {NodeName("self"), Incarnation{1}},
                    directory_,
                    {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const HeardLease&) {},
-                    [](const OwnerTableFrame&) {}}};
+                    [](const OwnerTableFrame&) {}, [] { return ServerEndsFrame{}; }, [](const ServerEndsFrame&) {}}};
   EventLog log_{loop_, clock_, dup(STDERR_FILENO)};
   RouterMetrics metrics_;
   StoreAccess access_{loop_, clock_, store_.endpoint(), links_, log_, metrics_};
