A life of a server is its id and the moment of its start

Cause: a server may start again under its id. ReportFilter barred an ended life, and kept the highest number of its reports, by the id alone: once its end was noticed (or it had said that it leaves) the next life was never counted, and a late heartbeat of the earlier one spoke for it. Ruled out: asking the server which life runs (its health page tells the id alone); the later start tells. Change: InstanceId names id and start (server_life.h), made when a report is read and taken apart where servers are spoken to; of one id only the latest start counts; a start that is no whole number names no server. Where servers tell no start, all is as before. Not covered here: release under way and a frozen process beside the restart.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -17,6 +17,7 @@
 #include "shedlever/outcome.h"
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
+#include "shedlever/server_life.h"
 #include "shedlever/server_orders.h"
 
 namespace shedlever {
@@ -125,13 +126,16 @@
   virtual std::string handoverOf(const HttpResponse& answer) const = 0;
 
   virtual HttpRequest healthRequest(const std::string& path) const = 0;
-  /// @return the life of the server that gave the answer; empty if it does not say.
-  virtual InstanceId instanceOf(const HttpResponse& answer) const = 0;
+  /// @return the server that gave the answer; empty if it does not say.
+  virtual ServerId serverOf(const HttpResponse& answer) const = 0;
 };
 
 /// What a server reports about itself.
 struct ServerReport {
+  /// The life that reports.
   InstanceId instance;
+  /// When it started; none if it does not say.
+  std::optional<ServerStart> start;
   ServiceName service;
   Endpoint address;
   std::uint32_t slots = 0;
--- a/source/core/router/report_filter.cc
+++ b/source/core/router/report_filter.cc
@@ -4,13 +4,22 @@
 
 bool ReportFilter::mayCount(const ServerReport& report) const {
   const bool ours = report.service == service_ && report.address == address_;
-  return ours && !ended_.contains(report.instance);
+  return ours && !ended_.contains(report.instance) && !isOfAnEarlierLife(report);
+}
+
+bool ReportFilter::isOfAnEarlierLife(const ServerReport& report) const {
+  const auto latest = latest_starts_.find(serverOf(report.instance));
+  // Who has told its start once tells it always: a report without one is another writer's.
+  return latest != latest_starts_.end() && report.start.value_or(0) < latest->second;
 }
 
 bool ReportFilter::counts(const ServerReport& report) {
   if (!mayCount(report)) {
     return false;
   }
+  if (report.start) {
+    latest_starts_[serverOf(report.instance)] = *report.start;
+  }
   if (!report.sequence) {
     return true;
   }
--- a/source/core/router/report_filter.h
+++ b/source/core/router/report_filter.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Tells reports of the server that count from those that come late or from elsewhere.
+/// Tells reports of the server that count from those that come late or from elsewhere. A life is a server's id and the
+/// moment of its start: once a later start was reported, the lives before have ended.
 
 #include <map>
 #include <set>
@@ -25,11 +26,15 @@
   void ended(const InstanceId& instance) { ended_.insert(instance); }
 
  private:
+  /// @return whether a later start of the same server has been reported.
+  bool isOfAnEarlierLife(const ServerReport& report) const;
+
   ServiceName service_;
   Endpoint address_;
   std::set<InstanceId> ended_;
   /// Highest number of a report of each life.
   std::map<InstanceId, std::uint64_t> sequences_;
+  std::map<ServerId, ServerStart> latest_starts_;
 };
 
 }  // namespace shedlever
--- a/source/core/router/server_presence.cc
+++ b/source/core/router/server_presence.cc
@@ -20,14 +20,15 @@
 }
 
 bool ServerPresence::contradicts(const ServerReport& report) const {
-  return !instance_.empty() && report.instance != instance_ && filter_.mayCount(report);
+  return !instance_.empty() && serverOf(report.instance) != serverOf(instance_) && filter_.mayCount(report);
 }
 
-bool ServerPresence::onLeaving(const InstanceId& instance) {
-  if (instance == instance_) {
+bool ServerPresence::onLeaving(const ServerReport& report) {
+  const bool names_no_life = !report.start && serverOf(report.instance) == serverOf(instance_);
+  if (!instance_.empty() && (report.instance == instance_ || names_no_life)) {
     return true;
   }
-  filter_.ended(instance);
+  filter_.ended(report.instance);
   return false;
 }
 
--- a/source/core/router/server_presence.h
+++ b/source/core/router/server_presence.h
@@ -25,15 +25,16 @@
   /// The server said that it runs. Whether it leaves is told by `startDraining`.
   PresenceChange onReport(const ServerReport& report);
 
-  /// @return whether the report is of another life than the present one, which is not known to have ended. It may have
-  /// been held up since before the present one; or the present one has ended unnoticed.
+  /// @return whether the report is of another server than the present one, which is not known to have ended. It may
+  /// have been held up since before the present one; or the present one has ended unnoticed. Of one server's lives the
+  /// later start tells which runs.
   bool contradicts(const ServerReport& report) const;
   /// A life that is not the present one has ended; late reports of it don't count.
   void onEarlierLife(const InstanceId& instance) { filter_.ended(instance); }
 
   /// A life of the server said that it leaves and reports no more.
   /// @return whether it is the present one. Another one never counts again, whatever comes late.
-  bool onLeaving(const InstanceId& instance);
+  bool onLeaving(const ServerReport& report);
 
   /// The present life takes nothing new.
   /// @return false when that is known.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -410,7 +410,7 @@
 
 PresenceChange RouterProcess::onReport(const ServerReport& report) {
   if (report.leaves) {
-    if (server_.onLeaving(report.instance)) {
+    if (server_.onLeaving(report)) {
       onServerDraining();
     }
     return PresenceChange::None;
@@ -427,13 +427,13 @@
     return;
   }
   settling_life_ = true;
-  server_link_.identify(gate_.healthPath(), [this, report](const InstanceId& running, bool) {
+  server_link_.identify(gate_.healthPath(), [this, report](const ServerId& running, bool) {
     settling_life_ = false;
     log_.write("server", "life-settled",
                {{"reported", report.instance.value}, {"known", server_.instance().value}, {"running", running.value}});
-    if (running == report.instance) {
+    if (running == serverOf(report.instance)) {
       takeReport(report);
-    } else if (!running.empty() && running == server_.instance()) {
+    } else if (!running.empty() && running == serverOf(server_.instance())) {
       server_.onEarlierLife(report.instance);
     }
   });
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -480,11 +480,11 @@
     return;
   }
   probing_ = true;
-  link_.identify(health_path_, [this](const InstanceId& instance, bool refused) {
+  link_.identify(health_path_, [this](const ServerId& server, bool refused) {
     probing_ = false;
     if (refused) {
       events_.server_gone();
-    } else if (!instance.empty()) {
+    } else if (!server.empty()) {
       silent_ = false;
       failed_connections_ = 0;
       events_.silence(false);
--- a/source/router/server_link.cc
+++ b/source/router/server_link.cc
@@ -132,11 +132,11 @@
                });
 }
 
-void ServerLink::identify(const std::string& health_path, std::function<void(InstanceId instance, bool refused)> done) {
+void ServerLink::identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done) {
   orders_.send(protocol_.healthRequest(health_path), kIdentifyTimeout,
                [this, done = std::move(done)](const HttpExchange& exchange) {
                  if (exchange.status == HttpExchangeStatus::Complete) {
-                   done(protocol_.instanceOf(exchange.response), false);
+                   done(protocol_.serverOf(exchange.response), false);
                  } else {
                    done({}, exchange.refused);
                  }
--- a/source/router/server_link.h
+++ b/source/router/server_link.h
@@ -43,9 +43,9 @@
   void grant(const GrantOrder& order, std::function<void(OrderStatus)> done) override;
   void release(const ReleaseOrder& order, std::function<void(ReleaseResult)> done) override;
 
-  /// Asks the server which life it is.
-  /// @param done an empty instance when there was no answer; `refused` when nothing listens.
-  void identify(const std::string& health_path, std::function<void(InstanceId instance, bool refused)> done);
+  /// Asks the server who it is.
+  /// @param done an empty id when there was no answer; `refused` when nothing listens.
+  void identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done);
 
  private:
   ServerResult resultOf(HttpExchange exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -20,6 +20,7 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kQueue = 64;
+constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
 constexpr Duration kReportInterval = std::chrono::milliseconds(1000);
 /// Between reports while keys are let go of.
 constexpr Duration kUrgentReportInterval = std::chrono::milliseconds(100);
@@ -33,7 +34,10 @@
     : loop_(loop),
       config_(config),
       random_(config.seed),
-      instance_("i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000'000)),
+      instance_(config.id.empty()
+                    ? "i-" + std::to_string(getpid()) + "-" + std::to_string(wallClockMicroseconds() % 1'000'000'000)
+                    : config.id),
+      started_ms_(wallClockMicroseconds() / kMicrosecondsPerMillisecond),
       log_(config.log_file, std::ios::app),
       holds_(kKeyCount),
       assigned_(clock_, [this](const KeySpan& keys, TimePoint) { return isRunningOn(keys.first, keys.last); }) {}
@@ -78,6 +82,7 @@
                {"slots", config_.slots},
                {"state", draining_ ? "draining" : "ready"},
                {"coldRemaining", "0ms"},
+               {"born", started_ms_},
                {"callSeq", ++sequence_}};
   const KeyReport keys = assigned_.report();
   if (config_.keys_by_heartbeat) {
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -34,6 +34,8 @@
   Endpoint reports_to;
   std::string log_file;
   std::uint64_t seed = 1;
+  /// Its id; empty: one that no other life has.
+  std::string id;
   /// Path of a request under which it ends, once it has worked on it; empty for none.
   std::string fatal_path;
   /// Such a request begins.
@@ -113,6 +115,8 @@
   BootClockImpl clock_;
   std::mt19937_64 random_;
   std::string instance_;
+  /// Milliseconds since 1970.
+  std::uint64_t started_ms_;
   std::ofstream log_;
   Faults faults_;
   std::vector<Hold> holds_;
--- a/test/core_router/report_filter_test.cc
+++ b/test/core_router/report_filter_test.cc
@@ -34,6 +34,21 @@
   EXPECT_FALSE(filter.counts(other));
 }
 
+TEST(ReportFilterTest, OfOneServersLivesOnlyTheLatestCounts) {
+  ReportFilter filter(ServiceName("s"), {"10.0.0.1", 80});
+  const auto life = [](ServerStart start, std::uint64_t sequence) {
+    ServerReport made = report("i-1", sequence);
+    made.start = start;
+    made.instance = lifeOf(ServerId("i-1"), start);
+    return made;
+  };
+  EXPECT_TRUE(filter.counts(life(2000, 5)));
+  EXPECT_TRUE(filter.counts(life(3000, 1)));
+  EXPECT_TRUE(filter.counts(life(3000, 2)));
+  EXPECT_FALSE(filter.counts(life(2000, 6)));
+  EXPECT_FALSE(filter.counts(report("i-1", 99))) << "a report without a start, of a server that tells it";
+}
+
 TEST(ReportFilterTest, ReportsWithoutANumberCount) {
   ReportFilter filter(ServiceName("s"), {"10.0.0.1", 80});
   ServerReport unnumbered = report("i-1", 0);
--- a/test/core_router/server_presence_test.cc
+++ b/test/core_router/server_presence_test.cc
@@ -10,9 +10,11 @@
 
 class ServerPresenceTest : public ::testing::Test {
  protected:
-  static ServerReport report(const std::string& instance, std::uint64_t sequence) {
+  /// @param start 0: the server does not tell it.
+  static ServerReport report(const std::string& server, std::uint64_t sequence, ServerStart start = 0) {
     ServerReport made;
-    made.instance = InstanceId(instance);
+    made.start = start == 0 ? std::nullopt : std::optional<ServerStart>(start);
+    made.instance = lifeOf(ServerId(server), made.start);
     made.service = ServiceName("s");
     made.address = {"10.0.0.1", 80};
     made.slots = 18;
@@ -49,14 +51,14 @@
 // A process that has just restarted acknowledges that a server leaves before it knows any; a late report of that server
 // must not bring it back.
 TEST_F(ServerPresenceTest, LateReportOfALifeWhoseLeavingWasAcknowledgedDoesNotCount) {
-  EXPECT_FALSE(presence_.onLeaving(InstanceId("i-1")));
+  EXPECT_FALSE(presence_.onLeaving(report("i-1", 0)));
   EXPECT_EQ(presence_.onReport(report("i-1", 7)), PresenceChange::None);
   EXPECT_TRUE(presence_.instance().empty());
 }
 
 TEST_F(ServerPresenceTest, LeavingOfThePresentLifeIsItsOwn) {
   presence_.onReport(report("i-1", 1));
-  EXPECT_TRUE(presence_.onLeaving(InstanceId("i-1")));
+  EXPECT_TRUE(presence_.onLeaving(report("i-1", 2)));
   EXPECT_EQ(presence_.instance(), InstanceId("i-1"));
 }
 
@@ -68,6 +70,37 @@
   EXPECT_EQ(presence_.onReport(report("i-2", 1)), PresenceChange::NewLife);
 }
 
+// The server starts again under its id: its counts start anew, and so does all that it said.
+TEST_F(ServerPresenceTest, LaterStartOfTheSameServerIsItsNextLife) {
+  EXPECT_EQ(presence_.onReport(report("i-1", 50, 1000)), PresenceChange::NewLife);
+  presence_.startDraining();
+  EXPECT_FALSE(presence_.contradicts(report("i-1", 1, 2000)));
+  EXPECT_EQ(presence_.onReport(report("i-1", 1, 2000)), PresenceChange::NewLife);
+  EXPECT_FALSE(presence_.draining());
+  EXPECT_EQ(presence_.onReport(report("i-1", 51, 1000)), PresenceChange::None);
+  EXPECT_EQ(presence_.instance(), lifeOf(ServerId("i-1"), 2000));
+}
+
+TEST_F(ServerPresenceTest, ServerThatIsDeadForSureMayStartAgainUnderItsId) {
+  presence_.onReport(report("i-1", 50, 1000));
+  presence_.onGone();
+  EXPECT_EQ(presence_.onReport(report("i-1", 51, 1000)), PresenceChange::None);
+  EXPECT_EQ(presence_.onReport(report("i-1", 1, 2000)), PresenceChange::NewLife);
+}
+
+TEST_F(ServerPresenceTest, LateLeavingOfTheEarlierLifeIsNotThePresentOnes) {
+  presence_.onReport(report("i-1", 1, 2000));
+  EXPECT_FALSE(presence_.onLeaving(report("i-1", 9, 1000)));
+  EXPECT_TRUE(presence_.onLeaving(report("i-1", 2, 2000)));
+}
+
+TEST_F(ServerPresenceTest, LeavingThatTellsNoStartIsThePresentLifes) {
+  presence_.onReport(report("i-1", 1, 2000));
+  ServerReport leaving = report("i-1", 2);
+  leaving.leaves = true;
+  EXPECT_TRUE(presence_.onLeaving(leaving));
+}
+
 // Seen on the bench (krathong-bkk, scale-2): a server refused connections 0.6 s after it had said that it leaves. It
 // was taken for dead and its keys were given away, while it worked and held them for 0.9 s more.
 TEST_F(ServerPresenceTest, LeavingServerThatRefusesConnectionsMayStillHoldKeys) {
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -18,6 +18,7 @@
 
 using nlohmann::json;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST(DurationTextTest, ReadsNumbersWithTheirUnit) {
   EXPECT_EQ(parseDuration("1500ms"), milliseconds(1500));
@@ -160,6 +161,35 @@
   }
 }
 
+TEST(ReportProtocolTest, LifeOfAServerIsItsIdAndItsStart) {
+  const ReportProtocolImpl protocol;
+  const std::string rest = R"("service":"s","address":"10.0.0.1:80","slots":18,"state":"ready","callSeq":4})";
+  const auto beat = protocol.readReport(report("/instances/i-7/heartbeat", R"({"born":1778512004964,)" + rest));
+  ASSERT_TRUE(beat);
+  EXPECT_EQ(beat->start, 1778512004964U);
+  EXPECT_EQ(beat->instance, lifeOf(ServerId("i-7"), 1778512004964U));
+  const auto leave = protocol.readReport(report("/instances/i-7/deregister", R"({"born":1778512004964})"));
+  ASSERT_TRUE(leave);
+  EXPECT_EQ(leave->instance, beat->instance);
+  for (const char* start : {R"("17")", "1.5", "-3", "null", "[]"}) {
+    EXPECT_FALSE(
+        protocol.readReport(report("/instances/i-7/heartbeat", R"({"born":)" + std::string(start) + "," + rest)))
+        << start;
+  }
+}
+
+// Servers know their id alone: only that goes to them, and comes back.
+TEST(ServerProtocolTest, ServersAreToldTheirIdWithoutTheirStart) {
+  const ServerProtocolImpl protocol;
+  const InstanceId life = lifeOf(ServerId("i-1"), 1778512004964U);
+  HttpRequest request;
+  protocol.dress(request, {RequestId("r1"), life, seconds(1), ServiceName("c"), std::nullopt});
+  EXPECT_EQ(headerValue(request.headers, "X-Expect-Instance"), "i-1");
+  const HttpResponse not_held{421, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}, {"X-Instance-Id", "i-1"}}, {}};
+  EXPECT_EQ(protocol.classify(not_held, RequestId("r1"), life, true), AnswerKind::KeyNotHeld);
+  EXPECT_EQ(protocol.serverOf({200, {{"X-Instance-Id", "i-1"}}, {}}), serverOf(life));
+}
+
 TEST(ReportProtocolTest, ReadsKeysOfAHeartbeat) {
   const ReportProtocolImpl protocol;
   const auto plain = protocol.readReport(
--- /dev/null
+++ b/test/router/restarted_server_test.cc
@@ -0,0 +1,108 @@
+/// @file
+/// Servers that start again under the id that they had. A life of a server is its id and the moment of its start: the
+/// new one holds and knows nothing of before, and its reports count anew.
+
+#include <gtest/gtest.h>
+
+#include "source/core/settings/endpoint_text.h"
+#include "test/support/http_call.h"
+#include "test/support/router_cluster.h"
+
+namespace shedlever::test {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kTries = 100;
+
+class RestartedServerTest : public ::testing::TestWithParam<GrantForm> {
+ protected:
+  void SetUp() override {
+    cluster_.setKeepsIds(true);
+    for (const char* service : {"search", "search", "orders"}) {
+      cluster_.addNode(service);
+    }
+    ASSERT_TRUE(cluster_.runUntilServing());
+  }
+
+  RouterCluster::Node& node(std::size_t index) { return *cluster_.nodes()[index]; }
+
+  /// @return whether requests reach that life of the server again.
+  bool servesAgain(std::size_t index, const std::string& target) {
+    for (int tries = 0; tries < kTries && node(index).server->begun() == 0; ++tries) {
+      for (const char* key : {"0", "20000", "40000", "65535"}) {
+        cluster_.ask(node(2), target, key);
+      }
+      cluster_.pause(std::chrono::milliseconds(20));
+    }
+    return node(index).server->begun() > 0;
+  }
+
+  /// Posts a heartbeat as the server beside the node did at an earlier start.
+  int reportOfEarlierLife(std::size_t index, std::uint64_t started_ms) {
+    const std::string body =
+        R"({"service":")" + node(index).server_config.service + R"(","address":")" +
+        toString(node(index).server->endpoint()) +
+        R"(","zone":"z","version":"v1","slots":9,"state":"draining","coldRemaining":"0ms","born":)" +
+        std::to_string(started_ms) + R"(,"callSeq":700})";
+    const auto answer =
+        httpCall(cluster_.loop(), node(index).router->reportsEndpoint(), "POST",
+                 "/instances/" + node(index).server->instance() + "/heartbeat", body, std::chrono::seconds(5));
+    return answer ? answer->status : 0;
+  }
+
+  RouterCluster cluster_{GetParam()};
+};
+
+TEST_P(RestartedServerTest, WithoutKeysServesAgain) {
+  cluster_.restartServer(node(2));
+  EXPECT_TRUE(servesAgain(2, "/orders/x"));
+}
+
+TEST_P(RestartedServerTest, WithKeysServesAgain) {
+  cluster_.restartServer(node(0));
+  EXPECT_TRUE(servesAgain(0, "/search/x"));
+  EXPECT_TRUE(cluster_.runUntilServing());
+}
+
+TEST_P(RestartedServerTest, ServesAgainThoughItsEndWasNoticed) {
+  node(2).server.reset();
+  int status = kOk;
+  for (int tries = 0; tries < kTries && status == kOk; ++tries) {
+    status = cluster_.ask(node(0), "/orders/x").http.status;
+  }
+  ASSERT_NE(status, kOk);
+  cluster_.restartServer(node(2));
+  EXPECT_TRUE(servesAgain(2, "/orders/x"));
+}
+
+TEST_P(RestartedServerTest, ServesAgainAfterEachOfManyStarts) {
+  constexpr int kStarts = 5;
+  for (int start = 0; start < kStarts; ++start) {
+    cluster_.restartServer(node(2));
+    EXPECT_TRUE(servesAgain(2, "/orders/x")) << start;
+  }
+}
+
+TEST_P(RestartedServerTest, ServesAgainThoughItsEarlierLifeHadSaidThatItLeaves) {
+  bool acknowledged = false;
+  node(2).server->leave([&acknowledged] { acknowledged = true; });
+  ASSERT_TRUE(cluster_.runUntil([&acknowledged] { return acknowledged; }));
+  cluster_.restartServer(node(2));
+  EXPECT_TRUE(servesAgain(2, "/orders/x"));
+}
+
+// Held up on its way, it comes after the first one of the new life, and says that the server leaves.
+TEST_P(RestartedServerTest, LateHeartbeatOfTheEarlierLifeChangesNothing) {
+  cluster_.restartServer(node(2));
+  ASSERT_TRUE(servesAgain(2, "/orders/x"));
+  EXPECT_EQ(reportOfEarlierLife(2, 1'000), kOk);
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(cluster_.ask(node(0), "/orders/x").http.status, kOk);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(BothFormsOfGrants, RestartedServerTest,
+                         ::testing::Values(GrantForm::Request, GrantForm::Heartbeat));
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -100,10 +100,10 @@
   server.on_fatal_end = [this, &node] {
     loop_.post([this, &node] {
       ++servers_ended_;
-      node.server.reset();
-      startServer(node);
+      restartServer(node);
     });
   };
+  server.id = keeps_ids_ ? "i-of-" + name : "";
   startServer(node);
   RouterSettings& settings = node.settings;
   settings.node = NodeName(name);
@@ -134,6 +134,11 @@
   }
 }
 
+void RouterCluster::restartServer(Node& node) {
+  node.server.reset();
+  startServer(node);
+}
+
 void RouterCluster::startRouter(Node& node) {
   PlatformAdapters adapters;
   adapters.clients = &clients_;
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -47,6 +47,10 @@
 
   /// Path of a request under which servers end; each is back at once, as a new life. Of servers added from now on.
   void setFatalPath(const std::string& path) { fatal_path_ = path; }
+  /// Whether servers keep their ids when they start again. Of servers added from now on.
+  void setKeepsIds(bool keeps) { keeps_ids_ = keeps; }
+  /// The server beside a node ends, and starts again at once.
+  void restartServer(Node& node);
   /// @return how many such requests have begun at a server, and how many servers have ended.
   std::size_t fatalBegun() const { return fatal_begun_; }
   std::size_t serversEnded() const { return servers_ended_; }
@@ -69,6 +73,9 @@
   /// Runs the loop until `done`.
   bool runUntil(const std::function<bool()>& done);
 
+  /// Runs the loop for a while.
+  void pause(Duration time);
+
   /// Runs until every node answers a request for every key of a sample.
   bool runUntilServing();
 
@@ -85,8 +92,6 @@
   void callOperator(HttpRequest request);
   void startServer(Node& node);
   void startRouter(Node& node);
-  /// Runs the loop for a while.
-  void pause(Duration time);
 
   GrantForm grants_;
   EventLoop loop_;
@@ -103,6 +108,7 @@
   Duration client_deadline_ = std::chrono::seconds(15);
   bool config_exists_ = false;
   std::string fatal_path_;
+  bool keeps_ids_ = false;
   std::size_t fatal_begun_ = 0;
   std::size_t servers_ended_ = 0;
 };
