What another writer put there is left out and told of: heartbeats, records, leases, entries of lists and watches

Cause (read from the code, each shown by a test that fails on it): an event that can't be read made a watch fail and come again for ever, an event that is no object and a lease whose fields have other types ended the process (json::type_error), a page of a list of which nothing could be read was undefined (back() of nothing), slots of -1 or 0.5 in a record became a number, a state that isn't known read as leaving, and a row of keys that can't be read counted as let go of. Ruled out: deep nesting (10,000 levels parse, as the library's parser is no recursion). Change: such an entry names no server, one bounded line (event=unreadable) and a count (unreadable-entry) tell of it, all others hold. An unreadable lease object was taken for a revoked one, which would have let others take its holder's keys at once: now it ends no lease. Test changed: ReadsKeysOfAHeartbeat expected that unreadable rows are left out; that was wrong, as what is left out counts as released. In its place HeartbeatWithAnUnreadableRowOfKeysCountsAsAWholeForNothing, with the same rows and more. Not done: a fuzz harness, owner tables' log line.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -38,8 +38,11 @@
 /// Makes a call to the store; the answer is none when there was none.
 using StoreCaller = std::function<void(StoreCall call, std::function<void(std::optional<HttpResponse>)> done)>;
 
+/// An entry of that kind can't be read, and is left out of what the store tells.
+using UnreadableEntry = std::function<void(const std::string& kind)>;
+
 /// @return the store over calls made by `caller`.
-using StoreFactory = std::function<std::unique_ptr<MetadataStore>(StoreCaller caller)>;
+using StoreFactory = std::function<std::unique_ptr<MetadataStore>(StoreCaller caller, UnreadableEntry on_unreadable)>;
 
 /// What a client's request says of itself.
 struct ClientRequestInfo {
--- a/source/cli/network_ports.cc
+++ b/source/cli/network_ports.cc
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// An operator's command reads documents by their names; what another wrote beside them is not its matter.
+void ignoreUnreadable(const std::string&) {}
+
 /// Longest wait for one thing to happen; every call below has a limit of its own that is shorter.
 constexpr Duration kWaitCap = std::chrono::minutes(5);
 constexpr Duration kOperatorTimeout = std::chrono::seconds(10);
@@ -76,9 +79,11 @@
       : operators_(loop_),
         timer_(loop_),
         store_client_(loop_, storeConfig(options)),
-        store_(make_store([this](StoreCall call, std::function<void(std::optional<HttpResponse>)> done) {
-          callStore(std::move(call.request), call.timeout, std::move(done));
-        })),
+        store_(make_store(
+            [this](StoreCall call, std::function<void(std::optional<HttpResponse>)> done) {
+              callStore(std::move(call.request), call.timeout, std::move(done));
+            },
+            ignoreUnreadable)),
         objects_(*store_) {}
 
   ObjectStore& store() override { return objects_; }
--- a/source/core/router/lease_keeper.cc
+++ b/source/core/router/lease_keeper.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "source/core/json_fields.h"
+
 namespace shedlever {
 
 using nlohmann::json;
@@ -16,15 +18,16 @@
 }
 
 LeaseRecord LeaseRecord::decode(const std::string& text) {
+  // What another writer put there says nothing: its holder may have a lease still, which is over once the object has
+  // stood unchanged for as long.
   LeaseRecord record;
-  const json document = json::parse(text, nullptr, false);
-  if (!document.is_object()) {
-    record.revoked = true;
+  const auto document = parseObject(text);
+  if (!document) {
     return record;
   }
-  record.incarnation.value = document.value("incarnation", std::uint64_t{0});
-  record.count = document.value("count", std::uint64_t{0});
-  record.revoked = document.value("revoked", false);
+  record.incarnation.value = numberField(*document, "incarnation").value_or(0);
+  record.count = numberField(*document, "count").value_or(0);
+  record.revoked = boolField(*document, "revoked").value_or(false);
   return record;
 }
 
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -156,7 +156,8 @@
 
 void ClusterKnowledge::onNodeObject(const MetadataObject& object, bool deleted) {
   const auto record = decodeNodeRecord(object.value);
-  if (!record) {
+  if (!record || nodeRecordName(record->node) != object.name) {
+    events_.on_unreadable(object.name);
     return;
   }
   ports_.log->write("membership", deleted ? "node-removed" : "node-changed",
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -37,6 +37,8 @@
   std::function<void()> on_config;
   /// The nodes have changed.
   std::function<void()> on_nodes;
+  /// An object of that name can't be read, and is left out.
+  std::function<void(const std::string& name)> on_unreadable;
   /// A node's record was read. @param own of this node.
   std::function<void(const NodeRecord& record, bool own)> on_record;
   /// The owners of another service's keys have changed.
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -1,8 +1,10 @@
 #include "source/router/node_records.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "source/core/json_fields.h"
 #include "source/core/settings/endpoint_text.h"
 
 namespace shedlever {
@@ -36,33 +38,54 @@
   return document.dump();
 }
 
+namespace {
+
+/// More than any server has; a figure beyond it is not one of ours.
+constexpr std::uint64_t kMostSlots = 1'000'000;
+
+/// @return the rows; none where one is of another form.
+std::optional<std::vector<QuarantinedRequest>> quarantinedIn(const json& document) {
+  constexpr std::size_t kRowSize = 3;
+  std::vector<QuarantinedRequest> rows;
+  for (const json& row : document.value("quarantined", json::array())) {
+    const auto is_number = [](const json& field) { return field.is_number_unsigned(); };
+    if (!row.is_array() || row.size() != kRowSize || !std::all_of(row.begin(), row.end(), is_number)) {
+      return std::nullopt;
+    }
+    rows.push_back({{row[0].get<std::uint64_t>(), row[1].get<std::uint64_t>()}, row[2].get<std::uint64_t>()});
+  }
+  return rows;
+}
+
+}  // namespace
+
 std::optional<NodeRecord> decodeNodeRecord(const std::string& text) {
-  const json document = json::parse(text, nullptr, false);
-  if (!document.is_object()) {
+  const auto document = parseObject(text);
+  if (!document) {
     return std::nullopt;
   }
-  try {
-    NodeRecord record;
-    record.node = NodeName(document.at("node").get<std::string>());
-    record.incarnation.value = document.at("incarnation").get<std::uint64_t>();
-    const auto peer = parseEndpoint(document.at("peer").get<std::string>());
-    if (!peer) {
-      return std::nullopt;
-    }
-    record.peer = *peer;
-    record.zone = ZoneName(document.at("zone").get<std::string>());
-    record.service = ServiceName(document.at("service").get<std::string>());
-    record.slots = document.at("slots").get<std::uint32_t>();
-    record.instance = InstanceId(document.value("instance", std::string()));
-    record.draining = document.value("draining", false);
-    for (const json& row : document.value("quarantined", json::array())) {
-      record.quarantined.push_back(
-          {{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()}, row.at(2).get<std::uint64_t>()});
-    }
-    return record;
-  } catch (const json::exception&) {
+  const auto node = stringField(*document, "node");
+  const auto incarnation = numberField(*document, "incarnation");
+  const auto peer_text = stringField(*document, "peer");
+  const auto peer = peer_text ? parseEndpoint(*peer_text) : std::nullopt;
+  const auto zone = stringField(*document, "zone");
+  const auto service = stringField(*document, "service");
+  const auto slots = numberField(*document, "slots");
+  const auto quarantined = quarantinedIn(*document);
+  if (!node || !incarnation || !peer || !zone || !service || !slots || *slots > kMostSlots || !quarantined) {
     return std::nullopt;
   }
+  NodeRecord record;
+  record.node = NodeName(*node);
+  record.incarnation.value = *incarnation;
+  record.peer = *peer;
+  record.zone = ZoneName(*zone);
+  record.service = ServiceName(*service);
+  record.slots = static_cast<std::uint32_t>(*slots);
+  record.instance = InstanceId(stringField(*document, "instance").value_or(""));
+  record.draining = boolField(*document, "draining").value_or(false);
+  record.quarantined = *quarantined;
+  return record;
 }
 
 RecordPublisher::RecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log,
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -44,7 +44,8 @@
       links_(loop_, clock_, self_, directory_, linkEvents()),
       store_access_(loop_, clock_, settings_.store, links_, log_, metrics_),
       store_(platform_.make_store(
-          [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); })),
+          [this](const StoreCall& call, StoreAccess::Callback done) { store_access_.call(call, std::move(done)); },
+          [this](const std::string& kind) { onUnreadable("store", kind); })),
       publisher_(loop_, *store_, log_, [this](const NodeRecord& earlier) { quarantine_.onRecord(earlier, true); }),
       knowledge_(settings_.node, settings_.service,
                  {&loop_, &clock_, &random_, store_.get(), platform_.config, &directory_, &log_}, knowledgeEvents()),
@@ -130,6 +131,7 @@
   KnowledgeEvents events;
   events.on_config = [this] { onConfig(); };
   events.on_nodes = [this] { gateway_->setProcesses(directory_.nodes().size()); };
+  events.on_unreadable = [this](const std::string& name) { onUnreadable("membership", name); };
   events.on_record = [this](const NodeRecord& record, bool own) { quarantine_.onRecord(record, own); };
   events.on_owners = [this] { gateway_->onOwnersChanged(); };
   events.on_own_table = [this](const MetadataObject& table) {
@@ -364,9 +366,17 @@
   return ports;
 }
 
+void RouterProcess::onUnreadable(const char* part, const std::string& what) {
+  metrics_.onEvent("unreadable-entry");
+  if (log_.mayWriteFailed()) {
+    log_.write(part, "unreadable", {{"what", what}});
+  }
+}
+
 void RouterProcess::onReportRequest(const HttpRequest& request, const HttpReplier& replier) {
   const auto report = platform_.reports->readReport(request);
   if (!report) {
+    onUnreadable("reports", request.target);
     replier.reply({kNotFound, {}, {}});
     return;
   }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -79,6 +79,8 @@
   RouterLevels levels() const;
   void applyOwnSettings(const RoutedService& own);
   HeartbeatResponder::Ports responderPorts();
+  /// What another has written or sent is left out, as it can't be read.
+  void onUnreadable(const char* part, const std::string& what);
   void onReportRequest(const HttpRequest& request, const HttpReplier& replier);
   PresenceChange onReport(const ServerReport& report);
   /// Asks the server which life it is; the report counts only if it is of that one.
--- a/test/core_router/takeover_watcher_test.cc
+++ b/test/core_router/takeover_watcher_test.cc
@@ -74,6 +74,15 @@
   EXPECT_TRUE(revokesAfter(milliseconds(1)));
 }
 
+// The holder may have a lease still, and renews it over what was put there.
+TEST_F(TakeoverWatcherTest, LeaseObjectOfAnotherWriterEndsNoLease) {
+  for (const char* text : {"7", "[]", "null", R"({"incarnation":"x","count":-1,"revoked":"yes"})", "{"}) {
+    const LeaseRecord record = LeaseRecord::decode(text);
+    EXPECT_FALSE(record.revoked) << text;
+    EXPECT_EQ(record.count, 0U) << text;
+  }
+}
+
 class LeaseKeeperTest : public ::testing::Test {
  protected:
   OwnershipConfig config_;
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -192,19 +192,62 @@
 
 TEST(ReportProtocolTest, ReadsKeysOfAHeartbeat) {
   const ReportProtocolImpl protocol;
-  const auto plain = protocol.readReport(
-      report("/instances/i-7/heartbeat", R"({"service":"s","address":"10.0.0.1:80","slots":1,"callSeq":4})"));
+  const auto plain = protocol.readReport(report(
+      "/instances/i-7/heartbeat", R"({"service":"s","address":"10.0.0.1:80","slots":1,"state":"ready","callSeq":4})"));
   ASSERT_TRUE(plain);
   EXPECT_FALSE(plain->keys);
   const auto beat = protocol.readReport(report("/instances/i-7/heartbeat", R"({"service":"s","address":"10.0.0.1:80",
-      "slots":1,"callSeq":4,"holds":[[0,4095,7],[9,3,1],[70000,70001,2],[1,2],[1,2,"x"],"y"],
-      "released":[[4096,8191,"5c0e"],[1,2,3]]})"));
+      "slots":1,"state":"ready","callSeq":4,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})"));
   ASSERT_TRUE(beat && beat->keys);
   EXPECT_EQ(beat->keys->held, (std::vector<ReportedRange>{{0, 4095, 7}}));
   ASSERT_EQ(beat->keys->released.size(), 1U);
   EXPECT_EQ(beat->keys->released.front().handover, "5c0e");
 }
 
+// A row that is left out would say that the server has let go of its keys, while it serves them on.
+TEST(ReportProtocolTest, HeartbeatWithAnUnreadableRowOfKeysCountsAsAWholeForNothing) {
+  const ReportProtocolImpl protocol;
+  const std::string start = R"({"service":"s","address":"10.0.0.1:80","slots":1,"state":"ready","callSeq":4,)";
+  for (const char* row : {"[9,3,1]", "[70000,70001,2]", "[1,2]", R"([1,2,"x"])", R"("y")", "7", "null", "[1,2,-3]"}) {
+    const std::string holds = start + R"("holds":[[0,4095,7],)" + row + "]}";
+    EXPECT_FALSE(protocol.readReport(report("/instances/i-7/heartbeat", holds))) << row;
+  }
+  for (const char* rest :
+       {R"("holds":7})", R"("holds":[],"released":"x"})", R"("released":[]})", R"("holds":[],"released":[[1,2,3]]})"}) {
+    EXPECT_FALSE(protocol.readReport(report("/instances/i-7/heartbeat", start + rest))) << rest;
+  }
+}
+
+TEST(ReportProtocolTest, HeartbeatOfAnotherWriterNamesNoServer) {
+  const ReportProtocolImpl protocol;
+  const json good = {{"service", "s"}, {"address", "10.0.0.1:80"}, {"slots", 18}, {"state", "ready"}, {"callSeq", 4},
+                     {"born", 5}};
+  const auto reads = [&protocol](const json& body) {
+    return protocol.readReport(report("/instances/i-7/heartbeat", body.dump())).has_value();
+  };
+  ASSERT_TRUE(reads(good));
+  for (const char* field : {"service", "address", "slots", "state"}) {
+    json lacking = good;
+    lacking.erase(field);
+    EXPECT_FALSE(reads(lacking)) << field;
+  }
+  const json wrong[] = {nullptr, -1, 0.5, 1e18, true, "x", json::array(), json::object(), 1'000'000'000'000};
+  for (const char* field : {"service", "address", "slots", "state"}) {
+    for (const json& value : wrong) {
+      json other = good;
+      other[field] = value;
+      EXPECT_TRUE(!reads(other) || (std::string(field) == "service" && value == "x")) << other;
+    }
+  }
+  json unnumbered = good;
+  unnumbered["callSeq"] = "4";
+  EXPECT_FALSE(reads(unnumbered));
+  const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+  EXPECT_FALSE(protocol.readReport(report("/instances/i-7/heartbeat", deep)));
+  EXPECT_FALSE(protocol.readReport(report("/instances/i-7/heartbeat", R"({"service":)" + deep + "}")));
+  EXPECT_FALSE(protocol.readReport(report("/instances/i-7/heartbeat", "{\"service\":\"\xff\xfe\"}")));
+}
+
 TEST(ReportProtocolTest, TellsKeysInTheAcknowledgement) {
   const ReportProtocolImpl protocol;
   EXPECT_EQ(protocol.acknowledgement(nullptr).body, "{}");
@@ -277,11 +320,13 @@
 class PlatformStoreTest : public ::testing::Test {
  protected:
   PlatformStoreTest()
-      : store_([this](const StoreCall& call, const std::function<void(std::optional<HttpResponse>)>& done) {
-          requests_.push_back(call.request);
-          connections_.push_back(call.connection);
-          done(answers_.at(requests_.size() - 1));
-        }) {}
+      : store_(
+            [this](const StoreCall& call, const std::function<void(std::optional<HttpResponse>)>& done) {
+              requests_.push_back(call.request);
+              connections_.push_back(call.connection);
+              done(answers_.at(requests_.size() - 1));
+            },
+            [this](const std::string& kind) { unreadable_.push_back(kind); }) {}
 
   StoreStatus replaceStatus(std::optional<HttpResponse> answer) {
     requests_.clear();
@@ -294,6 +339,7 @@
   std::vector<HttpRequest> requests_;
   std::vector<StoreConnection> connections_;
   std::vector<std::optional<HttpResponse>> answers_;
+  std::vector<std::string> unreadable_;
   PlatformStore store_;
 };
 
@@ -324,6 +370,42 @@
   EXPECT_EQ(requests_[1].target, "/objects/k?after=n");
 }
 
+const char* const kUnreadable =
+    R"(7,null,"x",[],{},{"metadata":3},{"metadata":{"name":4,"revision":5}},{"metadata":{"name":"m","revision":-1}})";
+
+TEST_F(PlatformStoreTest, ListsWhatCanBeReadBesideWhatCant) {
+  answers_ = {
+      HttpResponse{200, {}, std::string(R"({"items":[)") + kUnreadable + "," + kObject + R"(],"more":false,"at":7})"}};
+  StoreListing listing;
+  store_.list("k", ListFreshness::Latest, [&](const StoreListing& told) { listing = told; });
+  EXPECT_TRUE(listing.available);
+  EXPECT_EQ(listing.objects.size(), 1U);
+  EXPECT_EQ(unreadable_, std::vector<std::string>(8, "k"));
+}
+
+TEST_F(PlatformStoreTest, ListGoesOnBehindAPageOfWhichNothingCanBeRead) {
+  answers_ = {HttpResponse{200, {}, R"({"items":[{"metadata":{"name":"m"}}],"more":true,"at":7})"},
+              HttpResponse{200, {}, std::string(R"({"items":[)") + kObject + R"(],"more":false,"at":7})"}};
+  StoreListing listing;
+  store_.list("k", ListFreshness::Latest, [&](const StoreListing& told) { listing = told; });
+  EXPECT_EQ(requests_[1].target, "/objects/k?after=m");
+  EXPECT_EQ(listing.objects.size(), 1U);
+}
+
+// Asked for again, the event would come again: the watch would hear of nothing else for ever.
+TEST_F(PlatformStoreTest, WatchGoesOnBehindAnEventThatCantBeRead) {
+  answers_ = {HttpResponse{
+      200,
+      {},
+      std::string(R"({"events":[)") + kUnreadable + R"(,{"object":)" + kObject + R"(},{"object":[]}],"at":8})"}};
+  WatchResult result;
+  store_.watch("k", 6, std::chrono::seconds(20), [&](const WatchResult& told) { result = told; });
+  EXPECT_EQ(result.status, WatchStatus::Events);
+  EXPECT_EQ(result.at, 8U);
+  EXPECT_EQ(result.events.size(), 1U);
+  EXPECT_EQ(unreadable_.size(), 9U);
+}
+
 TEST_F(PlatformStoreTest, ChecksAtOnceOverAConnectionOfItsOwn) {
   answers_ = {HttpResponse{200, {}, std::string(R"({"events":[{"object":)") + kObject + R"(}],"at":8})"}};
   WatchResult result;
--- a/test/router/cluster_knowledge_test.cc
+++ b/test/router/cluster_knowledge_test.cc
@@ -35,6 +35,7 @@
   KnowledgeEvents events() {
     KnowledgeEvents events;
     events.on_config = events.on_nodes = events.on_owners = events.on_complete_list = [] {};
+    events.on_unreadable = [this](const std::string& name) { unreadable_.push_back(name); };
     events.on_record = [](const NodeRecord&, bool) {};
     events.on_own_table = [](const MetadataObject&) {};
     events.ask_table = [this](const NodeName& node, StoreRevision known) { asked_.emplace_back(node, known); };
@@ -58,6 +59,7 @@
   EventLog log_{loop_, clock_, dup(STDERR_FILENO)};
   ServerDirectory directory_{NodeName("self"), ZoneName("z"), {}, random_};
   std::vector<std::pair<NodeName, StoreRevision>> asked_;
+  std::vector<std::string> unreadable_;
   ClusterKnowledge knowledge_{NodeName("self"),
                               ServiceName("own"),
                               {&loop_, &clock_, &random_, &store_, &config_, &directory_, &log_},
--- a/test/router/node_records_test.cc
+++ b/test/router/node_records_test.cc
@@ -32,6 +32,17 @@
   }
 }
 
+TEST(NodeRecordTest, RecordOfAnotherWriterIsNone) {
+  const std::string start = R"({"node":"n","incarnation":7,"peer":"10.0.0.1:99","zone":"z","service":"s")";
+  ASSERT_TRUE(decodeNodeRecord(start + R"(,"slots":18})"));
+  for (const char* rest :
+       {"}", R"(,"slots":-1})", R"(,"slots":0.5})", R"(,"slots":1e18})", R"(,"slots":"18"})",
+        R"(,"slots":18,"peer":7})", R"(,"slots":18,"node":null})", R"(,"slots":18,"incarnation":-7})",
+        R"(,"slots":18,"quarantined":[7]})", R"(,"slots":18,"quarantined":[[1,2,"x"]]})"}) {
+    EXPECT_FALSE(decodeNodeRecord(start + rest)) << rest;
+  }
+}
+
 class RecordPublisherTest : public ::testing::Test {
  protected:
   RecordPublisherTest()
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -145,7 +145,9 @@
   adapters.servers = &servers_;
   adapters.reports = &reports_;
   adapters.config = &config_;
-  adapters.make_store = [](StoreCaller caller) { return std::make_unique<platform::PlatformStore>(std::move(caller)); };
+  adapters.make_store = [](StoreCaller caller, UnreadableEntry on_unreadable) {
+    return std::make_unique<platform::PlatformStore>(std::move(caller), std::move(on_unreadable));
+  };
   node.router =
       std::make_unique<RouterProcess>(loop_, node.settings, adapters, open("/dev/null", O_WRONLY | O_CLOEXEC));
   EXPECT_TRUE(static_cast<bool>(node.router->open()));
