News that a request was served die out: they carry when they were seen, not their age alone

A process passed on that a request had been served with the age that it was told; counted from when that came it was newer than what the next one knew, which passed it on too, from the first new stream on, for ever. Class: an age that does not count its own way (as in the age of what replies tell). Ruled out: the judgement (none was quarantined). Change: such news name the time of day at which they were seen; who knows one as late learns nothing.

--- a/include/shedlever/server_ends.h
+++ b/include/shedlever/server_ends.h
@@ -43,12 +43,15 @@
 /// A request that ran on a server which had ended has since been answered by one.
 struct ServedSuspect {
   RequestFingerprint request;
+  /// Time of day at which the process beside that server saw it, in microseconds since 1970. Who knows one as late
+  /// learns nothing: the age alone would make the same news newer with each process that passes it on, for ever.
+  std::uint64_t seen_at_us = 0;
   /// How long ago it was answered, when this is told.
   Duration::rep age_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, age_us);
+    archive(request, seen_at_us, age_us);
   }
 };
 
--- a/source/core/router/quarantine/crash_quarantine.cc
+++ b/source/core/router/quarantine/crash_quarantine.cc
@@ -61,7 +61,7 @@
         addEndsOf(request, now, passed_on);
       } else if (suspect->second.served_at != TimePoint{} && suspect->second.ends.size() >= kEndsOfTheOnlySuspect) {
         // Others may count the ends before it was served.
-        news.served.push_back({request, ageOf(suspect->second.served_at, now)});
+        news.served.push_back(servedOf(request, suspect->second, now));
       }
     }
   }
@@ -70,21 +70,23 @@
   }
   // After the ends: what is not suspected of any can't be cleared of one.
   for (const ServedSuspect& served : told.served) {
-    if (noteServed(served.request, now - Duration(served.age_us))) {
+    if (noteServed(served, now)) {
       news.served.push_back(served);
     }
   }
   return news;
 }
 
-ServerEndsFrame CrashQuarantine::onServed(const RequestFingerprint& request, TimePoint now) {
+ServerEndsFrame CrashQuarantine::onServed(const RequestFingerprint& request, std::uint64_t seen_at_us, TimePoint now) {
   const auto found = suspects_.find(request);
   if (found == suspects_.end()) {
     return {};
   }
   const bool others_count = countOf(found->second) >= kEndsOfTheOnlySuspect || found->second.isQuarantined();
-  noteServed(request, now);
-  return others_count ? ServerEndsFrame{{}, {{request, 0}}} : ServerEndsFrame{};
+  // Clocks of machines differ: what comes later must also look later.
+  const ServedSuspect served{request, std::max(seen_at_us, found->second.served_seen_us + 1), 0};
+  noteServed(served, now);
+  return others_count ? ServerEndsFrame{{}, {served}} : ServerEndsFrame{};
 }
 
 ServerEndsFrame CrashQuarantine::summary(TimePoint now) const {
@@ -100,7 +102,7 @@
       addEndsOf(request, now, told);
     }
     if (suspect.served_at != TimePoint{} && !suspect.ends.empty()) {
-      news.served.push_back({request, ageOf(suspect.served_at, now)});
+      news.served.push_back(servedOf(request, suspect, now));
     }
   }
   for (auto& [unused, end] : told) {
@@ -170,17 +172,23 @@
   ends_.erase(end);
 }
 
-bool CrashQuarantine::noteServed(const RequestFingerprint& request, TimePoint at) {
-  const auto found = suspects_.find(request);
-  if (found == suspects_.end() || at <= found->second.served_at) {
+ServedSuspect CrashQuarantine::servedOf(const RequestFingerprint& request, const Suspect& suspect, TimePoint now) {
+  return {request, suspect.served_seen_us, ageOf(suspect.served_at, now)};
+}
+
+bool CrashQuarantine::noteServed(const ServedSuspect& served, TimePoint now) {
+  const auto found = suspects_.find(served.request);
+  if (found == suspects_.end() || served.seen_at_us <= found->second.served_seen_us) {
     return false;
   }
   Suspect& suspect = found->second;
+  const TimePoint at = now - Duration(served.age_us);
+  suspect.served_seen_us = served.seen_at_us;
   suspect.served_at = at;
   const bool recorded_later = suspect.recorded_until - config_.time > at;
   setUntil(suspect, suspect.proved_until, recorded_later ? suspect.recorded_until : TimePoint{});
   // What still counts against it may be enough; and what is cleared may leave another request as the only one.
-  judgeAllBeside(request);
+  judgeAllBeside(served.request);
   return true;
 }
 
--- a/source/core/router/quarantine/crash_quarantine.h
+++ b/source/core/router/quarantine/crash_quarantine.h
@@ -44,8 +44,9 @@
   ServerEndsFrame take(const ServerEndsFrame& told, TimePoint now);
 
   /// A server has run the request and answered it.
+  /// @param seen_at_us time of day, in microseconds since 1970.
   /// @return what all others are to be told; empty unless they may be counting ends against it.
-  ServerEndsFrame onServed(const RequestFingerprint& request, TimePoint now);
+  ServerEndsFrame onServed(const RequestFingerprint& request, std::uint64_t seen_at_us, TimePoint now);
 
   /// @return what a process should know that has just been reached.
   ServerEndsFrame summary(TimePoint now) const;
@@ -87,6 +88,8 @@
     /// Ends at which it was unanswered, in no order; also those before it was served.
     std::vector<ServerEndId> ends;
     TimePoint served_at{};
+    /// Time of day of the same; 0 before the first.
+    std::uint64_t served_seen_us = 0;
     /// By the ends; zero where they don't prove it.
     TimePoint proved_until{};
     /// By records; zero where none names it.
@@ -100,7 +103,9 @@
 
   bool addEnd(const ServerEndId& id, End end);
   void dropEnd(Ends::iterator end);
-  bool noteServed(const RequestFingerprint& request, TimePoint at);
+  /// @return whether it was news.
+  bool noteServed(const ServedSuspect& served, TimePoint now);
+  static ServedSuspect servedOf(const RequestFingerprint& request, const Suspect& suspect, TimePoint now);
   /// @return ends that count against it: since it was served last.
   std::size_t countOf(const Suspect& suspect) const;
   std::size_t countOf(const RequestFingerprint& request) const;
--- a/source/router/quarantine_coordinator.cc
+++ b/source/router/quarantine_coordinator.cc
@@ -56,7 +56,7 @@
 }
 
 void QuarantineCoordinator::onServed(const RequestFingerprint& request) {
-  const ServerEndsFrame news = quarantine_.onServed(request, ports_.clock->now());
+  const ServerEndsFrame news = quarantine_.onServed(request, wallClockMicroseconds(), ports_.clock->now());
   if (!news.empty()) {
     ports_.tell_all(news);
     noteChanges("served");
--- a/test/core_router/quarantine/crash_quarantine_test.cc
+++ b/test/core_router/quarantine/crash_quarantine_test.cc
@@ -23,6 +23,8 @@
   return {InstanceId(instance), seen_at_us};
 }
 
+std::uint64_t microsecondsOf(TimePoint time) { return static_cast<std::uint64_t>(time.time_since_epoch().count()); }
+
 class CrashQuarantineTest : public ::testing::Test {
  protected:
   ServerEndsFrame end(const std::string& instance, const std::vector<RequestFingerprint>& unanswered) {
@@ -63,7 +65,7 @@
 
 TEST_F(CrashQuarantineTest, AnsweredRequestIsClearedOfTheEndsBefore) {
   end("i-1", {kFatal});
-  quarantine_.onServed(kFatal, now_ + milliseconds(1));
+  quarantine_.onServed(kFatal, microsecondsOf(now_), now_ + milliseconds(1));
   end("i-2", {kFatal});
   EXPECT_FALSE(isKeptBack(kFatal));
   end("i-3", {kFatal});
@@ -73,7 +75,7 @@
 TEST_F(CrashQuarantineTest, WhatIsClearedLeavesTheOtherAsTheOnlySuspect) {
   end("i-1", {kFatal, kBystander});
   end("i-2", {kFatal, kBystander});
-  quarantine_.onServed(kBystander, now_ + milliseconds(1));
+  quarantine_.onServed(kBystander, microsecondsOf(now_), now_ + milliseconds(1));
   EXPECT_TRUE(isKeptBack(kFatal));
   EXPECT_FALSE(isKeptBack(kBystander));
 }
@@ -82,7 +84,7 @@
   end("i-1", {kFatal});
   end("i-2", {kFatal});
   ASSERT_TRUE(isKeptBack(kFatal));
-  const ServerEndsFrame news = quarantine_.onServed(kFatal, now_ + milliseconds(1));
+  const ServerEndsFrame news = quarantine_.onServed(kFatal, microsecondsOf(now_), now_ + milliseconds(1));
   EXPECT_EQ(news.served.size(), 1U);
   EXPECT_FALSE(isKeptBack(kFatal));
   EXPECT_FALSE(quarantine_.isActive());
@@ -113,7 +115,7 @@
   EXPECT_TRUE(isKeptBack(kFatal));
   ASSERT_EQ(quarantine_.quarantined().size(), 1U);
   EXPECT_TRUE(quarantine_.quarantined().front().recorded_here);
-  quarantine_.onServed(kFatal, now_ + seconds(1));
+  quarantine_.onServed(kFatal, microsecondsOf(now_), now_ + seconds(1));
   EXPECT_FALSE(isKeptBack(kFatal));
   quarantine_.onRecorded(kFatal, now_ + minutes(5), true, now_ + seconds(2));
   EXPECT_FALSE(isKeptBack(kFatal)) << "an old record came back";
@@ -142,7 +144,7 @@
 TEST_F(CrashQuarantineTest, ProcessThatHasJustStartedIsToldAll) {
   end("i-1", {kFatal, kBystander});
   end("i-2", {kFatal, kOther});
-  quarantine_.onServed(kBystander, now_);
+  quarantine_.onServed(kBystander, microsecondsOf(now_), now_);
   CrashQuarantine other{{}};
   other.take(quarantine_.summary(now_ + seconds(2)), now_ + seconds(2));
   EXPECT_TRUE(other.timeLeft(kFatal, now_ + seconds(2)).has_value());
@@ -154,7 +156,8 @@
   CrashQuarantine served_it{{}};
   const ServerEndsFrame first = end("i-1", {kBystander});
   served_it.take(first, now_);
-  EXPECT_TRUE(served_it.onServed(kBystander, now_ + milliseconds(10)).empty()) << "nobody counts yet";
+  EXPECT_TRUE(served_it.onServed(kBystander, microsecondsOf(now_), now_ + milliseconds(10)).empty())
+      << "nobody counts yet";
   const ServerEndsFrame second = end("i-2", {kBystander});
   ASSERT_TRUE(isKeptBack(kBystander));
   const ServerEndsFrame news = served_it.take(second, now_);
@@ -187,7 +190,7 @@
     for (int i = 0; i < kNews; ++i) {
       const Duration::rep age = Duration(milliseconds(random() % 10000)).count();
       if (random() % 4 == 0) {
-        news.push_back({{}, {{request(), age}}});
+        news.push_back({{}, {{request(), microsecondsOf(kStart - Duration(age)), age}}});
       } else {
         news.push_back({{{endOf("i-" + std::to_string(i)), age, {request(), request()}}}, {}});
       }
