For those on call: what is quarantined in status, metrics and a command of its own; its settings are checked

Cause: a request that is refused as quarantined could be explained from logs alone. Change: shedlever quarantine lists, router by router, each request that is kept from servers, for how long and under which ends; status has the same; gauges shedlever_quarantined_requests and shedlever_server_ends_remembered; settings quarantine.ends and quarantine.time. Tests: OperatorCommandsTest, RouterSettingsTest. Not done: a command that lifts a quarantine before its time.

--- a/source/cli/operator_commands.cc
+++ b/source/cli/operator_commands.cc
@@ -106,6 +106,22 @@
   return exitCodeOf(context, found);
 }
 
+ExitCode runQuarantine(CliContext& context) {
+  const std::vector<NodeStatus> found = askAll(context);
+  TextTable table({"node", "fingerprint", "left-ms", "ends"});
+  for (const NodeStatus& status : found) {
+    for (const QuarantineStatus& one : status.quarantined) {
+      std::string ends;
+      for (const InstanceId& end : one.ends) {
+        ends += (ends.empty() ? "" : ",") + end.value;
+      }
+      table.add({status.node.name.value, one.fingerprint, milliseconds(one.left), ends.empty() ? "-" : ends});
+    }
+  }
+  print(context, table);
+  return exitCodeOf(context, found);
+}
+
 ExitCode runDrain(CliContext& context) {
   if (context.options.operators.size() != 1) {
     Findings findings;
--- a/source/cli/operator_commands.h
+++ b/source/cli/operator_commands.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Commands that ask routers: `status`, `owners`, `drain`.
+/// Commands that ask routers: `status`, `owners`, `quarantine`, `drain`.
 
 #include <optional>
 
@@ -16,6 +16,9 @@
 /// Shows the ranges of keys that the routers own.
 ExitCode runOwners(CliContext& context);
 
+/// Shows the requests that the routers keep from servers, and under which ends of servers.
+ExitCode runQuarantine(CliContext& context);
+
 /// Empties the server beside the one router named.
 ExitCode runDrain(CliContext& context);
 
--- a/source/core/operators/node_status.cc
+++ b/source/core/operators/node_status.cc
@@ -25,6 +25,25 @@
   return range;
 }
 
+ordered_json encodeQuarantine(const QuarantineStatus& one) {
+  ordered_json ends = ordered_json::array();
+  for (const InstanceId& end : one.ends) {
+    ends.push_back(end.value);
+  }
+  const auto left_ms = std::chrono::floor<std::chrono::milliseconds>(one.left).count();
+  return {{"fingerprint", one.fingerprint}, {"left_ms", left_ms}, {"ends", std::move(ends)}};
+}
+
+QuarantineStatus decodeQuarantine(const ordered_json& document) {
+  QuarantineStatus one;
+  one.fingerprint = document.at("fingerprint").get<std::string>();
+  one.left = std::chrono::milliseconds(document.at("left_ms").get<std::int64_t>());
+  for (const ordered_json& end : document.at("ends")) {
+    one.ends.emplace_back(end.get<std::string>());
+  }
+  return one;
+}
+
 NodeStatus decode(const ordered_json& document) {
   NodeStatus status;
   status.node.name = NodeName(document.at("node").get<std::string>());
@@ -50,6 +69,9 @@
   for (const ordered_json& range : document.at("ranges")) {
     status.ranges.push_back(decodeRange(range));
   }
+  for (const ordered_json& one : document.at("quarantined")) {
+    status.quarantined.push_back(decodeQuarantine(one));
+  }
   return status;
 }
 
@@ -60,6 +82,10 @@
   for (const OwnedRange& range : status.ranges) {
     ranges.push_back(encodeRange(range));
   }
+  ordered_json quarantined = ordered_json::array();
+  for (const QuarantineStatus& one : status.quarantined) {
+    quarantined.push_back(encodeQuarantine(one));
+  }
   const ordered_json server = {{"instance", status.instance.value}, {"draining", status.draining},
                                {"silent", status.silent},           {"running", status.load.running},
                                {"queued", status.load.queued},      {"slots", status.load.slots}};
@@ -77,7 +103,8 @@
                       {"nodes", status.nodes},
                       {"config", config},
                       {"lease_left_ms", lease_ms},
-                      {"ranges", std::move(ranges)}}
+                      {"ranges", std::move(ranges)},
+                      {"quarantined", std::move(quarantined)}}
       .dump();
 }
 
--- a/source/core/operators/node_status.h
+++ b/source/core/operators/node_status.h
@@ -14,6 +14,16 @@
 
 namespace shedlever {
 
+/// A request that is kept from servers.
+struct QuarantineStatus {
+  /// As in the logs.
+  std::string fingerprint;
+  /// Until it may be sent again.
+  Duration left{};
+  /// Lives of servers that ended while at work on it, oldest first; none where only a record tells of it.
+  std::vector<InstanceId> ends;
+};
+
 struct NodeStatus {
   NodeIdentity node;
   ZoneName zone;
@@ -38,6 +48,7 @@
   Duration lease_left{};
   /// Ranges of keys that the owner table gives to this node.
   std::vector<OwnedRange> ranges;
+  std::vector<QuarantineStatus> quarantined;
 };
 
 /// @return JSON text.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -109,7 +109,11 @@
       lapsed_(gauge("shedlever_ranges_lapsed", "Ranges whose release ended since they had run out")),
       lease_left_(gauge("shedlever_lease_left_seconds", "What is left of the node's lease")),
       store_reached_(gauge("shedlever_store_reached", "1 while the last straight call to the store had an answer")),
-      log_lines_dropped_(gauge("shedlever_log_lines_dropped", "Log lines left out since the start")) {}
+      log_lines_dropped_(gauge("shedlever_log_lines_dropped", "Log lines left out since the start")),
+      quarantined_(
+          gauge("shedlever_quarantined_requests", "Requests kept from servers, since servers ended under them")),
+      server_ends_remembered_(gauge("shedlever_server_ends_remembered",
+                                    "Ends of servers while at work that are remembered, of all nodes")) {}
 
 prometheus::Histogram& RouterMetrics::routeHistogram(const std::string& route) {
   prometheus::Histogram*& histogram = held_by_route_[route];
@@ -179,6 +183,8 @@
   lease_left_.Set(secondsOf(levels.lease_left));
   store_reached_.Set(levels.store_reached ? 1 : 0);
   log_lines_dropped_.Set(static_cast<double>(levels.log_lines_dropped));
+  quarantined_.Set(static_cast<double>(levels.quarantined));
+  server_ends_remembered_.Set(static_cast<double>(levels.server_ends));
   return metricsText(registry_);
 }
 
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -51,6 +51,9 @@
   Duration lease_left{};
   bool store_reached = false;
   std::uint64_t log_lines_dropped = 0;
+  /// Requests that are kept from servers, and ends of servers that are remembered.
+  std::size_t quarantined = 0;
+  std::size_t server_ends = 0;
 };
 
 class RouterMetrics {
@@ -124,6 +127,8 @@
   prometheus::Gauge& lease_left_;
   prometheus::Gauge& store_reached_;
   prometheus::Gauge& log_lines_dropped_;
+  prometheus::Gauge& quarantined_;
+  prometheus::Gauge& server_ends_remembered_;
 };
 
 }  // namespace shedlever
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -590,6 +590,14 @@
   status.nodes = directory_.nodes().size();
   status.config_version = knowledge_.routes() ? knowledge_.routes()->version() : 0;
   status.config_parts = knowledge_.configRevisions();
+  for (const CrashQuarantine::Quarantined& one : quarantine_.quarantine().quarantined()) {
+    QuarantineStatus& told = status.quarantined.emplace_back();
+    told.fingerprint = toString(one.request);
+    told.left = std::max(one.until - clock_.now(), Duration::zero());
+    for (const ServerEndId& end : one.ends) {
+      told.ends.push_back(end.instance);
+    }
+  }
   if (keeper_) {
     status.lease_left = std::max(keeper_->leaseUntil() - clock_.now(), Duration::zero());
     status.ranges = keeper_->tableWriter().table().ownedAt(self_.name);
@@ -620,6 +628,8 @@
   }
   levels.store_reached = store_access_.straightWorks();
   levels.log_lines_dropped = log_.lost();
+  levels.quarantined = quarantine_.quarantine().quarantined().size();
+  levels.server_ends = quarantine_.quarantine().rememberedEnds();
   return levels;
 }
 
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -168,6 +168,19 @@
   queue.read("slot_share", settings.queue.slot_share, 0.1, 1.0);
 }
 
+void readQuarantine(const json& document, RouterSettings& settings, Findings& findings) {
+  constexpr Duration kLongest = std::chrono::hours(24);
+  constexpr double kMostEnds = 100;
+  const Section section(document, "quarantine", findings);
+  double ends = settings.quarantine.ends;
+  section.read("ends", ends, 2.0, kMostEnds);
+  settings.quarantine.ends = static_cast<std::uint32_t>(ends);
+  section.read("time", settings.quarantine.time);
+  if (settings.quarantine.time <= Duration::zero() || settings.quarantine.time > kLongest) {
+    findings.add("quarantine/time", "must be more than 0s and at most 86400s");
+  }
+}
+
 void readOwnership(const json& document, RouterSettings& settings, Findings& findings) {
   const Section section(document, "ownership", findings);
   OwnershipConfig& config = settings.ownership;
@@ -208,6 +221,7 @@
   readPlaces(document, settings, findings);
   readLimits(document, settings, findings);
   readOwnership(document, settings, findings);
+  readQuarantine(document, settings, findings);
   if (!findings.empty()) {
     return leaf::new_error(std::move(findings));
   }
--- /dev/null
+++ b/test/cli/operator_commands_test.cc
@@ -0,0 +1,46 @@
+/// @file
+/// Commands that ask routers.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "test/cli/cli_bench.h"
+
+namespace shedlever::test {
+namespace {
+
+using ::testing::HasSubstr;
+
+const Endpoint kRouter{"127.0.0.1", 2};
+
+FakeRouter answers(const NodeStatus& status) {
+  return [status](const std::string&, const std::string& target) {
+    return target == "/status" ? OperatorAnswer{OperatorCallStatus::Answered, 200, encodeNodeStatus(status)}
+                               : OperatorAnswer{OperatorCallStatus::Answered, 404, ""};
+  };
+}
+
+TEST(OperatorCommandsTest, QuarantineShowsWhatIsKeptBackAndUnderWhichEnds) {
+  CliBench bench;
+  NodeStatus status;
+  status.node.name = NodeName("node-1");
+  status.quarantined.push_back({"00ff", std::chrono::seconds(90), {InstanceId("i-1"), InstanceId("i-2")}});
+  status.quarantined.push_back({"00ee", std::chrono::seconds(7), {}});
+  bench.routers[kRouter] = answers(status);
+  const CommandResultText result = bench.run("quarantine --operator 127.0.0.1:2");
+  EXPECT_EQ(result.code, ExitCode::Done) << result.err;
+  EXPECT_THAT(result.out, HasSubstr("00ff"));
+  EXPECT_THAT(result.out, HasSubstr("90000"));
+  EXPECT_THAT(result.out, HasSubstr("i-1,i-2"));
+  EXPECT_THAT(result.out, HasSubstr("00ee"));
+}
+
+TEST(OperatorCommandsTest, QuarantineFailsWhereARouterDoesNotAnswer) {
+  CliBench bench;
+  const CommandResultText result = bench.run("quarantine --operator 127.0.0.1:2");
+  EXPECT_EQ(result.code, ExitCode::Failed);
+  EXPECT_THAT(result.err, HasSubstr("no status from 127.0.0.1:2"));
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- /dev/null
+++ b/test/router/router_settings_test.cc
@@ -0,0 +1,33 @@
+/// @file
+/// Settings of a router process.
+
+#include "source/router/router_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace shedlever::test {
+namespace {
+
+std::string settingsWith(const std::string& section) {
+  return R"({"node":{"name":"n","zone":"z","service":"s"},
+             "listen":{"clients":"127.0.0.1:1","peers":"127.0.0.1:2","readiness":"127.0.0.1:3","reports":"127.0.0.1:4"},
+             "connect":{"server":"127.0.0.1:5","store":"127.0.0.1:6"})" +
+         section + "}";
+}
+
+TEST(RouterSettingsTest, QuarantineHasDefaultsAndIsChecked) {
+  const auto defaults = parseRouterSettings(settingsWith(""));
+  ASSERT_TRUE(defaults);
+  EXPECT_EQ(defaults->quarantine.ends, QuarantineConfig{}.ends);
+  EXPECT_EQ(defaults->quarantine.time, QuarantineConfig{}.time);
+  const auto given = parseRouterSettings(settingsWith(R"(,"quarantine":{"ends":4,"time":"600s"})"));
+  ASSERT_TRUE(given);
+  EXPECT_EQ(given->quarantine.ends, 4U);
+  EXPECT_EQ(given->quarantine.time, std::chrono::minutes(10));
+  for (const char* wrong : {R"({"ends":1})", R"({"ends":"3"})", R"({"time":"0s"})", R"({"time":"90000s"})"}) {
+    EXPECT_FALSE(parseRouterSettings(settingsWith(R"(,"quarantine":)" + std::string(wrong)))) << wrong;
+  }
+}
+
+}  // namespace
+}  // namespace shedlever::test
