Only a good run clears a request: a server's own error does not

Cause (read from the code): a server that gives a fatal request up at its deadline answers 504 before it ends; that counted as proof that the request does no harm. Change: ServerResult::ranWell, used for it and for the share of failures that a gate tells. Test: ServerResultTest.

--- a/source/core/router/quarantine/unanswered_requests.cc
+++ b/source/core/router/quarantine/unanswered_requests.cc
@@ -20,13 +20,13 @@
 
 void UnansweredRequests::begun(Number number, const RequestFingerprint& request) { running_[number] = request; }
 
-void UnansweredRequests::answered(Number number, bool ran, TimePoint now) {
+void UnansweredRequests::answered(Number number, bool ran_well, TimePoint now) {
   const auto node = running_.extract(number);
   if (node.empty()) {
     return;
   }
   std::erase_if(lost_, [now](const Lost& lost) { return lost.until + kAnswerReadLater < now; });
-  if (ran) {
+  if (ran_well) {
     noteServed(node.mapped());
   }
 }
--- a/source/core/router/quarantine/unanswered_requests.h
+++ b/source/core/router/quarantine/unanswered_requests.h
@@ -23,9 +23,9 @@
 
   /// The request was sent to the server.
   void begun(Number number, const RequestFingerprint& request);
-  /// The server has answered it whole: it has run it, or says that it has not.
-  /// @param ran whether it has run it.
-  void answered(Number number, bool ran, TimePoint now);
+  /// The server has answered it whole: it has run it, well or not, or says that it has not.
+  /// @param ran_well whether it has run it to a good end.
+  void answered(Number number, bool ran_well, TimePoint now);
   /// It did not reach this life of the server.
   void notReached(Number number) { running_.erase(number); }
   /// Its connection broke, or what came was no answer.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -17,7 +17,6 @@
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
 constexpr double kPermille = 1000.0;
 constexpr double kHundredths = 100.0;
-constexpr int kFirstServerError = 500;
 
 }  // namespace
 
@@ -368,9 +367,9 @@
   if (!result.reached_server || result.reason == ForwardReason::WrongInstance) {
     unanswered_.notReached(ticket);
   } else if (result.outcome != ForwardOutcome::Unknown) {
-    const bool ran = result.outcome == ForwardOutcome::Answered;
-    unanswered_.answered(ticket, ran, now);
-    if (ran) {
+    const bool ran_well = result.ranWell();
+    unanswered_.answered(ticket, ran_well, now);
+    if (ran_well) {
       events_.served(fingerprint);
     }
   } else if (result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::TimedOut) {
@@ -405,8 +404,7 @@
   const bool says_nothing = result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::NotOwner ||
                             result.reason == ForwardReason::WrongInstance;
   if (!says_nothing) {
-    const bool failed = result.outcome != ForwardOutcome::Answered || result.http.status >= kFirstServerError;
-    failures_.note(failed, clock_.now());
+    failures_.note(!result.ranWell(), clock_.now());
   }
 }
 
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -43,7 +43,7 @@
   /// A life of the server has ended that had not said that it leaves. @param unanswered what it may have been at work
   /// on.
   std::function<void(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered)> life_ended;
-  /// The server has run the request and answered it.
+  /// The server has run the request to a good end.
   std::function<void(const RequestFingerprint& request)> served;
 };
 
--- a/source/router/server_link.cc
+++ b/source/router/server_link.cc
@@ -40,6 +40,11 @@
 
 }  // namespace
 
+bool ServerResult::ranWell() const {
+  constexpr int kFirstServerError = 500;
+  return outcome == ForwardOutcome::Answered && http.status < kFirstServerError;
+}
+
 ServerLink::ServerLink(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol)
     : protocol_(protocol), requests_(loop, requestConfig(server)), orders_(loop, orderConfig(server)) {}
 
--- a/source/router/server_link.h
+++ b/source/router/server_link.h
@@ -23,6 +23,10 @@
   /// A connection could not be made in time.
   bool no_connection = false;
   HttpResponse http;
+
+  /// @return whether the server has run the request to a good end. An error of its own is none: a server that gives up
+  ///   at the request's deadline says so before the request has done its harm.
+  bool ranWell() const;
 };
 
 struct ServerRequest {
--- a/test/core_router/quarantine/unanswered_requests_test.cc
+++ b/test/core_router/quarantine/unanswered_requests_test.cc
@@ -72,7 +72,8 @@
   EXPECT_EQ(unanswered.takeAtEnd(), Requests{request(8)});
 }
 
-TEST(UnansweredRequestsTest, RequestThatTheServerTurnedAwayWasNotRunWell) {
+// Turned away, or given up at its deadline before it could do harm.
+TEST(UnansweredRequestsTest, RequestThatTheServerTurnedAwayOrFailedWasNotRunWell) {
   UnansweredRequests unanswered;
   unanswered.begun(1, request(7));
   unanswered.answered(1, false, kStart);
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -142,6 +142,23 @@
   EXPECT_THAT(metrics(), HasSubstr("shedlever_queue_seconds_count 2"));
 }
 
+TEST(ServerResultTest, OnlyAnAnswerThatIsNoServerErrorIsAGoodRun) {
+  ServerResult result;
+  EXPECT_FALSE(result.ranWell());
+  result.outcome = ForwardOutcome::Answered;
+  result.http.status = 200;
+  EXPECT_TRUE(result.ranWell());
+  result.http.status = 404;
+  EXPECT_TRUE(result.ranWell());
+  for (const int failed : {500, 504}) {
+    result.http.status = failed;
+    EXPECT_FALSE(result.ranWell());
+  }
+  result.outcome = ForwardOutcome::NotRun;
+  result.http.status = 200;
+  EXPECT_FALSE(result.ranWell());
+}
+
 TEST_F(RecordersTest, AttemptLinesAreBounded) {
   GatewayRecorder recorder(time_, *log_, metrics_);
   constexpr int kAttempts = 1000;
