An end that names a request twice counts once

Cause (read from the code): another process's news could name one request several times in one end, which counted as several. Test: EndThatNamesARequestTwiceIsOneEnd.

--- a/source/core/router/quarantine/crash_quarantine.cc
+++ b/source/core/router/quarantine/crash_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace shedlever {
 
@@ -21,6 +22,12 @@
 
 Duration::rep ageOf(TimePoint at, TimePoint now) { return std::max((now - at).count(), Duration::rep{0}); }
 
+void appendEnds(std::map<ServerEndId, ServerEnd> ends, ServerEndsFrame& news) {
+  for (auto& [unused, end] : ends) {
+    news.ends.push_back(std::move(end));
+  }
+}
+
 }  // namespace
 
 // News.
@@ -38,9 +45,7 @@
       addEndsOf(request, now, told);
     }
   }
-  for (auto& [unused, end] : told) {
-    news.ends.push_back(std::move(end));
-  }
+  appendEnds(std::move(told), news);
   return news;
 }
 
@@ -65,9 +70,7 @@
       }
     }
   }
-  for (auto& [unused, end] : passed_on) {
-    news.ends.push_back(std::move(end));
-  }
+  appendEnds(std::move(passed_on), news);
   // After the ends: what is not suspected of any can't be cleared of one.
   for (const ServedSuspect& served : told.served) {
     if (noteServed(served, now)) {
@@ -105,9 +108,7 @@
       news.served.push_back(servedOf(request, suspect, now));
     }
   }
-  for (auto& [unused, end] : told) {
-    news.ends.push_back(std::move(end));
-  }
+  appendEnds(std::move(told), news);
   return news;
 }
 
@@ -128,6 +129,9 @@
   if (ends_.contains(id)) {
     return false;
   }
+  // Named twice by one end, a request would count as at two.
+  std::sort(end.unanswered.begin(), end.unanswered.end());
+  end.unanswered.erase(std::unique(end.unanswered.begin(), end.unanswered.end()), end.unanswered.end());
   if (end.unanswered.size() > kMostUnanswered) {
     end.unanswered.resize(kMostUnanswered);
   }
--- a/test/core_router/quarantine/crash_quarantine_test.cc
+++ b/test/core_router/quarantine/crash_quarantine_test.cc
@@ -44,6 +44,11 @@
   EXPECT_FALSE(quarantine_.isActive());
 }
 
+TEST_F(CrashQuarantineTest, EndThatNamesARequestTwiceIsOneEnd) {
+  quarantine_.take({{{endOf("i-1"), 0, {kFatal, kFatal, kFatal}}}, {}}, now_);
+  EXPECT_FALSE(quarantine_.isActive());
+}
+
 TEST_F(CrashQuarantineTest, TwoEndsProveItOfTheOnlyRequestThatWasAtBoth) {
   end("i-1", {kFatal, kBystander});
   end("i-2", {kFatal, kOther});
