--- a/source/core/router/quarantine/crash_quarantine.cc
+++ b/source/core/router/quarantine/crash_quarantine.cc
@@ -22,7 +22,7 @@
 
 Duration::rep ageOf(TimePoint at, TimePoint now) { return std::max((now - at).count(), Duration::rep{0}); }
 
-void appendEnds(std::map<ServerEndId, ServerEnd> ends, ServerEndsFrame& news) {
+void appendEnds(std::map<ServerEndId, ServerEnd>&& ends, ServerEndsFrame& news) {
   for (auto& [unused, end] : ends) {
     news.ends.push_back(std::move(end));
   }
