The soak restarts every other server under the id that it had

Cause: servers of the soak had a new id at each start. Change: the stand-in takes an id, its log tells lives apart by their start; every other node's server keeps its id. Stand-ins and soak alone, no product code.

--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -46,6 +46,8 @@
   LocalNode& node = *nodes_.back();
   nameNode(node);
   node.divided = divided;
+  // Every other one: both kinds of restarts come in each run.
+  node.keeps_server_id = nodes_.size() % 2 == 0;
   node.service = service;
   for (Endpoint* endpoint : {&node.clients, &node.peers, &node.readiness, &node.reports, &node.server}) {
     *endpoint = ports_.next();
@@ -104,6 +106,9 @@
   if (node.divided) {
     arguments.emplace_back("--divided");
   }
+  if (node.keeps_server_id) {
+    arguments.insert(arguments.end(), {"--id", "i-of-" + node.name});
+  }
   if (config_.keys_by_heartbeat) {
     arguments.emplace_back("--keys-by-heartbeat");
   }
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -34,6 +34,8 @@
   std::string service;
   /// Whether the service is divided by key.
   bool divided = false;
+  /// Whether the server starts again under the id that it had.
+  bool keeps_server_id = false;
   Endpoint clients;
   Endpoint peers;
   Endpoint readiness;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -71,7 +71,9 @@
 bool KeyServer::happens(double chance) { return std::uniform_real_distribution<>(0, 1)(random_) < chance; }
 
 void KeyServer::log(const std::string& line) {
-  log_ << clock_.now().time_since_epoch().count() << " " << instance_ << " " << line << "\n" << std::flush;
+  // A checker tells lives apart, also of one id.
+  log_ << clock_.now().time_since_epoch().count() << " " << instance_ << "/" << started_ms_ << " " << line << "\n"
+       << std::flush;
 }
 
 void KeyServer::report() {
