Logs tell which object of the configuration was ignored as older than the known one

An object whose revision is below the known one is dropped without a word; `config: event=ignored-older part= revision= known=` names it from now on. No logic changed.

--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -132,6 +132,12 @@
   }
   const auto known = config_parts_.find(object.name);
   if (known != config_parts_.end() && object.revision <= known->second.revision) {
+    if (object.revision < known->second.revision) {
+      ports_.log->write("config", "ignored-older",
+                        {{"part", object.name},
+                         {"revision", std::to_string(object.revision)},
+                         {"known", std::to_string(known->second.revision)}});
+    }
     return;
   }
   if (deleted) {
