--- a/standins/router/metadata_server.cc
+++ b/standins/router/metadata_server.cc
@@ -16,6 +16,7 @@
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr const char* kObjects = "/objects/";
+constexpr const char* kEraHeader = "Store-Era";
 
 std::uint64_t numberOr(const std::map<std::string, std::string>& query, const std::string& name) {
   const auto found = query.find(name);
@@ -50,11 +51,15 @@
 void MetadataServer::setFaults(const std::string& body) {
   const json document = json::parse(body, nullptr, false);
   if (document.value("compact", false)) {
-    forgotten_ = revision_;
-    for (Waiter& waiter : waiters_) {
-      waiter.responder.drop();
-    }
-    waiters_.clear();
+    forgetHistory();
+    return;
+  }
+  if (document.value("keep_copy", false)) {
+    copy_ = {revision_, kinds_, events_};
+    return;
+  }
+  if (document.value("restore_copy", false)) {
+    restoreCopy();
     return;
   }
   faults_.mode = modeFrom(document.value("mode", "up"));
@@ -63,6 +68,31 @@
   faults_.late = document.value("late", 0.0);
 }
 
+void MetadataServer::dropWatches() {
+  for (Waiter& waiter : waiters_) {
+    waiter.responder.drop();
+  }
+  waiters_.clear();
+}
+
+void MetadataServer::forgetHistory() {
+  forgotten_ = revision_;
+  dropWatches();
+}
+
+void MetadataServer::restoreCopy() {
+  ++era_;
+  revision_ = copy_.revision;
+  kinds_ = copy_.kinds;
+  events_ = copy_.events;
+  dropWatches();
+}
+
+void MetadataServer::reply(const StandinResponder& responder, int status, const std::string& body) const {
+  StandinResponder answer = responder;
+  answer.reply({status, {{"Content-Type", "application/json"}, {kEraHeader, std::to_string(era_)}}, body});
+}
+
 void MetadataServer::handle(const StandinRequest& request, const StandinResponder& responder) {
   StandinResponder answer = responder;
   if (request.path == "/faults") {
@@ -75,7 +105,7 @@
       withheld_.push_back(responder);
       return;
     case StoreMode::Busy:
-      answer.replyJson(kUnavailable, "{}");
+      reply(responder, kUnavailable, "{}");
       return;
     case StoreMode::Reset:
       answer.drop();
@@ -87,9 +117,8 @@
 }
 
 void MetadataServer::handleObjects(const StandinRequest& request, const StandinResponder& responder) {
-  StandinResponder answer = responder;
   if (!request.path.starts_with(kObjects)) {
-    answer.replyJson(kNotFound, "{}");
+    reply(responder, kNotFound, "{}");
     return;
   }
   const std::string rest = request.path.substr(std::string(kObjects).size());
@@ -101,8 +130,8 @@
   } else if (!name.empty()) {
     const auto& objects = kinds_[kind];
     const auto found = objects.find(name);
-    answer.replyJson(found == objects.end() ? kNotFound : kOk,
-                     found == objects.end() ? "{}" : objectText(name, found->second));
+    reply(responder, found == objects.end() ? kNotFound : kOk,
+          found == objects.end() ? "{}" : objectText(name, found->second));
   } else if (request.query.contains("watch")) {
     watch(request, kind, responder);
   } else {
@@ -123,8 +152,7 @@
       items.push_back(json::parse(objectText(name, object)));
     }
   }
-  StandinResponder answer = responder;
-  answer.replyJson(kOk, json{{"items", items}, {"more", false}, {"at", revision_}}.dump());
+  reply(responder, kOk, json{{"items", items}, {"more", false}, {"at", revision_}}.dump());
 }
 
 std::string MetadataServer::eventsText(const std::string& kind, std::uint64_t after) {
@@ -140,15 +168,14 @@
 }
 
 void MetadataServer::watch(const StandinRequest& request, const std::string& kind, const StandinResponder& responder) {
-  StandinResponder answer = responder;
   const std::uint64_t after = numberOr(request.query, "watch");
-  if (after < forgotten_) {
-    answer.replyJson(kGone, "{}");
+  if (after < forgotten_ || after > revision_) {
+    reply(responder, kGone, "{}");
     return;
   }
   const std::string events = eventsText(kind, after);
   if (!events.empty()) {
-    answer.replyJson(kOk, events);
+    reply(responder, kOk, events);
     return;
   }
   const std::uint64_t number = ++last_waiter_;
@@ -160,9 +187,9 @@
     if (still == waiters_.end()) {
       return;
     }
-    StandinResponder empty = still->responder;
+    const StandinResponder empty = still->responder;
     waiters_.erase(still);
-    empty.replyJson(kOk, json{{"events", json::array()}, {"at", revision_}}.dump());
+    reply(empty, kOk, json{{"events", json::array()}, {"at", revision_}}.dump());
   });
 }
 
@@ -173,7 +200,7 @@
       ++waiter;
       continue;
     }
-    waiter->responder.replyJson(kOk, events);
+    reply(waiter->responder, kOk, events);
     waiter = waiters_.erase(waiter);
   }
 }
@@ -241,8 +268,7 @@
     withheld_.push_back(responder);
     return;
   }
-  StandinResponder answer = responder;
-  answer.replyJson(status, body);
+  reply(responder, status, body);
 }
 
 }  // namespace shedlever::standins
--- a/standins/router/metadata_server.h
+++ b/standins/router/metadata_server.h
@@ -32,7 +32,9 @@
   double late = 0;
 };
 
-/// `POST /faults` sets the faults; `{"compact":true}` forgets the history.
+/// `POST /faults` sets the faults. `{"compact":true}` forgets the history; `{"keep_copy":true}` keeps a copy of all
+/// that is held, and `{"restore_copy":true}` goes back to it: what was written since is gone, its revisions are given
+/// out again, watches are cut, and the era, which each answer tells, rises by one.
 class MetadataServer {
  public:
   /// @return the server, or a NetworkError.
@@ -53,6 +55,12 @@
     /// The object as it was, if it was removed.
     std::optional<Object> removed;
   };
+  /// All that is held at one moment.
+  struct Contents {
+    std::uint64_t revision = 0;
+    std::map<std::string, std::map<std::string, Object>> kinds;
+    std::vector<Event> events;
+  };
   struct Waiter {
     std::uint64_t number = 0;
     std::string kind;
@@ -64,6 +72,10 @@
   void handle(const StandinRequest& request, const StandinResponder& responder);
   void handleObjects(const StandinRequest& request, const StandinResponder& responder);
   void setFaults(const std::string& body);
+  void forgetHistory();
+  void restoreCopy();
+  void dropWatches();
+  void reply(const StandinResponder& responder, int status, const std::string& body) const;
   void list(const std::string& kind, const StandinResponder& responder) const;
   void watch(const StandinRequest& request, const std::string& kind, const StandinResponder& responder);
   void write(const StandinRequest& request, const std::string& kind, const std::string& name,
@@ -80,11 +92,14 @@
   EventLoop& loop_;
   std::mt19937_64 random_;
   MetadataFaults faults_;
+  /// Rises by one with each restored copy.
+  std::uint64_t era_ = 1;
   std::uint64_t revision_ = 0;
   /// Changes up to this one are forgotten.
   std::uint64_t forgotten_ = 0;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::vector<Event> events_;
+  Contents copy_;
   std::list<Waiter> waiters_;
   std::uint64_t last_waiter_ = 0;
   /// Answers that are never given; kept so that their connections stay open for good.
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -68,6 +68,10 @@
   callOperator({"POST", "/faults", {}, json{{"mode", mode}}.dump()});
 }
 
+void RouterCluster::copyStore() { callOperator({"POST", "/faults", {}, json{{"keep_copy", true}}.dump()}); }
+
+void RouterCluster::restoreStore() { callOperator({"POST", "/faults", {}, json{{"restore_copy", true}}.dump()}); }
+
 void RouterCluster::evacuate(const std::string& zone, bool evacuated) {
   if (evacuated) {
     const json object = {{"metadata", {{"name", zone}}}, {"spec", json::object()}};
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -63,6 +63,10 @@
 
   /// Sets the store's faults. @param mode as the store's stand-in takes it: "up", "silent", ...
   void setStoreMode(const std::string& mode);
+  /// The store keeps a copy of all that it holds.
+  void copyStore();
+  /// The store goes back to the copy: what was written since is gone.
+  void restoreStore();
   /// Writes a configuration. @param routes by path prefix: "/search/", "/orders/".
   void writeConfig(std::uint32_t version, const std::vector<std::string>& routes);
   ~RouterCluster();
