Owner tables survive a store that comes back from a copy: the newest one known is written again, tokens rise by era

Two ways weighed: (a) to put the table together anew from what owners and servers report; (b) to count the changes in the table itself. (b): changes are conditional writes, so all tables of one era lie on one line, and the one with the most changes is the newest, wherever it is read. (a) needs every holder's answer, also of those that are cut off.

Change: a table tells its changes and the era of the last. The first change in an era lifts tokens above all that an earlier one can have given. A lease that had run out before it was renewed across a restore may have been revoked: its ranges are confirmed first. A process that starts and finds a table of an earlier era grants nothing until it is confirmed.

--- a/source/core/router/lease_keeper.cc
+++ b/source/core/router/lease_keeper.cc
@@ -36,11 +36,16 @@
     : self_(std::move(self)), config_(config), store_(store), clock_(clock), on_revoked_(std::move(on_revoked)) {}
 
 void LeaseKeeper::inherit(TimePoint until) {
-  if (renewed_revision_ == 0) {
+  if (renewed_revision_.none()) {
     valid_until_ = std::max(valid_until_, until);
   }
 }
 
+bool LeaseKeeper::mayBeRevokedInLostEra(TimePoint sent) const {
+  const bool renewed_before = !renewed_revision_.none();
+  return renewed_before && renewed_revision_.era < revision_.era && !valid(sent);
+}
+
 void LeaseKeeper::tick(TimePoint now) {
   if (!in_flight_ && now >= next_) {
     send(now);
@@ -52,7 +57,7 @@
   const LeaseRecord record{self_.incarnation, ++count_, false};
   const MetadataObject object{self_.name.value, revision_, record.encode()};
   const auto done = [this, now](const StoreAnswer& answer) { onAnswer(answer, now); };
-  if (revision_ == 0) {
+  if (revision_.none()) {
     store_.create(kLeaseKind, object, done);
   } else {
     store_.replace(kLeaseKind, object, done);
@@ -65,6 +70,9 @@
   switch (answer.status) {
     case StoreStatus::Done:
       revision_ = answer.object.revision;
+      if (mayBeRevokedInLostEra(sent)) {
+        on_revoked_();
+      }
       renewed_revision_ = revision_;
       valid_until_ = sent + config_.lease;
       next_ = sent + config_.lease_renewal;
@@ -78,7 +86,7 @@
       }
       return;
     case StoreStatus::Absent:
-      revision_ = 0;
+      revision_ = {};
       next_ = now;
       return;
     case StoreStatus::Refused:
--- a/source/core/router/lease_keeper.h
+++ b/source/core/router/lease_keeper.h
@@ -29,7 +29,7 @@
 /// What another node's process told of its lease.
 struct HeardLease {
   /// Of the lease object that it rests on; 0: not told.
-  StoreRevision revision = 0;
+  StoreRevision revision;
   /// It lasts until then at least, unless it is revoked.
   TimePoint valid_until{};
   /// It is over by then, by a clock that may run apart, unless the object has changed.
@@ -59,6 +59,10 @@
  private:
   void send(TimePoint now);
   void onAnswer(const StoreAnswer& answer, TimePoint sent);
+  /// @return whether the lease was over when the renewal was sent, and the store has come back from a copy since the
+  /// one
+  ///   before: a challenger may have revoked it, of which the store knows nothing any more.
+  bool mayBeRevokedInLostEra(TimePoint sent) const;
 
   NodeIdentity self_;
   const OwnershipConfig& config_;
@@ -66,8 +70,8 @@
   const Clock& clock_;
   std::function<void()> on_revoked_;
   /// 0: not known, or the object does not exist.
-  StoreRevision revision_ = 0;
-  StoreRevision renewed_revision_ = 0;
+  StoreRevision revision_;
+  StoreRevision renewed_revision_;
   std::uint64_t count_ = 0;
   bool in_flight_ = false;
   TimePoint next_{};
--- a/source/core/router/owner_table.cc
+++ b/source/core/router/owner_table.cc
@@ -8,8 +8,24 @@
 
 using nlohmann::json;
 
-OwnerTable OwnerTable::divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each) {
+namespace {
+
+/// Tokens of one era lie below those of the next. So many are never given out in one.
+constexpr unsigned kEraTokenBits = 32;
+
+}  // namespace
+
+void OwnerTable::beginChange(StoreEra era) {
+  if (era > era_) {
+    era_ = era;
+    last_token_ = std::max(last_token_, era << kEraTokenBits);
+  }
+  ++changes_;
+}
+
+OwnerTable OwnerTable::divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each, StoreEra era) {
   OwnerTable table;
+  table.beginChange(era);
   const auto count = static_cast<std::uint32_t>(places.size()) * ranges_each;
   for (std::uint32_t i = 0; i < count; ++i) {
     OwnedRange range;
@@ -194,7 +210,12 @@
     }
     list.push_back(std::move(entry));
   }
-  return json{{"last_token", last_token_}, {"owners", owners.take()}, {"ranges", std::move(list)}}.dump();
+  return json{{"last_token", last_token_},
+              {"era", era_},
+              {"changes", changes_},
+              {"owners", owners.take()},
+              {"ranges", std::move(list)}}
+      .dump();
 }
 
 namespace {
@@ -243,6 +264,8 @@
   try {
     const json document = json::parse(text);
     table.last_token_ = document.at("last_token").get<FenceToken>();
+    table.era_ = document.value("era", StoreEra{0});
+    table.changes_ = document.value("changes", std::uint64_t{0});
     std::vector<OwnerPlace> owners;
     for (const json& owner : document.at("owners")) {
       owners.push_back({InstanceId(owner.at(0).get<std::string>()), NodeName(owner.at(1).get<std::string>())});
--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "shedlever/errors.h"
@@ -58,8 +59,22 @@
   OwnerTable() = default;
 
   /// @param places not empty. @param ranges_each that each of them gets, in turn with the others.
+  /// @param era of the store that it is written in.
   /// @return a first table that divides all keys evenly.
-  static OwnerTable divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each = 1);
+  static OwnerTable divide(const std::vector<OwnerPlace>& places, std::uint32_t ranges_each = 1, StoreEra era = 0);
+
+  /// Begins the next change, in that era of the store. The tokens of a later era are above all of an earlier one, also
+  /// above those of changes that the store has lost.
+  void beginChange(StoreEra era);
+
+  /// @return the era in which it was changed last.
+  StoreEra era() const { return era_; }
+  /// @return whether it has had changes that the other one has not. Both are of one line of changes, or the one that
+  /// was
+  ///   changed in a later era counts.
+  bool hasMoreChangesThan(const OwnerTable& other) const {
+    return std::tie(era_, changes_) > std::tie(other.era_, other.changes_);
+  }
 
   /// @return the range of the key; null in an empty table.
   const OwnedRange* find(Key key) const;
@@ -111,6 +126,9 @@
 
   std::vector<OwnedRange> ranges_;
   FenceToken last_token_ = 0;
+  StoreEra era_ = 0;
+  /// Rises with each change that is written.
+  std::uint64_t changes_ = 0;
 };
 
 }  // namespace shedlever
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -23,6 +23,7 @@
       ports_(std::move(ports)),
       writer_(service_, *ports_.store,
               [this] {
+                checkStart();
                 gains_.note(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
@@ -91,6 +92,18 @@
   grants_->forgetAll();
 }
 
+void OwnershipKeeper::checkStart() {
+  if (start_checked_ || !writer_.exists() || ports_.store->era() == 0) {
+    return;
+  }
+  start_checked_ = true;
+  if (writer_.table().era() < ports_.store->era()) {
+    tell("table of an earlier era found at start", "");
+    must_confirm_ = true;
+    grants_->forgetAll();
+  }
+}
+
 std::vector<OwnedRange> OwnershipKeeper::grantable() const {
   std::vector<OwnedRange> ranges;
   if (!hasServer() || must_confirm_) {
@@ -270,7 +283,11 @@
     takeover_.startAgain();
   }
   last_tick_ = now;
+  if (writer_.awaitsRestore()) {
+    writer_.setRestoreTimes(restoreTimes());
+  }
   writer_.tick(now);
+  checkStart();
   request_rate_ = gains_.expectedRate(now);
   for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
     request_rate_ += meter_.rate(range.keys, now);
@@ -299,6 +316,12 @@
   }
 }
 
+TableWriter::RestoreTimes OwnershipKeeper::restoreTimes() const {
+  const Duration hold = config_.grants == GrantForm::Heartbeat ? config_.heartbeat_hold : config_.grant_hold;
+  const auto as_servers_count = std::chrono::duration_cast<Duration>(hold * config_.clock_drift);
+  return {config_.restore_read_step * static_cast<int>(rank()), as_servers_count + config_.lease_margin};
+}
+
 void OwnershipKeeper::divideFirst(TimePoint now) {
   if (!writer_.known() || !hasServer() || givesKeysAway()) {
     return;
@@ -313,7 +336,7 @@
   }
   if (!places.empty()) {
     const auto each = config_.most_first_ranges / static_cast<std::uint32_t>(places.size());
-    writer_.create(OwnerTable::divide(places, std::clamp(each, 1U, config_.first_ranges)));
+    writer_.create(OwnerTable::divide(places, std::clamp(each, 1U, config_.first_ranges), ports_.store->era()));
   }
 }
 
--- a/source/core/router/ownership_keeper.h
+++ b/source/core/router/ownership_keeper.h
@@ -143,8 +143,13 @@
   /// @return other servers that may be given keys, the least loaded first.
   std::vector<OwnerPlace> targets(TimePoint now) const;
   std::size_t rank() const;
+  TableWriter::RestoreTimes restoreTimes() const;
 
   void onLeaseRevoked();
+  /// A process that starts knows by the store's table alone what its server may be given. If the store has come back
+  /// from a copy since the table was changed last, keys may have gone to others by changes that are lost: nothing is
+  /// granted until the table has confirmed this node's ranges.
+  void checkStart();
   void divideFirst(TimePoint now);
   void settleLeftovers();
   void giveAwayDead(TimePoint now);
@@ -197,7 +202,10 @@
 
   bool draining_ = false;
   bool evacuated_ = false;
-  /// The lease was revoked: nothing is granted until the table has confirmed this node's ranges under new tokens.
+  /// The table that was known first has been compared with the store's era.
+  bool start_checked_ = false;
+  /// The lease was revoked, or may be, or `checkStart` has found an old table: nothing is granted until the table has
+  /// confirmed this node's ranges under new tokens.
   bool must_confirm_ = false;
   /// A change that this class makes by itself is queued; the next one waits for it.
   bool changing_ = false;
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -31,8 +31,27 @@
   if (!table) {
     return;
   }
-  table_ = std::move(table.value());
-  revision_ = object.revision;
+  take(std::move(table.value()), object.revision);
+}
+
+void TableWriter::onStored(const MetadataObject& object) {
+  auto table = OwnerTable::decode(object.value);
+  if (!table) {
+    return;
+  }
+  // A list that may be seconds old can have told an earlier state under a later revision.
+  revision_ = std::min(revision_, object.revision);
+  take(std::move(table.value()), object.revision);
+}
+
+void TableWriter::take(OwnerTable table, const StoreRevision& revision) {
+  if (table_.hasMoreChangesThan(table)) {
+    behind_at_ = revision;
+    return;
+  }
+  table_ = std::move(table);
+  revision_ = revision;
+  behind_at_ = {};
   on_table_();
 }
 
@@ -51,7 +70,7 @@
   store_.create(kTableKind, {ownerTableName(service_), 0, table.encode()}, [this](const StoreAnswer& answer) {
     in_flight_ = false;
     if (answer.status == StoreStatus::Done || answer.status == StoreStatus::Conflict) {
-      onObject(answer.object);
+      onStored(answer.object);
     }
     next();
   });
@@ -59,6 +78,11 @@
 
 void TableWriter::tick(TimePoint now) {
   last_tick_ = now;
+  if (!exists() || table_.era() >= store_.era()) {
+    earlier_era_since_ = {};
+  } else if (earlier_era_since_ == TimePoint{}) {
+    earlier_era_since_ = now;
+  }
   if (now > delayed_until_) {
     delayed_until_ = {};
   }
@@ -67,8 +91,21 @@
 
 void TableWriter::delay() { delayed_until_ = last_tick_ + backoff_.onFailure(); }
 
+bool TableWriter::earlierEraFor(Duration time) const {
+  return earlier_era_since_ != TimePoint{} && last_tick_ - earlier_era_since_ >= time;
+}
+
+bool TableWriter::mayChange() const { return table_.era() == store_.era() || earlierEraFor(restore_times_.change); }
+
 void TableWriter::next() {
-  if (changes_.empty() || in_flight_ || delayed_until_ != TimePoint{} || !exists()) {
+  if (in_flight_ || delayed_until_ != TimePoint{} || !exists()) {
+    return;
+  }
+  if (awaitsRestore()) {
+    restore();
+    return;
+  }
+  if (changes_.empty() || !mayChange()) {
     return;
   }
   if (read_first_) {
@@ -78,8 +115,68 @@
   }
 }
 
+void TableWriter::restore() {
+  if (behind_at_.era > store_.era()) {
+    // Told by a process that has heard of a later era than this one.
+    return;
+  }
+  if (!behind_at_.none() && behind_at_.era == store_.era()) {
+    writeAgain();
+    return;
+  }
+  if (revision_.era == store_.era()) {
+    // Whoever read it has found this table in the store in the present era.
+    checked_era_ = store_.era();
+    behind_at_ = {};
+    next();
+    return;
+  }
+  if (earlierEraFor(restore_times_.read)) {
+    readAgain();
+  }
+}
+
+void TableWriter::writeAgain() {
+  in_flight_ = true;
+  const MetadataObject object{ownerTableName(service_), behind_at_, table_.encode()};
+  store_.replace(kTableKind, object, [this](const StoreAnswer& answer) { onReadAgain(answer); });
+}
+
+void TableWriter::createAgain() {
+  in_flight_ = true;
+  const MetadataObject object{ownerTableName(service_), {}, table_.encode()};
+  store_.create(kTableKind, object, [this](const StoreAnswer& answer) { onReadAgain(answer); });
+}
+
+void TableWriter::onReadAgain(const StoreAnswer& answer) {
+  in_flight_ = false;
+  switch (answer.status) {
+    case StoreStatus::Done:
+    case StoreStatus::Conflict:
+      read_first_ = false;
+      backoff_.onSuccess();
+      behind_at_ = {};
+      onStored(answer.object);
+      next();
+      return;
+    case StoreStatus::Absent:
+      if (awaitsRestore()) {
+        createAgain();
+        return;
+      }
+      delay();
+      return;
+    case StoreStatus::Refused:
+    case StoreStatus::Unknown:
+      behind_at_ = {};
+      delay();
+      return;
+  }
+}
+
 void TableWriter::write() {
   OwnerTable changed = table_;
+  changed.beginChange(store_.era());
   if (!changes_.front().edit(changed)) {
     finish(false);
     return;
@@ -95,11 +192,11 @@
     case StoreStatus::Done:
       conflicts_ = 0;
       backoff_.onSuccess();
-      onObject(answer.object);
+      onStored(answer.object);
       finish(true);
       return;
     case StoreStatus::Conflict:
-      onObject(answer.object);
+      onStored(answer.object);
       // Many owners change one table: those that meet again and again come back at different times.
       if (++conflicts_ % kConflictsInARow == 0) {
         delayed_until_ = last_tick_;
@@ -119,17 +216,7 @@
 
 void TableWriter::readAgain() {
   in_flight_ = true;
-  store_.get(kTableKind, ownerTableName(service_), [this](const StoreAnswer& answer) {
-    in_flight_ = false;
-    if (answer.status != StoreStatus::Done) {
-      delay();
-      return;
-    }
-    read_first_ = false;
-    backoff_.onSuccess();
-    onObject(answer.object);
-    next();
-  });
+  store_.get(kTableKind, ownerTableName(service_), [this](const StoreAnswer& answer) { onReadAgain(answer); });
 }
 
 void TableWriter::finish(bool written) {
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -30,9 +30,20 @@
   /// @param written whether the edit stands in the store now; false when it applied no more.
   using Done = std::function<void(bool written)>;
 
+  /// What is done once the store has come back from a copy of an earlier state, which may hold an earlier table.
+  struct RestoreTimes {
+    /// Until this process reads the table again: not all do so at once.
+    Duration read{};
+    /// Until it changes the table. Whoever holds a later table has written it again by then, and what was granted by
+    /// changes that all processes have lost has run out.
+    Duration change{};
+  };
+
   /// @param on_table runs after each newer table.
   TableWriter(ServiceName service, MetadataStore& store, std::function<void()> on_table);
 
+  void setRestoreTimes(const RestoreTimes& times) { restore_times_ = times; }
+
   /// A table was read or watched; older ones than the one held are ignored.
   void onObject(const MetadataObject& object);
 
@@ -40,8 +51,8 @@
   void onAbsent() { absence_known_ = true; }
 
   /// @return whether there is a table, or it is known that there is none.
-  bool known() const { return revision_ != 0 || absence_known_; }
-  bool exists() const { return revision_ != 0; }
+  bool known() const { return !revision_.none() || absence_known_; }
+  bool exists() const { return !revision_.none(); }
   const OwnerTable& table() const { return table_; }
   StoreRevision revision() const { return revision_; }
 
@@ -56,23 +67,39 @@
 
   bool idle() const { return changes_.empty() && !in_flight_; }
 
+  /// @return whether the store holds, or may hold, an earlier table than this one, or none: nothing is changed until
+  ///   that is mended.
+  bool awaitsRestore() const { return checked_era_ < store_.era() || !behind_at_.none(); }
+
  private:
   struct Change {
     Edit edit;
     Done done;
   };
 
+  /// What stands in the store, as an answer to a call of this object tells.
+  void onStored(const MetadataObject& object);
+  void take(OwnerTable table, const StoreRevision& revision);
   void next();
   void write();
+  /// Compares what the store holds since it has come back, and writes the table again if that is an earlier one.
+  void restore();
+  void writeAgain();
+  void createAgain();
+  /// @return whether the table may be changed in the store's present era.
+  bool mayChange() const;
+  /// @return whether the table was changed last in an earlier era than the store's, and this process has known so long.
+  bool earlierEraFor(Duration time) const;
   void onWritten(const StoreAnswer& answer);
   void readAgain();
+  void onReadAgain(const StoreAnswer& answer);
   void finish(bool written);
 
   ServiceName service_;
   MetadataStore& store_;
   std::function<void()> on_table_;
   OwnerTable table_;
-  StoreRevision revision_ = 0;
+  StoreRevision revision_;
   bool absence_known_ = false;
   /// Conflicts since the last write that was done.
   unsigned conflicts_ = 0;
@@ -82,6 +109,14 @@
   bool read_first_ = false;
   void delay();
 
+  RestoreTimes restore_times_;
+  /// Era in which the store's table is known not to be earlier than this one.
+  StoreEra checked_era_ = 0;
+  /// Where the store holds an earlier table than this one; none: it does not.
+  StoreRevision behind_at_;
+  /// When it was first seen that the table was changed last in an earlier era than the store's; zero: it was not.
+  TimePoint earlier_era_since_{};
+
   /// The first change waits until a tick after this; zero: it does not wait.
   TimePoint delayed_until_{};
   TimePoint last_tick_{};
--- /dev/null
+++ b/test/core_router/restored_store_ownership_test.cc
@@ -0,0 +1,231 @@
+/// @file
+/// Ownership of keys while the store comes back from a copy of an earlier state: the newest owner table that any
+/// process knows stands again, and no key has two owners.
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "source/lab/sim/ownership_world.h"
+
+namespace shedlever::sim::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kNodes = 4;
+constexpr std::uint64_t kSeed = 20261203;
+
+OwnershipConfig configOf(GrantForm grants) {
+  OwnershipConfig config;
+  config.grants = grants;
+  return config;
+}
+
+void expectSound(const OwnershipWorld& world) {
+  if (!world.violations().empty()) {
+    ADD_FAILURE() << world.violations().front();
+  }
+}
+
+class RestoredStoreOwnershipTest : public ::testing::TestWithParam<GrantForm> {
+ protected:
+  void SetUp() override {
+    world_.run(seconds(6));
+    ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
+  }
+  void TearDown() override { expectSound(world_); }
+
+  /// Moves all keys of a node to others.
+  void moveAway(std::size_t node) {
+    world_.drainServer(node);
+    world_.run(seconds(3));
+    ASSERT_EQ(world_.servedBy(node), 0U);
+  }
+
+  OwnershipWorld world_{kNodes, kSeed, configOf(GetParam())};
+};
+
+TEST_P(RestoredStoreOwnershipTest, KeysStayWhereTheyWereMovedThoughTheStoreLostTheMove) {
+  world_.copyStore();
+  moveAway(1);
+  world_.restoreStore();
+  for (int step = 0; step < 300; ++step) {
+    world_.run(milliseconds(100));
+    ASSERT_EQ(world_.servedBy(1), 0U);
+    ASSERT_EQ(world_.servedKeys(), world_.sampledKeys()) << "after " << step << " steps";
+  }
+}
+
+TEST_P(RestoredStoreOwnershipTest, TableOfWhichTheCopyHasNothingIsWrittenAgain) {
+  OwnershipWorld world(kNodes, kSeed, configOf(GetParam()));
+  world.copyStore();
+  world.run(seconds(6));
+  ASSERT_EQ(world.servedKeys(), world.sampledKeys());
+  const MetadataObject before = world.table();
+  world.restoreStore();
+  world.run(seconds(4));
+  EXPECT_EQ(world.table().value, before.value);
+  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+  expectSound(world);
+}
+
+TEST_P(RestoredStoreOwnershipTest, LeavingServerHandsItsKeysOverAfterwards) {
+  world_.copyStore();
+  moveAway(1);
+  world_.restoreStore();
+  world_.drainServer(2);
+  world_.run(seconds(9));
+  EXPECT_EQ(world_.servedBy(2), 0U);
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
+// The store has lost that the lease was revoked: its holder renews it as if nothing had been.
+TEST_P(RestoredStoreOwnershipTest, ProcessThatStoodStillDoesNotTakeItsKeysBackByALeaseWhoseRevocationIsLost) {
+  world_.copyStore();
+  world_.pauseNode(0);
+  world_.run(seconds(14));
+  ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
+  world_.restoreStore();
+  world_.resumeNode(0);
+  world_.run(seconds(20));
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
+// Tokens of moves that the store has lost must not be given out a second time.
+TEST_P(RestoredStoreOwnershipTest, TokensRiseOverThoseThatWereLost) {
+  const auto last_token = [&] {
+    const auto table = OwnerTable::decode(world_.table().value);
+    return table ? table.value().lastToken() : 0;
+  };
+  world_.copyStore();
+  moveAway(1);
+  moveAway(2);
+  const FenceToken lost = last_token();
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    world_.killNode(node);
+  }
+  world_.restoreStore();
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    world_.restartNode(node);
+  }
+  world_.startServer(1);
+  world_.run(seconds(14));
+  EXPECT_GT(last_token(), lost);
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, RestoredStoreOwnershipTest, ::testing::Values(GrantForm::Request, GrantForm::Heartbeat),
+                         [](const auto& form) { return form.param == GrantForm::Request ? "Request" : "Heartbeat"; });
+
+/// @return how many seeds are played; more than the usual number for a long run by hand.
+std::uint64_t seedCount() {
+  constexpr std::uint64_t kUsual = 40;
+  const char* wanted = std::getenv("SHEDLEVER_RESTORE_SEEDS");
+  return wanted == nullptr ? kUsual : std::strtoull(wanted, nullptr, 10);
+}
+
+/// Restored copies among faults of all kinds at random times. Even seeds: keys by heartbeat.
+class RestoredStoreSoakTest : public ::testing::TestWithParam<std::uint64_t> {
+ protected:
+  static constexpr int kSteps = 40;
+
+  bool keysByHeartbeat() const { return GetParam() % 2 == 0; }
+
+  void killOrRestart(std::size_t node, bool kill) {
+    if (kill && !dead_[node]) {
+      world_.killNode(node);
+    } else if (!kill) {
+      world_.restartNodeWithLease(node);
+    }
+    dead_[node] = kill;
+  }
+
+  void pauseOrResume(std::size_t node, bool pause) {
+    if (dead_[node]) {
+      return;
+    }
+    if (pause) {
+      world_.pauseNode(node);
+    } else {
+      world_.resumeNode(node);
+    }
+  }
+
+  void endOrStartServer(std::size_t node, bool end) {
+    if (end) {
+      world_.killServer(node);
+    } else {
+      world_.startServer(node);
+    }
+    without_server_[node] = end;
+  }
+
+  void copyOrRestore() {
+    // The first one has something to go back to.
+    if (std::exchange(copied_, true) && random_.below(2) == 0) {
+      world_.restoreStore();
+    } else {
+      world_.copyStore();
+    }
+  }
+
+  void step() {
+    const std::size_t node = random_.below(kNodes);
+    switch (random_.below(8)) {
+      case 0:
+        killOrRestart(node, random_.below(2) == 0);
+        break;
+      case 1:
+        pauseOrResume(node, random_.below(2) == 0);
+        break;
+      case 2:
+        endOrStartServer(node, random_.below(2) == 0);
+        break;
+      case 3:
+        world_.setStoreFaults(node, {random_.below(3) == 0, 0.2, 0.2});
+        break;
+      case 4:
+        world_.setOrderFaults(node, {false, 0.2, keysByHeartbeat() ? 0.2 : 0, keysByHeartbeat() ? 0.2 : 0});
+        break;
+      case 5:
+        if (!without_server_[node]) {
+          world_.drainServer(node);
+        }
+        break;
+      default:
+        copyOrRestore();
+        break;
+    }
+    world_.run(milliseconds(100 + random_.below(3000)));
+  }
+
+  OwnershipWorld world_{kNodes, GetParam(), configOf(GetParam() % 2 == 0 ? GrantForm::Heartbeat : GrantForm::Request)};
+  SeededRandom random_{GetParam() + 1};
+  std::vector<bool> dead_ = std::vector<bool>(kNodes, false);
+  std::vector<bool> without_server_ = std::vector<bool>(kNodes, false);
+  bool copied_ = false;
+};
+
+TEST_P(RestoredStoreSoakTest, KeepsOneOwnerUnderRandomFaults) {
+  world_.run(seconds(4));
+  for (int i = 0; i < kSteps; ++i) {
+    step();
+  }
+  expectSound(world_);
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    world_.setStoreFaults(node, {});
+    world_.setOrderFaults(node, {});
+    world_.startServer(node);
+    world_.restartNode(node);
+  }
+  world_.run(seconds(30));
+  expectSound(world_);
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RestoredStoreSoakTest, ::testing::Range<std::uint64_t>(1, 1 + seedCount()));
+
+}  // namespace
+}  // namespace shedlever::sim::test
