--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -29,6 +29,7 @@
       "only planned work, of which no request may notice anything")(
       "fatal", options::bool_switch(&config.fatal_only),
       "only requests under which servers end, brought at machines of several services")(
+      "restores", options::bool_switch(&config.restores), "beside all else the store comes back from copies")(
       "folder", options::value(&config.folder)->default_value("soak-run"), "for settings and logs; a folder a seed");
   options::variables_map given;
   try {
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -50,7 +50,8 @@
                           .binaries = config_.binaries,
                           .folder = config_.folder,
                           .keys_by_heartbeat = config_.keys_by_heartbeat,
-                          .fatal_path = config_.fatal_only ? kFatalPath : ""}) {}
+                          .fatal_path = config_.fatal_only ? kFatalPath : ""}),
+      restores_(loop_, config_.seed, restorePorts()) {}
 
 SoakWorld::~SoakWorld() = default;
 
@@ -84,9 +85,31 @@
   }
 }
 
+StoreRestores::Ports SoakWorld::restorePorts() {
+  StoreRestores::Ports ports;
+  ports.set_faults = [this](const std::string& body) {
+    store_control_->send({"POST", "/faults", {}, body}, seconds(1), [](const HttpExchange&) {});
+  };
+  ports.write_again = [this] {
+    writeConfigAgain();
+    if (config_.planned_only) {
+      writeConfig();
+      probe_.start();
+    }
+  };
+  ports.note = [this](const std::string& what) { note(what); };
+  return ports;
+}
+
 void SoakWorld::writeConfig() {
-  ++config_version_;
+  const bool first = ++config_version_ == 1;
   probe_.onWritten(config_version_);
+  sendConfig(first ? "POST" : "PUT", first ? "/objects/config" : "/objects/config/main");
+}
+
+void SoakWorld::writeConfigAgain() { sendConfig("PUT", "/objects/config/main"); }
+
+void SoakWorld::sendConfig(const std::string& method, const std::string& path) {
   const auto route = [](const char* name, const char* prefix, const char* kind, const char* service) {
     return json{{"name", name},  {"host", "h"},         {"pathPrefix", prefix},
                 {"kind", kind},  {"timeout", "1500ms"}, {"targetLatency", "300ms"},
@@ -106,11 +129,7 @@
         {{"name", kOrders}, {"healthPath", "/health"}, {"maxConnections", 100}}}},
       {"limits", json::object()}};
   const json object = {{"metadata", {{"name", "main"}}}, {"spec", spec}};
-  if (config_version_ == 1) {
-    store_control_->send({"POST", "/objects/config", {}, object.dump()}, seconds(2), [](const HttpExchange&) {});
-  } else {
-    store_control_->send({"PUT", "/objects/config/main", {}, object.dump()}, seconds(2), [](const HttpExchange&) {});
-  }
+  store_control_->send({method, path, {}, object.dump()}, seconds(2), [](const HttpExchange&) {});
 }
 
 void SoakWorld::post(const Endpoint& to, const std::string& path, const std::string& body) {
@@ -366,6 +385,7 @@
 
 void SoakWorld::heal() {
   note("healed");
+  restores_.stop();
   post(deployment_.store(), "/faults", "{}");
   for (const auto& node : deployment_.nodes()) {
     node->router_wanted = true;
@@ -403,6 +423,9 @@
     // Each run has it at least once.
     silenceAfterChanges();
   }
+  if (config_.restores) {
+    restores_.start();
+  }
   Duration passed{};
   while (passed < config_.faults_for) {
     disturb();
@@ -426,6 +449,9 @@
   }
   std::vector<std::string> found = checks_.violations();
   found.insert(found.end(), broken_.begin(), broken_.end());
+  if (config_.restores && restores_.count() == 0) {
+    found.push_back("the store never came back from a copy");
+  }
   if (config_.fatal_only) {
     const std::vector<std::string> fatal = fatal_.violations(checks_);
     found.insert(found.end(), fatal.begin(), fatal.end());
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -11,6 +11,7 @@
 #include "soak/config_probe.h"
 #include "soak/fatal_requests.h"
 #include "soak/local_deployment.h"
+#include "soak/store_restores.h"
 #include "source/lab/check/run_checks.h"
 #include "source/net/http_client.h"
 
@@ -33,6 +34,8 @@
   bool planned_only = false;
   /// Only requests under which servers end, brought at machines of four services.
   bool fatal_only = false;
+  /// Beside all else the store goes away now and then and comes back from a copy of an earlier state.
+  bool restores = false;
 };
 
 class SoakWorld {
@@ -50,7 +53,12 @@
   void startAll();
   /// @return the service of a node whose service is not divided by key.
   std::string otherService(std::size_t node) const;
+  /// Writes the next version.
   void writeConfig();
+  /// Writes the newest version again, as the store may have lost it.
+  void writeConfigAgain();
+  void sendConfig(const std::string& method, const std::string& path);
+  StoreRestores::Ports restorePorts();
   void post(const Endpoint& to, const std::string& path, const std::string& body);
   void load();
   void sendOne();
@@ -83,6 +91,7 @@
   std::vector<std::unique_ptr<HttpClient>> clients_;
   FatalRequests fatal_{clients_};
   ConfigProbe probe_{loop_, clients_};
+  StoreRestores restores_;
   std::unique_ptr<HttpClient> store_control_;
   std::uint64_t config_version_ = 0;
   std::size_t next_stopped_ = 0;
