After a restore one process enters the table's new era, so that processes that start later need not wait

A process that starts and finds a table of an earlier era waits until what was granted unseen has run out (2.5 or 4.6 s). That held for every start until somebody had a reason to change the table. Now the first owner, in order of names, writes it in the present era once that time is over; 10 ms between two owners.

--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -44,8 +44,8 @@
   Duration first_division_delay = std::chrono::milliseconds(1500);
   /// Further wait of each node after the first, in order of names, before it does what one node should do.
   Duration rank_delay = std::chrono::milliseconds(700);
-  /// After the store has come back from a copy: between the readings of two nodes, in order of names, of its table.
-  Duration restore_read_step = std::chrono::milliseconds(10);
+  /// After the store has come back from a copy: between what two nodes, in order of names, do about its table.
+  Duration restore_step = std::chrono::milliseconds(10);
   /// A node that can't be reached for so long is suspected.
   Duration suspicion = std::chrono::seconds(1);
   /// A longer gap between two ticks means that this process stood still.
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -319,7 +319,8 @@
 TableWriter::RestoreTimes OwnershipKeeper::restoreTimes() const {
   const Duration hold = config_.grants == GrantForm::Heartbeat ? config_.heartbeat_hold : config_.grant_hold;
   const auto as_servers_count = std::chrono::duration_cast<Duration>(hold * config_.clock_drift);
-  return {config_.restore_read_step * static_cast<int>(rank()), as_servers_count + config_.lease_margin};
+  const Duration turn = config_.restore_step * static_cast<int>(rank());
+  return {turn, as_servers_count + config_.lease_margin + turn};
 }
 
 void OwnershipKeeper::divideFirst(TimePoint now) {
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -105,7 +105,13 @@
     restore();
     return;
   }
-  if (changes_.empty() || !mayChange()) {
+  if (!mayChange()) {
+    return;
+  }
+  if (changes_.empty()) {
+    if (table_.era() < store_.era()) {
+      enterEra();
+    }
     return;
   }
   if (read_first_) {
@@ -142,6 +148,14 @@
   store_.replace(kTableKind, object, [this](const StoreAnswer& answer) { onReadAgain(answer); });
 }
 
+void TableWriter::enterEra() {
+  OwnerTable entered = table_;
+  entered.beginChange(store_.era());
+  in_flight_ = true;
+  store_.replace(kTableKind, {ownerTableName(service_), revision_, entered.encode()},
+                 [this](const StoreAnswer& answer) { onReadAgain(answer); });
+}
+
 void TableWriter::createAgain() {
   in_flight_ = true;
   const MetadataObject object{ownerTableName(service_), {}, table_.encode()};
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -86,6 +86,8 @@
   void restore();
   void writeAgain();
   void createAgain();
+  /// Changes nothing but the table's era, so that processes that start from now on need not wait.
+  void enterEra();
   /// @return whether the table may be changed in the store's present era.
   bool mayChange() const;
   /// @return whether the table was changed last in an earlier era than the store's, and this process has known so long.
--- a/source/lab/sim/ownership_world.h
+++ b/source/lab/sim/ownership_world.h
@@ -91,6 +91,8 @@
   std::vector<std::optional<std::size_t>> servingNodes() const;
   /// @return changes of the store's objects so far.
   std::uint64_t storeChanges() const { return store_.revision().count; }
+  /// @return how often owner tables were written, refused writes not counted.
+  std::uint64_t tableWrites() const { return store_.writes(kTableKind); }
   /// @return how many keys, of those looked at, the node would begin requests for.
   std::size_t servedBy(std::size_t node) const;
 
--- a/source/lab/sim/virtual_store.cc
+++ b/source/lab/sim/virtual_store.cc
@@ -67,6 +67,7 @@
     return answer(StoreStatus::Conflict, place->second);
   }
   place->second.revision = nextRevision();
+  ++writes_[kind];
   return answer(StoreStatus::Done, place->second);
 }
 
@@ -80,6 +81,7 @@
   }
   found->second.value = object.value;
   found->second.revision = nextRevision();
+  ++writes_[kind];
   return answer(StoreStatus::Done, found->second);
 }
 
--- a/source/lab/sim/virtual_store.h
+++ b/source/lab/sim/virtual_store.h
@@ -57,6 +57,12 @@
   StoreListing list(const std::string& kind) const;
   StoreRevision revision() const { return {era_, changes_}; }
 
+  /// @return how often objects of the kind were written, refused writes not counted.
+  std::uint64_t writes(const std::string& kind) const {
+    const auto found = writes_.find(kind);
+    return found == writes_.end() ? 0 : found->second;
+  }
+
   /// Keeps a copy of all that it holds.
   void keepCopy();
   /// Goes back to the copy: what was written since is gone, and its revisions are given out again.
@@ -73,6 +79,7 @@
   StoreEra era_ = 1;
   std::uint64_t changes_ = 0;
   Objects objects_;
+  std::map<std::string, std::uint64_t> writes_;
   std::uint64_t copied_changes_ = 0;
   Objects copied_objects_;
 };
--- a/test/core_router/restored_store_ownership_test.cc
+++ b/test/core_router/restored_store_ownership_test.cc
@@ -93,6 +93,34 @@
   EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
 }
 
+// Until the table is of the store's era a process that starts has to wait for what it does not know.
+TEST_P(RestoredStoreOwnershipTest, ProcessThatStartsLaterServesAtOnce) {
+  world_.copyStore();
+  world_.restoreStore();
+  world_.run(seconds(8));
+  world_.killNode(2);
+  world_.run(milliseconds(300));
+  world_.restartNodeWithLease(2);
+  world_.run(seconds(2));
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
+// Each of many owners reads the table, and some write it: a few calls each, not all at once.
+TEST(RestoredStoreCallsTest, WritesOfATableDoNotGrowWithItsOwners) {
+  for (const std::size_t nodes : {30U, 100U}) {
+    OwnershipWorld world(nodes, kSeed, configOf(GrantForm::Request));
+    world.run(seconds(20));
+    ASSERT_EQ(world.servedKeys(), world.sampledKeys());
+    world.copyStore();
+    world.restoreStore();
+    const std::uint64_t before = world.tableWrites();
+    world.run(seconds(6));
+    EXPECT_LE(world.tableWrites() - before, 3U) << nodes << " nodes";
+    EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+    expectSound(world);
+  }
+}
+
 // Tokens of moves that the store has lost must not be given out a second time.
 TEST_P(RestoredStoreOwnershipTest, TokensRiseOverThoseThatWereLost) {
   const auto last_token = [&] {
