Which configuration is in force is a class of its own; a process that has read the store's copy alone takes the newest from others

What callers saw would have been: a process that starts while the store is back from a copy, before operators have written theirs again, serves the copy's version (test at whole processes; a restarted router answered 404 for a route that all others served).

ConfigInForce (core, no I/O) comes out of ClusterKnowledge: parts, what is in force, what is told to others.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -151,10 +151,12 @@
   /// Of the lease object that this rests on; none when it does not rest on a renewal of this process.
   StoreRevision lease_revision;
   KindNews evacuations = {};
+  /// Of the configuration in force, where operators count versions; 0 otherwise.
+  ConfigVersion config_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(config, nodes, own_table, lease_left_us, lease_revision, evacuations);
+    archive(config, nodes, own_table, lease_left_us, lease_revision, evacuations, config_version);
   }
 };
 
@@ -307,6 +309,27 @@
   }
 };
 
+/// Asks a process for the configuration in force there, if it is a later one; answered with `ConfigFrame`.
+struct ConfigQuestionFrame {
+  /// Version in force at the sender.
+  ConfigVersion known = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(known);
+  }
+};
+
+/// All parts of the configuration in force at the sender.
+struct ConfigFrame {
+  std::vector<ObjectCopy> parts;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(parts);
+  }
+};
+
 /// What the sender has read from the store, for a process that has started while the store can't be reached.
 struct StateFrame {
   std::vector<ObjectCopy> config;
@@ -357,8 +380,9 @@
   void serialize(Archive&) {}
 };
 
-using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
-                                 SettleFrame, SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame,
-                                 StateFrame, PingFrame, PongFrame, ReplyPartFrame, TableQuestionFrame, ServerEndsFrame>;
+using RouterFrame =
+    std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, SettleFrame,
+                 SettleReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, StateFrame, PingFrame, PongFrame,
+                 ReplyPartFrame, TableQuestionFrame, ServerEndsFrame, ConfigQuestionFrame, ConfigFrame>;
 
 }  // namespace shedlever
--- /dev/null
+++ b/source/core/router/config_in_force.cc
@@ -0,0 +1,96 @@
+#include "source/core/router/config_in_force.h"
+
+#include <utility>
+
+namespace shedlever {
+
+void ConfigInForce::onPart(const MetadataObject& part, bool deleted) {
+  if (!protocol_.isPart(part.name)) {
+    return;
+  }
+  const auto known = parts_.find(part.name);
+  if (known != parts_.end() && part.revision <= known->second.revision) {
+    if (part.revision < known->second.revision) {
+      events_.on_older_part(part, known->second.revision);
+    }
+    return;
+  }
+  if (deleted) {
+    parts_.erase(part.name);
+  } else {
+    parts_[part.name] = part;
+  }
+  if (listed_) {
+    read();
+  }
+}
+
+void ConfigInForce::onListed() {
+  listed_ = true;
+  read();
+}
+
+void ConfigInForce::read() {
+  std::map<std::string, StoreRevision> revisions;
+  for (const auto& [name, part] : parts_) {
+    revisions[name] = part.revision;
+  }
+  if (revisions.empty() || revisions == tried_revisions_) {
+    return;
+  }
+  tried_revisions_ = std::move(revisions);
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config, protocol_.decode(parts_));
+        if (config.version < comparableVersion()) {
+          events_.on_lower_version(config.version);
+        } else {
+          adopt(std::move(config), parts_);
+        }
+        return {};
+      },
+      [&](const Findings& findings) { events_.on_not_understood(findings); }, [] {});
+}
+
+void ConfigInForce::adopt(RouterConfig config, const ObjectsByName& parts) {
+  parts_in_force_ = parts;
+  routes_ = std::make_shared<const RouteTable>(std::move(config));
+  events_.on_adopted();
+}
+
+void ConfigInForce::onTold(const std::vector<ObjectCopy>& parts) {
+  if (!routes_) {
+    for (const ObjectCopy& part : parts) {
+      onPart({part.name, part.revision, part.value}, false);
+    }
+    onListed();
+    return;
+  }
+  ObjectsByName told;
+  for (const ObjectCopy& part : parts) {
+    told[part.name] = {part.name, part.revision, part.value};
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config, protocol_.decode(told));
+        if (protocol_.operatorsCountVersions() && config.version > routes_->version()) {
+          adopt(std::move(config), told);
+        }
+        return {};
+      },
+      [&](const Findings& findings) { events_.on_not_understood(findings); }, [] {});
+}
+
+ConfigVersion ConfigInForce::comparableVersion() const {
+  return routes_ && protocol_.operatorsCountVersions() ? routes_->version() : 0;
+}
+
+std::vector<ObjectCopy> ConfigInForce::copies() const {
+  std::vector<ObjectCopy> copies;
+  for (const auto& [name, part] : parts_in_force_) {
+    copies.push_back({part.name, part.revision, part.value});
+  }
+  return copies;
+}
+
+}  // namespace shedlever
--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -29,8 +29,9 @@
 constexpr Duration kWrittenAgain = std::chrono::seconds(10);
 /// All machines start within a second; their servers report within two more.
 constexpr Duration kStartTime = std::chrono::seconds(6);
-/// Between two questions for a service's owner table. Refusals tell the next owner of single keys meanwhile.
-constexpr Duration kTableQuestionPause = std::chrono::seconds(1);
+/// Between two questions to other processes, for a service's owner table or for the configuration. Refusals tell the
+/// next owner of single keys meanwhile.
+constexpr Duration kQuestionPause = std::chrono::seconds(1);
 /// Time for the answer, over a stream that exists; the longest way on a deployment is some 50 ms.
 constexpr Duration kTableAnswerLimit = std::chrono::milliseconds(500);
 /// What two machines' clocks may differ by over the length of a lease, and some more.
@@ -68,15 +69,13 @@
       own_service_(std::move(own_service)),
       ports_(ports),
       events_(std::move(events)),
+      config_(*ports_.config, configEvents()),
       config_watcher_(*ports_.loop, *ports_.clock, *ports_.random, *ports_.store,
                       {ports_.config->kind(), kConfigPause, StalenessLimits{}},
                       watcherEvents(
                           *ports_.log, "config",
-                          [this](const MetadataObject& object, bool deleted) { onConfigObject(object, deleted); },
-                          [this] {
-                            config_listed_ = true;
-                            adoptConfig();
-                          })),
+                          [this](const MetadataObject& object, bool deleted) { config_.onPart(object, deleted); },
+                          [this] { config_.onListed(); })),
       node_watcher_(*ports_.loop, *ports_.clock, *ports_.random, *ports_.store, {kNodeKind, kNodePause, kNodeStaleness},
                     watcherEvents(
                         *ports_.log, "membership",
@@ -157,82 +156,53 @@
 
 // Configuration.
 
-void ClusterKnowledge::onConfigObject(const MetadataObject& object, bool deleted) {
-  if (!ports_.config->isPart(object.name)) {
-    return;
-  }
-  const auto known = config_parts_.find(object.name);
-  if (known != config_parts_.end() && object.revision <= known->second.revision) {
-    if (object.revision < known->second.revision) {
-      ports_.log->write("config", "ignored-older",
-                        {{"part", object.name},
-                         {"revision", toString(object.revision)},
-                         {"known", toString(known->second.revision)}});
-    }
-    return;
-  }
-  if (deleted) {
-    config_parts_.erase(object.name);
-  } else {
-    config_parts_[object.name] = object;
-  }
-  if (config_listed_) {
-    adoptConfig();
-  }
+ConfigInForce::Events ClusterKnowledge::configEvents() {
+  ConfigInForce::Events events;
+  events.on_adopted = [this] { onConfigAdopted(); };
+  events.on_not_understood = [this](const Findings& findings) {
+    ports_.log->write("config", "not-understood",
+                      {{"revision", toString(config_watcher_.seen())}, {"findings", toString(findings)}});
+  };
+  events.on_older_part = [this](const MetadataObject& part, const StoreRevision& known) {
+    ports_.log->write("config", "ignored-older",
+                      {{"part", part.name}, {"revision", toString(part.revision)}, {"known", toString(known)}});
+  };
+  events.on_lower_version = [this](ConfigVersion version) {
+    ports_.log->write("config", "lower-version-ignored",
+                      {{"version", std::to_string(version)},
+                       {"in_force", std::to_string(routes()->version())},
+                       {"revision", toString(config_watcher_.seen())}});
+  };
+  return events;
 }
 
-void ClusterKnowledge::adoptConfig() {
-  std::map<std::string, StoreRevision> revisions;
-  for (const auto& [name, object] : config_parts_) {
-    revisions[name] = object.revision;
-  }
-  if (revisions.empty() || revisions == tried_revisions_) {
-    return;
-  }
-  tried_revisions_ = std::move(revisions);
-  leaf::try_handle_all(
-      [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(config, ports_.config->decode(config_parts_));
-        if (isOfTheCopy(config)) {
-          ports_.log->write("config", "copy-ignored",
-                            {{"version", std::to_string(config.version)},
-                             {"in_force", std::to_string(routes_->version())},
-                             {"revision", toString(config_watcher_.seen())}});
-        } else {
-          adopt(std::move(config));
-        }
-        return {};
-      },
-      [&](const Findings& findings) {
-        ports_.log->write("config", "not-understood",
-                          {{"revision", toString(config_watcher_.seen())}, {"findings", toString(findings)}});
-      },
-      [] {});
+void ClusterKnowledge::onConfigAdopted() {
+  ports_.log->write("config", "adopted",
+                    {{"version", std::to_string(routes()->version())},
+                     {"revision", toString(config_watcher_.seen())},
+                     {"routes", std::to_string(routes()->config().routes.size())}});
+  events_.on_config();
+  table_poller_.plan();
 }
 
-StoreEra ClusterKnowledge::configEra() const {
-  StoreEra latest = 0;
-  for (const auto& [name, object] : config_parts_) {
-    latest = std::max(latest, object.revision.era);
-  }
-  return latest;
-}
+void ClusterKnowledge::onConfigTold(const ConfigFrame& told) { config_.onTold(told.parts); }
 
-bool ClusterKnowledge::isOfTheCopy(const RouterConfig& config) const {
-  const bool may_be_of_a_copy = routes_ && ports_.config->operatorsCountVersions() && configEra() > era_in_force_;
-  return may_be_of_a_copy && config.version < routes_->version();
+std::optional<ConfigFrame> ClusterKnowledge::configNewerThan(ConfigVersion known) const {
+  if (config_.comparableVersion() <= known) {
+    return std::nullopt;
+  }
+  return ConfigFrame{config_.copies()};
 }
 
-void ClusterKnowledge::adopt(RouterConfig config) {
-  parts_in_force_ = config_parts_;
-  era_in_force_ = configEra();
-  routes_ = std::make_shared<const RouteTable>(std::move(config));
-  ports_.log->write("config", "adopted",
-                    {{"version", std::to_string(routes_->version())},
-                     {"revision", toString(config_watcher_.seen())},
-                     {"routes", std::to_string(routes_->config().routes.size())}});
-  events_.on_config();
-  table_poller_.plan();
+void ClusterKnowledge::onVersionElsewhere(const NodeName& node, const KnownRevisions& revisions) {
+  // While the store has something newer than this process has read, it will be told by the store.
+  const bool told_by_store = revisions.config.revision > config_watcher_.seen();
+  const TimePoint now = ports_.clock->now();
+  if (told_by_store || revisions.config_version <= config_.comparableVersion() || now < next_config_question_) {
+    return;
+  }
+  next_config_question_ = now + kQuestionPause;
+  events_.ask_config(node, config_.comparableVersion());
 }
 
 // Nodes and owners.
@@ -301,10 +271,10 @@
 }
 
 bool ClusterKnowledge::isMissingTables() const {
-  if (!routes_) {
+  if (!routes()) {
     return false;
   }
-  const auto& services = routes_->config().services;
+  const auto& services = routes()->config().services;
   return std::any_of(services.begin(), services.end(), [this](const auto& entry) {
     const auto& [name, service] = entry;
     return service.divided_by_key && !shared_objects_.contains(ownerTableName(name)) &&
@@ -394,6 +364,7 @@
                                        const KnownRevisions& revisions) {
   events_.on_era(std::max(revisions.config.at.era, revisions.nodes.at.era));
   config_watcher_.onTold(revisions.config);
+  onVersionElsewhere(node, revisions);
   node_watcher_.onTold(revisions.nodes);
   if (evacuation_watcher_) {
     evacuation_watcher_->onTold(revisions.evacuations);
@@ -406,7 +377,7 @@
 void ClusterKnowledge::onNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision) {
   TableQuestion& question = table_questions_[service];
   const TimePoint now = ports_.clock->now();
-  if (question.asked_at != TimePoint{} && now - question.asked_at < kTableQuestionPause) {
+  if (question.asked_at != TimePoint{} && now - question.asked_at < kQuestionPause) {
     return;
   }
   question.asked_at = now;
@@ -421,7 +392,8 @@
 
 KnownRevisions ClusterKnowledge::seen() const {
   const KindNews evacuations = evacuation_watcher_ ? evacuation_watcher_->news() : KindNews{};
-  return {config_watcher_.news(), node_watcher_.news(), tableRevision(own_service_), 0, {}, evacuations};
+  return {config_watcher_.news(),     node_watcher_.news(), tableRevision(own_service_), 0, {}, evacuations,
+          config_.comparableVersion()};
 }
 
 std::optional<ObjectCopy> ClusterKnowledge::ownTableNewerThan(StoreRevision known) const {
@@ -441,9 +413,7 @@
     return std::nullopt;
   }
   StateFrame state;
-  for (const auto& [name, object] : parts_in_force_) {
-    state.config.push_back({object.name, object.revision, object.value});
-  }
+  state.config = config_.copies();
   for (const auto& [name, object] : shared_objects_) {
     state.shared.push_back({object.name, object.revision, object.value});
   }
@@ -467,13 +437,7 @@
     events_.on_era(copy.revision.era);
     onSharedObject({copy.name, copy.revision, copy.value}, false);
   }
-  if (!routes_) {
-    for (const ObjectCopy& copy : state.config) {
-      onConfigObject({copy.name, copy.revision, copy.value}, false);
-    }
-    config_listed_ = true;
-    adoptConfig();
-  }
+  config_.onTold(state.config);
   nodes_listed_ = true;
   if (!evacuationsKnown()) {
     evacuations_.take(state.evacuations);
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "shedlever/platform_ports.h"
+#include "source/core/router/config_in_force.h"
 #include "source/core/router/evacuated_zones.h"
 #include "source/core/router/owner_view.h"
 #include "source/core/router/route_table.h"
@@ -57,6 +58,8 @@
   std::function<void(const MetadataObject&)> on_own_table;
   /// All nodes and tables have been read once, or were told.
   std::function<void()> on_complete_list;
+  /// The node's process has a later version of the configuration in force than this one, which has that version.
+  std::function<void(const NodeName&, ConfigVersion known)> ask_config = [](const NodeName&, ConfigVersion) {};
   /// The node's process has a newer owner table of its service than this one, which has that revision.
   std::function<void(const NodeName&, StoreRevision known)> ask_table;
 };
@@ -75,11 +78,11 @@
   void onStoreRestored();
 
   /// @return the configuration in force; null while none is known.
-  const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  const std::shared_ptr<const RouteTable>& routes() const { return config_.routes(); }
   /// @return the parts of the newest configuration read, with their revisions.
-  const std::map<std::string, StoreRevision>& configRevisions() const { return tried_revisions_; }
+  const std::map<std::string, StoreRevision>& configRevisions() const { return config_.revisions(); }
   /// @return whether configuration, nodes and tables are known.
-  bool complete() const { return routes_ != nullptr && listed(); }
+  bool complete() const { return routes() != nullptr && listed(); }
   bool listed() const { return nodes_listed_ && tables_listed_ && evacuationsKnown(); }
   /// @return whether it is known which zones are evacuated.
   bool evacuationsKnown() const { return !evacuation_watcher_ || evacuations_.known(); }
@@ -115,6 +118,11 @@
   /// @return the owner table of this node's service if it is newer than that revision.
   std::optional<ObjectCopy> ownTableNewerThan(StoreRevision known) const;
 
+  /// @return the configuration in force if its version is above that one.
+  std::optional<ConfigFrame> configNewerThan(ConfigVersion known) const;
+  /// Another process has told the configuration in force there.
+  void onConfigTold(const ConfigFrame& told);
+
   /// The node's process has its lease until then at least.
   void noteLease(const NodeName& node, TimePoint until);
   /// @return what to tell the node's process, which knows nothing; none while this one does not know much itself.
@@ -126,15 +134,11 @@
   KindPoller::Events pollerEvents();
   void followEvacuations();
   void onEvacuations();
-  void onConfigObject(const MetadataObject& object, bool deleted);
-  /// Reads the parts of the configuration that are known and takes them over if they are right together.
-  void adoptConfig();
-  void adopt(RouterConfig config);
-  /// @return whether the parts that are known are those of the copy that the store came back from, while operators have
-  ///   written a newer version that is in force here.
-  bool isOfTheCopy(const RouterConfig& config) const;
-  /// @return the latest era of the parts that are known.
-  StoreEra configEra() const;
+  ConfigInForce::Events configEvents();
+  void onConfigAdopted();
+  /// Another process has told which version is in force there: asks for it if the store can't tell it here, since this
+  /// process has read its copy alone.
+  void onVersionElsewhere(const NodeName& node, const KnownRevisions& revisions);
   /// All records of nodes have been listed.
   void onNodesListed();
   void onSharedObject(const MetadataObject& object, bool deleted);
@@ -156,6 +160,7 @@
   ServiceName own_service_;
   KnowledgePorts ports_;
   KnowledgeEvents events_;
+  ConfigInForce config_;
   KindWatcher config_watcher_;
   KindWatcher node_watcher_;
   KindPoller table_poller_;
@@ -163,23 +168,15 @@
   /// Null where operators can't evacuate zones.
   std::unique_ptr<KindWatcher> evacuation_watcher_;
   TimePoint started_;
-  std::shared_ptr<const RouteTable> routes_;
   bool nodes_listed_ = false;
   bool tables_listed_ = false;
   bool tables_read_ = false;
-  /// Objects as the store has them, for processes that start while it can't be reached.
-  ObjectsByName config_parts_;
-  /// Those of the configuration in force.
-  ObjectsByName parts_in_force_;
-  /// Latest era of these.
-  StoreEra era_in_force_ = 0;
+  /// No question for the configuration before.
+  TimePoint next_config_question_{};
   /// Era in which the node records, and the owner tables, were listed last.
   StoreEra nodes_era_ = 0;
   StoreEra tables_era_ = 0;
-  /// Revisions of the parts that were decoded last.
-  std::map<std::string, StoreRevision> tried_revisions_;
-  /// All parts have been read once, or were told.
-  bool config_listed_ = false;
+  /// Objects as the store has them, for processes that start while it can't be reached.
   std::map<std::string, MetadataObject> shared_objects_;
   /// Tables of other services than this node's.
   std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -281,6 +281,8 @@
     }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     events_.on_owner_table(*table);
+  } else if (const auto* config = std::get_if<ConfigFrame>(&frame)) {
+    events_.on_config(*config);
   } else if (const auto* ends = std::get_if<ServerEndsFrame>(&frame)) {
     events_.on_server_ends(*ends);
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
--- a/source/router/peer_links.h
+++ b/source/router/peer_links.h
@@ -38,6 +38,8 @@
     std::function<ServerEndsFrame()> server_ends;
     /// Another process has told of server ends.
     std::function<void(const ServerEndsFrame&)> on_server_ends;
+    /// A node has told the configuration in force there, which it was asked for.
+    std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
   };
 
   PeerLinks(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -145,6 +145,10 @@
     if (auto newer = ports_.table_newer_than(question->known)) {
       stream->send(OwnerTableFrame{std::move(*newer)});
     }
+  } else if (const auto* asked = std::get_if<ConfigQuestionFrame>(&frame)) {
+    if (auto newer = ports_.config_newer_than(asked->known)) {
+      stream->send(std::move(*newer));
+    }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     ports_.on_owner_table(*table);
   } else if (const auto* state = std::get_if<StateFrame>(&frame)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -33,6 +33,8 @@
     std::function<std::optional<ObjectCopy>(const StoreRevision& known)> table_newer_than;
     /// Another process has written an owner table.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// @return the configuration in force here if its version is above that one.
+    std::function<std::optional<ConfigFrame>(ConfigVersion known)> config_newer_than;
     /// @return whether this process knows nothing yet and the store does not answer.
     std::function<bool()> needs_state;
     /// Another process tells what it knows.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -118,6 +118,7 @@
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known = [this] { return known(); };
   peer_ports.table_newer_than = [this](const StoreRevision& known) { return knowledge_.ownTableNewerThan(known); };
+  peer_ports.config_newer_than = [this](ConfigVersion known) { return knowledge_.configNewerThan(known); };
   peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
   peer_ports.needs_state = [this] { return asksForState(); };
   peer_ports.on_state = [this](const StateFrame& state) { onState(state); };
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -50,6 +50,7 @@
     }
   };
   events.on_owner_table = [this](const OwnerTableFrame& frame) { knowledge_.onTable(frame.table); };
+  events.on_config = [this](const ConfigFrame& told) { knowledge_.onConfigTold(told); };
   events.server_ends = [this] { return quarantine_.summary(); };
   events.on_server_ends = [this](const ServerEndsFrame& told) { quarantine_.onTold(told); };
   return events;
@@ -78,6 +79,9 @@
     }
   };
   events.on_complete_list = [this] { onCompleteList(); };
+  events.ask_config = [this](const NodeName& node, ConfigVersion known) {
+    links_.tell(node, ConfigQuestionFrame{known});
+  };
   events.ask_table = [this](const NodeName& node, StoreRevision known) {
     links_.tell(node, TableQuestionFrame{known});
   };
--- /dev/null
+++ b/test/core_router/config_in_force_test.cc
@@ -0,0 +1,120 @@
+/// @file
+/// Which configuration is in force, whatever order its parts and versions are told in.
+
+#include "source/core/router/config_in_force.h"
+
+#include <gtest/gtest.h>
+
+namespace shedlever::test {
+namespace {
+
+/// Two parts; the version is the sum of their values, which must be numbers.
+class SumOfParts final : public ConfigProtocol {
+ public:
+  std::string kind() const override { return "config"; }
+  bool isPart(const std::string& name) const override { return name == "a" || name == "b"; }
+  bool operatorsCountVersions() const override { return counted_by_operators; }
+  leaf::result<RouterConfig> decode(const ObjectsByName& parts) const override {
+    RouterConfig config;
+    for (const auto& [name, part] : parts) {
+      if (part.value == "wrong") {
+        Findings findings;
+        findings.add(name, "wrong");
+        return leaf::new_error(std::move(findings));
+      }
+      config.version += std::stoull(part.value);
+    }
+    return config;
+  }
+
+  bool counted_by_operators = true;
+};
+
+class ConfigInForceTest : public ::testing::Test {
+ protected:
+  ConfigInForce::Events events() {
+    ConfigInForce::Events events;
+    events.on_adopted = [this] { adopted_.push_back(config_.routes()->version()); };
+    events.on_not_understood = [this](const Findings&) { ++not_understood_; };
+    events.on_older_part = [this](const MetadataObject&, const StoreRevision&) { ++older_; };
+    events.on_lower_version = [this](ConfigVersion version) { lower_.push_back(version); };
+    return events;
+  }
+
+  void part(const std::string& name, const StoreRevision& revision, const std::string& value) {
+    config_.onPart({name, revision, value}, false);
+  }
+
+  SumOfParts protocol_;
+  std::vector<ConfigVersion> adopted_;
+  std::vector<ConfigVersion> lower_;
+  int not_understood_ = 0;
+  int older_ = 0;
+  ConfigInForce config_{protocol_, events()};
+};
+
+TEST_F(ConfigInForceTest, NothingIsInForceBeforeAllPartsAreTold) {
+  part("a", 5, "1");
+  part("other", 6, "wrong");
+  EXPECT_EQ(config_.routes(), nullptr);
+  part("b", 7, "2");
+  config_.onListed();
+  EXPECT_EQ(adopted_, std::vector<ConfigVersion>{3});
+  EXPECT_EQ(config_.copies().size(), 2U);
+}
+
+TEST_F(ConfigInForceTest, OlderPartsAndWrongOnesChangeNothing) {
+  part("a", 5, "1");
+  config_.onListed();
+  part("a", 4, "9");
+  part("a", 6, "wrong");
+  EXPECT_EQ(adopted_, std::vector<ConfigVersion>{1});
+  EXPECT_EQ(older_, 1);
+  EXPECT_EQ(not_understood_, 1);
+  EXPECT_EQ(config_.copies().front().value, "1");
+}
+
+TEST_F(ConfigInForceTest, PartOfALaterEraCountsThoughItsCountIsLower) {
+  part("a", {1, 113}, "48");
+  config_.onListed();
+  part("a", {2, 97}, "51");
+  EXPECT_EQ(adopted_, (std::vector<ConfigVersion>{48, 51}));
+}
+
+TEST_F(ConfigInForceTest, LowerVersionOfACopyIsIgnored) {
+  part("a", {1, 113}, "48");
+  config_.onListed();
+  part("a", {2, 85}, "40");
+  EXPECT_EQ(lower_, std::vector<ConfigVersion>{40});
+  EXPECT_EQ(config_.copies().front().value, "48");
+}
+
+TEST_F(ConfigInForceTest, WhereTheStoreCountsVersionsItsCopyIsTaken) {
+  protocol_.counted_by_operators = false;
+  part("a", {1, 113}, "113");
+  config_.onListed();
+  part("a", {2, 85}, "85");
+  EXPECT_EQ(adopted_, (std::vector<ConfigVersion>{113, 85}));
+  EXPECT_EQ(config_.comparableVersion(), 0U);
+}
+
+TEST_F(ConfigInForceTest, LaterVersionThatAnotherProcessTellsIsTakenOver) {
+  part("a", {2, 85}, "40");
+  config_.onListed();
+  config_.onTold({{"a", {1, 113}, "48"}});
+  config_.onTold({{"a", {1, 90}, "41"}});
+  EXPECT_EQ(adopted_, (std::vector<ConfigVersion>{40, 48}));
+  part("a", {2, 91}, "48");
+  part("a", {2, 92}, "51");
+  EXPECT_EQ(adopted_, (std::vector<ConfigVersion>{40, 48, 48, 51}));
+}
+
+TEST_F(ConfigInForceTest, FirstOneMayBeToldByAnotherProcess) {
+  config_.onTold({{"a", {1, 113}, "48"}});
+  EXPECT_EQ(adopted_, std::vector<ConfigVersion>{48});
+  part("a", {1, 120}, "50");
+  EXPECT_EQ(adopted_, (std::vector<ConfigVersion>{48, 50}));
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/router/restored_store_test.cc
+++ b/test/router/restored_store_test.cc
@@ -85,6 +85,23 @@
   }
 }
 
+// It reads the copy, while the others know the newest configuration: it hears of that with their replies.
+TEST_F(RestoredStoreTest, ProcessThatStartsBeforeItIsWrittenAgainTakesTheNewestFromOthers) {
+  cluster_.copyStore();
+  writeManyVersions();
+  ASSERT_TRUE(allAnswer("/more/x", kOk));
+  cluster_.restoreStore();
+  RouterCluster::Node& started = *cluster_.nodes().front();
+  cluster_.restartRouter(started);
+  bool over = false;
+  cluster_.loop().runAfter(kInForceWithin, [&over] { over = true; });
+  while (cluster_.ask(started, "/more/x").http.status != kOk && !over) {
+    cluster_.ask(started, "/search/x", "20000");
+    cluster_.pause(milliseconds(20));
+  }
+  EXPECT_FALSE(over);
+}
+
 // Watches that were waiting when the store went away are cut; the counter has passed the old revision by the time that
 // they are sent again.
 TEST_F(RestoredStoreTest, ChangeIsNotMissedWhoseRevisionWasGivenOutBefore) {
