--- a/source/lab/sim/scenario.cc
+++ b/source/lab/sim/scenario.cc
@@ -21,7 +21,7 @@
   FaultKind kind;
 };
 
-constexpr std::array<FaultWord, 9> kFaultWords{{
+constexpr std::array<FaultWord, 10> kFaultWords{{
     {"kill-node", FaultKind::KillNode},
     {"pause-node", FaultKind::PauseNode},
     {"kill-server", FaultKind::KillServer},
@@ -30,6 +30,7 @@
     {"late-orders", FaultKind::LateOrders},
     {"store-down", FaultKind::StoreDown},
     {"store-lossy", FaultKind::StoreLossy},
+    {"store-restored", FaultKind::StoreRestored},
     {"busy", FaultKind::Busy},
 }};
 
--- a/source/lab/sim/scenario.h
+++ b/source/lab/sim/scenario.h
@@ -21,6 +21,7 @@
   LateOrders,     ///< half of the orders to the server are carried out seconds later
   StoreDown,      ///< the store can't be reached
   StoreLossy,     ///< a third of the writes lose their answer, a fifth come seconds late
+  StoreRestored,  ///< after the fault's length the store goes back to what it held at its beginning; nodes don't matter
   Busy,           ///< the server's slots are all in use
 };
 
--- a/source/lab/sim/simulation.cc
+++ b/source/lab/sim/simulation.cc
@@ -38,6 +38,14 @@
   steps.push_back({fault.at + fault.length, [node, set](OwnershipWorld& world) { (world.*set)(node, Faults{}); }});
 }
 
+/// What happens to the store itself, whatever the nodes.
+void addStoreFault(std::vector<Step>& steps, const Fault& fault) {
+  if (fault.kind == FaultKind::StoreRestored) {
+    steps.push_back({fault.at, [](OwnershipWorld& world) { world.copyStore(); }});
+    steps.push_back({fault.at + fault.length, [](OwnershipWorld& world) { world.restoreStore(); }});
+  }
+}
+
 void addFault(std::vector<Step>& steps, const Fault& fault, std::size_t node) {
   switch (fault.kind) {
     case FaultKind::KillNode:
@@ -64,6 +72,8 @@
     case FaultKind::StoreLossy:
       addSetting(steps, fault, node, &OwnershipWorld::setStoreFaults, StoreFaults{false, kLostShare, kLateShare});
       return;
+    case FaultKind::StoreRestored:
+      return;
     case FaultKind::Busy:
       steps.push_back({fault.at, [node](OwnershipWorld& world) {
                          world.setOccupancy(node, kFullOccupancy);
@@ -77,6 +87,7 @@
 std::vector<Step> stepsOf(const Scenario& scenario) {
   std::vector<Step> steps;
   for (const Fault& fault : scenario.faults) {
+    addStoreFault(steps, fault);
     for (const std::size_t node : fault.nodes) {
       addFault(steps, fault, node);
     }
