Claims of once-only requests survive a store that comes back from a copy

What callers would see: a request repeated with its idempotency key after a restore runs a second time, as the store has lost the claim of the first. Now whoever holds a claim, or has ended one within the last 30 s, writes it again, also over one made since; no claim is granted for 2.5 s after a process has heard of the later era, and a request that can't wait so long is refused at once, as not run.

--- a/source/core/router/claim_keeper.cc
+++ b/source/core/router/claim_keeper.cc
@@ -196,16 +196,26 @@
 void ClaimKeeper::onWritten(Claims::iterator found, const MetadataObject& object) {
   Claim& claim = found->second;
   claim.revision = object.revision;
+  claim.again = false;
   const ClaimState written = ClaimRecord::decode(object.value).state;
   if (claim.ended) {
     if (written == claim.record.state) {
       remember(claim.name, object.revision);
+      keep(claim);
       claims_.erase(found);
     } else {
       claim.next = clock_.now();
     }
     return;
   }
+  if (claim.granted) {
+    return;
+  }
+  if (clock_.now() < hold_until_) {
+    // Whoever holds the claim already writes over this one until then, and the next write finds that out.
+    claim.next = hold_until_;
+    return;
+  }
   claim.granted = true;
   decide(found, {ClaimVerdict::Granted, {}});
 }
@@ -218,6 +228,17 @@
     onWritten(found, object);
     return;
   }
+  const bool has_run = other.state == ClaimState::Answered || other.state == ClaimState::Unknown;
+  const bool frees_key = claim.record.state == ClaimState::NotRun;
+  if (claim.again && !has_run && !frees_key) {
+    claim.revision = object.revision;
+    claim.next = clock_.now();
+    return;
+  }
+  claim.again = false;
+  if (claim.granted && !claim.ended) {
+    return;
+  }
   if (claim.ended) {
     // Settled by another, or never made: nothing of this claim can come any more.
     claims_.erase(found);
@@ -274,12 +295,56 @@
   settle(claim, stateOf(end));
 }
 
+void ClaimKeeper::onStoreRestored() {
+  const TimePoint now = clock_.now();
+  hold_until_ = now + config_.restore_hold;
+  for (auto& [number, claim] : claims_) {
+    if (claim.granted) {
+      claim.revision = {};
+      claim.again = true;
+      claim.next = now;
+    }
+  }
+  for (Kept& kept : kept_) {
+    Claim& claim = claims_[++last_number_];
+    claim.name = std::move(kept.name);
+    claim.record = std::move(kept.record);
+    claim.granted = true;
+    claim.ended = true;
+    claim.again = true;
+    claim.next = now;
+  }
+  kept_.clear();
+  kept_bytes_ = 0;
+}
+
+bool ClaimKeeper::isLate(const Claim& claim, TimePoint now) const {
+  const bool held_longer = now < hold_until_ && claim.deadline <= hold_until_;
+  return !claim.granted && !claim.ended && (now >= claim.deadline || held_longer);
+}
+
+void ClaimKeeper::keep(const Claim& claim) {
+  if (claim.record.state == ClaimState::NotRun) {
+    return;
+  }
+  Kept kept{clock_.now() + config_.copy_age, claim.name, claim.record};
+  const std::size_t bytes = claim.record.answer ? claim.record.answer->body.size() : 0;
+  if (kept_bytes_ + bytes > config_.most_kept_bytes) {
+    // That it has run is worth more than what it was answered.
+    kept.record.answer.reset();
+  } else {
+    kept_bytes_ += bytes;
+  }
+  kept_.push_back(std::move(kept));
+}
+
 void ClaimKeeper::tick(TimePoint now) {
   std::vector<ClaimNumber> late;
   for (auto& [number, claim] : claims_) {
-    if (!claim.granted && !claim.ended && now >= claim.deadline) {
+    const bool to_write = claim.ended || !claim.granted || claim.again;
+    if (isLate(claim, now)) {
       late.push_back(number);
-    } else if (!claim.in_flight && (claim.ended || !claim.granted) && now >= claim.next) {
+    } else if (!claim.in_flight && to_write && now >= claim.next) {
       send(number, claim);
     }
   }
@@ -299,6 +364,10 @@
 }
 
 void ClaimKeeper::removeOld(TimePoint now) {
+  while (!kept_.empty() && kept_.front().until <= now) {
+    kept_bytes_ -= kept_.front().record.answer ? kept_.front().record.answer->body.size() : 0;
+    kept_.pop_front();
+  }
   while (!ended_.empty() && ended_.front().remove_at <= now) {
     store_.remove(kClaimKind, ended_.front().name, ended_.front().revision, [](const StoreAnswer&) {});
     ended_.pop_front();
--- a/source/core/router/claim_keeper.h
+++ b/source/core/router/claim_keeper.h
@@ -80,6 +80,13 @@
   Duration retention = std::chrono::hours(24);
   /// Ended claims remembered for removal; older ones stay in the store.
   std::size_t most_remembered = 100000;
+  /// After the store has come back from a copy: until a claim is granted. Whoever holds one that the store has lost has
+  /// written it again by then; all processes hear of a later era within 2 s.
+  Duration restore_hold = std::chrono::milliseconds(2500);
+  /// Copies are at most so old: records of claims that have ended are kept for so long, to be written again ...
+  Duration copy_age = std::chrono::seconds(30);
+  /// ... with answers of so many bytes in all.
+  std::size_t most_kept_bytes = 4U << 20U;
 };
 
 /// A claim that is given up before it is decided may still be made by a late call. It is settled as not run, so that
@@ -101,6 +108,10 @@
   /// The request has ended. Does nothing for claims that were not granted and are decided.
   void finish(ClaimNumber number, ClaimEnd end, const HttpResponse& answer);
 
+  /// The store has come back from a copy, which may lack claims: writes again what this process holds, or has held of
+  /// late.
+  void onStoreRestored();
+
   /// Repeats what had no answer, removes what is old. Every 50 ms or so.
   void tick(TimePoint now);
 
@@ -118,6 +129,8 @@
     bool granted = false;
     /// The request has ended: `record.state` is to be written.
     bool ended = false;
+    /// The store may have lost it: it is to be written again, over a claim that another request has made since.
+    bool again = false;
     bool in_flight = false;
     TimePoint next{};
   };
@@ -128,6 +141,13 @@
     StoreRevision revision;
   };
 
+  /// A claim that has ended, as it stands in the store.
+  struct Kept {
+    TimePoint until{};
+    std::string name;
+    ClaimRecord record;
+  };
+
   using Claims = std::map<ClaimNumber, Claim>;
 
   void send(ClaimNumber number, Claim& claim);
@@ -138,7 +158,11 @@
   void settle(Claim& claim, ClaimState state);
   ClaimAnswer verdictOn(const ClaimRecord& other) const;
   void remember(const std::string& name, StoreRevision revision);
+  /// Keeps the record in case that the store loses it.
+  void keep(const Claim& claim);
   void removeOld(TimePoint now);
+  /// @return whether the claim can't be decided before its deadline.
+  bool isLate(const Claim& claim, TimePoint now) const;
 
   NodeIdentity self_;
   MetadataStore& store_;
@@ -149,6 +173,11 @@
   Claims claims_;
   /// In order of their time.
   std::deque<Ended> ended_;
+  std::deque<Kept> kept_;
+  /// Of the answers in `kept_`.
+  std::size_t kept_bytes_ = 0;
+  /// No claim is granted before.
+  TimePoint hold_until_{};
 };
 
 }  // namespace shedlever
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -199,6 +199,7 @@
   log_.write("store", "restored", {{"era", std::to_string(now)}, {"before", std::to_string(before)}});
   metrics_.onEvent("store-restored");
   knowledge_.onStoreRestored();
+  claims_.onStoreRestored();
   tickSoon();
 }
 
--- a/test/core_router/claim_keeper_test.cc
+++ b/test/core_router/claim_keeper_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "source/core/router/restorable_store.h"
 #include "source/lab/sim/virtual_store.h"
 
 namespace shedlever {
@@ -20,6 +21,7 @@
  public:
   struct Process {
     std::unique_ptr<sim::VirtualMetadataStore> store;
+    std::unique_ptr<RestorableStore> eras;
     std::unique_ptr<ClaimKeeper> keeper;
   };
 
@@ -31,7 +33,12 @@
     const NodeIdentity self{NodeName(name), Incarnation{++last_incarnation_}};
     lives_[self.name] = self.incarnation;
     process.store = std::make_unique<sim::VirtualMetadataStore>(time_, state_, random_);
-    process.keeper = std::make_unique<ClaimKeeper>(self, *process.store, time_, [this](const NodeIdentity& holder) {
+    RestorableStore::Events events;
+    events.on_restored = [&process](StoreEra, StoreEra) { process.keeper->onStoreRestored(); };
+    events.on_era_untold = [] {};
+    process.eras = std::make_unique<RestorableStore>(*process.store, events);
+    process.eras->noteEra(state_.revision().era);
+    process.keeper = std::make_unique<ClaimKeeper>(self, *process.eras, time_, [this](const NodeIdentity& holder) {
       const auto known = lives_.find(holder.name);
       return known == lives_.end() || known->second <= holder.incarnation;
     });
@@ -63,6 +70,10 @@
     time_.runFor(span, [] {});
   }
 
+  /// The store keeps a copy of all that it holds; goes back to it.
+  void copyStore() { state_.keepCopy(); }
+  void restoreStore() { state_.restoreCopy(); }
+
  private:
   void tick(Process& process) {
     time_.after(milliseconds(50), [this, &process] {
@@ -209,5 +220,55 @@
   }
 }
 
+TEST_F(ClaimKeeperTest, HeldClaimThatTheStoreHasLostIsNotGivenToAnother) {
+  world_.copyStore();
+  const auto held = world_.ask(first_, "k", "r1");
+  world_.run(seconds(1));
+  ASSERT_EQ(verdictOf(held), ClaimVerdict::Granted);
+  world_.restoreStore();
+  const auto other = world_.ask(second_, "k", "r2");
+  // The holder hears of the later era after the other one has written its claim.
+  world_.run(seconds(1));
+  EXPECT_FALSE(other->answer);
+  world_.ask(first_, "another", "r3");
+  world_.run(seconds(5));
+  EXPECT_EQ(verdictOf(other), ClaimVerdict::InProgress);
+  first_.keeper->finish(held->number, ClaimEnd::Answered, {201, {}, "done"});
+  world_.run(seconds(1));
+  const auto repeated = world_.ask(second_, "k", "r4");
+  world_.run(seconds(1));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::Recorded);
+}
+
+TEST_F(ClaimKeeperTest, EndedClaimThatTheStoreHasLostIsWrittenAgain) {
+  world_.copyStore();
+  const auto ran = world_.ask(first_, "k", "r1");
+  const auto did_not = world_.ask(first_, "k2", "r2");
+  world_.run(seconds(1));
+  first_.keeper->finish(ran->number, ClaimEnd::Answered, {201, {}, "done"});
+  first_.keeper->finish(did_not->number, ClaimEnd::NotRun, {});
+  world_.run(seconds(1));
+  world_.restoreStore();
+  const auto repeated = world_.ask(second_, "k", "r3");
+  const auto free = world_.ask(second_, "k2", "r4");
+  world_.ask(first_, "another", "r5");
+  world_.run(seconds(5));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::Recorded);
+  EXPECT_EQ(verdictOf(free), ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimKeeperTest, RequestThatCantWaitUntilClaimsAreWrittenAgainIsRefusedAtOnce) {
+  world_.copyStore();
+  world_.restoreStore();
+  const auto first = world_.ask(first_, "k", "r1");
+  world_.run(milliseconds(200));
+  const auto hasty = world_.ask(first_, "k2", "r2", seconds(1));
+  world_.run(milliseconds(200));
+  EXPECT_EQ(verdictOf(hasty), ClaimVerdict::Unavailable);
+  EXPECT_FALSE(first->answer);
+  world_.run(seconds(3));
+  EXPECT_EQ(verdictOf(first), ClaimVerdict::Granted);
+}
+
 }  // namespace
 }  // namespace shedlever
