--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -26,7 +26,7 @@
   Duration lease_margin = std::chrono::milliseconds(500);
   /// How long a grant by request lasts.
   Duration grant_hold = std::chrono::seconds(2);
-  /// How long a grant by heartbeat lasts: three heartbeats of 1.3 s, the longest seen on a deployment.
+  /// How long a grant by heartbeat lasts: three heartbeats of 1.3 s.
   Duration heartbeat_hold = std::chrono::seconds(4);
   /// How long the acknowledgement of a heartbeat waits for keys to come or go. The server takes none after 1 s.
   Duration heartbeat_wait = std::chrono::milliseconds(600);
--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Hot keys change within seconds; measured against 2 s and 0.6 s (docs/ROUNDS.md).
+/// Hot keys change within seconds.
 constexpr Duration kWorkHalfLife = std::chrono::seconds(1);
 
 std::string describe(const KeySpan& keys) { return std::to_string(keys.first) + "-" + std::to_string(keys.last); }
--- a/test/core_router/heartbeat_grants_test.cc
+++ b/test/core_router/heartbeat_grants_test.cc
@@ -126,7 +126,7 @@
   EXPECT_TRUE(released_.empty());
 }
 
-// Seen on the bench (scale-2 of krathong-bkk, OWNER): ranges were joined under a new token, the server said that it had
+// Seen: ranges were joined under a new token, the server said that it had
 // released an old one while it held the joined one, and a piece of that went to another server.
 TEST_F(HeartbeatGrantsTest, RangeThatIsHeldUnderANewTokenIsNotReleasedByItsOldOne) {
   const OwnedRange joined = ownRange(0, 99, 9);
--- a/test/core_router/heartbeat_ownership_test.cc
+++ b/test/core_router/heartbeat_ownership_test.cc
@@ -99,7 +99,7 @@
   EXPECT_EQ(world_.servedKeys(), 0U) << "no lease outlasts its time";
 }
 
-// Seen on the bench with a trial's code: a process that had given its keys away in order was started again, heard from
+// Seen: a process that had given its keys away in order was started again, heard from
 // others a table older than that and what was left of its lease, and let its server hold the keys again.
 TEST_F(HeartbeatOwnershipTest, RestartedProcessDoesNotTakeBackWhatItGaveAwayByAnOldTable) {
   const MetadataObject before = world_.table();
--- a/test/core_router/list_schedule_test.cc
+++ b/test/core_router/list_schedule_test.cc
@@ -34,8 +34,8 @@
   EXPECT_EQ(schedule.due(ListNeed::Missing), kStart + milliseconds(1000));
 }
 
-// Seen on the bench: a store that refused some nodes was asked again by them for each reply that told of a newer table;
-// 1,496 lists in 9 s (krathong-bkk, trouble-1).
+// Seen: a store that refused some nodes was asked again by them for each reply that told of a newer table;
+// 1,496 lists in 9 s.
 TEST(ListScheduleTest, NothingIsListedBeforeTheBackoffOfAFailureIsOver) {
   ListSchedule schedule(kTimes);
   schedule.onListed(kStart);
--- a/test/core_router/owner_table_test.cc
+++ b/test/core_router/owner_table_test.cc
@@ -35,7 +35,7 @@
   EXPECT_EQ(table.find(kKeyCount - 1)->owner, kThird.instance);
 }
 
-// Seen on the bench: the busiest keys lie close together, and fell to one server at first.
+// Seen: the busiest keys lie close together, and fell to one server at first.
 TEST(OwnerTableTest, FirstDivisionMayGiveRangesInTurn) {
   const OwnerTable table = OwnerTable::divide({kFirst, kSecond}, 3);
   ASSERT_EQ(table.ranges().size(), 6U);
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -97,7 +97,7 @@
   expectAllServed();
 }
 
-// The incident inc-bd5d: after all machines had lost power, requests named the servers' earlier lives and were refused
+// Seen: after all machines had lost power, requests named the servers' earlier lives and were refused
 // for seconds, until their gateways had read the table again.
 TEST_F(OwnershipTest, WhoAsksForAnEarlierLifeIsToldTheNewOne) {
   const Key key = 1;
@@ -119,7 +119,7 @@
   expectAllServed();
 }
 
-// The incident inc-176d: an owner's process was killed while the store was down; its keys were refused for as long as
+// Seen: an owner's process was killed while the store was down; its keys were refused for as long as
 // that lasted.
 TEST_F(OwnershipTest, RestartedOwnerGoesOnWithItsLeaseWhileTheStoreIsDown) {
   for (std::size_t node = 0; node < 4; ++node) {
@@ -189,7 +189,7 @@
   expectAllServed();
 }
 
-// Seen on the bench: two owners with seven ranges each, none beside another, tried to join them for good and gave
+// Seen: two owners with seven ranges each, none beside another, tried to join them for good and gave
 // nothing away any more.
 TEST_F(OwnershipTest, OwnerOfManyScatteredRangesStillGivesWorkAway) {
   world_.scatterRanges(0, 1, 16);
@@ -207,7 +207,7 @@
   expectAllServed();
 }
 
-// Seen on the bench: a server whose health was good failed all its requests, and kept its keys.
+// Seen: a server whose health was good failed all its requests, and kept its keys.
 TEST_F(OwnershipTest, FailingServersKeysGoToSounderOnes) {
   world_.setFailing(1, 0.9);
   world_.run(seconds(2));
@@ -254,7 +254,7 @@
   expectAllServed();
 }
 
-// Seen on the bench (krathong-bkk, trouble-3, seed 102) and in the soak (seed 5003): a machine went for good, its keys
+// Seen: a machine went for good, its keys
 // were taken over; after all others had been killed they gave it keys again, by its old record.
 TEST_F(OwnershipTest, KeysAreNotGivenToANodeKnownByItsRecordAlone) {
   const std::size_t gone = 3;
--- a/test/core_router/server_directory_test.cc
+++ b/test/core_router/server_directory_test.cc
@@ -86,7 +86,7 @@
   EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
 }
 
-// Seen on the bench: a server that failed all its requests at once looked fast and idle, and drew the most of them.
+// Seen: a server that failed all its requests at once looked fast and idle, and drew the most of them.
 TEST_F(ServerDirectoryTest, FailingServerIsLeftAloneUntilWhatItToldHasFaded) {
   ForwardReplyFrame reply;
   reply.outcome = ForwardOutcome::Answered;
@@ -109,7 +109,7 @@
   EXPECT_EQ(directory_.ready(kService).size(), 2U);
 }
 
-// Seen on the bench: each second some requests went to a machine without power, and waited for it.
+// Seen: each second some requests went to a machine without power, and waited for it.
 TEST_F(ServerDirectoryTest, ServersOfEvacuatedZonesAreLeftOutWhileTheyAre) {
   directory_.setEvacuated({ZoneName("far")});
   EXPECT_EQ(choose(RouteKind::Idempotent, 100)["a"], 100);
@@ -141,7 +141,7 @@
   EXPECT_EQ(directory_.ready(kService).size(), 3U);
 }
 
-// Seen on the bench: the reply that is made up for a broken stream made a dead node look alive, and it was asked again
+// Seen: the reply that is made up for a broken stream made a dead node look alive, and it was asked again
 // and again.
 TEST_F(ServerDirectoryTest, MadeUpReplyIsNoSignOfLife) {
   directory_.markUnreachable(NodeName("b"));
--- a/test/core_router/server_presence_test.cc
+++ b/test/core_router/server_presence_test.cc
@@ -101,7 +101,7 @@
   EXPECT_TRUE(presence_.onLeaving(leaving));
 }
 
-// Seen on the bench (krathong-bkk, scale-2): a server refused connections 0.6 s after it had said that it leaves. It
+// Seen: a server refused connections 0.6 s after it had said that it leaves. It
 // was taken for dead and its keys were given away, while it worked and held them for 0.9 s more.
 TEST_F(ServerPresenceTest, LeavingServerThatRefusesConnectionsMayStillHoldKeys) {
   EXPECT_TRUE(presence_.refusalProvesEnd(true));
--- a/test/core_router/takeover_watcher_test.cc
+++ b/test/core_router/takeover_watcher_test.cc
@@ -47,7 +47,7 @@
   EXPECT_TRUE(revokesAfter(milliseconds(1)));
 }
 
-// Seen on the bench: an owner went for good while the store was down for all; its keys stayed without service for 16 s.
+// Seen: an owner went for good while the store was down for all; its keys stayed without service for 16 s.
 TEST_F(TakeoverWatcherTest, LeaseIsOverWhenItsHolderSaidSoIfItStillStands) {
   const TimePoint end = clock_.now() + seconds(3);
   watcher_.noteLease(node_, {7, end, end});
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -192,7 +192,7 @@
   EXPECT_EQ(requests_.back().body, "ab");
 }
 
-// Seen on the bench: a process that stopped ended between giving its last answer and writing it.
+// Seen: a process that stopped ended between giving its last answer and writing it.
 TEST_F(StrictHttpServerTest, IsBusyUntilTheAnswerIsTaken) {
   answers_at_once_ = false;
   RawClient client(loop_, server_->endpoint());
--- a/test/router/kind_poller_test.cc
+++ b/test/router/kind_poller_test.cc
@@ -100,7 +100,7 @@
   EXPECT_TRUE(runUntilLists(2));
 }
 
-// Seen on the bench: with several services divided by key, the first list held the first service's table alone, and the
+// Seen: with several services divided by key, the first list held the first service's table alone, and the
 // others were not looked for until the traffic began.
 TEST_F(KindPollerTest, LooksSoonForAnObjectThatIsMissing) {
   need_ = ListNeed::Missing;
--- a/test/router/peer_links_test.cc
+++ b/test/router/peer_links_test.cc
@@ -48,7 +48,7 @@
   PeerLinks links_;
 };
 
-// Seen on the bench: a machine without power says nothing. Requests to it waited to the end of their time, and more
+// Seen: a machine without power says nothing. Requests to it waited to the end of their time, and more
 // were sent to it meanwhile.
 TEST_F(PeerLinksTest, RequestAtASilentNodeIsGivenUpSoon) {
   ScriptedServer silent(loop_, [](ScriptedConnection&) {});
@@ -94,7 +94,7 @@
   EXPECT_TRUE(directory_.isUnreachable(node_));
 }
 
-// Seen on the bench: a machine went for good and its address was given to a machine of another service. The process
+// Seen: a machine went for good and its address was given to a machine of another service. The process
 // there answered, so the node that was gone counted as there, and nobody took its keys over.
 TEST_F(PeerLinksTest, ProcessOfAnotherNodeAtItsAddressIsNotTakenForTheNode) {
   FakePeer stranger(loop_, {NodeName("stranger"), Incarnation{7}});
--- a/test/router/store_caller_test.cc
+++ b/test/router/store_caller_test.cc
@@ -60,7 +60,7 @@
   StoreAccess access_{loop_, clock_, store_.endpoint(), links_, log_, metrics_};
 };
 
-// Seen on the bench: the store refused some nodes for 9 s and served the others; their leases and tables stood still.
+// Seen: the store refused some nodes for 9 s and served the others; their leases and tables stood still.
 TEST_F(StoreAccessTest, RefusedCallGoesThroughAPeer) {
   EXPECT_EQ(call(), 200);
   EXPECT_EQ(peer_.store_calls, 1U);
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Routers, servers and the store in one process, on one event loop and over loopback: whole paths without the bench.
+/// Routers, servers and the store in one process, on one event loop and over loopback: whole paths.
 
 #include <filesystem>
 #include <memory>
