--- a/source/core/router/ownership_keeper.cc
+++ b/source/core/router/ownership_keeper.cc
@@ -39,6 +39,7 @@
   } else {
     grants_ = std::make_unique<OrderedGrants>(config_, *ports_.orders, *ports_.clock, grantEvents());
   }
+  writer_.setRestoreTimes(restoreTimes());
 }
 
 GrantChannel::Events OwnershipKeeper::grantEvents() {
@@ -284,6 +285,7 @@
   }
   last_tick_ = now;
   if (writer_.awaitsRestore()) {
+    // The turn hangs on who else is there.
     writer_.setRestoreTimes(restoreTimes());
   }
   writer_.tick(now);
--- a/source/core/router/restorable_store.cc
+++ b/source/core/router/restorable_store.cc
@@ -62,8 +62,19 @@
   });
 }
 
+MetadataStore::AnswerCallback RestorableStore::unconditional(AnswerCallback done) {
+  return [this, alive = alive_, done = std::move(done)](StoreAnswer answer) {
+    if (*alive) {
+      done(admit(std::move(answer)));
+    }
+  };
+}
+
 MetadataStore::AnswerCallback RestorableStore::conditional(const StoreRevision& condition, AnswerCallback done) {
-  return [this, condition, done = std::move(done)](StoreAnswer answer) {
+  return [this, alive = alive_, condition, done = std::move(done)](StoreAnswer answer) {
+    if (!*alive) {
+      return;
+    }
     answer = admit(std::move(answer));
     if (answer.status == StoreStatus::Done && !condition.none() && isOver(condition)) {
       // It was under way while the store came back, and its condition matched by chance.
@@ -74,11 +85,11 @@
 }
 
 void RestorableStore::get(const std::string& kind, const std::string& name, AnswerCallback done) {
-  store_.get(kind, name, [this, done = std::move(done)](StoreAnswer answer) { done(admit(std::move(answer))); });
+  store_.get(kind, name, unconditional(std::move(done)));
 }
 
 void RestorableStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  store_.create(kind, object, [this, done = std::move(done)](StoreAnswer answer) { done(admit(std::move(answer))); });
+  store_.create(kind, object, unconditional(std::move(done)));
 }
 
 void RestorableStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
@@ -99,7 +110,10 @@
 }
 
 void RestorableStore::list(const std::string& kind, ListFreshness freshness, ListCallback done) {
-  store_.list(kind, freshness, [this, done = std::move(done)](StoreListing listing) {
+  store_.list(kind, freshness, [this, alive = alive_, done = std::move(done)](StoreListing listing) {
+    if (!*alive) {
+      return;
+    }
     if (listing.available && !takeEra(listing.era)) {
       listing = {};
     }
@@ -112,13 +126,19 @@
 }
 
 void RestorableStore::watch(const std::string& kind, StoreRevision after, Duration wait, WatchCallback done) {
-  store_.watch(kind, after, wait,
-               [this, after, done = std::move(done)](WatchResult answer) { done(admit(std::move(answer), after)); });
+  store_.watch(kind, after, wait, since(after, std::move(done)));
 }
 
 void RestorableStore::check(const std::string& kind, StoreRevision after, WatchCallback done) {
-  store_.check(kind, after,
-               [this, after, done = std::move(done)](WatchResult answer) { done(admit(std::move(answer), after)); });
+  store_.check(kind, after, since(after, std::move(done)));
+}
+
+MetadataStore::WatchCallback RestorableStore::since(const StoreRevision& after, WatchCallback done) {
+  return [this, alive = alive_, after, done = std::move(done)](WatchResult answer) {
+    if (*alive) {
+      done(admit(std::move(answer), after));
+    }
+  };
 }
 
 }  // namespace shedlever
--- a/source/core/router/restorable_store.h
+++ b/source/core/router/restorable_store.h
@@ -4,6 +4,7 @@
 /// Keeps the eras of a store apart that may come back from a copy of an earlier state.
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "shedlever/metadata_store.h"
@@ -24,6 +25,9 @@
 
   /// @param store tells eras with its answers. Outlives this.
   RestorableStore(MetadataStore& store, Events events) : store_(store), events_(std::move(events)) {}
+  ~RestorableStore() override { *alive_ = false; }
+  RestorableStore(const RestorableStore&) = delete;
+  RestorableStore& operator=(const RestorableStore&) = delete;
 
   /// Another process has heard of that era.
   void noteEra(StoreEra era);
@@ -46,12 +50,18 @@
   WatchResult admit(WatchResult answer, const StoreRevision& after);
   /// Tells what stands as a conflict, for a write whose condition is of an era that is over.
   void refuse(const std::string& kind, const std::string& name, AnswerCallback done);
+  /// @return the callback of a call that has no condition.
+  AnswerCallback unconditional(AnswerCallback done);
   /// @return the callback of a conditional write.
   AnswerCallback conditional(const StoreRevision& condition, AnswerCallback done);
+  /// @return the callback of a question for changes since a revision.
+  WatchCallback since(const StoreRevision& after, WatchCallback done);
 
   MetadataStore& store_;
   Events events_;
   StoreEra era_ = 0;
+  /// Set to false by the destructor, for answers that come afterwards.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace shedlever
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -78,17 +78,22 @@
 
 void TableWriter::tick(TimePoint now) {
   last_tick_ = now;
-  if (!exists() || table_.era() >= store_.era()) {
-    earlier_era_since_ = {};
-  } else if (earlier_era_since_ == TimePoint{}) {
-    earlier_era_since_ = now;
-  }
+  noteEra(now);
   if (now > delayed_until_) {
     delayed_until_ = {};
   }
   next();
 }
 
+void TableWriter::noteEra(TimePoint now) {
+  const bool rose = std::exchange(noted_era_, store_.era()) != store_.era();
+  if (!exists() || table_.era() >= store_.era()) {
+    earlier_era_since_ = {};
+  } else if (rose || earlier_era_since_ == TimePoint{}) {
+    earlier_era_since_ = now;
+  }
+}
+
 void TableWriter::delay() { delayed_until_ = last_tick_ + backoff_.onFailure(); }
 
 bool TableWriter::earlierEraFor(Duration time) const {
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -90,6 +90,8 @@
   void enterEra();
   /// @return whether the table may be changed in the store's present era.
   bool mayChange() const;
+  /// Notes since when the table is of an earlier era than the store.
+  void noteEra(TimePoint now);
   /// @return whether the table was changed last in an earlier era than the store's, and this process has known so long.
   bool earlierEraFor(Duration time) const;
   void onWritten(const StoreAnswer& answer);
@@ -116,7 +118,9 @@
   StoreEra checked_era_ = 0;
   /// Where the store holds an earlier table than this one; none: it does not.
   StoreRevision behind_at_;
-  /// When it was first seen that the table was changed last in an earlier era than the store's; zero: it was not.
+  /// The store's era at the last tick.
+  StoreEra noted_era_ = 0;
+  /// When it was seen that the table was changed last in an earlier era than this one of the store; zero: it was not.
   TimePoint earlier_era_since_{};
 
   /// The first change waits until a tick after this; zero: it does not wait.
--- a/test/core_router/restored_store_ownership_test.cc
+++ b/test/core_router/restored_store_ownership_test.cc
@@ -105,6 +105,24 @@
   EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
 }
 
+// What was granted unseen in the second era may be as new as the second rise.
+TEST_P(RestoredStoreOwnershipTest, SecondRestoreBeginsTheWaitAnew) {
+  const auto era_of_table = [&] {
+    const auto table = OwnerTable::decode(world_.table().value);
+    return table ? table.value().era() : 0;
+  };
+  world_.copyStore();
+  world_.restoreStore();
+  world_.run(seconds(2));
+  ASSERT_EQ(era_of_table(), 1U);
+  world_.restoreStore();
+  // One heartbeat or renewal at most until they hear of it; the longest hold is 2 s.
+  world_.run(milliseconds(1900));
+  EXPECT_EQ(era_of_table(), 1U);
+  world_.run(seconds(6));
+  EXPECT_EQ(era_of_table(), 3U);
+}
+
 // Each of many owners reads the table, and some write it: a few calls each, not all at once.
 TEST(RestoredStoreCallsTest, WritesOfATableDoNotGrowWithItsOwners) {
   for (const std::size_t nodes : {10U, 30U}) {
