--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -69,9 +69,9 @@
 
   /// @return the era in which it was changed last.
   StoreEra era() const { return era_; }
-  /// @return whether it has had changes that the other one has not. Both are of one line of changes, or the one that
-  /// was
-  ///   changed in a later era counts.
+  /// @return whether it has had changes that the other one has not: tables of one era follow each other in one line,
+  /// and
+  ///   what was changed in a later era stands above all of an earlier one.
   bool hasMoreChangesThan(const OwnerTable& other) const {
     return std::tie(era_, changes_) > std::tie(other.era_, other.changes_);
   }
