Owner tables are listed soon while all owners of a service are unreachable

Trace: all keys of a service were one node's, which was lost for good; another node took them over 11.1 s after the restore, as it should. Nodes of the other service had asked no other server of that one, so that no reply told them of the newer table; they refused all its requests (server-down) until their next idle list, 4.9 s later. Ruled out: the restore (the takeover came in time; the same holds without one). Test: fails without the mend, passes.

--- a/source/router/cluster_knowledge.cc
+++ b/source/router/cluster_knowledge.cc
@@ -282,8 +282,18 @@
   });
 }
 
+bool ClusterKnowledge::lacksReachableOwners() const {
+  const auto is_lost = [this](const OwnedRange& range) {
+    return !range.owner.empty() && ports_.directory->isUnreachable(range.node);
+  };
+  return std::any_of(tables_.begin(), tables_.end(), [&](const auto& entry) {
+    const std::vector<OwnedRange>& ranges = entry.second->table().ranges();
+    return !ranges.empty() && std::all_of(ranges.begin(), ranges.end(), is_lost);
+  });
+}
+
 ListNeed ClusterKnowledge::tableNeed() const {
-  if (isMissingTables()) {
+  if (isMissingTables() || lacksReachableOwners()) {
     return ListNeed::Missing;
   }
   const bool newer = std::any_of(table_questions_.begin(), table_questions_.end(), [this](const auto& entry) {
--- a/source/router/cluster_knowledge.h
+++ b/source/router/cluster_knowledge.h
@@ -99,6 +99,8 @@
   /// @return who owns the key; empty while nobody does, or it is not known.
   KeyOwner ownerOf(const ServiceName& service, Key key);
   void onHint(const ServiceName& service, const OwnerHint& hint);
+  /// A node was reached, or lost.
+  void onReachability() { table_poller_.plan(); }
   /// Another process has written this table.
   void onTable(const ObjectCopy& table);
 
@@ -150,6 +152,8 @@
   const TableWriter* tableOf(const ServiceName& service) const;
   /// @return whether a service that is divided by key, and has servers, has no table here.
   bool isMissingTables() const;
+  /// @return whether all owners of some service's keys can't be reached: no reply tells of the next owners then.
+  bool lacksReachableOwners() const;
   /// @return what owner tables are lacking.
   ListNeed tableNeed() const;
   StoreRevision tableRevision(const ServiceName& service) const;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -37,6 +37,7 @@
   events.on_reachable = [this](const NodeName& node, bool reachable) {
     metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
     log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
+    knowledge_.onReachability();
   };
   events.on_state_wanted = [this](const NodeName& node) {
     if (const auto state = knowledge_.stateFor(node)) {
--- a/test/router/cluster_knowledge_test.cc
+++ b/test/router/cluster_knowledge_test.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "source/net/system_sources.h"
+#include "test/support/scripted_server.h"
 #include "test/support/scripted_store.h"
 #include "test/support/set_clock.h"
 
@@ -42,6 +43,14 @@
     return events;
   }
 
+  /// @return whether the store is asked for a list within a moment.
+  bool isListedSoon() {
+    bool over = false;
+    loop_.runAfter(milliseconds(300), [&over] { over = true; });
+    loop_.runUntil([&] { return over || !store_.lists.empty(); }, kTestCap);
+    return !store_.lists.empty();
+  }
+
   static KnownRevisions withTable(StoreRevision revision) { return {{}, {}, revision, 0, 0}; }
 
   ObjectCopy tableAt(StoreRevision revision) const {
@@ -97,5 +106,25 @@
   EXPECT_EQ(asked_.back(), std::make_pair(NodeName("n"), StoreRevision{0}));
 }
 
+// Seen: the one owner of a service's keys went for good. Its keys were taken over, but whoever had asked no other
+// server of that service heard nothing of it from any reply, and refused all its requests until the next list, 8 s
+// later.
+TEST_F(ClusterKnowledgeTest, TablesAreListedSoonWhileAllOwnersAreUnreachable) {
+  NodeRecord record;
+  record.node = owner_;
+  record.service = keyed_;
+  directory_.update(record);
+  ASSERT_TRUE(loop_.runUntil([&] { return !store_.lists.empty(); }, kTestCap));
+  const ObjectCopy table = tableAt(7);
+  store_.lists.front().done({true, 7, {{table.name, table.revision, table.value}}});
+  store_.lists.clear();
+  clock_.advance(milliseconds(1200));
+  knowledge_.onReachability();
+  EXPECT_FALSE(isListedSoon());
+  directory_.markUnreachable(owner_);
+  knowledge_.onReachability();
+  EXPECT_TRUE(isListedSoon());
+}
+
 }  // namespace
 }  // namespace shedlever::test
