Tests: a timer's flag outlives whoever asked for it

Found by switching a mechanism off: RestoredStoreTest ended by a segmentation fault in place of failing. With the mechanism off the test fails now, and the others pass.

--- a/test/router/cluster_knowledge_test.cc
+++ b/test/router/cluster_knowledge_test.cc
@@ -45,9 +45,9 @@
 
   /// @return whether the store is asked for a list within a moment.
   bool isListedSoon() {
-    bool over = false;
-    loop_.runAfter(milliseconds(300), [&over] { over = true; });
-    loop_.runUntil([&] { return over || !store_.lists.empty(); }, kTestCap);
+    const auto over = std::make_shared<bool>(false);
+    loop_.runAfter(milliseconds(300), [over] { *over = true; });
+    loop_.runUntil([&] { return *over || !store_.lists.empty(); }, kTestCap);
     return !store_.lists.empty();
   }
 
--- a/test/router/restored_store_test.cc
+++ b/test/router/restored_store_test.cc
@@ -34,11 +34,10 @@
 
   /// @return whether all nodes answer a request with this status before the time is over.
   bool allAnswer(const std::string& target, int status) {
-    bool over = false;
-    cluster_.loop().runAfter(kInForceWithin, [&over] { over = true; });
+    const auto over = cluster_.overAfter(kInForceWithin);
     for (const auto& node : cluster_.nodes()) {
       while (cluster_.ask(*node, target).http.status != status) {
-        if (over) {
+        if (*over) {
           return false;
         }
         cluster_.pause(milliseconds(20));
@@ -75,9 +74,8 @@
   writeManyVersions();
   ASSERT_TRUE(allAnswer("/more/x", kOk));
   cluster_.restoreStore();
-  bool over = false;
-  cluster_.loop().runAfter(seconds(3), [&over] { over = true; });
-  while (!over) {
+  const auto over = cluster_.overAfter(seconds(3));
+  while (!*over) {
     for (const auto& node : cluster_.nodes()) {
       ASSERT_EQ(cluster_.ask(*node, "/more/x").http.status, kOk);
     }
@@ -93,13 +91,12 @@
   cluster_.restoreStore();
   RouterCluster::Node& started = *cluster_.nodes().front();
   cluster_.restartRouter(started);
-  bool over = false;
-  cluster_.loop().runAfter(kInForceWithin, [&over] { over = true; });
-  while (cluster_.ask(started, "/more/x").http.status != kOk && !over) {
+  const auto over = cluster_.overAfter(kInForceWithin);
+  while (cluster_.ask(started, "/more/x").http.status != kOk && !*over) {
     cluster_.ask(started, "/search/x", "20000");
     cluster_.pause(milliseconds(20));
   }
-  EXPECT_FALSE(over);
+  EXPECT_FALSE(*over);
 }
 
 // Watches that were waiting when the store went away are cut; the counter has passed the old revision by the time that
--- a/test/router/silent_store_test.cc
+++ b/test/router/silent_store_test.cc
@@ -30,18 +30,16 @@
   }
 
   void runFor(Duration time) {
-    bool over = false;
-    cluster_.loop().runAfter(time, [&over] { over = true; });
-    ASSERT_TRUE(cluster_.runUntil([&over] { return over; }));
+    const auto over = cluster_.overAfter(time);
+    ASSERT_TRUE(cluster_.runUntil([&over] { return *over; }));
   }
 
   /// @return whether all nodes answer a request with this status before the time is over.
   bool allAnswer(const std::string& target, int status, Duration limit) {
-    bool over = false;
-    cluster_.loop().runAfter(limit, [&over] { over = true; });
+    const auto over = cluster_.overAfter(limit);
     for (const auto& node : cluster_.nodes()) {
       while (cluster_.ask(*node, target).http.status != status) {
-        if (over) {
+        if (*over) {
           return false;
         }
         runFor(milliseconds(20));
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -208,10 +208,15 @@
   return *answer;
 }
 
+std::shared_ptr<const bool> RouterCluster::overAfter(Duration time) {
+  auto over = std::make_shared<bool>(false);
+  loop_.runAfter(time, [over] { *over = true; });
+  return over;
+}
+
 void RouterCluster::pause(Duration time) {
-  bool over = false;
-  loop_.runAfter(time, [&over] { over = true; });
-  runUntil([&over] { return over; });
+  const auto over = overAfter(time);
+  runUntil([&over] { return *over; });
 }
 
 bool RouterCluster::runUntilServing() {
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -81,6 +81,9 @@
   /// Runs the loop until `done`.
   bool runUntil(const std::function<bool()>& done);
 
+  /// @return a flag that is set after that time; whoever asked for it may be gone by then.
+  std::shared_ptr<const bool> overAfter(Duration time);
+
   /// Runs the loop for a while.
   void pause(Duration time);
 
