A lease that was read before a restore is read again at the rise, so that a dead owner's keys wait for one lease

Trace: a node was lost 5 s before a restore; its challenger had read its lease in the earlier era, and found only when it revoked, 10 s later, that its reading was of no use; then the lease's time began anew: keys came back 16.1 s after the restore. Safe: a renewal that the store has lost was acknowledged before the rise, so its holder's lease is over one lease after it.

Nothing of this path runs while the store's era stands still.

--- a/source/core/router/takeover_watcher.cc
+++ b/source/core/router/takeover_watcher.cc
@@ -45,7 +45,8 @@
   if (now - challenge.since < config_.suspicion) {
     return;
   }
-  if (!challenge.read) {
+  // What was read in an earlier era of the store proves nothing, and revokes nothing.
+  if (!challenge.read || challenge.era < store_.era()) {
     challenge.in_flight = true;
     readLease(node);
     return;
@@ -69,6 +70,7 @@
     } else if (answer.status == StoreStatus::Absent) {
       challenge.read = true;
       challenge.absent = true;
+      challenge.era = store_.era();
       challenge.read_at = clock_.now();
     }
   });
@@ -78,6 +80,7 @@
   challenge.read = true;
   challenge.absent = false;
   challenge.revision = object.revision;
+  challenge.era = store_.era();
   challenge.lease = LeaseRecord::decode(object.value);
   challenge.read_at = clock_.now();
 }
--- a/source/core/router/takeover_watcher.h
+++ b/source/core/router/takeover_watcher.h
@@ -39,6 +39,8 @@
     bool read = false;
     bool absent = false;
     StoreRevision revision;
+    /// Of the store when it was read.
+    StoreEra era = 0;
     LeaseRecord lease;
     TimePoint read_at{};
     bool in_flight = false;
--- a/test/core_router/restored_store_ownership_test.cc
+++ b/test/core_router/restored_store_ownership_test.cc
@@ -105,6 +105,19 @@
   EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
 }
 
+// A challenger had read the owner's lease before the restore: its time counts anew from the rise, not from the moment
+// at which the old reading turns out to be of no use.
+TEST_P(RestoredStoreOwnershipTest, DeadOwnersKeysAreTakenOverOneLeaseAfterTheRestore) {
+  world_.copyStore();
+  world_.killNode(3);
+  world_.killServer(3);
+  world_.run(seconds(5));
+  world_.restoreStore();
+  const Duration lease_and_more = seconds(13);
+  world_.run(lease_and_more);
+  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+}
+
 // What was granted unseen in the second era may be as new as the second rise.
 TEST_P(RestoredStoreOwnershipTest, SecondRestoreBeginsTheWaitAnew) {
   const auto era_of_table = [&] {
