Tests share what they expected alike: a sound world of owners, its recovery, and an answer at all nodes

Four copies of one check and three of one recovery; the heartbeat soak checks before it heals too now, as the others did.

--- a/test/core_router/evacuation_ownership_test.cc
+++ b/test/core_router/evacuation_ownership_test.cc
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-#include "source/lab/sim/ownership_world.h"
+#include "test/support/ownership_expectations.h"
 
 namespace shedlever::sim::test {
 namespace {
@@ -31,12 +31,7 @@
     ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
   }
 
-  void TearDown() override {
-    for (const std::string& violation : world_.violations()) {
-      ADD_FAILURE() << violation;
-      break;
-    }
-  }
+  void TearDown() override { expectSound(world_); }
 
   /// All keys are served, and none by these.
   void expectServedByOthersThan(const std::vector<std::size_t>& evacuated) {
--- a/test/core_router/heartbeat_ownership_test.cc
+++ b/test/core_router/heartbeat_ownership_test.cc
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "source/lab/sim/ownership_world.h"
+#include "test/support/ownership_expectations.h"
 
 namespace shedlever::sim::test {
 namespace {
@@ -28,12 +28,7 @@
     world_.run(seconds(5));
     ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
   }
-  void TearDown() override {
-    for (const std::string& violation : world_.violations()) {
-      ADD_FAILURE() << violation;
-      break;
-    }
-  }
+  void TearDown() override { expectSound(world_); }
 
   void expectAllServed() { EXPECT_EQ(world_.servedKeys(), world_.sampledKeys()); }
   void expectHasItsKeys(std::size_t node) { EXPECT_EQ(world_.servedBy(node), world_.sampledKeys() / kNodes); }
@@ -257,18 +252,7 @@
     }
     world.run(milliseconds(100 + random.below(3000)));
   }
-  for (std::size_t node = 0; node < kNodes; ++node) {
-    world.setStoreFaults(node, {});
-    world.setOrderFaults(node, {});
-    world.startServer(node);
-    world.restartNode(node);
-  }
-  world.run(seconds(30));
-  for (const std::string& violation : world.violations()) {
-    ADD_FAILURE() << violation;
-    break;
-  }
-  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+  expectRecovery(world, kNodes);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, HeartbeatOwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 41));
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "source/lab/sim/ownership_world.h"
+#include "test/support/ownership_expectations.h"
 
 namespace shedlever::sim::test {
 namespace {
@@ -16,13 +16,6 @@
 /// Runs long enough that a silent owner's keys are taken over.
 constexpr Duration kTakeover = seconds(14);
 
-void expectSound(const OwnershipWorld& world) {
-  for (const std::string& violation : world.violations()) {
-    ADD_FAILURE() << violation;
-    break;
-  }
-}
-
 class OwnershipTest : public ::testing::Test {
  protected:
   void SetUp() override {
@@ -334,16 +327,7 @@
     }
     world.run(milliseconds(100 + random.below(3000)));
   }
-  expectSound(world);
-  for (std::size_t node = 0; node < kNodes; ++node) {
-    world.setStoreFaults(node, {});
-    world.setOrderFaults(node, {});
-    world.startServer(node);
-    world.restartNode(node);
-  }
-  world.run(seconds(30));
-  expectSound(world);
-  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+  expectRecovery(world, kNodes);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, OwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 25));
--- a/test/core_router/restored_store_ownership_test.cc
+++ b/test/core_router/restored_store_ownership_test.cc
@@ -6,7 +6,7 @@
 
 #include <cstdlib>
 
-#include "source/lab/sim/ownership_world.h"
+#include "test/support/ownership_expectations.h"
 
 namespace shedlever::sim::test {
 namespace {
@@ -23,12 +23,6 @@
   return config;
 }
 
-void expectSound(const OwnershipWorld& world) {
-  if (!world.violations().empty()) {
-    ADD_FAILURE() << world.violations().front();
-  }
-}
-
 class RestoredStoreOwnershipTest : public ::testing::TestWithParam<GrantForm> {
  protected:
   void SetUp() override {
@@ -272,16 +266,7 @@
   for (int i = 0; i < kSteps; ++i) {
     step();
   }
-  expectSound(world_);
-  for (std::size_t node = 0; node < kNodes; ++node) {
-    world_.setStoreFaults(node, {});
-    world_.setOrderFaults(node, {});
-    world_.startServer(node);
-    world_.restartNode(node);
-  }
-  world_.run(seconds(30));
-  expectSound(world_);
-  EXPECT_EQ(world_.servedKeys(), world_.sampledKeys());
+  expectRecovery(world_, kNodes);
 }
 
 // A grant that was carried out 6 s late renewed one that the server held: it outlasted its owner's lease, and with that
--- a/test/router/restored_store_test.cc
+++ b/test/router/restored_store_test.cc
@@ -32,19 +32,7 @@
     ASSERT_TRUE(cluster_.runUntilServing());
   }
 
-  /// @return whether all nodes answer a request with this status before the time is over.
-  bool allAnswer(const std::string& target, int status) {
-    const auto over = cluster_.overAfter(kInForceWithin);
-    for (const auto& node : cluster_.nodes()) {
-      while (cluster_.ask(*node, target).http.status != status) {
-        if (*over) {
-          return false;
-        }
-        cluster_.pause(milliseconds(20));
-      }
-    }
-    return true;
-  }
+  bool allAnswer(const std::string& target, int status) { return cluster_.allAnswer(target, status, kInForceWithin); }
 
   /// Writes that take the store's revision far beyond that of the copy.
   void writeManyVersions() {
--- a/test/router/silent_store_test.cc
+++ b/test/router/silent_store_test.cc
@@ -29,40 +29,21 @@
     ASSERT_TRUE(cluster_.runUntilServing());
   }
 
-  void runFor(Duration time) {
-    const auto over = cluster_.overAfter(time);
-    ASSERT_TRUE(cluster_.runUntil([&over] { return *over; }));
-  }
-
-  /// @return whether all nodes answer a request with this status before the time is over.
-  bool allAnswer(const std::string& target, int status, Duration limit) {
-    const auto over = cluster_.overAfter(limit);
-    for (const auto& node : cluster_.nodes()) {
-      while (cluster_.ask(*node, target).http.status != status) {
-        if (*over) {
-          return false;
-        }
-        runFor(milliseconds(20));
-      }
-    }
-    return true;
-  }
-
   RouterCluster cluster_;
 };
 
 TEST_F(SilentStoreTest, ChangeAfterwardsIsInForceThoughWatchesWereNeverAnswered) {
   cluster_.writeConfig(2, {"/search/", "/orders/", "/more/"});
-  ASSERT_TRUE(allAnswer("/more/x", kOk, seconds(5)));
+  ASSERT_TRUE(cluster_.allAnswer("/more/x", kOk, seconds(5)));
   cluster_.writeConfig(3, {"/search/", "/orders/"});
-  ASSERT_TRUE(allAnswer("/more/x", kNotFound, seconds(5)));
+  ASSERT_TRUE(cluster_.allAnswer("/more/x", kNotFound, seconds(5)));
   cluster_.setStoreMode("silent");
   // All have sent their next watch by then.
-  runFor(seconds(1));
+  cluster_.pause(seconds(1));
   cluster_.setStoreMode("up");
   cluster_.writeConfig(4, {"/search/", "/orders/", "/more/"});
   // Three times what is promised; an unanswered watch ended after 30 s.
-  EXPECT_TRUE(allAnswer("/more/x", kOk, seconds(6)));
+  EXPECT_TRUE(cluster_.allAnswer("/more/x", kOk, seconds(6)));
 }
 
 }  // namespace
--- /dev/null
+++ b/test/support/ownership_expectations.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// @file
+/// What must hold of every simulated world of owners.
+
+#include <gtest/gtest.h>
+
+#include "source/lab/sim/ownership_world.h"
+
+namespace shedlever::sim::test {
+
+/// Fails with the first promise that was broken, if any was.
+inline void expectSound(const OwnershipWorld& world) {
+  if (!world.violations().empty()) {
+    ADD_FAILURE() << world.violations().front();
+  }
+}
+
+/// All faults end and all processes and servers start again: every key is served once that has settled.
+inline void expectRecovery(OwnershipWorld& world, std::size_t nodes) {
+  expectSound(world);
+  for (std::size_t node = 0; node < nodes; ++node) {
+    world.setStoreFaults(node, {});
+    world.setOrderFaults(node, {});
+    world.startServer(node);
+    world.restartNode(node);
+  }
+  world.run(std::chrono::seconds(30));
+  expectSound(world);
+  EXPECT_EQ(world.servedKeys(), world.sampledKeys());
+}
+
+}  // namespace shedlever::sim::test
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -219,6 +219,19 @@
   runUntil([&over] { return *over; });
 }
 
+bool RouterCluster::allAnswer(const std::string& target, int status, Duration limit) {
+  const auto over = overAfter(limit);
+  for (const auto& node : nodes_) {
+    while (ask(*node, target).http.status != status) {
+      if (*over) {
+        return false;
+      }
+      pause(milliseconds(20));
+    }
+  }
+  return true;
+}
+
 bool RouterCluster::runUntilServing() {
   const std::vector<std::string> keys = {"0", "20000", "40000", "65535"};
   for (const auto& node : nodes_) {
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -96,6 +96,9 @@
   /// As `send`, and runs until it has ended.
   ClientAnswer ask(Node& node, const std::string& target, const std::string& key = {});
 
+  /// @return whether all nodes answer a request with this status before the time is over.
+  bool allAnswer(const std::string& target, int status, Duration limit);
+
   EventLoop& loop() { return loop_; }
   std::vector<std::unique_ptr<Node>>& nodes() { return nodes_; }
 
