--- a/source/lab/sim/ownership_world.cc
+++ b/source/lab/sim/ownership_world.cc
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "source/core/router/heartbeat_responder.h"
-#include "source/core/router/restorable_store.h"
+#include "source/lab/sim/ownership_world_node.h"
 
 namespace shedlever::sim {
 
@@ -14,14 +13,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kTick = milliseconds(50);
-constexpr Duration kOrderTimeout = milliseconds(300);
 constexpr Duration kTableDelay = milliseconds(30);
-/// Between heartbeats, and while keys are let go of.
-constexpr Duration kHeartbeat = milliseconds(870);
-constexpr Duration kUrgentHeartbeat = milliseconds(100);
-constexpr Duration kLoopbackDelay = milliseconds(1);
-/// An acknowledgement that comes later after its heartbeat was sent counts for nothing.
-constexpr Duration kAcknowledgementLimit = seconds(1);
 constexpr std::uint32_t kSlots = 10;
 constexpr double kServiceSeconds = 0.1;
 const ServiceName kService("search");
@@ -32,95 +24,6 @@
 
 }  // namespace
 
-struct OwnershipWorld::Node {
-  std::size_t index = 0;
-  std::unique_ptr<VirtualMetadataStore> way_to_store;
-  std::unique_ptr<RestorableStore> store;
-  std::unique_ptr<Orders> orders;
-  std::unique_ptr<ServerDirectory> directory;
-  std::unique_ptr<OwnershipKeeper> keeper;
-  std::unique_ptr<HeartbeatResponder> responder;
-  /// Of the present process: the newest heartbeat of each life of the server, and whether the store has told the table.
-  std::map<InstanceId, std::uint64_t> sequences;
-  bool table_read = false;
-  /// Table that others tell a process that starts.
-  MetadataObject told_table;
-  /// Of the present life of the server: its heartbeats so far.
-  std::uint64_t last_sequence = 0;
-  /// Null while no server runs.
-  std::shared_ptr<SimulatedServer> server;
-  OrderFaults order_faults;
-  StoreFaults store_faults;
-  NodeRecord record;
-  double occupancy = 0;
-  double failing = 0;
-  /// Of the process that was killed last.
-  TimePoint lease_until{};
-  /// Numbers the lives of the process; ticks of an earlier one do nothing.
-  std::uint64_t life = 0;
-  bool paused = false;
-  bool knows_records_alone = false;
-};
-
-/// The way from a node to its server.
-/// What is under way refers to the world and the node, never to this object: a restarted process has a new one.
-class OwnershipWorld::Orders final : public ServerOrders {
- public:
-  Orders(OwnershipWorld& world, Node& node) : world_(world), node_(node) {}
-
-  void grant(const GrantOrder& order, std::function<void(OrderStatus)> done) override {
-    const auto apply = [&world = world_, order](SimulatedServer& server, bool late) {
-      if (!server.grant(order, late)) {
-        return OrderStatus::Superseded;
-      }
-      if (!late) {
-        world.noteTake(server, order.first, order.last, order.token);
-      }
-      return OrderStatus::Done;
-    };
-    send<OrderStatus>(apply, OrderStatus::NoAnswer, OrderStatus::ServerGone, std::move(done));
-  }
-
-  void release(const ReleaseOrder& order, std::function<void(ReleaseResult)> done) override {
-    const auto apply = [order](SimulatedServer& server, bool) {
-      return ReleaseResult{OrderStatus::Done, server.release(order)};
-    };
-    send<ReleaseResult>(apply, {OrderStatus::NoAnswer, {}}, {OrderStatus::ServerGone, {}}, std::move(done));
-  }
-
- private:
-  template <class Answer>
-  void send(const std::function<Answer(SimulatedServer&, bool)>& apply, const Answer& no_answer, const Answer& gone,
-            std::function<void(Answer)> done) {
-    VirtualTime& time = world_.time_;
-    const std::shared_ptr<SimulatedServer> server = node_.server;
-    const auto alive = node_.way_to_store->alive;
-    const auto tell = [alive, done](const Answer& answer) {
-      if (*alive) {
-        done(answer);
-      }
-    };
-    if (!server) {
-      time.after(kLoopbackDelay, [tell, gone] { tell(gone); });
-      return;
-    }
-    const bool late = world_.happens(node_.order_faults.late);
-    if (node_.order_faults.silent || late) {
-      if (late) {
-        time.after(milliseconds(2000 + world_.random_.below(10000)), [apply, server] { apply(*server, true); });
-      }
-      time.after(kOrderTimeout, [tell, no_answer] { tell(no_answer); });
-      return;
-    }
-    time.after(kLoopbackDelay, [&node = node_, apply, server, tell, gone] {
-      tell(node.server == server ? apply(*server, false) : gone);
-    });
-  }
-
-  OwnershipWorld& world_;
-  Node& node_;
-};
-
 OwnershipWorld::OwnershipWorld(std::size_t nodes, std::uint64_t seed, const OwnershipConfig& config)
     : random_(seed), config_(config) {
   for (std::size_t i = 0; i < nodes; ++i) {
@@ -222,68 +125,6 @@
   return chance > 0 && static_cast<double>(random_.below(kSteps)) < chance * kSteps;
 }
 
-// Heartbeats.
-
-void OwnershipWorld::beat(Node& node) {
-  const std::shared_ptr<SimulatedServer> server = node.server;
-  const KeyReport report = server->assigned.report();
-  const TimePoint sent = time_.now();
-  const std::uint64_t sequence = ++node.last_sequence;
-  const OrderFaults& faults = node.order_faults;
-  const auto arrive = [this, &node, server, report, sequence, sent] {
-    if (node.server == server) {
-      deliver(node, report, sequence, sent);
-    }
-  };
-  if (happens(faults.late)) {
-    time_.after(milliseconds(2000 + random_.below(10000)), arrive);
-  } else if (!faults.silent) {
-    time_.after(kLoopbackDelay, arrive);
-    if (happens(faults.repeated)) {
-      time_.after(milliseconds(10 + random_.below(3000)), arrive);
-    }
-  }
-  beatAfter(node, server->assigned.isLettingGo() ? kUrgentHeartbeat : kHeartbeat);
-}
-
-void OwnershipWorld::beatAfter(Node& node, Duration pause) {
-  time_.after(pause, [this, &node, server = node.server, sequence = node.last_sequence] {
-    if (node.server == server && node.last_sequence == sequence) {
-      beat(node);
-    }
-  });
-}
-
-void OwnershipWorld::deliver(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent) {
-  if (!node.keeper || node.paused) {
-    return;
-  }
-  const std::shared_ptr<SimulatedServer> server = node.server;
-  const bool lost = happens(node.order_faults.unacknowledged);
-  const auto reply = [this, &node, server, report, sent, lost](const std::optional<KeyAssignment>& assignment) {
-    time_.after(kLoopbackDelay, [this, &node, server, report, sent, lost, assignment] {
-      if (lost || node.server != server || time_.now() - sent >= kAcknowledgementLimit) {
-        return;
-      }
-      for (const AssignedRange& range : server->assigned.onAcknowledged(assignment, report.released, sent)) {
-        std::fill(server->taken.begin() + range.first, server->taken.begin() + range.last + 1, range.token);
-        noteTake(*server, range.first, range.last, range.token);
-      }
-      if (server->assigned.isLettingGo()) {
-        beatAfter(node, kUrgentHeartbeat);
-      }
-    });
-  };
-  std::uint64_t& newest = node.sequences[server->instance];
-  if (sequence <= newest) {
-    reply(std::nullopt);
-    return;
-  }
-  newest = sequence;
-  node.keeper->onKeyReport(report);
-  node.responder->take(report, reply);
-}
-
 void OwnershipWorld::tickNode(std::size_t index, std::uint64_t life) {
   Node& node = *nodes_[index];
   if (node.life != life || !node.keeper) {
--- /dev/null
+++ b/source/lab/sim/ownership_world_heartbeats.cc
@@ -0,0 +1,83 @@
+/// @file
+/// Heartbeats of a simulated world's servers, and what their acknowledgements tell.
+
+#include <algorithm>
+
+#include "source/lab/sim/ownership_world_node.h"
+
+namespace shedlever::sim {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Between heartbeats, and while keys are let go of.
+constexpr Duration kHeartbeat = milliseconds(870);
+constexpr Duration kUrgentHeartbeat = milliseconds(100);
+/// An acknowledgement that comes later after its heartbeat was sent counts for nothing.
+constexpr Duration kAcknowledgementLimit = seconds(1);
+
+}  // namespace
+
+void OwnershipWorld::beat(Node& node) {
+  const std::shared_ptr<SimulatedServer> server = node.server;
+  const KeyReport report = server->assigned.report();
+  const TimePoint sent = time_.now();
+  const std::uint64_t sequence = ++node.last_sequence;
+  const OrderFaults& faults = node.order_faults;
+  const auto arrive = [this, &node, server, report, sequence, sent] {
+    if (node.server == server) {
+      deliver(node, report, sequence, sent);
+    }
+  };
+  if (happens(faults.late)) {
+    time_.after(milliseconds(2000 + random_.below(10000)), arrive);
+  } else if (!faults.silent) {
+    time_.after(kLoopbackDelay, arrive);
+    if (happens(faults.repeated)) {
+      time_.after(milliseconds(10 + random_.below(3000)), arrive);
+    }
+  }
+  beatAfter(node, server->assigned.isLettingGo() ? kUrgentHeartbeat : kHeartbeat);
+}
+
+void OwnershipWorld::beatAfter(Node& node, Duration pause) {
+  time_.after(pause, [this, &node, server = node.server, sequence = node.last_sequence] {
+    if (node.server == server && node.last_sequence == sequence) {
+      beat(node);
+    }
+  });
+}
+
+void OwnershipWorld::deliver(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent) {
+  if (!node.keeper || node.paused) {
+    return;
+  }
+  const std::shared_ptr<SimulatedServer> server = node.server;
+  const bool lost = happens(node.order_faults.unacknowledged);
+  const auto reply = [this, &node, server, report, sent, lost](const std::optional<KeyAssignment>& assignment) {
+    time_.after(kLoopbackDelay, [this, &node, server, report, sent, lost, assignment] {
+      if (lost || node.server != server || time_.now() - sent >= kAcknowledgementLimit) {
+        return;
+      }
+      for (const AssignedRange& range : server->assigned.onAcknowledged(assignment, report.released, sent)) {
+        std::fill(server->taken.begin() + range.first, server->taken.begin() + range.last + 1, range.token);
+        noteTake(*server, range.first, range.last, range.token);
+      }
+      if (server->assigned.isLettingGo()) {
+        beatAfter(node, kUrgentHeartbeat);
+      }
+    });
+  };
+  std::uint64_t& newest = node.sequences[server->instance];
+  if (sequence <= newest) {
+    reply(std::nullopt);
+    return;
+  }
+  newest = sequence;
+  node.keeper->onKeyReport(report);
+  node.responder->take(report, reply);
+}
+
+}  // namespace shedlever::sim
