Log when a stream to another process falls silent or breaks while requests wait on it

Cause: a request that ended because its peer was silent left no line that says so, and a broken stream could not be told from a silent one; the collected logs of the incident can't distinguish these hypotheses. Change: PeerClient reports the failure of a stream with the number of waiting requests, the unsent bytes and the time since the last frame; the process logs it as stream-silent or stream-broken, within the log's bounds, and counts it. Measured: PeerClientTest.SilentPeerIsReportedWithItsWaitingRequests; the other tests of test_router's PeerClientTest and GatewayTest pass.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -24,7 +24,10 @@
 /// One stream to a node, with the exchanges that were sent on it.
 struct PeerClient::Stream final : public MessageStreamCallbacks {
   Stream(PeerClient& owner, NodeName to, const Endpoint& endpoint)
-      : client(owner), node(std::move(to)), transport(owner.loop_, endpoint, peerStreamOptions(), *this) {}
+      : client(owner),
+        node(std::move(to)),
+        transport(owner.loop_, endpoint, peerStreamOptions(), *this),
+        last_received_at(owner.clock_.now()) {}
 
   void onMessage(std::string_view message) override {
     last_received_at = client.clock_.now();
@@ -88,7 +91,8 @@
   std::deque<ExchangeId> sent_exchanges;
   /// Bytes received so far of large replies.
   std::unordered_map<ExchangeId, std::string> partial_replies;
-  TimePoint last_received_at{};
+  /// When the last message was received; when the stream was opened if there was none.
+  TimePoint last_received_at;
   /// When the unanswered ping was sent; zero if there is none.
   TimePoint pinged_at{};
   /// The hello of the expected node was received.
@@ -191,6 +195,7 @@
   directory_.markUnreachable(stream.node);
   events_.on_reachable(stream.node, false);
   const std::vector<ExchangeId> open = pendingAt(stream.node);
+  reportFailure(stream, true, open.size());
   stream.transport.abort();
   // The outcome of the other requests is queried once the node is reachable again.
   for (const ExchangeId exchange : open) {
@@ -201,6 +206,11 @@
   }
 }
 
+void PeerClient::reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests) {
+  const Duration since_received = clock_.now() - stream.last_received_at;
+  events_.on_stream_failure({stream.node, silent, waiting_requests, stream.transport.unsentBytes(), since_received});
+}
+
 std::vector<ExchangeId> PeerClient::pendingAt(const NodeName& node) const {
   std::vector<ExchangeId> open;
   for (const auto& [exchange, pending] : pending_) {
@@ -393,6 +403,9 @@
     finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
   }
   const std::vector<ExchangeId> open = pendingAt(node);
+  if (!open.empty()) {
+    reportFailure(stream, false, open.size());
+  }
   if (open.empty()) {
     // A restarted process may need a snapshot.
     scheduleReconnect(node, was_up);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -19,6 +19,18 @@
 
 namespace shedlever {
 
+/// A stream broke or fell silent while requests waited for their replies on it.
+struct PeerStreamFailure {
+  NodeName node;
+  /// True if the node stopped responding; false if the connection ended.
+  bool silent = false;
+  std::size_t waiting_requests = 0;
+  /// Bytes of the stream that were not written to the network yet.
+  std::size_t unsent_bytes = 0;
+  /// Time since the last frame from the node; since the start of the stream if there was none.
+  Duration since_received{};
+};
+
 /// Uses one stream per node, which is opened on demand and reopened while it is needed. When a stream breaks, unsent
 /// requests are known not to have run; the outcome of the others is queried on a new stream.
 class PeerClient {
@@ -38,6 +50,8 @@
     std::function<ServerCrashesFrame()> server_crashes;
     /// A peer has reported server crashes.
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
+    /// Requests wait on a stream that broke or fell silent.
+    std::function<void(const PeerStreamFailure&)> on_stream_failure = [](const PeerStreamFailure&) {};
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
   };
@@ -108,6 +122,7 @@
   void checkSilence();
   void scheduleSilenceCheck();
   void abandonSilentPeer(Stream& stream);
+  void reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests);
   std::vector<ExchangeId> pendingAt(const NodeName& node) const;
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
   /// @param always whether to reconnect also when the node is not marked unreachable.
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -108,6 +108,7 @@
   QuarantineCoordinator::Ports quarantinePorts();
   GateEvents gateEvents();
   PeerClient::Events peerClientEvents();
+  void logStreamFailure(const PeerStreamFailure& failure);
   void publishRecord();
 
   void tick();
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -1,6 +1,7 @@
 /// @file
 /// Callbacks and dependencies that connect the components of a router process.
 
+#include "source/core/router/duration_format.h"
 #include "source/router/router_process.h"
 
 namespace shedlever {
@@ -39,6 +40,7 @@
     log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
     cluster_state_.onPeerReachabilityChanged();
   };
+  events.on_stream_failure = [this](const PeerStreamFailure& failure) { logStreamFailure(failure); };
   events.on_snapshot_requested = [this](const NodeName& node) {
     if (const auto snapshot = cluster_state_.snapshotFor(node)) {
       peer_client_.send(node, *snapshot);
@@ -57,6 +59,18 @@
   return events;
 }
 
+void RouterProcess::logStreamFailure(const PeerStreamFailure& failure) {
+  metrics_.onEvent(failure.silent ? "peer-stream-silent" : "peer-stream-broken");
+  if (!log_.mayWriteFailed()) {
+    return;
+  }
+  log_.write("peer", failure.silent ? "stream-silent" : "stream-broken",
+             {{"node", failure.node.value},
+              {"waiting", std::to_string(failure.waiting_requests)},
+              {"unsent_bytes", std::to_string(failure.unsent_bytes)},
+              {"since_received_ms", formatMilliseconds(failure.since_received)}});
+}
+
 RestorableStore::Events RouterProcess::storeEvents() {
   RestorableStore::Events events;
   events.on_restored = [this](StoreEpoch before, StoreEpoch now) { onStoreRestored(before, now); };
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <vector>
+
 #include "source/lab/sim/simulated_cluster.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
@@ -17,10 +20,19 @@
  protected:
   PeerClientTest()
       : directory_(NodeName("self"), ZoneName("z"), {}, random_),
-        peer_client_(
-            loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
-            {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const PeerLease&) {},
-             [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {}}) {}
+        peer_client_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_, events()) {}
+
+  PeerClient::Events events() {
+    PeerClient::Events events;
+    events.on_reachable = [](const NodeName&, bool) {};
+    events.on_snapshot_requested = [](const NodeName&) {};
+    events.on_lease = [](const NodeName&, const PeerLease&) {};
+    events.on_owner_table = [](const OwnerTableFrame&) {};
+    events.server_crashes = [] { return ServerCrashesFrame{}; };
+    events.on_server_crashes = [](const ServerCrashesFrame&) {};
+    events.on_stream_failure = [this](const PeerStreamFailure& failure) { failures_.push_back(failure); };
+    return events;
+  }
 
   void addNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
@@ -41,11 +53,38 @@
     return reply.value_or(ForwardReplyFrame{});
   }
 
+  /// Forwards a request without waiting for its reply.
+  /// @return the reply, filled in while the loop runs.
+  std::shared_ptr<std::optional<ForwardReplyFrame>> startForward(RouteKind kind) {
+    ForwardFrame frame;
+    frame.kind = kind;
+    frame.remaining_us = Duration(std::chrono::seconds(20)).count();
+    auto reply = std::make_shared<std::optional<ForwardReplyFrame>>();
+    peer_client_.forward(node_, frame, [reply](ForwardReplyFrame received) { *reply = std::move(received); });
+    return reply;
+  }
+
+  /// Lets the peer answer one request, so that its stream is up.
+  void connectTo(FakePeer& peer) {
+    peer.on_forward = [](const ForwardFrame&) {
+      ForwardReplyFrame reply;
+      reply.outcome = ForwardOutcome::Answered;
+      return std::optional(reply);
+    };
+    addNodeAt(peer.endpoint());
+    EXPECT_EQ(forward(RouteKind::Idempotent).outcome, ForwardOutcome::Answered);
+  }
+
+  bool runUntilUnreachable() {
+    return loop_.runUntil([this] { return directory_.isUnreachable(node_); }, kTestTimeout);
+  }
+
   const NodeName node_{"other"};
   EventLoop loop_;
   BootTimeClock clock_;
   sim::SeededRandom random_{1};
   ServerDirectory directory_;
+  std::vector<PeerStreamFailure> failures_;
   PeerClient peer_client_;
 };
 
@@ -65,6 +104,20 @@
   EXPECT_EQ(forward(RouteKind::AtMostOnce).outcome, ForwardOutcome::Unknown);
 }
 
+// Without this report, logs don't tell why requests end although their server runs them.
+TEST_F(PeerClientTest, SilentPeerIsReportedWithItsWaitingRequests) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  connectTo(peer);
+  peer.hold();
+  const auto first = startForward(RouteKind::Idempotent);
+  const auto second = startForward(RouteKind::AtMostOnce);
+  ASSERT_TRUE(runUntilUnreachable());
+  ASSERT_FALSE(failures_.empty());
+  EXPECT_EQ(failures_.front().node, node_);
+  EXPECT_TRUE(failures_.front().silent);
+  EXPECT_EQ(failures_.front().waiting_requests, 2U);
+}
+
 // Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other from
 // detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -17,8 +19,7 @@
 
 namespace shedlever::test {
 
-/// Responds to each hello with its identity, to each exchange query with "not started", and to each store call with a
-/// status.
+/// Responds to each hello with its identity, to each exchange query with a state, and to each store call with a status.
 class FakePeer {
  public:
   FakePeer(EventLoop& loop, NodeIdentity identity) : loop_(loop), identity_(std::move(identity)) {
@@ -33,14 +34,28 @@
   /// Closes all streams and continues as another process at the same address.
   void restartAs(NodeIdentity identity) {
     identity_ = std::move(identity);
+    held_.clear();
     streams_.clear();
   }
 
+  /// Keeps received frames unprocessed, as if they were still in the network.
+  void hold() { holding_ = true; }
+  /// Processes the kept frames in the order of their arrival; later frames are processed immediately again.
+  void release() {
+    holding_ = false;
+    for (const auto& [stream, message] : std::exchange(held_, {})) {
+      stream->process(message);
+    }
+  }
+
   /// HTTP status of the replies to store calls.
   int store_status = 200;
   std::size_t store_calls = 0;
   std::size_t forwarded_requests = 0;
+  std::size_t cancelled_requests = 0;
   std::size_t exchange_queries = 0;
+  /// Reply to exchange queries.
+  ExchangeState exchange_state = ExchangeState::NotStarted;
   /// Makes the reply to a forwarded request; without a function or a reply, the request stays unanswered.
   std::function<std::optional<ForwardReplyFrame>(const ForwardFrame&)> on_forward;
 
@@ -50,15 +65,27 @@
         : peer(owner), stream(owner.loop_, socket, peerStreamOptions(), *this) {}
 
     void onMessage(std::string_view message) override {
+      if (peer.holding_) {
+        peer.held_.emplace_back(this, message);
+      } else {
+        process(message);
+      }
+    }
+
+    void process(std::string_view message) {
       const RouterFrame frame = decodeRouterFrame(message).value();
       if (std::holds_alternative<HelloFrame>(frame)) {
         stream.send(encodeRouterFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}}));
       } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
         ++peer.exchange_queries;
-        stream.send(encodeRouterFrame(ExchangeQueryReplyFrame{query->exchange, ExchangeState::NotStarted}));
+        stream.send(encodeRouterFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state}));
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
         stream.send(encodeRouterFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}}));
+      } else if (std::holds_alternative<PingFrame>(frame)) {
+        stream.send(encodeRouterFrame(PongFrame{}));
+      } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
+        ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
         ++peer.forwarded_requests;
         replyTo(*forward);
@@ -82,6 +109,8 @@
   NodeIdentity identity_;
   std::unique_ptr<TcpListener> listener_;
   std::vector<std::unique_ptr<Stream>> streams_;
+  bool holding_ = false;
+  std::vector<std::pair<Stream*, std::string>> held_;
 };
 
 }  // namespace shedlever::test
