Add failing tests: a request at a temporarily silent peer must get its server's answer

Symptom: after 0.8 s without a frame from a peer, the router answers 502 to the repeatable requests that wait there, while the frames are only delayed and the server runs the requests. The tests hold the frames that a peer has received until the router has marked it unreachable, and process them then.

--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -8,6 +8,7 @@
 
 #include "platform/client_protocol.h"
 #include "source/lab/sim/simulated_cluster.h"
+#include "source/net/http_client.h"
 #include "source/net/http_headers.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
@@ -153,6 +154,20 @@
     return response.value_or(HttpResponse{});
   }
 
+  /// Sends a request as `ask` does, without waiting for the response.
+  /// @return the response, filled in while the loop runs.
+  std::shared_ptr<std::optional<HttpResponse>> startAsking(std::vector<ForwardReplyFrame> answers) {
+    answers_ = std::move(answers);
+    next_ = 0;
+    HttpClientConfig config;
+    config.server = clients_->endpoint();
+    client_ = std::make_unique<HttpClient>(loop_, config);
+    auto response = std::make_shared<std::optional<HttpResponse>>();
+    client_->send({"GET", "/read/x", {{"Host", "h"}, {"X-Request-Deadline", "20000"}}, {}}, kTestTimeout,
+                  [response](const HttpExchangeResult& result) { *response = result.response; });
+    return response;
+  }
+
   /// Requests a key without an owner; the client's deadline is longer than any test runs.
   std::optional<HttpResponse> askForKey() {
     const auto deadline_ms = std::chrono::floor<milliseconds>(std::chrono::hours(1)).count();
@@ -182,6 +197,7 @@
   PeerClient peer_client_;
   Gateway gateway_;
   std::unique_ptr<StrictHttpServer> clients_;
+  std::unique_ptr<HttpClient> client_;
   FakePeer first_{loop_, {NodeName("node-1"), Incarnation{1}}};
   FakePeer second_{loop_, {NodeName("node-2"), Incarnation{1}}};
   std::vector<ForwardReplyFrame> answers_;
@@ -237,6 +253,20 @@
   EXPECT_EQ(ask({answered(500, "broken here"), unknown()}).status, 500);
 }
 
+// A peer behind a busy link is silent for seconds, while its server runs the request.
+TEST_F(GatewayTest, RequestAtTemporarilySilentPeerGetsItsServersAnswer) {
+  directory_.remove(NodeName("node-2"));
+  EXPECT_EQ(ask({answered(200, "connected")}).status, 200);
+  first_.hold();
+  first_.exchange_state = ExchangeState::Pending;
+  const auto response = startAsking({answered(200, "here")});
+  ASSERT_TRUE(loop_.runUntil([this] { return directory_.isUnreachable(NodeName("node-1")); }, kTestTimeout));
+  first_.release();
+  ASSERT_TRUE(loop_.runUntil([&] { return response->has_value(); }, kTestTimeout));
+  EXPECT_EQ((*response)->status, 200);
+  EXPECT_EQ((*response)->body, "here");
+}
+
 TEST_F(GatewayTest, AnswerAfterAnAttemptOfUnknownOutcomeIsReturned) {
   const HttpResponse response = ask({unknown(), answered(200, "here")});
   EXPECT_EQ(response.status, 200);
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -118,6 +118,21 @@
   EXPECT_EQ(failures_.front().waiting_requests, 2U);
 }
 
+// Frames may be delayed for seconds by a busy link. Their requests run nevertheless, so an error that the router made
+// up meanwhile would replace the server's answer.
+TEST_F(PeerClientTest, RequestToTemporarilySilentPeerGetsItsReply) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  connectTo(peer);
+  peer.hold();
+  const auto reply = startForward(RouteKind::Idempotent);
+  ASSERT_TRUE(runUntilUnreachable());
+  peer.exchange_state = ExchangeState::Pending;
+  peer.release();
+  ASSERT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kTestTimeout));
+  EXPECT_EQ((*reply)->outcome, ForwardOutcome::Answered);
+  EXPECT_TRUE(loop_.runUntil([this] { return !directory_.isUnreachable(node_); }, kTestTimeout));
+}
+
 // Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other from
 // detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
