Keep waiting for the reply of a silent peer instead of answering 502

What callers saw: 502 after 0.25 to 0.95 s, with up to 5.7 s of their time left, while a server was about to run or ran their request; several at one moment. Cause: 0.3 s of silence and an unanswered ping 0.5 s later made PeerClient give the stream up and end all repeatable requests on it as unknown, also those sent a moment before. Silence proves nothing: on a full link frames are delayed by up to 2 s and their requests run afterwards. Change: the node of a silent stream is still marked unreachable at once, so that nothing new is sent there. The silent stream stays open for its requests beside a second one, on which their outcomes are queried: a request that the same process has not started ends as not run and is sent again, one under way is replied to on either stream, one of an ended process is unknown. Meanwhile the gateway sends a repeatable request without a key to another server too, if the retry budget allows; a refusal there does not end the request, the first answer does. A query that was lost with its stream is repeated on the next one. Ruled out: ending the requests when the second connection fails (on a full link it fails as well); a longer time-out of the ping (new requests would go to dead nodes for as long).

--- a/source/core/router/retry_policy.cc
+++ b/source/core/router/retry_policy.cc
@@ -37,6 +37,10 @@
   return owner_changed ? RetryDecision::AwaitOwner : RetryDecision::TryAnother;
 }
 
+bool RetryPolicy::mayAddAttempt(const AttemptState& attempt) {
+  return isRepeatable(attempt.route->kind) && !attempt.has_key && mayRetryNow(attempt);
+}
+
 RetryDecision RetryPolicy::decide(const AttemptState& attempt, const ForwardReplyFrame& reply) {
   const bool retryable = isRepeatable(attempt.route->kind);
   switch (reply.outcome) {
--- a/source/core/router/retry_policy.h
+++ b/source/core/router/retry_policy.h
@@ -37,6 +37,11 @@
 
   RetryDecision decide(const AttemptState& attempt, const ForwardReplyFrame& reply);
 
+  /// @param attempt counts the open attempt among the servers reached.
+  /// @return whether the request may be sent to another server while its first attempt is still open. Takes from the
+  /// retry budget if so.
+  bool mayAddAttempt(const AttemptState& attempt);
+
  private:
   RetryDecision afterNotRun(const AttemptState& attempt, const ForwardReplyFrame& reply);
   bool mayRetryNow(const AttemptState& attempt);
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -26,6 +26,7 @@
 constexpr Duration kClaimRetryAfter = std::chrono::seconds(1);
 /// Clients honour a retry delay of at most a third of their remaining time.
 constexpr int kMaxRetryAfterDivisor = 4;
+constexpr int kFirstServerError = 500;
 
 }  // namespace
 
@@ -215,39 +216,112 @@
 void Gateway::sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance) {
   Request& request = requests_.at(number);
   ForwardFrame frame = frameOf(request, instance, ports_.clock->now());
-  request.attempt = {node, instance, node == self_, 0, true};
-  ++request.attempts;
+  const std::uint32_t attempt_number = ++request.attempts;
+  request.attempt = {node, instance, node == self_, attempt_number, 0, true};
   ports_.directory->onRequestSent(node);
-  const auto done = [this, number](ForwardReplyFrame reply) { onReply(number, std::move(reply)); };
+  const auto done = [this, number, attempt_number](ForwardReplyFrame reply) {
+    onReply(number, attempt_number, std::move(reply));
+  };
   const bool local = request.attempt.local;
   const std::uint64_t handle =
       local ? ports_.gate->forward(std::move(frame), done) : ports_.peer_client->forward(node, std::move(frame), done);
   // The reply may have arrived inside the call and have ended the request or started the next attempt.
   const auto found = requests_.find(number);
-  if (found != requests_.end() && found->second.attempt.open && found->second.attempt.handle == 0 &&
-      found->second.attempt.instance == instance) {
+  if (found != requests_.end() && found->second.attempt.open && found->second.attempt.number == attempt_number) {
     found->second.attempt.handle = handle;
   }
 }
 
-void Gateway::onReply(RequestNumber number, ForwardReplyFrame reply) {
-  const auto found = requests_.find(number);
-  if (found == requests_.end()) {
-    return;
+void Gateway::onSilentRequests(const std::vector<ExchangeId>& exchanges) {
+  std::vector<RequestNumber> affected;
+  for (const auto& [number, request] : requests_) {
+    const GatewayAttempt& attempt = request.attempt;
+    const bool is_silent = attempt.open && !attempt.local &&
+                           std::find(exchanges.begin(), exchanges.end(), attempt.handle) != exchanges.end();
+    if (is_silent && !request.silent_attempt) {
+      affected.push_back(number);
+    }
   }
-  Request& request = found->second;
+  for (const RequestNumber number : affected) {
+    if (requests_.contains(number)) {
+      trySecondServer(number);
+    }
+  }
+}
+
+void Gateway::trySecondServer(RequestNumber number) {
+  Request& request = requests_.at(number);
   const TimePoint now = ports_.clock->now();
-  request.attempt.open = false;
-  ports_.directory->onRequestEnded(request.attempt.node);
-  ports_.directory->onReply(request.attempt.node, request.route->name, reply, now);
+  std::set<InstanceId> tried = request.tried_instances;
+  tried.insert(request.attempt.instance);
+  const NodeRecord* server =
+      request.keyed ? nullptr : ports_.directory->choose(request.service, request.route->kind, tried, now);
+  const AttemptState state{request.route, request.service, request.keyed, request.reached + 1, request.deadline - now};
+  if (server == nullptr || !policy_.mayAddAttempt(state)) {
+    return;
+  }
+  ForwardReplyFrame silence;
+  silence.reason = ForwardReason::ConnectionLost;
+  recorder_.attemptEnded(request, silence, RetryDecision::TryAnother, inputsOf(request));
+  ++request.reached;
+  request.tried_instances = std::move(tried);
+  request.silent_attempt = request.attempt;
+  sendTo(number, server->node, server->instance);
+}
+
+bool Gateway::resumeSilentAttempt(Request& request) {
+  if (!request.silent_attempt) {
+    return false;
+  }
+  request.attempt = *std::exchange(request.silent_attempt, std::nullopt);
+  request.parked = false;
+  return true;
+}
+
+bool Gateway::adoptSilentReply(Request& request, ForwardReplyFrame& reply) {
+  const bool succeeded = reply.outcome == ForwardOutcome::Answered && reply.http.status < kFirstServerError;
+  if (succeeded) {
+    cancelAttempt(request.attempt);
+    resumeSilentAttempt(request);
+    return true;
+  }
+  request.silent_attempt.reset();
+  if (reply.outcome == ForwardOutcome::Answered) {
+    request.earlier_answer = std::move(reply.http);
+  } else if (reply.outcome == ForwardOutcome::Unknown) {
+    request.unknown_reason = reply.reason;
+  }
+  return false;
+}
+
+void Gateway::recordReply(const Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply,
+                          TimePoint now) {
+  ports_.directory->onRequestEnded(attempt.node);
+  ports_.directory->onReply(attempt.node, request.route->name, reply, now);
   if (reply.outcome == ForwardOutcome::Answered) {
     service_times_.record(request.route->name, Duration(reply.service_us));
   }
-  ports_.on_known_revisions(request.attempt.node, request.service, reply.known);
+  ports_.on_known_revisions(attempt.node, request.service, reply.known);
   if (!reply.hint.revision.none()) {
     ports_.on_hint(request.service, reply.hint);
   }
-  if (reply.reached_server || reply.outcome == ForwardOutcome::Answered) {
+}
+
+void Gateway::onReply(RequestNumber number, std::uint32_t attempt_number, ForwardReplyFrame reply) {
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  const TimePoint now = ports_.clock->now();
+  const bool was_silent = request.silent_attempt && request.silent_attempt->number == attempt_number;
+  GatewayAttempt& attempt = was_silent ? *request.silent_attempt : request.attempt;
+  attempt.open = false;
+  recordReply(request, attempt, reply, now);
+  if (was_silent && !adoptSilentReply(request, reply)) {
+    return;
+  }
+  if (!was_silent && (reply.reached_server || reply.outcome == ForwardOutcome::Answered)) {
     ++request.reached;
   }
   if (reply.outcome == ForwardOutcome::Unknown) {
@@ -358,7 +432,7 @@
 }
 
 void Gateway::refuseFor(RequestNumber number, Reason reason, Duration retry_after) {
-  if (endIfPossiblyRun(number)) {
+  if (resumeSilentAttempt(requests_.at(number)) || endIfPossiblyRun(number)) {
     return;
   }
   const Request& request = requests_.at(number);
@@ -387,6 +461,9 @@
 
 void Gateway::fail(RequestNumber number, ForwardReason reason) {
   Request& request = requests_.at(number);
+  if (resumeSilentAttempt(request)) {
+    return;
+  }
   request.last_reason = reason;
   if (request.earlier_answer) {
     answer(number, std::move(*request.earlier_answer));
@@ -403,14 +480,14 @@
     refuseFor(number, Reason::ClaimUnavailable, kClaimRetryAfter);
     return;
   }
-  if (request.parked) {
+  if (request.parked && !request.silent_attempt) {
     refuse(number, request.last_reason, kMinRetryAfter);
     return;
   }
   // A request that waits at the local gate has not run and can't run once it is cancelled.
-  const bool waits_here =
-      request.attempt.open && request.attempt.local && !ports_.gate->isRunning(request.attempt.handle);
-  cancelAttempt(request);
+  const bool waits_here = request.attempt.open && request.attempt.local && !request.silent_attempt &&
+                          !ports_.gate->isRunning(request.attempt.handle);
+  cancelAttempts(request);
   if (waits_here) {
     refuse(number, ForwardReason::Overloaded, kMinRetryAfter);
   } else {
@@ -418,16 +495,24 @@
   }
 }
 
-void Gateway::cancelAttempt(Request& request) {
-  if (!request.attempt.open) {
+void Gateway::cancelAttempt(GatewayAttempt& attempt) {
+  if (!attempt.open) {
     return;
   }
-  request.attempt.open = false;
-  ports_.directory->onRequestEnded(request.attempt.node);
-  if (request.attempt.local) {
-    ports_.gate->cancel(request.attempt.handle);
+  attempt.open = false;
+  ports_.directory->onRequestEnded(attempt.node);
+  if (attempt.local) {
+    ports_.gate->cancel(attempt.handle);
   } else {
-    ports_.peer_client->cancel(request.attempt.handle);
+    ports_.peer_client->cancel(attempt.handle);
+  }
+}
+
+void Gateway::cancelAttempts(Request& request) {
+  cancelAttempt(request.attempt);
+  if (request.silent_attempt) {
+    cancelAttempt(*request.silent_attempt);
+    request.silent_attempt.reset();
   }
 }
 
@@ -439,7 +524,7 @@
   Request& request = found->second;
   request.last_reason = ForwardReason::Cancelled;
   const bool never_sent = request.attempts == 0;
-  cancelAttempt(request);
+  cancelAttempts(request);
   finish(number, {}, "client-gone", never_sent ? ClaimOutcome::NotRun : ClaimOutcome::Unknown);
 }
 
@@ -451,6 +536,7 @@
   }
   parked_.erase(number);
   ports_.loop->cancel(request.timer);
+  cancelAttempts(request);
   recorder_.ended(request, response.status, outcome);
   request.replier.reply(std::move(response));
 }
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -64,6 +64,10 @@
   /// An owner table has changed or a key has been acquired: retries the requests that wait for an owner.
   void onOwnersChanged();
 
+  /// The nodes of these exchanges have fallen silent: sends repeatable requests to other servers as well, as far as
+  /// their retry budgets allow.
+  void onSilentRequests(const std::vector<ExchangeId>& exchanges);
+
   /// Refuses every new request from now on, since this process is about to exit.
   void refuseNewRequests() { refusing_ = true; }
 
@@ -85,7 +89,17 @@
   bool refuseQuarantined(RequestNumber number);
   void sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance);
   ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint now) const;
-  void onReply(RequestNumber number, ForwardReplyFrame reply);
+  void onReply(RequestNumber number, std::uint32_t attempt_number, ForwardReplyFrame reply);
+  /// Updates what is known about the server and its service from a reply.
+  void recordReply(const Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply,
+                   TimePoint now);
+  /// Takes the reply to the attempt at a silent node into account.
+  /// @return whether it ends the request; otherwise the current attempt decides.
+  bool adoptSilentReply(Request& request, ForwardReplyFrame& reply);
+  /// Makes the attempt at a silent node the current one again instead of ending the request.
+  /// @return false if there is no such attempt.
+  static bool resumeSilentAttempt(Request& request);
+  void trySecondServer(RequestNumber number);
   /// Records how long the request waited for its key's owner, if it did.
   void recordOwnerWait(Request& request, TimePoint now);
   /// @return how much longer the request is expected to wait for its key's owner, based on earlier requests.
@@ -100,7 +114,8 @@
   void answer(RequestNumber number, HttpResponse response);
   void onDeadline(RequestNumber number);
   void onClientGone(RequestNumber number);
-  void cancelAttempt(Request& request);
+  void cancelAttempt(GatewayAttempt& attempt);
+  void cancelAttempts(Request& request);
   void finish(RequestNumber number, HttpResponse response, const char* outcome, ClaimOutcome claim_end);
   /// @return what is currently known about the server of the last attempt.
   AttemptInputs inputsOf(const Request& request) const;
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -20,6 +20,8 @@
   NodeName node;
   InstanceId instance;
   bool local = false;
+  /// Counts the attempts of the request, from 1.
+  std::uint32_t number = 0;
   /// Queue ticket at the local gate or exchange id at a peer; 0 if there is none yet.
   std::uint64_t handle = 0;
   bool open = false;
@@ -49,6 +51,9 @@
   std::uint32_t reached = 0;
   std::uint32_t attempts = 0;
   GatewayAttempt attempt;
+  /// An open attempt whose node has fallen silent, beside the current attempt at another server. The request ends with
+  /// the first answer; without one from the current attempt, it waits for this one again.
+  std::optional<GatewayAttempt> silent_attempt;
   /// Whether the request waits for its key to get an owner.
   bool parked = false;
   /// Start of that wait; zero if the request is not waiting.
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -23,8 +23,9 @@
 
 /// One stream to a node, with the exchanges that were sent on it.
 struct PeerClient::Stream final : public MessageStreamCallbacks {
-  Stream(PeerClient& owner, NodeName to, const Endpoint& endpoint)
+  Stream(PeerClient& owner, StreamId stream_id, NodeName to, const Endpoint& endpoint)
       : client(owner),
+        id(stream_id),
         node(std::move(to)),
         transport(owner.loop_, endpoint, peerStreamOptions(), *this),
         last_received_at(owner.clock_.now()) {}
@@ -37,7 +38,10 @@
       transport.abort();
       return;
     }
-    client.onFrame(node, std::move(frame.value()));
+    if (replaced) {
+      client.onSilentNodeResponds(node);
+    }
+    client.onFrame(*this, std::move(frame.value()));
   }
 
   /// Verifies from the first frame that the peer is the expected node.
@@ -57,15 +61,9 @@
   void onClosed() override {
     // Posted, since a stream must not be destroyed in its own callback.
     ended = true;
-    client.loop_.post([owner = &client, alive = client.alive_, to = node] {
-      if (!*alive) {
-        return;
-      }
-      const auto found = owner->streams_.find(to);
-      if (found != owner->streams_.end() && found->second->ended) {
-        const std::unique_ptr<Stream> stream = std::move(found->second);
-        owner->streams_.erase(found);
-        owner->onStreamEnd(*stream);
+    client.loop_.post([owner = &client, alive = client.alive_, stream_id = id] {
+      if (*alive) {
+        owner->onStreamClosed(stream_id);
       }
     });
   }
@@ -85,6 +83,7 @@
   }
 
   PeerClient& client;
+  StreamId id;
   NodeName node;
   MessageStream transport;
   /// Exchanges of the sent frames in order; 0 for frames other than requests.
@@ -101,6 +100,8 @@
   Incarnation incarnation;
   /// Another node's process uses the address; that process ignores all frames of this stream.
   bool misdirected = false;
+  /// The node fell silent and got a new stream.
+  bool replaced = false;
   bool ended = false;
 };
 
@@ -124,13 +125,26 @@
   if (record == nullptr) {
     return nullptr;
   }
-  auto stream = std::make_unique<Stream>(*this, node, record->peer);
+  auto stream = std::make_unique<Stream>(*this, ++last_stream_, node, record->peer);
   Stream* raw = stream.get();
   streams_.emplace(node, std::move(stream));
   raw->send(HelloFrame{self_.name, self_.incarnation, false, node}, 0);
   return raw;
 }
 
+PeerClient::Stream* PeerClient::find(StreamId id) {
+  const auto silent = silent_streams_.find(id);
+  if (silent != silent_streams_.end()) {
+    return silent->second->ended ? nullptr : silent->second.get();
+  }
+  for (const auto& [node, stream] : streams_) {
+    if (stream->id == id) {
+      return stream->ended ? nullptr : stream.get();
+    }
+  }
+  return nullptr;
+}
+
 void PeerClient::ensureConnected(const NodeName& node) { streamTo(node); }
 
 ExchangeId PeerClient::forward(const NodeName& node, ForwardFrame frame, ForwardCallback done) {
@@ -140,8 +154,8 @@
   pending.node = node;
   pending.done = std::move(done);
   pending.sent_at = clock_.now();
-  pending.retryable = isRepeatable(frame.kind);
   Stream* stream = streamTo(node);
+  pending.stream = stream == nullptr ? 0 : stream->id;
   if (stream == nullptr || !stream->send(std::move(frame), exchange)) {
     loop_.post([this, alive = alive_, exchange] {
       if (*alive) {
@@ -171,18 +185,17 @@
   const TimePoint now = clock_.now();
   std::map<NodeName, TimePoint> waiting_since;
   for (const auto& [exchange, pending] : pending_) {
-    TimePoint& since = waiting_since.try_emplace(pending.node, pending.sent_at).first->second;
-    since = std::min(since, pending.sent_at);
+    const auto current = streams_.find(pending.node);
+    if (current != streams_.end() && current->second->id == pending.stream && !current->second->ended) {
+      TimePoint& since = waiting_since.try_emplace(pending.node, pending.sent_at).first->second;
+      since = std::min(since, pending.sent_at);
+    }
   }
   for (const auto& [node, since] : waiting_since) {
-    const auto found = streams_.find(node);
-    if (found == streams_.end() || found->second->ended) {
-      continue;
-    }
-    Stream& stream = *found->second;
+    Stream& stream = *streams_.at(node);
     if (stream.pinged_at != TimePoint{}) {
       if (now - stream.pinged_at >= kPongTimeout) {
-        abandonSilentPeer(stream);
+        replaceSilentStream(node);
       }
     } else if (now - std::max(since, stream.last_received_at) >= kPingAfterSilence) {
       stream.pinged_at = now;
@@ -191,19 +204,36 @@
   }
 }
 
-void PeerClient::abandonSilentPeer(Stream& stream) {
-  directory_.markUnreachable(stream.node);
-  events_.on_reachable(stream.node, false);
-  const std::vector<ExchangeId> open = pendingAt(stream.node);
-  reportFailure(stream, true, open.size());
-  stream.transport.abort();
-  // The outcome of the other requests is queried once the node is reachable again.
-  for (const ExchangeId exchange : open) {
-    const auto found = pending_.find(exchange);
-    if (found != pending_.end() && found->second.retryable) {
-      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+void PeerClient::replaceSilentStream(const NodeName& node) {
+  std::unique_ptr<Stream> stream = std::move(streams_.extract(node).mapped());
+  const std::vector<ExchangeId> waiting = pendingOn(node, stream->id);
+  reportFailure(*stream, true, waiting.size());
+  stream->replaced = true;
+  for (const ExchangeId exchange : waiting) {
+    if (stream->up) {
+      pending_.at(exchange).receiver_incarnation = stream->incarnation;
     }
   }
+  const StreamId id = stream->id;
+  silent_streams_.emplace(id, std::move(stream));
+  directory_.markUnreachable(node);
+  events_.on_reachable(node, false);
+  streamTo(node);
+  events_.on_silent_requests(waiting);
+}
+
+void PeerClient::onSilentNodeResponds(const NodeName& node) {
+  if (directory_.isUnreachable(node)) {
+    directory_.onReachable(node);
+    events_.on_reachable(node, true);
+  }
+}
+
+void PeerClient::closeSilentStreamIfUnused(StreamId id) {
+  const auto found = silent_streams_.find(id);
+  if (found != silent_streams_.end() && pendingOn(found->second->node, id).empty()) {
+    found->second->transport.closeAfterFlush();
+  }
 }
 
 void PeerClient::reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests) {
@@ -211,26 +241,29 @@
   events_.on_stream_failure({stream.node, silent, waiting_requests, stream.transport.unsentBytes(), since_received});
 }
 
-std::vector<ExchangeId> PeerClient::pendingAt(const NodeName& node) const {
-  std::vector<ExchangeId> open;
+std::vector<ExchangeId> PeerClient::pendingOn(const NodeName& node, StreamId id) const {
+  std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
-    if (pending.node == node) {
-      open.push_back(exchange);
+    if (pending.node == node && pending.stream == id) {
+      waiting.push_back(exchange);
     }
   }
-  return open;
+  return waiting;
 }
 
 void PeerClient::cancel(ExchangeId exchange) {
-  const auto found = pending_.find(exchange);
-  if (found == pending_.end()) {
+  const auto pending = pending_.extract(exchange);
+  if (pending.empty()) {
     return;
   }
-  const auto stream = streams_.find(found->second.node);
-  if (stream != streams_.end() && !stream->second->ended) {
-    stream->second->send(CancelForwardFrame{exchange}, 0);
+  // Sent on the stream of the request, since a cancellation that arrives before its request has no effect.
+  const StreamId id = pending.mapped().stream;
+  const auto current = streams_.find(pending.mapped().node);
+  const bool use_current = id == 0 && current != streams_.end() && !current->second->ended;
+  if (Stream* stream = use_current ? current->second.get() : find(id)) {
+    stream->send(CancelForwardFrame{exchange}, 0);
   }
-  pending_.erase(found);
+  closeSilentStreamIfUnused(id);
 }
 
 void PeerClient::callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done) {
@@ -278,13 +311,14 @@
   }
 }
 
-void PeerClient::onFrame(const NodeName& node, RouterFrame frame) {
+void PeerClient::onFrame(Stream& stream, RouterFrame frame) {
+  const NodeName node = stream.node;
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
     onReply(std::move(*reply));
   } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
-    onReplyPart(node, *part);
+    onReplyPart(stream, *part);
   } else if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
-    onExchangeQueryReply(*query_reply);
+    onExchangeQueryReply(stream, *query_reply);
   } else if (std::holds_alternative<StoppingFrame>(frame)) {
     directory_.markDraining(node);
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
@@ -306,12 +340,8 @@
   }
 }
 
-void PeerClient::onReplyPart(const NodeName& node, const ReplyPartFrame& part) {
-  const auto found = streams_.find(node);
-  if (found == streams_.end()) {
-    return;
-  }
-  auto& partial_replies = found->second->partial_replies;
+void PeerClient::onReplyPart(Stream& stream, const ReplyPartFrame& part) {
+  auto& partial_replies = stream.partial_replies;
   if (!pending_.contains(part.exchange)) {
     partial_replies.erase(part.exchange);
     return;
@@ -326,7 +356,7 @@
   partial_replies.erase(part.exchange);
   auto* reply = frame ? std::get_if<ForwardReplyFrame>(&frame.value()) : nullptr;
   if (reply == nullptr || too_long) {
-    found->second->transport.abort();
+    stream.transport.abort();
     return;
   }
   onReply(std::move(*reply));
@@ -350,17 +380,26 @@
   reply.known.config.staleness_us += since_sent.count();
   reply.known.nodes.staleness_us += since_sent.count();
   node.mapped().done(std::move(reply));
+  closeSilentStreamIfUnused(node.mapped().stream);
 }
 
-void PeerClient::onExchangeQueryReply(const ExchangeQueryReplyFrame& query_reply) {
+void PeerClient::onExchangeQueryReply(const Stream& stream, const ExchangeQueryReplyFrame& query_reply) {
+  const auto found = pending_.find(query_reply.exchange);
+  if (found == pending_.end()) {
+    return;
+  }
   switch (query_reply.state) {
     case ExchangeState::NotStarted:
       finish(query_reply.exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
       return;
     case ExchangeState::Answered:
-      finish(query_reply.exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+      found->second.reply_sent = true;
+      if (find(found->second.stream) == nullptr) {
+        finish(query_reply.exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+      }
       return;
     case ExchangeState::Pending:
+      closeSilentStreamIfUnused(std::exchange(found->second.stream, stream.id));
       return;
   }
 }
@@ -372,7 +411,9 @@
   if (!crashes.empty()) {
     stream.send(crashes, 0);
   }
-  requestOutcomes(stream);
+  if (!stream.replaced) {
+    requestOutcomes(stream);
+  }
 }
 
 void PeerClient::finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason) {
@@ -384,6 +425,57 @@
   onReply(std::move(reply));
 }
 
+void PeerClient::onStreamClosed(StreamId id) {
+  const auto silent = silent_streams_.extract(id);
+  if (!silent.empty()) {
+    onSilentStreamEnd(*silent.mapped());
+    return;
+  }
+  const auto found =
+      std::find_if(streams_.begin(), streams_.end(), [id](const auto& entry) { return entry.second->id == id; });
+  if (found != streams_.end()) {
+    const std::unique_ptr<Stream> stream = std::move(found->second);
+    streams_.erase(found);
+    onStreamEnd(*stream);
+  }
+}
+
+void PeerClient::detachRequests(const Stream& stream) {
+  const std::vector<ExchangeId> waiting = pendingOn(stream.node, stream.id);
+  if (!waiting.empty()) {
+    reportFailure(stream, false, waiting.size());
+  }
+  for (const ExchangeId exchange : waiting) {
+    PendingRequest& pending = pending_.at(exchange);
+    pending.stream = 0;
+    if (stream.up) {
+      pending.receiver_incarnation = stream.incarnation;
+    }
+  }
+  const std::size_t unsent = std::min(stream.transport.unsentMessages(), stream.sent_exchanges.size());
+  for (auto exchange = stream.sent_exchanges.end() - static_cast<std::ptrdiff_t>(unsent);
+       exchange != stream.sent_exchanges.end(); ++exchange) {
+    finish(*exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+  }
+}
+
+void PeerClient::onSilentStreamEnd(Stream& stream) {
+  const std::vector<ExchangeId> waiting = pendingOn(stream.node, stream.id);
+  detachRequests(stream);
+  if (!stream.up) {
+    finishUnresolved(waiting, stream.misdirected);
+    return;
+  }
+  for (const ExchangeId exchange : waiting) {
+    const auto found = pending_.find(exchange);
+    if (found != pending_.end() && found->second.reply_sent) {
+      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+    } else if (found != pending_.end()) {
+      scheduleOutcomeTimeout(exchange);
+    }
+  }
+}
+
 void PeerClient::onStreamEnd(Stream& stream) {
   const NodeName node = stream.node;
   const bool was_up = stream.up;
@@ -391,21 +483,14 @@
     directory_.markUnreachable(node);
     events_.on_reachable(node, false);
   }
-  std::vector<ExchangeId> unsent;
-  const std::size_t count = std::min(stream.transport.unsentMessages(), stream.sent_exchanges.size());
-  for (auto exchange = stream.sent_exchanges.end() - static_cast<std::ptrdiff_t>(count);
-       exchange != stream.sent_exchanges.end(); ++exchange) {
-    if (*exchange != 0) {
-      unsent.push_back(*exchange);
+  detachRequests(stream);
+  for (auto& [exchange, pending] : pending_) {
+    if (pending.node == node) {
+      // A query on the ended stream may have been lost.
+      pending.outcome_requested = false;
     }
   }
-  for (const ExchangeId exchange : unsent) {
-    finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
-  }
-  const std::vector<ExchangeId> open = pendingAt(node);
-  if (!open.empty()) {
-    reportFailure(stream, false, open.size());
-  }
+  const std::vector<ExchangeId> open = pendingOn(node, 0);
   if (open.empty()) {
     // A restarted process may need a snapshot.
     scheduleReconnect(node, was_up);
@@ -418,7 +503,6 @@
   }
   streamTo(node);
   for (const ExchangeId exchange : open) {
-    pending_.at(exchange).receiver_incarnation = stream.incarnation;
     scheduleOutcomeTimeout(exchange);
   }
 }
@@ -440,7 +524,13 @@
 }
 
 void PeerClient::requestOutcomes(Stream& stream) {
-  for (const ExchangeId exchange : pendingAt(stream.node)) {
+  std::vector<ExchangeId> of_node;
+  for (const auto& [exchange, pending] : pending_) {
+    if (pending.node == stream.node && pending.stream != stream.id) {
+      of_node.push_back(exchange);
+    }
+  }
+  for (const ExchangeId exchange : of_node) {
     const auto found = pending_.find(exchange);
     if (found == pending_.end() || !found->second.receiver_incarnation || found->second.outcome_requested) {
       continue;
@@ -461,7 +551,7 @@
       return;
     }
     const auto found = pending_.find(exchange);
-    if (found == pending_.end()) {
+    if (found == pending_.end() || found->second.stream != 0) {
       return;
     }
     const auto current = streams_.find(found->second.node);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -33,6 +33,9 @@
 
 /// Uses one stream per node, which is opened on demand and reopened while it is needed. When a stream breaks, unsent
 /// requests are known not to have run; the outcome of the others is queried on a new stream.
+///
+/// Silence says nothing about the outcome of a request: frames may only be delayed. The node of a silent stream is
+/// marked unreachable and gets a new stream; the silent one stays open until its requests have ended.
 class PeerClient {
  public:
   using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
@@ -52,6 +55,8 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// Requests wait on a stream that broke or fell silent.
     std::function<void(const PeerStreamFailure&)> on_stream_failure = [](const PeerStreamFailure&) {};
+    /// The requests wait at a node that has fallen silent; their replies may still arrive.
+    std::function<void(const std::vector<ExchangeId>&)> on_silent_requests = [](const std::vector<ExchangeId>&) {};
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
   };
@@ -87,15 +92,20 @@
  private:
   struct Stream;
 
+  /// Identifies a stream; 0 for none.
+  using StreamId = std::uint64_t;
+
   struct PendingRequest {
     NodeName node;
     ForwardCallback done;
     TimePoint sent_at{};
-    /// Whether the request may run again, so that its outcome need not be known.
-    bool retryable = false;
-    /// Set when the stream broke: the only incarnation of the peer that knows the outcome.
+    /// The stream on which the reply is expected; 0 if it has broken.
+    StreamId stream = 0;
+    /// Set when the stream broke or fell silent: the only incarnation of the peer that knows the outcome.
     std::optional<Incarnation> receiver_incarnation;
     bool outcome_requested = false;
+    /// The peer has reported that it wrote the reply to the stream of the request.
+    bool reply_sent = false;
   };
 
   struct PendingStoreCall {
@@ -105,25 +115,35 @@
   };
 
   Stream* streamTo(const NodeName& node);
-  void onFrame(const NodeName& node, RouterFrame frame);
+  /// @return the stream if it is open.
+  Stream* find(StreamId id);
+  void onFrame(Stream& stream, RouterFrame frame);
   void onReply(ForwardReplyFrame reply);
-  void onReplyPart(const NodeName& node, const ReplyPartFrame& part);
-  void onExchangeQueryReply(const ExchangeQueryReplyFrame& query_reply);
+  void onReplyPart(Stream& stream, const ReplyPartFrame& part);
+  void onExchangeQueryReply(const Stream& stream, const ExchangeQueryReplyFrame& query_reply);
   void onStreamUp(Stream& stream);
+  void onStreamClosed(StreamId id);
   void onStreamEnd(Stream& stream);
-  /// Queries the outcome of requests whose earlier stream broke.
+  void onSilentStreamEnd(Stream& stream);
+  /// Finishes the requests of an ended stream that were not completely written, and assigns the others to no stream.
+  void detachRequests(const Stream& stream);
+  /// Queries the outcome of requests whose earlier stream broke or fell silent.
   void requestOutcomes(Stream& stream);
   /// Finishes a request as unknown if its node is not connected again in time.
   void scheduleOutcomeTimeout(ExchangeId exchange);
   /// Finishes requests whose outcome can't be queried.
   /// @param misdirected whether another node's process uses the node's address.
   void finishUnresolved(const std::vector<ExchangeId>& open, bool misdirected);
-  /// Pings nodes that are silent while requests wait for them and abandons those that do not respond.
+  /// Pings nodes that are silent while requests wait for them and replaces the streams of those that do not respond.
   void checkSilence();
   void scheduleSilenceCheck();
-  void abandonSilentPeer(Stream& stream);
+  void replaceSilentStream(const NodeName& node);
+  void onSilentNodeResponds(const NodeName& node);
+  /// Closes a silent stream when no request waits on it any more.
+  void closeSilentStreamIfUnused(StreamId id);
   void reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests);
-  std::vector<ExchangeId> pendingAt(const NodeName& node) const;
+  /// @return the requests to the node that expect their reply on the stream; 0: those whose stream has broken.
+  std::vector<ExchangeId> pendingOn(const NodeName& node, StreamId id) const;
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
   /// @param always whether to reconnect also when the node is not marked unreachable.
   void scheduleReconnect(const NodeName& node, bool always);
@@ -134,6 +154,9 @@
   ServerDirectory& directory_;
   Events events_;
   std::map<NodeName, std::unique_ptr<Stream>> streams_;
+  /// Replaced streams on which requests still wait.
+  std::map<StreamId, std::unique_ptr<Stream>> silent_streams_;
+  StreamId last_stream_ = 0;
   std::unordered_map<ExchangeId, PendingRequest> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
   ExchangeId last_exchange_ = 0;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -41,6 +41,9 @@
     cluster_state_.onPeerReachabilityChanged();
   };
   events.on_stream_failure = [this](const PeerStreamFailure& failure) { logStreamFailure(failure); };
+  events.on_silent_requests = [this](const std::vector<ExchangeId>& exchanges) {
+    gateway_->onSilentRequests(exchanges);
+  };
   events.on_snapshot_requested = [this](const NodeName& node) {
     if (const auto snapshot = cluster_state_.snapshotFor(node)) {
       peer_client_.send(node, *snapshot);
--- a/test/core_router/routing_test.cc
+++ b/test/core_router/routing_test.cc
@@ -176,6 +176,24 @@
   EXPECT_EQ(policy.decide(attempt, reply), RetryDecision::AwaitOwner);
 }
 
+// Two servers may run the request at the same time, so it must be repeatable, and only a key's owner can run its
+// requests.
+TEST(RetryPolicyTest, OnlyRepeatableRequestsWithoutAKeyGetASecondAttemptBesideAnOpenOne) {
+  SharedRetryBudget budget({0.1, 100});
+  RetryPolicy policy(budget);
+  Route on = route("r", "h", "/");
+  const auto may_add = [&](RouteKind kind, bool has_key, std::uint32_t reached, Duration remaining) {
+    on.kind = kind;
+    return policy.mayAddAttempt({&on, ServiceName("s"), has_key, reached, remaining});
+  };
+  EXPECT_TRUE(may_add(RouteKind::Idempotent, false, 1, milliseconds(900)));
+  EXPECT_TRUE(may_add(RouteKind::Download, false, 1, milliseconds(900)));
+  EXPECT_FALSE(may_add(RouteKind::AtMostOnce, false, 1, milliseconds(900)));
+  EXPECT_FALSE(may_add(RouteKind::Idempotent, true, 1, milliseconds(900)));
+  EXPECT_FALSE(may_add(RouteKind::Idempotent, false, on.max_attempts, milliseconds(900)));
+  EXPECT_FALSE(may_add(RouteKind::Idempotent, false, 1, milliseconds(10)));
+}
+
 TEST(RetryPolicyTest, WithoutBudgetNoRequestThatReachedAServerIsRetried) {
   SharedRetryBudget budget({0.0, 1.0});
   while (budget.trySpend(ServiceName("s"))) {
