End requests at a silent peer at once when its connections are gone

Cause: when the connection of a silent stream ended, its requests waited another 0.7 s for a second connection, which had been tried since the silence began. Change: without a second stream that is up the outcome is unknown at once. Measured: PeerClientTest, GatewayTest and DeadNodeTest, 26 of 26 pass.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -466,12 +466,13 @@
     finishUnresolved(waiting, stream.misdirected);
     return;
   }
+  const auto current = streams_.find(stream.node);
+  const bool connected = current != streams_.end() && current->second->up;
   for (const ExchangeId exchange : waiting) {
     const auto found = pending_.find(exchange);
-    if (found != pending_.end() && found->second.reply_sent) {
+    // The second stream has been opened when this one fell silent; without it, nobody knows the outcome.
+    if (found != pending_.end() && (found->second.reply_sent || !connected)) {
       finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
-    } else if (found != pending_.end()) {
-      scheduleOutcomeTimeout(exchange);
     }
   }
 }
