Answer every request before a stopping process exits

What callers saw: requests that a stopping process had read ended with a closed connection if they were still open when its stop reached the time limit (0.9 s before the end of the grace period): requests that waited for an owner of their key, in another node's queue or for a claim, requests that another node's server ran, and large responses that were being written.

Cause: the gateway did not know when its process would exit. It forwarded requests with all of their time, and at the limit the process exited whatever was in flight.

Change: at the limit the gateway responds to all requests as if their time was over, 503 with Retry-After if the request has not run. The process then has up to half a second to write these and earlier responses, and exits 0.4 s before the end of the grace period at the latest, at once if nothing is left to write. From the stop signal on, other nodes get no more time for a request than is left until the limit, so that they don't keep it waiting longer, and a request whose expected service time exceeds this is refused at once. The local gate decides on the request's own deadline, as before.

The two tests of the gateway cover new behaviour. That a large response is written to its end after the limit has no test.

--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -159,8 +159,17 @@
   }
 }
 
+bool Gateway::refuseOutlasting(RequestNumber number) {
+  const Duration expected = service_times_.expected(requests_.at(number).route->name, Duration::zero());
+  const bool outlasts = expected > process_end_ - ports_.clock->now();
+  if (outlasts) {
+    refuseFor(number, Reason::ShuttingDown, kUnavailableRetryAfter);
+  }
+  return outlasts;
+}
+
 void Gateway::dispatch(RequestNumber number) {
-  if (refuseQuarantined(number)) {
+  if (refuseQuarantined(number) || refuseOutlasting(number)) {
     return;
   }
   Request& request = requests_.at(number);
@@ -194,7 +203,8 @@
   sendTo(number, owner.node, owner.instance);
 }
 
-ForwardFrame Gateway::frameOf(const Request& request, const InstanceId& instance, TimePoint now) const {
+ForwardFrame Gateway::frameOf(const Request& request, const InstanceId& instance, TimePoint until) const {
+  const TimePoint now = ports_.clock->now();
   ForwardFrame frame;
   frame.id = request.id;
   frame.instance = instance;
@@ -203,7 +213,7 @@
   frame.priority = request.route->priority;
   frame.keyed = request.keyed;
   frame.key = request.info.key.value_or(0);
-  frame.remaining_us = (request.deadline - now).count();
+  frame.remaining_us = (until - now).count();
   frame.target_us = request.route->target_latency.count();
   frame.elapsed_us = (now - request.arrived).count();
   frame.caller = own_service_;
@@ -214,12 +224,13 @@
 
 void Gateway::sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance) {
   Request& request = requests_.at(number);
-  ForwardFrame frame = frameOf(request, instance, ports_.clock->now());
-  request.attempt = {node, instance, node == self_, 0, true};
+  const bool local = node == self_;
+  // The local gate itself refuses requests that may outlast this process.
+  ForwardFrame frame = frameOf(request, instance, local ? request.deadline : endOf(request));
+  request.attempt = {node, instance, local, 0, true};
   ++request.attempts;
   ports_.directory->onRequestSent(node);
   const auto done = [this, number](ForwardReplyFrame reply) { onReply(number, std::move(reply)); };
-  const bool local = request.attempt.local;
   const std::uint64_t handle =
       local ? ports_.gate->forward(std::move(frame), done) : ports_.peer_client->forward(node, std::move(frame), done);
   // The reply may have arrived inside the call and have ended the request or started the next attempt.
@@ -253,7 +264,7 @@
   if (reply.outcome == ForwardOutcome::Unknown) {
     request.unknown_reason = reply.reason;
   }
-  const AttemptState state{request.route, request.service, request.keyed, request.reached, request.deadline - now};
+  const AttemptState state{request.route, request.service, request.keyed, request.reached, endOf(request) - now};
   const RetryDecision step = policy_.decide(state, reply);
   request.last_reason = reply.reason;
   switch (step) {
@@ -297,7 +308,8 @@
   }
   const Duration expected = expectedOwnerWait(request, now);
   const Duration service_time = service_times_.expected(request.route->name, Duration::zero());
-  const TimePoint in_time_until = request.arrived + request.route->target_latency - service_time;
+  const TimePoint in_time_until =
+      std::min(request.arrived + request.route->target_latency, process_end_) - service_time;
   if (now + expected >= in_time_until) {
     recordOwnerWait(request, now);
     refuse(number, request.last_reason, std::max(expected, kMinRetryAfter));
@@ -418,6 +430,14 @@
   }
 }
 
+void Gateway::endRequests() {
+  while (!requests_.empty()) {
+    auto& [number, request] = *requests_.begin();
+    ports_.loop->cancel(request.timer);
+    onDeadline(number);
+  }
+}
+
 void Gateway::cancelAttempt(Request& request) {
   if (!request.attempt.open) {
     return;
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -3,6 +3,7 @@
 /// @file
 /// Accepts client requests and sends exactly one final response to each.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,6 +68,13 @@
   /// Refuses every new request from now on, since this process is about to exit.
   void refuseNewRequests() { refusing_ = true; }
 
+  /// Limits the time of requests, since this process stops. A request that is not expected to have its response by
+  /// `end` is refused, and other nodes' servers get no more time than until then.
+  void setProcessEnd(TimePoint end) { process_end_ = end; }
+
+  /// Responds to all requests as if their time was over, since this process is about to exit.
+  void endRequests();
+
   std::size_t inFlight() const { return requests_.size(); }
 
   /// @return arrival time of the last request; zero before the first one.
@@ -83,8 +91,13 @@
   void dispatch(RequestNumber number);
   /// Refuses the request if it is quarantined. @return whether it was refused.
   bool refuseQuarantined(RequestNumber number);
+  /// Refuses the request if no server is expected to respond before this process ends. @return whether it was refused.
+  bool refuseOutlasting(RequestNumber number);
   void sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance);
-  ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint now) const;
+  /// @param until until when the server may work on the request.
+  ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint until) const;
+  /// @return when the request's time is over.
+  TimePoint endOf(const Request& request) const { return std::min(request.deadline, process_end_); }
   void onReply(RequestNumber number, ForwardReplyFrame reply);
   /// Records how long the request waited for its key's owner, if it did.
   void recordOwnerWait(Request& request, TimePoint now);
@@ -117,6 +130,7 @@
   TrafficSplitter traffic_splitter_;
   std::shared_ptr<const RouteTable> routes_;
   bool refusing_ = false;
+  TimePoint process_end_ = TimePoint::max();
   TimePoint last_request_at_{};
   /// Service times of all servers, by route.
   DurationEstimator service_times_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -15,8 +15,10 @@
 /// A process checks the freshness of its cluster state only if a request arrived within this time; an idle process
 /// saves the calls and checks within one tick after its next request.
 constexpr Duration kRecentRequestWindow = std::chrono::seconds(2);
-/// Part of the grace period that is reserved for the exit of the process.
+/// Part of the grace period at its end in which no request is worked on any more.
 constexpr Duration kShutdownReserve = std::chrono::milliseconds(900);
+/// Part of the grace period that is reserved for the exit of the process, when all responses have been written.
+constexpr Duration kExitReserve = std::chrono::milliseconds(400);
 /// Time before the clients have left for transferring keys and finishing running requests.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(700);
 constexpr Duration kSnapshotRequestInterval = std::chrono::milliseconds(200);
@@ -505,7 +507,9 @@
   on_stopped_ = std::move(stopped);
   stop_started_at_ = clock_.now();
   log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
-  gate_.setProcessEnd(stop_started_at_ + settings_.stop.grace - kShutdownReserve);
+  const TimePoint end = stop_started_at_ + settings_.stop.grace - kShutdownReserve;
+  gate_.setProcessEnd(end);
+  gateway_->setProcessEnd(end);
   clients_->closeAfterResponses();
   // The server keeps running but is unreachable without this process, so its use continues until shortly before the
   // end.
@@ -527,21 +531,41 @@
   pollStopCompletion();
 }
 
-void RouterProcess::pollStopCompletion() {
-  const Duration passed = clock_.now() - stop_started_at_;
-  const bool keys_transferred = !ownership_manager_ || server_.instance().empty() || ownership_manager_->ownsNothing();
+bool RouterProcess::keysTransferred() const {
+  return !ownership_manager_ || server_.instance().empty() || ownership_manager_->ownsNothing();
+}
+
+bool RouterProcess::mayExit(Duration passed) const {
   // A response that is not completely written would be truncated by the exit.
   const bool all_written =
       clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 && pacer_.backlogBytes() == 0;
-  const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keys_transferred && all_written;
-  const bool late = passed >= settings_.stop.grace - kShutdownReserve;
-  if ((idle && passed >= settings_.stop.clients_leave) || late) {
-    const ServerLoad load = gate_.load();
-    log_.write("router", late ? "stop-late" : "stop",
-               {{"in_flight", std::to_string(gateway_->inFlight())},
-                {"running", std::to_string(load.running)},
-                {"waiting", std::to_string(load.queued)},
-                {"keys_gone", keys_transferred ? "1" : "0"}});
+  if (requests_ended_) {
+    return all_written || passed >= settings_.stop.grace - kExitReserve;
+  }
+  const bool idle = gateway_->inFlight() == 0 && gate_.empty() && keysTransferred() && all_written;
+  return idle && passed >= settings_.stop.clients_leave;
+}
+
+void RouterProcess::logStop(const char* event) {
+  const ServerLoad load = gate_.load();
+  log_.write("router", event,
+             {{"in_flight", std::to_string(gateway_->inFlight())},
+              {"running", std::to_string(load.running)},
+              {"waiting", std::to_string(load.queued)},
+              {"keys_gone", keysTransferred() ? "1" : "0"}});
+}
+
+void RouterProcess::pollStopCompletion() {
+  const Duration passed = clock_.now() - stop_started_at_;
+  if (passed >= settings_.stop.grace - kShutdownReserve && !requests_ended_) {
+    requests_ended_ = true;
+    logStop("stop-late");
+    gateway_->endRequests();
+  }
+  if (mayExit(passed)) {
+    if (!requests_ended_) {
+      logStop("stop");
+    }
     log_.flush();
     on_stopped_();
     return;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -115,7 +115,13 @@
   void connectToServicePeers();
   /// Last phase of a stop: notifies peers, transfers the keys and finishes requests in flight.
   void leave();
+  /// Exits if possible, otherwise schedules the next check.
   void pollStopCompletion();
+  /// @param passed time since the stop began.
+  bool mayExit(Duration passed) const;
+  bool keysTransferred() const;
+  /// Logs what is left when the process ends its work.
+  void logStop(const char* event);
   bool ready() const;
 
   EventLoop& loop_;
@@ -164,6 +170,8 @@
   bool verifying_instance_ = false;
   bool stopping_ = false;
   bool leaving_ = false;
+  /// The stop has reached its time limit, and every request has its final response.
+  bool requests_ended_ = false;
   TimePoint stop_started_at_{};
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -237,6 +237,35 @@
   EXPECT_EQ(ask({answered(500, "broken here"), unknown()}).status, 500);
 }
 
+// The exit of this process would abort the request at its server.
+TEST_F(GatewayTest, RequestExpectedToOutlastTheProcessIsRefusedWithoutAnAttempt) {
+  ForwardReplyFrame slow = answered(200, "here");
+  slow.service_us = Duration(std::chrono::hours(1)).count();
+  EXPECT_EQ(ask({slow}).status, 200);
+  gateway_.setProcessEnd(clock_.now() + std::chrono::minutes(10));
+  const std::size_t before = first_.forwarded_requests + second_.forwarded_requests;
+  const HttpResponse response = ask({answered(200, "here")});
+  EXPECT_EQ(response.status, kUnavailable);
+  EXPECT_TRUE(hasRetryAfter(response));
+  EXPECT_EQ(first_.forwarded_requests + second_.forwarded_requests, before);
+}
+
+// Another node must not queue the request until after this process has ended.
+TEST_F(GatewayTest, AttemptGetsNoMoreTimeThanTheProcessHas) {
+  constexpr Duration kTimeLeft = seconds(5);
+  gateway_.setProcessEnd(clock_.now() + kTimeLeft);
+  Duration::rep given_us = 0;
+  for (FakePeer* peer : {&first_, &second_}) {
+    peer->on_forward = [&given_us](const ForwardFrame& frame) {
+      given_us = frame.remaining_us;
+      return answered(200, "here");
+    };
+  }
+  EXPECT_EQ(ask({}).status, 200);
+  EXPECT_GT(given_us, 0);
+  EXPECT_LE(given_us, kTimeLeft.count());
+}
+
 TEST_F(GatewayTest, AnswerAfterAnAttemptOfUnknownOutcomeIsReturned) {
   const HttpResponse response = ask({unknown(), answered(200, "here")});
   EXPECT_EQ(response.status, 200);
