Keep a connection open whose next request has arrived

What callers saw: from the time at which clients should have left, a stopping process closes its idle connections at each tick. A request that had arrived since the last read of its connection got a reset connection in place of a refusal. New connections whose request had just arrived were affected as well.

Cause: a connection counted as idle if user space held no input, although bytes could be waiting in the socket.

Change: a connection with unread bytes is not idle, and it is busy, so that the process does not exit before it has read them and has responded. A request that arrives after the close is still lost; only the client can repeat it.

Test: CloseIdleConnectionsKeepsConnectionWithArrivedRequest failed before (the connection was closed without a response) and passes now.

--- a/source/net/socket_address.cc
+++ b/source/net/socket_address.cc
@@ -1,8 +1,10 @@
 #include "source/net/socket_address.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -10,6 +12,16 @@
 
 namespace shedlever {
 
+namespace {
+
+/// @return the number of bytes that the request reports for the socket; 0 on failure.
+std::size_t queuedBytes(evutil_socket_t socket, unsigned long request) {
+  int bytes = 0;
+  return ioctl(socket, request, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+}  // namespace
+
 std::optional<SocketAddress> toSocketAddress(const Endpoint& endpoint) {
   SocketAddress result;
   auto* v4 = reinterpret_cast<sockaddr_in*>(&result.storage);
@@ -86,4 +98,8 @@
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
 }
 
+std::size_t unreadBytes(evutil_socket_t socket) { return queuedBytes(socket, FIONREAD); }
+
+std::size_t unacknowledgedBytes(evutil_socket_t socket) { return queuedBytes(socket, SIOCOUTQ); }
+
 }  // namespace shedlever
--- a/source/net/socket_address.h
+++ b/source/net/socket_address.h
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <cstddef>
 #include <optional>
 
 #include "shedlever/identifiers.h"
@@ -41,4 +42,10 @@
 /// the connection is idle. The default retransmission timeouts would detect a network partition only after minutes.
 void setDeadPeerTimeout(evutil_socket_t socket, Duration timeout);
 
+/// @return the number of received bytes that were not read from the socket yet.
+std::size_t unreadBytes(evutil_socket_t socket);
+
+/// @return the number of written bytes that the other side has not acknowledged yet.
+std::size_t unacknowledgedBytes(evutil_socket_t socket);
+
 }  // namespace shedlever
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -11,6 +11,7 @@
 #include "source/net/event_buffers.h"
 #include "source/net/http_headers.h"
 #include "source/net/http_request_parser.h"
+#include "source/net/socket_address.h"
 #include "source/net/tcp_listener.h"
 
 namespace shedlever {
@@ -119,13 +120,14 @@
   }
 
   bool idle() const {
-    return !response_pending_ && !closing_ && !in_request_ && !sending_ &&
+    return !response_pending_ && !closing_ && !in_request_ && !sending_ && !hasUnreadInput() &&
            evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0 &&
            evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
   }
 
   bool busy() const {
-    return response_pending_ || closing_ || sending_ || evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
+    return response_pending_ || closing_ || sending_ || hasUnreadInput() ||
+           evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
   }
 
   void remove() { server_.connections.erase(this); }
@@ -152,6 +154,9 @@
     self->connectionClosed();
   }
 
+  /// Bytes of a request have arrived that the event loop has not read yet.
+  bool hasUnreadInput() const { return unreadBytes(bufferevent_getfd(stream_.get())) > 0; }
+
   void startRequest() {
     parser_.emplace(server_.limits.header_bytes, server_.limits.body_bytes);
     in_request_ = false;
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -79,12 +79,12 @@
   /// From now on each connection is closed after its next response.
   void closeAfterResponses();
 
-  /// Closes the connections that have neither a request nor an unwritten response.
+  /// Closes the connections that have neither a request, nor input that was not read yet, nor an unwritten response.
   void closeIdleConnections();
 
-  /// @return the number of connections with a pending response, with response bytes that are not written yet, or that
-  ///   wait for the client to close. If the process exits while there are any, a client may receive a truncated
-  ///   response.
+  /// @return the number of connections with a pending response, with response bytes that are not written yet, with
+  ///   input that was not read yet, or that wait for the client to close. If the process exits while there are any, a
+  ///   client may receive a truncated response or none.
   std::size_t busyConnections() const;
 
   /// @return the number of requests that were passed to the handler and have no response yet.
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -33,6 +33,13 @@
   }
 
   void send(const std::string& bytes) { bufferevent_write(stream_.get(), bytes.data(), bytes.size()); }
+  /// Sends without running the event loop, and waits until the bytes are in the server's receive buffer.
+  void sendAndAwaitArrival(const std::string& bytes) {
+    const evutil_socket_t socket = bufferevent_getfd(stream_.get());
+    ASSERT_EQ(::send(socket, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
+    while (unacknowledgedBytes(socket) > 0) {
+    }
+  }
   void disconnect() { stream_.reset(); }
 
   std::string received;
@@ -224,6 +231,17 @@
   EXPECT_FALSE(busy.closed);
 }
 
+// A stopping process closes idle connections; a request may arrive between its last read and the close.
+TEST_F(StrictHttpServerTest, CloseIdleConnectionsKeepsConnectionWithArrivedRequest) {
+  RawClient client(loop_, server_->endpoint());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(runUntil([&] { return client.received.find("to /1") != std::string::npos; }));
+  client.sendAndAwaitArrival("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server_->closeIdleConnections();
+  ASSERT_TRUE(runUntil([&] { return client.closed || client.received.find("to /2") != std::string::npos; }));
+  EXPECT_FALSE(client.closed);
+}
+
 RC_GTEST_PROP(HttpRequestParserProperty, ResultDoesNotDependOnHowTheBytesAreSplit, ()) {
   const std::string bytes =
       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
