Wait with the exit until peers have received their replies

What callers saw: a request whose server beside a stopping process had finished could end with 502, or be repeated, at a node that does not stop: the reply was cut off when the process exited.

Cause: the process exited once the streams to its peers had no bytes in user space. On a slow link much of a reply can still be in the socket's send buffer then. The kernel sends that also after the exit, but discards it as soon as the peer sends another frame, such as a ping, since it answers that with a reset. The same happens at once if a frame of the peer was not read before the exit.

Change: the process exits only when its peers have acknowledged the bytes of their replies (SIOCOUTQ), within the time limit of the stop. Other frames need not be acknowledged.

--- a/source/net/message_stream.cc
+++ b/source/net/message_stream.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -117,6 +118,13 @@
 
 std::uint64_t MessageStream::writtenBytes() const { return enqueued_bytes_ - unsentBytes(); }
 
+std::uint64_t MessageStream::acknowledgedBytes() const {
+  const std::uint64_t written = writtenBytes();
+  const std::uint64_t in_kernel = stream_ ? unacknowledgedBytes(bufferevent_getfd(stream_.get())) : 0;
+  // The kernel also counts the end of the stream.
+  return written - std::min(written, in_kernel);
+}
+
 void MessageStream::dropWrittenMessages() {
   const std::uint64_t written = writtenBytes();
   while (!message_ends_.empty() && message_ends_.front() <= written) {
--- a/source/net/message_stream.h
+++ b/source/net/message_stream.h
@@ -69,6 +69,12 @@
   /// @return the number of bytes in the send buffer. Also valid after the close.
   std::size_t unsentBytes() const;
 
+  /// @return the number of bytes of all messages that were passed to `send`, including those in the send buffer.
+  std::uint64_t enqueuedBytes() const { return enqueued_bytes_; }
+
+  /// @return how many of the enqueued bytes the other side has acknowledged.
+  std::uint64_t acknowledgedBytes() const;
+
  private:
   static void onRead(bufferevent* stream, void* argument);
   static void onWritten(bufferevent* stream, void* argument);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -48,6 +48,13 @@
 
   bool sendEncoded(std::string bytes) { return !ended && transport.send(std::move(bytes)); }
 
+  /// Sends a reply or a part of one.
+  bool sendEncodedReply(std::string bytes) {
+    const bool sent = sendEncoded(std::move(bytes));
+    last_reply_end = transport.enqueuedBytes();
+    return sent;
+  }
+
   PeerServer& server;
   StreamId id;
   MessageStream transport;
@@ -55,6 +62,8 @@
   NodeIdentity sender;
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
+  /// Offset of the end of the last reply in the bytes sent on the stream.
+  std::uint64_t last_reply_end = 0;
   /// Exchanges of the last replies, up to `kMaxRememberedReplies`.
   std::deque<ExchangeId> answered_exchanges;
   /// Large replies in progress.
@@ -106,6 +115,13 @@
   return bytes;
 }
 
+bool PeerServer::hasUndeliveredReplies() const {
+  return std::any_of(streams_.begin(), streams_.end(), [](const auto& entry) {
+    const Stream& stream = *entry.second;
+    return !stream.ended && stream.transport.acknowledgedBytes() < stream.last_reply_end;
+  });
+}
+
 void PeerServer::onFrame(StreamId id, RouterFrame frame) {
   Stream* stream = find(id);
   if (stream == nullptr) {
@@ -206,7 +222,7 @@
   std::string bytes = encodeRouterFrame(std::move(reply));
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
     ports_.pacer->recordSent(bytes.size());
-    stream.sendEncoded(std::move(bytes));
+    stream.sendEncodedReply(std::move(bytes));
     return;
   }
   sendParts(id, stream, exchange, std::move(bytes));
@@ -226,7 +242,7 @@
     if (part.last) {
       to->transfers.erase(exchange);
     }
-    return to->sendEncoded(encodeRouterFrame(std::move(part))) ? piece : 0;
+    return to->sendEncodedReply(encodeRouterFrame(std::move(part))) ? piece : 0;
   };
   const TransferId transfer = ports_.pacer->start(size, write);
   stream.transfers[exchange] = transfer;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -63,6 +63,10 @@
   /// @return bytes of replies that are queued but not written.
   std::size_t unsentBytes() const;
 
+  /// @return whether a peer has not yet received all replies that were written to its stream. The kernel would discard
+  ///   the rest if the process exited and the peer sent another frame.
+  bool hasUndeliveredReplies() const;
+
   /// @return number of peers' requests without a reply.
   std::size_t inFlight() const { return active_requests_.size(); }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -537,8 +537,8 @@
 
 bool RouterProcess::mayExit(Duration passed) const {
   // A response that is not completely written would be truncated by the exit.
-  const bool all_written =
-      clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 && pacer_.backlogBytes() == 0;
+  const bool all_written = clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 &&
+                           !peer_server_->hasUndeliveredReplies() && pacer_.backlogBytes() == 0;
   if (requests_ended_) {
     return all_written || passed >= settings_.stop.grace - kExitReserve;
   }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -52,6 +52,7 @@
   void stop(std::function<void()> stopped);
 
   /// Endpoints of the listeners, with the actual ports.
+  const Endpoint& peersEndpoint() const { return peer_server_->endpoint(); }
   const Endpoint& clientsEndpoint() const { return clients_->endpoint(); }
   const Endpoint& reportsEndpoint() const { return reports_->endpoint(); }
   const Endpoint& readinessEndpoint() const { return readiness_->endpoint(); }
--- a/test/router/router_stop_test.cc
+++ b/test/router/router_stop_test.cc
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include "source/core/operators/node_status.h"
+#include "source/net/event_buffers.h"
 #include "source/net/http_headers.h"
+#include "source/net/router_codec.h"
+#include "source/net/socket_address.h"
 #include "test/support/http_call.h"
 #include "test/support/router_cluster.h"
 #include "test/support/scripted_server.h"
@@ -28,6 +32,13 @@
     node.router.reset();
   }
 
+  /// @return the server instance that the node's router reports.
+  InstanceId instanceAt(RouterCluster::Node& node) {
+    const auto page = httpCall(cluster_.loop(), node.router->readinessEndpoint(), "GET", "/status", {}, kTestTimeout);
+    EXPECT_TRUE(page.has_value());
+    return page ? decodeNodeStatus(page->body).value().instance : InstanceId();
+  }
+
   RouterCluster cluster_;
 };
 
@@ -62,5 +73,77 @@
   EXPECT_EQ(answer->response.status, kGatewayTimeout);
 }
 
+/// Another node's router whose link is slow: it forwards a request and receives nothing until `startReading`.
+class SlowPeer {
+ public:
+  SlowPeer(EventLoop& loop, const Endpoint& router) {
+    const evutil_socket_t socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+    evutil_make_socket_nonblocking(socket);
+    stream_.reset(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE));
+    bufferevent_setcb(
+        stream_.get(), [](bufferevent*, void* self) { static_cast<SlowPeer*>(self)->read(); }, nullptr,
+        [](bufferevent*, short events, void* self) {
+          if ((events & BEV_EVENT_CONNECTED) == 0) {
+            static_cast<SlowPeer*>(self)->closed = true;
+          }
+        },
+        this);
+    const auto address = toSocketAddress(router);
+    bufferevent_socket_connect(stream_.get(), const_cast<sockaddr*>(address->get()), static_cast<int>(address->length));
+    sendWord(kRouterPreface);
+  }
+
+  void send(const RouterFrame& frame) {
+    const std::string bytes = encodeRouterFrame(frame);
+    sendWord(static_cast<std::uint32_t>(bytes.size()));
+    bufferevent_write(stream_.get(), bytes.data(), bytes.size());
+  }
+
+  void startReading() { bufferevent_enable(stream_.get(), EV_READ); }
+
+  std::size_t received_bytes = 0;
+  bool closed = false;
+
+ private:
+  /// Much smaller than the reply, most of which therefore stays in the router's kernel.
+  static constexpr int kReceiveBufferBytes = 4096;
+
+  void read() { received_bytes += takeAllBytes(bufferevent_get_input(stream_.get())).size(); }
+
+  void sendWord(std::uint32_t value) { bufferevent_write(stream_.get(), &value, sizeof(value)); }
+
+  BufferEventHandle stream_;
+};
+
+// Bytes that the kernel has accepted but the peer has not received are lost if the exit resets the connection.
+TEST_F(RouterStopTest, RouterDoesNotExitBeforePeerHasReceivedItsReply) {
+  constexpr std::size_t kReplyBytes = 300'000;
+  cluster_.setStopGrace(kTestTimeout);
+  cluster_.addNode("orders");
+  ASSERT_TRUE(cluster_.runUntil([&] { return cluster_.sendAndWait(node(0), "/orders/x").response.status == kOk; }));
+  SlowPeer peer(cluster_.loop(), node(0).router->peersEndpoint());
+  peer.send(HelloFrame{NodeName("peer"), Incarnation{1}, false, node(0).settings.node});
+  ForwardFrame frame;
+  frame.exchange = 1;
+  frame.id = RequestId("r-peer");
+  frame.instance = instanceAt(node(0));
+  frame.route = "/orders/";
+  frame.remaining_us = Duration(milliseconds(1000)).count();
+  frame.target_us = Duration(milliseconds(1000)).count();
+  frame.http = {"POST", "/orders/x?bytes=" + std::to_string(kReplyBytes), {{"Host", "h"}}, {}};
+  const std::size_t started = node(0).server->startedRequests();
+  peer.send(frame);
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(0).server->startedRequests() > started; }));
+  // Without the reply on its way, the router would exit before this.
+  cluster_.loop().runAfter(2 * node(0).settings.stop.clients_leave, [&peer] { peer.startReading(); });
+  stopAndExit(node(0));
+  // A closed socket answers this with a reset.
+  peer.send(PingFrame{});
+  peer.startReading();
+  ASSERT_TRUE(cluster_.runUntil([&] { return peer.closed; }));
+  EXPECT_GE(peer.received_bytes, kReplyBytes);
+}
+
 }  // namespace
 }  // namespace shedlever::test
