Add failing tests: outcomes of requests at silent peers that are never queried

PeerClient queries outcomes only when the current stream comes up. Nothing is queried, and the request waits until its deadline, when - the second stream falls silent too (outcome_requested stays set) and breaks; - a silent stream whose hello came late breaks while the second stream is up. When a silent stream breaks while its node has no other stream, none is opened: the request ends as unknown after 0.7 s though its peer can be asked. FakePeer::closeStream closes one stream and drops its kept frames.

--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -83,6 +83,17 @@
     return loop_.runUntil([this] { return directory_.isUnreachable(node_); }, kTestTimeout);
   }
 
+  bool runUntilReachable() {
+    return loop_.runUntil([this] { return !directory_.isUnreachable(node_); }, kTestTimeout);
+  }
+
+  void runFor(Duration duration) {
+    loop_.runUntil([] { return false; }, duration);
+  }
+
+  /// Far more than a query of an outcome takes.
+  static constexpr Duration kOutcomeWait = std::chrono::seconds(5);
+
   const NodeName node_{"other"};
   EventLoop loop_;
   BootTimeClock clock_;
@@ -204,6 +215,61 @@
   EXPECT_EQ((*reply)->outcome, ForwardOutcome::Unknown);
 }
 
+// Every stream that replaces a silent one must query the outcomes again, or the request waits until its deadline.
+TEST_F(PeerClientTest, OutcomeIsQueriedAgainWhenTheSecondStreamFallsSilentAndBreaks) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  connectTo(peer);
+  peer.exchange_state = ExchangeState::Pending;
+  peer.holdOpenStreams();
+  const auto reply = startForward(RouteKind::AtMostOnce);
+  ASSERT_TRUE(runUntilUnreachable());
+  ASSERT_TRUE(runUntilReachable());
+  ASSERT_TRUE(loop_.runUntil([&] { return peer.exchange_queries == 1; }, kTestTimeout));
+  peer.holdOpenStreams();
+  ASSERT_TRUE(runUntilUnreachable());
+  ASSERT_TRUE(runUntilReachable());
+  peer.exchange_state = ExchangeState::NotStarted;
+  peer.closeStream(1);
+  EXPECT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kOutcomeWait));
+  EXPECT_GE(peer.exchange_queries, 2U);
+}
+
+// Without a query, the request ends as unknown although the peer is reachable and its server may be at work on it.
+TEST_F(PeerClientTest, OutcomeIsQueriedWhenASilentStreamBreaksAfterItsPeerResponded) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  connectTo(peer);
+  peer.on_forward = nullptr;
+  peer.hold();
+  addNodeAt(closedEndpoint(loop_));
+  const auto reply = startForward(RouteKind::AtMostOnce);
+  ASSERT_TRUE(runUntilUnreachable());
+  runFor(std::chrono::milliseconds(100));
+  peer.release();
+  ASSERT_TRUE(runUntilReachable());
+  runFor(std::chrono::milliseconds(600));
+  addNodeAt(peer.endpoint());
+  peer.closeStream(0);
+  ASSERT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kOutcomeWait));
+  EXPECT_EQ(peer.exchange_queries, 1U);
+  EXPECT_EQ((*reply)->outcome, ForwardOutcome::NotRun);
+}
+
+// The hello of a new stream may be delayed as long as the frames behind it.
+TEST_F(PeerClientTest, OutcomeIsQueriedWhenASilentStreamBreaksWhoseHelloWasLate) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  addNodeAt(peer.endpoint());
+  peer.hold();
+  const auto reply = startForward(RouteKind::AtMostOnce);
+  ASSERT_TRUE(runUntilUnreachable());
+  runFor(std::chrono::milliseconds(100));
+  peer.release();
+  ASSERT_TRUE(runUntilReachable());
+  runFor(std::chrono::milliseconds(100));
+  peer.closeStream(0);
+  EXPECT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kOutcomeWait));
+  EXPECT_EQ(peer.exchange_queries, 1U);
+}
+
 // A cancellation that overtakes its request would leave the request running for nobody.
 TEST_F(PeerClientTest, CancellationOfRequestAtSilentPeerArrivesAfterTheRequest) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -38,6 +38,14 @@
     streams_.clear();
   }
 
+  /// Closes one stream, whose kept frames are lost.
+  /// @param index counts the accepted streams from 0.
+  void closeStream(std::size_t index) {
+    Stream* closed = streams_.at(index).get();
+    std::erase_if(held_, [closed](const auto& entry) { return entry.first == closed; });
+    closed->stream.abort();
+  }
+
   /// Keeps received frames unprocessed, as if they were still in the network.
   void hold() { holding_ = true; }
   /// The same for the streams that are open now; frames on later streams are processed immediately.
