Never report a begun request as not started

What callers could see: 503 "not run" for a request that a server runs, or a second run of a request that may run once. Cause: 0.9 s after its stream broke a request or its kept reply was erased, and a reply that was sent on a query was not remembered; a later query of the outcome was answered with "not started". With queries on a second stream late ones are usual. Change: such requests are remembered for 30 s and reported as answered, which makes their outcome unknown.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -263,7 +263,7 @@
 enum class ExchangeState : std::uint8_t {
   NotStarted,  ///< and never will be started
   Pending,     ///< waiting or running; the reply will be sent on the stream of the query
-  Answered,    ///< the reply was written to the broken stream and is lost
+  Answered,    ///< the reply was written to an earlier stream, or the request was given up after its stream broke
 };
 
 struct ExchangeQueryReplyFrame {
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -14,6 +14,8 @@
 constexpr Duration kOrphanTimeout = std::chrono::milliseconds(900);
 /// How long ended streams and rejected requests are remembered; a request may still be read from a broken stream then.
 constexpr Duration kEndedStreamRetention = std::chrono::seconds(10);
+/// How long a request is remembered whose outcome can't be reported any more; longer than requests wait.
+constexpr Duration kEndedRequestRetention = std::chrono::seconds(30);
 constexpr std::size_t kMaxRememberedReplies = 1024;
 
 }  // namespace
@@ -211,8 +213,8 @@
   }
   unsent_replies_[key] = std::move(reply);
   loop_.runAfter(kOrphanTimeout, [this, alive = alive_, key] {
-    if (*alive) {
-      unsent_replies_.erase(key);
+    if (*alive && unsent_replies_.erase(key) > 0) {
+      rememberEnded(key);
     }
   });
 }
@@ -254,6 +256,7 @@
   if (reply != unsent_replies_.end()) {
     sendReply(id, stream, std::move(reply->second));
     unsent_replies_.erase(reply);
+    rememberEnded(key);
     return;
   }
   const auto request = active_requests_.find(key);
@@ -262,7 +265,7 @@
     stream.send(ExchangeQueryReplyFrame{query.exchange, ExchangeState::Pending});
     return;
   }
-  if (wasAnswered(key)) {
+  if (hasEnded(key)) {
     stream.send(ExchangeQueryReplyFrame{query.exchange, ExchangeState::Answered});
     return;
   }
@@ -315,7 +318,10 @@
   }
 }
 
-bool PeerServer::wasAnswered(const RequestKey& key) const {
+bool PeerServer::hasEnded(const RequestKey& key) const {
+  if (ended_requests_.contains(key)) {
+    return true;
+  }
   const auto holds = [&key](const NodeIdentity& sender, const std::deque<ExchangeId>& answered) {
     return sender == key.sender && std::find(answered.begin(), answered.end(), key.exchange) != answered.end();
   };
@@ -337,7 +343,17 @@
   for (const RequestKey& key : orphans) {
     ports_.gate->cancel(active_requests_.at(key).ticket);
     active_requests_.erase(key);
+    rememberEnded(key);
   }
 }
 
+void PeerServer::rememberEnded(const RequestKey& key) {
+  ended_requests_.insert(key);
+  loop_.runAfter(kEndedRequestRetention, [this, alive = alive_, key] {
+    if (*alive) {
+      ended_requests_.erase(key);
+    }
+  });
+}
+
 }  // namespace shedlever
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include "shedlever/platform_ports.h"
@@ -99,7 +100,10 @@
   void onStoreCall(StreamId id, StoreCallFrame call);
   void onStreamEnd(StreamId id);
   void cancelOrphans(const NodeIdentity& sender);
-  bool wasAnswered(const RequestKey& key) const;
+  /// Remembers a request that may have run and whose reply is not kept any more.
+  void rememberEnded(const RequestKey& key);
+  /// @return whether the request has been answered or given up, so that its outcome can't be reported.
+  bool hasEnded(const RequestKey& key) const;
   Stream* find(StreamId id);
 
   EventLoop& loop_;
@@ -117,6 +121,7 @@
   std::map<StreamId, EndedStream> ended_streams_;
   /// Replies whose stream broke before they could be sent.
   std::map<RequestKey, ForwardReplyFrame> unsent_replies_;
+  std::set<RequestKey> ended_requests_;
   /// Requests that were reported as not started and are ignored if they arrive later.
   std::map<RequestKey, bool> rejected_requests_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
