Query the outcome of a request on every stream that follows a silent one

What callers could see: a request that waits until its deadline, or ends as unknown although its peer can be asked. Cause: outcomes were queried once, and only when a stream came up. Nothing asked again when the second stream fell silent too, or when a silent stream broke while the second one was up or had failed. Change: each replaced or broken stream makes the node's queries be sent again, and a silent stream that breaks opens another unless the node counts as unreachable. A request that was never passed to a stream is not taken for a sent one, and a silent attempt is counted once among those that reached a server. The log line tells how long the first request has waited.

--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -275,6 +275,7 @@
   silence.reason = ForwardReason::ConnectionLost;
   recorder_.attemptEnded(request, silence, RetryDecision::TryAnother, inputsOf(request));
   ++request.reached;
+  request.attempt.counted = true;
   request.tried_instances = std::move(tried);
   request.silent_attempt = request.attempt;
   sendTo(number, server->node, server->instance);
@@ -332,7 +333,7 @@
   if (was_silent && !adoptSilentReply(request, reply)) {
     return;
   }
-  if (!was_silent && (reply.reached_server || reply.outcome == ForwardOutcome::Answered)) {
+  if (!request.attempt.counted && (reply.reached_server || reply.outcome == ForwardOutcome::Answered)) {
     ++request.reached;
   }
   if (reply.outcome == ForwardOutcome::Unknown) {
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -25,6 +25,8 @@
   /// Queue ticket at the local gate or exchange id at a peer; 0 if there is none yet.
   std::uint64_t handle = 0;
   bool open = false;
+  /// Whether the attempt is already counted among those that reached a server.
+  bool counted = false;
 };
 
 struct GatewayRequest {
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -156,7 +156,8 @@
   pending.sent_at = clock_.now();
   Stream* stream = streamTo(node);
   pending.stream = stream == nullptr ? 0 : stream->id;
-  if (stream == nullptr || !stream->send(std::move(frame), exchange)) {
+  pending.sent = stream != nullptr && stream->send(std::move(frame), exchange);
+  if (!pending.sent) {
     loop_.post([this, alive = alive_, exchange] {
       if (*alive) {
         finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
@@ -207,13 +208,14 @@
 void PeerClient::replaceSilentStream(const NodeName& node) {
   std::unique_ptr<Stream> stream = std::move(streams_.extract(node).mapped());
   const std::vector<ExchangeId> waiting = pendingOn(node, stream->id);
-  reportFailure(*stream, true, waiting.size());
+  reportFailure(*stream, true, waiting);
   stream->replaced = true;
   for (const ExchangeId exchange : waiting) {
     if (stream->up) {
       pending_.at(exchange).receiver_incarnation = stream->incarnation;
     }
   }
+  forgetQueries(node);
   const StreamId id = stream->id;
   silent_streams_.emplace(id, std::move(stream));
   directory_.markUnreachable(node);
@@ -236,15 +238,24 @@
   }
 }
 
-void PeerClient::reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests) {
-  const Duration since_received = clock_.now() - stream.last_received_at;
-  events_.on_stream_failure({stream.node, silent, waiting_requests, stream.transport.unsentBytes(), since_received});
+void PeerClient::reportFailure(const Stream& stream, bool silent, const std::vector<ExchangeId>& waiting) {
+  const TimePoint now = clock_.now();
+  PeerStreamFailure failure;
+  failure.node = stream.node;
+  failure.silent = silent;
+  failure.waiting_requests = waiting.size();
+  failure.unsent_bytes = stream.transport.unsentBytes();
+  failure.since_received = now - stream.last_received_at;
+  for (const ExchangeId exchange : waiting) {
+    failure.longest_wait = std::max(failure.longest_wait, now - pending_.at(exchange).sent_at);
+  }
+  events_.on_stream_failure(failure);
 }
 
 std::vector<ExchangeId> PeerClient::pendingOn(const NodeName& node, StreamId id) const {
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
-    if (pending.node == node && pending.stream == id) {
+    if (pending.sent && pending.node == node && pending.stream == id) {
       waiting.push_back(exchange);
     }
   }
@@ -443,7 +454,7 @@
 void PeerClient::detachRequests(const Stream& stream) {
   const std::vector<ExchangeId> waiting = pendingOn(stream.node, stream.id);
   if (!waiting.empty()) {
-    reportFailure(stream, false, waiting.size());
+    reportFailure(stream, false, waiting);
   }
   for (const ExchangeId exchange : waiting) {
     PendingRequest& pending = pending_.at(exchange);
@@ -466,13 +477,26 @@
     finishUnresolved(waiting, stream.misdirected);
     return;
   }
-  const auto current = streams_.find(stream.node);
-  const bool connected = current != streams_.end() && current->second->up;
+  const bool second_stream_failed = !streams_.contains(stream.node) && directory_.isUnreachable(stream.node);
+  if (second_stream_failed) {
+    finishUnresolved(waiting, false);
+    return;
+  }
+  forgetQueries(stream.node);
+  Stream* current = streamTo(stream.node);
+  if (current != nullptr && current->up) {
+    requestOutcomes(*current);
+    return;
+  }
   for (const ExchangeId exchange : waiting) {
-    const auto found = pending_.find(exchange);
-    // The second stream has been opened when this one fell silent; without it, nobody knows the outcome.
-    if (found != pending_.end() && (found->second.reply_sent || !connected)) {
-      finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
+    scheduleOutcomeTimeout(exchange);
+  }
+}
+
+void PeerClient::forgetQueries(const NodeName& node) {
+  for (auto& [exchange, pending] : pending_) {
+    if (pending.node == node) {
+      pending.outcome_requested = false;
     }
   }
 }
@@ -485,12 +509,7 @@
     events_.on_reachable(node, false);
   }
   detachRequests(stream);
-  for (auto& [exchange, pending] : pending_) {
-    if (pending.node == node) {
-      // A query on the ended stream may have been lost.
-      pending.outcome_requested = false;
-    }
-  }
+  forgetQueries(node);
   const std::vector<ExchangeId> open = pendingOn(node, 0);
   if (open.empty()) {
     // A restarted process may need a snapshot.
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -29,6 +29,8 @@
   std::size_t unsent_bytes = 0;
   /// Time since the last frame from the node; since the start of the stream if there was none.
   Duration since_received{};
+  /// Time since the first of the waiting requests was sent.
+  Duration longest_wait{};
 };
 
 /// Uses one stream per node, which is opened on demand and reopened while it is needed. When a stream breaks, unsent
@@ -99,6 +101,8 @@
     NodeName node;
     ForwardCallback done;
     TimePoint sent_at{};
+    /// Whether the request was passed to a stream.
+    bool sent = false;
     /// The stream on which the reply is expected; 0 if it has broken.
     StreamId stream = 0;
     /// Set when the stream broke or fell silent: the only incarnation of the peer that knows the outcome.
@@ -141,7 +145,9 @@
   void onSilentNodeResponds(const NodeName& node);
   /// Closes a silent stream when no request waits on it any more.
   void closeSilentStreamIfUnused(StreamId id);
-  void reportFailure(const Stream& stream, bool silent, std::size_t waiting_requests);
+  /// Makes the outcomes of all requests to the node be queried on its next stream; earlier queries may be lost.
+  void forgetQueries(const NodeName& node);
+  void reportFailure(const Stream& stream, bool silent, const std::vector<ExchangeId>& waiting);
   /// @return the requests to the node that expect their reply on the stream; 0: those whose stream has broken.
   std::vector<ExchangeId> pendingOn(const NodeName& node, StreamId id) const;
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -71,7 +71,8 @@
              {{"node", failure.node.value},
               {"waiting", std::to_string(failure.waiting_requests)},
               {"unsent_bytes", std::to_string(failure.unsent_bytes)},
-              {"since_received_ms", formatMilliseconds(failure.since_received)}});
+              {"since_received_ms", formatMilliseconds(failure.since_received)},
+              {"longest_wait_ms", formatMilliseconds(failure.longest_wait)}});
 }
 
 RestorableStore::Events RouterProcess::storeEvents() {
