Count bytes sent to peers by kind of frame

Cause: in an incident some processes sent 3 to 5 MB a second, and nothing told which frames these were.

Change: PeerClient and PeerServer report each frame that they queue, with its encoded size; RouterMetrics counts them as shedlever_peer_sent_bytes_total{frame}. One array access and one addition a frame; a counter is made with the first frame of its kind. Frames that are refused by an ended stream don't count.

Measured: RecordersTest.SentBytesAreCountedByKindOfFrame and PeerClientTest.ReportsEncodedSizeOfSentFrames pass.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -70,9 +70,12 @@
   /// @param exchange exchange of a request; 0 for other frames.
   /// @return false if the frame could not be queued.
   bool send(const RouterFrame& frame, ExchangeId exchange) {
-    if (ended || !transport.send(encodeRouterFrame(frame))) {
+    std::string bytes = encodeRouterFrame(frame);
+    const std::size_t size = bytes.size();
+    if (ended || !transport.send(std::move(bytes))) {
       return false;
     }
+    client.events_.on_sent(frame, size);
     sent_exchanges.push_back(exchange);
     constexpr std::size_t kMaxRememberedExchanges = 4096;
     if (sent_exchanges.size() > kMaxRememberedExchanges) {
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/frame_name.h"
 #include "source/core/router/lease_manager.h"
 #include "source/core/router/server_directory.h"
 #include "source/net/message_stream.h"
@@ -40,6 +41,7 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
+    FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
   };
 
   PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -43,10 +43,18 @@
   bool send(const RouterFrame& frame) {
     std::string bytes = encodeRouterFrame(frame);
     server.ports_.pacer->recordSent(bytes.size());
-    return sendEncoded(std::move(bytes));
+    return sendEncoded(frame, std::move(bytes));
   }
 
-  bool sendEncoded(std::string bytes) { return !ended && transport.send(std::move(bytes)); }
+  /// @param bytes the encoded frame.
+  bool sendEncoded(const RouterFrame& frame, std::string bytes) {
+    const std::size_t size = bytes.size();
+    if (ended || !transport.send(std::move(bytes))) {
+      return false;
+    }
+    server.ports_.on_sent(frame, size);
+    return true;
+  }
 
   PeerServer& server;
   StreamId id;
@@ -203,10 +211,11 @@
 
 void PeerServer::sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply) {
   const ExchangeId exchange = reply.exchange;
-  std::string bytes = encodeRouterFrame(std::move(reply));
+  const RouterFrame frame(std::move(reply));
+  std::string bytes = encodeRouterFrame(frame);
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
     ports_.pacer->recordSent(bytes.size());
-    stream.sendEncoded(std::move(bytes));
+    stream.sendEncoded(frame, std::move(bytes));
     return;
   }
   sendParts(id, stream, exchange, std::move(bytes));
@@ -221,12 +230,13 @@
       return 0;
     }
     const std::size_t piece = std::min(max_bytes, bytes.size() - written);
-    ReplyPartFrame part{exchange, bytes.substr(written, piece), written + piece == bytes.size()};
+    const bool last = written + piece == bytes.size();
+    const RouterFrame part(ReplyPartFrame{exchange, bytes.substr(written, piece), last});
     written += piece;
-    if (part.last) {
+    if (last) {
       to->transfers.erase(exchange);
     }
-    return to->sendEncoded(encodeRouterFrame(std::move(part))) ? piece : 0;
+    return to->sendEncoded(part, encodeRouterFrame(part)) ? piece : 0;
   };
   const TransferId transfer = ports_.pacer->start(size, write);
   stream.transfers[exchange] = transfer;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "shedlever/platform_ports.h"
+#include "source/core/router/frame_name.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -45,6 +46,7 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has announced that it stops.
     std::function<void(const NodeName&)> on_stopping;
+    FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
   };
 
   /// @return the server, or a NetworkError.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "source/core/router/frame_name.h"
 #include "source/net/metrics_text.h"
 
 namespace shedlever {
@@ -79,6 +80,10 @@
                                 "Requests sent to the server beside this process, by outcome and reason")),
       store_calls_(counters("shedlever_store_calls_total", "Calls to the metadata store by method and outcome")),
       events_(counters("shedlever_events_total", "Changes of what the process believes")),
+      peer_sent_bytes_(prometheus::BuildCounter()
+                           .Name("shedlever_peer_sent_bytes_total")
+                           .Help("Bytes of frames sent to other nodes' processes, by kind of frame")
+                           .Register(registry_)),
       request_seconds_(histograms(registry_, "shedlever_request_seconds",
                                   "Time from a request's arrival to its final answer, by route")),
       queued_(histograms(registry_, "shedlever_queue_seconds", "Time for which begun requests waited for a slot")
@@ -165,6 +170,14 @@
 
 void RouterMetrics::onEvent(const std::string& event) { events_.at("event", event).Increment(); }
 
+void RouterMetrics::onFrameSent(const RouterFrame& frame, std::size_t bytes) {
+  prometheus::Counter*& counter = peer_sent_bytes_by_kind_.at(frame.index());
+  if (counter == nullptr) {
+    counter = &peer_sent_bytes_.Add({{"frame", frameName(frame)}});
+  }
+  counter->Increment(static_cast<double>(bytes));
+}
+
 std::string RouterMetrics::text(const RouterGauges& gauges) {
   slots_.Set(gauges.load.slots);
   running_.Set(gauges.load.running);
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -9,10 +9,13 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
@@ -73,6 +76,8 @@
   void onServerRequestEnd(ForwardOutcome outcome, ForwardReason reason, Duration queued, Duration ran);
   /// A call to the store has ended. @param status of the response; 0 if there was none.
   void onStoreCall(const std::string& method, int status, Duration took);
+  /// A frame of this encoded size was queued for a peer.
+  void onFrameSent(const RouterFrame& frame, std::size_t bytes);
   /// An event occurred that changes the state of the process.
   void onEvent(const std::string& event);
 
@@ -103,6 +108,9 @@
   CounterFamily server_requests_;
   CounterFamily store_calls_;
   CounterFamily events_;
+  prometheus::Family<prometheus::Counter>& peer_sent_bytes_;
+  /// Indexed by the kind of frame; null until a frame of the kind is sent.
+  std::array<prometheus::Counter*, std::variant_size_v<RouterFrame>> peer_sent_bytes_by_kind_{};
   prometheus::Family<prometheus::Histogram>& request_seconds_;
   std::map<std::string, prometheus::Histogram*, std::less<>> request_seconds_by_route_;
   prometheus::Histogram& queued_;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -52,6 +52,7 @@
   };
   events.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
   events.on_config = [this](const ConfigFrame& config) { cluster_state_.onPeerConfig(config); };
+  events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   events.server_crashes = [this] { return quarantine_.summary(); };
   events.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   return events;
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -5,7 +5,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 #include "source/lab/sim/simulated_cluster.h"
+#include "source/net/router_codec.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
 #include "test/support/scripted_server.h"
@@ -20,7 +24,9 @@
         peer_client_(
             loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
             {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const PeerLease&) {},
-             [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {}}) {}
+             [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {},
+             [](const ConfigFrame&) {},
+             [this](const RouterFrame& frame, std::size_t bytes) { sent_bytes_[frameName(frame)] += bytes; }}) {}
 
   void addNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
@@ -46,9 +52,21 @@
   BootTimeClock clock_;
   sim::SeededRandom random_{1};
   ServerDirectory directory_;
+  /// By kind of frame.
+  std::map<std::string, std::size_t> sent_bytes_;
   PeerClient peer_client_;
 };
 
+TEST_F(PeerClientTest, ReportsEncodedSizeOfSentFrames) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  addNodeAt(peer.endpoint());
+  forward(RouteKind::Idempotent);
+  const HelloFrame hello{NodeName("self"), Incarnation{1}, false, node_};
+  EXPECT_EQ(sent_bytes_["hello"], encodeRouterFrame(hello).size());
+  EXPECT_GT(sent_bytes_["request"], 0U);
+}
+
 // A node that loses power closes no connections; its requests must not wait for their deadlines.
 TEST_F(PeerClientTest, RequestToSilentNodeFinishesEarlyAndNodeIsMarkedUnreachable) {
   ScriptedServer silent(loop_, [](ScriptedConnection&) {});
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -169,6 +169,15 @@
   EXPECT_THAT(metrics_.text({}), HasSubstr("shedlever_retries_total{reason=\"none\"} 1000"));
 }
 
+TEST_F(RecordersTest, SentBytesAreCountedByKindOfFrame) {
+  metrics_.onFrameSent(PingFrame{}, 3);
+  metrics_.onFrameSent(OwnerTableFrame{}, 20'000);
+  metrics_.onFrameSent(OwnerTableFrame{}, 5'000);
+  const std::string text = metrics_.text({});
+  EXPECT_THAT(text, HasSubstr("shedlever_peer_sent_bytes_total{frame=\"ping\"} 3"));
+  EXPECT_THAT(text, HasSubstr("shedlever_peer_sent_bytes_total{frame=\"owner-table\"} 25000"));
+}
+
 TEST_F(RecordersTest, GaugesShowTheGivenValues) {
   RouterGauges gauges;
   gauges.load = {3, 2, 18, 500};
