Answer requests for owner tables with the ranges that differ

Cause: right after a write only the writer has the newest owner table. Every other process hears of it in a reply and asks for it, so the writer sends some 200 whole tables at once. On a link of 20 Mbit/s requests, replies and pings wait behind them for up to two seconds, and the peers take the node for silent.

Weighed: a history of changes at the writer, a hash for each range, whole tables through the pacer, other processes than the writer (docs/DESIGN.md, owner tables between processes).

Change: the request carries a digest of the asker's table, 256 hashes of 16 bits over equal parts of the keys. The answer is the ranges in the parts that differ and a hash of the whole encoded table. A table that does not cover all keys once, or has another hash, is dropped and asked for again: with a new digest if the asker's table has changed meanwhile, whole otherwise. Whole tables are left for processes without one. The router preface changes.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -11,6 +11,7 @@
 #include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
 #include "shedlever/outcome.h"
+#include "shedlever/owner_table_frames.h"
 #include "shedlever/router_config.h"
 #include "shedlever/server_crashes.h"
 #include "shedlever/store_revision.h"
@@ -20,10 +21,6 @@
 /// Identifies a forwarded request between two processes; unique within one incarnation of the sender.
 using ExchangeId = std::uint64_t;
 
-/// Number of keys of a service whose keys are divided among servers.
-inline constexpr std::uint32_t kKeyCount = 65536;
-using Key = std::uint16_t;
-
 /// A tenant's share of a server's queue.
 struct TenantShare {
   /// Empty if tenants are not distinguished.
@@ -276,40 +273,6 @@
   }
 };
 
-/// Copy of a store object.
-struct ObjectCopy {
-  std::string name;
-  StoreRevision revision;
-  std::string value;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(name, revision, value);
-  }
-};
-
-/// Requests the owner table of the receiver's own service if the receiver has a newer one; answered with
-/// `OwnerTableFrame`.
-struct OwnerTableRequestFrame {
-  /// Revision of the sender's table; none if it has no table.
-  StoreRevision known;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(known);
-  }
-};
-
-/// An owner table: sent after a write to the nodes that keys are assigned to, and in reply to a request.
-struct OwnerTableFrame {
-  ObjectCopy table;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(table);
-  }
-};
-
 /// Requests the receiver's active configuration if it is newer; answered with `ConfigFrame`.
 struct ConfigRequestFrame {
   /// Version that is active at the sender.
@@ -381,9 +344,10 @@
   void serialize(Archive&) {}
 };
 
-using RouterFrame = std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame,
-                                 ExchangeQueryFrame, ExchangeQueryReplyFrame, StoreCallFrame, StoreReplyFrame,
-                                 OwnerTableFrame, ClusterSnapshotFrame, PingFrame, PongFrame, ReplyPartFrame,
-                                 OwnerTableRequestFrame, ServerCrashesFrame, ConfigRequestFrame, ConfigFrame>;
+using RouterFrame =
+    std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, ExchangeQueryFrame,
+                 ExchangeQueryReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, ClusterSnapshotFrame,
+                 PingFrame, PongFrame, ReplyPartFrame, OwnerTableRequestFrame, ServerCrashesFrame, ConfigRequestFrame,
+                 ConfigFrame, OwnerTableDeltaFrame>;
 
 }  // namespace shedlever
--- a/source/core/router/frame_name.cc
+++ b/source/core/router/frame_name.cc
@@ -26,6 +26,7 @@
   const char* operator()(const ServerCrashesFrame&) const { return "server-crashes"; }
   const char* operator()(const ConfigRequestFrame&) const { return "config-request"; }
   const char* operator()(const ConfigFrame&) const { return "config"; }
+  const char* operator()(const OwnerTableDeltaFrame&) const { return "owner-table-delta"; }
 };
 
 }  // namespace
--- a/source/core/router/owner_table.cc
+++ b/source/core/router/owner_table.cc
@@ -40,6 +40,26 @@
   return table;
 }
 
+std::optional<OwnerTable> OwnerTable::assemble(FenceToken last_token, StoreEpoch epoch, std::uint64_t changes,
+                                               std::vector<OwnedRange> ranges) {
+  std::uint32_t next_key = 0;
+  for (const OwnedRange& range : ranges) {
+    if (range.keys.first != next_key || range.keys.last < range.keys.first) {
+      return std::nullopt;
+    }
+    next_key = std::uint32_t{range.keys.last} + 1;
+  }
+  if (next_key != kKeyCount) {
+    return std::nullopt;
+  }
+  OwnerTable table;
+  table.last_token_ = last_token;
+  table.epoch_ = epoch;
+  table.changes_ = changes;
+  table.ranges_ = std::move(ranges);
+  return table;
+}
+
 const OwnedRange* OwnerTable::find(Key key) const {
   const auto after = std::upper_bound(ranges_.begin(), ranges_.end(), key,
                                       [](Key wanted, const OwnedRange& range) { return wanted < range.keys.first; });
--- a/source/core/router/owner_table.h
+++ b/source/core/router/owner_table.h
@@ -65,12 +65,19 @@
   static OwnerTable divideEvenly(const std::vector<OwnerLocation>& locations, std::uint32_t ranges_per_server = 1,
                                  StoreEpoch epoch = 0);
 
+  /// @param ranges sorted by key.
+  /// @return the table with this content; none unless the ranges cover all keys without gaps or overlaps.
+  static std::optional<OwnerTable> assemble(FenceToken last_token, StoreEpoch epoch, std::uint64_t changes,
+                                            std::vector<OwnedRange> ranges);
+
   /// Starts the next change, in the given epoch of the store. Tokens of a later epoch are higher than all tokens of
   /// earlier epochs, including those of changes that the store has lost.
   void beginChange(StoreEpoch epoch);
 
   /// @return the epoch of the last change.
   StoreEpoch epoch() const { return epoch_; }
+  /// @return the number of changes so far.
+  std::uint64_t changes() const { return changes_; }
   /// @return whether this table has changes that `other` lacks. Within one epoch the changes form a single sequence;
   ///   changes of a later epoch supersede all earlier ones.
   bool isNewerThan(const OwnerTable& other) const {
--- a/source/net/router_codec.h
+++ b/source/net/router_codec.h
@@ -12,7 +12,7 @@
 namespace shedlever {
 
 /// The preface of every stream between router processes. Must change with every change of the encoding.
-inline constexpr std::uint32_t kRouterPreface = 0x53'4C'52'05;
+inline constexpr std::uint32_t kRouterPreface = 0x53'4C'52'06;
 
 std::string encodeRouterFrame(const RouterFrame& frame);
 
--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "source/core/router/duration_format.h"
+#include "source/core/router/owner_table_delta.h"
 
 namespace shedlever {
 
@@ -362,6 +363,26 @@
   }
 }
 
+void ClusterState::onOwnerTableDelta(const NodeName& node, const OwnerTableDeltaFrame& delta) {
+  if (!delta.name.starts_with(kTablePrefix)) {
+    return;
+  }
+  const ServiceName service(delta.name.substr(kTablePrefix.size()));
+  const StoreRevision known = tableRevision(service);
+  if (known >= delta.revision) {
+    return;
+  }
+  const TableWriter* table = tableOf(service);
+  if (const auto newer = applyDelta(table == nullptr ? OwnerTable() : table->table(), delta)) {
+    onOwnerTable({delta.name, delta.revision, newer->encode()});
+    return;
+  }
+  // If the delta was made for the known table, the digest did not show all differences.
+  const bool digest_failed = known == delta.base;
+  sendTableRequest(node, service, delta.revision,
+                   digest_failed ? OwnerTableRequestFrame{known} : tableRequest(service));
+}
+
 void ClusterState::tick() {
   const std::size_t process_count = ports_.directory->nodes().size();
   config_watcher_.tick(process_count);
@@ -387,32 +408,52 @@
 }
 
 void ClusterState::requestNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision) {
-  TableRequest& request = table_requests_[service];
+  const TableRequest& request = table_requests_[service];
   const TimePoint now = ports_.clock->now();
   if (request.requested_at != TimePoint{} && now - request.requested_at < kPeerRequestInterval) {
     return;
   }
-  request.requested_at = now;
-  events_.request_owner_table(node, tableRevision(service));
-  ports_.loop->runAfter(kTableReplyTimeout, [this, alive = alive_, service, requested_revision = revision] {
+  sendTableRequest(node, service, revision, tableRequest(service));
+}
+
+void ClusterState::sendTableRequest(const NodeName& node, const ServiceName& service, StoreRevision expected,
+                                    const OwnerTableRequestFrame& request) {
+  table_requests_[service].requested_at = ports_.clock->now();
+  events_.request_owner_table(node, request);
+  ports_.loop->runAfter(kTableReplyTimeout, [this, alive = alive_, service, expected] {
     if (*alive) {
-      table_requests_[service].unanswered_revision = requested_revision;
+      table_requests_[service].unanswered_revision = expected;
       table_poller_.scheduleNextList();
     }
   });
 }
 
+OwnerTableRequestFrame ClusterState::tableRequest(const ServiceName& service) const {
+  const TableWriter* table = tableOf(service);
+  return table == nullptr ? OwnerTableRequestFrame{}
+                          : OwnerTableRequestFrame{table->revision(), digestOf(table->table())};
+}
+
 KnownRevisions ClusterState::knownRevisions() const {
   const KindFreshness evacuations = evacuation_watcher_ ? evacuation_watcher_->freshness() : KindFreshness{};
   return {config_watcher_.freshness(), node_watcher_.freshness(), tableRevision(own_service_), 0, {}, evacuations,
           config_.comparableVersion()};
 }
 
-std::optional<ObjectCopy> ClusterState::ownTableNewerThan(StoreRevision known) const {
-  if (own_table_ == nullptr || own_table_->revision() <= known) {
+std::optional<RouterFrame> ClusterState::answerTableRequest(const OwnerTableRequestFrame& request) const {
+  if (own_table_ == nullptr || own_table_->revision() <= request.known) {
     return std::nullopt;
   }
-  return ObjectCopy{ownerTableName(own_service_), own_table_->revision(), own_table_->table().encode()};
+  const std::string name = ownerTableName(own_service_);
+  const OwnerTable& table = own_table_->table();
+  if (request.digest.empty()) {
+    return OwnerTableFrame{{name, own_table_->revision(), table.encode()}};
+  }
+  OwnerTableDeltaFrame delta = makeDelta(table, request.digest);
+  delta.name = name;
+  delta.base = request.known;
+  delta.revision = own_table_->revision();
+  return delta;
 }
 
 void ClusterState::noteLease(const NodeName& node, TimePoint until) {
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -61,8 +61,8 @@
   std::function<void()> on_synced;
   /// Requests the configuration from a node whose active version is above `known`, the version of this process.
   std::function<void(const NodeName&, ConfigVersion known)> request_config = [](const NodeName&, ConfigVersion) {};
-  /// Requests the owner table of a node's service, of which this process has revision `known`.
-  std::function<void(const NodeName&, StoreRevision known)> request_owner_table;
+  /// Requests the owner table of a node's service.
+  std::function<void(const NodeName&, const OwnerTableRequestFrame&)> request_owner_table;
 };
 
 class ClusterState {
@@ -105,6 +105,8 @@
   void onPeerReachabilityChanged() { table_poller_.scheduleNextList(); }
   /// A peer has sent an owner table.
   void onOwnerTable(const ObjectCopy& table);
+  /// A node has replied to a request for its table. If the delta does not fit the known table, the request is repeated.
+  void onOwnerTableDelta(const NodeName& node, const OwnerTableDeltaFrame& delta);
 
   /// Compares the newest revisions known to a node of the given service with this process's and catches up.
   void onPeerRevisions(const NodeName& node, const ServiceName& service, const KnownRevisions& revisions);
@@ -119,8 +121,8 @@
   Duration configStaleness() const { return config_watcher_.staleness(); }
   /// @return time since the known node records were last confirmed to be the newest.
   Duration nodesStaleness() const { return node_watcher_.staleness(); }
-  /// @return the owner table of this node's service if it is newer than `known`.
-  std::optional<ObjectCopy> ownTableNewerThan(StoreRevision known) const;
+  /// @return the owner table of this node's service, or its difference from the peer's; none if it is not newer.
+  std::optional<RouterFrame> answerTableRequest(const OwnerTableRequestFrame& request) const;
 
   /// @return the active configuration if its version is above `known`.
   std::optional<ConfigFrame> configNewerThan(ConfigVersion known) const;
@@ -158,8 +160,15 @@
   /// @return why the owner tables have to be listed, if at all.
   ListNeed tableNeed() const;
   StoreRevision tableRevision(const ServiceName& service) const;
+  /// @return the request for a newer table than the known one of the service.
+  OwnerTableRequestFrame tableRequest(const ServiceName& service) const;
   /// Requests a newer table from a peer, at a limited rate; the store is read only if the peer does not reply in time.
   void requestNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision);
+  /// @param expected revision of the table that the node has; the store is listed unless this revision or a newer one
+  /// is
+  ///   received in time.
+  void sendTableRequest(const NodeName& node, const ServiceName& service, StoreRevision expected,
+                        const OwnerTableRequestFrame& request);
 
   NodeName self_;
   ServiceName own_service_;
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -286,6 +286,8 @@
     }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     events_.on_owner_table(*table);
+  } else if (const auto* delta = std::get_if<OwnerTableDeltaFrame>(&frame)) {
+    events_.on_owner_table_delta(node, *delta);
   } else if (const auto* config = std::get_if<ConfigFrame>(&frame)) {
     events_.on_config(*config);
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -41,6 +41,9 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
+    /// A node has sent the difference from the owner table that this process had when it requested a newer one.
+    std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta =
+        [](const NodeName&, const OwnerTableDeltaFrame&) {};
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
   };
 
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -150,8 +150,8 @@
   } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
     onExchangeQuery(id, *stream, *query);
   } else if (const auto* table_request = std::get_if<OwnerTableRequestFrame>(&frame)) {
-    if (auto newer = ports_.table_newer_than(table_request->known)) {
-      stream->send(OwnerTableFrame{std::move(*newer)});
+    if (const auto newer = ports_.answer_table_request(*table_request)) {
+      stream->send(*newer);
     }
   } else if (const auto* config_request = std::get_if<ConfigRequestFrame>(&frame)) {
     if (auto newer = ports_.config_newer_than(config_request->known)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -30,8 +30,8 @@
     StoreCaller call_store;
     /// @return the newest revisions known to this process, which are part of every reply.
     std::function<KnownRevisions()> known_revisions;
-    /// @return the owner table of this process's service if it is newer than `known`.
-    std::function<std::optional<ObjectCopy>(const StoreRevision& known)> table_newer_than;
+    /// @return the reply to a request for the owner table of this process's service; none if the peer has the newest.
+    std::function<std::optional<RouterFrame>(const OwnerTableRequestFrame&)> answer_table_request;
     /// A peer has sent an owner table.
     std::function<void(const OwnerTableFrame&)> on_owner_table;
     /// @return the active configuration if its version is above `known`.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -118,7 +118,9 @@
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known_revisions = [this] { return knownRevisions(); };
-  peer_ports.table_newer_than = [this](const StoreRevision& known) { return cluster_state_.ownTableNewerThan(known); };
+  peer_ports.answer_table_request = [this](const OwnerTableRequestFrame& request) {
+    return cluster_state_.answerTableRequest(request);
+  };
   peer_ports.config_newer_than = [this](ConfigVersion known) { return cluster_state_.configNewerThan(known); };
   peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
   peer_ports.needs_snapshot = [this] { return shouldRequestSnapshot(); };
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -52,6 +52,9 @@
   };
   events.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
   events.on_config = [this](const ConfigFrame& config) { cluster_state_.onPeerConfig(config); };
+  events.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
+    cluster_state_.onOwnerTableDelta(node, delta);
+  };
   events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   events.server_crashes = [this] { return quarantine_.summary(); };
   events.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
@@ -84,8 +87,8 @@
   events.request_config = [this](const NodeName& node, ConfigVersion known) {
     peer_client_.send(node, ConfigRequestFrame{known});
   };
-  events.request_owner_table = [this](const NodeName& node, StoreRevision known) {
-    peer_client_.send(node, OwnerTableRequestFrame{known});
+  events.request_owner_table = [this](const NodeName& node, const OwnerTableRequestFrame& request) {
+    peer_client_.send(node, request);
   };
   return events;
 }
--- a/test/net/router_codec_test.cc
+++ b/test/net/router_codec_test.cc
@@ -71,12 +71,53 @@
   EXPECT_EQ(frame->hint.last, 199);
 }
 
+OwnerTableDeltaFrame sampleDelta() {
+  OwnerTableDeltaFrame delta;
+  delta.name = "owners-maps";
+  delta.base = {1, 900};
+  delta.revision = {2, 7};
+  delta.last_token = (std::uint64_t{2} << 32U) + 5;
+  delta.epoch = 2;
+  delta.changes = 31;
+  delta.owners = {{InstanceId("i-9"), NodeName("n-9")}};
+  delta.ranges = {{0, 99, 1, 17, "state", true, 12}, {100, 65535, 0, 18, {}, false, 0}};
+  delta.checksum = 0xFEDC'BA98'7654'3210;
+  return delta;
+}
+
+TEST(RouterCodecTest, DecodesAnEncodedTableRequestAndDelta) {
+  const RouterFrame request = decodedOrHello(encodeRouterFrame(OwnerTableRequestFrame{{2, 6}, {0, 65535, 300}}));
+  const auto* decoded_request = std::get_if<OwnerTableRequestFrame>(&request);
+  ASSERT_NE(decoded_request, nullptr);
+  EXPECT_EQ(decoded_request->known, (StoreRevision{2, 6}));
+  EXPECT_EQ(decoded_request->digest, (OwnerTableDigest{0, 65535, 300}));
+  const RouterFrame decoded = decodedOrHello(encodeRouterFrame(sampleDelta()));
+  const auto* delta = std::get_if<OwnerTableDeltaFrame>(&decoded);
+  ASSERT_NE(delta, nullptr);
+  EXPECT_EQ(delta->name, "owners-maps");
+  EXPECT_EQ(delta->base, (StoreRevision{1, 900}));
+  EXPECT_EQ(delta->revision, (StoreRevision{2, 7}));
+  EXPECT_EQ(delta->last_token, (std::uint64_t{2} << 32U) + 5);
+  EXPECT_EQ(delta->epoch, 2U);
+  EXPECT_EQ(delta->changes, 31U);
+  EXPECT_EQ(delta->checksum, 0xFEDC'BA98'7654'3210);
+  ASSERT_EQ(delta->owners.size(), 1U);
+  EXPECT_EQ(delta->owners.front().node.value, "n-9");
+  ASSERT_EQ(delta->ranges.size(), 2U);
+  EXPECT_EQ(delta->ranges.front().handover, "state");
+  EXPECT_TRUE(delta->ranges.front().releasing);
+  EXPECT_EQ(delta->ranges.front().rate, 12U);
+  EXPECT_EQ(delta->ranges.back().last, 65535);
+}
+
 TEST(RouterCodecTest, TruncatedFramesAndTrailingBytesAreRejected) {
-  const std::string whole = encodeRouterFrame(sampleForward());
-  for (std::size_t size = 0; size < whole.size(); ++size) {
-    EXPECT_FALSE(decodes(whole.substr(0, size))) << size;
+  for (const RouterFrame& frame : {RouterFrame(sampleForward()), RouterFrame(sampleDelta())}) {
+    const std::string whole = encodeRouterFrame(frame);
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      EXPECT_FALSE(decodes(whole.substr(0, size))) << size;
+    }
+    EXPECT_FALSE(decodes(whole + "x"));
   }
-  EXPECT_FALSE(decodes(whole + "x"));
 }
 
 TEST(RouterCodecTest, UnknownEnumerationValuesAreRejected) {
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -25,7 +25,7 @@
             loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
             {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const PeerLease&) {},
              [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {},
-             [](const ConfigFrame&) {},
+             [](const ConfigFrame&) {}, [](const NodeName&, const OwnerTableDeltaFrame&) {},
              [this](const RouterFrame& frame, std::size_t bytes) { sent_bytes_[frameName(frame)] += bytes; }}) {}
 
   void addNodeAt(const Endpoint& endpoint) {
