Send new owners of keys the difference from the table before the write

Cause: after each write that gives keys away the writer sent the whole owner table to every node that gained some; after a takeover these may be all owners.

Weighed: a notice of the new revision, after which the gainers ask (a round trip for each, also for those that have the table before); whole tables as before.

Change: the writer notes the digest of the table that its edit was applied to and sends the difference. Who has another table asks the writer with its own digest; if no answer comes in time, the store is listed. PeerServer no longer takes whole tables, as nobody sends them there.

Measured: the simulated clusters check each such difference at all processes that have the table before (OwnershipChecks::onTransfer); no violation in test_core_router.

--- a/include/shedlever/owner_table_frames.h
+++ b/include/shedlever/owner_table_frames.h
@@ -45,7 +45,7 @@
   }
 };
 
-/// An owner table: sent after a write to the nodes that keys are assigned to, and in reply to a request.
+/// An owner table, in reply to a request.
 struct OwnerTableFrame {
   ObjectCopy table;
 
@@ -83,12 +83,13 @@
   }
 };
 
-/// The difference of an owner table from the one whose digest was in the request. The table consists of `ranges` and of
-/// all ranges of the earlier table that overlap none of them.
+/// The difference of an owner table from an earlier one: the one whose digest was in the request or, sent after a write
+/// to the nodes that keys are assigned to, the table before the write. The table consists of `ranges` and of all ranges
+/// of the earlier table that overlap none of them.
 struct OwnerTableDeltaFrame {
   /// Name of the table's object in the store.
   std::string name;
-  /// Revision of the earlier table, as stated in the request.
+  /// Revision of the earlier table.
   StoreRevision base;
   /// Revision of the table.
   StoreRevision revision;
--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "source/core/router/owner_table_delta.h"
+
 namespace shedlever {
 
 namespace {
@@ -284,9 +286,19 @@
       recipients.insert(location.node);
     }
   }
-  queueChange(what, std::move(edit), [this, recipients, done = std::move(done)](bool written) {
+  // The table to which the edit was applied last.
+  const auto base = std::make_shared<OwnerTableRequestFrame>();
+  auto recorded_edit = [this, base, edit = std::move(edit)](OwnerTable& table) {
+    *base = {writer_.revision(), digestOf(table)};
+    return edit(table);
+  };
+  queueChange(what, std::move(recorded_edit), [this, recipients, base, done = std::move(done)](bool written) {
     if (written && ports_.on_keys_transferred) {
-      ports_.on_keys_transferred({ownerTableName(service_), writer_.revision(), writer_.table().encode()}, recipients);
+      OwnerTableDeltaFrame delta = makeDelta(writer_.table(), base->digest);
+      delta.name = ownerTableName(service_);
+      delta.base = base->known;
+      delta.revision = writer_.revision();
+      ports_.on_keys_transferred(delta, recipients);
     }
     if (done) {
       done(written);
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -54,7 +54,8 @@
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
   /// A table was written that transfers keys to these nodes; they should receive it at once.
-  std::function<void(const MetadataObject& table, const std::set<NodeName>& recipients)> on_keys_transferred;
+  /// @param delta difference from the table before the write.
+  std::function<void(const OwnerTableDeltaFrame& delta, const std::set<NodeName>& recipients)> on_keys_transferred;
 };
 
 class OwnershipManager {
--- a/source/lab/sim/ownership_checks.cc
+++ b/source/lab/sim/ownership_checks.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "source/core/router/owner_table_delta.h"
+
 namespace shedlever::sim {
 
 Key OwnershipChecks::sampleKey(std::size_t index) {
@@ -37,4 +39,13 @@
   }
 }
 
+void OwnershipChecks::onTransfer(const OwnerTable& earlier, const OwnerTableDeltaFrame& delta,
+                                 const OwnerTable& written) {
+  const auto applied = applyDelta(earlier, delta);
+  if (!applied || applied->encode() != written.encode()) {
+    violations_.push_back("the difference between the tables " + toString(delta.base) + " and " +
+                          toString(delta.revision) + " does not yield the written table");
+  }
+}
+
 }  // namespace shedlever::sim
--- a/source/lab/sim/ownership_checks.h
+++ b/source/lab/sim/ownership_checks.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "source/core/router/owner_table.h"
 #include "source/lab/sim/simulated_server.h"
 
 namespace shedlever::sim {
@@ -26,6 +27,10 @@
   /// @param running all running servers.
   void check(const Servers& running, TimePoint now);
 
+  /// Checks that the difference that a process sends after a write yields the written table.
+  /// @param earlier table before the write.
+  void onTransfer(const OwnerTable& earlier, const OwnerTableDeltaFrame& delta, const OwnerTable& written);
+
   /// @return one message for each violation found so far.
   const std::vector<std::string>& violations() const { return violations_; }
 
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -58,6 +58,9 @@
   ports.clock = &time_;
   ports.directory = node.directory.get();
   ports.on_change = [] {};
+  ports.on_keys_transferred = [this, &node](const OwnerTableDeltaFrame& delta, const std::set<NodeName>&) {
+    onKeysTransferred(node, delta);
+  };
   ports.table_read = [&node] { return node.table_read; };
   ports.on_server_gone = [this, &node, process_generation = node.process_generation] {
     time_.after(Duration::zero(), [this, &node, process_generation] {
@@ -100,6 +103,15 @@
   });
 }
 
+void SimulatedCluster::onKeysTransferred(const Node& writer, const OwnerTableDeltaFrame& delta) {
+  for (const auto& node : nodes_) {
+    if (node->manager && node->manager->tableWriter().revision() == delta.base) {
+      ++checked_transfers_;
+      checks_.onTransfer(node->manager->tableWriter().table(), delta, writer.manager->tableWriter().table());
+    }
+  }
+}
+
 void SimulatedCluster::readTable(Node& node) {
   node.store->list(kTableKind, ListFreshness::Latest,
                    [this, &node, process_generation = node.process_generation](const StoreListing& listing) {
--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -96,6 +96,11 @@
   /// @return the number of sampled keys that the node serves.
   std::size_t servedBy(std::size_t node) const;
 
+  /// @return how often a table was checked that a process had sent after a write, as a difference, to a process that
+  /// knew
+  ///   the table before.
+  std::uint64_t checkedTransfers() const { return checked_transfers_; }
+
   /// @return one message for each violation found so far.
   const std::vector<std::string>& violations() const { return checks_.violations(); }
 
@@ -108,6 +113,7 @@
   void startProcess(Node& node);
   void applyEvacuations(Node& node);
   void readTable(Node& node);
+  void onKeysTransferred(const Node& writer, const OwnerTableDeltaFrame& delta);
   /// Sends a heartbeat of the node's server and schedules the next one.
   void sendHeartbeat(Node& node);
   /// Schedules a heartbeat, which is skipped if another one is sent first.
@@ -135,6 +141,7 @@
   std::uint64_t last_incarnation_ = 0;
   StoreRevision propagated_revision_;
   OwnershipChecks checks_;
+  std::uint64_t checked_transfers_ = 0;
 };
 
 }  // namespace shedlever::sim
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -105,7 +105,8 @@
   void onPeerReachabilityChanged() { table_poller_.scheduleNextList(); }
   /// A peer has sent an owner table.
   void onOwnerTable(const ObjectCopy& table);
-  /// A node has replied to a request for its table. If the delta does not fit the known table, the request is repeated.
+  /// A node has sent the difference of its table from an earlier one. If this process does not have the earlier one, it
+  /// requests the difference from the one that it has.
   void onOwnerTableDelta(const NodeName& node, const OwnerTableDeltaFrame& delta);
 
   /// Compares the newest revisions known to a node of the given service with this process's and catches up.
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -157,8 +157,8 @@
     if (auto newer = ports_.config_newer_than(config_request->known)) {
       stream->send(std::move(*newer));
     }
-  } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
-    ports_.on_owner_table(*table);
+  } else if (const auto* delta = std::get_if<OwnerTableDeltaFrame>(&frame)) {
+    ports_.on_owner_table_delta(stream->sender.name, *delta);
   } else if (const auto* snapshot = std::get_if<ClusterSnapshotFrame>(&frame)) {
     ports_.on_snapshot(*snapshot);
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -32,8 +32,8 @@
     std::function<KnownRevisions()> known_revisions;
     /// @return the reply to a request for the owner table of this process's service; none if the peer has the newest.
     std::function<std::optional<RouterFrame>(const OwnerTableRequestFrame&)> answer_table_request;
-    /// A peer has sent an owner table.
-    std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// A peer has written an owner table and sent the difference from the table before.
+    std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta;
     /// @return the active configuration if its version is above `known`.
     std::function<std::optional<ConfigFrame>(ConfigVersion known)> config_newer_than;
     /// @return whether to request a snapshot from the peer that has just connected.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -122,7 +122,9 @@
     return cluster_state_.answerTableRequest(request);
   };
   peer_ports.config_newer_than = [this](ConfigVersion known) { return cluster_state_.configNewerThan(known); };
-  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
+  peer_ports.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
+    cluster_state_.onOwnerTableDelta(node, delta);
+  };
   peer_ports.needs_snapshot = [this] { return shouldRequestSnapshot(); };
   peer_ports.on_snapshot = [this](const ClusterSnapshotFrame& snapshot) { onSnapshot(snapshot); };
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -137,9 +137,9 @@
     gateway_->onOwnersChanged();
     scheduleTick();
   };
-  ports.on_keys_transferred = [this](const MetadataObject& table, const std::set<NodeName>& gainers) {
+  ports.on_keys_transferred = [this](const OwnerTableDeltaFrame& delta, const std::set<NodeName>& gainers) {
     for (const NodeName& node : gainers) {
-      peer_client_.send(node, OwnerTableFrame{{table.name, table.revision, table.value}});
+      peer_client_.send(node, delta);
     }
   };
   ports.table_read = [this] { return cluster_state_.tablesRead(); };
--- a/test/core_router/ownership_test.cc
+++ b/test/core_router/ownership_test.cc
@@ -42,6 +42,13 @@
   expectAllServed();
 }
 
+TEST_F(OwnershipTest, WriterSendsTheDifferenceFromTheTableBefore) {
+  const std::uint64_t before = world_.checkedTransfers();
+  world_.killServer(1);
+  world_.run(seconds(1));
+  EXPECT_GT(world_.checkedTransfers(), before);
+}
+
 TEST_F(OwnershipTest, RestartedProcessKeepsItsKeys) {
   world_.killNode(2);
   world_.run(seconds(1));
