--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -71,9 +71,12 @@
   /// @param exchange exchange of a request; 0 for other frames.
   /// @return false if the frame could not be queued.
   bool send(const RouterFrame& frame, ExchangeId exchange) {
-    if (ended || !transport.send(encodeRouterFrame(frame))) {
+    std::string bytes = encodeRouterFrame(frame);
+    const std::size_t size = bytes.size();
+    if (ended || !transport.send(std::move(bytes))) {
       return false;
     }
+    client.events_.on_sent(frame, size);
     sent_exchanges.push_back(exchange);
     constexpr std::size_t kMaxRememberedExchanges = 4096;
     if (sent_exchanges.size() > kMaxRememberedExchanges) {
@@ -338,6 +341,8 @@
     }
   } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
     events_.on_owner_table(*table);
+  } else if (const auto* delta = std::get_if<OwnerTableDeltaFrame>(&frame)) {
+    events_.on_owner_table_delta(node, *delta);
   } else if (const auto* config = std::get_if<ConfigFrame>(&frame)) {
     events_.on_config(*config);
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/frame_name.h"
 #include "source/core/router/lease_manager.h"
 #include "source/core/router/server_directory.h"
 #include "source/net/message_stream.h"
@@ -61,6 +62,10 @@
     std::function<void(const std::vector<ExchangeId>&)> on_silent_requests = [](const std::vector<ExchangeId>&) {};
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
+    /// A node has sent the difference from the owner table that this process had when it requested a newer one.
+    std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta =
+        [](const NodeName&, const OwnerTableDeltaFrame&) {};
+    FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
   };
 
   PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -45,14 +45,22 @@
   bool send(const RouterFrame& frame) {
     std::string bytes = encodeRouterFrame(frame);
     server.ports_.pacer->recordSent(bytes.size());
-    return sendEncoded(std::move(bytes));
+    return sendEncoded(frame, std::move(bytes));
   }
 
-  bool sendEncoded(std::string bytes) { return !ended && transport.send(std::move(bytes)); }
+  /// @param bytes the encoded frame.
+  bool sendEncoded(const RouterFrame& frame, std::string bytes) {
+    const std::size_t size = bytes.size();
+    if (ended || !transport.send(std::move(bytes))) {
+      return false;
+    }
+    server.ports_.on_sent(frame, size);
+    return true;
+  }
 
   /// Sends a reply or a part of one.
-  bool sendEncodedReply(std::string bytes) {
-    const bool sent = sendEncoded(std::move(bytes));
+  bool sendEncodedReply(const RouterFrame& frame, std::string bytes) {
+    const bool sent = sendEncoded(frame, std::move(bytes));
     last_reply_end = transport.enqueuedBytes();
     return sent;
   }
@@ -160,15 +168,15 @@
   } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
     onExchangeQuery(id, *stream, *query);
   } else if (const auto* table_request = std::get_if<OwnerTableRequestFrame>(&frame)) {
-    if (auto newer = ports_.table_newer_than(table_request->known)) {
-      stream->send(OwnerTableFrame{std::move(*newer)});
+    if (const auto newer = ports_.answer_table_request(*table_request)) {
+      stream->send(*newer);
     }
   } else if (const auto* config_request = std::get_if<ConfigRequestFrame>(&frame)) {
     if (auto newer = ports_.config_newer_than(config_request->known)) {
       stream->send(std::move(*newer));
     }
-  } else if (const auto* table = std::get_if<OwnerTableFrame>(&frame)) {
-    ports_.on_owner_table(*table);
+  } else if (const auto* delta = std::get_if<OwnerTableDeltaFrame>(&frame)) {
+    ports_.on_owner_table_delta(stream->sender.name, *delta);
   } else if (const auto* snapshot = std::get_if<ClusterSnapshotFrame>(&frame)) {
     ports_.on_snapshot(*snapshot);
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
@@ -221,10 +229,11 @@
 
 void PeerServer::sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply) {
   const ExchangeId exchange = reply.exchange;
-  std::string bytes = encodeRouterFrame(std::move(reply));
+  const RouterFrame frame(std::move(reply));
+  std::string bytes = encodeRouterFrame(frame);
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
     ports_.pacer->recordSent(bytes.size());
-    stream.sendEncodedReply(std::move(bytes));
+    stream.sendEncodedReply(frame, std::move(bytes));
     return;
   }
   sendParts(id, stream, exchange, std::move(bytes));
@@ -239,12 +248,13 @@
       return 0;
     }
     const std::size_t piece = std::min(max_bytes, bytes.size() - written);
-    ReplyPartFrame part{exchange, bytes.substr(written, piece), written + piece == bytes.size()};
+    const bool last = written + piece == bytes.size();
+    const RouterFrame part(ReplyPartFrame{exchange, bytes.substr(written, piece), last});
     written += piece;
-    if (part.last) {
+    if (last) {
       to->transfers.erase(exchange);
     }
-    return to->sendEncodedReply(encodeRouterFrame(std::move(part))) ? piece : 0;
+    return to->sendEncodedReply(part, encodeRouterFrame(part)) ? piece : 0;
   };
   const TransferId transfer = ports_.pacer->start(size, write);
   stream.transfers[exchange] = transfer;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "shedlever/platform_ports.h"
+#include "source/core/router/frame_name.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -30,10 +31,10 @@
     StoreCaller call_store;
     /// @return the newest revisions known to this process, which are part of every reply.
     std::function<KnownRevisions()> known_revisions;
-    /// @return the owner table of this process's service if it is newer than `known`.
-    std::function<std::optional<ObjectCopy>(const StoreRevision& known)> table_newer_than;
-    /// A peer has sent an owner table.
-    std::function<void(const OwnerTableFrame&)> on_owner_table;
+    /// @return the reply to a request for the owner table of this process's service; none if the peer has the newest.
+    std::function<std::optional<RouterFrame>(const OwnerTableRequestFrame&)> answer_table_request;
+    /// A peer has written an owner table and sent the difference from the table before.
+    std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta;
     /// @return the active configuration if its version is above `known`.
     std::function<std::optional<ConfigFrame>(ConfigVersion known)> config_newer_than;
     /// @return whether to request a snapshot from the peer that has just connected.
@@ -46,6 +47,7 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has announced that it stops.
     std::function<void(const NodeName&)> on_stopping;
+    FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
   };
 
   /// @return the server, or a NetworkError.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -120,13 +120,18 @@
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known_revisions = [this] { return knownRevisions(); };
-  peer_ports.table_newer_than = [this](const StoreRevision& known) { return cluster_state_.ownTableNewerThan(known); };
+  peer_ports.answer_table_request = [this](const OwnerTableRequestFrame& request) {
+    return cluster_state_.answerTableRequest(request);
+  };
   peer_ports.config_newer_than = [this](ConfigVersion known) { return cluster_state_.configNewerThan(known); };
-  peer_ports.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
+  peer_ports.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
+    cluster_state_.onOwnerTableDelta(node, delta);
+  };
   peer_ports.needs_snapshot = [this] { return shouldRequestSnapshot(); };
   peer_ports.on_snapshot = [this](const ClusterSnapshotFrame& snapshot) { onSnapshot(snapshot); };
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
+  peer_ports.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
   // A port chosen by the kernel is not known earlier.
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -57,6 +57,10 @@
   };
   events.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
   events.on_config = [this](const ConfigFrame& config) { cluster_state_.onPeerConfig(config); };
+  events.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
+    cluster_state_.onOwnerTableDelta(node, delta);
+  };
+  events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   events.server_crashes = [this] { return quarantine_.summary(); };
   events.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   return events;
@@ -101,8 +105,8 @@
   events.request_config = [this](const NodeName& node, ConfigVersion known) {
     peer_client_.send(node, ConfigRequestFrame{known});
   };
-  events.request_owner_table = [this](const NodeName& node, StoreRevision known) {
-    peer_client_.send(node, OwnerTableRequestFrame{known});
+  events.request_owner_table = [this](const NodeName& node, const OwnerTableRequestFrame& request) {
+    peer_client_.send(node, request);
   };
   return events;
 }
@@ -151,9 +155,9 @@
     gateway_->onOwnersChanged();
     scheduleTick();
   };
-  ports.on_keys_transferred = [this](const MetadataObject& table, const std::set<NodeName>& gainers) {
+  ports.on_keys_transferred = [this](const OwnerTableDeltaFrame& delta, const std::set<NodeName>& gainers) {
     for (const NodeName& node : gainers) {
-      peer_client_.send(node, OwnerTableFrame{{table.name, table.revision, table.value}});
+      peer_client_.send(node, delta);
     }
   };
   ports.table_read = [this] { return cluster_state_.tablesRead(); };
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -5,10 +5,13 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "source/lab/sim/simulated_cluster.h"
+#include "source/net/router_codec.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
 #include "test/support/scripted_server.h"
@@ -34,6 +37,7 @@
       silent_requests_.insert(silent_requests_.end(), exchanges.begin(), exchanges.end());
     };
     events.on_stream_failure = [this](const PeerStreamFailure& failure) { failures_.push_back(failure); };
+    events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { sent_bytes_[frameName(frame)] += bytes; };
     return events;
   }
 
