Move the choice of servers that keys are moved to into OwnerCandidates

Why: OwnershipManager both drove a node's ownership and chose among the other servers (filter by reachability and failure ratio, order by load, rank of the node). The choice is a job of its own and had no test without a simulated cluster.

What moved: targets, healthierTargets, loadOf, rank and the list of servers for the initial table, from ownership_manager into owner_candidates. Calls, order and texts of events are the same; the failure ratio of the own server is now a parameter.

--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -25,6 +25,7 @@
                 gains_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
+      candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
       meter_(kLoadHalfLife),
@@ -52,7 +53,7 @@
   ports.release = [this](const OwnedRange& range, GrantChannel::ReleaseCallback done) {
     grants_->release(range, std::move(done));
   };
-  ports.targets = [this] { return targets(ports_.clock->now()); };
+  ports.targets = [this] { return candidates_.targets(ports_.clock->now()); };
   ports.rate_of = [this](const KeyRange& keys) { return rateOf(keys, ports_.clock->now()); };
   ports.on_server_gone = [this] { ports_.on_server_gone(); };
   ports.on_batch_done = [this] { next_balance_ = ports_.clock->now() + config_.balance_settle; };
@@ -228,43 +229,6 @@
   return owned.empty();
 }
 
-std::vector<OwnerLocation> OwnershipManager::targets(TimePoint now) const {
-  std::vector<const NodeRecord*> ready = ports_.directory->availableServers(service_);
-  std::erase_if(ready, [&](const NodeRecord* record) {
-    return record->node == self_.name || !ports_.directory->isConfirmedReachable(record->node);
-  });
-  // Servers with a high failure ratio are used only if there are no others.
-  const auto is_healthy = [&](const NodeRecord* record) {
-    return ports_.directory->failureRatio(record->node, now) < config_.max_failure_ratio;
-  };
-  if (std::any_of(ready.begin(), ready.end(), is_healthy)) {
-    std::erase_if(ready, [&](const NodeRecord* record) { return !is_healthy(record); });
-  }
-  struct Candidate {
-    OwnerLocation location;
-    double load;
-  };
-  std::vector<Candidate> candidates;
-  for (const NodeRecord* record : ready) {
-    const OwnerLocation location{record->instance, record->node};
-    candidates.push_back({location, loadOf(location, now)});
-  }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& left, const Candidate& right) { return left.load < right.load; });
-  std::vector<OwnerLocation> locations;
-  locations.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    locations.push_back(candidate.location);
-  }
-  return locations;
-}
-
-std::size_t OwnershipManager::rank() const {
-  const auto ready = ports_.directory->availableServers(service_);
-  return static_cast<std::size_t>(
-      std::count_if(ready.begin(), ready.end(), [&](const NodeRecord* record) { return record->node < self_.name; }));
-}
-
 void OwnershipManager::queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done) {
   change_pending_ = true;
   writer_.change(std::move(edit), [this, what, done = std::move(done)](bool written) {
@@ -326,7 +290,7 @@
   checkUnreachableOwners(now);
   if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
-      moveAllRanges(targets(now), now);
+      moveAllRanges(candidates_.targets(now), now);
     } else {
       balance(now);
     }
@@ -337,7 +301,7 @@
   const Duration hold =
       config_.grant_delivery == GrantDelivery::Heartbeat ? config_.heartbeat_hold : config_.grant_hold;
   const auto max_hold = std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
-  const Duration rank_wait = config_.restore_step * static_cast<int>(rank());
+  const Duration rank_wait = config_.restore_step * static_cast<int>(candidates_.rank());
   return {rank_wait, max_hold + config_.lease_margin + rank_wait};
 }
 
@@ -345,14 +309,11 @@
   if (!writer_.known() || !hasServer() || movesKeysAway()) {
     return;
   }
-  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(rank());
+  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(candidates_.rank());
   if (now - server_since_ < delay) {
     return;
   }
-  std::vector<OwnerLocation> locations;
-  for (const NodeRecord* record : ports_.directory->availableServers(service_)) {
-    locations.push_back({record->instance, record->node});
-  }
+  const std::vector<OwnerLocation> locations = candidates_.available();
   if (!locations.empty()) {
     const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
     writer_.create(OwnerTable::divideEvenly(
@@ -399,7 +360,7 @@
   if (dead_instance_.empty()) {
     return;
   }
-  const std::vector<OwnerLocation> to = targets(now);
+  const std::vector<OwnerLocation> to = candidates_.targets(now);
   const auto owned = writer_.table().ownedBy(dead_instance_);
   if (owned.empty()) {
     dead_instance_ = {};
@@ -434,12 +395,12 @@
       }
     }
   }
-  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(rank()), now);
+  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(candidates_.rank()), now);
 }
 
 void OwnershipManager::takeOverRanges(const NodeName& node) {
   const TimePoint now = ports_.clock->now();
-  std::vector<OwnerLocation> to = targets(now);
+  std::vector<OwnerLocation> to = candidates_.targets(now);
   to.push_back({instance_, self_.name});
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
@@ -456,17 +417,6 @@
   });
 }
 
-std::vector<OwnerLocation> OwnershipManager::healthierTargets(TimePoint now) const {
-  if (failure_ratio_ < config_.max_failure_ratio) {
-    return {};
-  }
-  std::vector<OwnerLocation> healthier = targets(now);
-  std::erase_if(healthier, [&](const OwnerLocation& location) {
-    return ports_.directory->failureRatio(location.node, now) > failure_ratio_ - config_.failure_ratio_gap;
-  });
-  return healthier;
-}
-
 void OwnershipManager::moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now) {
   if (to.empty()) {
     return;
@@ -486,7 +436,8 @@
     return;
   }
   next_balance_ = now + config_.balance_interval;
-  if (const std::vector<OwnerLocation> healthier = healthierTargets(now); !healthier.empty()) {
+  if (const std::vector<OwnerLocation> healthier = candidates_.healthierTargets(failure_ratio_, now);
+      !healthier.empty()) {
     moveAllRanges(healthier, now);
     return;
   }
@@ -517,7 +468,7 @@
   std::erase_if(input.owned,
                 [&](const OwnedRange& range) { return gains_.gainedWithin(config_.gain_settle, range.keys, now); });
   input.own_load = offered_load_;
-  for (const OwnerLocation& location : targets(now)) {
+  for (const OwnerLocation& location : candidates_.targets(now)) {
     const ServerLoad* reported = ports_.directory->load(location.node, now);
     const bool owns = !writer_.table().ownedBy(location.instance).empty();
     // Without a recent load report little load is assumed.
@@ -536,12 +487,6 @@
   return static_cast<std::uint32_t>(std::lround(std::max(meter_.rate(keys, now), 0.0)));
 }
 
-double OwnershipManager::loadOf(const OwnerLocation& location, TimePoint now) const {
-  // A server without keys is considered idle, whatever it reported last.
-  const bool owns = !writer_.table().ownedBy(location.instance).empty();
-  return owns ? ports_.directory->occupancy(location.node, now) : 0.0;
-}
-
 void OwnershipManager::mergeRanges() {
   queueChange("adjacent ranges merged",
               [owner = instance_](OwnerTable& table) { return table.mergeAdjacentRanges(owner); });
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -18,6 +18,7 @@
 #include "source/core/router/key_meter.h"
 #include "source/core/router/key_moves.h"
 #include "source/core/router/lease_manager.h"
+#include "source/core/router/owner_candidates.h"
 #include "source/core/router/request_grants.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/table_writer.h"
@@ -136,9 +137,6 @@
   std::vector<OwnedRange> grantable() const;
   std::vector<OwnedRange> assignable(const KeyReport& report) const;
   std::vector<OwnedRange> resumable(const KeyReport& report) const;
-  /// @return other servers that keys may be moved to, least loaded first.
-  std::vector<OwnerLocation> targets(TimePoint now) const;
-  std::size_t rank() const;
   TableWriter::RestoreDelays restoreDelays() const;
 
   void onLeaseRevoked();
@@ -153,12 +151,9 @@
   void takeOverRanges(const NodeName& node);
   /// Moves all keys to these servers.
   void moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now);
-  /// @return servers at which far fewer requests fail than here; empty while few fail here.
-  std::vector<OwnerLocation> healthierTargets(TimePoint now) const;
   void balance(TimePoint now);
   BalanceInput balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const;
   std::uint32_t rateOf(const KeyRange& keys, TimePoint now) const;
-  double loadOf(const OwnerLocation& location, TimePoint now) const;
   void mergeRanges();
 
   void queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
@@ -172,6 +167,7 @@
   const OwnershipConfig& config_;
   OwnershipPorts ports_;
   TableWriter writer_;
+  OwnerCandidates candidates_;
   LeaseManager lease_;
   std::unique_ptr<GrantChannel> grants_;
   /// The grant channel, if the server gets its grants by heartbeat; null otherwise.
