Move the edits of the owner table out of OwnershipManager

Why: five edits stood as lambdas between the conditions for making them. Each must be safe to run on any later table, and that could be tested only through a simulated cluster.

What moved: the edits that confirm, reclaim, reassign and take over ranges and raise a token, and the condition for a reclaim, from ownership_manager into functions in owner_table_edits. needsReclaim no longer asks whether there is a server, as its only caller does so before it acts. Texts of events are the same.

--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "source/core/router/owner_table_edits.h"
+
 namespace shedlever {
 
 namespace {
@@ -63,12 +65,7 @@
 GrantChannel::Events OwnershipManager::grantEvents() {
   GrantChannel::Events events;
   events.superseded = [this](const OwnedRange& range) {
-    const OwnerLocation location{instance_, self_.name};
-    queueChange("token raised", [keys = range.keys, token = range.token, location](OwnerTable& table) {
-      const OwnedRange* now = table.find(keys.first);
-      return now != nullptr && now->keys == keys && now->token == token && now->owner == location.instance &&
-             !now->releasing && table.assign(keys, location, now->handover);
-    });
+    queueChange("token raised", raiseToken(range, {instance_, self_.name}));
   };
   events.server_gone = [this] { ports_.on_server_gone(); };
   events.newly_held = [this] { ports_.on_change(); };
@@ -324,36 +321,15 @@
 void OwnershipManager::reconcileOwnRanges() {
   const OwnerLocation self{instance_, self_.name};
   if (must_confirm_) {
-    const auto confirm = [self](OwnerTable& table) {
-      bool changed = false;
-      for (const OwnedRange& range : table.ownedBy(self.instance)) {
-        changed = table.assign(range.keys, self, range.handover) || changed;
-      }
-      return changed;
-    };
-    queueChange("ranges confirmed", confirm, [this](bool) { must_confirm_ = false; });
+    queueChange("ranges confirmed", confirmRanges(self), [this](bool) { must_confirm_ = false; });
     return;
   }
   const auto owned = writer_.table().ownedAt(self_.name);
-  const auto needs_reclaim = [this](const OwnedRange& range) {
-    const bool from_earlier_instance = hasServer() && range.owner != instance_;
-    return from_earlier_instance || (range.owner == instance_ && range.releasing && moves_.empty());
-  };
+  const auto needs_reclaim = [&](const OwnedRange& range) { return needsReclaim(range, self, !moves_.empty()); };
   if (!hasServer() || std::none_of(owned.begin(), owned.end(), needs_reclaim)) {
     return;
   }
-  queueChange("ranges of an earlier instance reclaimed", [self](OwnerTable& table) {
-    bool changed = false;
-    for (const OwnedRange& range : table.ownedAt(self.node)) {
-      if (range.owner != self.instance) {
-        changed = table.assign(range.keys, self, {}) || changed;
-      } else if (range.releasing) {
-        table.abortRelease(range.keys);
-        changed = true;
-      }
-    }
-    return changed;
-  });
+  queueChange("ranges of an earlier instance reclaimed", reclaimRanges(self));
 }
 
 void OwnershipManager::reassignDeadServerRanges(TimePoint now) {
@@ -374,16 +350,7 @@
     const auto parts = meter_.split(range.keys, to.size(), now);
     pieces.insert(pieces.end(), parts.begin(), parts.end());
   }
-  queueTransfer("ranges of dead server reassigned", to, [pieces, to, dead = dead_instance_](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < pieces.size(); ++i) {
-      const OwnedRange* range = table.find(pieces[i].first);
-      if (range != nullptr && range->owner == dead && table.splitOff(pieces[i]) != nullptr) {
-        changed = table.assign(pieces[i], to[i % to.size()], {}) || changed;
-      }
-    }
-    return changed;
-  });
+  queueTransfer("ranges of dead server reassigned", to, reassignPieces(dead_instance_, pieces, to));
 }
 
 void OwnershipManager::checkUnreachableOwners(TimePoint now) {
@@ -405,16 +372,7 @@
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
   const std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
-  queueTransfer("ranges taken over from " + node.value, to, [to, lost](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < lost.size(); ++i) {
-      const OwnedRange* range = table.find(lost[i].keys.first);
-      if (range != nullptr && range->keys == lost[i].keys && range->token == lost[i].token) {
-        changed = table.assign(lost[i].keys, to[i % to.size()], {}) || changed;
-      }
-    }
-    return changed;
-  });
+  queueTransfer("ranges taken over from " + node.value, to, takeOver(lost, to));
 }
 
 void OwnershipManager::moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now) {
