Move the load on a server's keys out of OwnershipManager into KeyLoad

Why: the meter of requests, the rates expected for gained keys, their sum and the split of ranges by load were spread over six functions of OwnershipManager, and the loop that splits several ranges stood twice.

What moved: both meters with their half-life and the weight of a refused request, rateOf, the request rate, the filter for recently gained ranges and the split, from ownership_manager into key_load.

--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -1,20 +1,12 @@
 #include "source/core/router/ownership_manager.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "source/core/router/owner_table_edits.h"
 
 namespace shedlever {
 
-namespace {
-
-/// Short, because the most requested keys change within seconds.
-constexpr Duration kLoadHalfLife = std::chrono::seconds(1);
-
-}  // namespace
-
 OwnershipManager::OwnershipManager(NodeIdentity self, ServiceName service, const OwnershipConfig& config,
                                    OwnershipPorts ports)
     : self_(std::move(self)),
@@ -24,15 +16,13 @@
       writer_(service_, *ports_.store,
               [this] {
                 checkEpochAtStart();
-                gains_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
+                key_load_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
       candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
-      meter_(kLoadHalfLife),
-      gains_(kLoadHalfLife),
-      planner_(meter_, config_),
+      planner_(key_load_.meter(), config_),
       moves_(movePorts()) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
@@ -56,7 +46,7 @@
     grants_->release(range, std::move(done));
   };
   ports.targets = [this] { return candidates_.targets(ports_.clock->now()); };
-  ports.rate_of = [this](const KeyRange& keys) { return rateOf(keys, ports_.clock->now()); };
+  ports.rate_of = [this](const KeyRange& keys) { return key_load_.rateOf(keys, ports_.clock->now()); };
   ports.on_server_gone = [this] { ports_.on_server_gone(); };
   ports.on_batch_done = [this] { next_balance_ = ports_.clock->now() + config_.balance_settle; };
   return ports;
@@ -266,10 +256,7 @@
   }
   writer_.tick(now);
   checkEpochAtStart();
-  request_rate_ = gains_.expectedRate(now);
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    request_rate_ += meter_.rate(range.keys, now);
-  }
+  request_rate_ = key_load_.requestRate(writer_.table().ownedBy(instance_), now);
   if (hasServer()) {
     lease_.tick(now);
   }
@@ -345,11 +332,7 @@
   if (to.empty()) {
     return;
   }
-  std::vector<KeyRange> pieces;
-  for (const OwnedRange& range : owned) {
-    const auto parts = meter_.split(range.keys, to.size(), now);
-    pieces.insert(pieces.end(), parts.begin(), parts.end());
-  }
+  const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
   queueTransfer("ranges of dead server reassigned", to, reassignPieces(dead_instance_, pieces, to));
 }
 
@@ -379,11 +362,7 @@
   if (to.empty()) {
     return;
   }
-  std::vector<KeyRange> pieces;
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    const auto parts = meter_.split(range.keys, to.size(), now);
-    pieces.insert(pieces.end(), parts.begin(), parts.end());
-  }
+  const std::vector<KeyRange> pieces = key_load_.split(writer_.table().ownedBy(instance_), to.size(), now);
   if (!pieces.empty()) {
     moves_.start({instance_, self_.name}, pieces, to);
   }
@@ -421,10 +400,7 @@
   constexpr double kHundredths = 100.0;
   constexpr double kMilliseconds = 1000.0;
   BalanceInput input;
-  input.owned = owned;
-  // The load on the keys of recently gained ranges is not known yet.
-  std::erase_if(input.owned,
-                [&](const OwnedRange& range) { return gains_.gainedWithin(config_.gain_settle, range.keys, now); });
+  input.owned = key_load_.withoutGains(owned, config_.gain_settle, now);
   input.own_load = offered_load_;
   for (const OwnerLocation& location : candidates_.targets(now)) {
     const ServerLoad* reported = ports_.directory->load(location.node, now);
@@ -441,10 +417,6 @@
   return input;
 }
 
-std::uint32_t OwnershipManager::rateOf(const KeyRange& keys, TimePoint now) const {
-  return static_cast<std::uint32_t>(std::lround(std::max(meter_.rate(keys, now), 0.0)));
-}
-
 void OwnershipManager::mergeRanges() {
   queueChange("adjacent ranges merged",
               [owner = instance_](OwnerTable& table) { return table.mergeAdjacentRanges(owner); });
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -13,9 +13,8 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_commands.h"
 #include "source/core/router/balance_planner.h"
-#include "source/core/router/gained_keys.h"
 #include "source/core/router/heartbeat_grants.h"
-#include "source/core/router/key_meter.h"
+#include "source/core/router/key_load.h"
 #include "source/core/router/key_moves.h"
 #include "source/core/router/lease_manager.h"
 #include "source/core/router/owner_candidates.h"
@@ -108,9 +107,9 @@
   /// @return the owner of the key, for a process that sent a request for it to the wrong node.
   OwnerHint hintFor(Key key) const;
   /// Counts a request for the key.
-  void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
-  /// The request was refused because the server is full. Its client retries once, so two refused requests count as one.
-  void onKeyRequestRefused(Key key, TimePoint now) { meter_.add(key, -kRefusedWeight, now); }
+  void onKeyRequest(Key key, TimePoint now) { key_load_.onRequest(key, now); }
+  /// The request was refused because the server is full.
+  void onKeyRequestRefused(Key key, TimePoint now) { key_load_.onRequestRefused(key, now); }
   /// @return requests per second for the keys of this node's server, as of the last tick.
   double requestRate() const { return request_rate_; }
   /// @param load offered to this node's server.
@@ -126,8 +125,6 @@
   StoreRevision leaseRevision() const { return lease_.renewedRevision(); }
 
  private:
-  static constexpr double kRefusedWeight = 0.5;
-
   KeyMoves::Ports movePorts();
   GrantChannel::Events grantEvents();
   bool hasServer() const { return !instance_.empty(); }
@@ -153,7 +150,6 @@
   void moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now);
   void balance(TimePoint now);
   BalanceInput balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const;
-  std::uint32_t rateOf(const KeyRange& keys, TimePoint now) const;
   void mergeRanges();
 
   void queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
@@ -173,8 +169,7 @@
   /// The grant channel, if the server gets its grants by heartbeat; null otherwise.
   HeartbeatGrants* heartbeat_grants_ = nullptr;
   TakeoverWatcher takeover_;
-  KeyMeter meter_;
-  GainedKeys gains_;
+  KeyLoad key_load_;
   BalancePlanner planner_;
   KeyMoves moves_;
 
