Move the decisions about balancing out of OwnershipManager into KeyBalancer

Why: when to balance, whether to move all keys, merge ranges or move some keys, and the input of the planner stood in the class that also drives lease, grants and table. Only the planner had a test of its own.

What moved: moveAllRanges, balance, balanceInput, the time of the next step, the offered load and the failure ratio of the own server, from ownership_manager into key_balancer. OwnershipManager carries out the step that KeyBalancer returns; order of decisions and texts of events are the same.

--- /dev/null
+++ b/source/core/router/key_balancer.cc
@@ -0,0 +1,69 @@
+#include "source/core/router/key_balancer.h"
+
+namespace shedlever {
+
+KeyBalancer::KeyBalancer(const OwnershipConfig& config, const ServerDirectory& directory,
+                         const OwnerCandidates& candidates, const OwnerTable& table, const KeyLoad& key_load)
+    : config_(config),
+      directory_(directory),
+      candidates_(candidates),
+      table_(table),
+      key_load_(key_load),
+      planner_(key_load.meter(), config) {}
+
+BalanceStep KeyBalancer::nextStep(const InstanceId& self, TimePoint now) {
+  BalanceStep step;
+  if (now < next_step_) {
+    return step;
+  }
+  next_step_ = now + config_.balance_interval;
+  const std::vector<OwnerLocation> healthier = candidates_.healthierTargets(failure_ratio_, now);
+  if (!healthier.empty()) {
+    step.moves = moveAll(self, healthier, now);
+    return step;
+  }
+  const std::vector<OwnedRange> owned = table_.ownedBy(self);
+  if (owned.size() > config_.max_ranges_per_owner && table_.hasMergeableRanges(self)) {
+    step.merge_ranges = true;
+    return step;
+  }
+  for (const PlannedMove& move : planner_.plan(plannerInput(owned, now), now)) {
+    step.moves.pieces.push_back(move.keys);
+    step.moves.to.push_back(move.to);
+  }
+  return step;
+}
+
+KeyTransfer KeyBalancer::moveAll(const InstanceId& self, const std::vector<OwnerLocation>& to, TimePoint now) const {
+  if (to.empty()) {
+    return {};
+  }
+  return {key_load_.split(table_.ownedBy(self), to.size(), now), to};
+}
+
+BalanceInput KeyBalancer::plannerInput(const std::vector<OwnedRange>& owned, TimePoint now) const {
+  BalanceInput input;
+  input.owned = key_load_.withoutGains(owned, config_.gain_settle, now);
+  input.own_load = offered_load_;
+  for (const OwnerLocation& location : candidates_.targets(now)) {
+    input.targets.push_back({location, offeredTo(location, now)});
+  }
+  return input;
+}
+
+OfferedLoad KeyBalancer::offeredTo(const OwnerLocation& location, TimePoint now) const {
+  constexpr double kHundredths = 100.0;
+  constexpr double kMilliseconds = 1000.0;
+  // Without a recent load report little load is assumed.
+  OfferedLoad offered{0, offered_load_.slots, offered_load_.service_seconds};
+  const ServerLoad* reported = directory_.load(location.node, now);
+  if (reported != nullptr && reported->slots > 0) {
+    const bool owns = !table_.ownedBy(location.instance).empty();
+    offered.slots = reported->slots;
+    offered.demand = owns ? reported->demand_hundredths / kHundredths : 0.0;
+    offered.service_seconds = reported->mean_service_ms / kMilliseconds;
+  }
+  return offered;
+}
+
+}  // namespace shedlever
--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -22,7 +22,7 @@
       candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
-      planner_(key_load_.meter(), config_),
+      balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
       moves_(movePorts()) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
@@ -48,7 +48,7 @@
   ports.targets = [this] { return candidates_.targets(ports_.clock->now()); };
   ports.rate_of = [this](const KeyRange& keys) { return key_load_.rateOf(keys, ports_.clock->now()); };
   ports.on_server_gone = [this] { ports_.on_server_gone(); };
-  ports.on_batch_done = [this] { next_balance_ = ports_.clock->now() + config_.balance_settle; };
+  ports.on_batch_done = [this] { balancer_.onMovesDone(ports_.clock->now()); };
   return ports;
 }
 
@@ -73,7 +73,7 @@
     return;
   }
   instance_ = instance;
-  failure_ratio_ = 0;
+  balancer_.setFailureRatio(0);
   dead_instance_ = {};
   draining_ = false;
   server_since_ = now;
@@ -274,7 +274,7 @@
   checkUnreachableOwners(now);
   if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
-      moveAllRanges(candidates_.targets(now), now);
+      startMoves(balancer_.moveAll(instance_, candidates_.targets(now), now));
     } else {
       balance(now);
     }
@@ -358,63 +358,18 @@
   queueTransfer("ranges taken over from " + node.value, to, takeOver(lost, to));
 }
 
-void OwnershipManager::moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now) {
-  if (to.empty()) {
-    return;
-  }
-  const std::vector<KeyRange> pieces = key_load_.split(writer_.table().ownedBy(instance_), to.size(), now);
-  if (!pieces.empty()) {
-    moves_.start({instance_, self_.name}, pieces, to);
-  }
-}
-
 void OwnershipManager::balance(TimePoint now) {
-  if (now < next_balance_) {
-    return;
-  }
-  next_balance_ = now + config_.balance_interval;
-  if (const std::vector<OwnerLocation> healthier = candidates_.healthierTargets(failure_ratio_, now);
-      !healthier.empty()) {
-    moveAllRanges(healthier, now);
-    return;
-  }
-  const std::vector<OwnedRange> owned = writer_.table().ownedBy(instance_);
-  if (owned.size() > config_.max_ranges_per_owner && writer_.table().hasMergeableRanges(instance_)) {
+  const BalanceStep step = balancer_.nextStep(instance_, now);
+  if (step.merge_ranges) {
     mergeRanges();
-    return;
   }
-  const std::vector<PlannedMove> moves = planner_.plan(balanceInput(owned, now), now);
-  if (moves.empty()) {
-    return;
-  }
-  std::vector<KeyRange> pieces;
-  std::vector<OwnerLocation> to;
-  for (const PlannedMove& move : moves) {
-    pieces.push_back(move.keys);
-    to.push_back(move.to);
-  }
-  moves_.start({instance_, self_.name}, pieces, to);
+  startMoves(step.moves);
 }
 
-BalanceInput OwnershipManager::balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const {
-  constexpr double kHundredths = 100.0;
-  constexpr double kMilliseconds = 1000.0;
-  BalanceInput input;
-  input.owned = key_load_.withoutGains(owned, config_.gain_settle, now);
-  input.own_load = offered_load_;
-  for (const OwnerLocation& location : candidates_.targets(now)) {
-    const ServerLoad* reported = ports_.directory->load(location.node, now);
-    const bool owns = !writer_.table().ownedBy(location.instance).empty();
-    // Without a recent load report little load is assumed.
-    OfferedLoad offered{0, offered_load_.slots, offered_load_.service_seconds};
-    if (reported != nullptr && reported->slots > 0) {
-      offered.slots = reported->slots;
-      offered.demand = owns ? reported->demand_hundredths / kHundredths : 0.0;
-      offered.service_seconds = reported->mean_service_ms / kMilliseconds;
-    }
-    input.targets.push_back({location, offered});
+void OwnershipManager::startMoves(const KeyTransfer& moves) {
+  if (!moves.pieces.empty()) {
+    moves_.start({instance_, self_.name}, moves.pieces, moves.to);
   }
-  return input;
 }
 
 void OwnershipManager::mergeRanges() {
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -12,8 +12,8 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_commands.h"
-#include "source/core/router/balance_planner.h"
 #include "source/core/router/heartbeat_grants.h"
+#include "source/core/router/key_balancer.h"
 #include "source/core/router/key_load.h"
 #include "source/core/router/key_moves.h"
 #include "source/core/router/lease_manager.h"
@@ -113,9 +113,9 @@
   /// @return requests per second for the keys of this node's server, as of the last tick.
   double requestRate() const { return request_rate_; }
   /// @param load offered to this node's server.
-  void setOfferedLoad(const OfferedLoad& load) { offered_load_ = load; }
+  void setOfferedLoad(const OfferedLoad& load) { balancer_.setOfferedLoad(load); }
   /// @param ratio share of recent requests that failed at this node's server.
-  void setFailureRatio(double ratio) { failure_ratio_ = ratio; }
+  void setFailureRatio(double ratio) { balancer_.setFailureRatio(ratio); }
 
   /// @return whether this node owns no keys, so that it may stop.
   bool ownsNothing() const;
@@ -146,10 +146,9 @@
   void reassignDeadServerRanges(TimePoint now);
   void checkUnreachableOwners(TimePoint now);
   void takeOverRanges(const NodeName& node);
-  /// Moves all keys to these servers.
-  void moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now);
   void balance(TimePoint now);
-  BalanceInput balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const;
+  /// Moves these keys of the server; does nothing if there are none.
+  void startMoves(const KeyTransfer& moves);
   void mergeRanges();
 
   void queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
@@ -170,7 +169,7 @@
   HeartbeatGrants* heartbeat_grants_ = nullptr;
   TakeoverWatcher takeover_;
   KeyLoad key_load_;
-  BalancePlanner planner_;
+  KeyBalancer balancer_;
   KeyMoves moves_;
 
   /// Empty while no server runs.
@@ -179,10 +178,7 @@
   InstanceId dead_instance_;
   TimePoint server_since_{};
   TimePoint last_tick_{};
-  TimePoint next_balance_{};
-  OfferedLoad offered_load_;
   double request_rate_ = 0;
-  double failure_ratio_ = 0;
 
   bool draining_ = false;
   bool evacuated_ = false;
--- a/test/core_router/owner_candidates_test.cc
+++ b/test/core_router/owner_candidates_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "source/lab/sim/simulated_cluster.h"
+#include "test/support/serving_node.h"
 
 namespace shedlever::test {
 namespace {
@@ -21,21 +22,11 @@
  protected:
   OwnerCandidatesTest() {
     for (const std::string name : {"a", "b", "c", "d"}) {
-      addServer(name);
+      directory_.update(servingNode(name, kService, kSlots));
       report(name, 5, 0);
     }
   }
 
-  void addServer(const std::string& node) {
-    NodeRecord record;
-    record.node = NodeName(node);
-    record.zone = ZoneName("zone");
-    record.service = kService;
-    record.instance = InstanceId("i-" + node);
-    record.slots = kSlots;
-    directory_.update(record);
-  }
-
   /// The node reports its running requests and its failures in thousandths.
   void report(const std::string& node, std::uint32_t running, std::uint32_t failed_permille) {
     ForwardReplyFrame reply;
@@ -63,13 +54,13 @@
 }
 
 TEST_F(OwnerCandidatesTest, ServerWithoutKeysIsIdleWhateverItReported) {
-  addServer("e");
+  directory_.update(servingNode("e", kService, kSlots));
   report("e", 10, 0);
   EXPECT_EQ(candidates_.targets(kNow).front(), location("e"));
 }
 
 TEST_F(OwnerCandidatesTest, ServerOfANodeThatHasNotAnsweredIsNoTarget) {
-  addServer("e");
+  directory_.update(servingNode("e", kService, kSlots));
   directory_.markUnreachable(NodeName("c"));
   EXPECT_EQ(candidates_.targets(kNow), (std::vector{location("a"), location("d")}));
 }
