Move the choice of ranges that may be granted into GrantSelector

Why: which ranges of the table a server may hold, with the special cases of a release begun by an earlier process and of a table not yet read, stood between lease and server state, with the check of both in each function.

What moved: the loops of grantable, assignable and resumable, from ownership_manager into grant_selector. Whether anything may be granted is asked in one place, mayGrant.

--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -19,6 +19,7 @@
                 key_load_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
+      grant_selector_(self_.name, writer_.table()),
       candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
@@ -109,56 +110,17 @@
 }
 
 std::vector<OwnedRange> OwnershipManager::grantable() const {
-  std::vector<OwnedRange> ranges;
-  if (!hasServer() || must_confirm_) {
-    return ranges;
-  }
-  for (const OwnedRange& range : writer_.table().ranges()) {
-    if (range.owner == instance_ && range.node == self_.name && !range.releasing) {
-      ranges.push_back(range);
-    }
-  }
-  return ranges;
+  return mayGrant() ? grant_selector_.owned(instance_) : std::vector<OwnedRange>{};
 }
 
 std::vector<OwnedRange> OwnershipManager::assignable(const KeyReport& report) const {
-  if (!tableIsRead()) {
-    return resumable(report);
-  }
-  std::vector<OwnedRange> ranges = grantable();
-  // A release that was begun by an earlier process and not yet sent to the server is about to be aborted.
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    const ReportedRange same{range.keys.first, range.keys.last, range.token};
-    const bool still_held = std::find(report.held.begin(), report.held.end(), same) != report.held.end();
-    if (range.releasing && moves_.empty() && still_held && hasServer() && !must_confirm_) {
-      ranges.push_back(range);
-    }
+  if (!mayGrant()) {
+    return {};
   }
-  return ranges;
-}
-
-/// The server still holds these keys, so this node's previous process did not move them away, because that requires
-/// their release. Other nodes could not take them while the previous process's lease was valid.
-std::vector<OwnedRange> OwnershipManager::resumable(const KeyReport& report) const {
-  std::vector<OwnedRange> ranges;
-  if (!hasServer() || must_confirm_) {
-    return ranges;
-  }
-  for (const ReportedRange& held : report.held) {
-    const auto is_owned_by_other = [&](const OwnedRange& range) {
-      return range.keys.first <= held.last && held.first <= range.keys.last && range.owner != instance_;
-    };
-    const std::vector<OwnedRange>& known = writer_.table().ranges();
-    if (std::none_of(known.begin(), known.end(), is_owned_by_other)) {
-      OwnedRange range;
-      range.keys = {held.first, held.last};
-      range.owner = instance_;
-      range.node = self_.name;
-      range.token = held.token;
-      ranges.push_back(range);
-    }
+  if (!tableIsRead()) {
+    return grant_selector_.resumable(instance_, report);
   }
-  return ranges;
+  return moves_.empty() ? grant_selector_.ownedOrStillHeld(instance_, report) : grant_selector_.owned(instance_);
 }
 
 void OwnershipManager::onKeyReport(const KeyReport& report) {
@@ -168,12 +130,12 @@
 }
 
 bool OwnershipManager::wouldChange(const KeyReport& report) const {
-  const bool may_assign = hasServer() && !must_confirm_ && lease_.valid(ports_.clock->now());
+  const bool may_assign = mayGrant() && lease_.valid(ports_.clock->now());
   return heartbeat_grants_ != nullptr && may_assign && heartbeat_grants_->wouldChange(assignable(report), report);
 }
 
 std::optional<KeyAssignment> OwnershipManager::assign(const KeyReport& report, TimePoint received) {
-  if (heartbeat_grants_ == nullptr || !hasServer() || must_confirm_) {
+  if (heartbeat_grants_ == nullptr || !mayGrant()) {
     return std::nullopt;
   }
   return heartbeat_grants_->assign(assignable(report), report, lease_.validUntil(), received, ports_.clock->now());
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -12,6 +12,7 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_commands.h"
+#include "source/core/router/grant_selector.h"
 #include "source/core/router/heartbeat_grants.h"
 #include "source/core/router/key_balancer.h"
 #include "source/core/router/key_load.h"
@@ -131,9 +132,11 @@
   /// @return whether the server is to hold no keys.
   bool movesKeysAway() const { return draining_ || evacuated_; }
   bool tableIsRead() const { return !ports_.table_read || ports_.table_read(); }
+  /// @return whether ranges may be granted to the server while the lease is valid.
+  bool mayGrant() const { return hasServer() && !must_confirm_; }
   std::vector<OwnedRange> grantable() const;
+  /// @return what the acknowledgement of this heartbeat may grant.
   std::vector<OwnedRange> assignable(const KeyReport& report) const;
-  std::vector<OwnedRange> resumable(const KeyReport& report) const;
   TableWriter::RestoreDelays restoreDelays() const;
 
   void onLeaseRevoked();
@@ -162,6 +165,7 @@
   const OwnershipConfig& config_;
   OwnershipPorts ports_;
   TableWriter writer_;
+  GrantSelector grant_selector_;
   OwnerCandidates candidates_;
   LeaseManager lease_;
   std::unique_ptr<GrantChannel> grants_;
