--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -3,6 +3,8 @@
 /// @file
 /// Key ownership at one node: what the node's server holds, and the changes that this node makes to the owner table.
 /// There is no leader; each change is one conditional write.
+/// What to do is decided in classes of their own, which this one calls at each tick: `GrantSelector` (what the server
+/// may hold), `OwnerCandidates` and `KeyBalancer` (which keys to move, and to which servers), `TakeoverWatcher`.
 
 #include <functional>
 #include <memory>
--- a/test/core_router/key_balancer_test.cc
+++ b/test/core_router/key_balancer_test.cc
@@ -5,7 +5,7 @@
 
 #include <gtest/gtest.h>
 
-#include "source/lab/sim/simulated_cluster.h"
+#include "source/lab/sim/virtual_store.h"
 #include "test/support/serving_node.h"
 
 namespace shedlever::test {
