--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -1,20 +1,13 @@
 #include "source/core/router/ownership_manager.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "source/core/router/owner_table_delta.h"
+#include "source/core/router/owner_table_edits.h"
 
 namespace shedlever {
 
-namespace {
-
-/// Short, because the most requested keys change within seconds.
-constexpr Duration kLoadHalfLife = std::chrono::seconds(1);
-
-}  // namespace
-
 OwnershipManager::OwnershipManager(NodeIdentity self, ServiceName service, const OwnershipConfig& config,
                                    OwnershipPorts ports)
     : self_(std::move(self)),
@@ -24,14 +17,14 @@
       writer_(service_, *ports_.store,
               [this] {
                 checkEpochAtStart();
-                gains_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
+                key_load_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
+      grant_selector_(self_.name, writer_.table()),
+      candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
-      meter_(kLoadHalfLife),
-      gains_(kLoadHalfLife),
-      planner_(meter_, config_),
+      balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
       moves_(movePorts()) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
@@ -54,22 +47,17 @@
   ports.release = [this](const OwnedRange& range, GrantChannel::ReleaseCallback done) {
     grants_->release(range, std::move(done));
   };
-  ports.targets = [this] { return targets(ports_.clock->now()); };
-  ports.rate_of = [this](const KeyRange& keys) { return rateOf(keys, ports_.clock->now()); };
+  ports.targets = [this] { return candidates_.targets(ports_.clock->now()); };
+  ports.rate_of = [this](const KeyRange& keys) { return key_load_.rateOf(keys, ports_.clock->now()); };
   ports.on_server_gone = [this] { ports_.on_server_gone(); };
-  ports.on_batch_done = [this] { next_balance_ = ports_.clock->now() + config_.balance_settle; };
+  ports.on_batch_done = [this] { balancer_.onMovesDone(ports_.clock->now()); };
   return ports;
 }
 
 GrantChannel::Events OwnershipManager::grantEvents() {
   GrantChannel::Events events;
   events.superseded = [this](const OwnedRange& range) {
-    const OwnerLocation location{instance_, self_.name};
-    queueChange("token raised", [keys = range.keys, token = range.token, location](OwnerTable& table) {
-      const OwnedRange* now = table.find(keys.first);
-      return now != nullptr && now->keys == keys && now->token == token && now->owner == location.instance &&
-             !now->releasing && table.assign(keys, location, now->handover);
-    });
+    queueChange("token raised", raiseToken(range, {instance_, self_.name}));
   };
   events.server_gone = [this] { ports_.on_server_gone(); };
   events.newly_held = [this] { ports_.on_change(); };
@@ -87,7 +75,7 @@
     return;
   }
   instance_ = instance;
-  failure_ratio_ = 0;
+  balancer_.setFailureRatio(0);
   dead_instance_ = {};
   draining_ = false;
   server_since_ = now;
@@ -123,56 +111,17 @@
 }
 
 std::vector<OwnedRange> OwnershipManager::grantable() const {
-  std::vector<OwnedRange> ranges;
-  if (!hasServer() || must_confirm_) {
-    return ranges;
-  }
-  for (const OwnedRange& range : writer_.table().ranges()) {
-    if (range.owner == instance_ && range.node == self_.name && !range.releasing) {
-      ranges.push_back(range);
-    }
-  }
-  return ranges;
+  return mayGrant() ? grant_selector_.owned(instance_) : std::vector<OwnedRange>{};
 }
 
 std::vector<OwnedRange> OwnershipManager::assignable(const KeyReport& report) const {
-  if (!tableIsRead()) {
-    return resumable(report);
-  }
-  std::vector<OwnedRange> ranges = grantable();
-  // A release that was begun by an earlier process and not yet sent to the server is about to be aborted.
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    const ReportedRange same{range.keys.first, range.keys.last, range.token};
-    const bool still_held = std::find(report.held.begin(), report.held.end(), same) != report.held.end();
-    if (range.releasing && moves_.empty() && still_held && hasServer() && !must_confirm_) {
-      ranges.push_back(range);
-    }
+  if (!mayGrant()) {
+    return {};
   }
-  return ranges;
-}
-
-/// The server still holds these keys, so this node's previous process did not move them away, because that requires
-/// their release. Other nodes could not take them while the previous process's lease was valid.
-std::vector<OwnedRange> OwnershipManager::resumable(const KeyReport& report) const {
-  std::vector<OwnedRange> ranges;
-  if (!hasServer() || must_confirm_) {
-    return ranges;
-  }
-  for (const ReportedRange& held : report.held) {
-    const auto is_owned_by_other = [&](const OwnedRange& range) {
-      return range.keys.first <= held.last && held.first <= range.keys.last && range.owner != instance_;
-    };
-    const std::vector<OwnedRange>& known = writer_.table().ranges();
-    if (std::none_of(known.begin(), known.end(), is_owned_by_other)) {
-      OwnedRange range;
-      range.keys = {held.first, held.last};
-      range.owner = instance_;
-      range.node = self_.name;
-      range.token = held.token;
-      ranges.push_back(range);
-    }
+  if (!tableIsRead()) {
+    return grant_selector_.resumable(instance_, report);
   }
-  return ranges;
+  return moves_.empty() ? grant_selector_.ownedOrStillHeld(instance_, report) : grant_selector_.owned(instance_);
 }
 
 void OwnershipManager::onKeyReport(const KeyReport& report) {
@@ -182,12 +131,12 @@
 }
 
 bool OwnershipManager::wouldChange(const KeyReport& report) const {
-  const bool may_assign = hasServer() && !must_confirm_ && lease_.valid(ports_.clock->now());
+  const bool may_assign = mayGrant() && lease_.valid(ports_.clock->now());
   return heartbeat_grants_ != nullptr && may_assign && heartbeat_grants_->wouldChange(assignable(report), report);
 }
 
 std::optional<KeyAssignment> OwnershipManager::assign(const KeyReport& report, TimePoint received) {
-  if (heartbeat_grants_ == nullptr || !hasServer() || must_confirm_) {
+  if (heartbeat_grants_ == nullptr || !mayGrant()) {
     return std::nullopt;
   }
   return heartbeat_grants_->assign(assignable(report), report, lease_.validUntil(), received, ports_.clock->now());
@@ -230,43 +179,6 @@
   return owned.empty();
 }
 
-std::vector<OwnerLocation> OwnershipManager::targets(TimePoint now) const {
-  std::vector<const NodeRecord*> ready = ports_.directory->availableServers(service_);
-  std::erase_if(ready, [&](const NodeRecord* record) {
-    return record->node == self_.name || !ports_.directory->isConfirmedReachable(record->node);
-  });
-  // Servers with a high failure ratio are used only if there are no others.
-  const auto is_healthy = [&](const NodeRecord* record) {
-    return ports_.directory->failureRatio(record->node, now) < config_.max_failure_ratio;
-  };
-  if (std::any_of(ready.begin(), ready.end(), is_healthy)) {
-    std::erase_if(ready, [&](const NodeRecord* record) { return !is_healthy(record); });
-  }
-  struct Candidate {
-    OwnerLocation location;
-    double load;
-  };
-  std::vector<Candidate> candidates;
-  for (const NodeRecord* record : ready) {
-    const OwnerLocation location{record->instance, record->node};
-    candidates.push_back({location, loadOf(location, now)});
-  }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& left, const Candidate& right) { return left.load < right.load; });
-  std::vector<OwnerLocation> locations;
-  locations.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    locations.push_back(candidate.location);
-  }
-  return locations;
-}
-
-std::size_t OwnershipManager::rank() const {
-  const auto ready = ports_.directory->availableServers(service_);
-  return static_cast<std::size_t>(
-      std::count_if(ready.begin(), ready.end(), [&](const NodeRecord* record) { return record->node < self_.name; }));
-}
-
 void OwnershipManager::queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done) {
   change_pending_ = true;
   writer_.change(std::move(edit), [this, what, done = std::move(done)](bool written) {
@@ -317,10 +229,7 @@
   }
   writer_.tick(now);
   checkEpochAtStart();
-  request_rate_ = gains_.expectedRate(now);
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    request_rate_ += meter_.rate(range.keys, now);
-  }
+  request_rate_ = key_load_.requestRate(writer_.table().ownedBy(instance_), now);
   if (hasServer()) {
     lease_.tick(now);
   }
@@ -338,7 +247,7 @@
   checkUnreachableOwners(now);
   if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
-      moveAllRanges(targets(now), now);
+      startMoves(balancer_.moveAll(instance_, candidates_.targets(now), now));
     } else {
       balance(now);
     }
@@ -349,7 +258,7 @@
   const Duration hold =
       config_.grant_delivery == GrantDelivery::Heartbeat ? config_.heartbeat_hold : config_.grant_hold;
   const auto max_hold = std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
-  const Duration rank_wait = config_.restore_step * static_cast<int>(rank());
+  const Duration rank_wait = config_.restore_step * static_cast<int>(candidates_.rank());
   return {rank_wait, max_hold + config_.lease_margin + rank_wait};
 }
 
@@ -357,14 +266,11 @@
   if (!writer_.known() || !hasServer() || movesKeysAway()) {
     return;
   }
-  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(rank());
+  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(candidates_.rank());
   if (now - server_since_ < delay) {
     return;
   }
-  std::vector<OwnerLocation> locations;
-  for (const NodeRecord* record : ports_.directory->availableServers(service_)) {
-    locations.push_back({record->instance, record->node});
-  }
+  const std::vector<OwnerLocation> locations = candidates_.available();
   if (!locations.empty()) {
     const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
     writer_.create(OwnerTable::divideEvenly(
@@ -375,43 +281,22 @@
 void OwnershipManager::reconcileOwnRanges() {
   const OwnerLocation self{instance_, self_.name};
   if (must_confirm_) {
-    const auto confirm = [self](OwnerTable& table) {
-      bool changed = false;
-      for (const OwnedRange& range : table.ownedBy(self.instance)) {
-        changed = table.assign(range.keys, self, range.handover) || changed;
-      }
-      return changed;
-    };
-    queueChange("ranges confirmed", confirm, [this](bool) { must_confirm_ = false; });
+    queueChange("ranges confirmed", confirmRanges(self), [this](bool) { must_confirm_ = false; });
     return;
   }
   const auto owned = writer_.table().ownedAt(self_.name);
-  const auto needs_reclaim = [this](const OwnedRange& range) {
-    const bool from_earlier_instance = hasServer() && range.owner != instance_;
-    return from_earlier_instance || (range.owner == instance_ && range.releasing && moves_.empty());
-  };
+  const auto needs_reclaim = [&](const OwnedRange& range) { return needsReclaim(range, self, !moves_.empty()); };
   if (!hasServer() || std::none_of(owned.begin(), owned.end(), needs_reclaim)) {
     return;
   }
-  queueChange("ranges of an earlier instance reclaimed", [self](OwnerTable& table) {
-    bool changed = false;
-    for (const OwnedRange& range : table.ownedAt(self.node)) {
-      if (range.owner != self.instance) {
-        changed = table.assign(range.keys, self, {}) || changed;
-      } else if (range.releasing) {
-        table.abortRelease(range.keys);
-        changed = true;
-      }
-    }
-    return changed;
-  });
+  queueChange("ranges of an earlier instance reclaimed", reclaimRanges(self));
 }
 
 void OwnershipManager::reassignDeadServerRanges(TimePoint now) {
   if (dead_instance_.empty()) {
     return;
   }
-  const std::vector<OwnerLocation> to = targets(now);
+  const std::vector<OwnerLocation> to = candidates_.targets(now);
   const auto owned = writer_.table().ownedBy(dead_instance_);
   if (owned.empty()) {
     dead_instance_ = {};
@@ -420,21 +305,8 @@
   if (to.empty()) {
     return;
   }
-  std::vector<KeyRange> pieces;
-  for (const OwnedRange& range : owned) {
-    const auto parts = meter_.split(range.keys, to.size(), now);
-    pieces.insert(pieces.end(), parts.begin(), parts.end());
-  }
-  queueTransfer("ranges of dead server reassigned", to, [pieces, to, dead = dead_instance_](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < pieces.size(); ++i) {
-      const OwnedRange* range = table.find(pieces[i].first);
-      if (range != nullptr && range->owner == dead && table.splitOff(pieces[i]) != nullptr) {
-        changed = table.assign(pieces[i], to[i % to.size()], {}) || changed;
-      }
-    }
-    return changed;
-  });
+  const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
+  queueTransfer("ranges of dead server reassigned", to, reassignPieces(dead_instance_, pieces, to));
 }
 
 void OwnershipManager::checkUnreachableOwners(TimePoint now) {
@@ -446,112 +318,31 @@
       }
     }
   }
-  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(rank()), now);
+  takeover_.tick(suspects, config_.rank_delay * static_cast<int>(candidates_.rank()), now);
 }
 
 void OwnershipManager::takeOverRanges(const NodeName& node) {
   const TimePoint now = ports_.clock->now();
-  std::vector<OwnerLocation> to = targets(now);
+  std::vector<OwnerLocation> to = candidates_.targets(now);
   to.push_back({instance_, self_.name});
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
   const std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
-  queueTransfer("ranges taken over from " + node.value, to, [to, lost](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < lost.size(); ++i) {
-      const OwnedRange* range = table.find(lost[i].keys.first);
-      if (range != nullptr && range->keys == lost[i].keys && range->token == lost[i].token) {
-        changed = table.assign(lost[i].keys, to[i % to.size()], {}) || changed;
-      }
-    }
-    return changed;
-  });
-}
-
-std::vector<OwnerLocation> OwnershipManager::healthierTargets(TimePoint now) const {
-  if (failure_ratio_ < config_.max_failure_ratio) {
-    return {};
-  }
-  std::vector<OwnerLocation> healthier = targets(now);
-  std::erase_if(healthier, [&](const OwnerLocation& location) {
-    return ports_.directory->failureRatio(location.node, now) > failure_ratio_ - config_.failure_ratio_gap;
-  });
-  return healthier;
-}
-
-void OwnershipManager::moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now) {
-  if (to.empty()) {
-    return;
-  }
-  std::vector<KeyRange> pieces;
-  for (const OwnedRange& range : writer_.table().ownedBy(instance_)) {
-    const auto parts = meter_.split(range.keys, to.size(), now);
-    pieces.insert(pieces.end(), parts.begin(), parts.end());
-  }
-  if (!pieces.empty()) {
-    moves_.start({instance_, self_.name}, pieces, to);
-  }
+  queueTransfer("ranges taken over from " + node.value, to, takeOver(lost, to));
 }
 
 void OwnershipManager::balance(TimePoint now) {
-  if (now < next_balance_) {
-    return;
-  }
-  next_balance_ = now + config_.balance_interval;
-  if (const std::vector<OwnerLocation> healthier = healthierTargets(now); !healthier.empty()) {
-    moveAllRanges(healthier, now);
-    return;
-  }
-  const std::vector<OwnedRange> owned = writer_.table().ownedBy(instance_);
-  if (owned.size() > config_.max_ranges_per_owner && writer_.table().hasMergeableRanges(instance_)) {
+  const BalanceStep step = balancer_.nextStep(instance_, now);
+  if (step.merge_ranges) {
     mergeRanges();
-    return;
-  }
-  const std::vector<PlannedMove> moves = planner_.plan(balanceInput(owned, now), now);
-  if (moves.empty()) {
-    return;
-  }
-  std::vector<KeyRange> pieces;
-  std::vector<OwnerLocation> to;
-  for (const PlannedMove& move : moves) {
-    pieces.push_back(move.keys);
-    to.push_back(move.to);
   }
-  moves_.start({instance_, self_.name}, pieces, to);
+  startMoves(step.moves);
 }
 
-BalanceInput OwnershipManager::balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const {
-  constexpr double kHundredths = 100.0;
-  constexpr double kMilliseconds = 1000.0;
-  BalanceInput input;
-  input.owned = owned;
-  // The load on the keys of recently gained ranges is not known yet.
-  std::erase_if(input.owned,
-                [&](const OwnedRange& range) { return gains_.gainedWithin(config_.gain_settle, range.keys, now); });
-  input.own_load = offered_load_;
-  for (const OwnerLocation& location : targets(now)) {
-    const ServerLoad* reported = ports_.directory->load(location.node, now);
-    const bool owns = !writer_.table().ownedBy(location.instance).empty();
-    // Without a recent load report little load is assumed.
-    OfferedLoad offered{0, offered_load_.slots, offered_load_.service_seconds};
-    if (reported != nullptr && reported->slots > 0) {
-      offered.slots = reported->slots;
-      offered.demand = owns ? reported->demand_hundredths / kHundredths : 0.0;
-      offered.service_seconds = reported->mean_service_ms / kMilliseconds;
-    }
-    input.targets.push_back({location, offered});
+void OwnershipManager::startMoves(const KeyTransfer& moves) {
+  if (!moves.pieces.empty()) {
+    moves_.start({instance_, self_.name}, moves.pieces, moves.to);
   }
-  return input;
-}
-
-std::uint32_t OwnershipManager::rateOf(const KeyRange& keys, TimePoint now) const {
-  return static_cast<std::uint32_t>(std::lround(std::max(meter_.rate(keys, now), 0.0)));
-}
-
-double OwnershipManager::loadOf(const OwnerLocation& location, TimePoint now) const {
-  // A server without keys is considered idle, whatever it reported last.
-  const bool owns = !writer_.table().ownedBy(location.instance).empty();
-  return owns ? ports_.directory->occupancy(location.node, now) : 0.0;
 }
 
 void OwnershipManager::mergeRanges() {
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -3,6 +3,8 @@
 /// @file
 /// Key ownership at one node: what the node's server holds, and the changes that this node makes to the owner table.
 /// There is no leader; each change is one conditional write.
+/// What to do is decided in classes of their own, which this one calls at each tick: `GrantSelector` (what the server
+/// may hold), `OwnerCandidates` and `KeyBalancer` (which keys to move, and to which servers), `TakeoverWatcher`.
 
 #include <functional>
 #include <memory>
@@ -12,12 +14,13 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_commands.h"
-#include "source/core/router/balance_planner.h"
-#include "source/core/router/gained_keys.h"
+#include "source/core/router/grant_selector.h"
 #include "source/core/router/heartbeat_grants.h"
-#include "source/core/router/key_meter.h"
+#include "source/core/router/key_balancer.h"
+#include "source/core/router/key_load.h"
 #include "source/core/router/key_moves.h"
 #include "source/core/router/lease_manager.h"
+#include "source/core/router/owner_candidates.h"
 #include "source/core/router/request_grants.h"
 #include "source/core/router/server_directory.h"
 #include "source/core/router/table_writer.h"
@@ -108,15 +111,15 @@
   /// @return the owner of the key, for a process that sent a request for it to the wrong node.
   OwnerHint hintFor(Key key) const;
   /// Counts a request for the key.
-  void onKeyRequest(Key key, TimePoint now) { meter_.add(key, 1.0, now); }
-  /// The request was refused because the server is full. Its client retries once, so two refused requests count as one.
-  void onKeyRequestRefused(Key key, TimePoint now) { meter_.add(key, -kRefusedWeight, now); }
+  void onKeyRequest(Key key, TimePoint now) { key_load_.onRequest(key, now); }
+  /// The request was refused because the server is full.
+  void onKeyRequestRefused(Key key, TimePoint now) { key_load_.onRequestRefused(key, now); }
   /// @return requests per second for the keys of this node's server, as of the last tick.
   double requestRate() const { return request_rate_; }
   /// @param load offered to this node's server.
-  void setOfferedLoad(const OfferedLoad& load) { offered_load_ = load; }
+  void setOfferedLoad(const OfferedLoad& load) { balancer_.setOfferedLoad(load); }
   /// @param ratio share of recent requests that failed at this node's server.
-  void setFailureRatio(double ratio) { failure_ratio_ = ratio; }
+  void setFailureRatio(double ratio) { balancer_.setFailureRatio(ratio); }
 
   /// @return whether this node owns no keys, so that it may stop.
   bool ownsNothing() const;
@@ -126,20 +129,17 @@
   StoreRevision leaseRevision() const { return lease_.renewedRevision(); }
 
  private:
-  static constexpr double kRefusedWeight = 0.5;
-
   KeyMoves::Ports movePorts();
   GrantChannel::Events grantEvents();
   bool hasServer() const { return !instance_.empty(); }
   /// @return whether the server is to hold no keys.
   bool movesKeysAway() const { return draining_ || evacuated_; }
   bool tableIsRead() const { return !ports_.table_read || ports_.table_read(); }
+  /// @return whether ranges may be granted to the server while the lease is valid.
+  bool mayGrant() const { return hasServer() && !must_confirm_; }
   std::vector<OwnedRange> grantable() const;
+  /// @return what the acknowledgement of this heartbeat may grant.
   std::vector<OwnedRange> assignable(const KeyReport& report) const;
-  std::vector<OwnedRange> resumable(const KeyReport& report) const;
-  /// @return other servers that keys may be moved to, least loaded first.
-  std::vector<OwnerLocation> targets(TimePoint now) const;
-  std::size_t rank() const;
   TableWriter::RestoreDelays restoreDelays() const;
 
   void onLeaseRevoked();
@@ -152,14 +152,9 @@
   void reassignDeadServerRanges(TimePoint now);
   void checkUnreachableOwners(TimePoint now);
   void takeOverRanges(const NodeName& node);
-  /// Moves all keys to these servers.
-  void moveAllRanges(const std::vector<OwnerLocation>& to, TimePoint now);
-  /// @return servers at which far fewer requests fail than here; empty while few fail here.
-  std::vector<OwnerLocation> healthierTargets(TimePoint now) const;
   void balance(TimePoint now);
-  BalanceInput balanceInput(const std::vector<OwnedRange>& owned, TimePoint now) const;
-  std::uint32_t rateOf(const KeyRange& keys, TimePoint now) const;
-  double loadOf(const OwnerLocation& location, TimePoint now) const;
+  /// Moves these keys of the server; does nothing if there are none.
+  void startMoves(const KeyTransfer& moves);
   void mergeRanges();
 
   void queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
@@ -173,14 +168,15 @@
   const OwnershipConfig& config_;
   OwnershipPorts ports_;
   TableWriter writer_;
+  GrantSelector grant_selector_;
+  OwnerCandidates candidates_;
   LeaseManager lease_;
   std::unique_ptr<GrantChannel> grants_;
   /// The grant channel, if the server gets its grants by heartbeat; null otherwise.
   HeartbeatGrants* heartbeat_grants_ = nullptr;
   TakeoverWatcher takeover_;
-  KeyMeter meter_;
-  GainedKeys gains_;
-  BalancePlanner planner_;
+  KeyLoad key_load_;
+  KeyBalancer balancer_;
   KeyMoves moves_;
 
   /// Empty while no server runs.
@@ -189,10 +185,7 @@
   InstanceId dead_instance_;
   TimePoint server_since_{};
   TimePoint last_tick_{};
-  TimePoint next_balance_{};
-  OfferedLoad offered_load_;
   double request_rate_ = 0;
-  double failure_ratio_ = 0;
 
   bool draining_ = false;
   bool evacuated_ = false;
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -105,6 +105,8 @@
   ServerDirectory directory_;
   std::vector<PeerStreamFailure> failures_;
   std::vector<ExchangeId> silent_requests_;
+  /// Bytes passed to streams, by kind of frame.
+  std::map<std::string, std::size_t> sent_bytes_;
   PeerClient peer_client_;
 };
 
