Limit the time of attempts at other nodes for repeatable requests alone

Cause: a stopping process gave other nodes' servers no more time than until its own exit; a run that must not be repeated was cut short by that although nobody can run it again. Change: only repeatable requests are limited; the gateway learns the end of the process before its own gate returns requests, which it forwards again.

--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -226,8 +226,10 @@
 void Gateway::sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance) {
   Request& request = requests_.at(number);
   const bool local = node == self_;
-  // The local gate itself refuses requests that may outlast this process.
-  ForwardFrame frame = frameOf(request, instance, local ? request.deadline : endOf(request));
+  // The local gate itself refuses requests that may outlast this process. A run that must not be repeated is not cut
+  // short: it may as well finish after the client has got its response.
+  const bool limited = !local && isRepeatable(request.route->kind);
+  ForwardFrame frame = frameOf(request, instance, limited ? endOf(request) : request.deadline);
   const std::uint32_t attempt_number = ++request.attempts;
   request.attempt = {node, instance, local, attempt_number, 0, true};
   ports_.directory->onRequestSent(node);
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -73,7 +73,7 @@
   void refuseNewRequests() { refusing_ = true; }
 
   /// Limits the time of requests, since this process stops. A request that is not expected to have its response by
-  /// `end` is refused, and other nodes' servers get no more time than until then.
+  /// `end` is refused, and other nodes' servers get no more time than until then for requests that may be repeated.
   void setProcessEnd(TimePoint end) { process_end_ = end; }
 
   /// Responds to all requests as if their time was over, since this process is about to exit.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -513,8 +513,9 @@
   stop_started_at_ = clock_.now();
   log_.write("router", "stopping", {{"in_flight", std::to_string(gateway_->inFlight())}});
   const TimePoint end = stop_started_at_ + settings_.stop.grace - kShutdownReserve;
-  gate_.setProcessEnd(end);
+  // The gateway forwards requests again that the gate returns now.
   gateway_->setProcessEnd(end);
+  gate_.setProcessEnd(end);
   clients_->closeAfterResponses();
   // The server keeps running but is unreachable without this process, so its use continues until shortly before the
   // end.
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -323,7 +323,7 @@
 }
 
 // Another node must not queue the request until after this process has ended.
-TEST_F(GatewayTest, AttemptGetsNoMoreTimeThanTheProcessHas) {
+TEST_F(GatewayTest, RepeatableAttemptGetsNoMoreTimeThanTheProcessHas) {
   constexpr Duration kTimeLeft = seconds(5);
   gateway_.setProcessEnd(clock_.now() + kTimeLeft);
   Duration::rep given_us = 0;
