Test claims that are lost together with the process that held them

Cause: a restored store may lack a claim whose process ended between the backup and the restore. Nobody rewrites it, so a repeat of the request is granted once the grant delay is over. A process that starts after the restore does not even know of the delay. No test covered either.

Change: tests on virtual time for both, for claims that end undecided meanwhile, and three that bound the cost: claims are granted soon after a restore if no process has ended, or has ended long before, and at once by a process started later. A property draws the ends of a process around a restore. The processes of the fixture have run for a minute, longer than the largest age of a backup.

--- a/test/core_router/claim_manager_test.cc
+++ b/test/core_router/claim_manager_test.cc
@@ -53,6 +53,13 @@
     process.manager.reset();
   }
 
+  /// Stops the process and starts its successor on the same node after the given time.
+  Process& restart(Process& process, const std::string& name, Duration downtime) {
+    kill(process);
+    run(downtime);
+    return start(name);
+  }
+
   struct PendingClaim {
     ClaimHandle handle = 0;
     std::optional<ClaimResult> result;
@@ -100,6 +107,9 @@
 
 class ClaimManagerTest : public ::testing::Test {
  protected:
+  /// The processes have run for longer than the largest age of a backup.
+  ClaimManagerTest() { cluster_.run(seconds(60)); }
+
   ClaimCluster cluster_{kSeed};
   ClaimCluster::Process& first_ = cluster_.start("a");
   ClaimCluster::Process& second_ = cluster_.start("b");
@@ -271,5 +281,243 @@
   EXPECT_EQ(verdictOf(first), ClaimVerdict::Granted);
 }
 
+TEST_F(ClaimManagerTest, ClaimLostWithItsProcessCountsAsRun) {
+  cluster_.backUpStore();
+  const auto lost = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  ASSERT_EQ(verdictOf(lost), ClaimVerdict::Granted);
+  cluster_.kill(first_);
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  const auto repeated = cluster_.acquire(second_, "k", "r2");
+  cluster_.run(seconds(5));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::OutcomeUnknown);
+  // The key stays taken after the time in which new claims count as lost ones.
+  cluster_.run(seconds(40));
+  const auto later = cluster_.acquire(second_, "k", "r3");
+  const auto other_key = cluster_.acquire(second_, "k2", "r4");
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(later), ClaimVerdict::OutcomeUnknown);
+  EXPECT_EQ(verdictOf(other_key), ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimManagerTest, RecordedResponseLostWithItsProcessCountsAsRun) {
+  cluster_.backUpStore();
+  const auto answered = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  first_.manager->finish(answered->handle, ClaimOutcome::Answered, {201, {}, "done"});
+  cluster_.run(seconds(1));
+  cluster_.kill(first_);
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  const auto repeated = cluster_.acquire(second_, "k", "r2");
+  cluster_.run(seconds(5));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::OutcomeUnknown);
+}
+
+TEST_F(ClaimManagerTest, SuccessorStartedAfterTheRestoreDoesNotGrantTheLostClaim) {
+  cluster_.backUpStore();
+  const auto lost = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  ASSERT_EQ(verdictOf(lost), ClaimVerdict::Granted);
+  cluster_.kill(first_);
+  cluster_.restoreStore();
+  cluster_.acquire(second_, "another", "r2");
+  cluster_.run(seconds(5));
+  ClaimCluster::Process& successor = cluster_.start("a");
+  const auto repeated = cluster_.acquire(successor, "k", "r3");
+  cluster_.run(seconds(5));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::OutcomeUnknown);
+}
+
+TEST_F(ClaimManagerTest, SuccessorStartedBeforeTheRestoreDoesNotGrantTheLostClaim) {
+  cluster_.backUpStore();
+  const auto lost = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  ASSERT_EQ(verdictOf(lost), ClaimVerdict::Granted);
+  ClaimCluster::Process& successor = cluster_.restart(first_, "a", seconds(1));
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  const auto repeated = cluster_.acquire(successor, "k", "r2");
+  cluster_.run(seconds(5));
+  const auto repeated_elsewhere = cluster_.acquire(second_, "k", "r3");
+  cluster_.run(seconds(5));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::OutcomeUnknown);
+  EXPECT_EQ(verdictOf(repeated_elsewhere), ClaimVerdict::OutcomeUnknown);
+}
+
+TEST_F(ClaimManagerTest, ProcessStartedDuringTheGrantDelayDoesNotGrantAClaimThatIsStillHeld) {
+  cluster_.backUpStore();
+  const auto held = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  ASSERT_EQ(verdictOf(held), ClaimVerdict::Granted);
+  cluster_.restoreStore();
+  ClaimCluster::Process& third = cluster_.start("c");
+  const auto other = cluster_.acquire(third, "k", "r2");
+  cluster_.run(seconds(1));
+  EXPECT_FALSE(other->result);
+  // The holder learns of the new epoch and rewrites its claim.
+  cluster_.acquire(first_, "another", "r3");
+  cluster_.run(seconds(5));
+  EXPECT_EQ(verdictOf(other), ClaimVerdict::InProgress);
+}
+
+TEST_F(ClaimManagerTest, ShortRequestIsNotReportedAsNotRunIfItsClaimMayBeLost) {
+  cluster_.backUpStore();
+  cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  cluster_.kill(first_);
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  cluster_.acquire(second_, "another", "r2");
+  cluster_.run(milliseconds(200));
+  const auto repeated = cluster_.acquire(second_, "k", "r3", seconds(1));
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::OutcomeUnknown);
+  cluster_.run(seconds(40));
+  const auto later = cluster_.acquire(second_, "k", "r4");
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(later), ClaimVerdict::OutcomeUnknown);
+}
+
+TEST_F(ClaimManagerTest, ClaimGivenUpByItsCallerIsNotFreedIfAnEarlierOneMayBeLost) {
+  cluster_.backUpStore();
+  cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  cluster_.kill(first_);
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  const auto given_up = cluster_.acquire(second_, "k", "r2");
+  cluster_.run(seconds(1));
+  second_.manager->finish(given_up->handle, ClaimOutcome::NotRun, {});
+  cluster_.run(seconds(40));
+  const auto later = cluster_.acquire(second_, "k", "r3");
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(later), ClaimVerdict::OutcomeUnknown);
+}
+
+TEST_F(ClaimManagerTest, ClaimsAreGrantedSoonAfterARestoreIfNoProcessHasEnded) {
+  cluster_.backUpStore();
+  cluster_.restoreStore();
+  const auto claim = cluster_.acquire(second_, "k", "r1");
+  cluster_.run(seconds(3));
+  EXPECT_EQ(verdictOf(claim), ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimManagerTest, ClaimsAreGrantedSoonAfterARestoreIfAProcessEndedBeforeTheOldestBackup) {
+  cluster_.kill(first_);
+  cluster_.run(seconds(40));
+  cluster_.backUpStore();
+  cluster_.restoreStore();
+  const auto claim = cluster_.acquire(second_, "k", "r1");
+  cluster_.run(seconds(3));
+  EXPECT_EQ(verdictOf(claim), ClaimVerdict::Granted);
+}
+
+TEST_F(ClaimManagerTest, ProcessStartedLongAfterARestoreGrantsAtOnce) {
+  cluster_.backUpStore();
+  cluster_.restoreStore();
+  cluster_.acquire(first_, "another", "r1");
+  cluster_.run(seconds(60));
+  ClaimCluster::Process& third = cluster_.start("c");
+  const auto claim = cluster_.acquire(third, "k", "r2");
+  cluster_.run(milliseconds(500));
+  EXPECT_EQ(verdictOf(claim), ClaimVerdict::Granted);
+}
+
+/// Processes that make claims of one key while the store is restored and a process ends.
+class RestoredClaims {
+ public:
+  explicit RestoredClaims(std::uint64_t seed) : random_(seed), cluster_(seed) {
+    for (const char* name : {"a", "b", "c"}) {
+      processes_.push_back(&cluster_.start(name));
+    }
+    cluster_.run(seconds(60));
+  }
+
+  /// @return how many requests with the key ran.
+  std::size_t run() {
+    cluster_.backUpStore();
+    repeatRequests(1 + random_() % 4);
+    const std::size_t ended = random_() % processes_.size();
+    cluster_.kill(*processes_[ended]);
+    processes_[ended] = nullptr;
+    const bool restarts_before_restore = random_() % 2 == 0;
+    if (restarts_before_restore) {
+      restart(ended);
+    }
+    repeatRequests(random_() % 4);
+    cluster_.restoreStore();
+    repeatRequests(random_() % 6);
+    if (!restarts_before_restore) {
+      restart(ended);
+    }
+    repeatRequests(10);
+    // Beyond the time in which claims may be lost; the key has been claimed again by then.
+    cluster_.run(seconds(40));
+    repeatRequests(4);
+    return runs_;
+  }
+
+ private:
+  void restart(std::size_t index) {
+    cluster_.run(milliseconds(random_() % 3000));
+    processes_[index] = &cluster_.start(std::string(1, static_cast<char>('a' + index)));
+  }
+
+  void repeatRequests(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      ClaimCluster::Process* process = processes_[random_() % processes_.size()];
+      if (process != nullptr) {
+        // Each process learns of a restore by its calls.
+        claims_.push_back({process, cluster_.acquire(*process, "k", "r" + std::to_string(++last_request_))});
+      }
+      cluster_.run(milliseconds(random_() % 1200));
+      settleGranted();
+    }
+  }
+
+  void settleGranted() {
+    for (Pending& pending : claims_) {
+      const bool granted = pending.claim->result && pending.claim->result->verdict == ClaimVerdict::Granted;
+      if (pending.settled || !granted) {
+        continue;
+      }
+      pending.settled = true;
+      if (!pending.process->manager) {
+        // Granted immediately before the process ended: the request may have run.
+        ++runs_;
+        continue;
+      }
+      const bool ran = random_() % 3 != 0;
+      runs_ += ran ? 1 : 0;
+      pending.process->manager->finish(pending.claim->handle, ran ? ClaimOutcome::Answered : ClaimOutcome::NotRun,
+                                       {200, {}, "done"});
+    }
+  }
+
+  struct Pending {
+    ClaimCluster::Process* process = nullptr;
+    std::shared_ptr<ClaimCluster::PendingClaim> claim;
+    bool settled = false;
+  };
+
+  std::mt19937_64 random_;
+  ClaimCluster cluster_;
+  std::vector<ClaimCluster::Process*> processes_;
+  std::vector<Pending> claims_;
+  std::size_t runs_ = 0;
+  int last_request_ = 0;
+};
+
+// A request must not run again because the store was restored and the process that held its claim has ended.
+TEST(ClaimManagerProperty, AtMostOneRequestPerKeyRunsThoughAProcessEndsAroundARestore) {
+  constexpr std::uint64_t kSeeds = 300;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE(seed);
+    EXPECT_LE(RestoredClaims(seed).run(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace shedlever
