Count keys as possibly run while claims may be lost with their process

Cause: a restored store may lack a claim whose process has ended since the backup. Nobody rewrites it and nobody knows its key, so a repeat of the request was granted 2.5 s after the restore and ran again. A process that started after the restore did not know of it and granted at once, even claims that living processes had not yet rewritten.

Change: ProcessEndTracker notes when other processes ended or may have ended: from node records, from the first frame of a peer's stream (new event of PeerClient) and from streams that are lost. If one may have ended within 30 s before a restore or since, ClaimEpochGuard lets each key that the store lacks count as possibly run until 30 s after the restore. The request is answered duplicate-unknown, and the key is recorded as one that may have run; the same for claims that are given up or expire meanwhile. A process that starts in an epoch above 1 reads a mark that others write once the epoch is 30 s old; without the mark it waits for as long itself. Nothing more is delayed if no process has ended.

--- a/source/core/router/claim_manager.cc
+++ b/source/core/router/claim_manager.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -141,11 +142,21 @@
 }
 
 ClaimManager::ClaimManager(NodeIdentity self, MetadataStore& store, const Clock& clock,
-                           std::function<bool(const NodeIdentity&)> is_alive)
-    : self_(std::move(self)), store_(store), clock_(clock), is_alive_(std::move(is_alive)) {}
+                           const ProcessEndTracker& process_ends, std::function<bool(const NodeIdentity&)> is_alive)
+    : self_(std::move(self)),
+      store_(store),
+      clock_(clock),
+      is_alive_(std::move(is_alive)),
+      epoch_guard_(self_.name, store_, clock_, process_ends) {}
+
+void ClaimManager::setConfig(const ClaimConfig& config) {
+  config_ = config;
+  epoch_guard_.setConfig(config);
+}
 
 ClaimHandle ClaimManager::acquire(const ClaimKey& key, const RequestId& request, TimePoint deadline,
                                   DecisionCallback on_decided) {
+  enable();
   const ClaimHandle handle = ++last_handle_;
   Claim& claim = claims_[handle];
   claim.name = claimObjectName(key);
@@ -209,16 +220,37 @@
     }
     return;
   }
-  if (claim.granted) {
-    return;
+  if (!claim.granted) {
+    decideUnclaimed(found);
   }
-  if (clock_.now() < grants_held_until_) {
-    // An earlier holder of the key rewrites its claim until then; the next write of this claim then conflicts.
-    claim.next_send_at = grants_held_until_;
-    return;
+}
+
+void ClaimManager::decideUnclaimed(Claims::iterator found) {
+  Claim& claim = found->second;
+  const TimePoint now = clock_.now();
+  switch (epoch_guard_.unclaimedKey(now)) {
+    case UnclaimedKey::Free:
+      claim.granted = true;
+      decide(found, {ClaimVerdict::Granted, {}});
+      return;
+    case UnclaimedKey::Undecided:
+      // If an earlier holder of the key rewrites its claim until then, the next write of this claim conflicts.
+      claim.next_send_at = std::max(epoch_guard_.undecidedUntil(), now + config_.retry_interval);
+      return;
+    case UnclaimedKey::MayBeLost:
+      refuse(found);
+      return;
   }
-  claim.granted = true;
-  decide(found, {ClaimVerdict::Granted, {}});
+}
+
+void ClaimManager::refuse(Claims::iterator found) {
+  const ClaimState state = stateIfNotGranted();
+  markEnded(found->second, state);
+  decide(found, {state == ClaimState::Unknown ? ClaimVerdict::OutcomeUnknown : ClaimVerdict::Unavailable, {}});
+}
+
+ClaimState ClaimManager::stateIfNotGranted() const {
+  return epoch_guard_.mayHaveLostClaims(clock_.now()) ? ClaimState::Unknown : ClaimState::NotRun;
 }
 
 /// The store holds another record, or one that an earlier write of this claim made without a response.
@@ -240,6 +272,14 @@
   if (claim.granted && !claim.ended) {
     return;
   }
+  // A claim that was never granted is recorded as Unknown only if an earlier one of its key may be lost, perhaps one
+  // that was made after the key had become free.
+  const bool assumed_lost = claim.ended && !claim.granted && claim.record.state == ClaimState::Unknown;
+  if (assumed_lost && existing.state == ClaimState::NotRun) {
+    claim.revision = object.revision;
+    claim.next_send_at = clock_.now();
+    return;
+  }
   if (claim.ended) {
     // Another request has overwritten this claim, or the claim was never created: no later write of it can succeed.
     claims_.erase(found);
@@ -293,12 +333,12 @@
   if (outcome == ClaimOutcome::Answered && response.body.size() <= config_.max_response_bytes) {
     claim.record.response = response;
   }
-  markEnded(claim, stateOf(outcome));
+  markEnded(claim, claim.granted ? stateOf(outcome) : stateIfNotGranted());
 }
 
 void ClaimManager::onStoreRestored() {
   const TimePoint now = clock_.now();
-  grants_held_until_ = now + config_.grant_delay_after_restore;
+  epoch_guard_.onStoreRestored();
   for (auto& [handle, claim] : claims_) {
     if (claim.granted) {
       claim.revision = {};
@@ -320,7 +360,9 @@
 }
 
 bool ClaimManager::willMissDeadline(const Claim& claim, TimePoint now) const {
-  const bool held_past_deadline = now < grants_held_until_ && claim.deadline <= grants_held_until_;
+  const TimePoint undecided_until = epoch_guard_.undecidedUntil();
+  const bool undecided = epoch_guard_.unclaimedKey(now) == UnclaimedKey::Undecided;
+  const bool held_past_deadline = undecided && now < undecided_until && claim.deadline <= undecided_until;
   return !claim.granted && !claim.ended && (now >= claim.deadline || held_past_deadline);
 }
 
@@ -340,6 +382,7 @@
 }
 
 void ClaimManager::tick(TimePoint now) {
+  epoch_guard_.tick(now);
   std::vector<ClaimHandle> overdue;
   for (auto& [handle, claim] : claims_) {
     const bool to_write = claim.ended || !claim.granted || claim.rewrite;
@@ -350,9 +393,7 @@
     }
   }
   for (const ClaimHandle handle : overdue) {
-    const auto found = claims_.find(handle);
-    markEnded(found->second, ClaimState::NotRun);
-    decide(found, {ClaimVerdict::Unavailable, {}});
+    refuse(claims_.find(handle));
   }
   removeExpired(now);
 }
--- a/source/core/router/claim_manager.h
+++ b/source/core/router/claim_manager.h
@@ -13,6 +13,9 @@
 #include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
 #include "shedlever/metadata_store.h"
+#include "source/core/router/claim_config.h"
+#include "source/core/router/claim_epoch_guard.h"
+#include "source/core/router/process_end_tracker.h"
 
 namespace shedlever {
 
@@ -55,7 +58,8 @@
   Granted,         ///< the request may run now
   Recorded,        ///< an earlier request with the key has run; its response is available
   InProgress,      ///< another request with the key may be running
-  OutcomeUnknown,  ///< an earlier request with the key may have run, or its response was not kept
+  OutcomeUnknown,  ///< an earlier request with the key may have run, or its response was not kept, or its claim may
+                   ///< have been lost by a restore of the store
   Unavailable,     ///< no decision before the deadline; the request must not run
 };
 
@@ -71,25 +75,6 @@
 /// Identifies a claim within this process; 0 stands for no claim.
 using ClaimHandle = std::uint64_t;
 
-struct ClaimConfig {
-  /// Time between two store calls for one claim after a call that was refused or had no response.
-  Duration retry_interval = std::chrono::milliseconds(150);
-  /// Largest response body that is stored for repeated requests, in bytes.
-  std::size_t max_response_bytes = 64U << 10U;
-  /// Time that the claim of a finished request stays in the store.
-  Duration retention = std::chrono::hours(24);
-  /// Limit of claims scheduled for removal. Beyond it, the oldest ones are dropped from the schedule and stay in the
-  /// store.
-  std::size_t max_scheduled_removals = 100000;
-  /// Time without new grants after the store was restored from a backup. Within this time every process learns of the
-  /// new epoch and rewrites its claims that the backup lacks.
-  Duration grant_delay_after_restore = std::chrono::milliseconds(2500);
-  /// Largest age of a backup. Finished claims are retained in memory for this time so that they can be rewritten.
-  Duration max_backup_age = std::chrono::seconds(30);
-  /// Limit of the response bodies that are retained in memory with finished claims, in bytes.
-  std::size_t max_retained_response_bytes = 4U << 20U;
-};
-
 /// Creates and updates the claims of one process. A claim that is abandoned before a decision may still be created by a
 /// delayed store call. It is therefore recorded as not run, so that its key becomes free for later requests.
 class ClaimManager {
@@ -97,11 +82,14 @@
   using DecisionCallback = std::function<void(const ClaimResult&)>;
 
   /// @param is_alive whether that incarnation of a process is still running, as far as is known.
-  /// @param store, clock must outlive the manager.
-  ClaimManager(NodeIdentity self, MetadataStore& store, const Clock& clock,
+  /// @param store, clock, process_ends must outlive the manager.
+  ClaimManager(NodeIdentity self, MetadataStore& store, const Clock& clock, const ProcessEndTracker& process_ends,
                std::function<bool(const NodeIdentity&)> is_alive);
 
-  void setConfig(const ClaimConfig& config) { config_ = config; }
+  void setConfig(const ClaimConfig& config);
+
+  /// Some requests need claims. Called by `acquire` as well.
+  void enable() { epoch_guard_.enable(); }
 
   /// @param on_decided called once and never within this call; not called if the claim is finished first.
   ClaimHandle acquire(const ClaimKey& key, const RequestId& request, TimePoint deadline, DecisionCallback on_decided);
@@ -156,6 +144,12 @@
   void onWritten(Claims::iterator claim, const MetadataObject& object);
   void onConflict(Claims::iterator claim, const MetadataObject& object);
   void decide(Claims::iterator claim, const ClaimResult& result);
+  /// Decides a claim that the store holds according to what its key's absence from the store meant.
+  void decideUnclaimed(Claims::iterator claim);
+  /// Ends a claim that was not granted, and decides it.
+  void refuse(Claims::iterator claim);
+  /// @return the state of a claim that ends without having been granted.
+  ClaimState stateIfNotGranted() const;
   void markEnded(Claim& claim, ClaimState state);
   ClaimResult verdictFor(const ClaimRecord& existing) const;
   void scheduleRemoval(const std::string& name, StoreRevision revision);
@@ -177,8 +171,7 @@
   std::deque<RetainedClaim> retained_claims_;
   /// Total size of the response bodies in `retained_claims_`.
   std::size_t retained_response_bytes_ = 0;
-  /// No claim is granted before this time.
-  TimePoint grants_held_until_{};
+  ClaimEpochGuard epoch_guard_;
 };
 
 }  // namespace shedlever
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -358,6 +358,7 @@
 void PeerClient::onStreamUp(Stream& stream) {
   directory_.onReachable(stream.node);
   events_.on_reachable(stream.node, true);
+  events_.on_identified({stream.node, stream.incarnation});
   const ServerCrashesFrame crashes = events_.server_crashes();
   if (!crashes.empty()) {
     stream.send(crashes, 0);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -40,6 +40,8 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has sent its active configuration.
     std::function<void(const ConfigFrame&)> on_config = [](const ConfigFrame&) {};
+    /// This incarnation of a node's process has answered.
+    std::function<void(const NodeIdentity&)> on_identified = [](const NodeIdentity&) {};
   };
 
   PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -55,7 +55,8 @@
           clusterStateEvents()),
       evacuation_(cluster_state_.evacuationsKnown() ? Duration::zero() : settings_.evacuation.time_limit),
       responder_(settings_.ownership.heartbeat_wait, responderPorts()),
-      claims_(self_, store_, clock_,
+      process_ends_(clock_.now()),
+      claims_(self_, store_, clock_, process_ends_,
               [this](const NodeIdentity& holder) {
                 const NodeRecord* record = directory_.node(holder.name);
                 return record == nullptr || record->incarnation <= holder.incarnation;
@@ -170,6 +171,11 @@
 void RouterProcess::onConfigAdopted() {
   const std::shared_ptr<const RouteTable>& routes = cluster_state_.routes();
   gateway_->setConfig(routes);
+  const std::vector<Route>& all_routes = routes->config().routes;
+  const auto needs_claims = [](const Route& route) { return route.needs_idempotency_key; };
+  if (std::any_of(all_routes.begin(), all_routes.end(), needs_claims)) {
+    claims_.enable();
+  }
   const ClientLimits& limits = routes->config().limits;
   clients_->setLimits({limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
   metrics_.onEvent("config-adopted");
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -142,6 +142,7 @@
   ZoneEvacuation evacuation_;
   std::unique_ptr<OwnershipManager> ownership_manager_;
   HeartbeatResponder responder_;
+  ProcessEndTracker process_ends_;
   ClaimManager claims_;
   StatusPages status_pages_;
   std::unique_ptr<Gateway> gateway_;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -38,7 +38,11 @@
     metrics_.onEvent(reachable ? "peer-reached" : "peer-lost");
     log_.write("peer", reachable ? "reached" : "lost", {{"node", node.value}});
     cluster_state_.onPeerReachabilityChanged();
+    if (!reachable) {
+      process_ends_.onLost(node, clock_.now());
+    }
   };
+  events.on_identified = [this](const NodeIdentity& process) { process_ends_.onReached(process, clock_.now()); };
   events.on_snapshot_requested = [this](const NodeName& node) {
     if (const auto snapshot = cluster_state_.snapshotFor(node)) {
       peer_client_.send(node, *snapshot);
@@ -71,7 +75,12 @@
   events.on_config_adopted = [this] { onConfigAdopted(); };
   events.on_nodes_changed = [this] { gateway_->setProcessCount(directory_.nodes().size()); };
   events.on_unreadable = [this](const std::string& name) { onUnreadable("membership", name); };
-  events.on_record = [this](const NodeRecord& record, bool own) { quarantine_.onRecord(record, own); };
+  events.on_record = [this](const NodeRecord& record, bool own) {
+    quarantine_.onRecord(record, own);
+    if (!own) {
+      process_ends_.onRecord({record.node, record.incarnation}, clock_.now());
+    }
+  };
   events.on_evacuations_changed = [this] { onEvacuationsChanged(); };
   events.on_owners_changed = [this] { gateway_->onOwnersChanged(); };
   events.on_own_table = [this](const MetadataObject& table) {
--- a/test/core_router/claim_manager_test.cc
+++ b/test/core_router/claim_manager_test.cc
@@ -22,7 +22,9 @@
   struct Process {
     std::unique_ptr<sim::VirtualMetadataStore> store;
     std::unique_ptr<RestorableStore> restorable_store;
+    std::unique_ptr<ProcessEndTracker> process_ends;
     std::unique_ptr<ClaimManager> manager;
+    NodeIdentity identity;
   };
 
   explicit ClaimCluster(std::uint64_t seed) : random_(seed) {}
@@ -38,19 +40,27 @@
     events.on_epoch_missing = [] {};
     process.restorable_store = std::make_unique<RestorableStore>(*process.store, events);
     process.restorable_store->observePeerEpoch(state_.revision().epoch);
-    process.manager =
-        std::make_unique<ClaimManager>(self, *process.restorable_store, time_, [this](const NodeIdentity& holder) {
+    process.identity = self;
+    process.process_ends = std::make_unique<ProcessEndTracker>(time_.now());
+    process.manager = std::make_unique<ClaimManager>(
+        self, *process.restorable_store, time_, *process.process_ends, [this](const NodeIdentity& holder) {
           const auto incarnation = incarnations_.find(holder.name);
           return incarnation == incarnations_.end() || incarnation->second <= holder.incarnation;
         });
+    introduce(process);
     tick(process);
     return process;
   }
 
-  /// Stops the process. The store keeps its writes and still executes its calls in flight.
+  /// Stops the process. The store keeps its writes and still executes its calls in flight. The other processes notice.
   void kill(Process& process) {
     *process.store->alive = false;
     process.manager.reset();
+    time_.after(kEndNoticeDelay, [this, name = process.identity.name] {
+      for (const auto& other : processes_) {
+        other->process_ends->onLost(name, time_.now());
+      }
+    });
   }
 
   /// Stops the process and starts its successor on the same node after the given time.
@@ -83,6 +93,18 @@
   void restoreStore() { state_.restoreCopy(); }
 
  private:
+  static constexpr Duration kEndNoticeDelay = milliseconds(800);
+
+  /// The new process and the others read each other's node records.
+  void introduce(Process& process) {
+    for (const auto& other : processes_) {
+      other->process_ends->onRecord(process.identity, time_.now());
+      if (other->manager) {
+        process.process_ends->onRecord(other->identity, time_.now());
+      }
+    }
+  }
+
   void tick(Process& process) {
     time_.after(milliseconds(50), [this, &process] {
       if (process.manager) {
@@ -396,6 +418,28 @@
   EXPECT_EQ(verdictOf(later), ClaimVerdict::OutcomeUnknown);
 }
 
+TEST_F(ClaimManagerTest, KeyFreedBeforeTheBackupIsTakenIfItsLaterClaimMayBeLost) {
+  const auto refused = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  first_.manager->finish(refused->handle, ClaimOutcome::NotRun, {});
+  cluster_.run(seconds(1));
+  cluster_.backUpStore();
+  const auto lost = cluster_.acquire(first_, "k", "r2");
+  cluster_.run(seconds(1));
+  ASSERT_EQ(verdictOf(lost), ClaimVerdict::Granted);
+  cluster_.kill(first_);
+  cluster_.run(seconds(1));
+  cluster_.restoreStore();
+  cluster_.acquire(second_, "another", "r3");
+  cluster_.run(milliseconds(200));
+  const auto given_up = cluster_.acquire(second_, "k", "r4");
+  second_.manager->finish(given_up->handle, ClaimOutcome::NotRun, {});
+  cluster_.run(seconds(40));
+  const auto later = cluster_.acquire(second_, "k", "r5");
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(later), ClaimVerdict::OutcomeUnknown);
+}
+
 TEST_F(ClaimManagerTest, ClaimsAreGrantedSoonAfterARestoreIfNoProcessHasEnded) {
   cluster_.backUpStore();
   cluster_.restoreStore();
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -20,7 +20,8 @@
         peer_client_(
             loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_,
             {[](const NodeName&, bool) {}, [](const NodeName&) {}, [](const NodeName&, const PeerLease&) {},
-             [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {}}) {}
+             [](const OwnerTableFrame&) {}, [] { return ServerCrashesFrame{}; }, [](const ServerCrashesFrame&) {},
+             [](const ConfigFrame&) {}, [this](const NodeIdentity& process) { identified_.push_back(process); }}) {}
 
   void addNodeAt(const Endpoint& endpoint) {
     NodeRecord record;
@@ -42,6 +43,7 @@
   }
 
   const NodeName node_{"other"};
+  std::vector<NodeIdentity> identified_;
   EventLoop loop_;
   BootTimeClock clock_;
   sim::SeededRandom random_{1};
@@ -49,6 +51,15 @@
   PeerClient peer_client_;
 };
 
+TEST_F(PeerClientTest, StreamIdentifiesTheIncarnationOfItsPeer) {
+  const NodeIdentity process{node_, Incarnation{7}};
+  FakePeer peer(loop_, process);
+  addNodeAt(peer.endpoint());
+  peer_client_.ensureConnected(node_);
+  ASSERT_TRUE(loop_.runUntil([this] { return !identified_.empty(); }, kTestTimeout));
+  EXPECT_EQ(identified_, std::vector<NodeIdentity>{process});
+}
+
 // A node that loses power closes no connections; its requests must not wait for their deadlines.
 TEST_F(PeerClientTest, RequestToSilentNodeFinishesEarlyAndNodeIsMarkedUnreachable) {
   ScriptedServer silent(loop_, [](ScriptedConnection&) {});
