--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -66,6 +66,8 @@
     std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta =
         [](const NodeName&, const OwnerTableDeltaFrame&) {};
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// This incarnation of a node's process has answered.
+    std::function<void(const NodeIdentity&)> on_identified = [](const NodeIdentity&) {};
   };
 
   PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -38,6 +38,7 @@
     };
     events.on_stream_failure = [this](const PeerStreamFailure& failure) { failures_.push_back(failure); };
     events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { sent_bytes_[frameName(frame)] += bytes; };
+    events.on_identified = [this](const NodeIdentity& process) { identified_.push_back(process); };
     return events;
   }
 
@@ -99,6 +100,7 @@
   static constexpr Duration kOutcomeWait = std::chrono::seconds(5);
 
   const NodeName node_{"other"};
+  std::vector<NodeIdentity> identified_;
   EventLoop loop_;
   BootTimeClock clock_;
   sim::SeededRandom random_{1};
@@ -141,6 +143,15 @@
 INSTANTIATE_TEST_SUITE_P(RepeatableOrNot, DeadNodeTest,
                          ::testing::Values(RouteKind::Idempotent, RouteKind::AtMostOnce));
 
+TEST_F(PeerClientTest, StreamIdentifiesTheIncarnationOfItsPeer) {
+  const NodeIdentity process{node_, Incarnation{7}};
+  FakePeer peer(loop_, process);
+  addNodeAt(peer.endpoint());
+  peer_client_.ensureConnected(node_);
+  ASSERT_TRUE(loop_.runUntil([this] { return !identified_.empty(); }, kTestTimeout));
+  EXPECT_EQ(identified_, std::vector<NodeIdentity>{process});
+}
+
 // New requests must not be sent to a node whose process has stopped responding.
 TEST_F(PeerClientTest, NodeThatNeverRespondsIsMarkedUnreachableAndItsRequestsReported) {
   ScriptedServer silent(loop_, [](ScriptedConnection&) {});
@@ -290,8 +301,8 @@
   EXPECT_EQ(peer.forwarded_requests, 2U);
 }
 
-// Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other from
-// detecting that their state is stale.
+// Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other
+// from detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
   constexpr Duration::rep kReportedStalenessUs = 1000;
   FakePeer peer(loop_, {node_, Incarnation{7}});
