Move a stream to a peer out of PeerClient into PeerStream

Change: PeerStream holds the connection, the order of sent exchanges, the parts of large replies and the check for silence; PeerClient gets its events through an interface. The end of a silent stream on which nothing waits no longer opens another one.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -4,110 +4,17 @@
 #include <utility>
 #include <vector>
 
-#include "source/router/peer_stream_options.h"
-
 namespace shedlever {
 
 namespace {
 
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
-/// A node is pinged when nothing was received from it for this time while requests wait for it.
-constexpr Duration kPingAfterSilence = std::chrono::milliseconds(300);
-/// A node that does not respond to a ping within this time is marked unreachable.
-constexpr Duration kPongTimeout = std::chrono::milliseconds(500);
 /// Time for a node to be connected again after a stream broke; then its requests finish with an unknown outcome.
 constexpr Duration kOutcomeTimeout = std::chrono::milliseconds(700);
 
 }  // namespace
 
-/// One stream to a node, with the exchanges that were sent on it.
-struct PeerClient::Stream final : public MessageStreamCallbacks {
-  Stream(PeerClient& owner, StreamId stream_id, NodeName to, const Endpoint& endpoint)
-      : client(owner),
-        id(stream_id),
-        node(std::move(to)),
-        transport(owner.loop_, endpoint, peerStreamOptions(), *this),
-        last_received_at(owner.clock_.now()) {}
-
-  void onMessage(std::string_view message) override {
-    last_received_at = client.clock_.now();
-    pinged_at = {};
-    auto frame = decodeRouterFrame(message);
-    if (!frame || (!up && !acceptHello(frame.value()))) {
-      transport.abort();
-      return;
-    }
-    if (replaced) {
-      client.onSilentNodeResponds(node);
-    }
-    client.onFrame(*this, std::move(frame.value()));
-  }
-
-  /// Verifies from the first frame that the peer is the expected node.
-  /// @return false if the frame is no hello or comes from another node.
-  bool acceptHello(const RouterFrame& first) {
-    const auto* hello = std::get_if<HelloFrame>(&first);
-    if (hello == nullptr || hello->node != node) {
-      misdirected = hello != nullptr;
-      return false;
-    }
-    up = true;
-    incarnation = hello->incarnation;
-    client.onStreamUp(*this);
-    return true;
-  }
-
-  void onClosed() override {
-    // Posted, since a stream must not be destroyed in its own callback.
-    ended = true;
-    client.loop_.post([owner = &client, alive = client.alive_, stream_id = id] {
-      if (*alive) {
-        owner->onStreamClosed(stream_id);
-      }
-    });
-  }
-
-  /// @param exchange exchange of a request; 0 for other frames.
-  /// @return false if the frame could not be queued.
-  bool send(const RouterFrame& frame, ExchangeId exchange) {
-    std::string bytes = encodeRouterFrame(frame);
-    const std::size_t size = bytes.size();
-    if (ended || !transport.send(std::move(bytes))) {
-      return false;
-    }
-    client.events_.on_sent(frame, size);
-    sent_exchanges.push_back(exchange);
-    constexpr std::size_t kMaxRememberedExchanges = 4096;
-    if (sent_exchanges.size() > kMaxRememberedExchanges) {
-      sent_exchanges.pop_front();
-    }
-    return true;
-  }
-
-  PeerClient& client;
-  StreamId id;
-  NodeName node;
-  MessageStream transport;
-  /// Exchanges of the sent frames in order; 0 for frames other than requests.
-  std::deque<ExchangeId> sent_exchanges;
-  /// Bytes received so far of large replies.
-  std::unordered_map<ExchangeId, std::string> partial_replies;
-  /// When the last message was received; when the stream was opened if there was none.
-  TimePoint last_received_at;
-  /// When the unanswered ping was sent; zero if there is none.
-  TimePoint pinged_at{};
-  /// The hello of the expected node was received.
-  bool up = false;
-  /// Incarnation of the node's process; valid while `up`.
-  Incarnation incarnation;
-  /// Another node's process uses the address; that process ignores all frames of this stream.
-  bool misdirected = false;
-  /// The node fell silent and got a new stream.
-  bool replaced = false;
-  bool ended = false;
-};
-
 PeerClient::PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
                        Events events)
     : loop_(loop), clock_(clock), self_(std::move(self)), directory_(directory), events_(std::move(events)) {}
@@ -119,30 +26,27 @@
   }
 }
 
-PeerClient::Stream* PeerClient::streamTo(const NodeName& node) {
+PeerStream* PeerClient::streamTo(const NodeName& node) {
   const auto found = streams_.find(node);
   if (found != streams_.end()) {
-    return found->second->ended ? nullptr : found->second.get();
+    return found->second->hasEnded() ? nullptr : found->second.get();
   }
   const NodeRecord* record = directory_.node(node);
   if (record == nullptr) {
     return nullptr;
   }
-  auto stream = std::make_unique<Stream>(*this, ++last_stream_, node, record->peer);
-  Stream* raw = stream.get();
-  streams_.emplace(node, std::move(stream));
-  raw->send(HelloFrame{self_.name, self_.incarnation, false, node}, 0);
-  return raw;
+  auto stream = std::make_unique<PeerStream>(loop_, clock_, *this, ++last_stream_, self_, node, record->peer);
+  return streams_.emplace(node, std::move(stream)).first->second.get();
 }
 
-PeerClient::Stream* PeerClient::find(StreamId id) {
+PeerStream* PeerClient::find(PeerStreamId id) {
   const auto silent = silent_streams_.find(id);
   if (silent != silent_streams_.end()) {
-    return silent->second->ended ? nullptr : silent->second.get();
+    return silent->second->hasEnded() ? nullptr : silent->second.get();
   }
   for (const auto& [node, stream] : streams_) {
-    if (stream->id == id) {
-      return stream->ended ? nullptr : stream.get();
+    if (stream->id() == id) {
+      return stream->hasEnded() ? nullptr : stream.get();
     }
   }
   return nullptr;
@@ -157,8 +61,8 @@
   pending.node = node;
   pending.done = std::move(done);
   pending.sent_at = clock_.now();
-  Stream* stream = streamTo(node);
-  pending.stream = stream == nullptr ? 0 : stream->id;
+  PeerStream* stream = streamTo(node);
+  pending.stream = stream == nullptr ? 0 : stream->id();
   pending.sent = stream != nullptr && stream->send(std::move(frame), exchange);
   if (!pending.sent) {
     loop_.post([this, alive = alive_, exchange] {
@@ -190,36 +94,30 @@
   std::map<NodeName, TimePoint> waiting_since;
   for (const auto& [exchange, pending] : pending_) {
     const auto current = streams_.find(pending.node);
-    if (current != streams_.end() && current->second->id == pending.stream && !current->second->ended) {
+    if (current != streams_.end() && current->second->id() == pending.stream && !current->second->hasEnded()) {
       TimePoint& since = waiting_since.try_emplace(pending.node, pending.sent_at).first->second;
       since = std::min(since, pending.sent_at);
     }
   }
   for (const auto& [node, since] : waiting_since) {
-    Stream& stream = *streams_.at(node);
-    if (stream.pinged_at != TimePoint{}) {
-      if (now - stream.pinged_at >= kPongTimeout) {
-        replaceSilentStream(node);
-      }
-    } else if (now - std::max(since, stream.last_received_at) >= kPingAfterSilence) {
-      stream.pinged_at = now;
-      stream.send(PingFrame{}, 0);
+    if (streams_.at(node)->isSilent(now, since)) {
+      replaceSilentStream(node);
     }
   }
 }
 
 void PeerClient::replaceSilentStream(const NodeName& node) {
-  std::unique_ptr<Stream> stream = std::move(streams_.extract(node).mapped());
-  const std::vector<ExchangeId> waiting = pendingOn(node, stream->id);
+  std::unique_ptr<PeerStream> stream = std::move(streams_.extract(node).mapped());
+  const std::vector<ExchangeId> waiting = pendingOn(node, stream->id());
   reportFailure(*stream, true, waiting);
-  stream->replaced = true;
+  stream->markReplaced();
   for (const ExchangeId exchange : waiting) {
-    if (stream->up) {
-      pending_.at(exchange).receiver_incarnation = stream->incarnation;
+    if (stream->isUp()) {
+      pending_.at(exchange).receiver_incarnation = stream->incarnation();
     }
   }
   forgetQueries(node);
-  const StreamId id = stream->id;
+  const PeerStreamId id = stream->id();
   silent_streams_.emplace(id, std::move(stream));
   directory_.markUnreachable(node);
   events_.on_reachable(node, false);
@@ -234,28 +132,28 @@
   }
 }
 
-void PeerClient::closeSilentStreamIfUnused(StreamId id) {
+void PeerClient::closeSilentStreamIfUnused(PeerStreamId id) {
   const auto found = silent_streams_.find(id);
-  if (found != silent_streams_.end() && pendingOn(found->second->node, id).empty()) {
-    found->second->transport.closeAfterFlush();
+  if (found != silent_streams_.end() && pendingOn(found->second->node(), id).empty()) {
+    found->second->closeAfterFlush();
   }
 }
 
-void PeerClient::reportFailure(const Stream& stream, bool silent, const std::vector<ExchangeId>& waiting) {
+void PeerClient::reportFailure(const PeerStream& stream, bool silent, const std::vector<ExchangeId>& waiting) {
   const TimePoint now = clock_.now();
   PeerStreamFailure failure;
-  failure.node = stream.node;
+  failure.node = stream.node();
   failure.silent = silent;
   failure.waiting_requests = waiting.size();
-  failure.unsent_bytes = stream.transport.unsentBytes();
-  failure.since_received = now - stream.last_received_at;
+  failure.unsent_bytes = stream.unsentBytes();
+  failure.since_received = now - stream.lastReceivedAt();
   for (const ExchangeId exchange : waiting) {
     failure.longest_wait = std::max(failure.longest_wait, now - pending_.at(exchange).sent_at);
   }
   events_.on_stream_failure(failure);
 }
 
-std::vector<ExchangeId> PeerClient::pendingOn(const NodeName& node, StreamId id) const {
+std::vector<ExchangeId> PeerClient::pendingOn(const NodeName& node, PeerStreamId id) const {
   std::vector<ExchangeId> waiting;
   for (const auto& [exchange, pending] : pending_) {
     if (pending.sent && pending.node == node && pending.stream == id) {
@@ -271,11 +169,11 @@
     return;
   }
   // Sent on the stream of the request, since a cancellation that arrives before its request has no effect.
-  const StreamId id = pending.mapped().stream;
+  const PeerStreamId id = pending.mapped().stream;
   const auto current = streams_.find(pending.mapped().node);
-  const bool use_current = id == 0 && current != streams_.end() && !current->second->ended;
-  if (Stream* stream = use_current ? current->second.get() : find(id)) {
-    stream->send(CancelForwardFrame{exchange}, 0);
+  const bool use_current = id == 0 && current != streams_.end() && !current->second->hasEnded();
+  if (PeerStream* stream = use_current ? current->second.get() : find(id)) {
+    stream->send(CancelForwardFrame{exchange});
   }
   closeSilentStreamIfUnused(id);
 }
@@ -289,16 +187,16 @@
     auto ended = store_calls_.extract(exchange);
     ended.mapped().done(std::nullopt);
   });
-  Stream* stream = streamTo(node);
+  PeerStream* stream = streamTo(node);
   if (stream != nullptr) {
-    stream->send(StoreCallFrame{exchange, timeout.count(), std::move(request)}, 0);
+    stream->send(StoreCallFrame{exchange, timeout.count(), std::move(request)});
   }
 }
 
 std::vector<NodeName> PeerClient::connectedNodes() const {
   std::vector<NodeName> nodes;
   for (const auto& [node, stream] : streams_) {
-    if (stream->up && !stream->ended) {
+    if (stream->isUp() && !stream->hasEnded()) {
       nodes.push_back(node);
     }
   }
@@ -306,27 +204,30 @@
 }
 
 void PeerClient::send(const NodeName& node, const RouterFrame& frame) {
-  if (Stream* stream = streamTo(node)) {
-    stream->send(frame, 0);
+  if (PeerStream* stream = streamTo(node)) {
+    stream->send(frame);
   }
 }
 
 void PeerClient::broadcastStopping() {
   for (const auto& [node, stream] : streams_) {
-    stream->send(StoppingFrame{self_.name}, 0);
+    stream->send(StoppingFrame{self_.name});
   }
 }
 
 void PeerClient::broadcastServerCrashes(const ServerCrashesFrame& crashes) {
   for (const auto& [node, stream] : streams_) {
-    if (stream->up) {
-      stream->send(crashes, 0);
+    if (stream->isUp()) {
+      stream->send(crashes);
     }
   }
 }
 
-void PeerClient::onFrame(Stream& stream, RouterFrame frame) {
-  const NodeName node = stream.node;
+void PeerClient::onStreamFrame(PeerStream& stream, RouterFrame frame) {
+  const NodeName& node = stream.node();
+  if (stream.isReplaced()) {
+    onSilentNodeResponds(node);
+  }
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
     onReply(std::move(*reply));
   } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
@@ -356,26 +257,14 @@
   }
 }
 
-void PeerClient::onReplyPart(Stream& stream, const ReplyPartFrame& part) {
-  auto& partial_replies = stream.partial_replies;
+void PeerClient::onReplyPart(PeerStream& stream, const ReplyPartFrame& part) {
   if (!pending_.contains(part.exchange)) {
-    partial_replies.erase(part.exchange);
+    stream.dropReplyParts(part.exchange);
     return;
   }
-  std::string& bytes = partial_replies[part.exchange];
-  bytes += part.bytes;
-  const bool too_long = bytes.size() > peerStreamOptions().max_message_bytes;
-  if (!part.last && !too_long) {
-    return;
-  }
-  auto frame = decodeRouterFrame(bytes);
-  partial_replies.erase(part.exchange);
-  auto* reply = frame ? std::get_if<ForwardReplyFrame>(&frame.value()) : nullptr;
-  if (reply == nullptr || too_long) {
-    stream.transport.abort();
-    return;
+  if (std::optional<ForwardReplyFrame> reply = stream.addReplyPart(part)) {
+    onReply(std::move(*reply));
   }
-  onReply(std::move(*reply));
 }
 
 void PeerClient::onReply(ForwardReplyFrame reply) {
@@ -399,7 +288,7 @@
   closeSilentStreamIfUnused(node.mapped().stream);
 }
 
-void PeerClient::onExchangeQueryReply(const Stream& stream, const ExchangeQueryReplyFrame& query_reply) {
+void PeerClient::onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply) {
   const auto found = pending_.find(query_reply.exchange);
   if (found == pending_.end()) {
     return;
@@ -415,20 +304,20 @@
       }
       return;
     case ExchangeState::Pending:
-      closeSilentStreamIfUnused(std::exchange(found->second.stream, stream.id));
+      closeSilentStreamIfUnused(std::exchange(found->second.stream, stream.id()));
       return;
   }
 }
 
-void PeerClient::onStreamUp(Stream& stream) {
-  directory_.onReachable(stream.node);
-  events_.on_reachable(stream.node, true);
-  events_.on_identified({stream.node, stream.incarnation});
+void PeerClient::onStreamUp(PeerStream& stream) {
+  directory_.onReachable(stream.node());
+  events_.on_reachable(stream.node(), true);
+  events_.on_identified({stream.node(), stream.incarnation()});
   const ServerCrashesFrame crashes = events_.server_crashes();
   if (!crashes.empty()) {
-    stream.send(crashes, 0);
+    stream.send(crashes);
   }
-  if (!stream.replaced) {
+  if (!stream.isReplaced()) {
     requestOutcomes(stream);
   }
 }
@@ -442,55 +331,56 @@
   onReply(std::move(reply));
 }
 
-void PeerClient::onStreamClosed(StreamId id) {
+void PeerClient::onStreamClosed(PeerStreamId id) {
   const auto silent = silent_streams_.extract(id);
   if (!silent.empty()) {
     onSilentStreamEnd(*silent.mapped());
     return;
   }
   const auto found =
-      std::find_if(streams_.begin(), streams_.end(), [id](const auto& entry) { return entry.second->id == id; });
+      std::find_if(streams_.begin(), streams_.end(), [id](const auto& entry) { return entry.second->id() == id; });
   if (found != streams_.end()) {
-    const std::unique_ptr<Stream> stream = std::move(found->second);
+    const std::unique_ptr<PeerStream> stream = std::move(found->second);
     streams_.erase(found);
     onStreamEnd(*stream);
   }
 }
 
-void PeerClient::detachRequests(const Stream& stream) {
-  const std::vector<ExchangeId> waiting = pendingOn(stream.node, stream.id);
+void PeerClient::detachRequests(const PeerStream& stream) {
+  const std::vector<ExchangeId> waiting = pendingOn(stream.node(), stream.id());
   if (!waiting.empty()) {
     reportFailure(stream, false, waiting);
   }
   for (const ExchangeId exchange : waiting) {
     PendingRequest& pending = pending_.at(exchange);
     pending.stream = 0;
-    if (stream.up) {
-      pending.receiver_incarnation = stream.incarnation;
+    if (stream.isUp()) {
+      pending.receiver_incarnation = stream.incarnation();
     }
   }
-  const std::size_t unsent = std::min(stream.transport.unsentMessages(), stream.sent_exchanges.size());
-  for (auto exchange = stream.sent_exchanges.end() - static_cast<std::ptrdiff_t>(unsent);
-       exchange != stream.sent_exchanges.end(); ++exchange) {
-    finish(*exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+  for (const ExchangeId exchange : stream.unsentExchanges()) {
+    finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
   }
 }
 
-void PeerClient::onSilentStreamEnd(Stream& stream) {
-  const std::vector<ExchangeId> waiting = pendingOn(stream.node, stream.id);
+void PeerClient::onSilentStreamEnd(PeerStream& stream) {
+  const std::vector<ExchangeId> waiting = pendingOn(stream.node(), stream.id());
+  if (waiting.empty()) {
+    return;
+  }
   detachRequests(stream);
-  if (!stream.up) {
-    finishUnresolved(waiting, stream.misdirected);
+  if (!stream.isUp()) {
+    finishUnresolved(waiting, stream.isMisdirected());
     return;
   }
-  const bool second_stream_failed = !streams_.contains(stream.node) && directory_.isUnreachable(stream.node);
+  const bool second_stream_failed = !streams_.contains(stream.node()) && directory_.isUnreachable(stream.node());
   if (second_stream_failed) {
     finishUnresolved(waiting, false);
     return;
   }
-  forgetQueries(stream.node);
-  Stream* current = streamTo(stream.node);
-  if (current != nullptr && current->up) {
+  forgetQueries(stream.node());
+  PeerStream* current = streamTo(stream.node());
+  if (current != nullptr && current->isUp()) {
     requestOutcomes(*current);
     return;
   }
@@ -507,9 +397,9 @@
   }
 }
 
-void PeerClient::onStreamEnd(Stream& stream) {
-  const NodeName node = stream.node;
-  const bool was_up = stream.up;
+void PeerClient::onStreamEnd(PeerStream& stream) {
+  const NodeName node = stream.node();
+  const bool was_up = stream.isUp();
   if (!was_up) {
     directory_.markUnreachable(node);
     events_.on_reachable(node, false);
@@ -523,7 +413,7 @@
     return;
   }
   if (!was_up) {
-    finishUnresolved(open, stream.misdirected);
+    finishUnresolved(open, stream.isMisdirected());
     scheduleReconnect(node, false);
     return;
   }
@@ -549,10 +439,10 @@
   }
 }
 
-void PeerClient::requestOutcomes(Stream& stream) {
+void PeerClient::requestOutcomes(PeerStream& stream) {
   std::vector<ExchangeId> of_node;
   for (const auto& [exchange, pending] : pending_) {
-    if (pending.node == stream.node && pending.stream != stream.id) {
+    if (pending.node == stream.node() && pending.stream != stream.id()) {
       of_node.push_back(exchange);
     }
   }
@@ -561,13 +451,13 @@
     if (found == pending_.end() || !found->second.receiver_incarnation || found->second.outcome_requested) {
       continue;
     }
-    if (*found->second.receiver_incarnation != stream.incarnation) {
+    if (*found->second.receiver_incarnation != stream.incarnation()) {
       // The incarnation that received the request has ended.
       finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
       continue;
     }
     found->second.outcome_requested = true;
-    stream.send(ExchangeQueryFrame{exchange, self_.incarnation}, 0);
+    stream.send(ExchangeQueryFrame{exchange, self_.incarnation});
   }
 }
 
@@ -581,7 +471,7 @@
       return;
     }
     const auto current = streams_.find(found->second.node);
-    if (current == streams_.end() || !current->second->up) {
+    if (current == streams_.end() || !current->second->isUp()) {
       finish(exchange, ForwardOutcome::Unknown, ForwardReason::ConnectionLost);
     }
   });
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -3,7 +3,6 @@
 /// @file
 /// Client end of the streams between router processes: forwards requests to peers and receives their replies.
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,7 +14,7 @@
 #include "source/core/router/frame_name.h"
 #include "source/core/router/lease_manager.h"
 #include "source/core/router/server_directory.h"
-#include "source/net/message_stream.h"
+#include "source/router/peer_stream.h"
 #include "source/router/server_gate.h"
 
 namespace shedlever {
@@ -39,7 +38,7 @@
 ///
 /// Silence says nothing about the outcome of a request: frames may only be delayed. The node of a silent stream is
 /// marked unreachable and gets a new stream; the silent one stays open until its requests have ended.
-class PeerClient {
+class PeerClient final : public PeerStreamCallbacks {
  public:
   using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
 
@@ -71,7 +70,7 @@
   };
 
   PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
-  ~PeerClient();
+  ~PeerClient() override;
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
 
@@ -99,11 +98,6 @@
   void broadcastServerCrashes(const ServerCrashesFrame& crashes);
 
  private:
-  struct Stream;
-
-  /// Identifies a stream; 0 for none.
-  using StreamId = std::uint64_t;
-
   struct PendingRequest {
     NodeName node;
     ForwardCallback done;
@@ -111,7 +105,7 @@
     /// Whether the request was passed to a stream.
     bool sent = false;
     /// The stream on which the reply is expected; 0 if it has broken.
-    StreamId stream = 0;
+    PeerStreamId stream = 0;
     /// Set when the stream broke or fell silent: the only incarnation of the peer that knows the outcome.
     std::optional<Incarnation> receiver_incarnation;
     bool outcome_requested = false;
@@ -125,21 +119,22 @@
     TimerId timer = 0;
   };
 
-  Stream* streamTo(const NodeName& node);
+  PeerStream* streamTo(const NodeName& node);
   /// @return the stream if it is open.
-  Stream* find(StreamId id);
-  void onFrame(Stream& stream, RouterFrame frame);
+  PeerStream* find(PeerStreamId id);
+  void onStreamUp(PeerStream& stream) override;
+  void onStreamFrame(PeerStream& stream, RouterFrame frame) override;
+  void onStreamClosed(PeerStreamId id) override;
+  void onFrameSent(const RouterFrame& frame, std::size_t bytes) override { events_.on_sent(frame, bytes); }
   void onReply(ForwardReplyFrame reply);
-  void onReplyPart(Stream& stream, const ReplyPartFrame& part);
-  void onExchangeQueryReply(const Stream& stream, const ExchangeQueryReplyFrame& query_reply);
-  void onStreamUp(Stream& stream);
-  void onStreamClosed(StreamId id);
-  void onStreamEnd(Stream& stream);
-  void onSilentStreamEnd(Stream& stream);
+  void onReplyPart(PeerStream& stream, const ReplyPartFrame& part);
+  void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
+  void onStreamEnd(PeerStream& stream);
+  void onSilentStreamEnd(PeerStream& stream);
   /// Finishes the requests of an ended stream that were not completely written, and assigns the others to no stream.
-  void detachRequests(const Stream& stream);
+  void detachRequests(const PeerStream& stream);
   /// Queries the outcome of requests whose earlier stream broke or fell silent.
-  void requestOutcomes(Stream& stream);
+  void requestOutcomes(PeerStream& stream);
   /// Finishes a request as unknown if its node is not connected again in time.
   void scheduleOutcomeTimeout(ExchangeId exchange);
   /// Finishes requests whose outcome can't be queried.
@@ -151,12 +146,12 @@
   void replaceSilentStream(const NodeName& node);
   void onSilentNodeResponds(const NodeName& node);
   /// Closes a silent stream when no request waits on it any more.
-  void closeSilentStreamIfUnused(StreamId id);
+  void closeSilentStreamIfUnused(PeerStreamId id);
   /// Makes the outcomes of all requests to the node be queried on its next stream; earlier queries may be lost.
   void forgetQueries(const NodeName& node);
-  void reportFailure(const Stream& stream, bool silent, const std::vector<ExchangeId>& waiting);
+  void reportFailure(const PeerStream& stream, bool silent, const std::vector<ExchangeId>& waiting);
   /// @return the requests to the node that expect their reply on the stream; 0: those whose stream has broken.
-  std::vector<ExchangeId> pendingOn(const NodeName& node, StreamId id) const;
+  std::vector<ExchangeId> pendingOn(const NodeName& node, PeerStreamId id) const;
   void finish(ExchangeId exchange, ForwardOutcome outcome, ForwardReason reason);
   /// @param always whether to reconnect also when the node is not marked unreachable.
   void scheduleReconnect(const NodeName& node, bool always);
@@ -166,10 +161,10 @@
   NodeIdentity self_;
   ServerDirectory& directory_;
   Events events_;
-  std::map<NodeName, std::unique_ptr<Stream>> streams_;
+  std::map<NodeName, std::unique_ptr<PeerStream>> streams_;
   /// Replaced streams on which requests still wait.
-  std::map<StreamId, std::unique_ptr<Stream>> silent_streams_;
-  StreamId last_stream_ = 0;
+  std::map<PeerStreamId, std::unique_ptr<PeerStream>> silent_streams_;
+  PeerStreamId last_stream_ = 0;
   std::unordered_map<ExchangeId, PendingRequest> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
   ExchangeId last_exchange_ = 0;
--- /dev/null
+++ b/source/router/peer_stream.cc
@@ -0,0 +1,116 @@
+#include "source/router/peer_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "source/net/router_codec.h"
+#include "source/router/peer_stream_options.h"
+
+namespace shedlever {
+
+namespace {
+
+/// A node is pinged when nothing was received from it for this time while requests wait for it.
+constexpr Duration kPingAfterSilence = std::chrono::milliseconds(300);
+/// A node that does not respond to a ping within this time counts as silent.
+constexpr Duration kPongTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxRememberedExchanges = 4096;
+
+}  // namespace
+
+PeerStream::PeerStream(EventLoop& loop, const Clock& clock, PeerStreamCallbacks& callbacks, PeerStreamId id,
+                       const NodeIdentity& self, NodeName node, const Endpoint& endpoint)
+    : loop_(loop),
+      clock_(clock),
+      callbacks_(callbacks),
+      id_(id),
+      node_(std::move(node)),
+      transport_(loop, endpoint, peerStreamOptions(), *this),
+      last_received_at_(clock.now()) {
+  send(HelloFrame{self.name, self.incarnation, false, node_});
+}
+
+void PeerStream::onMessage(std::string_view message) {
+  last_received_at_ = clock_.now();
+  pinged_at_ = {};
+  auto frame = decodeRouterFrame(message);
+  if (!frame || (!up_ && !acceptHello(frame.value()))) {
+    transport_.abort();
+    return;
+  }
+  callbacks_.onStreamFrame(*this, std::move(frame.value()));
+}
+
+bool PeerStream::acceptHello(const RouterFrame& first) {
+  const auto* hello = std::get_if<HelloFrame>(&first);
+  if (hello == nullptr || hello->node != node_) {
+    misdirected_ = hello != nullptr;
+    return false;
+  }
+  up_ = true;
+  incarnation_ = hello->incarnation;
+  callbacks_.onStreamUp(*this);
+  return true;
+}
+
+void PeerStream::onClosed() {
+  // Posted, since the owner destroys the stream, which must not happen in its own callback.
+  ended_ = true;
+  loop_.post([this, alive = alive_] {
+    if (*alive) {
+      callbacks_.onStreamClosed(id_);
+    }
+  });
+}
+
+bool PeerStream::send(const RouterFrame& frame, ExchangeId exchange) {
+  std::string bytes = encodeRouterFrame(frame);
+  const std::size_t size = bytes.size();
+  if (ended_ || !transport_.send(std::move(bytes))) {
+    return false;
+  }
+  callbacks_.onFrameSent(frame, size);
+  sent_exchanges_.push_back(exchange);
+  if (sent_exchanges_.size() > kMaxRememberedExchanges) {
+    sent_exchanges_.pop_front();
+  }
+  return true;
+}
+
+std::vector<ExchangeId> PeerStream::unsentExchanges() const {
+  std::vector<ExchangeId> exchanges;
+  const std::size_t unsent = std::min(transport_.unsentMessages(), sent_exchanges_.size());
+  std::copy_if(sent_exchanges_.end() - static_cast<std::ptrdiff_t>(unsent), sent_exchanges_.end(),
+               std::back_inserter(exchanges), [](ExchangeId exchange) { return exchange != 0; });
+  return exchanges;
+}
+
+std::optional<ForwardReplyFrame> PeerStream::addReplyPart(const ReplyPartFrame& part) {
+  std::string& bytes = partial_replies_[part.exchange];
+  bytes += part.bytes;
+  const bool too_long = bytes.size() > peerStreamOptions().max_message_bytes;
+  if (!part.last && !too_long) {
+    return std::nullopt;
+  }
+  auto frame = decodeRouterFrame(bytes);
+  partial_replies_.erase(part.exchange);
+  auto* reply = frame ? std::get_if<ForwardReplyFrame>(&frame.value()) : nullptr;
+  if (reply == nullptr || too_long) {
+    transport_.abort();
+    return std::nullopt;
+  }
+  return std::move(*reply);
+}
+
+bool PeerStream::isSilent(TimePoint now, TimePoint waiting_since) {
+  if (pinged_at_ != TimePoint{}) {
+    return now - pinged_at_ >= kPongTimeout;
+  }
+  if (now - std::max(waiting_since, last_received_at_) >= kPingAfterSilence) {
+    pinged_at_ = now;
+    send(PingFrame{});
+  }
+  return false;
+}
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/router/peer_stream.h
@@ -0,0 +1,119 @@
+#pragma once
+
+/// @file
+/// One stream from this process to another node's process.
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "shedlever/router_frames.h"
+#include "source/net/message_stream.h"
+
+namespace shedlever {
+
+class PeerStream;
+
+/// Identifies a stream within its process; 0 for none.
+using PeerStreamId = std::uint64_t;
+
+/// Receives the events of a stream, which must not be destroyed inside these calls.
+class PeerStreamCallbacks {
+ public:
+  virtual ~PeerStreamCallbacks() = default;
+
+  /// The hello of the expected node has arrived.
+  virtual void onStreamUp(PeerStream& stream) = 0;
+  /// Called for each frame, the hello included, while the stream is up.
+  virtual void onStreamFrame(PeerStream& stream, RouterFrame frame) = 0;
+  /// The last event of the stream.
+  virtual void onStreamClosed(PeerStreamId id) = 0;
+  /// A frame was queued.
+  virtual void onFrameSent(const RouterFrame& frame, std::size_t bytes) = 0;
+};
+
+/// Remembers which exchanges were sent in which order, so that the unsent ones are known when the stream breaks, and
+/// notices when the peer falls silent.
+class PeerStream final : public MessageStreamCallbacks {
+ public:
+  /// Starts to connect and sends the hello.
+  /// @param loop, clock, callbacks must outlive the stream.
+  PeerStream(EventLoop& loop, const Clock& clock, PeerStreamCallbacks& callbacks, PeerStreamId id,
+             const NodeIdentity& self, NodeName node, const Endpoint& endpoint);
+  ~PeerStream() override { *alive_ = false; }
+  PeerStream(const PeerStream&) = delete;
+  PeerStream& operator=(const PeerStream&) = delete;
+
+  PeerStreamId id() const { return id_; }
+  const NodeName& node() const { return node_; }
+  /// @return whether the hello of the expected node has arrived.
+  bool isUp() const { return up_; }
+  /// @return whether the connection has ended.
+  bool hasEnded() const { return ended_; }
+  /// @return whether another node's process uses the address; that process ignores all frames of this stream.
+  bool isMisdirected() const { return misdirected_; }
+  /// @return incarnation of the node's process; valid while the stream is up.
+  Incarnation incarnation() const { return incarnation_; }
+  TimePoint lastReceivedAt() const { return last_received_at_; }
+  std::size_t unsentBytes() const { return transport_.unsentBytes(); }
+
+  /// @param exchange exchange of a request; 0 for other frames.
+  /// @return false if the frame could not be queued.
+  bool send(const RouterFrame& frame, ExchangeId exchange = 0);
+
+  /// @return exchanges of requests that were not completely written. Also valid after the end.
+  std::vector<ExchangeId> unsentExchanges() const;
+
+  /// Adds a part of a large reply.
+  /// @return the reply once it is complete. Aborts the stream if the reply is invalid.
+  std::optional<ForwardReplyFrame> addReplyPart(const ReplyPartFrame& part);
+  /// Drops the parts of a reply that nobody waits for.
+  void dropReplyParts(ExchangeId exchange) { partial_replies_.erase(exchange); }
+
+  /// Pings the peer if nothing was received for a while.
+  /// @param waiting_since since when a request waits on the stream.
+  /// @return whether the peer has left a ping unanswered for too long.
+  bool isSilent(TimePoint now, TimePoint waiting_since);
+
+  /// The node fell silent and got a new stream.
+  void markReplaced() { replaced_ = true; }
+  bool isReplaced() const { return replaced_; }
+
+  /// Closes the stream after all frames are written.
+  void closeAfterFlush() { transport_.closeAfterFlush(); }
+
+ private:
+  void onMessage(std::string_view message) override;
+  void onClosed() override;
+  /// Verifies from the first frame that the peer is the expected node.
+  /// @return false if the frame is no hello or comes from another node.
+  bool acceptHello(const RouterFrame& first);
+
+  EventLoop& loop_;
+  const Clock& clock_;
+  PeerStreamCallbacks& callbacks_;
+  PeerStreamId id_;
+  NodeName node_;
+  MessageStream transport_;
+  /// Exchanges of the sent frames in order; 0 for frames other than requests.
+  std::deque<ExchangeId> sent_exchanges_;
+  /// Bytes received so far of large replies.
+  std::unordered_map<ExchangeId, std::string> partial_replies_;
+  /// When the last message was received; when the stream was opened if there was none.
+  TimePoint last_received_at_;
+  /// When the unanswered ping was sent; zero if there is none.
+  TimePoint pinged_at_{};
+  bool up_ = false;
+  Incarnation incarnation_;
+  bool misdirected_ = false;
+  bool replaced_ = false;
+  bool ended_ = false;
+  /// Set to false by the destructor; checked by pending callbacks.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shedlever
