--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -398,7 +398,7 @@
 }
 
 void PeerClient::onStreamEnd(PeerStream& stream) {
-  const NodeName node = stream.node();
+  const NodeName& node = stream.node();
   const bool was_up = stream.isUp();
   if (!was_up) {
     directory_.markUnreachable(node);
