Write the ends of claims before a stopping process exits

What callers could see: a repeated idempotency key is refused as a duplicate whose outcome is unknown, although the first request was answered or never ran. Cause: `ClaimManager::finish` only marks the end of a claim; a later tick writes it. The exit of a stopping process looked at responses alone, so the store kept the open claim of a process that was gone. Change: the process exits once no claim's end is unwritten (`ClaimManager::hasUnwrittenEnds`), within the existing limits of the stop. When the stop ends all requests, the ends of their claims are sent at once. For the tests the cluster of routers can require idempotency keys. Ruled out: an exit later than before if the store is down; the limit at the end of the grace period applies to the outcomes as well. Not shown by a test: that the ends are sent at once and not one tick later.

--- a/source/core/router/claim_manager.cc
+++ b/source/core/router/claim_manager.cc
@@ -336,6 +336,10 @@
   markEnded(claim, claim.granted ? stateOf(outcome) : stateIfNotGranted());
 }
 
+bool ClaimManager::hasUnwrittenEnds() const {
+  return std::any_of(claims_.begin(), claims_.end(), [](const auto& entry) { return entry.second.ended; });
+}
+
 void ClaimManager::onStoreRestored() {
   const TimePoint now = clock_.now();
   epoch_guard_.onStoreRestored();
--- a/source/core/router/claim_manager.h
+++ b/source/core/router/claim_manager.h
@@ -107,6 +107,10 @@
   /// @return number of claims that are undecided, granted, or whose end is not yet written to the store.
   std::size_t activeClaims() const { return claims_.size(); }
 
+  /// @return whether the end of a claim is not yet known to be written to the store. If the process exits before, later
+  ///   requests with the key get no recorded response, and the key of a request that has not run is not free again.
+  bool hasUnwrittenEnds() const;
+
  private:
   struct Claim {
     std::string name;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -548,9 +548,10 @@
 }
 
 bool RouterProcess::mayExit(Duration passed) const {
-  // A response that is not completely written would be truncated by the exit.
+  // A response that is not completely written would be truncated by the exit, and an unwritten end of a claim lost.
   const bool all_written = clients_->busyConnections() == 0 && peer_server_->unsentBytes() == 0 &&
-                           !peer_server_->hasUndeliveredReplies() && pacer_.backlogBytes() == 0;
+                           !peer_server_->hasUndeliveredReplies() && pacer_.backlogBytes() == 0 &&
+                           !claims_.hasUnwrittenEnds();
   if (requests_ended_) {
     return all_written || passed >= settings_.stop.grace - kExitReserve;
   }
@@ -573,6 +574,8 @@
     requests_ended_ = true;
     logStop("stop-late");
     gateway_->endRequests();
+    // Writes the ends of their claims.
+    claims_.tick(clock_.now());
   }
   if (mayExit(passed)) {
     if (!requests_ended_) {
--- a/test/core_router/claim_manager_test.cc
+++ b/test/core_router/claim_manager_test.cc
@@ -161,6 +161,24 @@
   EXPECT_EQ(first_.manager->activeClaims(), 0U);
 }
 
+// A process that exits in between would leave the claim open.
+TEST_F(ClaimManagerTest, EndOfClaimIsUnwrittenUntilTheStoreHasRecordedIt) {
+  const auto one = cluster_.acquire(first_, "k", "r1");
+  cluster_.run(seconds(1));
+  EXPECT_FALSE(first_.manager->hasUnwrittenEnds());
+  first_.store->faults.down = true;
+  first_.manager->finish(one->handle, ClaimOutcome::Answered, {200, {}, "done"});
+  cluster_.run(seconds(10));
+  EXPECT_TRUE(first_.manager->hasUnwrittenEnds());
+  first_.store->faults.down = false;
+  cluster_.run(seconds(10));
+  EXPECT_FALSE(first_.manager->hasUnwrittenEnds());
+  cluster_.kill(first_);
+  const auto repeated = cluster_.acquire(second_, "k", "r2");
+  cluster_.run(seconds(1));
+  EXPECT_EQ(verdictOf(repeated), ClaimVerdict::Recorded);
+}
+
 TEST_F(ClaimManagerTest, RequestWithResponseTooLargeToRecordIsNotGrantedAgain) {
   const auto one = cluster_.acquire(first_, "k", "r1");
   cluster_.run(seconds(1));
--- a/test/router/router_stop_test.cc
+++ b/test/router/router_stop_test.cc
@@ -145,5 +145,51 @@
   EXPECT_GE(peer.received_bytes, kReplyBytes);
 }
 
+/// Routers whose requests to "orders" run at most once for each idempotency key.
+class ClaimedRequestStopTest : public RouterStopTest {
+ protected:
+  /// Starts a node whose server works longer than the store takes to become silent, and another node.
+  void startNodes() {
+    cluster_.requireIdempotencyKeys();
+    cluster_.addNode("orders", milliseconds(500));
+    cluster_.addNode("search");
+    cluster_.setIdempotencyKey("earlier");
+    ASSERT_TRUE(cluster_.allNodesRespond("/orders/x", kOk, kTestTimeout));
+  }
+
+  /// Runs a request with an idempotency key. The store is silent from before its end, so its outcome stays unwritten.
+  void runRequestThatEndsWhileStoreIsSilent() {
+    cluster_.setIdempotencyKey("k");
+    const auto answer = cluster_.send(node(0), "/orders/x");
+    ASSERT_TRUE(cluster_.runUntil([&] { return node(0).server->runningRequests() == 1; }));
+    cluster_.setStoreMode("silent");
+    ASSERT_TRUE(cluster_.runUntil([&] { return answer->completed; }));
+    ASSERT_EQ(answer->response.status, kOk);
+  }
+};
+
+// After an exit without the write, nobody would know the outcome of the request.
+TEST_F(ClaimedRequestStopTest, RouterDoesNotExitBeforeOutcomeOfClaimedRequestIsWritten) {
+  cluster_.setStopGrace(kTestTimeout);
+  ASSERT_NO_FATAL_FAILURE(startNodes());
+  ASSERT_NO_FATAL_FAILURE(runRequestThatEndsWhileStoreIsSilent());
+  const std::size_t started = node(0).server->startedRequests();
+  node(0).router->stop([&] { node(0).stopped = true; });
+  // Without the unwritten outcome, the router would exit before the store is up again.
+  cluster_.runFor(2 * node(0).settings.stop.clients_leave);
+  cluster_.setStoreMode("up");
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(0).stopped; }));
+  node(0).router.reset();
+  EXPECT_EQ(cluster_.sendAndWait(node(1), "/orders/x").response.status, kOk);
+  EXPECT_EQ(node(0).server->startedRequests(), started);
+}
+
+TEST_F(ClaimedRequestStopTest, RouterExitsAtTheEndOfItsGraceThoughStoreStaysSilent) {
+  cluster_.setStopGrace(milliseconds(2400));
+  ASSERT_NO_FATAL_FAILURE(startNodes());
+  ASSERT_NO_FATAL_FAILURE(runRequestThatEndsWhileStoreIsSilent());
+  stopAndExit(node(0));
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -165,6 +165,10 @@
   adapters.servers = &servers_;
   adapters.reports = &reports_;
   adapters.config = &config_;
+  if (idempotency_keys_required_) {
+    adapters.clients = &idempotency_key_clients_;
+    adapters.config = &idempotency_key_config_;
+  }
   adapters.make_store = [](StoreCaller caller, UnreadableEntryCallback on_unreadable) {
     return std::make_unique<platform::PlatformStore>(std::move(caller), std::move(on_unreadable));
   };
@@ -198,6 +202,9 @@
   if (!key.empty()) {
     request.headers.push_back({"X-Shard-Key", key});
   }
+  if (!idempotency_key_.empty()) {
+    request.headers.push_back({kIdempotencyKeyHeader, idempotency_key_});
+  }
   node.client->send(std::move(request), kClientTimeout, [outcome](HttpExchangeResult exchange) {
     outcome->completed = true;
     outcome->status = exchange.status;
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -16,6 +16,7 @@
 #include "source/router/router_process.h"
 #include "standins/router/key_server.h"
 #include "standins/router/metadata_server.h"
+#include "test/support/idempotency_key_protocols.h"
 
 namespace shedlever::test {
 
@@ -49,6 +50,11 @@
   /// Sets the deadline that clients state in requests sent later.
   void setClientDeadline(Duration deadline) { client_deadline_ = deadline; }
 
+  /// Makes routers that are added later require an idempotency key for requests to "orders".
+  void requireIdempotencyKeys() { idempotency_keys_required_ = true; }
+  /// Sets the idempotency key of requests sent later; empty for none.
+  void setIdempotencyKey(const std::string& key) { idempotency_key_ = key; }
+
   /// Sets the path of requests that crash servers, for servers that are added later. A crashed server is replaced
   /// immediately by a new instance.
   void setFatalPath(const std::string& path) { fatal_path_ = path; }
@@ -123,6 +129,8 @@
   platform::ServerProtocolImpl servers_;
   platform::ReportProtocolImpl reports_;
   platform::ConfigProtocolImpl config_;
+  IdempotencyKeyClientProtocol idempotency_key_clients_;
+  IdempotencyKeyConfigProtocol idempotency_key_config_;
   std::unique_ptr<standins::MetadataServer> store_;
   std::unique_ptr<HttpClient> operator_client_;
   std::vector<std::unique_ptr<Node>> nodes_;
@@ -131,6 +139,8 @@
   Duration grace_ = StopConfig{}.grace;
   Duration client_deadline_ = std::chrono::seconds(15);
   bool config_exists_ = false;
+  bool idempotency_keys_required_ = false;
+  std::string idempotency_key_;
   std::string fatal_path_;
   bool keep_server_ids_ = false;
   std::size_t fatal_requests_started_ = 0;
