Soak: hold peer links while routers are stopped in planned work

Routes and requests of planned work last 4 s, longer than two holds. The check of interrupted requests also reports a repeatable request that was refused and ran.

--- a/soak/soak_runner.cc
+++ b/soak/soak_runner.cc
@@ -20,7 +20,6 @@
 constexpr std::ptrdiff_t kMinNodesPerService = 2;
 /// One in this many faults is the permanent loss of a node.
 constexpr std::uint64_t kNodeReplacementOdds = 12;
-constexpr Duration kClientTimeout = milliseconds(2500);
 constexpr Duration kWarmUpDuration = seconds(6);
 constexpr Duration kRecoveryDuration = seconds(14);
 constexpr Duration kRecoveryMeasurementDuration = seconds(4);
@@ -31,13 +30,21 @@
 
 /// A draining server is killed after this time; its accepted requests have ended by then.
 constexpr Duration kServerDrainDuration = milliseconds(4500);
-/// Equals the timeout of the routes; a failure after this time counts as a timeout.
 constexpr Duration kRouteTimeout = milliseconds(1500);
+constexpr Duration kRequestDeadline = milliseconds(2000);
+/// Of routes and requests during maintenance: exceeds two holds of a peer link, so that no request may end because of
+/// them.
+constexpr Duration kMaintenanceRequestTimeout = milliseconds(4000);
+/// Clients wait this much longer than a request's deadline.
+constexpr Duration kClientTimeoutMargin = milliseconds(500);
+
 constexpr std::uint64_t kMaxEventIntervalMs = 2500;
 /// Shorter than for other events, because clients retry a failed request soon.
 constexpr std::uint64_t kMaxFatalRequestIntervalMs = 500;
 constexpr int kOk = 200;
 
+std::int64_t toMilliseconds(Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); }
+
 }  // namespace
 
 SoakRunner::SoakRunner(EventLoop& loop, SoakConfig config)
@@ -49,7 +56,10 @@
                           .run_folder = config_.run_folder,
                           .keys_by_heartbeat = config_.keys_by_heartbeat,
                           .fatal_path = config_.fatal_only ? kFatalPath : ""}),
-      restores_(loop_, config_.seed, restoreCallbacks()) {}
+      restores_(loop_, config_.seed, restoreCallbacks()),
+      peer_link_holds_(loop_, config_.seed, deployment_,
+                       {.stop_router = [this](LocalNode& node) { stopRouter(node); },
+                        .log_fault = [this](const std::string& what) { logFault(what); }}) {}
 
 SoakRunner::~SoakRunner() = default;
 
@@ -57,6 +67,16 @@
   std::ofstream(config_.run_folder + "/faults.log", std::ios::app) << what << "\n";
 }
 
+Duration SoakRunner::routeTimeout() const {
+  return config_.maintenance_only ? kMaintenanceRequestTimeout : kRouteTimeout;
+}
+
+Duration SoakRunner::requestDeadline() const {
+  return config_.maintenance_only ? kMaintenanceRequestTimeout : kRequestDeadline;
+}
+
+Duration SoakRunner::clientTimeout() const { return requestDeadline() + kClientTimeoutMargin; }
+
 std::string SoakRunner::undividedService(std::size_t node) const {
   if (!config_.fatal_only) {
     return kOrders;
@@ -108,10 +128,11 @@
 void SoakRunner::writeConfigAgain() { sendConfig("PUT", "/objects/config/main"); }
 
 void SoakRunner::sendConfig(const std::string& method, const std::string& path) {
-  const auto route = [](const char* name, const char* prefix, const char* kind, const char* service) {
-    return json{{"name", name},  {"host", "h"},         {"pathPrefix", prefix},
-                {"kind", kind},  {"timeout", "1500ms"}, {"targetLatency", "300ms"},
-                {"priority", 1}, {"service", service},  {"maxAttempts", 2}};
+  const std::string timeout = std::to_string(toMilliseconds(routeTimeout())) + "ms";
+  const auto route = [&timeout](const char* name, const char* prefix, const char* kind, const char* service) {
+    return json{{"name", name},  {"host", "h"},        {"pathPrefix", prefix},
+                {"kind", kind},  {"timeout", timeout}, {"targetLatency", "300ms"},
+                {"priority", 1}, {"service", service}, {"maxAttempts", 2}};
   };
   char version[16];
   std::snprintf(version, sizeof(version), "%08llx", static_cast<unsigned long long>(config_version_));
@@ -154,18 +175,19 @@
   record.id = "r" + std::to_string(++last_request_);
   const std::uint64_t kind = randomBelow(3);
   record.at_most_once = kind != 0;
+  const std::string deadline = std::to_string(toMilliseconds(requestDeadline()));
   HttpRequest request;
   request.method = kind == 0 ? "GET" : "POST";
   request.target = kind == 0 ? "/search/x" : (kind == 1 ? "/orders/x" : "/keyed/x");
-  request.headers = {{"Host", "h"}, {"X-Request-Id", record.id}, {"X-Request-Deadline", "2000"}};
+  request.headers = {{"Host", "h"}, {"X-Request-Id", record.id}, {"X-Request-Deadline", deadline}};
   if (kind != 1) {
     request.headers.push_back({"X-Shard-Key", std::to_string(randomBelow(65536))});
   }
   const bool is_measured = measuring_recovery_;
   const auto sent_at = std::chrono::steady_clock::now();
-  client.send(std::move(request), kClientTimeout,
+  client.send(std::move(request), clientTimeout(),
               [this, record, is_measured, sent_at](HttpExchangeResult exchange) mutable {
-                record.timed_out = std::chrono::steady_clock::now() - sent_at >= kRouteTimeout;
+                record.timed_out = std::chrono::steady_clock::now() - sent_at >= routeTimeout();
                 if (exchange.status == HttpExchangeStatus::Complete) {
                   record.status = exchange.response.status;
                   record.body = std::move(exchange.response.body);
@@ -356,11 +378,14 @@
 void SoakRunner::stopRouters() {
   const std::size_t count = 1 + randomBelow(2);
   for (std::size_t i = 0; i < count; ++i) {
-    LocalNode& node = *deployment_.nodes()[next_router_to_stop_++ % deployment_.nodes().size()];
-    if (node.router_process) {
-      logFault(node.name + ": router SIGTERM");
-      node.router_process->signal(SIGTERM);
-    }
+    stopRouter(*deployment_.nodes()[next_router_to_stop_++ % deployment_.nodes().size()]);
+  }
+}
+
+void SoakRunner::stopRouter(LocalNode& node) {
+  if (node.router_process) {
+    logFault(node.name + ": router SIGTERM");
+    node.router_process->signal(SIGTERM);
   }
 }
 
@@ -385,6 +410,7 @@
 
 void SoakRunner::endFaults() {
   logFault("all faults ended");
+  peer_link_holds_.stop();
   restores_.stop();
   post(deployment_.store(), "/faults", "{}");
   for (const auto& node : deployment_.nodes()) {
@@ -406,7 +432,7 @@
   measuring_recovery_ = true;
   deployment_.runFor(kRecoveryMeasurementDuration);
   measuring_recovery_ = false;
-  deployment_.runFor(kClientTimeout + milliseconds(200));
+  deployment_.runFor(clientTimeout() + milliseconds(200));
   const double served =
       recovery_requests_ == 0 ? 0 : static_cast<double>(recovery_served_) / static_cast<double>(recovery_requests_);
   if (served < kMinServedRatio) {
@@ -423,6 +449,7 @@
   if (config_.maintenance_only) {
     // Ensures that each run covers this case at least once.
     blockStoreAfterConfigChanges();
+    peer_link_holds_.start();
   }
   if (config_.restore_store) {
     restores_.start();
@@ -445,7 +472,7 @@
   }
   checkRecovery();
   generating_load_ = false;
-  deployment_.runFor(kClientTimeout);
+  deployment_.runFor(clientTimeout());
   for (const std::string& log : deployment_.serverLogs()) {
     checks_.readLog(log);
   }
@@ -465,6 +492,9 @@
     if (probe_.activeCount() == 0) {
       violations.push_back("no changed configuration was seen active");
     }
+    if (peer_link_holds_.count() == 0) {
+      violations.push_back("no peer link was held");
+    }
   }
   return violations;
 }
--- a/soak/soak_runner.h
+++ b/soak/soak_runner.h
@@ -11,6 +11,7 @@
 #include "soak/config_probe.h"
 #include "soak/fatal_requests.h"
 #include "soak/local_deployment.h"
+#include "soak/peer_link_holds.h"
 #include "soak/store_restores.h"
 #include "source/lab/check/history_checker.h"
 #include "source/net/http_client.h"
@@ -29,8 +30,9 @@
   /// Whether servers receive their keys in the acknowledgements of their heartbeats.
   bool keys_by_heartbeat = false;
   /// Injects only maintenance by operators, overlapping in time (router stops, server drains and configuration
-  /// changes), and short outages of the store. Also checks that no request is interrupted after a server has begun it,
-  /// and that every node activates each probed configuration in time.
+  /// changes), short outages of the store, and peer links that hold traffic for a while, as full links do. Also checks
+  /// that no request is interrupted after a server has begun it, and that every node activates each probed
+  /// configuration in time.
   bool maintenance_only = false;
   /// Sends only requests that crash servers, through nodes of four services.
   bool fatal_only = false;
@@ -51,6 +53,11 @@
 
  private:
   void startAll();
+  /// A failure of a request after this time counts as a timeout.
+  Duration routeTimeout() const;
+  Duration requestDeadline() const;
+  /// The time for which clients wait for a response.
+  Duration clientTimeout() const;
   /// @return the service, not divided by key, of the node with this index.
   std::string undividedService(std::size_t node) const;
   /// Writes the next version of the configuration.
@@ -74,6 +81,8 @@
   /// Injects the next event of the kind that the configuration selects.
   void injectNextEvent();
   void stopRouters();
+  /// Tells a router to stop, if it is running.
+  void stopRouter(LocalNode& node);
   /// Makes two configuration changes in quick succession and blocks the store, which leaves the watches that follow
   /// without a response; then writes a third version and probes for it.
   void blockStoreAfterConfigChanges();
@@ -94,6 +103,7 @@
   FatalRequests fatal_{clients_};
   ConfigProbe probe_{loop_, clients_};
   StoreRestores restores_;
+  PeerLinkHolds peer_link_holds_;
   std::unique_ptr<HttpClient> store_control_;
   std::uint64_t config_version_ = 0;
   std::size_t next_router_to_stop_ = 0;
--- a/source/lab/check/history_checker.cc
+++ b/source/lab/check/history_checker.cc
@@ -122,7 +122,9 @@
   }
   std::vector<std::string> interrupted;
   for (const ClientRecord& record : records_) {
-    const bool has_definite_status = record.status == kOk || record.status == kUnavailable || record.status == kTooMany;
+    // False refusals of at-most-once requests are violations already, whatever happened to the system.
+    const bool refused = record.status == kUnavailable || record.status == kTooMany;
+    const bool has_definite_status = record.status == kOk || (refused && record.at_most_once);
     if (!has_definite_status && !record.timed_out && started.contains(record.id)) {
       interrupted.push_back("request " + record.id + " was begun at a server, its client got " +
                             std::to_string(record.status));
--- a/source/lab/check/history_checker.h
+++ b/source/lab/check/history_checker.h
@@ -48,8 +48,9 @@
   ///   server acquired a key with a token that is not higher than that of another server before.
   std::vector<std::string> violations() const;
 
-  /// @return one message for each request that a server started and whose client got no definite status before its
-  ///   deadline. Planned operations alone must not cause any.
+  /// @return one message for each request that a server started, before or after its client was answered, and whose
+  ///   client got neither its response nor a status that `violations` judges before its deadline: the router's own
+  ///   answer in place of the server's, or none. Planned operations alone must not cause any.
   std::vector<std::string> interruptedRequests() const;
 
   CheckCounts counts() const;
--- a/test/lab/history_checker_test.cc
+++ b/test/lab/history_checker_test.cc
@@ -74,6 +74,17 @@
   EXPECT_NE(cut[1].find("r5"), std::string::npos);
 }
 
+TEST_F(HistoryCheckerTest, RouterResponseBeforeOrDuringTheExecutionIsReportedAsInterruption) {
+  checks_.addClientRecord({"r1", true, 502, ""});
+  checks_.addClientRecord({"r2", false, 503, ""});
+  checks_.addClientRecord({"r3", false, 503, ""});
+  log("1 i-1 begin r1 -1 0\n2 i-1 begin r2 -1 0\n");
+  const auto interrupted = checks_.interruptedRequests();
+  ASSERT_EQ(interrupted.size(), 2U);
+  EXPECT_NE(interrupted[0].find("r1"), std::string::npos);
+  EXPECT_NE(interrupted[1].find("r2"), std::string::npos);
+}
+
 TEST_F(HistoryCheckerTest, ExecutionByPreviousOwnerIsReported) {
   log("1000 i-1 begin r1 7 5\n5000 i-2 begin r2 7 7\n9000 i-1 begin r3 7 5\n");
   expectOneViolation("key 7");
