--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -13,6 +13,7 @@
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
 #include "test/support/http_call.h"
+#include "test/support/peer_events.h"
 
 namespace shedlever::test {
 namespace {
@@ -75,13 +76,7 @@
   }
 
   PeerClient::Events peerEvents() {
-    PeerClient::Events events;
-    events.on_reachable = [](const NodeName&, bool) {};
-    events.on_snapshot_requested = [](const NodeName&) {};
-    events.on_lease = [](const NodeName&, const PeerLease&) {};
-    events.on_owner_table = [](const OwnerTableFrame&) {};
-    events.server_crashes = [] { return ServerCrashesFrame{}; };
-    events.on_server_crashes = [](const ServerCrashesFrame&) {};
+    PeerClient::Events events = ignoringPeerEvents();
     events.on_silent_requests = [this](const std::vector<ExchangeId>& exchanges) {
       gateway_.onSilentRequests(exchanges);
     };
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -14,6 +14,7 @@
 #include "source/net/router_codec.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/fake_peer.h"
+#include "test/support/peer_events.h"
 #include "test/support/scripted_server.h"
 
 namespace shedlever::test {
@@ -26,13 +27,7 @@
         peer_client_(loop_, clock_, {NodeName("self"), Incarnation{1}}, directory_, events()) {}
 
   PeerClient::Events events() {
-    PeerClient::Events events;
-    events.on_reachable = [](const NodeName&, bool) {};
-    events.on_snapshot_requested = [](const NodeName&) {};
-    events.on_lease = [](const NodeName&, const PeerLease&) {};
-    events.on_owner_table = [](const OwnerTableFrame&) {};
-    events.server_crashes = [] { return ServerCrashesFrame{}; };
-    events.on_server_crashes = [](const ServerCrashesFrame&) {};
+    PeerClient::Events events = ignoringPeerEvents();
     events.on_silent_requests = [this](const std::vector<ExchangeId>& exchanges) {
       silent_requests_.insert(silent_requests_.end(), exchanges.begin(), exchanges.end());
     };
