Soak: stop a router only once it handles the signal

Cause: the series of stops reaches a process that has just been started and has not installed its handler; the signal then ends it. Change: the soak reads from the kernel whether the process catches SIGTERM before it sends it. The check of exits stays as strict.

--- a/soak/soak_runner.cc
+++ b/soak/soak_runner.cc
@@ -236,8 +236,7 @@
       node.router_process->signal(SIGKILL);
       return;
     case 1:
-      logFault(node.name + ": router SIGTERM");
-      node.router_process->signal(SIGTERM);
+      stopRouter(node);
       return;
     case 2:
       logFault(node.name + ": router SIGKILL, down for " + std::to_string(fault_duration.count() / 1000) + " ms");
@@ -383,7 +382,8 @@
 }
 
 void SoakRunner::stopRouter(LocalNode& node) {
-  if (node.router_process) {
+  // A process that has not installed its handler yet would be ended by the signal instead of stopping in order.
+  if (node.router_process && node.router_process->handles(SIGTERM)) {
     logFault(node.name + ": router SIGTERM");
     node.router_process->signal(SIGTERM);
   }
--- a/test/support/child_process.cc
+++ b/test/support/child_process.cc
@@ -7,6 +7,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <fstream>
 #include <utility>
 
 #include "test/support/event_wait.h"
@@ -72,6 +73,19 @@
   }
 }
 
+bool ChildProcess::handles(int number) const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  const std::string label = "SigCgt:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(label)) {
+      constexpr int kHexadecimal = 16;
+      const unsigned long long caught = std::stoull(line.substr(label.size()), nullptr, kHexadecimal);
+      return (caught >> (number - 1) & 1U) != 0;
+    }
+  }
+  return false;
+}
+
 std::optional<ChildExit> ChildProcess::poll() {
   int status = 0;
   if (exit_ || waitpid(pid_, &status, WNOHANG) != pid_) {
--- a/test/support/child_process.h
+++ b/test/support/child_process.h
@@ -47,6 +47,10 @@
   /// Sends a signal; does nothing if the child has exited.
   void signal(int number);
 
+  /// @return whether the child has installed a handler for the signal. Before that, the signal would end it before it
+  ///   has started to work.
+  bool handles(int number) const;
+
   /// @return the exit of the child; nothing while it is running.
   std::optional<ChildExit> poll();
 
