--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -158,7 +158,7 @@
   EXPECT_FALSE(reply->has_value());
 }
 
-// Without this report, logs don't tell why requests end although their server runs them.
+// The logs must show that a peer fell silent while requests waited for it.
 TEST_F(PeerClientTest, SilentPeerIsReportedWithItsWaitingRequests) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
   connectTo(peer);
