Log when a server names a request limit, changes it or stops naming it

Change: the adapter reads Server-Limit and Server-Leaving into ServerCondition; the gate follows the limit of the running instance (NamedLimit) and logs server: event=limit-named, limit-changed, limit-ended, limit-invalid, with counters. Nothing is limited yet. The server stand-in can name a limit and say that it is leaving.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -18,6 +18,7 @@
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/server_commands.h"
+#include "shedlever/server_condition.h"
 #include "shedlever/server_instance.h"
 
 namespace shedlever {
@@ -124,6 +125,9 @@
   virtual AnswerKind classify(const HttpResponse& answer, const RequestId& id, const InstanceId& expected,
                               bool keyed) const = 0;
 
+  /// @return what the server says about its condition in any response.
+  virtual ServerCondition conditionOf(const HttpResponse& answer) const = 0;
+
   virtual HttpRequest grantRequest(const GrantCommand& command) const = 0;
   virtual HttpRequest releaseRequest(const ReleaseCommand& command) const = 0;
   virtual CommandStatus commandStatus(const HttpResponse& answer) const = 0;
--- a/source/router/gate_recorder.cc
+++ b/source/router/gate_recorder.cc
@@ -1,5 +1,6 @@
 #include "source/router/gate_recorder.h"
 
+#include <sstream>
 #include <string>
 
 #include "source/core/router/duration_format.h"
@@ -8,6 +9,26 @@
 
 namespace {
 
+const char* limitEvent(LimitChange change) {
+  switch (change) {
+    case LimitChange::None:
+      break;
+    case LimitChange::Named:
+      return "limit-named";
+    case LimitChange::Changed:
+      return "limit-changed";
+    case LimitChange::Ended:
+      return "limit-ended";
+  }
+  return "limit-unchanged";
+}
+
+std::string formatRate(double per_second) {
+  std::ostringstream text;
+  text << per_second;
+  return text.str();
+}
+
 std::string keyOf(const ForwardFrame& frame) { return frame.keyed ? std::to_string(frame.key) : "-"; }
 
 }  // namespace
@@ -53,4 +74,21 @@
               {"ran_ms", formatMilliseconds(ran)}});
 }
 
+void GateRecorder::limitChanged(const InstanceId& instance, LimitChange change, std::optional<double> per_second) {
+  metrics_.onEvent(limitEvent(change));
+  // A server may change its limit with each response.
+  if (change == LimitChange::Changed && !log_.mayWriteAttempt()) {
+    return;
+  }
+  log_.write("server", limitEvent(change),
+             {{"instance", instance.value}, {"per_second", per_second ? formatRate(*per_second) : "-"}});
+}
+
+void GateRecorder::limitInvalid(const InstanceId& instance) {
+  metrics_.onEvent("limit-invalid");
+  if (log_.mayWriteAttempt()) {
+    log_.write("server", "limit-invalid", {{"instance", instance.value}});
+  }
+}
+
 }  // namespace shedlever
--- a/source/router/gate_recorder.h
+++ b/source/router/gate_recorder.h
@@ -4,6 +4,7 @@
 /// Logs and counts the gate's decisions about requests for its server.
 
 #include "shedlever/request_fingerprint.h"
+#include "source/core/router/named_limit.h"
 #include "source/router/event_log.h"
 #include "source/router/router_metrics.h"
 #include "source/router/server_client.h"
@@ -37,6 +38,12 @@
   void ended(const ForwardFrame& frame, const RequestFingerprint& fingerprint, const ServerResult& result,
              Duration queued, Duration ran);
 
+  /// Records that the rate limit that the server names has changed.
+  /// @param per_second the new limit; std::nullopt if the server names none.
+  void limitChanged(const InstanceId& instance, LimitChange change, std::optional<double> per_second);
+  /// Records that the server named an invalid limit, which is ignored.
+  void limitInvalid(const InstanceId& instance);
+
  private:
   EventLog& log_;
   RouterMetrics& metrics_;
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -88,7 +88,11 @@
       result.reason = ForwardReason::Cancelled;
       return result;
   }
-  switch (protocol_.classify(exchange.response, id, instance, keyed)) {
+  const AnswerKind kind = protocol_.classify(exchange.response, id, instance, keyed);
+  if (kind != AnswerKind::WrongInstance && kind != AnswerKind::Broken) {
+    result.condition = protocol_.conditionOf(exchange.response);
+  }
+  switch (kind) {
     case AnswerKind::Answer:
       result.outcome = ForwardOutcome::Answered;
       result.http = std::move(exchange.response);
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "shedlever/platform_ports.h"
 #include "shedlever/server_commands.h"
@@ -23,6 +24,8 @@
   /// A connection could not be made in time.
   bool connect_failed = false;
   HttpResponse http;
+  /// From a complete response of the expected instance; std::nullopt if there was none.
+  std::optional<ServerCondition> condition;
 
   /// @return whether the server answered without a server error (5xx). A server that gives up at the request's deadline
   ///   responds with such an error, possibly before the request makes it crash.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -59,6 +59,7 @@
     failed_connections_ = 0;
     failures_.reset();
     service_times_.reset();
+    named_limit_ = {};
   }
   reported_slots_ = slots;
   applySlots();
@@ -374,6 +375,7 @@
   queue_.onRequestEnded(answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
   trackUnanswered(ticket, entry.fingerprint, result);
+  updateCondition(entry, result);
   updateReachability(result);
   recordFailure(result);
   if (result.reason == ForwardReason::NotOwner && ownership_manager_ != nullptr) {
@@ -415,6 +417,19 @@
   }
 }
 
+void ServerGate::updateCondition(const Entry& entry, const ServerResult& result) {
+  if (!result.condition || entry.frame.instance != instance_) {
+    return;
+  }
+  if (result.condition->invalid_limit) {
+    recorder_.limitInvalid(instance_);
+  }
+  const LimitChange change = named_limit_.onResponse(*result.condition, entry.started, clock_.now());
+  if (change != LimitChange::None) {
+    recorder_.limitChanged(instance_, change, named_limit_.perSecond());
+  }
+}
+
 void ServerGate::updateReachability(const ServerResult& result) {
   if (result.server_gone) {
     events_.server_gone();
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -16,6 +16,7 @@
 #include "source/core/router/duration_estimator.h"
 #include "source/core/router/failure_meter.h"
 #include "source/core/router/key_wait_estimator.h"
+#include "source/core/router/named_limit.h"
 #include "source/core/router/ownership_manager.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/quarantine/unanswered_requests.h"
@@ -181,6 +182,8 @@
   void refuseAllQueued(ForwardReason reason);
   /// Makes the reply for a refused request and records the refusal.
   ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after);
+  /// Takes into account what the server says about its condition in the response to a request.
+  void updateCondition(const Entry& entry, const ServerResult& result);
   void updateReachability(const ServerResult& result);
   void recordFailure(const ServerResult& result);
   void probeSilentServer(TimePoint now);
@@ -207,6 +210,8 @@
   /// Requests per second; 0: no limit.
   double cold_rate_ = 0;
   TimePoint cold_until_{};
+  /// Limit named by the current instance.
+  NamedLimit named_limit_;
   InstanceId instance_;
   bool draining_ = false;
   bool keyed_requests_stopped_ = false;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -68,6 +68,25 @@
   on_acknowledged_ = std::move(acknowledged);
 }
 
+void KeyServer::setNamedLimit(const std::string& limit) { named_limit_ = limit; }
+
+void KeyServer::setLeaving() { leaving_ = true; }
+
+void KeyServer::addCondition(std::vector<HttpHeader>& headers) {
+  if (std::exchange(logged_limit_, named_limit_) != named_limit_) {
+    log("limit " + (named_limit_.empty() ? "-" : named_limit_));
+  }
+  if (!named_limit_.empty()) {
+    headers.push_back({"Server-Limit", named_limit_});
+  }
+  if (leaving_) {
+    headers.push_back({"Server-Leaving", "1"});
+    if (!std::exchange(leaving_logged_, true)) {
+      log("leaving");
+    }
+  }
+}
+
 bool KeyServer::happens(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
 
 void KeyServer::log(const std::string& line) {
@@ -155,9 +174,13 @@
     const json document = json::parse(request.http.body, nullptr, false);
     faults_ = {document.value("lost", 0.0), document.value("broken", 0.0), document.value("late_orders", 0.0),
                document.value("slow", 1.0)};
+    setNamedLimit(document.value("limit", ""));
+    leaving_ = leaving_ || document.value("leaving", false);
     answer.replyJson(kOk, "{}");
   } else if (request.path == "/health") {
-    answer.reply({kOk, {{"X-Instance-Id", instance_}}, {}});
+    HttpResponse response{leaving_ ? kUnavailable : kOk, {{"X-Instance-Id", instance_}}, {}};
+    addCondition(response.headers);
+    answer.reply(response);
   } else if (request.path == "/grant" || request.path == "/release") {
     handleCommand(request, responder);
   } else {
@@ -237,6 +260,7 @@
 
 void KeyServer::respond(const PendingRequest& pending, int status, bool not_executed) {
   HttpResponse response{status, {{"X-Request-Id", pending.id}, {"X-Instance-Id", instance_}}, {}};
+  addCondition(response.headers);
   if (not_executed) {
     response.headers.push_back({"X-Not-Executed", "1"});
   } else {
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -45,8 +45,10 @@
 };
 
 /// `POST /faults` sets probabilities: `lost` (executed, but the connection is closed without a response), `broken`
-/// (response truncated), `late_orders` (commands executed seconds later; a late grant is not answered), and `slow`, a
-/// factor of the request duration. A request with `bytes=N` in its query gets a response body of at least that size.
+/// (response truncated), `late_orders` (commands executed seconds later; a late grant is not answered), `slow`, a
+/// factor of the request duration, `limit`, the rate limit that the server names as text, and `leaving`: whether it
+/// says that it is leaving; once said, this stays. A request with `bytes=N` in its query gets a response body of at
+/// least that size.
 class KeyServer {
  public:
   /// @return the server, or a NetworkError.
@@ -66,6 +68,11 @@
   /// @param acknowledged runs once such a heartbeat has received a response.
   void startDraining(std::function<void()> acknowledged);
 
+  /// Names a limit of requests per second in all responses from now on. @param limit sent as it is; empty for none.
+  void setNamedLimit(const std::string& limit);
+  /// Says in all responses from now on that the server is leaving; its heartbeats do not change.
+  void setLeaving();
+
   /// @return the number of requests begun since the start.
   std::size_t startedRequests() const { return started_requests_; }
   /// @return the number of requests being executed.
@@ -100,6 +107,8 @@
   void finishRequest(const std::shared_ptr<PendingRequest>& pending);
   bool isFatal(const PendingRequest& pending) const;
   void respond(const PendingRequest& pending, int status, bool not_executed);
+  /// Adds the headers in which the server states its condition, and logs what they state for the first time.
+  void addCondition(std::vector<HttpHeader>& headers);
   void respondToReleases();
   /// Sends a heartbeat and schedules the next one.
   void sendHeartbeat();
@@ -136,6 +145,12 @@
   std::vector<Release> releases_;
   /// Keeps the connections of unanswered commands open.
   std::vector<StandinResponder> withheld_;
+  /// Empty while no limit is named.
+  std::string named_limit_;
+  bool leaving_ = false;
+  /// What the log states.
+  std::string logged_limit_;
+  bool leaving_logged_ = false;
   bool draining_ = false;
   std::function<void()> on_acknowledged_;
   std::size_t started_requests_ = 0;
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -121,6 +121,33 @@
   }
 }
 
+struct LimitRow {
+  const char* text;
+  std::optional<double> limit;
+};
+
+// Guards against a limit that is misread: a wrong number would overload the server or starve its callers.
+TEST(ServerProtocolTest, ReadsNamedLimitOnlyIfItIsANumberThatIsNotNegative) {
+  const std::vector<LimitRow> rows = {{"15.6", 15.6}, {"0", 0},    {"0.25", 0.25}, {"1e300", 1e300},
+                                      {"-1", {}},     {"", {}},    {"many", {}},   {"5/s", {}},
+                                      {"nan", {}},    {"inf", {}}, {"1e999", {}}};
+  const ServerProtocolImpl protocol;
+  for (const LimitRow& row : rows) {
+    const ServerCondition condition = protocol.conditionOf({200, {{"server-limit", row.text}}, {}});
+    EXPECT_EQ(condition.request_limit, row.limit) << row.text;
+    EXPECT_EQ(condition.invalid_limit, !row.limit) << row.text;
+    EXPECT_FALSE(condition.leaving);
+  }
+  const ServerCondition none = protocol.conditionOf({200, {}, {}});
+  EXPECT_FALSE(none.request_limit || none.invalid_limit || none.leaving);
+}
+
+TEST(ServerProtocolTest, ReadsThatTheServerIsLeaving) {
+  const ServerProtocolImpl protocol;
+  EXPECT_TRUE(protocol.conditionOf({503, {{"Server-Leaving", "1"}}, {}}).leaving);
+  EXPECT_FALSE(protocol.conditionOf({200, {{"Server-Leaving", "0"}}, {}}).leaving);
+}
+
 TEST(ServerProtocolTest, EncodesCommandsAndDecodesTheirResponses) {
   const ServerProtocolImpl protocol;
   const HttpRequest grant = protocol.grantRequest({4096, 8191, 12, milliseconds(4000), "paper"});
