Start no more requests at a server than it names in its responses

The gate beside a server, through which every request for it passes, paced cold servers alone. Change: the gate paces starts by the limit of the newest response of the running instance. Lower limits hold at once, also for requests that are queued; a higher one, or none, counts only from a request sent after the limit was last named. Below one request in two seconds that many still start, as only responses show a change. A new process beside a running server asks for its condition and starts two requests in 0.5 s until a response shows whether there is a limit. Load reports describe such a server as slots and run times that admit its rate, and as full while none may start, so that the choice of servers, balance and key moves follow; no frame and no stored object changes. Requests that no server takes are told the shortest wait, in full. Metric shedlever_server_named_limit, column limit in shedlever status.

--- a/source/cli/operator_commands.cc
+++ b/source/cli/operator_commands.cc
@@ -1,6 +1,7 @@
 #include "source/cli/operator_commands.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "source/core/settings/endpoint_text.h"
 
@@ -31,6 +32,16 @@
   return status.draining ? "draining" : "ready";
 }
 
+/// @return requests per second that the server takes, as it names them.
+std::string limitOf(const NodeStatus& status) {
+  if (!status.named_limit) {
+    return "-";
+  }
+  std::ostringstream text;
+  text << *status.named_limit;
+  return text.str();
+}
+
 std::string milliseconds(Duration duration) {
   return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
 }
@@ -69,13 +80,13 @@
 
 ExitCode runStatus(CliContext& context) {
   const std::vector<NodeStatus> statuses = fetchAllStatuses(context);
-  TextTable table({"node", "zone", "service", "version", "state", "instance", "running", "queued", "slots", "in-flight",
-                   "config", "lease-ms", "ranges"});
+  TextTable table({"node", "zone", "service", "version", "state", "instance", "running", "queued", "slots", "limit",
+                   "in-flight", "config", "lease-ms", "ranges"});
   for (const NodeStatus& status : statuses) {
     table.add({status.node.name.value, status.zone.value, status.service.value, status.version, stateOf(status),
                status.instance.empty() ? "-" : status.instance.value, std::to_string(status.load.running),
-               std::to_string(status.load.queued), std::to_string(status.load.slots), std::to_string(status.in_flight),
-               std::to_string(status.config_version), milliseconds(status.lease_left),
+               std::to_string(status.load.queued), std::to_string(status.load.slots), limitOf(status),
+               std::to_string(status.in_flight), std::to_string(status.config_version), milliseconds(status.lease_left),
                std::to_string(status.ranges.size())});
   }
   print(context, table);
--- a/source/core/operators/node_status.cc
+++ b/source/core/operators/node_status.cc
@@ -60,6 +60,9 @@
   status.load.running = server.at("running").get<std::uint32_t>();
   status.load.queued = server.at("queued").get<std::uint32_t>();
   status.load.slots = server.at("slots").get<std::uint32_t>();
+  if (server.contains("limit")) {
+    status.named_limit = server.at("limit").get<double>();
+  }
   status.in_flight = document.at("in_flight").get<std::uint64_t>();
   status.known_nodes = document.at("nodes").get<std::uint64_t>();
   const ordered_json& config = document.at("config");
@@ -89,9 +92,12 @@
   for (const QuarantineStatus& quarantine : status.quarantined) {
     quarantined.push_back(encodeQuarantine(quarantine));
   }
-  const ordered_json server = {{"instance", status.instance.value}, {"draining", status.draining},
-                               {"silent", status.silent},           {"running", status.load.running},
-                               {"queued", status.load.queued},      {"slots", status.load.slots}};
+  ordered_json server = {{"instance", status.instance.value}, {"draining", status.draining},
+                         {"silent", status.silent},           {"running", status.load.running},
+                         {"queued", status.load.queued},      {"slots", status.load.slots}};
+  if (status.named_limit) {
+    server["limit"] = *status.named_limit;
+  }
   ordered_json parts = ordered_json::object();
   for (const auto& [name, revision] : status.config_parts) {
     parts[name] = {{"era", revision.epoch}, {"count", revision.count}};
--- a/source/core/operators/node_status.h
+++ b/source/core/operators/node_status.h
@@ -4,6 +4,7 @@
 /// Status that one router reports to operators, and its JSON encoding.
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   /// The server does not respond.
   bool silent = false;
   ServerLoad load;
+  /// Requests per second that the server takes, as it names them; std::nullopt if it names no limit.
+  std::optional<double> named_limit;
   /// Number of client requests without a final response.
   std::uint64_t in_flight = 0;
   /// Number of nodes that this node knows of.
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -40,6 +40,7 @@
     entry.load_at = {};
     entry.failure_ratio = 0;
     entry.slowness = 1.0;
+    entry.names_limit = false;
   }
   if (entry.record.incarnation != record.incarnation) {
     entry.unreachable = false;
@@ -249,6 +250,18 @@
   return found != entries_.end() && found->second.confirmed_reachable;
 }
 
+void ServerDirectory::setNamesLimit(const NodeName& node, bool names_limit) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    found->second.names_limit = names_limit;
+  }
+}
+
+bool ServerDirectory::namesLimit(const NodeName& node) const {
+  const auto found = entries_.find(node);
+  return found != entries_.end() && found->second.names_limit;
+}
+
 void ServerDirectory::markDraining(const NodeName& node) {
   const auto found = entries_.find(node);
   if (found != entries_.end()) {
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -97,6 +97,10 @@
   /// The node's process reported that it or its server is leaving; valid until the next record.
   void markDraining(const NodeName& node);
 
+  /// Sets whether the server at the node named a request limit in its last response.
+  void setNamesLimit(const NodeName& node, bool names_limit);
+  bool namesLimit(const NodeName& node) const;
+
   /// @return share of the node's slots in use, the higher of the last report and the requests sent from here; above 1
   ///   while requests are queued.
   double occupancy(const NodeName& node, TimePoint now) const;
@@ -117,6 +121,7 @@
     std::uint32_t in_flight = 0;
     /// Service time relative to the usual time for the same route.
     double slowness = 1.0;
+    bool names_limit = false;
     bool unreachable = false;
     bool confirmed_reachable = false;
   };
--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/slot_queue.cc
@@ -1,6 +1,7 @@
 #include "source/core/router/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 
@@ -142,13 +143,25 @@
   return all;
 }
 
+SlotQueue::Capacity SlotQueue::capacity() const {
+  const std::optional<double> rate = start_rate_.sustainedRate();
+  const double seconds = std::chrono::duration<double>(mean_service_time_).count();
+  if (!rate || *rate * seconds >= slots_) {
+    return {slots_, mean_service_time_};
+  }
+  const double slots = std::max(1.0, std::round(*rate * seconds));
+  const std::chrono::duration<double> slot_time(slots / *rate);
+  return {static_cast<std::uint32_t>(slots), std::chrono::duration_cast<Duration>(slot_time)};
+}
+
 ServerLoad SlotQueue::load() const {
+  const Capacity capacity = this->capacity();
   ServerLoad load;
   load.running = running_;
   load.queued = static_cast<std::uint32_t>(waiting_.size());
-  load.slots = start_rate_.isLimited() ? std::min(slots_, start_rate_.slotsInUse(mean_service_time_)) : slots_;
+  load.slots = capacity.slots;
   load.mean_service_ms =
-      static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(mean_service_time_).count());
+      static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(capacity.slot_time).count());
   return load;
 }
 
--- a/source/core/router/slot_queue.h
+++ b/source/core/router/slot_queue.h
@@ -66,6 +66,9 @@
 
   /// @param per_second maximum rate at which requests start; none: limited by the slots alone.
   void setStartLimit(std::optional<double> per_second) { start_rate_.setLimit(per_second); }
+  /// Sets the rate that the server names, see `StartRateLimiter`.
+  void setNamedLimit(std::optional<double> per_second) { start_rate_.setNamedLimit(per_second); }
+  void setNamedLimitUnknown(bool unknown) { start_rate_.setNamedLimitUnknown(unknown); }
   /// Assumes that another router process has already started as many requests as the limit allows.
   void assumeStartLimitExhausted(TimePoint now) { start_rate_.assumeExhausted(now); }
 
@@ -97,8 +100,16 @@
   /// Removes all waiting requests.
   std::vector<QueueTicket> removeAll();
 
+  /// A server with a rate limit that its slots could exceed is described as one with so many slots, each in use for so
+  /// long, that they admit just that rate.
   ServerLoad load() const;
 
+  /// @return whether a request that arrived now could not start yet because of the rate limit.
+  bool isStartLimitReached(TimePoint now) const { return start_rate_.timeUntilNextStart(now) > Duration::zero(); }
+
+  /// @return how long a request occupies one of the slots that `load` states.
+  Duration slotTime() const { return capacity().slot_time; }
+
   /// @return how long a request of this rank would wait if it arrived now.
   Duration predictedWait(const QueueRank& rank, TimePoint now) const;
 
@@ -106,6 +117,12 @@
   Duration meanServiceTime() const { return mean_service_time_; }
 
  private:
+  struct Capacity {
+    std::uint32_t slots = 0;
+    Duration slot_time{};
+  };
+
+  Capacity capacity() const;
   void releaseTenant(QueueTicket ticket);
   /// @return how long a request waits with this many requests ahead of it.
   Duration waitBehind(std::size_t ahead, TimePoint now) const;
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -195,8 +195,9 @@
     refuse(number, ForwardReason::ServerDown, kUnavailableRetryAfter);
     return;
   }
-  if (owner.instance.empty() || request.attempts >= kMaxAttempts) {
-    request.last_reason = owner.instance.empty() ? ForwardReason::NotYetOwner : request.last_reason;
+  const bool has_owner = !owner.instance.empty();
+  if (!has_owner || request.attempts >= kMaxAttempts) {
+    request.last_reason = has_owner ? request.last_reason : ForwardReason::NotYetOwner;
     park(number);
     return;
   }
@@ -314,6 +315,7 @@
   ports_.directory->onReply(attempt.node, request.route->name, reply, now);
   if (reply.outcome == ForwardOutcome::Answered) {
     service_times_.record(request.route->name, Duration(reply.service_us));
+    recordCondition(attempt, reply.http);
   }
   ports_.on_known_revisions(attempt.node, request.service, reply.known);
   if (!reply.hint.revision.none()) {
@@ -321,6 +323,20 @@
   }
 }
 
+void Gateway::recordCondition(const GatewayAttempt& attempt, const HttpResponse& response) {
+  const ServerCondition condition = ports_.server_protocol->conditionOf(response);
+  ports_.directory->setNamesLimit(attempt.node, condition.request_limit.has_value());
+}
+
+void Gateway::recordRefusal(Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply) const {
+  if (reply.outcome != ForwardOutcome::NotRun || reply.reason != ForwardReason::Overloaded) {
+    return;
+  }
+  const Duration wait(reply.retry_after_us);
+  request.shortest_wait = std::min(request.shortest_wait.value_or(wait), wait);
+  request.limit_met = request.limit_met || ports_.directory->namesLimit(attempt.node);
+}
+
 void Gateway::onReply(RequestNumber number, std::uint32_t attempt_number, ForwardReplyFrame reply) {
   const auto found = requests_.find(number);
   if (found == requests_.end()) {
@@ -332,6 +348,7 @@
   GatewayAttempt& attempt = was_silent ? *request.silent_attempt : request.attempt;
   attempt.open = false;
   recordReply(request, attempt, reply, now);
+  recordRefusal(request, attempt, reply);
   if (was_silent && !adoptSilentReply(request, reply)) {
     return;
   }
@@ -441,6 +458,14 @@
   return Duration(static_cast<Duration::rep>(delay));
 }
 
+Duration Gateway::retryAfter(const Request& request, Duration wanted, Duration time_left) {
+  if (!request.limit_met) {
+    return jitteredRetryAfter(wanted, time_left);
+  }
+  // No server takes the request earlier, so the full time is reported even if it exceeds the deadline.
+  return jitteredRetryAfter(std::max(wanted, *request.shortest_wait), Duration::max());
+}
+
 void Gateway::refuse(RequestNumber number, ForwardReason reason, Duration retry_after) {
   requests_.at(number).last_reason = reason;
   refuseFor(number, reasonOf(reason), retry_after);
@@ -455,7 +480,7 @@
   const Duration time_left = request.info.time_left.value_or(request.route->timeout) - (now - request.arrived);
   // A retry before the end of the quarantine would be refused again, so the full time is reported even if it exceeds
   // the deadline.
-  const Duration delay = reason == Reason::Quarantined ? retry_after : jitteredRetryAfter(retry_after, time_left);
+  const Duration delay = reason == Reason::Quarantined ? retry_after : retryAfter(request, retry_after, time_left);
   const Refusal refusal{request.id, Outcome::NotRun, reason, delay};
   finish(number, ports_.protocol->makeRefusalResponse(refusal), "refused", ClaimOutcome::NotRun);
 }
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -29,6 +29,7 @@
   const Clock* clock = nullptr;
   RandomSource* random = nullptr;
   const ClientProtocol* protocol = nullptr;
+  const ServerProtocol* server_protocol = nullptr;
   /// Null if no route needs idempotency keys.
   ClaimManager* claims = nullptr;
   ServerDirectory* directory = nullptr;
@@ -106,6 +107,10 @@
   /// Updates what is known about the server and its service from a reply.
   void recordReply(const Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply,
                    TimePoint now);
+  /// Takes into account what the server of the attempt said about its condition.
+  void recordCondition(const GatewayAttempt& attempt, const HttpResponse& response);
+  /// Updates the time after which a server may take the request, from a reply that refuses it.
+  void recordRefusal(Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply) const;
   /// Takes the reply to the attempt at a silent node into account.
   /// @return whether it ends the request; otherwise the current attempt decides.
   bool adoptSilentReply(Request& request, ForwardReplyFrame& reply);
@@ -134,6 +139,8 @@
   AttemptInputs inputsOf(const Request& request) const;
   /// @return a retry delay of at least `wanted` plus random jitter, limited to a fraction of `remaining`.
   Duration jitteredRetryAfter(Duration wanted, Duration remaining);
+  /// @return the retry delay for a refused request. @param wanted delay. @param time_left until its client gives up.
+  Duration retryAfter(const Request& request, Duration wanted, Duration time_left);
 
   NodeName self_;
   RequestIdGenerator ids_;
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -63,6 +63,10 @@
   ForwardReason last_reason = ForwardReason::None;
   /// Why the outcome of an attempt is unknown; std::nullopt while the outcomes of all ended attempts are known.
   std::optional<ForwardReason> unknown_reason;
+  /// Shortest wait that a server gave when it refused the request; std::nullopt if none has.
+  std::optional<Duration> shortest_wait;
+  /// Whether a server refused the request that names a request limit.
+  bool limit_met = false;
   /// Complete error response of a server to an earlier attempt, after which another server was tried.
   std::optional<HttpResponse> earlier_answer;
   TimerId timer = 0;
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -1,5 +1,6 @@
 #include "source/router/router_metrics.h"
 
+#include <limits>
 #include <utility>
 
 #include "source/core/router/frame_name.h"
@@ -93,6 +94,8 @@
       store_seconds_(histograms(registry_, "shedlever_store_call_seconds", "Time to the store's answer, watches apart")
                          .Add({}, kSecondsBoundaries)),
       slots_(gauge("shedlever_server_slots", "Slots of the server that are used")),
+      named_limit_(gauge("shedlever_server_named_limit",
+                         "Requests per second that the server takes, as it names them; +Inf if it names no limit")),
       running_(gauge("shedlever_server_running", "Requests that run at the server")),
       waiting_(gauge("shedlever_server_waiting", "Requests that wait for a slot")),
       link_wait_(gauge("shedlever_link_wait_seconds", "How long large answers keep the machine's link busy")),
@@ -180,6 +183,7 @@
 
 std::string RouterMetrics::text(const RouterGauges& gauges) {
   slots_.Set(gauges.load.slots);
+  named_limit_.Set(gauges.named_limit.value_or(std::numeric_limits<double>::infinity()));
   running_.Set(gauges.load.running);
   waiting_.Set(gauges.load.queued);
   link_wait_.Set(gauges.load.link_busy_ms / kMillisecondsPerSecond);
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,6 +39,8 @@
 /// Values of the gauges at the time of a scrape.
 struct RouterGauges {
   ServerLoad load;
+  /// Requests per second that the local server takes, as it names them.
+  std::optional<double> named_limit;
   std::size_t in_flight = 0;
   std::size_t nodes = 0;
   std::size_t peer_streams = 0;
@@ -117,6 +120,7 @@
   prometheus::Histogram& ran_;
   prometheus::Histogram& store_seconds_;
   prometheus::Gauge& slots_;
+  prometheus::Gauge& named_limit_;
   prometheus::Gauge& running_;
   prometheus::Gauge& waiting_;
   prometheus::Gauge& link_wait_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -390,6 +390,9 @@
   if (change == PresenceChange::NewInstance && startedBeforeThisProcess(report)) {
     gate_.assumeStartLimitExhausted();
   }
+  if (!std::exchange(server_seen_, true)) {
+    checkServerCondition();
+  }
   if (report.draining) {
     onServerDraining();
   }
@@ -404,6 +407,12 @@
   return report.cold_remaining > Duration::zero() && age >= clock_.now() - started_at_;
 }
 
+void RouterProcess::checkServerCondition() {
+  gate_.assumeNamedLimitUnknown();
+  // The gate reads the condition from the response.
+  server_client_.identify(gate_.healthPath(), [](const ServerId&, bool) {});
+}
+
 void RouterProcess::onServerDraining() {
   if (!server_.startDraining()) {
     return;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -91,6 +91,9 @@
   RouterGauges levels() const;
   void applyOwnSettings(const RoutedService& own);
   HeartbeatResponder::Ports responderPorts();
+  /// The local server may have stated its condition to an earlier process: asks for it, and starts few requests until a
+  /// response shows whether the server names a limit.
+  void checkServerCondition();
   /// Records that an object or a report could not be decoded and is ignored.
   void onUnreadable(const char* part, const std::string& what);
   void onReportRequest(const HttpRequest& request, const StrictHttpResponder& replier);
@@ -169,6 +172,8 @@
   TimePoint config_adopted_at_{};
   /// The server's keys have expired because it stopped reporting.
   bool keys_lapsed_ = false;
+  /// The server has reported since this process started.
+  bool server_seen_ = false;
   /// The server is being asked which instance it is.
   bool verifying_instance_ = false;
   bool stopping_ = false;
--- a/source/router/router_process_status.cc
+++ b/source/router/router_process_status.cc
@@ -19,6 +19,7 @@
   status.draining = server_.draining();
   status.silent = server_.silent();
   status.load = gate_.load();
+  status.named_limit = gate_.namedLimit();
   status.in_flight = gateway_->inFlight();
   status.known_nodes = directory_.nodes().size();
   status.config_version = cluster_state_.routes() ? cluster_state_.routes()->version() : 0;
@@ -43,6 +44,7 @@
   const TimePoint now = clock_.now();
   RouterGauges levels;
   levels.load = gate_.load();
+  levels.named_limit = gate_.namedLimit();
   levels.in_flight = gateway_->inFlight();
   levels.nodes = directory_.nodes().size();
   levels.config_staleness = cluster_state_.configStaleness();
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -126,6 +126,7 @@
   ports.clock = &clock_;
   ports.random = &random_;
   ports.protocol = platform_.clients;
+  ports.server_protocol = platform_.servers;
   ports.claims = &claims_;
   ports.directory = &directory_;
   ports.quarantine = &quarantine_.quarantine();
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -116,40 +116,51 @@
   return result;
 }
 
-void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
-  commands_.send(protocol_.grantRequest(command), kGrantTimeout,
-                 [this, done = std::move(done)](const HttpExchangeResult& exchange) {
-                   if (exchange.status == HttpExchangeStatus::Complete) {
-                     done(protocol_.commandStatus(exchange.response));
-                   } else {
-                     done(exchange.connection_refused ? CommandStatus::ServerGone : CommandStatus::NoAnswer);
+void ServerClient::sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done) {
+  ConditionCallback on_condition = observe_condition_ ? observe_condition_() : ConditionCallback();
+  commands_.send(std::move(request), timeout,
+                 [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
+                   if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
+                     on_condition(protocol_.conditionOf(exchange.response));
                    }
+                   done(std::move(exchange));
                  });
 }
 
+void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
+  sendCommand(protocol_.grantRequest(command), kGrantTimeout,
+              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+                if (exchange.status == HttpExchangeStatus::Complete) {
+                  done(protocol_.commandStatus(exchange.response));
+                } else {
+                  done(exchange.connection_refused ? CommandStatus::ServerGone : CommandStatus::NoAnswer);
+                }
+              });
+}
+
 void ServerClient::release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) {
-  commands_.send(protocol_.releaseRequest(command), kReleaseTimeout,
-                 [this, done = std::move(done)](const HttpExchangeResult& exchange) {
-                   ReleaseResult result;
-                   if (exchange.status == HttpExchangeStatus::Complete) {
-                     result.status = protocol_.commandStatus(exchange.response);
-                     result.handover = protocol_.handoverOf(exchange.response);
-                   } else if (exchange.connection_refused) {
-                     result.status = CommandStatus::ServerGone;
-                   }
-                   done(result);
-                 });
+  sendCommand(protocol_.releaseRequest(command), kReleaseTimeout,
+              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+                ReleaseResult result;
+                if (exchange.status == HttpExchangeStatus::Complete) {
+                  result.status = protocol_.commandStatus(exchange.response);
+                  result.handover = protocol_.handoverOf(exchange.response);
+                } else if (exchange.connection_refused) {
+                  result.status = CommandStatus::ServerGone;
+                }
+                done(result);
+              });
 }
 
 void ServerClient::identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done) {
-  commands_.send(protocol_.healthRequest(health_path), kIdentifyTimeout,
-                 [this, done = std::move(done)](const HttpExchangeResult& exchange) {
-                   if (exchange.status == HttpExchangeStatus::Complete) {
-                     done(protocol_.serverIdOf(exchange.response), false);
-                   } else {
-                     done({}, exchange.connection_refused);
-                   }
-                 });
+  sendCommand(protocol_.healthRequest(health_path), kIdentifyTimeout,
+              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+                if (exchange.status == HttpExchangeStatus::Complete) {
+                  done(protocol_.serverIdOf(exchange.response), false);
+                } else {
+                  done({}, exchange.connection_refused);
+                }
+              });
 }
 
 }  // namespace shedlever
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -37,6 +37,8 @@
   ServerRequestMetadata head;
 };
 
+using ConditionCallback = std::function<void(const ServerCondition&)>;
+
 class ServerClient final : public ServerCommands {
  public:
   /// @param loop, protocol outlive the client.
@@ -50,6 +52,10 @@
   void grant(const GrantCommand& command, std::function<void(CommandStatus)> done) override;
   void release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) override;
 
+  /// @param observe is called before each command and health check; what it returns receives what the server says about
+  ///   its condition in the response, if there is one.
+  void setConditionObserver(std::function<ConditionCallback()> observe) { observe_condition_ = std::move(observe); }
+
   /// Sends a health check that returns the server's id.
   /// @param done receives an empty id if there was no response; `refused` if the connection was refused.
   void identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done);
@@ -57,7 +63,11 @@
  private:
   ServerResult resultOf(HttpExchangeResult exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
 
+  /// Sends a command or a health check.
+  void sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done);
+
   const ServerProtocol& protocol_;
+  std::function<ConditionCallback()> observe_condition_;
   HttpClient requests_;
   HttpClient commands_;
 };
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -29,7 +29,13 @@
       server_client_(server_client),
       machine_link_(std::move(machine_link)),
       recorder_(recorder),
-      events_(std::move(events)) {}
+      events_(std::move(events)) {
+  server_client_.setConditionObserver([this] {
+    return [this, instance = instance_, sent = clock_.now()](const ServerCondition& condition) {
+      onCommandCondition(instance, sent, condition);
+    };
+  });
+}
 
 ServerLoad ServerGate::load() const {
   ServerLoad load = queue_.load();
@@ -40,10 +46,18 @@
   return load;
 }
 
+ServerLoad ServerGate::reportedLoad() const {
+  ServerLoad load = this->load();
+  if (queue_.isStartLimitReached(clock_.now())) {
+    load.running = std::max(load.running, load.slots);
+  }
+  return load;
+}
+
 OfferedLoad ServerGate::offeredLoad() const {
   OfferedLoad offered;
   offered.slots = queue_.load().slots;
-  offered.service_seconds = std::chrono::duration<double>(queue_.meanServiceTime()).count();
+  offered.service_seconds = std::chrono::duration<double>(queue_.slotTime()).count();
   offered.demand = ownership_manager_ == nullptr ? 0.0 : ownership_manager_->requestRate() * offered.service_seconds;
   return offered;
 }
@@ -60,6 +74,8 @@
     failures_.reset();
     service_times_.reset();
     named_limit_ = {};
+    queue_.setNamedLimit(std::nullopt);
+    queue_.setNamedLimitUnknown(false);
   }
   reported_slots_ = slots;
   applySlots();
@@ -203,7 +219,7 @@
   reply.outcome = ForwardOutcome::NotRun;
   reply.reason = reason;
   reply.retry_after_us = quarantineLeft(frame).value_or(retry_after).count();
-  reply.load = load();
+  reply.load = reportedLoad();
   if (frame.keyed && ownership_manager_ != nullptr && reason == ForwardReason::Overloaded) {
     ownership_manager_->onKeyRequestRefused(frame.key, clock_.now());
   }
@@ -310,7 +326,7 @@
       return;
     }
   }
-  const QueueRank rank{frame.priority, 0, Duration(frame.target_us), now + remaining};
+  const QueueRank rank = rankOf(frame, now + remaining);
   const QueueDecision decision = queue_.admit(ticket, frame.tenant, rank, now, max_wait);
   if (decision.verdict == QueueVerdict::Refuse || decision.verdict == QueueVerdict::TenantFull) {
     const bool tenant_full = decision.verdict == QueueVerdict::TenantFull;
@@ -329,6 +345,10 @@
   }
 }
 
+QueueRank ServerGate::rankOf(const ForwardFrame& frame, TimePoint deadline) const {
+  return {frame.priority, 0, Duration(frame.target_us), deadline};
+}
+
 Duration ServerGate::maxWait(const ForwardFrame& frame) const {
   const Duration expected = service_times_.expected(frame.route, queue_.meanServiceTime());
   const Duration until_caller_leaves = Duration(frame.remaining_us) - expected;
@@ -392,7 +412,7 @@
   reply.reached_server = result.reached_server;
   reply.service_us = answered ? service_time.count() : 0;
   reply.http = std::move(result.http);
-  reply.load = load();
+  reply.load = reportedLoad();
   if (!entry.abandoned) {
     entry.done(std::move(reply));
   }
@@ -424,10 +444,24 @@
   if (result.condition->invalid_limit) {
     recorder_.limitInvalid(instance_);
   }
-  const LimitChange change = named_limit_.onResponse(*result.condition, entry.started, clock_.now());
-  if (change != LimitChange::None) {
-    recorder_.limitChanged(instance_, change, named_limit_.perSecond());
+  queue_.setNamedLimitUnknown(false);
+  onLimitChange(named_limit_.onResponse(*result.condition, entry.started, clock_.now()));
+}
+
+void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
+  if (instance != instance_ || instance_.empty()) {
+    return;
   }
+  onLimitChange(named_limit_.onCommandResponse(condition, sent, clock_.now()));
+}
+
+void ServerGate::onLimitChange(LimitChange change) {
+  if (change == LimitChange::None) {
+    return;
+  }
+  recorder_.limitChanged(instance_, change, named_limit_.perSecond());
+  queue_.setNamedLimit(named_limit_.perSecond());
+  refuseOverdue();
 }
 
 void ServerGate::updateReachability(const ServerResult& result) {
@@ -512,15 +546,25 @@
   return found != entries_.end() && found->second.running;
 }
 
+void ServerGate::refuseOverdue() {
+  const TimePoint now = clock_.now();
+  for (const QueueTicket ticket : queue_.removeOverdue(now)) {
+    const auto found = entries_.find(ticket);
+    if (found == entries_.end()) {
+      continue;
+    }
+    const Duration wait = queue_.predictedWait(rankOf(found->second.frame, found->second.deadline), now);
+    refuseQueued(ticket, ForwardReason::Overloaded, std::max(wait, queue_.meanServiceTime()));
+  }
+}
+
 void ServerGate::tick() {
   const TimePoint now = clock_.now();
   key_waits_.update([this, now](Key first) { return isKeyInTransit(first, now); }, now);
   if (!held_.empty()) {
     onKeysChanged();
   }
-  for (const QueueTicket ticket : queue_.removeOverdue(now)) {
-    refuseQueued(ticket, ForwardReason::Overloaded, queue_.meanServiceTime());
-  }
+  refuseOverdue();
   applyColdLimit();
   startQueued();
   probeSilentServer(now);
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -80,6 +80,9 @@
   void setCold(Duration left);
   /// The server may have become cold: treats it as cold until its next report.
   void assumeCold();
+  /// The server may have named a limit to an earlier process: few requests start until a response shows whether it
+  /// does.
+  void assumeNamedLimitUnknown() { queue_.setNamedLimitUnknown(true); }
   /// The server started before this process: an earlier process may have used up the server's request rate.
   void assumeStartLimitExhausted() { queue_.assumeStartLimitExhausted(clock_.now()); }
   /// The server has ended: refuses queued requests and starts no more.
@@ -116,6 +119,8 @@
   void tick();
 
   ServerLoad load() const;
+  /// @return requests per second that the server takes, as it names them; std::nullopt if it names no limit.
+  std::optional<double> namedLimit() const { return named_limit_.perSecond(); }
   /// @return share of the server's recent requests that failed.
   double failureRatio() const { return failures_.failureRatio(clock_.now()); }
   const InstanceId& instance() const { return instance_; }
@@ -148,6 +153,11 @@
     TimePoint deadline{};
   };
 
+  /// @return the load for other processes: a server that may start no request now counts as full.
+  ServerLoad reportedLoad() const;
+  QueueRank rankOf(const ForwardFrame& frame, TimePoint deadline) const;
+  /// Refuses the queued requests that would wait too long.
+  void refuseOverdue();
   void applySlots();
   void applyColdLimit();
   /// The current instance has ended; another one is running, or none.
@@ -184,6 +194,9 @@
   ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after);
   /// Takes into account what the server says about its condition in the response to a request.
   void updateCondition(const Entry& entry, const ServerResult& result);
+  /// As above, for the response to a command or health check. @param instance that the command was sent to.
+  void onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition);
+  void onLimitChange(LimitChange change);
   void updateReachability(const ServerResult& result);
   void recordFailure(const ServerResult& result);
   void probeSilentServer(TimePoint now);
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "platform/client_protocol.h"
+#include "platform/server_protocol.h"
 #include "source/lab/sim/simulated_cluster.h"
 #include "source/net/http_client.h"
 #include "source/net/http_headers.h"
@@ -47,6 +48,11 @@
   return frame;
 }
 
+ForwardReplyFrame withHeader(ForwardReplyFrame frame, const std::string& name, const std::string& value) {
+  frame.http.headers.push_back({name, value});
+  return frame;
+}
+
 /// Two servers of a service without keys, whose peers answer successive attempts as specified by the test.
 class GatewayTest : public ::testing::Test {
  protected:
@@ -119,6 +125,7 @@
     ports.clock = &clock_;
     ports.random = &random_;
     ports.protocol = &protocol_;
+    ports.server_protocol = &server_protocol_;
     ports.directory = &directory_;
     ports.quarantine = &quarantine_;
     ports.peer_client = &peer_client_;
@@ -165,26 +172,31 @@
   std::shared_ptr<std::optional<HttpResponse>> startAsking(std::vector<ForwardReplyFrame> answers) {
     answers_ = std::move(answers);
     next_ = 0;
+    return startSending({"GET", "/read/x", {{"Host", "h"}, {"X-Request-Deadline", "20000"}}, {}});
+  }
+
+  /// @return a request for a key; the client's deadline is longer than any test runs.
+  static HttpRequest keyRequest() {
+    const auto deadline_ms = std::chrono::floor<milliseconds>(std::chrono::hours(1)).count();
+    return {"GET",
+            "/keyed/x",
+            {{"Host", "h"}, {"X-Request-Deadline", std::to_string(deadline_ms)}, {"X-Shard-Key", "7"}},
+            {}};
+  }
+
+  /// Requests a key.
+  std::optional<HttpResponse> askForKey() { return httpCall(loop_, clients_->endpoint(), keyRequest(), kTestTimeout); }
+
+  std::shared_ptr<std::optional<HttpResponse>> startSending(HttpRequest request) {
     HttpClientConfig config;
     config.server = clients_->endpoint();
     client_ = std::make_unique<HttpClient>(loop_, config);
     auto response = std::make_shared<std::optional<HttpResponse>>();
-    client_->send({"GET", "/read/x", {{"Host", "h"}, {"X-Request-Deadline", "20000"}}, {}}, kTestTimeout,
+    client_->send(std::move(request), kTestTimeout,
                   [response](const HttpExchangeResult& result) { *response = result.response; });
     return response;
   }
 
-  /// Requests a key without an owner; the client's deadline is longer than any test runs.
-  std::optional<HttpResponse> askForKey() {
-    const auto deadline_ms = std::chrono::floor<milliseconds>(std::chrono::hours(1)).count();
-    return httpCall(loop_, clients_->endpoint(),
-                    {"GET",
-                     "/keyed/x",
-                     {{"Host", "h"}, {"X-Request-Deadline", std::to_string(deadline_ms)}, {"X-Shard-Key", "7"}},
-                     {}},
-                    kTestTimeout);
-  }
-
   static bool hasRetryAfter(const HttpResponse& response) {
     return !headerValue(response.headers, "Retry-After").empty();
   }
@@ -198,6 +210,7 @@
   EventLog log_;
   RouterMetrics metrics_;
   platform::ClientProtocolImpl protocol_;
+  platform::ServerProtocolImpl server_protocol_;
   ServerDirectory directory_;
   CrashQuarantine quarantine_{{}};
   PeerClient peer_client_;
@@ -333,6 +346,22 @@
   EXPECT_LE(given_us, kTimeLeft.count());
 }
 
+// A client that came back earlier would be refused again: neither server takes a request before.
+TEST_F(GatewayTest, RequestOverTheLimitsOfAllServersIsToldTheShortestWait) {
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(ask({withHeader(answered(200, "here"), "Server-Limit", "0.5")}).status, 200);
+  }
+  ForwardReplyFrame long_wait = refused();
+  long_wait.retry_after_us = Duration(seconds(3)).count();
+  ForwardReplyFrame longer_wait = refused();
+  longer_wait.retry_after_us = Duration(seconds(4)).count();
+  const HttpResponse response = ask({longer_wait, long_wait}, seconds(2));
+  EXPECT_EQ(response.status, kUnavailable);
+  const double retry_after = std::stod(std::string(headerValue(response.headers, "Retry-After")));
+  EXPECT_GE(retry_after, 3.0);
+  EXPECT_LE(retry_after, 6.0);
+}
+
 TEST_F(GatewayTest, AnswerAfterAnAttemptOfUnknownOutcomeIsReturned) {
   const HttpResponse response = ask({unknown(), answered(200, "here")});
   EXPECT_EQ(response.status, 200);
