Send no requests to a server that says in its responses that it is leaving

Servers that said so got requests as before until a heartbeat or a node record told of it, or for good if none did. Cause: nothing read the header. Each process that passes such a response on remembers the instance (LeavingServers) and sends it nothing more, and requests for its keys only while these are handed over, whatever records and restarted processes say. A later instance of the same id is another instance.

--- a/source/core/router/server_directory.cc
+++ b/source/core/router/server_directory.cc
@@ -65,7 +65,8 @@
 
 bool ServerDirectory::takesRequestsFor(const Entry& entry, const ServiceName& service) const {
   const NodeRecord& record = entry.record;
-  return record.service == service && record.serves() && !entry.unreachable && !evacuated_.contains(record.zone);
+  return record.service == service && record.serves() && !entry.unreachable && !evacuated_.contains(record.zone) &&
+         !leaving_.contains(record.instance);
 }
 
 std::vector<const NodeRecord*> ServerDirectory::availableServers(const ServiceName& service) const {
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -6,12 +6,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "source/core/router/leaving_servers.h"
 
 namespace shedlever {
 
@@ -97,6 +99,12 @@
   /// The node's process reported that it or its server is leaving; valid until the next record.
   void markDraining(const NodeName& node);
 
+  /// A response of the server instance said that it is leaving: it is available no more, whatever its node's records
+  /// state. @return false if this was known already.
+  bool markServerLeaving(const InstanceId& instance, TimePoint now) { return leaving_.mark(instance, now); }
+  /// @return when the instance first said that it is leaving; std::nullopt if it has not.
+  std::optional<TimePoint> leavingSince(const InstanceId& instance) const { return leaving_.since(instance); }
+
   /// Sets whether the server at the node named a request limit in its last response.
   void setNamesLimit(const NodeName& node, bool names_limit);
   bool namesLimit(const NodeName& node) const;
@@ -139,6 +147,7 @@
   RandomSource& random_;
   std::map<NodeName, Entry> entries_;
   std::set<ZoneName> evacuated_;
+  LeavingServers leaving_;
   /// Usual service time of each route, in microseconds.
   std::map<std::string, double> usual_service_us_;
 };
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -195,7 +195,7 @@
     refuse(number, ForwardReason::ServerDown, kUnavailableRetryAfter);
     return;
   }
-  const bool has_owner = !owner.instance.empty();
+  const bool has_owner = !owner.instance.empty() && !hasLeft(owner.instance, now);
   if (!has_owner || request.attempts >= kMaxAttempts) {
     request.last_reason = has_owner ? request.last_reason : ForwardReason::NotYetOwner;
     park(number);
@@ -315,7 +315,7 @@
   ports_.directory->onReply(attempt.node, request.route->name, reply, now);
   if (reply.outcome == ForwardOutcome::Answered) {
     service_times_.record(request.route->name, Duration(reply.service_us));
-    recordCondition(attempt, reply.http);
+    recordCondition(attempt, reply.http, now);
   }
   ports_.on_known_revisions(attempt.node, request.service, reply.known);
   if (!reply.hint.revision.none()) {
@@ -323,9 +323,12 @@
   }
 }
 
-void Gateway::recordCondition(const GatewayAttempt& attempt, const HttpResponse& response) {
+void Gateway::recordCondition(const GatewayAttempt& attempt, const HttpResponse& response, TimePoint now) {
   const ServerCondition condition = ports_.server_protocol->conditionOf(response);
   ports_.directory->setNamesLimit(attempt.node, condition.request_limit.has_value());
+  if (condition.leaving && ports_.directory->markServerLeaving(attempt.instance, now)) {
+    recorder_.serverLeaving(attempt.node, attempt.instance);
+  }
 }
 
 void Gateway::recordRefusal(Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply) const {
@@ -337,6 +340,11 @@
   request.limit_met = request.limit_met || ports_.directory->namesLimit(attempt.node);
 }
 
+bool Gateway::hasLeft(const InstanceId& instance, TimePoint now) const {
+  const std::optional<TimePoint> since = ports_.directory->leavingSince(instance);
+  return since && now >= *since + key_handover_time_;
+}
+
 void Gateway::onReply(RequestNumber number, std::uint32_t attempt_number, ForwardReplyFrame reply) {
   const auto found = requests_.find(number);
   if (found == requests_.end()) {
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -60,6 +60,9 @@
   void setRetryBudget(const RetryBudgetConfig& budget) { budget_.setConfig(budget); }
   void setProcessCount(std::size_t process_count) { budget_.setProcessCount(process_count); }
 
+  /// Sets how long a server that says that it is leaving still gets requests for its keys.
+  void setKeyHandoverTime(Duration time) { key_handover_time_ = time; }
+
   /// Handles a completely received request.
   void handle(HttpRequest http, const StrictHttpResponder& replier);
 
@@ -108,9 +111,11 @@
   void recordReply(const Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply,
                    TimePoint now);
   /// Takes into account what the server of the attempt said about its condition.
-  void recordCondition(const GatewayAttempt& attempt, const HttpResponse& response);
+  void recordCondition(const GatewayAttempt& attempt, const HttpResponse& response, TimePoint now);
   /// Updates the time after which a server may take the request, from a reply that refuses it.
   void recordRefusal(Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply) const;
+  /// @return whether the server has been leaving for so long that it gets no more requests for its keys.
+  bool hasLeft(const InstanceId& instance, TimePoint now) const;
   /// Takes the reply to the attempt at a silent node into account.
   /// @return whether it ends the request; otherwise the current attempt decides.
   bool adoptSilentReply(Request& request, ForwardReplyFrame& reply);
@@ -151,6 +156,7 @@
   RetryPolicy policy_;
   TrafficSplitter traffic_splitter_;
   std::shared_ptr<const RouteTable> routes_;
+  Duration key_handover_time_{};
   bool refusing_ = false;
   TimePoint process_end_ = TimePoint::max();
   TimePoint last_request_at_{};
--- a/source/router/gateway_recorder.cc
+++ b/source/router/gateway_recorder.cc
@@ -91,4 +91,9 @@
               {"left_ms", formatMilliseconds(request.deadline - now)}});
 }
 
+void GatewayRecorder::serverLeaving(const NodeName& node, const InstanceId& instance) {
+  metrics_.onEvent("server-leaving");
+  log_.write("gateway", "server-leaving", {{"node", node.value}, {"instance", instance.value}});
+}
+
 }  // namespace shedlever
--- a/source/router/gateway_recorder.h
+++ b/source/router/gateway_recorder.h
@@ -43,6 +43,9 @@
   /// @param outcome "answered", "refused", "failed", "recorded" or "client-gone".
   void ended(const GatewayRequest& request, int status, std::string_view outcome);
 
+  /// Records that a server said for the first time that it is leaving.
+  void serverLeaving(const NodeName& node, const InstanceId& instance);
+
  private:
   const Clock& clock_;
   EventLog& log_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -94,6 +94,7 @@
               {"service", settings_.service.value},
               {"version", SHEDLEVER_VERSION}});
   gateway_ = std::make_unique<Gateway>(self_, settings_.service, settings_.retry, gatewayPorts());
+  gateway_->setKeyHandoverTime(keyHandoverTime());
   BOOST_LEAF_CHECK(openListeners());
   publishRecord();
   cluster_state_.start();
@@ -346,7 +347,7 @@
 PresenceChange RouterProcess::onReport(const ServerReport& report) {
   if (report.leaving) {
     if (server_.onLeaving(report)) {
-      onServerDraining();
+      onServerDraining("deregistered");
     }
     return PresenceChange::None;
   }
@@ -394,7 +395,7 @@
     checkServerCondition();
   }
   if (report.draining) {
-    onServerDraining();
+    onServerDraining("reported");
   }
   publishRecord();
   scheduleTick();
@@ -413,18 +414,21 @@
   server_client_.identify(gate_.healthPath(), [](const ServerId&, bool) {});
 }
 
-void RouterProcess::onServerDraining() {
+Duration RouterProcess::keyHandoverTime() const {
+  return settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
+}
+
+void RouterProcess::onServerDraining(const char* cause) {
   if (!server_.startDraining()) {
     return;
   }
-  log_.write("server", "draining", {{"instance", server_.instance().value}});
+  log_.write("server", "draining", {{"instance", server_.instance().value}, {"cause", cause}});
   gate_.startDraining();
   peer_server_->broadcastStopping(self_.name);
   if (ownership_manager_) {
     ownership_manager_->startDraining();
   }
-  const Duration until_keys_close = settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
-  runAfter(until_keys_close, [this, instance = server_.instance()] {
+  runAfter(keyHandoverTime(), [this, instance = server_.instance()] {
     if (instance == server_.instance() && server_.draining()) {
       gate_.stopKeyedRequests();
     }
@@ -609,6 +613,7 @@
   settings_.stop = settings.stop;
   quarantine_.setConfig(settings.quarantine);
   gateway_->setRetryBudget(settings_.retry);
+  gateway_->setKeyHandoverTime(keyHandoverTime());
   log_.write("settings", "reloaded", {});
 }
 
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -106,7 +106,10 @@
   void logAcknowledgement(const KeyReport& report, const std::optional<KeyAssignment>& keys);
   /// Records whether the server's keys have expired because it stopped reporting.
   void setKeysLapsed(bool lapsed);
-  void onServerDraining();
+  /// @param cause of the notice, for the log.
+  void onServerDraining(const char* cause);
+  /// @return how long a leaving server still gets requests with keys that it holds, while these are handed over.
+  Duration keyHandoverTime() const;
   void onServerGone();
   void onServerSilence(bool silent);
   QuarantineCoordinator::Ports quarantinePorts();
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -446,6 +446,9 @@
   }
   queue_.setNamedLimitUnknown(false);
   onLimitChange(named_limit_.onResponse(*result.condition, entry.started, clock_.now()));
+  if (result.condition->leaving) {
+    events_.server_leaving();
+  }
 }
 
 void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
@@ -453,6 +456,9 @@
     return;
   }
   onLimitChange(named_limit_.onCommandResponse(condition, sent, clock_.now()));
+  if (condition.leaving) {
+    events_.server_leaving();
+  }
 }
 
 void ServerGate::onLimitChange(LimitChange change) {
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -47,6 +47,8 @@
   /// An instance ended that had not announced its shutdown. @param unanswered requests that it may have been
   /// processing.
   std::function<void(const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered)> server_crashed;
+  /// The server has said in a response that it is leaving.
+  std::function<void()> server_leaving;
   /// The server has answered the request without a server error.
   std::function<void(const RequestFingerprint& request)> served;
 };
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -131,7 +131,7 @@
     ports.peer_client = &peer_client_;
     ports.log = &log_;
     ports.metrics = &metrics_;
-    ports.owner_of = [](const ServiceName&, Key) { return KeyOwner{}; };
+    ports.owner_of = [this](const ServiceName&, Key) { return key_owner_; };
     ports.on_hint = [](const ServiceName&, const OwnerHint&) {};
     ports.on_known_revisions = [](const NodeName&, const ServiceName&, const KnownRevisions&) {};
     return ports;
@@ -187,6 +187,9 @@
   /// Requests a key.
   std::optional<HttpResponse> askForKey() { return httpCall(loop_, clients_->endpoint(), keyRequest(), kTestTimeout); }
 
+  /// Sends a request for a key without waiting for the response.
+  std::shared_ptr<std::optional<HttpResponse>> startAskingForKey() { return startSending(keyRequest()); }
+
   std::shared_ptr<std::optional<HttpResponse>> startSending(HttpRequest request) {
     HttpClientConfig config;
     config.server = clients_->endpoint();
@@ -219,6 +222,8 @@
   std::unique_ptr<HttpClient> client_;
   FakePeer first_{loop_, {NodeName("node-1"), Incarnation{1}}};
   FakePeer second_{loop_, {NodeName("node-2"), Incarnation{1}}};
+  /// Owner of all keys; none at first.
+  KeyOwner key_owner_;
   std::vector<ForwardReplyFrame> answers_;
   std::size_t next_ = 0;
 };
@@ -346,6 +351,45 @@
   EXPECT_LE(given_us, kTimeLeft.count());
 }
 
+// The server must get no request after it has said that it leaves, though its node's record never says so.
+TEST_F(GatewayTest, ServerThatSaidItIsLeavingGetsNoFurtherRequest) {
+  directory_.remove(NodeName("node-2"));
+  EXPECT_EQ(ask({withHeader(answered(200, "last"), "Server-Leaving", "1")}).status, 200);
+  addNode(first_, "node-1");
+  const HttpResponse refused = ask({answered(200, "too late")});
+  EXPECT_EQ(refused.status, kUnavailable);
+  EXPECT_EQ(first_.forwarded_requests, 1U);
+  addNode(second_, "node-2");
+  EXPECT_EQ(ask({answered(200, "elsewhere")}).body, "elsewhere");
+}
+
+TEST_F(GatewayTest, LaterInstanceOfALeavingServerGetsRequests) {
+  directory_.remove(NodeName("node-2"));
+  EXPECT_EQ(ask({withHeader(answered(200, "last"), "Server-Leaving", "1")}).status, 200);
+  NodeRecord record = *directory_.node(NodeName("node-1"));
+  record.instance = InstanceId(record.instance.value + "/2");
+  directory_.update(record);
+  EXPECT_EQ(ask({answered(200, "new")}).body, "new");
+}
+
+// The owner gets requests for its keys only while these may still be handed over.
+TEST_F(GatewayTest, RequestForAKeyOfAServerThatHasLeftIsNotSent) {
+  key_owner_ = {InstanceId("i-node-1"), NodeName("node-1"), {}};
+  gateway_.setKeyHandoverTime(std::chrono::hours(1));
+  answers_ = {withHeader(answered(200, "first"), "Server-Leaving", "1"), answered(200, "during the handover")};
+  EXPECT_EQ(askForKey()->body, "first");
+  EXPECT_EQ(askForKey()->body, "during the handover");
+  gateway_.setKeyHandoverTime(Duration::zero());
+  const auto request = startAskingForKey();
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_.inFlight() == 1; }, kTestTimeout));
+  answers_.push_back(answered(200, "new owner"));
+  key_owner_ = {InstanceId("i-node-2"), NodeName("node-2"), {}};
+  gateway_.onOwnersChanged();
+  ASSERT_TRUE(loop_.runUntil([&] { return request->has_value(); }, kTestTimeout));
+  EXPECT_EQ((*request)->body, "new owner");
+  EXPECT_EQ(first_.forwarded_requests, 2U);
+}
+
 // A client that came back earlier would be refused again: neither server takes a request before.
 TEST_F(GatewayTest, RequestOverTheLimitsOfAllServersIsToldTheShortestWait) {
   for (int i = 0; i < 8; ++i) {
