Soak: servers name limits and say that they are leaving, judged by their own logs

Change: in all runs but those with fatal requests, servers name limits (0, small, huge, negative, no number), change and drop them, and say that they are leaving, again and again and overlapping. ConditionChecker judges by the servers' logs: no 4 s, from 0.5 s after a limit was first named, with more than one and a half times what it allows plus 5 starts; no start of a request that was sent to a process later than the drain time after that process had passed on that the server leaves.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -60,7 +60,8 @@
     std::cout << "seed " << config.seed << ": " << (violations.empty() ? "kept" : "BROKEN")
               << " requests=" << counts.requests << " served=" << counts.served << " refused=" << counts.refused
               << " unanswered=" << counts.unanswered << " runs=" << counts.executions
-              << " grants=" << counts.acquisitions << std::endl;
+              << " grants=" << counts.acquisitions << " limits=" << runner.conditionChecks().limitsNamed()
+              << " leaving=" << runner.conditionChecks().leavingServers() << std::endl;
     for (const std::string& sentence : violations) {
       std::cout << "  " << sentence << "\n";
     }
--- a/soak/soak_runner.cc
+++ b/soak/soak_runner.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "source/net/http_headers.h"
+
 namespace shedlever::soak {
 
 using nlohmann::json;
@@ -30,6 +32,8 @@
 
 /// A draining server is killed after this time; its accepted requests have ended by then.
 constexpr Duration kServerDrainDuration = milliseconds(4500);
+/// How long a server that says that it is leaving may still get requests; the routers' default.
+constexpr Duration kDrainDuration = milliseconds(2000);
 constexpr Duration kRouteTimeout = milliseconds(1500);
 constexpr Duration kRequestDeadline = milliseconds(2000);
 /// Of routes and requests during maintenance: exceeds two holds of a peer link, so that no request may end because of
@@ -51,6 +55,7 @@
     : loop_(loop),
       config_(std::move(config)),
       random_(config_.seed),
+      condition_checks_(kDrainDuration),
       deployment_(loop_, {.seed = config_.seed,
                           .binary_folder = config_.binary_folder,
                           .run_folder = config_.run_folder,
@@ -59,7 +64,11 @@
       restores_(loop_, config_.seed, restoreCallbacks()),
       peer_link_holds_(loop_, config_.seed, deployment_,
                        {.stop_router = [this](LocalNode& node) { stopRouter(node); },
-                        .log_fault = [this](const std::string& what) { logFault(what); }}) {}
+                        .log_fault = [this](const std::string& what) { logFault(what); }}),
+      server_conditions_(loop_, config_.seed, deployment_,
+                         {.set_condition = [this](const LocalNode& node,
+                                                  const std::string& body) { post(node.server, "/condition", body); },
+                          .log_fault = [this](const std::string& what) { logFault(what); }}) {}
 
 SoakRunner::~SoakRunner() = default;
 
@@ -169,8 +178,20 @@
   loop_.runAfter(std::chrono::microseconds(1'000'000 / config_.requests_per_second), [this] { generateLoad(); });
 }
 
+std::string SoakRunner::processOf(const LocalNode& node) {
+  return node.router_process ? node.name + ":" + std::to_string(node.router_process->pid()) : "";
+}
+
+void SoakRunner::checkLeaving(const std::string& process, const HttpResponse& response) {
+  if (headerValue(response.headers, "Server-Leaving") == "1") {
+    condition_checks_.addLeavingResponse(process, std::string(headerValue(response.headers, "X-Instance-Id")),
+                                         clock_.now());
+  }
+}
+
 void SoakRunner::sendRandomRequest() {
-  HttpClient& client = *clients_[randomBelow(clients_.size())];
+  const std::size_t node = randomBelow(clients_.size());
+  HttpClient& client = *clients_[node];
   check::ClientRecord record;
   record.id = "r" + std::to_string(++last_request_);
   const std::uint64_t kind = randomBelow(3);
@@ -185,10 +206,13 @@
   }
   const bool is_measured = measuring_recovery_;
   const auto sent_at = std::chrono::steady_clock::now();
+  const std::string process = processOf(*deployment_.nodes()[node]);
+  condition_checks_.addRequest(record.id, process, clock_.now());
   client.send(std::move(request), clientTimeout(),
-              [this, record, is_measured, sent_at](HttpExchangeResult exchange) mutable {
+              [this, record, is_measured, sent_at, process](HttpExchangeResult exchange) mutable {
                 record.timed_out = std::chrono::steady_clock::now() - sent_at >= routeTimeout();
                 if (exchange.status == HttpExchangeStatus::Complete) {
+                  checkLeaving(process, exchange.response);
                   record.status = exchange.response.status;
                   record.body = std::move(exchange.response.body);
                 }
@@ -299,6 +323,10 @@
       loop_.runAfter(fault_duration, [&node] { node.restart_server = true; });
       return;
     case 1:
+      // A paused server starts the requests of all that time when it continues.
+      if (server_conditions_.namesLimit(node)) {
+        return;
+      }
       logFault(node.name + ": server SIGSTOP");
       node.server_process->signal(SIGSTOP);
       loop_.runAfter(fault_duration, [&node] {
@@ -411,6 +439,7 @@
 void SoakRunner::endFaults() {
   logFault("all faults ended");
   peer_link_holds_.stop();
+  server_conditions_.stop();
   restores_.stop();
   post(deployment_.store(), "/faults", "{}");
   for (const auto& node : deployment_.nodes()) {
@@ -454,6 +483,9 @@
   if (config_.restore_store) {
     restores_.start();
   }
+  if (!config_.fatal_only) {
+    server_conditions_.start();
+  }
   Duration passed{};
   while (passed < config_.fault_duration) {
     injectNextEvent();
@@ -475,9 +507,20 @@
   deployment_.runFor(clientTimeout());
   for (const std::string& log : deployment_.serverLogs()) {
     checks_.readLog(log);
+    condition_checks_.readLog(log);
   }
   std::vector<std::string> violations = checks_.violations();
   violations.insert(violations.end(), violations_.begin(), violations_.end());
+  addViolationsOfThisKind(violations);
+  return violations;
+}
+
+void SoakRunner::addViolationsOfThisKind(std::vector<std::string>& violations) {
+  const std::vector<std::string> conditions = condition_checks_.violations();
+  violations.insert(violations.end(), conditions.begin(), conditions.end());
+  if (!config_.fatal_only && condition_checks_.limitsNamed() == 0) {
+    violations.push_back("no server named a limit");
+  }
   if (config_.restore_store && restores_.count() == 0) {
     violations.push_back("the store was never restored from a backup");
   }
@@ -496,7 +539,6 @@
       violations.push_back("no peer link was held");
     }
   }
-  return violations;
 }
 
 }  // namespace shedlever::soak
--- a/soak/soak_runner.h
+++ b/soak/soak_runner.h
@@ -12,9 +12,12 @@
 #include "soak/fatal_requests.h"
 #include "soak/local_deployment.h"
 #include "soak/peer_link_holds.h"
+#include "soak/server_conditions.h"
 #include "soak/store_restores.h"
+#include "source/lab/check/condition_checker.h"
 #include "source/lab/check/history_checker.h"
 #include "source/net/http_client.h"
+#include "source/net/system_clock_and_random.h"
 
 namespace shedlever::soak {
 
@@ -50,6 +53,7 @@
   std::vector<std::string> run();
 
   const check::HistoryChecker& checks() const { return checks_; }
+  const check::ConditionChecker& conditionChecks() const { return condition_checks_; }
 
  private:
   void startAll();
@@ -69,6 +73,12 @@
   void post(const Endpoint& to, const std::string& path, const std::string& body);
   void generateLoad();
   void sendRandomRequest();
+  /// @return a name of the node's running router process that no other process has; empty if none is running.
+  static std::string processOf(const LocalNode& node);
+  /// Takes a response in which a server says that it is leaving into account.
+  void checkLeaving(const std::string& process, const HttpResponse& response);
+  /// Adds the violations that only some kinds of runs are checked for.
+  void addViolationsOfThisKind(std::vector<std::string>& violations);
   void injectFault();
   void injectRouterFault(LocalNode& node);
   void injectLinkFault(LocalNode& node);
@@ -95,7 +105,9 @@
   EventLoop& loop_;
   SoakConfig config_;
   std::mt19937_64 random_;
+  BootTimeClock clock_;
   check::HistoryChecker checks_;
+  check::ConditionChecker condition_checks_;
   std::vector<std::string> violations_;
   LocalDeployment deployment_;
   /// One client per node.
@@ -104,6 +116,7 @@
   ConfigProbe probe_{loop_, clients_};
   StoreRestores restores_;
   PeerLinkHolds peer_link_holds_;
+  ServerConditions server_conditions_;
   std::unique_ptr<HttpClient> store_control_;
   std::uint64_t config_version_ = 0;
   std::size_t next_router_to_stop_ = 0;
--- a/source/core/router/start_rate_limiter.cc
+++ b/source/core/router/start_rate_limiter.cc
@@ -16,7 +16,7 @@
 /// Requests per second from which a named limit is never reached.
 constexpr double kMaxNamedRate = 100'000;
 /// Applies until the server has said whether it names a limit.
-constexpr StartLimit kUnknownLimit{2, std::chrono::milliseconds(500)};
+constexpr StartLimit kUnknownLimit{1, std::chrono::milliseconds(500)};
 /// Longest window: that of a single request at the lowest named rate.
 constexpr Duration kMaxWindow = std::chrono::seconds(2);
 /// Limit of recorded starts; larger than any start limit per window.
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -45,10 +45,10 @@
 };
 
 /// `POST /faults` sets probabilities: `lost` (executed, but the connection is closed without a response), `broken`
-/// (response truncated), `late_orders` (commands executed seconds later; a late grant is not answered), `slow`, a
-/// factor of the request duration, `limit`, the rate limit that the server names as text, and `leaving`: whether it
-/// says that it is leaving; once said, this stays. A request with `bytes=N` in its query gets a response body of at
-/// least that size.
+/// (response truncated), `late_orders` (commands executed seconds later; a late grant is not answered), and `slow`,
+/// a factor of the request duration. `POST /condition` sets what the server says in its responses: `limit`, the request
+/// limit as text, and `leaving`: that it is leaving, which it never takes back. A request with `bytes=N` in its query
+/// gets a response body of at least that size.
 class KeyServer {
  public:
   /// @return the server, or a NetworkError.
