Give all keys of a server only to servers that name no limit; limit in the simulator

Cause: a leaving or dead server's keys are divided evenly, so that a server that names a limit got as much as the others until balancing noticed. Change: OwnerCandidates::unlimitedTargets leaves such servers out unless all name one.

--- a/source/core/router/owner_candidates.cc
+++ b/source/core/router/owner_candidates.cc
@@ -53,6 +53,13 @@
   return locations;
 }
 
+std::vector<OwnerLocation> OwnerCandidates::unlimitedTargets(TimePoint now) const {
+  const std::vector<OwnerLocation> all = targets(now);
+  std::vector<OwnerLocation> unlimited = all;
+  std::erase_if(unlimited, [this](const OwnerLocation& location) { return directory_.namesLimit(location.node); });
+  return unlimited.empty() ? all : unlimited;
+}
+
 std::vector<OwnerLocation> OwnerCandidates::healthierTargets(double own_failure_ratio, TimePoint now) const {
   if (own_failure_ratio < config_.max_failure_ratio) {
     return {};
--- a/source/core/router/owner_candidates.h
+++ b/source/core/router/owner_candidates.h
@@ -32,6 +32,10 @@
   ///   included only if there are no others.
   std::vector<OwnerLocation> targets(TimePoint now) const;
 
+  /// @return targets for all keys of a server, whatever the targets' load: those that name no request limit, unless all
+  ///   do.
+  std::vector<OwnerLocation> unlimitedTargets(TimePoint now) const;
+
   /// @param own_failure_ratio share of recent requests that failed at this node's server.
   /// @return targets at which far fewer requests fail than here; empty while few fail here.
   std::vector<OwnerLocation> healthierTargets(double own_failure_ratio, TimePoint now) const;
--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -247,7 +247,7 @@
   checkUnreachableOwners(now);
   if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
-      startMoves(balancer_.moveAll(instance_, candidates_.targets(now), now));
+      startMoves(balancer_.moveAll(instance_, candidates_.unlimitedTargets(now), now));
     } else {
       balance(now);
     }
@@ -296,7 +296,7 @@
   if (dead_instance_.empty()) {
     return;
   }
-  const std::vector<OwnerLocation> to = candidates_.targets(now);
+  const std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
   const auto owned = writer_.table().ownedBy(dead_instance_);
   if (owned.empty()) {
     dead_instance_ = {};
@@ -323,7 +323,7 @@
 
 void OwnershipManager::takeOverRanges(const NodeName& node) {
   const TimePoint now = ports_.clock->now();
-  std::vector<OwnerLocation> to = candidates_.targets(now);
+  std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
   to.push_back({instance_, self_.name});
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
--- a/source/lab/sim/scenario.cc
+++ b/source/lab/sim/scenario.cc
@@ -21,7 +21,7 @@
   FaultKind kind;
 };
 
-constexpr std::array<FaultName, 10> kFaultNames{{
+constexpr std::array<FaultName, 11> kFaultNames{{
     {"kill-node", FaultKind::KillNode},
     {"pause-node", FaultKind::PauseNode},
     {"kill-server", FaultKind::KillServer},
@@ -32,6 +32,7 @@
     {"store-lossy", FaultKind::StoreLossy},
     {"store-restored", FaultKind::StoreRestored},
     {"busy", FaultKind::Busy},
+    {"limit-server", FaultKind::LimitServer},
 }};
 
 /// Reads a scenario and collects all errors.
--- a/source/lab/sim/scenario.h
+++ b/source/lab/sim/scenario.h
@@ -23,6 +23,7 @@
   StoreLossy,     ///< writes lose their response or are applied seconds late
   StoreRestored,  ///< after the duration the store is restored to its state at `at`; ignores `nodes`
   Busy,           ///< all slots of the server are in use
+  LimitServer,    ///< the server names a limit of a third of the requests for its keys
 };
 
 struct Fault {
--- a/source/lab/sim/simulation.cc
+++ b/source/lab/sim/simulation.cc
@@ -16,6 +16,7 @@
 constexpr double kLateWriteProbability = 0.2;
 constexpr double kLateCommandProbability = 0.5;
 constexpr double kFullOccupancy = 1.2;
+constexpr double kLimitedOccupancy = 3.0;
 constexpr int kBusyRequests = 20;
 
 /// An action that is applied to the cluster at a time after the warm-up.
@@ -48,6 +49,15 @@
   }
 }
 
+/// The requests for the keys of the node's server occupy this multiple of what the server takes.
+void addLoad(std::vector<ScheduledAction>& steps, const Fault& fault, std::size_t node, double occupancy) {
+  steps.push_back({fault.at, [node, occupancy](SimulatedCluster& cluster) {
+                     cluster.setOccupancy(node, occupancy);
+                     cluster.addRequestsOnSampledKeys(node, kBusyRequests);
+                   }});
+  steps.push_back({fault.at + fault.duration, [node](SimulatedCluster& cluster) { cluster.setOccupancy(node, 0); }});
+}
+
 void addFault(std::vector<ScheduledAction>& steps, const Fault& fault, std::size_t node) {
   switch (fault.kind) {
     case FaultKind::KillNode:
@@ -78,12 +88,10 @@
     case FaultKind::StoreRestored:
       return;
     case FaultKind::Busy:
-      steps.push_back({fault.at, [node](SimulatedCluster& cluster) {
-                         cluster.setOccupancy(node, kFullOccupancy);
-                         cluster.addRequestsOnSampledKeys(node, kBusyRequests);
-                       }});
-      steps.push_back(
-          {fault.at + fault.duration, [node](SimulatedCluster& cluster) { cluster.setOccupancy(node, 0); }});
+      addLoad(steps, fault, node, kFullOccupancy);
+      return;
+    case FaultKind::LimitServer:
+      addLoad(steps, fault, node, kLimitedOccupancy);
       return;
   }
 }
--- a/test/core_router/owner_candidates_test.cc
+++ b/test/core_router/owner_candidates_test.cc
@@ -53,6 +53,23 @@
   EXPECT_EQ(candidates_.targets(kNow), (std::vector{location("a"), location("c"), location("d")}));
 }
 
+// An equal share of a leaving server's keys would be more than a server takes that names a limit.
+TEST_F(OwnerCandidatesTest, ServersThatNameALimitGetAllKeysOfAServerOnlyIfAllDo) {
+  directory_.setNamesLimit(NodeName("a"), true);
+  EXPECT_EQ(candidates_.unlimitedTargets(kNow), (std::vector{location("c"), location("d")}));
+  directory_.setNamesLimit(NodeName("c"), true);
+  directory_.setNamesLimit(NodeName("d"), true);
+  EXPECT_EQ(candidates_.unlimitedTargets(kNow), candidates_.targets(kNow));
+}
+
+TEST_F(OwnerCandidatesTest, LaterInstanceOfAServerThatNamedALimitNamesNone) {
+  directory_.setNamesLimit(NodeName("a"), true);
+  NodeRecord record = *directory_.node(NodeName("a"));
+  record.instance = InstanceId("i-a2");
+  directory_.update(record);
+  EXPECT_FALSE(directory_.namesLimit(NodeName("a")));
+}
+
 TEST_F(OwnerCandidatesTest, ServerWithoutKeysIsIdleWhateverItReported) {
   directory_.update(servingNode("e", kService, kSlots));
   report("e", 10, 0);
