--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -127,6 +127,8 @@
 
   /// @return what the server says about its condition in any response.
   virtual ServerCondition conditionOf(const HttpResponse& answer) const = 0;
+  /// Removes what the server says about its condition, from a response that is kept for later.
+  virtual void removeCondition(HttpResponse& answer) const = 0;
 
   virtual HttpRequest grantRequest(const GrantCommand& command) const = 0;
   virtual HttpRequest releaseRequest(const ReleaseCommand& command) const = 0;
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -588,7 +588,9 @@
   auto node = requests_.extract(number);
   Request& request = node.mapped();
   if (request.claim != 0) {
-    ports_.claims->finish(request.claim, claim_end, response);
+    HttpResponse recorded = response;
+    ports_.server_protocol->removeCondition(recorded);
+    ports_.claims->finish(request.claim, claim_end, recorded);
   }
   parked_.erase(number);
   ports_.loop->cancel(request.timer);
--- a/test/router/leaving_server_test.cc
+++ b/test/router/leaving_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "source/net/http_headers.h"
 #include "test/support/router_cluster.h"
 
 namespace shedlever::test {
@@ -83,6 +84,28 @@
   EXPECT_EQ(startsDuringLoad(0, "/search/x"), 0U);
 }
 
+// A repeated request gets the recorded response, which says nothing about the server any more.
+TEST_P(LeavingServerTest, RecordedResponseDoesNotSayThatTheServerIsLeaving) {
+  cluster_.requireIdempotencyKeys();
+  cluster_.setIdempotencyKey("started");
+  start({"search", "orders"});
+  node(1).server->setLeaving();
+  node(1).server->setNamedLimit("7");
+  cluster_.setIdempotencyKey("repeated");
+  const ClientResponse first = cluster_.sendAndWait(node(0), "/orders/x");
+  EXPECT_EQ(headerValue(first.response.headers, "Server-Leaving"), "1");
+  EXPECT_EQ(headerValue(first.response.headers, "Server-Limit"), "7");
+  ClientResponse repeated;
+  for (int tries = 0; tries < 200 && repeated.response.status != kOk; ++tries) {
+    // The response may not be recorded yet.
+    cluster_.runFor(std::chrono::milliseconds(20));
+    repeated = cluster_.sendAndWait(node(0), "/orders/x");
+  }
+  EXPECT_EQ(repeated.response.status, kOk);
+  EXPECT_EQ(headerValue(repeated.response.headers, "Server-Leaving"), "");
+  EXPECT_EQ(headerValue(repeated.response.headers, "Server-Limit"), "");
+}
+
 TEST_P(LeavingServerTest, LaterInstanceWithTheSameIdGetsRequests) {
   cluster_.setKeepServerIds(true);
   start({"search", "orders"});
