--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -54,6 +54,7 @@
   }
   node.store_link = orNull(FaultProxy::listen(loop_, store_endpoint_));
   node.peer_link = orNull(FaultProxy::listen(loop_, node.peers));
+  node.runs_old_router = !config_.old_router.empty();
   startServer(node);
   startRouter(node);
   return node;
@@ -92,8 +93,9 @@
       {"retry", {{"ratio", 0.2}, {"slack", 50}}},
       {"stop", {{"grace", "4s"}, {"clients_leave", "1s"}}}};
   std::ofstream(node.settings_file) << settings.dump(1);
-  node.router_process = orNull(test::ChildProcess::start(
-      {config_.binary_folder + "/shedleverd", {"--settings", node.settings_file}, logFileOf(node.name)}));
+  const std::string program = node.runs_old_router ? config_.old_router : config_.binary_folder + "/shedleverd";
+  node.router_process =
+      orNull(test::ChildProcess::start({program, {"--settings", node.settings_file}, logFileOf(node.name)}));
 }
 
 void LocalDeployment::startServer(LocalNode& node) {
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -28,6 +28,8 @@
   bool keys_by_heartbeat = false;
   /// Path of requests that crash servers; empty for none.
   std::string fatal_path;
+  /// Router program of an earlier build with which all nodes begin; empty for none.
+  std::string old_router;
 };
 
 /// A router, its server, and the proxies on the router's connections to the store and from peers.
@@ -49,6 +51,8 @@
   std::unique_ptr<FaultProxy> peer_link;
   /// Null while the process is not running.
   std::unique_ptr<test::ChildProcess> router_process;
+  /// Whether the next router process is of the earlier build.
+  bool runs_old_router = false;
   std::unique_ptr<test::ChildProcess> server_process;
   /// Whether the process is started again after it has ended.
   bool restart_router = true;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -32,6 +32,8 @@
       "fatal", options::bool_switch(&config.fatal_only),
       "only requests that crash servers, sent to nodes of several services")(
       "restores", options::bool_switch(&config.restore_store), "also restore the store from backups")(
+      "old-binary", options::value(&config.old_router),
+      "router program of an earlier build: nodes begin with it and are replaced in turn")(
       "folder", options::value(&config.run_folder)->default_value("soak-run"),
       "for settings and logs, with a subfolder per seed");
   options::variables_map values;
--- a/soak/soak_runner.cc
+++ b/soak/soak_runner.cc
@@ -60,7 +60,8 @@
                           .binary_folder = config_.binary_folder,
                           .run_folder = config_.run_folder,
                           .keys_by_heartbeat = config_.keys_by_heartbeat,
-                          .fatal_path = config_.fatal_only ? kFatalPath : ""}),
+                          .fatal_path = config_.fatal_only ? kFatalPath : "",
+                          .old_router = config_.old_router}),
       restores_(loop_, config_.seed, restoreCallbacks()),
       peer_link_holds_(loop_, config_.seed, deployment_,
                        {.stop_router = [this](LocalNode& node) { stopRouter(node); },
@@ -68,7 +69,10 @@
       server_conditions_(loop_, config_.seed, deployment_,
                          {.set_condition = [this](const LocalNode& node,
                                                   const std::string& body) { post(node.server, "/condition", body); },
-                          .log_fault = [this](const std::string& what) { logFault(what); }}) {}
+                          .log_fault = [this](const std::string& what) { logFault(what); }}),
+      router_upgrades_(loop_, config_.seed, deployment_,
+                       {.stop_router = [this](LocalNode& node) { stopRouter(node); },
+                        .log_fault = [this](const std::string& what) { logFault(what); }}) {}
 
 SoakRunner::~SoakRunner() = default;
 
@@ -440,6 +444,7 @@
   logFault("all faults ended");
   peer_link_holds_.stop();
   server_conditions_.stop();
+  router_upgrades_.stop();
   restores_.stop();
   post(deployment_.store(), "/faults", "{}");
   for (const auto& node : deployment_.nodes()) {
@@ -483,9 +488,12 @@
   if (config_.restore_store) {
     restores_.start();
   }
-  if (!config_.fatal_only) {
+  if (changesConditions()) {
     server_conditions_.start();
   }
+  if (!config_.old_router.empty()) {
+    router_upgrades_.start();
+  }
   Duration passed{};
   while (passed < config_.fault_duration) {
     injectNextEvent();
@@ -518,9 +526,12 @@
 void SoakRunner::addViolationsOfThisKind(std::vector<std::string>& violations) {
   const std::vector<std::string> conditions = condition_checks_.violations();
   violations.insert(violations.end(), conditions.begin(), conditions.end());
-  if (!config_.fatal_only && condition_checks_.limitsNamed() == 0) {
+  if (changesConditions() && condition_checks_.limitsNamed() == 0) {
     violations.push_back("no server named a limit");
   }
+  if (!config_.old_router.empty() && router_upgrades_.count() == 0) {
+    violations.push_back("no router was replaced by another build");
+  }
   if (config_.restore_store && restores_.count() == 0) {
     violations.push_back("the store was never restored from a backup");
   }
--- a/soak/soak_runner.h
+++ b/soak/soak_runner.h
@@ -12,6 +12,7 @@
 #include "soak/fatal_requests.h"
 #include "soak/local_deployment.h"
 #include "soak/peer_link_holds.h"
+#include "soak/router_upgrades.h"
 #include "soak/server_conditions.h"
 #include "soak/store_restores.h"
 #include "source/lab/check/condition_checker.h"
@@ -41,6 +42,9 @@
   bool fatal_only = false;
   /// In addition, repeatedly interrupts the store and restores it from a backup.
   bool restore_store = false;
+  /// Router program of an earlier build. All nodes begin with it and are replaced by the newest one in turn, some back
+  /// again.
+  std::string old_router;
 };
 
 class SoakRunner {
@@ -77,6 +81,8 @@
   static std::string processOf(const LocalNode& node);
   /// Takes a response in which a server says that it is leaving into account.
   void checkLeaving(const std::string& process, const HttpResponse& response);
+  /// @return whether servers name limits and say that they are leaving. Earlier builds may not heed that.
+  bool changesConditions() const { return !config_.fatal_only && config_.old_router.empty(); }
   /// Adds the violations that only some kinds of runs are checked for.
   void addViolationsOfThisKind(std::vector<std::string>& violations);
   void injectFault();
@@ -117,6 +123,7 @@
   StoreRestores restores_;
   PeerLinkHolds peer_link_holds_;
   ServerConditions server_conditions_;
+  RouterUpgrades router_upgrades_;
   std::unique_ptr<HttpClient> store_control_;
   std::uint64_t config_version_ = 0;
   std::size_t next_router_to_stop_ = 0;
