Exchange frames with processes of earlier builds, and leave room for later ones

Cause: both ends demanded the same preface, and the decoder refused everything that it did not know. Change: streams have a version. The accepting side takes 5, 6 and 7. The connecting side speaks what the peer's node record states (new field wire); a record without it means 6, or 5 if the peer closes the stream before its hello, found out with one more connection and kept for that incarnation. Frames wait for the hello, so that a request on a stream that was refused has certainly not run. In version 7 receivers skip later fields and kinds of frames and take later enumeration values as ones that promise nothing. Owner tables go whole to peers of version 5. RequestToPeerOfAnEarlierVersionIsAnsweredAfterOneMoreConnection and others.

--- a/include/shedlever/owner_table_frames.h
+++ b/include/shedlever/owner_table_frames.h
@@ -9,6 +9,7 @@
 
 #include "shedlever/identifiers.h"
 #include "shedlever/store_revision.h"
+#include "shedlever/wire_version.h"
 
 namespace shedlever {
 
@@ -41,7 +42,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(known, digest);
+    archive(known, sinceWireVersion(kTableDeltaWireVersion, digest));
   }
 };
 
--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -86,12 +86,13 @@
   BrokenAnswer,    ///< the server's response was truncated or invalid
   TimedOut,
   Cancelled,
-  NoInstance,   ///< no server of the service is known
-  Quarantined,  ///< servers have crashed while processing the same request
-  Evacuated,    ///< operators have evacuated the server's zone
+  NoInstance,    ///< no server of the service is known
+  Quarantined,   ///< servers have crashed while processing the same request
+  Evacuated,     ///< operators have evacuated the server's zone
+  Unrecognized,  ///< a reason that only the peer's later build knows; never sent
 };
 
-/// The last value, for validation by the decoder.
+/// The last value that is sent.
 inline constexpr ForwardReason kLastForwardReason = ForwardReason::Evacuated;
 
 /// @return the word used in logs and metrics.
@@ -344,10 +345,17 @@
   void serialize(Archive&) {}
 };
 
+/// A frame of a kind that this build does not know; never sent.
+struct UnknownFrame {
+  template <class Archive>
+  void serialize(Archive&) {}
+};
+
+/// New kinds of frames are added before `UnknownFrame`, which must be the last one.
 using RouterFrame =
     std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, ExchangeQueryFrame,
                  ExchangeQueryReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, ClusterSnapshotFrame,
                  PingFrame, PongFrame, ReplyPartFrame, OwnerTableRequestFrame, ServerCrashesFrame, ConfigRequestFrame,
-                 ConfigFrame, OwnerTableDeltaFrame>;
+                 ConfigFrame, OwnerTableDeltaFrame, UnknownFrame>;
 
 }  // namespace shedlever
--- a/source/core/router/forward_reason.cc
+++ b/source/core/router/forward_reason.cc
@@ -39,6 +39,8 @@
       return "quarantined";
     case ForwardReason::Evacuated:
       return "evacuated";
+    case ForwardReason::Unrecognized:
+      return "unrecognized";
   }
   return "unknown";
 }
@@ -62,6 +64,7 @@
     case ForwardReason::WrongInstance:
     case ForwardReason::ServerDown:
     case ForwardReason::NoInstance:
+    case ForwardReason::Unrecognized:
       return Reason::ServerUnavailable;
     case ForwardReason::ConnectionLost:
       return Reason::ConnectionLost;
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -13,6 +13,7 @@
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "shedlever/wire_version.h"
 #include "source/core/router/leaving_servers.h"
 
 namespace shedlever {
@@ -32,6 +33,8 @@
   bool draining = false;
   /// Quarantined requests on which this node's server has crashed.
   std::vector<QuarantinedRequest> quarantined;
+  /// Newest version of the encoding of frames that the process speaks; 0 if the record states none.
+  WireVersion wire_version = 0;
 
   bool operator==(const NodeRecord&) const = default;
   /// @return whether the node has a server that accepts requests.
--- a/source/net/compact_archive.h
+++ b/source/net/compact_archive.h
@@ -15,13 +15,20 @@
 #include <string_view>
 #include <type_traits>
 
+#include "shedlever/wire_version.h"
+
 namespace shedlever {
 
 /// Appends the encoded values to a string.
 class CompactOutputArchive : public cereal::OutputArchive<CompactOutputArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit CompactOutputArchive(std::string& output)
-      : cereal::OutputArchive<CompactOutputArchive, cereal::AllowEmptyClassElision>(this), output_(output) {}
+  /// @param version of the encoding, which decides on the fields that are written.
+  explicit CompactOutputArchive(std::string& output, WireVersion version = kUnstatedWireVersion)
+      : cereal::OutputArchive<CompactOutputArchive, cereal::AllowEmptyClassElision>(this),
+        output_(output),
+        version_(version) {}
+
+  WireVersion version() const { return version_; }
 
   template <class T>
   void write(T value) {
@@ -55,13 +62,19 @@
   }
 
   std::string& output_;
+  WireVersion version_;
 };
 
 /// Decodes values from bytes. The bytes must outlive the archive.
 class CompactInputArchive : public cereal::InputArchive<CompactInputArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit CompactInputArchive(std::string_view input)
-      : cereal::InputArchive<CompactInputArchive, cereal::AllowEmptyClassElision>(this), input_(input) {}
+  /// @param version of the encoding.
+  explicit CompactInputArchive(std::string_view input, WireVersion version = kUnstatedWireVersion)
+      : cereal::InputArchive<CompactInputArchive, cereal::AllowEmptyClassElision>(this),
+        input_(input),
+        version_(version) {}
+
+  WireVersion version() const { return version_; }
 
   template <class T>
   void read(T& value) {
@@ -128,6 +141,7 @@
   }
 
   std::string_view input_;
+  WireVersion version_;
 };
 
 template <class T>
@@ -170,6 +184,21 @@
   archive.readBytes(data.data, data.size);
 }
 
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(CompactOutputArchive& archive, const SinceWireVersion<T>& field) {
+  if (archive.version() >= field.first) {
+    archive(field.value);
+  }
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(CompactInputArchive& archive, SinceWireVersion<T>& field) {
+  const bool is_absent = archive.version() >= kExtensibleWireVersion && archive.atEnd();
+  if (archive.version() >= field.first && !is_absent) {
+    archive(field.value);
+  }
+}
+
 }  // namespace shedlever
 
 CEREAL_REGISTER_ARCHIVE(shedlever::CompactOutputArchive)
--- a/source/net/message_stream.cc
+++ b/source/net/message_stream.cc
@@ -81,6 +81,7 @@
 }
 
 void MessageStream::connected() {
+  was_connected_ = true;
   loop_.cancel(std::exchange(connect_timer_, 0));
   const evutil_socket_t socket = bufferevent_getfd(stream_.get());
   setNoDelay(socket);
@@ -183,10 +184,13 @@
   if (evbuffer_get_length(input) < kWordBytes) {
     return false;
   }
-  if (peekWord(input) != options_.preface) {
+  const std::uint32_t preface = peekWord(input);
+  const std::vector<std::uint32_t>& others = options_.other_prefaces;
+  if (preface != options_.preface && std::find(others.begin(), others.end(), preface) == others.end()) {
     close();
     return false;
   }
+  options_.preface = preface;
   evbuffer_drain(input, kWordBytes);
   expects_preface_ = false;
   return true;
--- a/source/net/message_stream.h
+++ b/source/net/message_stream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "shedlever/identifiers.h"
 #include "source/net/event_loop.h"
@@ -18,6 +19,8 @@
 struct MessageStreamOptions {
   /// The first four bytes on the stream, sent by the connecting side. Identifies protocol and version.
   std::uint32_t preface = 0;
+  /// Prefaces that the accepting side takes besides.
+  std::vector<std::uint32_t> other_prefaces = {};
   std::size_t max_message_bytes = 0;
   /// Limit for the send buffer.
   std::size_t max_unsent_bytes = 0;
@@ -63,6 +66,12 @@
   /// the loop; `onMessage` is not called again.
   void abort() { scheduleClose(); }
 
+  /// @return the preface of the stream; on the accepting side valid once a message was received.
+  std::uint32_t preface() const { return options_.preface; }
+
+  /// @return whether the connection was established.
+  bool wasConnected() const { return was_connected_; }
+
   /// @return the number of messages that were not completely written to the network. Also valid after the close.
   std::size_t unsentMessages() const;
 
@@ -100,6 +109,7 @@
   /// Closes the stream in the next iteration of the loop or after the linger time.
   TimerId close_timer_ = 0;
   bool expects_preface_ = false;
+  bool was_connected_ = false;
   bool closed_ = false;
   bool closing_ = false;
   /// The end of each message as an offset in the stream. Written messages are removed.
--- a/source/net/router_codec.cc
+++ b/source/net/router_codec.cc
@@ -10,45 +10,80 @@
 
 namespace {
 
+/// @param fallback for a value that only later builds know.
 template <class Enum>
-Enum checkedEnum(std::uint8_t number, Enum last) {
-  if (number > static_cast<std::uint8_t>(last)) {
+Enum checkedEnum(const CompactInputArchive& archive, std::uint8_t number, Enum last, Enum fallback) {
+  if (number <= static_cast<std::uint8_t>(last)) {
+    return static_cast<Enum>(number);
+  }
+  if (archive.version() < kExtensibleWireVersion) {
     throw cereal::Exception("unknown enumeration value");
   }
-  return static_cast<Enum>(number);
+  return fallback;
+}
+
+/// @return whether the frame is of a kind that only later builds know. All kinds before `UnknownFrame` are known.
+bool isOfUnknownKind(std::string_view bytes, WireVersion version) {
+  std::int32_t kind = 0;
+  CompactInputArchive archive(bytes, version);
+  archive(kind);
+  return version >= kExtensibleWireVersion && kind >= static_cast<std::int32_t>(std::variant_size_v<RouterFrame>) - 1;
 }
 
 }  // namespace
 
-void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive&, RouteKind& value, const std::uint8_t& number) {
-  value = checkedEnum(number, RouteKind::Download);
+void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive& archive, RouteKind& value,
+                                       const std::uint8_t& number) {
+  value = checkedEnum(archive, number, RouteKind::Download, RouteKind::AtMostOnce);
 }
 
-void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive&, ForwardOutcome& value, const std::uint8_t& number) {
-  value = checkedEnum(number, ForwardOutcome::Unknown);
+void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive& archive, ForwardOutcome& value,
+                                       const std::uint8_t& number) {
+  value = checkedEnum(archive, number, ForwardOutcome::Unknown, ForwardOutcome::Unknown);
 }
 
-void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive&, ForwardReason& value, const std::uint8_t& number) {
-  value = checkedEnum(number, kLastForwardReason);
+void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive& archive, ForwardReason& value,
+                                       const std::uint8_t& number) {
+  value = checkedEnum(archive, number, kLastForwardReason, ForwardReason::Unrecognized);
 }
 
-void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive&, ExchangeState& value, const std::uint8_t& number) {
-  value = checkedEnum(number, ExchangeState::Answered);
+void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive& archive, ExchangeState& value,
+                                       const std::uint8_t& number) {
+  value = checkedEnum(archive, number, ExchangeState::Answered, ExchangeState::Answered);
 }
 
-std::string encodeRouterFrame(const RouterFrame& frame) {
+std::optional<WireVersion> versionOfPreface(std::uint32_t preface) {
+  for (WireVersion version = kOldestWireVersion; version <= kNewestWireVersion; ++version) {
+    if (preface == prefaceOf(version)) {
+      return version;
+    }
+  }
+  return std::nullopt;
+}
+
+bool isKnownIn(const RouterFrame& frame, WireVersion version) {
+  return !std::holds_alternative<OwnerTableDeltaFrame>(frame) || version >= kTableDeltaWireVersion;
+}
+
+std::string encodeRouterFrame(const RouterFrame& frame, WireVersion version) {
   std::string bytes;
-  CompactOutputArchive archive(bytes);
+  CompactOutputArchive archive(bytes, version);
   archive(frame);
   return bytes;
 }
 
-leaf::result<RouterFrame> decodeRouterFrame(std::string_view bytes) {
+leaf::result<RouterFrame> decodeRouterFrame(std::string_view bytes, WireVersion version) {
   try {
+    if (isOfUnknownKind(bytes, version)) {
+      return RouterFrame(UnknownFrame{});
+    }
     RouterFrame frame;
-    CompactInputArchive archive(bytes);
+    CompactInputArchive archive(bytes, version);
     archive(frame);
-    if (!archive.atEnd()) {
+    if (std::holds_alternative<UnknownFrame>(frame) || !isKnownIn(frame, version)) {
+      return leaf::new_error(DecodeError{"unknown kind of frame"});
+    }
+    if (!archive.atEnd() && version < kExtensibleWireVersion) {
       return leaf::new_error(DecodeError{"unexpected bytes after the frame"});
     }
     return frame;
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -1,6 +1,7 @@
 #include "source/router/node_records.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,6 +32,9 @@
   if (record.draining) {
     document["draining"] = true;
   }
+  if (record.wire_version != 0) {
+    document["wire"] = record.wire_version;
+  }
   for (const QuarantinedRequest& entry : record.quarantined) {
     document["quarantined"].push_back({entry.request.high, entry.request.low, entry.until_s});
   }
@@ -84,6 +88,8 @@
   record.instance = InstanceId(stringField(*document, "instance").value_or(""));
   record.draining = boolField(*document, "draining").value_or(false);
   record.quarantined = *quarantined;
+  constexpr std::uint64_t kMaxWireVersion = std::numeric_limits<WireVersion>::max();
+  record.wire_version = static_cast<WireVersion>(std::min(numberField(*document, "wire").value_or(0), kMaxWireVersion));
   return record;
 }
 
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -35,10 +35,39 @@
   if (record == nullptr) {
     return nullptr;
   }
-  auto stream = std::make_unique<PeerStream>(loop_, clock_, *this, ++last_stream_, self_, node, record->peer);
+  auto stream = std::make_unique<PeerStream>(loop_, clock_, *this, ++last_stream_, self_, node, record->peer,
+                                             versions_.versionFor(*record));
   return streams_.emplace(node, std::move(stream)).first->second.get();
 }
 
+WireVersion PeerClient::versionOf(const NodeName& node) const {
+  const auto stream = streams_.find(node);
+  if (stream != streams_.end()) {
+    return stream->second->version();
+  }
+  const NodeRecord* record = directory_.node(node);
+  return record == nullptr ? kUnstatedWireVersion : versions_.versionFor(*record);
+}
+
+bool PeerClient::retryWithOtherVersion(PeerStream& rejected) {
+  const NodeRecord* record = directory_.node(rejected.node());
+  if (record == nullptr || !rejected.wasRejected() || !versions_.onRejected(*record, rejected.version())) {
+    return false;
+  }
+  PeerStream* next = streamTo(rejected.node());
+  if (next == nullptr) {
+    return false;
+  }
+  for (const ExchangeId exchange : rejected.waitingExchanges()) {
+    const auto pending = pending_.find(exchange);
+    if (pending != pending_.end()) {
+      pending->second.stream = next->id();
+    }
+  }
+  rejected.moveWaitingFrames(*next);
+  return true;
+}
+
 PeerStream* PeerClient::find(PeerStreamId id) {
   const auto silent = silent_streams_.find(id);
   if (silent != silent_streams_.end()) {
@@ -230,6 +259,8 @@
   }
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
     onReply(std::move(*reply));
+  } else if (std::holds_alternative<UnknownFrame>(frame)) {
+    events_.on_unknown_frame(node, stream.markUnknownFrame());
   } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
     onReplyPart(stream, *part);
   } else if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
@@ -310,6 +341,12 @@
 }
 
 void PeerClient::onStreamUp(PeerStream& stream) {
+  if (const NodeRecord* record = directory_.node(stream.node())) {
+    versions_.onAccepted(*record, stream.version());
+  }
+  if (stream.version() != kNewestWireVersion) {
+    events_.on_stream_version(stream.node(), stream.version());
+  }
   directory_.onReachable(stream.node());
   events_.on_reachable(stream.node(), true);
   events_.on_identified({stream.node(), stream.incarnation()});
@@ -358,8 +395,10 @@
       pending.receiver_incarnation = stream.incarnation();
     }
   }
+  // Another node's process that uses the address ignores all frames.
+  const ForwardReason reason = stream.isMisdirected() ? ForwardReason::ServerDown : ForwardReason::ConnectionLost;
   for (const ExchangeId exchange : stream.unsentExchanges()) {
-    finish(exchange, ForwardOutcome::NotRun, ForwardReason::ConnectionLost);
+    finish(exchange, ForwardOutcome::NotRun, reason);
   }
 }
 
@@ -400,6 +439,9 @@
 void PeerClient::onStreamEnd(PeerStream& stream) {
   const NodeName& node = stream.node();
   const bool was_up = stream.isUp();
+  if (retryWithOtherVersion(stream)) {
+    return;
+  }
   if (!was_up) {
     directory_.markUnreachable(node);
     events_.on_reachable(node, false);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -13,6 +13,7 @@
 #include "shedlever/router_frames.h"
 #include "source/core/router/frame_name.h"
 #include "source/core/router/lease_manager.h"
+#include "source/core/router/peer_versions.h"
 #include "source/core/router/server_directory.h"
 #include "source/router/peer_stream.h"
 #include "source/router/server_gate.h"
@@ -65,6 +66,10 @@
     std::function<void(const NodeName&, const OwnerTableDeltaFrame&)> on_owner_table_delta =
         [](const NodeName&, const OwnerTableDeltaFrame&) {};
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// A frame of an unknown kind was received. `first` on its stream.
+    std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
+    /// A stream is up on which another version than the newest one is spoken.
+    std::function<void(const NodeName&, WireVersion)> on_stream_version = [](const NodeName&, WireVersion) {};
     /// This incarnation of a node's process has answered.
     std::function<void(const NodeIdentity&)> on_identified = [](const NodeIdentity&) {};
   };
@@ -89,6 +94,9 @@
   /// @return nodes with an open stream on which the hello was received.
   std::vector<NodeName> connectedNodes() const;
 
+  /// @return the version in which frames to the node are encoded.
+  WireVersion versionOf(const NodeName& node) const;
+
   /// Sends a frame without waiting for a reply.
   void send(const NodeName& node, const RouterFrame& frame);
 
@@ -131,6 +139,9 @@
   void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
   void onStreamEnd(PeerStream& stream);
   void onSilentStreamEnd(PeerStream& stream);
+  /// Opens a stream in another version if the peer may not know that of the ended stream, and moves its frames there.
+  /// @return whether it did.
+  bool retryWithOtherVersion(PeerStream& rejected);
   /// Finishes the requests of an ended stream that were not completely written, and assigns the others to no stream.
   void detachRequests(const PeerStream& stream);
   /// Queries the outcome of requests whose earlier stream broke or fell silent.
@@ -161,6 +172,7 @@
   NodeIdentity self_;
   ServerDirectory& directory_;
   Events events_;
+  PeerVersions versions_;
   std::map<NodeName, std::unique_ptr<PeerStream>> streams_;
   /// Replaced streams on which requests still wait.
   std::map<PeerStreamId, std::unique_ptr<PeerStream>> silent_streams_;
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -25,7 +25,7 @@
       : server(owner), id(stream_id), transport(owner.loop_, socket, peerStreamOptions(), *this) {}
 
   void onMessage(std::string_view message) override {
-    auto frame = decodeRouterFrame(message);
+    auto frame = decodeRouterFrame(message, version());
     if (!frame) {
       transport.abort();
       return;
@@ -42,8 +42,14 @@
     });
   }
 
+  /// @return the version in which the peer speaks.
+  WireVersion version() const { return versionOfPreface(transport.preface()).value_or(kUnstatedWireVersion); }
+
   bool send(const RouterFrame& frame) {
-    std::string bytes = encodeRouterFrame(frame);
+    if (!isKnownIn(frame, version())) {
+      return false;
+    }
+    std::string bytes = encodeRouterFrame(frame, version());
     server.ports_.pacer->recordSent(bytes.size());
     return sendEncoded(frame, std::move(bytes));
   }
@@ -72,6 +78,7 @@
   NodeIdentity sender;
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
+  bool received_unknown_frame = false;
   /// Offset of the end of the last reply in the bytes sent on the stream.
   std::uint64_t last_reply_end = 0;
   /// Exchanges of the last replies, up to `kMaxRememberedReplies`.
@@ -183,6 +190,8 @@
     ports_.on_server_crashes(*crashes);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
     onStoreCall(id, std::move(*call));
+  } else if (std::holds_alternative<UnknownFrame>(frame)) {
+    ports_.on_unknown_frame(stream->sender.name, !std::exchange(stream->received_unknown_frame, true));
   }
 }
 
@@ -230,7 +239,7 @@
 void PeerServer::sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply) {
   const ExchangeId exchange = reply.exchange;
   const RouterFrame frame(std::move(reply));
-  std::string bytes = encodeRouterFrame(frame);
+  std::string bytes = encodeRouterFrame(frame, stream.version());
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
     ports_.pacer->recordSent(bytes.size());
     stream.sendEncodedReply(frame, std::move(bytes));
@@ -254,7 +263,7 @@
     if (last) {
       to->transfers.erase(exchange);
     }
-    return to->sendEncodedReply(part, encodeRouterFrame(part)) ? piece : 0;
+    return to->sendEncodedReply(part, encodeRouterFrame(part, to->version())) ? piece : 0;
   };
   const TransferId transfer = ports_.pacer->start(size, write);
   stream.transfers[exchange] = transfer;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -48,6 +48,8 @@
     /// A peer has announced that it stops.
     std::function<void(const NodeName&)> on_stopping;
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// A frame of an unknown kind was received. `first` on its stream.
+    std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
   };
 
   /// @return the server, or a NetworkError.
--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -19,21 +19,22 @@
 }  // namespace
 
 PeerStream::PeerStream(EventLoop& loop, const Clock& clock, PeerStreamCallbacks& callbacks, PeerStreamId id,
-                       const NodeIdentity& self, NodeName node, const Endpoint& endpoint)
+                       const NodeIdentity& self, NodeName node, const Endpoint& endpoint, WireVersion version)
     : loop_(loop),
       clock_(clock),
       callbacks_(callbacks),
       id_(id),
       node_(std::move(node)),
-      transport_(loop, endpoint, peerStreamOptions(), *this),
+      version_(version),
+      transport_(loop, endpoint, peerStreamOptions(version), *this),
       last_received_at_(clock.now()) {
-  send(HelloFrame{self.name, self.incarnation, false, node_});
+  write(HelloFrame{self.name, self.incarnation, false, node_}, 0);
 }
 
 void PeerStream::onMessage(std::string_view message) {
   last_received_at_ = clock_.now();
   pinged_at_ = {};
-  auto frame = decodeRouterFrame(message);
+  auto frame = decodeRouterFrame(message, version_);
   if (!frame || (!up_ && !acceptHello(frame.value()))) {
     transport_.abort();
     return;
@@ -49,7 +50,9 @@
   }
   up_ = true;
   incarnation_ = hello->incarnation;
+  // The outcomes of earlier requests are requested first.
   callbacks_.onStreamUp(*this);
+  writeWaitingFrames();
   return true;
 }
 
@@ -64,7 +67,42 @@
 }
 
 bool PeerStream::send(const RouterFrame& frame, ExchangeId exchange) {
-  std::string bytes = encodeRouterFrame(frame);
+  if (ended_) {
+    return false;
+  }
+  if (!up_) {
+    if (waiting_frames_.size() >= kMaxRememberedExchanges) {
+      return false;
+    }
+    waiting_frames_.push_back({frame, exchange});
+    return true;
+  }
+  return write(frame, exchange);
+}
+
+void PeerStream::writeWaitingFrames() {
+  for (const WaitingFrame& waiting : std::exchange(waiting_frames_, {})) {
+    if (!write(waiting.frame, waiting.exchange) && waiting.exchange != 0) {
+      waiting_frames_.push_back(waiting);
+    }
+  }
+}
+
+std::vector<ExchangeId> PeerStream::waitingExchanges() const {
+  std::vector<ExchangeId> exchanges;
+  for (const WaitingFrame& waiting : waiting_frames_) {
+    if (waiting.exchange != 0) {
+      exchanges.push_back(waiting.exchange);
+    }
+  }
+  return exchanges;
+}
+
+bool PeerStream::write(const RouterFrame& frame, ExchangeId exchange) {
+  if (!isKnownIn(frame, version_)) {
+    return false;
+  }
+  std::string bytes = encodeRouterFrame(frame, version_);
   const std::size_t size = bytes.size();
   if (ended_ || !transport_.send(std::move(bytes))) {
     return false;
@@ -78,7 +116,7 @@
 }
 
 std::vector<ExchangeId> PeerStream::unsentExchanges() const {
-  std::vector<ExchangeId> exchanges;
+  std::vector<ExchangeId> exchanges = waitingExchanges();
   const std::size_t unsent = std::min(transport_.unsentMessages(), sent_exchanges_.size());
   std::copy_if(sent_exchanges_.end() - static_cast<std::ptrdiff_t>(unsent), sent_exchanges_.end(),
                std::back_inserter(exchanges), [](ExchangeId exchange) { return exchange != 0; });
@@ -92,7 +130,7 @@
   if (!part.last && !too_long) {
     return std::nullopt;
   }
-  auto frame = decodeRouterFrame(bytes);
+  auto frame = decodeRouterFrame(bytes, version_);
   partial_replies_.erase(part.exchange);
   auto* reply = frame ? std::get_if<ForwardReplyFrame>(&frame.value()) : nullptr;
   if (reply == nullptr || too_long) {
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "shedlever/router_frames.h"
@@ -43,7 +44,7 @@
   /// Starts to connect and sends the hello.
   /// @param loop, clock, callbacks must outlive the stream.
   PeerStream(EventLoop& loop, const Clock& clock, PeerStreamCallbacks& callbacks, PeerStreamId id,
-             const NodeIdentity& self, NodeName node, const Endpoint& endpoint);
+             const NodeIdentity& self, NodeName node, const Endpoint& endpoint, WireVersion version);
   ~PeerStream() override { *alive_ = false; }
   PeerStream(const PeerStream&) = delete;
   PeerStream& operator=(const PeerStream&) = delete;
@@ -61,10 +62,19 @@
   TimePoint lastReceivedAt() const { return last_received_at_; }
   std::size_t unsentBytes() const { return transport_.unsentBytes(); }
 
+  /// Until the peer's hello has arrived, frames wait here, since the peer may not understand them.
   /// @param exchange exchange of a request; 0 for other frames.
   /// @return false if the frame could not be queued.
   bool send(const RouterFrame& frame, ExchangeId exchange = 0);
 
+  WireVersion version() const { return version_; }
+  /// @return whether the stream was connected and has ended before any hello. The peer may not know its version.
+  bool wasRejected() const { return ended_ && !up_ && !misdirected_ && transport_.wasConnected(); }
+  /// Moves the frames that wait for the hello to another stream to the node.
+  void moveWaitingFrames(PeerStream& to) { to.waiting_frames_ = std::exchange(waiting_frames_, {}); }
+  /// @return exchanges of the requests that wait for the hello.
+  std::vector<ExchangeId> waitingExchanges() const;
+
   /// @return exchanges of requests that were not completely written. Also valid after the end.
   std::vector<ExchangeId> unsentExchanges() const;
 
@@ -83,6 +93,9 @@
   void markReplaced() { replaced_ = true; }
   bool isReplaced() const { return replaced_; }
 
+  /// A frame of an unknown kind was received. @return whether it was the first one.
+  bool markUnknownFrame() { return !std::exchange(received_unknown_frame_, true); }
+
   /// Closes the stream after all frames are written.
   void closeAfterFlush() { transport_.closeAfterFlush(); }
 
@@ -92,15 +105,24 @@
   /// Verifies from the first frame that the peer is the expected node.
   /// @return false if the frame is no hello or comes from another node.
   bool acceptHello(const RouterFrame& first);
+  bool write(const RouterFrame& frame, ExchangeId exchange);
+  void writeWaitingFrames();
 
   EventLoop& loop_;
   const Clock& clock_;
   PeerStreamCallbacks& callbacks_;
   PeerStreamId id_;
   NodeName node_;
+  WireVersion version_;
   MessageStream transport_;
   /// Exchanges of the sent frames in order; 0 for frames other than requests.
   std::deque<ExchangeId> sent_exchanges_;
+  struct WaitingFrame {
+    RouterFrame frame;
+    ExchangeId exchange = 0;
+  };
+  /// Frames that wait for the hello.
+  std::vector<WaitingFrame> waiting_frames_;
   /// Bytes received so far of large replies.
   std::unordered_map<ExchangeId, std::string> partial_replies_;
   /// When the last message was received; when the stream was opened if there was none.
@@ -111,6 +133,7 @@
   Incarnation incarnation_;
   bool misdirected_ = false;
   bool replaced_ = false;
+  bool received_unknown_frame_ = false;
   bool ended_ = false;
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/source/router/peer_stream_options.h
+++ b/source/router/peer_stream_options.h
@@ -8,10 +8,13 @@
 
 namespace shedlever {
 
-/// @return the options, the same for both ends of a stream.
-inline MessageStreamOptions peerStreamOptions() {
+/// @param version that the connecting side announces. The accepting side takes all versions that this build knows.
+inline MessageStreamOptions peerStreamOptions(WireVersion version = kUnstatedWireVersion) {
   MessageStreamOptions options;
-  options.preface = kRouterPreface;
+  options.preface = prefaceOf(version);
+  for (WireVersion other = kOldestWireVersion; other <= kNewestWireVersion; ++other) {
+    options.other_prefaces.push_back(prefaceOf(other));
+  }
   options.max_message_bytes = 80U << 20U;
   options.max_unsent_bytes = 96U << 20U;
   options.connect_timeout = std::chrono::milliseconds(800);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -133,6 +133,7 @@
   peer_ports.on_snapshot = [this](const ClusterSnapshotFrame& snapshot) { onSnapshot(snapshot); };
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
+  peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
   peer_ports.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
@@ -470,6 +471,7 @@
   record.slots = server_.slots();
   record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
   record.quarantined = quarantine_.requestsToRecord();
+  record.wire_version = kNewestWireVersion;
   directory_.update(record);
   publisher_.publish(record);
 }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -70,6 +70,8 @@
   leaf::result<void> openListeners();
   GatewayPorts gatewayPorts();
   OwnershipPorts ownershipPorts();
+  /// Sends a change of the owner table to a node that gains keys by it.
+  void sendTransfer(const NodeName& node, const OwnerTableDeltaFrame& delta);
   StatusPages::Ports statusPorts();
 
   ClusterStateEvents clusterStateEvents();
@@ -115,6 +117,8 @@
   QuarantineCoordinator::Ports quarantinePorts();
   GateEvents gateEvents();
   PeerClient::Events peerClientEvents();
+  /// A peer sent a frame of a kind that this build does not know. @param first on its stream.
+  void onUnknownFrame(const NodeName& node, bool first);
   void logStreamFailure(const PeerStreamFailure& failure);
   void publishRecord();
 
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -65,12 +65,23 @@
   events.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
     cluster_state_.onOwnerTableDelta(node, delta);
   };
+  events.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
+  events.on_stream_version = [this](const NodeName& node, WireVersion version) {
+    log_.write("peer", "version", {{"node", node.value}, {"wire", std::to_string(version)}});
+  };
   events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   events.server_crashes = [this] { return quarantine_.summary(); };
   events.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   return events;
 }
 
+void RouterProcess::onUnknownFrame(const NodeName& node, bool first) {
+  metrics_.onEvent("peer-unknown-frame");
+  if (first && log_.mayWriteFailed()) {
+    log_.write("peer", "unknown-frame", {{"node", node.value}});
+  }
+}
+
 void RouterProcess::logStreamFailure(const PeerStreamFailure& failure) {
   metrics_.onEvent(failure.silent ? "peer-stream-silent" : "peer-stream-broken");
   if (!log_.mayWriteFailed()) {
@@ -168,7 +179,7 @@
   };
   ports.on_keys_transferred = [this](const OwnerTableDeltaFrame& delta, const std::set<NodeName>& gainers) {
     for (const NodeName& node : gainers) {
-      peer_client_.send(node, delta);
+      sendTransfer(node, delta);
     }
   };
   ports.table_read = [this] { return cluster_state_.tablesRead(); };
@@ -180,6 +191,14 @@
   return ports;
 }
 
+void RouterProcess::sendTransfer(const NodeName& node, const OwnerTableDeltaFrame& delta) {
+  if (peer_client_.versionOf(node) >= kTableDeltaWireVersion) {
+    peer_client_.send(node, delta);
+  } else if (const std::optional<RouterFrame> whole_table = cluster_state_.answerTableRequest({})) {
+    peer_client_.send(node, *whole_table);
+  }
+}
+
 HeartbeatResponder::Ports RouterProcess::responderPorts() {
   HeartbeatResponder::Ports ports;
   ports.clock = &clock_;
--- a/test/net/router_codec_test.cc
+++ b/test/net/router_codec_test.cc
@@ -131,7 +131,85 @@
   EXPECT_FALSE(decodes(encodeRouterFrame(forward)));
 }
 
-RC_GTEST_PROP(RouterCodecProperty, ArbitraryBytesAreDecodedOrRejected, (const std::string& bytes)) { decodes(bytes); }
+std::optional<RouterFrame> decodedIn(const std::string& bytes, WireVersion version) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<RouterFrame>> {
+        BOOST_LEAF_AUTO(frame, decodeRouterFrame(bytes, version));
+        return std::optional<RouterFrame>(std::move(frame));
+      },
+      [] { return std::optional<RouterFrame>(); });
+}
+
+// Guards against builds that can't exchange requests: a table request of version 5 has no digest.
+TEST(RouterCodecTest, TableRequestIsEncodedForEachVersion) {
+  const OwnerTableRequestFrame request{{2, 6}, {0, 65535, 300}};
+  const std::string old_bytes = encodeRouterFrame(request, 5);
+  EXPECT_LT(old_bytes.size(), encodeRouterFrame(request, 6).size());
+  const auto decoded = decodedIn(old_bytes, 5);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(std::get<OwnerTableRequestFrame>(*decoded).known, request.known);
+  EXPECT_TRUE(std::get<OwnerTableRequestFrame>(*decoded).digest.empty());
+  EXPECT_FALSE(decodedIn(old_bytes, 6).has_value());
+}
+
+TEST(RouterCodecTest, FramesOfLaterVersionsAreNotKnownInEarlierOnes) {
+  EXPECT_FALSE(isKnownIn(sampleDelta(), 5));
+  EXPECT_TRUE(isKnownIn(sampleDelta(), 6));
+  EXPECT_FALSE(decodedIn(encodeRouterFrame(sampleDelta(), 6), 5).has_value());
+}
+
+TEST(RouterCodecTest, ExtensibleVersionSkipsUnknownFieldsAndTakesAbsentOnesAsDefault) {
+  const auto longer = decodedIn(encodeRouterFrame(sampleForward(), 7) + "a later field", 7);
+  ASSERT_TRUE(longer.has_value());
+  EXPECT_EQ(std::get<ForwardFrame>(*longer).http.body, "body");
+  const auto shorter = decodedIn(encodeRouterFrame(OwnerTableRequestFrame{{2, 6}, {1}}, 5), 7);
+  ASSERT_TRUE(shorter.has_value());
+  EXPECT_TRUE(std::get<OwnerTableRequestFrame>(*shorter).digest.empty());
+}
+
+TEST(RouterCodecTest, ExtensibleVersionStillRejectsTruncatedFrames) {
+  const std::string whole = encodeRouterFrame(sampleForward(), 7);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_FALSE(decodedIn(whole.substr(0, size), 7).has_value()) << size;
+  }
+}
+
+TEST(RouterCodecTest, ExtensibleVersionKnowsThatAKindOfFrameIsUnknown) {
+  std::string bytes = encodeRouterFrame(PingFrame{}, 7);
+  bytes[0] = 100;
+  const auto decoded = decodedIn(bytes + "fields", 7);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_TRUE(std::holds_alternative<UnknownFrame>(*decoded));
+  EXPECT_FALSE(decodedIn(bytes, 6).has_value());
+}
+
+// A value that only a later build knows must promise nothing: not that a request has not run, nor that it may run
+// again.
+TEST(RouterCodecTest, UnknownEnumerationValuesOfLaterBuildsPromiseNothing) {
+  constexpr std::uint8_t kLater = 200;
+  ForwardReplyFrame reply;
+  reply.outcome = static_cast<ForwardOutcome>(kLater);
+  reply.reason = static_cast<ForwardReason>(kLater);
+  const auto decoded = decodedIn(encodeRouterFrame(reply, 7), 7);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(std::get<ForwardReplyFrame>(*decoded).outcome, ForwardOutcome::Unknown);
+  EXPECT_EQ(std::get<ForwardReplyFrame>(*decoded).reason, ForwardReason::Unrecognized);
+  ForwardFrame forward = sampleForward();
+  forward.kind = static_cast<RouteKind>(kLater);
+  const auto request = decodedIn(encodeRouterFrame(forward, 7), 7);
+  ASSERT_TRUE(request.has_value());
+  EXPECT_EQ(std::get<ForwardFrame>(*request).kind, RouteKind::AtMostOnce);
+  ExchangeQueryReplyFrame state{7, static_cast<ExchangeState>(kLater)};
+  const auto answer = decodedIn(encodeRouterFrame(state, 7), 7);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(std::get<ExchangeQueryReplyFrame>(*answer).state, ExchangeState::Answered);
+}
+
+RC_GTEST_PROP(RouterCodecProperty, ArbitraryBytesAreDecodedOrRejected, (const std::string& bytes)) {
+  decodes(bytes);
+  decodedIn(bytes, 5);
+  decodedIn(bytes, kNewestWireVersion);
+}
 
 }  // namespace
 }  // namespace shedlever::test
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -37,8 +37,10 @@
     return events;
   }
 
-  void addNodeAt(const Endpoint& endpoint) {
+  /// @param stated newest version that the record states; 0 for none.
+  void addNodeAt(const Endpoint& endpoint, WireVersion stated = 0) {
     NodeRecord record;
+    record.wire_version = stated;
     record.node = node_;
     record.peer = endpoint;
     record.service = ServiceName("s");
@@ -107,6 +109,48 @@
   PeerClient peer_client_;
 };
 
+// A process of an earlier build closes streams of a version that it does not know; the request must reach it all the
+// same.
+TEST_F(PeerClientTest, RequestToPeerOfAnEarlierVersionIsAnsweredAfterOneMoreConnection) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.speakOnly(5);
+  connectTo(peer);
+  EXPECT_EQ(peer.acceptedStreams(), 2U);
+  EXPECT_EQ(peer.forwarded_requests, 1U);
+  EXPECT_EQ(peer_client_.versionOf(node_), 5);
+  EXPECT_FALSE(directory_.isUnreachable(node_));
+}
+
+TEST_F(PeerClientTest, StatedVersionIsSpokenWithoutFurtherConnections) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  forward(RouteKind::Idempotent);
+  EXPECT_EQ(peer.acceptedStreams(), 1U);
+  EXPECT_EQ(peer_client_.versionOf(node_), kNewestWireVersion);
+}
+
+// The node's record is that of a later build which an earlier one has replaced.
+TEST_F(PeerClientTest, RequestReachesAnEarlierBuildBehindARecordOfALaterOne) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.speakOnly(6);
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  forward(RouteKind::AtMostOnce);
+  EXPECT_EQ(peer.forwarded_requests, 1U);
+  EXPECT_EQ(peer_client_.versionOf(node_), 6);
+}
+
+// Nothing is sent before the peer is known to understand it, so that the request has not run.
+TEST_F(PeerClientTest, RequestThatWaitsForTheHelloIsReportedAsNotRun) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.speakOnly(4);
+  addNodeAt(peer.endpoint());
+  EXPECT_EQ(forward(RouteKind::AtMostOnce).outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(peer.forwarded_requests, 0U);
+  EXPECT_EQ(peer.acceptedStreams(), 2U);
+}
+
 /// A node that accepts connections and reads nothing.
 class DeadNodeTest : public PeerClientTest, public ::testing::WithParamInterface<RouteKind> {
  protected:
--- a/test/router/router_stop_test.cc
+++ b/test/router/router_stop_test.cc
@@ -91,7 +91,7 @@
         this);
     const auto address = toSocketAddress(router);
     bufferevent_socket_connect(stream_.get(), const_cast<sockaddr*>(address->get()), static_cast<int>(address->length));
-    sendWord(kRouterPreface);
+    sendWord(prefaceOf(kUnstatedWireVersion));
   }
 
   void send(const RouterFrame& frame) {
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -65,6 +65,10 @@
     }
   }
 
+  /// Takes only streams of this version, as an earlier build does. Later streams than the open ones.
+  void speakOnly(WireVersion version) { only_version_ = version; }
+  std::size_t acceptedStreams() const { return streams_.size(); }
+
   /// HTTP status of the replies to store calls.
   int store_status = 200;
   std::size_t store_calls = 0;
@@ -79,7 +83,7 @@
  private:
   struct Stream final : public MessageStreamCallbacks {
     Stream(FakePeer& owner, evutil_socket_t socket)
-        : peer(owner), stream(owner.loop_, socket, peerStreamOptions(), *this) {}
+        : peer(owner), stream(owner.loop_, socket, owner.streamOptions(), *this) {}
 
     void onMessage(std::string_view message) override {
       if (peer.holding_ || held) {
@@ -90,7 +94,8 @@
     }
 
     void process(std::string_view message) {
-      const RouterFrame frame = decodeRouterFrame(message).value();
+      const WireVersion version = versionOfPreface(stream.preface()).value();
+      const RouterFrame frame = decodeRouterFrame(message, version).value();
       if (std::holds_alternative<HelloFrame>(frame)) {
         stream.send(encodeRouterFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}}));
       } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
@@ -123,7 +128,17 @@
     bool held = false;
   };
 
+  MessageStreamOptions streamOptions() const {
+    MessageStreamOptions options = peerStreamOptions();
+    if (only_version_) {
+      options.preface = prefaceOf(*only_version_);
+      options.other_prefaces.clear();
+    }
+    return options;
+  }
+
   EventLoop& loop_;
+  std::optional<WireVersion> only_version_;
   NodeIdentity identity_;
   std::unique_ptr<TcpListener> listener_;
   std::vector<std::unique_ptr<Stream>> streams_;
