End a stream to a node whose hello does not arrive

Symptom: with frames that wait for the hello, requests to a node that accepts a connection and says nothing waited for their deadlines (RequestToNodeThatAcknowledgesNothingFinishesEarly failed after 30 s). Cause: nothing is unacknowledged on such a stream, so that the dead peer timeout does not apply. Change: a stream without a hello after 2 s ends; its requests have not run. The test's node now loses power after its hello, so that it still covers a request that was written and may have run; a node without a hello has a test of its own.

--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -14,6 +14,9 @@
 constexpr Duration kPingAfterSilence = std::chrono::milliseconds(300);
 /// A node that does not respond to a ping within this time counts as silent.
 constexpr Duration kPongTimeout = std::chrono::milliseconds(500);
+/// A node whose hello has not arrived this long after the stream was opened is given up; a full link delays it for
+/// less.
+constexpr Duration kHelloTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMaxRememberedExchanges = 4096;
 
 }  // namespace
@@ -29,6 +32,11 @@
       transport_(loop, endpoint, peerStreamOptions(version), *this),
       last_received_at_(clock.now()) {
   write(HelloFrame{self.name, self.incarnation, false, node_}, 0);
+  loop_.runAfter(kHelloTimeout, [this, alive = alive_] {
+    if (*alive && !up_ && !ended_) {
+      transport_.abort();
+    }
+  });
 }
 
 void PeerStream::onMessage(std::string_view message) {
--- a/test/net/frame_samples_test.cc
+++ b/test/net/frame_samples_test.cc
@@ -2,6 +2,8 @@
 /// Frames as earlier builds write them. Guards against a change of the encoding that separates processes of different
 /// builds.
 
+#include "test/support/frame_samples.h"
+
 #include <gtest/gtest.h>
 
 #include <fstream>
@@ -9,7 +11,6 @@
 #include <set>
 
 #include "source/net/router_codec.h"
-#include "test/support/frame_samples.h"
 
 namespace shedlever::test {
 namespace {
@@ -24,8 +25,8 @@
 }
 
 std::map<std::string, std::string> readSamples(WireVersion version) {
-  const std::string file = std::string(SHEDLEVER_SOURCE_FOLDER) + "/test/net/frame_samples/version-0" +
-                           std::to_string(version) + ".txt";
+  const std::string file =
+      std::string(SHEDLEVER_SOURCE_FOLDER) + "/test/net/frame_samples/version-0" + std::to_string(version) + ".txt";
   std::ifstream stream(file);
   std::map<std::string, std::string> samples;
   std::string name;
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -4,6 +4,7 @@
 #include "source/router/peer_client.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <map>
 #include <memory>
@@ -160,6 +161,14 @@
     }
   }
 
+  /// Answers the hello that has not been read.
+  static void sendHello(evutil_socket_t socket, const NodeName& node) {
+    const std::string hello = encodeRouterFrame(HelloFrame{node, Incarnation{7}, false, {}});
+    const std::string length = {static_cast<char>(hello.size()), 0, 0, 0};
+    const std::string bytes = length + hello;
+    EXPECT_EQ(::send(socket, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
+  }
+
   static constexpr std::size_t kMoreThanSocketBuffers = 32U << 20U;
   std::vector<evutil_socket_t> unread_sockets_;
 };
@@ -167,7 +176,13 @@
 // A node that loses power closes no connections and acknowledges nothing; its requests must not wait for their
 // deadlines. The node is simulated by a receiver that reads nothing, whose window is closed by a large request.
 TEST_P(DeadNodeTest, RequestToNodeThatAcknowledgesNothingFinishesEarly) {
-  const auto accept = [this](evutil_socket_t socket, const Endpoint&) { unread_sockets_.push_back(socket); };
+  const auto accept = [this](evutil_socket_t socket, const Endpoint&) {
+    unread_sockets_.push_back(socket);
+    // The node loses power after its hello on the first connection.
+    if (unread_sockets_.size() == 1) {
+      sendHello(socket, node_);
+    }
+  };
   auto listener = TcpListener::open(loop_, kAnyLoopbackPort, accept);
   addNodeAt(listener.value()->endpoint());
   const auto written = startForward(GetParam());
@@ -179,6 +194,19 @@
   EXPECT_TRUE(directory_.isUnreachable(node_));
 }
 
+// Without a hello nothing was sent, so that both requests have certainly not run.
+TEST_P(DeadNodeTest, RequestToNodeThatSendsNoHelloFinishesEarlyAsNotRun) {
+  const auto accept = [this](evutil_socket_t socket, const Endpoint&) { unread_sockets_.push_back(socket); };
+  auto listener = TcpListener::open(loop_, kAnyLoopbackPort, accept);
+  addNodeAt(listener.value()->endpoint());
+  const auto small = startForward(GetParam());
+  const auto large = startForward(GetParam(), std::string(kMoreThanSocketBuffers, 'x'));
+  ASSERT_TRUE(loop_.runUntil([&] { return small->has_value() && large->has_value(); }, kTestTimeout));
+  EXPECT_EQ((*small)->outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ((*large)->outcome, ForwardOutcome::NotRun);
+  EXPECT_TRUE(directory_.isUnreachable(node_));
+}
+
 INSTANTIATE_TEST_SUITE_P(RepeatableOrNot, DeadNodeTest,
                          ::testing::Values(RouteKind::Idempotent, RouteKind::AtMostOnce));
 
