--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -122,7 +122,14 @@
       quarantined_(
           gauge("shedlever_quarantined_requests", "Requests kept from servers, since servers ended under them")),
       server_crashes_remembered_(gauge("shedlever_server_ends_remembered",
-                                       "Ends of servers while at work that are remembered, of all nodes")) {}
+                                       "Ends of servers while at work that are remembered, of all nodes")) {
+  prometheus::BuildGauge()
+      .Name("shedlever_build_info")
+      .Help("1; the labels name the build and the newest version of the frames that it speaks")
+      .Register(registry_)
+      .Add({{"version", SHEDLEVER_VERSION}, {"wire", std::to_string(kNewestWireVersion)}})
+      .Set(1);
+}
 
 prometheus::Histogram& RouterMetrics::routeHistogram(const std::string& route) {
   prometheus::Histogram*& histogram = request_seconds_by_route_[route];
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -92,7 +92,8 @@
               {"incarnation", std::to_string(self_.incarnation.value)},
               {"zone", settings_.zone.value},
               {"service", settings_.service.value},
-              {"version", SHEDLEVER_VERSION}});
+              {"version", SHEDLEVER_VERSION},
+              {"wire", std::to_string(kNewestWireVersion)}});
   gateway_ = std::make_unique<Gateway>(self_, settings_.service, settings_.retry, gatewayPorts());
   gateway_->setKeyHandoverTime(keyHandoverTime());
   BOOST_LEAF_CHECK(openListeners());
--- a/test/router/node_records_test.cc
+++ b/test/router/node_records_test.cc
@@ -43,6 +43,19 @@
   }
 }
 
+// Earlier builds state no version of frames; a version that does not fit counts as the highest one.
+TEST(NodeRecordTest, RecordOfAnEarlierBuildStatesNoWireVersion) {
+  const std::string of_earlier_build =
+      R"({"incarnation":7,"instance":"i-1","node":"n","peer":"10.0.0.1:99","service":"s","slots":18,"zone":"z")";
+  EXPECT_EQ(decodeNodeRecord(of_earlier_build + "}")->wire_version, 0);
+  EXPECT_EQ(decodeNodeRecord(of_earlier_build + R"(,"wire":7})")->wire_version, 7);
+  EXPECT_EQ(decodeNodeRecord(of_earlier_build + R"(,"wire":900})")->wire_version, 255);
+  NodeRecord record = *decodeNodeRecord(of_earlier_build + "}");
+  EXPECT_EQ(encodeNodeRecord(record), of_earlier_build + "}");
+  record.wire_version = kNewestWireVersion;
+  EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
+}
+
 class NodeRecordPublisherTest : public ::testing::Test {
  protected:
   NodeRecordPublisherTest()
