--- /dev/null
+++ b/source/router/router_process_server.cc
@@ -0,0 +1,204 @@
+/// @file
+/// What a router process does about the local server: its reports, its condition, and its end.
+
+#include <utility>
+
+#include "source/core/router/duration_format.h"
+#include "source/router/router_process.h"
+
+namespace shedlever {
+
+namespace {
+
+constexpr int kNotFound = 404;
+/// A draining server gets no keyed requests after this fraction of the drain time.
+constexpr int kKeysCloseNumerator = 2;
+constexpr int kKeysCloseDenominator = 3;
+
+}  // namespace
+
+void RouterProcess::onUnreadable(const char* part, const std::string& what) {
+  metrics_.onEvent("unreadable-entry");
+  if (log_.mayWriteFailed()) {
+    log_.write(part, "unreadable", {{"what", what}});
+  }
+}
+
+void RouterProcess::onReportRequest(const HttpRequest& request, const StrictHttpResponder& replier) {
+  const auto report = platform_.reports->readReport(request);
+  if (!report) {
+    onUnreadable("reports", request.target);
+    replier.reply({kNotFound, {}, {}});
+    return;
+  }
+  const bool accepted = onReport(*report) != PresenceChange::None;
+  // The response to a late or repeated report must not assign keys.
+  if (!accepted || !report->keys || !ownership_manager_) {
+    replier.reply(platform_.reports->acknowledgement(nullptr));
+    return;
+  }
+  ownership_manager_->onKeyReport(*report->keys);
+  setKeysLapsed(false);
+  responder_.onHeartbeat(*report->keys,
+                         [this, replier, report = *report->keys](const std::optional<KeyAssignment>& keys) {
+                           replier.reply(platform_.reports->acknowledgement(keys ? &*keys : nullptr));
+                           logAcknowledgement(report, keys);
+                         });
+}
+
+/// Logs an acknowledgement unless it only renews the keys that the server holds.
+void RouterProcess::logAcknowledgement(const KeyReport& report, const std::optional<KeyAssignment>& keys) {
+  const bool renews = keys && keys->ranges.size() == report.held.size() && report.released.empty();
+  if (renews || (report.held.empty() && !keys)) {
+    return;
+  }
+  log_.write("ownership", keys ? "keys-assigned" : "no-keys-assigned",
+             {{"assigned", std::to_string(keys ? keys->ranges.size() : 0)},
+              {"reported", std::to_string(report.held.size())},
+              {"released", std::to_string(report.released.size())},
+              {"hold_ms", keys ? formatMilliseconds(keys->hold_duration) : "-"},
+              {"table", toString(ownership_manager_->tableWriter().revision())},
+              {"lease_left_ms", formatMilliseconds(ownership_manager_->leaseUntil() - clock_.now())}});
+}
+
+void RouterProcess::setKeysLapsed(bool lapsed) {
+  if (lapsed == keys_lapsed_) {
+    return;
+  }
+  keys_lapsed_ = lapsed;
+  log_.write("server", lapsed ? "keys-lapsed" : "reporting-again", {{"instance", server_.instance().value}});
+  publishRecord();
+}
+
+PresenceChange RouterProcess::onReport(const ServerReport& report) {
+  if (report.leaving) {
+    if (server_.onLeaving(report)) {
+      onServerDraining("deregistered");
+    }
+    return PresenceChange::None;
+  }
+  if (server_.contradicts(report)) {
+    verifyInstance(report);
+    return PresenceChange::None;
+  }
+  return applyReport(report);
+}
+
+void RouterProcess::verifyInstance(const ServerReport& report) {
+  if (verifying_instance_) {
+    return;
+  }
+  verifying_instance_ = true;
+  server_client_.identify(gate_.healthPath(), [this, report](const ServerId& running, bool) {
+    verifying_instance_ = false;
+    log_.write("server", "instance-verified",
+               {{"reported", report.instance.value}, {"known", server_.instance().value}, {"running", running.value}});
+    if (running == serverIdOf(report.instance)) {
+      applyReport(report);
+    } else if (!running.empty() && running == serverIdOf(server_.instance())) {
+      server_.onEarlierInstanceEnded(report.instance);
+    }
+  });
+}
+
+PresenceChange RouterProcess::applyReport(const ServerReport& report) {
+  const PresenceChange change = server_.onReport(report);
+  if (change == PresenceChange::None) {
+    return change;
+  }
+  if (change == PresenceChange::NewInstance) {
+    log_.write("server", "up", {{"instance", report.instance.value}, {"slots", std::to_string(report.slots)}});
+    if (ownership_manager_) {
+      ownership_manager_->serverUp(report.instance, clock_.now());
+    }
+  }
+  gate_.serverUp(report.instance, report.slots);
+  gate_.setCold(report.cold_remaining);
+  if (change == PresenceChange::NewInstance && startedBeforeThisProcess(report)) {
+    gate_.assumeStartLimitExhausted();
+  }
+  if (!std::exchange(server_seen_, true)) {
+    checkServerCondition();
+  }
+  if (report.draining) {
+    onServerDraining("reported");
+  }
+  publishRecord();
+  scheduleTick();
+  return change;
+}
+
+bool RouterProcess::startedBeforeThisProcess(const ServerReport& report) const {
+  const RoutedService* own = cluster_state_.routes() ? cluster_state_.routes()->service(settings_.service) : nullptr;
+  const Duration age = own == nullptr ? Duration::zero() : own->cold_time - report.cold_remaining;
+  return report.cold_remaining > Duration::zero() && age >= clock_.now() - started_at_;
+}
+
+void RouterProcess::checkServerCondition() {
+  gate_.assumeNamedLimitUnknown();
+  // The gate reads the condition from the response.
+  server_client_.identify(gate_.healthPath(), [](const ServerId&, bool) {});
+}
+
+Duration RouterProcess::keyHandoverTime() const {
+  return settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
+}
+
+void RouterProcess::onServerDraining(const char* cause) {
+  if (!server_.startDraining()) {
+    return;
+  }
+  log_.write("server", "draining", {{"instance", server_.instance().value}, {"cause", cause}});
+  gate_.startDraining();
+  peer_server_->broadcastStopping(self_.name);
+  if (ownership_manager_) {
+    ownership_manager_->startDraining();
+  }
+  runAfter(keyHandoverTime(), [this, instance = server_.instance()] {
+    if (instance == server_.instance() && server_.draining()) {
+      gate_.stopKeyedRequests();
+    }
+  });
+  publishRecord();
+  scheduleTick();
+}
+
+void RouterProcess::onServerGone() {
+  const bool reports_keys = ownership_manager_ && settings_.ownership.grant_delivery == GrantDelivery::Heartbeat;
+  if (server_.instance().empty() || !server_.refusalProvesEnd(reports_keys)) {
+    return;
+  }
+  log_.write("server", "gone", {{"instance", server_.instance().value}});
+  metrics_.onEvent("server-gone");
+  server_.onGone();
+  gate_.serverEnded();
+  if (ownership_manager_) {
+    ownership_manager_->serverDead();
+  }
+  publishRecord();
+  scheduleTick();
+}
+
+void RouterProcess::onServerSilence(bool silent) {
+  server_.setSilent(silent);
+  log_.write("server", silent ? "silent" : "answers-again", {{"instance", server_.instance().value}});
+  publishRecord();
+}
+
+void RouterProcess::publishRecord() {
+  NodeRecord record;
+  record.node = settings_.node;
+  record.incarnation = self_.incarnation;
+  record.peer = settings_.peers_advertised;
+  record.zone = settings_.zone;
+  record.service = settings_.service;
+  record.instance = server_.instance();
+  record.slots = server_.slots();
+  record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
+  record.quarantined = quarantine_.requestsToRecord();
+  record.wire_version = kNewestWireVersion;
+  directory_.update(record);
+  publisher_.publish(record);
+}
+
+}  // namespace shedlever
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Consecutive failed connections after which the server counts as silent.
-constexpr unsigned kFailedConnectionsUntilSilent = 2;
 /// A request with less time left than this is refused instead of started.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
@@ -69,8 +67,7 @@
     instance_ = instance;
     draining_ = false;
     keyed_requests_stopped_ = false;
-    silent_ = false;
-    failed_connections_ = 0;
+    reachability_.reset();
     failures_.reset();
     service_times_.reset();
     named_limit_ = {};
@@ -184,7 +181,7 @@
   if (isEvacuated(frame)) {
     return ForwardReason::Evacuated;
   }
-  if (instance_.empty() || silent_) {
+  if (instance_.empty() || reachability_.silent()) {
     return ForwardReason::ServerDown;
   }
   if (frame.instance != instance_) {
@@ -476,17 +473,14 @@
     return;
   }
   if (result.connect_failed) {
-    ++failed_connections_;
-    if (failed_connections_ >= kFailedConnectionsUntilSilent && !silent_ && !instance_.empty()) {
-      silent_ = true;
+    if (!instance_.empty() && reachability_.onConnectionFailed()) {
       events_.silence_changed(true);
       refuseAllQueued(ForwardReason::ServerDown);
     }
     return;
   }
   if (result.outcome != ForwardOutcome::Unknown) {
-    failed_connections_ = 0;
-    last_answer_ = clock_.now();
+    reachability_.onResponse();
   }
 }
 
@@ -573,21 +567,18 @@
   refuseOverdue();
   applyColdLimit();
   startQueued();
-  probeSilentServer(now);
+  probeSilentServer();
 }
 
-void ServerGate::probeSilentServer(TimePoint) {
-  if (!silent_ || probing_ || instance_.empty()) {
+void ServerGate::probeSilentServer() {
+  if (instance_.empty() || !reachability_.startProbe()) {
     return;
   }
-  probing_ = true;
   server_client_.identify(health_path_, [this](const ServerId& server, bool refused) {
-    probing_ = false;
+    reachability_.onProbeEnded(!refused && !server.empty());
     if (refused) {
       events_.server_gone();
     } else if (!server.empty()) {
-      silent_ = false;
-      failed_connections_ = 0;
       assumeCold();
       events_.silence_changed(false);
     }
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -21,6 +21,7 @@
 #include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/quarantine/unanswered_requests.h"
 #include "source/core/router/response_size_estimator.h"
+#include "source/core/router/server_reachability.h"
 #include "source/core/router/slot_queue.h"
 #include "source/core/router/zone_evacuation.h"
 #include "source/router/gate_recorder.h"
@@ -128,7 +129,7 @@
   const InstanceId& instance() const { return instance_; }
   bool draining() const { return draining_; }
   bool empty() const { return entries_.empty() && held_.empty(); }
-  bool silent() const { return silent_; }
+  bool silent() const { return reachability_.silent(); }
 
  private:
   struct Entry {
@@ -201,7 +202,7 @@
   void onLimitChange(LimitChange change);
   void updateReachability(const ServerResult& result);
   void recordFailure(const ServerResult& result);
-  void probeSilentServer(TimePoint now);
+  void probeSilentServer();
 
   const Clock& clock_;
   const QueueConfig& config_;
@@ -233,11 +234,7 @@
   EvacuationPhase evacuation_ = EvacuationPhase::None;
   /// When the process exits; TimePoint::max() while it is not stopping.
   TimePoint process_end_ = TimePoint::max();
-  bool silent_ = false;
-  bool probing_ = false;
-  /// Number of consecutive failed connection attempts.
-  unsigned failed_connections_ = 0;
-  TimePoint last_answer_{};
+  ServerReachability reachability_;
   QueueTicket last_ticket_ = 0;
   std::unordered_map<QueueTicket, Entry> entries_;
   std::map<QueueTicket, HeldRequest> held_;
