Take a health check's answer as proof that a server names no limit

Cause: a process that meets its server for the first time started one request in 0.5 s until a request was answered, and reported the server as full meanwhile, so that others avoided it for 2 s. Change: the health check that is sent at once ends this, as all answers of a server state its condition; and only a cold or a named limit is reported as full.

--- a/source/core/router/slot_queue.h
+++ b/source/core/router/slot_queue.h
@@ -104,8 +104,10 @@
   /// long, that they admit just that rate.
   ServerLoad load() const;
 
-  /// @return whether a request that arrived now could not start yet because of the rate limit.
-  bool isStartLimitReached(TimePoint now) const { return start_rate_.timeUntilNextStart(now) > Duration::zero(); }
+  /// @return whether a request that arrived now could not start yet because of the cold or the named limit.
+  bool isStartLimitReached(TimePoint now) const {
+    return start_rate_.sustainedRate() && start_rate_.timeUntilNextStart(now) > Duration::zero();
+  }
 
   /// @return how long a request occupies one of the slots that `load` states.
   Duration slotTime() const { return capacity().slot_time; }
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -136,8 +136,12 @@
 
 void RouterProcess::checkServerCondition() {
   gate_.assumeNamedLimitUnknown();
-  // The gate reads the condition from the response.
-  server_client_.identify(gate_.healthPath(), [](const ServerId&, bool) {});
+  // The gate reads the condition from the response. A response that names no limit shows that there is none.
+  server_client_.identify(gate_.healthPath(), [this, instance = server_.instance()](const ServerId& server, bool) {
+    if (instance == gate_.instance() && server == serverIdOf(instance)) {
+      gate_.onNamedLimitKnown();
+    }
+  });
 }
 
 Duration RouterProcess::keyHandoverTime() const {
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -441,13 +441,15 @@
   if (result.condition->invalid_limit) {
     recorder_.limitInvalid(instance_);
   }
-  queue_.setNamedLimitUnknown(false);
+  onNamedLimitKnown();
   onLimitChange(named_limit_.onResponse(*result.condition, entry.started, clock_.now()));
   if (result.condition->leaving) {
     events_.server_leaving();
   }
 }
 
+void ServerGate::onNamedLimitKnown() { queue_.setNamedLimitUnknown(false); }
+
 void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
   if (instance != instance_ || instance_.empty()) {
     return;
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -86,6 +86,8 @@
   /// The server may have named a limit to an earlier process: few requests start until a response shows whether it
   /// does.
   void assumeNamedLimitUnknown() { queue_.setNamedLimitUnknown(true); }
+  /// A response of the instance has shown whether it names a limit.
+  void onNamedLimitKnown();
   /// The server started before this process: an earlier process may have used up the server's request rate.
   void assumeStartLimitExhausted() { queue_.assumeStartLimitExhausted(clock_.now()); }
   /// The server has ended: refuses queued requests and starts no more.
