--- a/soak/router_upgrades.h
+++ b/soak/router_upgrades.h
@@ -14,7 +14,8 @@
 
 namespace shedlever::soak {
 
-/// All nodes begin with the earlier build. Each is told to stop in order; its successor runs the other build.
+/// All nodes begin with the earlier build. One router after the other gets SIGTERM, and the router that starts in its
+/// place is of the other build.
 class RouterUpgrades {
  public:
   struct Callbacks {
--- a/source/core/router/owner_candidates.h
+++ b/source/core/router/owner_candidates.h
@@ -32,8 +32,9 @@
   ///   included only if there are no others.
   std::vector<OwnerLocation> targets(TimePoint now) const;
 
-  /// @return targets for all keys of a server, whatever the targets' load: those that name no request limit, unless all
-  ///   do.
+  /// @return the targets that name no request limit, or all targets if each names one. For moves of all keys of a
+  /// server,
+  ///   which are divided evenly.
   std::vector<OwnerLocation> unlimitedTargets(TimePoint now) const;
 
   /// @param own_failure_ratio share of recent requests that failed at this node's server.
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -102,8 +102,8 @@
   /// The node's process reported that it or its server is leaving; valid until the next record.
   void markDraining(const NodeName& node);
 
-  /// A response of the server instance said that it is leaving: it is available no more, whatever its node's records
-  /// state. @return false if this was known already.
+  /// A response of the server instance said that it is leaving. From now on the instance is not available, even if its
+  /// node's record says that it accepts requests. @return false if this was known already.
   bool markServerLeaving(const InstanceId& instance, TimePoint now) { return leaving_.mark(instance, now); }
   /// @return when the instance first said that it is leaving; std::nullopt if it has not.
   std::optional<TimePoint> leavingSince(const InstanceId& instance) const { return leaving_.since(instance); }
--- a/source/core/router/start_rate_limiter.cc
+++ b/source/core/router/start_rate_limiter.cc
@@ -11,7 +11,7 @@
 constexpr Duration kColdWindow = std::chrono::milliseconds(1100);
 /// Window of a named limit that allows several requests in it. A short window spreads the starts evenly.
 constexpr double kNamedWindowSeconds = 0.5;
-/// Requests per second that start whatever limit the server names.
+/// Requests per second that start even if the server names a lower limit.
 constexpr double kMinNamedRate = 0.5;
 /// Requests per second from which a named limit is never reached.
 constexpr double kMaxNamedRate = 100'000;
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -114,7 +114,8 @@
   void recordCondition(const GatewayAttempt& attempt, const HttpResponse& response, TimePoint now);
   /// Updates the time after which a server may take the request, from a reply that refuses it.
   void recordRefusal(Request& request, const GatewayAttempt& attempt, const ForwardReplyFrame& reply) const;
-  /// @return whether the server has been leaving for so long that it gets no more requests for its keys.
+  /// @return whether the time for handing over the keys of a leaving server has passed, so that it gets no more
+  /// requests.
   bool hasLeft(const InstanceId& instance, TimePoint now) const;
   /// Takes the reply to the attempt at a silent node into account.
   /// @return whether it ends the request; otherwise the current attempt decides.
