Keep a configuration in force although single values can't be decoded

One unknown word, such as a route of kind 'upload', made the whole document invalid, so that no request was served until the operator's next version. Ruled out: dropping an invalid route, since a shorter prefix would then take its requests.

--- a/include/shedlever/router_config.h
+++ b/include/shedlever/router_config.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "shedlever/errors.h"
 #include "shedlever/identifiers.h"
 #include "shedlever/settings.h"
 #include "shedlever/time.h"
@@ -52,7 +53,7 @@
   std::uint32_t priority = 0;
   /// Maximum number of servers that one attempt of a client is sent to.
   std::uint32_t max_attempts = 1;
-  /// At least one.
+  /// Empty if the route's definition could not be decoded; its requests are refused.
   std::vector<ServiceShare> shares;
   /// Whether each request must have an idempotency key, under which it runs at most once.
   bool needs_idempotency_key = false;
@@ -88,6 +89,8 @@
   std::vector<Route> routes;
   std::map<ServiceName, RoutedService> services;
   ClientLimits limits;
+  /// Values that could not be decoded, each with what takes its place.
+  Findings ignored;
 };
 
 }  // namespace shedlever
--- a/source/core/router/active_config.cc
+++ b/source/core/router/active_config.cc
@@ -56,6 +56,9 @@
   active_parts_ = parts;
   routes_ = std::make_shared<const RouteTable>(std::move(config));
   events_.on_adopted();
+  if (!routes_->config().ignored.empty()) {
+    events_.on_values_ignored(routes_->config().ignored);
+  }
 }
 
 void ActiveConfig::onPeerConfig(const std::vector<ObjectCopy>& parts) {
--- a/source/core/router/active_config.h
+++ b/source/core/router/active_config.h
@@ -21,6 +21,8 @@
   struct Events {
     /// A new configuration is active: `routes`.
     std::function<void()> on_adopted;
+    /// Values of the active configuration that could not be decoded and are not in force.
+    std::function<void(const Findings&)> on_values_ignored = [](const Findings&) {};
     /// The parts could not be decoded; the previous configuration stays active.
     std::function<void(const Findings&)> on_invalid;
     /// A part older than the known one was received and ignored.
--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -163,6 +163,11 @@
 ActiveConfig::Events ClusterState::configEvents() {
   ActiveConfig::Events events;
   events.on_adopted = [this] { onConfigAdopted(); };
+  events.on_values_ignored = [this](const Findings& findings) {
+    ports_.log->write("config", "values-ignored",
+                      {{"version", std::to_string(routes()->version())}, {"findings", toString(findings)}});
+    events_.on_config_values_ignored(findings.list.size());
+  };
   events.on_invalid = [this](const Findings& findings) {
     ports_.log->write("config", "not-understood",
                       {{"revision", toString(config_watcher_.seen())}, {"findings", toString(findings)}});
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -51,6 +51,8 @@
   /// A node record was read.
   /// @param own whether the record belongs to this node.
   std::function<void(const NodeRecord& record, bool own)> on_record;
+  /// Values of the active configuration could not be decoded. @param count number of these values.
+  std::function<void(std::size_t count)> on_config_values_ignored = [](std::size_t) {};
   /// The evacuated zones have become known or have changed.
   std::function<void()> on_evacuations_changed;
   /// The key owners of a service other than this node's have changed.
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -22,6 +22,8 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 /// Roughly the time for which a process is unavailable while it starts or stops.
 constexpr Duration kUnavailableRetryAfter = std::chrono::milliseconds(500);
+/// Retry delay for a route that could not be decoded: only the operator's next version may change that.
+constexpr Duration kInvalidRouteRetryAfter = std::chrono::seconds(5);
 /// Retry delay while a request with the same idempotency key runs or the store does not respond.
 constexpr Duration kClaimRetryAfter = std::chrono::seconds(1);
 /// Clients honour a retry delay of at most a third of their remaining time.
@@ -73,6 +75,10 @@
     refuseAtOnce(http, replier, {id, Outcome::NotRun, Reason::UnknownService, {}});
     return;
   }
+  if (route->shares.empty()) {
+    refuseAtOnce(http, replier, {id, Outcome::NotRun, Reason::ServerUnavailable, kInvalidRouteRetryAfter});
+    return;
+  }
   const ServiceName& chosen = traffic_splitter_.pick(*route);
   const RoutedService* service = routes_->service(chosen);
   ClientRequestInfo info = ports_.protocol->readRequestInfo(http, *route, service);
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -107,6 +107,7 @@
   events.on_node_records_restored = [this](const NodeRecord* own) { publisher_.onStoreRestored(own); };
   events.on_epoch_observed = [this](StoreEpoch epoch) { store_.observePeerEpoch(epoch); };
   events.on_config_adopted = [this] { onConfigAdopted(); };
+  events.on_config_values_ignored = [this](std::size_t) { metrics_.onEvent("config-values-ignored"); };
   events.on_nodes_changed = [this] { gateway_->setProcessCount(directory_.nodes().size()); };
   events.on_unreadable = [this](const std::string& name) { onUnreadable("membership", name); };
   events.on_record = [this](const NodeRecord& record, bool own) {
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -68,6 +68,7 @@
     config.services[divided_].divided_by_key = true;
     config.routes.push_back(route());
     config.routes.push_back(dividedRoute());
+    config.routes.push_back(invalidRoute());
     gateway_.setConfig(std::make_shared<const RouteTable>(std::move(config)));
     auto clients = StrictHttpServer::listen(loop_, kAnyLoopbackPort, {},
                                             [this](HttpRequest request, const StrictHttpResponder& replier) {
@@ -119,6 +120,15 @@
     return made;
   }
 
+  /// A route whose definition could not be decoded, below the prefix of another one.
+  Route invalidRoute() const {
+    Route made = route();
+    made.name = "invalid";
+    made.path_prefix = "/read/later/";
+    made.shares.clear();
+    return made;
+  }
+
   GatewayPorts ports() {
     GatewayPorts ports;
     ports.loop = &loop_;
@@ -244,6 +254,15 @@
   EXPECT_TRUE(hasRetryAfter(*response));
 }
 
+// Guards against requests of a route that could not be decoded reaching the service of a shorter prefix.
+TEST_F(GatewayTest, RequestOfAnInvalidRouteIsRefusedWithoutAnAttempt) {
+  const auto response = httpCall(loop_, clients_->endpoint(), {"GET", "/read/later/1", {}, {}}, kTestTimeout);
+  ASSERT_TRUE(response.has_value());
+  EXPECT_EQ(response->status, kUnavailable);
+  EXPECT_TRUE(hasRetryAfter(*response));
+  EXPECT_EQ(next_, 0U);
+}
+
 TEST_F(GatewayTest, RequestThatNoAttemptRanIsRefusedWithRetryAfter) {
   const HttpResponse response = ask({refused(), refused()});
   EXPECT_EQ(response.status, kUnavailable);
