Count store calls by kind of object and log the totals

Calls to the store are the largest price in a large fleet, and nothing told which kind of object and which method they are for.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -34,6 +34,8 @@
   HttpRequest request;
   Duration timeout{};
   StoreConnection connection = StoreConnection::Reused;
+  /// Kind of the objects that are read or written.
+  std::string kind = {};
 };
 
 /// Sends a call to the store; `done` receives std::nullopt if there was no response.
--- a/source/router/store_client.cc
+++ b/source/router/store_client.cc
@@ -55,6 +55,7 @@
       peer_client_(peer_client),
       log_(log),
       metrics_(metrics),
+      counts_(log_),
       calls_(loop, clientConfig(store, kCallConnections)),
       watches_(loop, clientConfig(store, kWatchConnections)),
       checks_(loop, withoutKeepAlive(clientConfig(store, kCheckConnections))) {}
@@ -74,6 +75,7 @@
 void StoreClient::callDirectly(StoreCall call, Callback done) {
   const std::string method =
       call.connection == StoreConnection::Reused ? call.request.method : methodLabel(call.connection);
+  counts_.onCall(call.kind.empty() ? "peer" : call.kind, method, clock_.now());
   const auto on_end = [this, method, sent = clock_.now(), done = std::move(done)](HttpExchangeResult exchange) {
     const bool answered = exchange.status == HttpExchangeStatus::Complete;
     metrics_.onStoreCall(method, answered ? exchange.response.status : 0, clock_.now() - sent);
--- a/source/router/store_client.h
+++ b/source/router/store_client.h
@@ -11,6 +11,7 @@
 #include "source/router/peer_client.h"
 #include "source/router/peer_server.h"
 #include "source/router/router_metrics.h"
+#include "source/router/store_call_counts.h"
 
 namespace shedlever {
 
@@ -44,6 +45,7 @@
   PeerClient& peer_client_;
   EventLog& log_;
   RouterMetrics& metrics_;
+  StoreCallCounts counts_;
   HttpClient calls_;
   HttpClient watches_;
   HttpClient checks_;
