Check API keys of tenants at the gateway and keep them from servers

Requests were served whatever key they carried, and each key was passed on to the servers. Now a configuration with tenants needs a valid key on every route that is not exempt (401 at once otherwise); the gateway removes the key and the client's tenant header, and the gate sets the tenant's name. A gate checks requests of gateways that have not done so: those of earlier builds, or of a configuration that has no tenants yet. Only digests of keys are kept.

Left open: calls of servers carry no key and nothing that names the request they belong to, so they have no tenant.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -15,6 +15,7 @@
 #include "shedlever/key_report.h"
 #include "shedlever/metadata_store.h"
 #include "shedlever/outcome.h"
+#include "shedlever/quota_limit.h"
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/server_commands.h"
@@ -23,6 +24,8 @@
 
 namespace shedlever {
 
+class TenantKeys;
+
 /// Which connection a call to the store uses.
 enum class StoreConnection : std::uint8_t {
   Reused,  ///< a keep-alive connection
@@ -54,10 +57,14 @@
   Reason refusal = Reason::None;
   /// How long the client will wait; std::nullopt if the request does not say.
   std::optional<Duration> time_left;
+  /// Limit of the tenant's requests through all nodes.
+  QuotaLimit quota;
   /// The key of the request, for services whose keys are divided among servers.
   std::optional<Key> key;
   /// Tenant of the request; its name is empty where tenants are not distinguished.
   TenantShare tenant;
+  /// Priority of the tenant's requests; std::nullopt: that of the route.
+  std::optional<std::uint32_t> priority;
   /// Requests with the same key run at most once; empty if there is none.
   IdempotencyKey idempotency_key;
 };
@@ -81,11 +88,13 @@
   virtual RequestId requestIdOf(const HttpRequest& request) const = 0;
 
   /// @param service that the request is routed to; null if it is not in the configuration.
+  /// @param tenants API keys of the configuration; null if requests need none.
   virtual ClientRequestInfo readRequestInfo(const HttpRequest& request, const Route& route,
-                                            const RoutedService* service) const = 0;
+                                            const RoutedService* service, const TenantKeys* tenants) const = 0;
 
-  /// Removes the headers that are meant only for the router.
-  virtual void removeRouterHeaders(HttpRequest& request) const = 0;
+  /// Removes the headers that are meant only for the router, among them the API key.
+  /// @param tenants API keys of the configuration; null if requests need none.
+  virtual void removeRouterHeaders(HttpRequest& request, const TenantKeys* tenants) const = 0;
 
   /// @return the final response to a refused or failed request.
   virtual HttpResponse makeRefusalResponse(const Refusal& refusal) const = 0;
@@ -113,6 +122,8 @@
   /// Service of the node at whose gateway the request arrived.
   ServiceName caller;
   std::optional<Key> key;
+  /// Tenant whose API key the client sent; empty if there is none.
+  TenantName tenant = {};
 };
 
 /// The protocol of servers.
--- a/include/shedlever/router_config.h
+++ b/include/shedlever/router_config.h
@@ -4,15 +4,18 @@
 /// The routing configuration written by operators: routes, services and limits for clients. One version number covers
 /// the whole configuration; versions only increase.
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "shedlever/errors.h"
 #include "shedlever/identifiers.h"
+#include "shedlever/quota_limit.h"
 #include "shedlever/settings.h"
 #include "shedlever/time.h"
 
@@ -57,6 +60,8 @@
   std::vector<ServiceShare> shares;
   /// Whether each request must have an idempotency key, under which it runs at most once.
   bool needs_idempotency_key = false;
+  /// Whether requests without a valid API key are accepted although the configuration has tenants.
+  bool auth_exempt = false;
 };
 
 struct RoutedService {
@@ -82,6 +87,18 @@
   Duration idle_timeout = std::chrono::seconds(15);
 };
 
+/// SHA-256 of an API key.
+using ApiKeyDigest = std::array<unsigned char, 32>;
+
+/// A group of callers that share API keys.
+struct Tenant {
+  TenantName name;
+  std::vector<ApiKeyDigest> api_keys;
+  /// Priority of the tenant's requests in place of the route's; std::nullopt: that of the route.
+  std::optional<std::uint32_t> priority;
+  QuotaLimit quota;
+};
+
 using ConfigVersion = std::uint64_t;
 
 struct RouterConfig {
@@ -89,6 +106,8 @@
   std::vector<Route> routes;
   std::map<ServiceName, RoutedService> services;
   ClientLimits limits;
+  /// std::nullopt: requests need no API key.
+  std::optional<std::vector<Tenant>> tenants;
   /// Values that could not be decoded, each with what takes its place.
   Findings ignored;
 };
--- a/source/core/router/route_table.cc
+++ b/source/core/router/route_table.cc
@@ -20,6 +20,9 @@
   for (const Route& route : config_.routes) {
     hosts_[lowerCase(route.host)].emplace(route.path_prefix, &route);
   }
+  if (config_.tenants) {
+    tenant_keys_.emplace(*config_.tenants);
+  }
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view target) const {
--- a/source/core/router/route_table.h
+++ b/source/core/router/route_table.h
@@ -3,11 +3,13 @@
 /// @file
 /// Finds the route of a request by host and longest matching path prefix.
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "shedlever/router_config.h"
+#include "source/core/router/tenant_keys.h"
 
 namespace shedlever {
 
@@ -24,6 +26,9 @@
   /// @return the service, or null if it is unknown.
   const RoutedService* service(const ServiceName& name) const;
 
+  /// @return the API keys of the tenants; null if requests need none.
+  const TenantKeys* tenantKeys() const { return tenant_keys_ ? &*tenant_keys_ : nullptr; }
+
   const RouterConfig& config() const { return config_; }
   ConfigVersion version() const { return config_.version; }
 
@@ -33,6 +38,7 @@
 
   RouterConfig config_;
   std::unordered_map<std::string, PrefixMap> hosts_;
+  std::optional<TenantKeys> tenant_keys_;
 };
 
 }  // namespace shedlever
--- a/source/interface/shedlever_client_protocol.cc
+++ b/source/interface/shedlever_client_protocol.cc
@@ -39,7 +39,7 @@
 }  // namespace
 
 ClientRequestInfo ShedleverClientProtocol::readRequestInfo(const HttpRequest& request, const Route& route,
-                                                           const RoutedService* service) const {
+                                                           const RoutedService* service, const TenantKeys*) const {
   if (service == nullptr || !service->settings) {
     return refusedRequest(Reason::UnknownService);
   }
@@ -71,7 +71,9 @@
   return info;
 }
 
-void ShedleverClientProtocol::removeRouterHeaders(HttpRequest& request) const { filterRequestHeaders(request.headers); }
+void ShedleverClientProtocol::removeRouterHeaders(HttpRequest& request, const TenantKeys*) const {
+  filterRequestHeaders(request.headers);
+}
 
 HttpResponse ShedleverClientProtocol::makeRefusalResponse(const Refusal& refusal) const {
   return refusalResponse(refusal);
--- a/source/interface/shedlever_client_protocol.h
+++ b/source/interface/shedlever_client_protocol.h
@@ -12,9 +12,9 @@
  public:
   /// Always empty: the router assigns request ids.
   RequestId requestIdOf(const HttpRequest&) const override { return {}; }
-  ClientRequestInfo readRequestInfo(const HttpRequest& request, const Route& route,
-                                    const RoutedService* service) const override;
-  void removeRouterHeaders(HttpRequest& request) const override;
+  ClientRequestInfo readRequestInfo(const HttpRequest& request, const Route& route, const RoutedService* service,
+                                    const TenantKeys* tenants) const override;
+  void removeRouterHeaders(HttpRequest& request, const TenantKeys* tenants) const override;
   HttpResponse makeRefusalResponse(const Refusal& refusal) const override;
   void finalizeResponse(HttpResponse& response, const RequestId& id) const override;
 };
--- /dev/null
+++ b/source/router/forward_authentication.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// @file
+/// Checks the API keys of forwarded requests whose sender has not done so: a process of a build without API keys, or
+/// one whose configuration has no tenants yet.
+
+#include "shedlever/platform_ports.h"
+#include "source/core/router/route_table.h"
+
+namespace shedlever {
+
+/// Sets the request's tenant and removes its API key. Requests of a route that only the sender's configuration has are
+/// judged by the sender alone.
+/// @return false if the request needs an API key and has no valid one.
+bool authenticateForwarded(ForwardFrame& frame, const RouteTable& routes, const ClientProtocol& protocol);
+
+}  // namespace shedlever
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -81,14 +81,14 @@
   }
   const ServiceName& chosen = traffic_splitter_.pick(*route);
   const RoutedService* service = routes_->service(chosen);
-  ClientRequestInfo info = ports_.protocol->readRequestInfo(http, *route, service);
+  ClientRequestInfo info = ports_.protocol->readRequestInfo(http, *route, service, routes_->tenantKeys());
   if (info.refusal != Reason::None) {
     refuseAtOnce(http, replier, {id, Outcome::NotRun, info.refusal, {}});
     return;
   }
   const RequestNumber number = ++last_number_;
   Request& request = requests_.emplace(number, Request(std::move(http), replier, routes_)).first->second;
-  ports_.protocol->removeRouterHeaders(request.http);
+  ports_.protocol->removeRouterHeaders(request.http, routes_->tenantKeys());
   request.route = route;
   request.service = chosen;
   request.id = std::move(id);
@@ -218,7 +218,7 @@
   frame.instance = instance;
   frame.route = request.route->name;
   frame.kind = request.route->kind;
-  frame.priority = request.route->priority;
+  frame.priority = request.info.priority.value_or(request.route->priority);
   frame.keyed = request.keyed;
   frame.key = request.info.key.value_or(0);
   frame.remaining_us = (until - now).count();
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -201,6 +201,13 @@
     return;
   }
   active_requests_[key] = {id, 0};
+  if (!ports_.authenticate(frame)) {
+    ForwardReplyFrame refusal;
+    refusal.outcome = ForwardOutcome::NotRun;
+    refusal.reason = ForwardReason::ServerRefused;
+    onReply(key, std::move(refusal));
+    return;
+  }
   // The reply callback may run before `forward` returns.
   const QueueTicket ticket =
       ports_.gate->forward(std::move(frame), [this, key](ForwardReplyFrame reply) { onReply(key, std::move(reply)); });
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -47,6 +47,8 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// A peer has announced that it stops.
     std::function<void(const NodeName&)> on_stopping;
+    /// Checks the API key of a request whose sender has not checked it. @return whether the request may run.
+    std::function<bool(ForwardFrame&)> authenticate = [](ForwardFrame&) { return true; };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "source/core/router/duration_format.h"
+#include "source/router/forward_authentication.h"
 
 namespace shedlever {
 
@@ -124,6 +125,10 @@
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
+  peer_ports.authenticate = [this](ForwardFrame& frame) {
+    const auto& routes = cluster_state_.routes();
+    return routes == nullptr || authenticateForwarded(frame, *routes, *platform_.clients);
+  };
   peer_ports.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { metrics_.onFrameSent(frame, bytes); };
   BOOST_LEAF_AUTO(peers, PeerServer::listen(loop_, settings_.peers_listen, std::move(peer_ports)));
   peer_server_ = std::move(peers);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -371,7 +371,8 @@
   entry.started = now;
   entry.fingerprint = fingerprintOf(entry.frame.http);
   unanswered_.onSent(ticket, entry.fingerprint);
-  ServerRequestMetadata head{entry.frame.id, instance_, remaining, entry.frame.caller, std::nullopt};
+  ServerRequestMetadata head{entry.frame.id,     instance_,    remaining,
+                             entry.frame.caller, std::nullopt, entry.frame.tenant.name};
   if (entry.frame.keyed) {
     head.key = entry.frame.key;
   }
--- a/test/interface/shedlever_client_protocol_test.cc
+++ b/test/interface/shedlever_client_protocol_test.cc
@@ -30,7 +30,7 @@
 class ShedleverInterfaceTest : public ::testing::Test {
  protected:
   ClientRequestInfo read(const HttpRequest& request) const {
-    return protocol_.readRequestInfo(request, config_.routes.at(0), &config_.services.at(ServiceName("s")));
+    return protocol_.readRequestInfo(request, config_.routes.at(0), &config_.services.at(ServiceName("s")), nullptr);
   }
 
   ShedleverClientProtocol protocol_;
@@ -119,7 +119,7 @@
                       "/a/k",
                       {{"Authorization", "Bearer alpha"}, {"Shedlever-Deadline", "1"}, {"Accept", "x"}, {"Host", "h"}},
                       {}};
-  protocol_.removeRouterHeaders(request);
+  protocol_.removeRouterHeaders(request, nullptr);
   ASSERT_EQ(request.headers.size(), 1U);
   EXPECT_EQ(request.headers.at(0).name, "Accept");
 }
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -34,13 +34,13 @@
   const ClientProtocolImpl protocol;
   const HttpRequest request{
       "GET", "/", {{"x-request-id", "r1"}, {"X-Request-Deadline", "2000"}, {"X-Shard-Key", "65535"}}, {}};
-  const ClientRequestInfo info = protocol.readRequestInfo(request, {}, nullptr);
+  const ClientRequestInfo info = protocol.readRequestInfo(request, {}, nullptr, nullptr);
   EXPECT_EQ(protocol.requestIdOf(request).value, "r1");
   EXPECT_EQ(info.refusal, Reason::None);
   EXPECT_EQ(info.time_left, milliseconds(2000));
   EXPECT_EQ(info.key, 65535);
   const ClientRequestInfo invalid = protocol.readRequestInfo(
-      {"GET", "/", {{"X-Request-Deadline", "soon"}, {"X-Shard-Key", "65536"}}, {}}, {}, nullptr);
+      {"GET", "/", {{"X-Request-Deadline", "soon"}, {"X-Shard-Key", "65536"}}, {}}, {}, nullptr, nullptr);
   EXPECT_FALSE(invalid.time_left);
   EXPECT_FALSE(invalid.key);
 }
--- a/test/support/idempotency_key_protocols.h
+++ b/test/support/idempotency_key_protocols.h
@@ -16,14 +16,16 @@
  public:
   RequestId requestIdOf(const HttpRequest& request) const override { return platform_.requestIdOf(request); }
 
-  ClientRequestInfo readRequestInfo(const HttpRequest& request, const Route& route,
-                                    const RoutedService* service) const override {
-    ClientRequestInfo info = platform_.readRequestInfo(request, route, service);
+  ClientRequestInfo readRequestInfo(const HttpRequest& request, const Route& route, const RoutedService* service,
+                                    const TenantKeys* tenants) const override {
+    ClientRequestInfo info = platform_.readRequestInfo(request, route, service, tenants);
     info.idempotency_key = IdempotencyKey(std::string(headerValue(request.headers, kIdempotencyKeyHeader)));
     return info;
   }
 
-  void removeRouterHeaders(HttpRequest& request) const override { platform_.removeRouterHeaders(request); }
+  void removeRouterHeaders(HttpRequest& request, const TenantKeys* tenants) const override {
+    platform_.removeRouterHeaders(request, tenants);
+  }
 
   HttpResponse makeRefusalResponse(const Refusal& refusal) const override {
     return platform_.makeRefusalResponse(refusal);
