Limit a tenant's requests through all nodes to its rate and burst

Tenants' limits were not read at all. Now each request of a limited tenant takes a token from the one node that holds the tenant's quota (rendezvous hashing over the nodes that can be reached), or gets 429 with the time after which a token is expected. Sides of a partition grant only their part.

Not shown: a change of holder without a loss under a tenant that uses its whole quota.

--- a/include/shedlever/outcome.h
+++ b/include/shedlever/outcome.h
@@ -38,6 +38,7 @@
   MissingIdempotencyKey,  ///< at most once: the request has no idempotency key
   ShuttingDown,           ///< this process is shutting down
   Quarantined,            ///< servers have crashed while processing this request; it is refused for a limited time
+  QuotaExceeded,          ///< the tenant has sent more requests than its quota allows
 };
 
 /// @return the word for the `Shedlever-Outcome` header: "answered", "not-run" or "unknown".
--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -345,6 +345,37 @@
   void serialize(Archive&) {}
 };
 
+/// Asks the node that holds a tenant's quota for tokens, one for each request that is to be sent to a server.
+struct QuotaRequestFrame {
+  ExchangeId exchange = 0;
+  TenantName tenant;
+  std::uint32_t wanted = 0;
+  /// Tokens that the sender got before and has not used.
+  std::uint32_t returned = 0;
+  /// The tenant's limits in the sender's configuration.
+  std::uint64_t requests_per_1000_s = 0;
+  std::uint64_t burst = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, tenant, wanted, returned, requests_per_1000_s, burst);
+  }
+};
+
+struct QuotaGrantFrame {
+  ExchangeId exchange = 0;
+  /// Whether the sender holds the tenant's quota, as far as it knows; if not, nothing is granted.
+  bool is_holder = false;
+  std::uint32_t granted = 0;
+  /// When a request without a token may come back.
+  Duration::rep retry_after_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, is_holder, granted, retry_after_us);
+  }
+};
+
 /// A frame of a kind that this build does not know; never sent.
 struct UnknownFrame {
   template <class Archive>
@@ -356,6 +387,6 @@
     std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, ExchangeQueryFrame,
                  ExchangeQueryReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, ClusterSnapshotFrame,
                  PingFrame, PongFrame, ReplyPartFrame, OwnerTableRequestFrame, ServerCrashesFrame, ConfigRequestFrame,
-                 ConfigFrame, OwnerTableDeltaFrame, UnknownFrame>;
+                 ConfigFrame, OwnerTableDeltaFrame, QuotaRequestFrame, QuotaGrantFrame, UnknownFrame>;
 
 }  // namespace shedlever
--- a/source/core/outcome.cc
+++ b/source/core/outcome.cc
@@ -36,6 +36,7 @@
     ReasonRow{Reason::MissingIdempotencyKey, "missing-idempotency-key", 400},
     ReasonRow{Reason::ShuttingDown, "shutting-down", 503},
     ReasonRow{Reason::Quarantined, "quarantined", 503},
+    ReasonRow{Reason::QuotaExceeded, "quota-exceeded", 429},
 };
 
 const ReasonRow& rowOf(Reason reason) { return kReasonRows.at(static_cast<std::size_t>(reason)); }
--- a/source/core/router/frame_name.cc
+++ b/source/core/router/frame_name.cc
@@ -27,6 +27,8 @@
   const char* operator()(const ConfigRequestFrame&) const { return "config-request"; }
   const char* operator()(const ConfigFrame&) const { return "config"; }
   const char* operator()(const OwnerTableDeltaFrame&) const { return "owner-table-delta"; }
+  const char* operator()(const QuotaRequestFrame&) const { return "quota-request"; }
+  const char* operator()(const QuotaGrantFrame&) const { return "quota-grant"; }
   const char* operator()(const UnknownFrame&) const { return "unknown"; }
 };
 
--- a/source/core/router/server_directory.h
+++ b/source/core/router/server_directory.h
@@ -35,6 +35,8 @@
   std::vector<QuarantinedRequest> quarantined;
   /// Newest version of the encoding of frames that the process speaks; 0 if the record states none.
   WireVersion wire_version = 0;
+  /// Whether the process can hold quotas of tenants; false if the record does not say so.
+  bool holds_quotas = false;
 
   bool operator==(const NodeRecord&) const = default;
   /// @return whether the node has a server that accepts requests.
--- a/source/interface/client_response.cc
+++ b/source/interface/client_response.cc
@@ -58,6 +58,8 @@
       return "this gateway is stopping";
     case Reason::Quarantined:
       return "servers have ended while at work on the same request";
+    case Reason::QuotaExceeded:
+      return "the tenant's quota is used up";
   }
   return "no further detail is known";
 }
--- a/source/net/router_codec.cc
+++ b/source/net/router_codec.cc
@@ -62,6 +62,9 @@
 }
 
 bool isKnownIn(const RouterFrame& frame, WireVersion version) {
+  if (std::holds_alternative<QuotaRequestFrame>(frame) || std::holds_alternative<QuotaGrantFrame>(frame)) {
+    return version >= kExtensibleWireVersion;
+  }
   return !std::holds_alternative<OwnerTableDeltaFrame>(frame) || version >= kTableDeltaWireVersion;
 }
 
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -107,13 +107,55 @@
   if (refuseQuarantined(number)) {
     return;
   }
-  if (request.route->needs_idempotency_key && ports_.claims != nullptr) {
+  if (request.info.quota.limited() && ports_.quota != nullptr) {
+    takeQuota(number);
+  } else {
+    begin(number);
+  }
+}
+
+void Gateway::begin(RequestNumber number) {
+  if (requests_.at(number).route->needs_idempotency_key && ports_.claims != nullptr) {
     claim(number);
   } else {
     dispatch(number);
   }
 }
 
+void Gateway::takeQuota(RequestNumber number) {
+  Request& request = requests_.at(number);
+  request.awaits_quota = true;
+  const TenantName tenant = request.info.tenant.name;
+  ports_.quota->take(tenant, request.info.quota, [this, alive = alive_, number, tenant](const QuotaDecision& decision) {
+    if (*alive) {
+      onQuota(number, tenant, decision);
+    }
+  });
+}
+
+void Gateway::onQuota(RequestNumber number, const TenantName& tenant, const QuotaDecision& decision) {
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    if (decision.verdict == QuotaVerdict::Granted) {
+      ports_.quota->giveBack(tenant);
+    }
+    return;
+  }
+  found->second.awaits_quota = false;
+  switch (decision.verdict) {
+    case QuotaVerdict::Granted:
+      found->second.has_quota_token = true;
+      begin(number);
+      return;
+    case QuotaVerdict::Exceeded:
+      refuseFor(number, Reason::QuotaExceeded, decision.retry_after);
+      return;
+    case QuotaVerdict::Unavailable:
+      refuseFor(number, Reason::ServerUnavailable, decision.retry_after);
+      return;
+  }
+}
+
 bool Gateway::refuseQuarantined(RequestNumber number) {
   if (!ports_.quarantine->isActive()) {
     return false;
@@ -530,6 +572,10 @@
 void Gateway::onDeadline(RequestNumber number) {
   Request& request = requests_.at(number);
   request.timer = 0;
+  if (request.awaits_quota) {
+    refuseFor(number, Reason::ServerUnavailable, kMinRetryAfter);
+    return;
+  }
   if (request.claiming) {
     refuseFor(number, Reason::ClaimUnavailable, kClaimRetryAfter);
     return;
@@ -598,6 +644,9 @@
     ports_.server_protocol->removeCondition(recorded);
     ports_.claims->finish(request.claim, claim_end, recorded);
   }
+  if (request.has_quota_token && claim_end == ClaimOutcome::NotRun) {
+    ports_.quota->giveBack(request.info.tenant.name);
+  }
   parked_.erase(number);
   ports_.loop->cancel(request.timer);
   cancelAttempts(request);
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -19,6 +19,7 @@
 #include "source/router/gateway_recorder.h"
 #include "source/router/gateway_request.h"
 #include "source/router/peer_client.h"
+#include "source/router/quota_coordinator.h"
 #include "source/router/server_gate.h"
 
 namespace shedlever {
@@ -36,6 +37,8 @@
   const CrashQuarantine* quarantine = nullptr;
   ServerGate* gate = nullptr;
   PeerClient* peer_client = nullptr;
+  /// Null if no tenant has a quota.
+  QuotaCoordinator* quota = nullptr;
   EventLog* log = nullptr;
   RouterMetrics* metrics = nullptr;
   /// @return the owner of the key; empty if the key has no owner or the owner is unknown.
@@ -94,6 +97,11 @@
   using Request = GatewayRequest;
 
   void refuseAtOnce(const HttpRequest& http, const StrictHttpResponder& replier, const Refusal& refusal);
+  /// Takes a token of the tenant's quota for the request.
+  void takeQuota(RequestNumber number);
+  void onQuota(RequestNumber number, const TenantName& tenant, const QuotaDecision& decision);
+  /// Claims the idempotency key, if the request needs one, or dispatches the request.
+  void begin(RequestNumber number);
   void claim(RequestNumber number);
   void onClaim(RequestNumber number, ClaimResult answer);
   void dispatch(RequestNumber number);
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -44,6 +44,10 @@
   ClaimHandle claim = 0;
   /// Whether the request waits for the result of its claim.
   bool claiming = false;
+  /// Whether the request waits for a token of its tenant's quota.
+  bool awaits_quota = false;
+  /// Whether the request has such a token.
+  bool has_quota_token = false;
   bool keyed = false;
   TimePoint arrived{};
   TimePoint deadline{};
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -35,6 +35,9 @@
   if (record.wire_version != 0) {
     document["wire"] = record.wire_version;
   }
+  if (record.holds_quotas) {
+    document["quotas"] = true;
+  }
   for (const QuarantinedRequest& entry : record.quarantined) {
     document["quarantined"].push_back({entry.request.high, entry.request.low, entry.until_s});
   }
@@ -88,6 +91,7 @@
   record.instance = InstanceId(stringField(*document, "instance").value_or(""));
   record.draining = boolField(*document, "draining").value_or(false);
   record.quarantined = *quarantined;
+  record.holds_quotas = boolField(*document, "quotas").value_or(false);
   constexpr std::uint64_t kMaxWireVersion = std::numeric_limits<WireVersion>::max();
   record.wire_version = static_cast<WireVersion>(std::min(numberField(*document, "wire").value_or(0), kMaxWireVersion));
   return record;
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -222,6 +222,27 @@
   }
 }
 
+void PeerClient::askQuota(const NodeName& node, QuotaRequestFrame question, Duration timeout, QuotaGrantCallback done) {
+  question.exchange = ++last_exchange_;
+  PendingQuotaQuestion& pending = quota_questions_[question.exchange];
+  pending.done = std::move(done);
+  pending.timer = loop_.runAfter(timeout, [this, exchange = question.exchange] {
+    auto ended = quota_questions_.extract(exchange);
+    ended.mapped().done(std::nullopt);
+  });
+  if (PeerStream* stream = streamTo(node)) {
+    stream->send(question);
+  }
+}
+
+void PeerClient::onQuotaGrant(const QuotaGrantFrame& grant) {
+  auto question = quota_questions_.extract(grant.exchange);
+  if (!question.empty()) {
+    loop_.cancel(question.mapped().timer);
+    question.mapped().done(grant);
+  }
+}
+
 std::vector<NodeName> PeerClient::connectedNodes() const {
   std::vector<NodeName> nodes;
   for (const auto& [node, stream] : streams_) {
@@ -261,6 +282,8 @@
     onReply(std::move(*reply));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     events_.on_unknown_frame(node, stream.markUnknownFrame());
+  } else if (const auto* grant = std::get_if<QuotaGrantFrame>(&frame)) {
+    onQuotaGrant(*grant);
   } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
     onReplyPart(stream, *part);
   } else if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -42,6 +42,7 @@
 class PeerClient final : public PeerStreamCallbacks {
  public:
   using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
+  using QuotaGrantCallback = std::function<void(std::optional<QuotaGrantFrame>)>;
 
   struct Events {
     /// The node's process became reachable or unreachable.
@@ -91,6 +92,10 @@
   /// @param done receives the store's response; none if it did not arrive within the timeout.
   void callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done);
 
+  /// Asks the node for tokens of a tenant's quota.
+  /// @param done receives the answer; none if it did not arrive within the timeout.
+  void askQuota(const NodeName& node, QuotaRequestFrame question, Duration timeout, QuotaGrantCallback done);
+
   /// @return nodes with an open stream on which the hello was received.
   std::vector<NodeName> connectedNodes() const;
 
@@ -127,6 +132,11 @@
     TimerId timer = 0;
   };
 
+  struct PendingQuotaQuestion {
+    QuotaGrantCallback done;
+    TimerId timer = 0;
+  };
+
   PeerStream* streamTo(const NodeName& node);
   /// @return the stream if it is open.
   PeerStream* find(PeerStreamId id);
@@ -135,6 +145,7 @@
   void onStreamClosed(PeerStreamId id) override;
   void onFrameSent(const RouterFrame& frame, std::size_t bytes) override { events_.on_sent(frame, bytes); }
   void onReply(ForwardReplyFrame reply);
+  void onQuotaGrant(const QuotaGrantFrame& grant);
   void onReplyPart(PeerStream& stream, const ReplyPartFrame& part);
   void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
   void onStreamEnd(PeerStream& stream);
@@ -179,6 +190,7 @@
   PeerStreamId last_stream_ = 0;
   std::unordered_map<ExchangeId, PendingRequest> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
+  std::unordered_map<ExchangeId, PendingQuotaQuestion> quota_questions_;
   ExchangeId last_exchange_ = 0;
   bool silence_check_scheduled_ = false;
   /// Set to false by the destructor; checked by pending callbacks.
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -190,6 +190,8 @@
     ports_.on_server_crashes(*crashes);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
     onStoreCall(id, std::move(*call));
+  } else if (const auto* question = std::get_if<QuotaRequestFrame>(&frame)) {
+    stream->send(ports_.answer_quota_request(*question));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     ports_.on_unknown_frame(stream->sender.name, !std::exchange(stream->received_unknown_frame, true));
   }
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -49,6 +49,10 @@
     std::function<void(const NodeName&)> on_stopping;
     /// Checks the API key of a request whose sender has not checked it. @return whether the request may run.
     std::function<bool(ForwardFrame&)> authenticate = [](ForwardFrame&) { return true; };
+    /// @return the answer to a question for tokens of a tenant's quota.
+    std::function<QuotaGrantFrame(const QuotaRequestFrame&)> answer_quota_request = [](const QuotaRequestFrame& asked) {
+      return QuotaGrantFrame{asked.exchange};
+    };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -35,6 +35,7 @@
             }},
             gate_recorder_, gateEvents()),
       peer_client_(loop_, clock_, self_, directory_, peerClientEvents()),
+      quota_(self_.name, quotaPorts()),
       store_client_(loop_, clock_, settings_.store, peer_client_, log_, metrics_),
       platform_store_(platform_.make_store(
           [this](const StoreCall& call, StoreClient::Callback done) { store_client_.call(call, std::move(done)); },
@@ -125,6 +126,7 @@
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
+  peer_ports.answer_quota_request = [this](const QuotaRequestFrame& question) { return quota_.answer(question); };
   peer_ports.authenticate = [this](ForwardFrame& frame) {
     const auto& routes = cluster_state_.routes();
     return routes == nullptr || authenticateForwarded(frame, *routes, *platform_.clients);
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -115,6 +115,7 @@
   void onServerGone();
   void onServerSilence(bool silent);
   QuarantineCoordinator::Ports quarantinePorts();
+  QuotaCoordinator::Ports quotaPorts();
   GateEvents gateEvents();
   PeerClient::Events peerClientEvents();
   /// A peer sent a frame of a kind that this build does not know. @param first on its stream.
@@ -152,6 +153,7 @@
   LinkPacer pacer_;
   ServerGate gate_;
   PeerClient peer_client_;
+  QuotaCoordinator quota_;
   StoreClient store_client_;
   std::unique_ptr<MetadataStore> platform_store_;
   RestorableStore store_;
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -201,6 +201,7 @@
   record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
   record.quarantined = quarantine_.requestsToRecord();
   record.wire_version = kNewestWireVersion;
+  record.holds_quotas = true;
   directory_.update(record);
   publisher_.publish(record);
 }
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -22,6 +22,21 @@
   return ports;
 }
 
+QuotaCoordinator::Ports RouterProcess::quotaPorts() {
+  QuotaCoordinator::Ports ports;
+  ports.loop = &loop_;
+  ports.clock = &clock_;
+  ports.directory = &directory_;
+  ports.log = &log_;
+  ports.metrics = &metrics_;
+  ports.ask = [this](const NodeName& node, const QuotaRequestFrame& question, Duration timeout,
+                     PeerClient::QuotaGrantCallback done) {
+    peer_client_.askQuota(node, question, timeout, std::move(done));
+  };
+  ports.ensure_connected = [this](const NodeName& node) { peer_client_.ensureConnected(node); };
+  return ports;
+}
+
 GateEvents RouterProcess::gateEvents() {
   GateEvents events;
   events.server_gone = [this] { onServerGone(); };
@@ -145,6 +160,7 @@
   ports.quarantine = &quarantine_.quarantine();
   ports.gate = &gate_;
   ports.peer_client = &peer_client_;
+  ports.quota = &quota_;
   ports.log = &log_;
   ports.metrics = &metrics_;
   ports.owner_of = [this](const ServiceName& service, Key key) { return cluster_state_.ownerOf(service, key); };
--- a/test/net/frame_samples_test.cc
+++ b/test/net/frame_samples_test.cc
@@ -44,7 +44,7 @@
 
 TEST_P(FrameSamplesTest, FramesAreEncodedAsThatVersionDoes) {
   const std::map<std::string, std::string> samples = readSamples(version());
-  const std::vector<FrameSample> frames = frameSamples();
+  const std::vector<FrameSample> frames = frameSamples(version());
   ASSERT_EQ(samples.size(), frames.size());
   for (const FrameSample& sample : frames) {
     ASSERT_TRUE(samples.contains(sample.name)) << sample.name;
@@ -69,7 +69,7 @@
 // A kind of frame without a sample could change unnoticed. The difference of owner tables is tested by RouterCodecTest.
 TEST(FrameSamplesCoverageTest, EachKindHasASample) {
   std::set<std::size_t> kinds;
-  for (const FrameSample& sample : frameSamples()) {
+  for (const FrameSample& sample : frameSamples(kNewestWireVersion)) {
     kinds.insert(sample.frame.index());
   }
   EXPECT_EQ(kinds.size(), std::variant_size_v<RouterFrame> - 2);
--- a/test/support/frame_samples.h
+++ b/test/support/frame_samples.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "shedlever/wire_version.h"
 
 namespace shedlever::test {
 
@@ -87,8 +88,19 @@
   return frame;
 }
 
+inline QuotaRequestFrame quotaRequestSample() {
+  QuotaRequestFrame frame;
+  frame.exchange = 702;
+  frame.tenant = TenantName("firm");
+  frame.wanted = 3;
+  frame.returned = 1;
+  frame.requests_per_1000_s = 128'500;
+  frame.burst = 64;
+  return frame;
+}
+
 /// All kinds that builds of version 5 know, without fields that later ones added.
-inline std::vector<FrameSample> frameSamples() {
+inline std::vector<FrameSample> firstFrameSamples() {
   const HttpRequest store_request{"GET", "/objects/x", {}, {}};
   OwnerTableRequestFrame table_request;
   table_request.known = {1, 14};
@@ -112,4 +124,14 @@
           {"config", ConfigFrame{{{"main", {1, 9}, "{}"}}}}};
 }
 
+/// All kinds that builds of the version know.
+inline std::vector<FrameSample> frameSamples(WireVersion version) {
+  std::vector<FrameSample> samples = firstFrameSamples();
+  if (version >= kExtensibleWireVersion) {
+    samples.push_back({"quota-request", quotaRequestSample()});
+    samples.push_back({"quota-grant", QuotaGrantFrame{702, true, 2, 250'000}});
+  }
+  return samples;
+}
+
 }  // namespace shedlever::test
