Divide keys for the first time only among all servers that the store knows

Cause, shown by a trial on a copy whose log tells of each division: 56 processes divided the keys 1.5 s after their server's first report, each among one server, itself, since servers report over some 20 s and watches are answered late while 985 processes start. Now a node divides once no server has appeared for 1.5 s, or after 8 s, and only after it has asked the store since then. That the known records looked fresh was not enough: it was tried and still divided among one. The log says who divides among how many.

--- a/source/core/router/ownership_config.h
+++ b/source/core/router/ownership_config.h
@@ -42,8 +42,10 @@
   std::uint32_t initial_ranges_per_server = 4;
   /// Limit for all servers together, so that the tables of large services stay small.
   std::uint32_t max_initial_ranges = 32;
-  /// Time for other servers to appear before the initial table is created.
+  /// The initial table is created once no server has appeared or left for this long ...
   Duration first_division_delay = std::chrono::milliseconds(1500);
+  /// ... or after this time, if servers keep appearing and leaving.
+  Duration first_division_limit = std::chrono::seconds(8);
   /// Added per rank of the node, in order of names, before an action that one node should take.
   Duration rank_delay = std::chrono::milliseconds(700);
   /// Added per rank of the node, in order of names, before it reads or changes the table of a restored store.
--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership_manager.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/core/router/duration_format.h"
 #include "source/core/router/owner_table_delta.h"
 #include "source/core/router/owner_table_edits.h"
 
@@ -25,7 +26,8 @@
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
       balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
-      moves_(movePorts()) {
+      moves_(movePorts()),
+      first_division_(config_) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
     heartbeat_grants_ = grants.get();
@@ -266,15 +268,26 @@
   if (!writer_.known() || !hasServer() || movesKeysAway()) {
     return;
   }
-  const Duration delay = config_.first_division_delay + config_.rank_delay * static_cast<int>(candidates_.rank());
-  if (now - server_since_ < delay) {
-    return;
+  const KnownServers servers{candidates_.available(), candidates_.rank(), ports_.servers_confirmed_at()};
+  switch (first_division_.next(servers, server_since_, now)) {
+    case DivisionStep::Wait:
+      return;
+    case DivisionStep::ConfirmServers:
+      ports_.confirm_servers();
+      return;
+    case DivisionStep::Divide:
+      divideFirst(servers.available, now);
+      return;
   }
-  const std::vector<OwnerLocation> locations = candidates_.available();
-  if (!locations.empty()) {
-    const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
-    writer_.create(OwnerTable::divideEvenly(
-        locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch()));
+}
+
+void OwnershipManager::divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now) {
+  const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
+  const bool created = writer_.create(OwnerTable::divideEvenly(
+      locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch()));
+  if (created) {
+    logEvent("first division",
+             std::to_string(locations.size()) + " servers after " + formatMilliseconds(now - server_since_) + " ms");
   }
 }
 
--- a/source/core/router/ownership_manager.h
+++ b/source/core/router/ownership_manager.h
@@ -14,6 +14,7 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/server_commands.h"
+#include "source/core/router/first_division.h"
 #include "source/core/router/grant_selector.h"
 #include "source/core/router/heartbeat_grants.h"
 #include "source/core/router/key_balancer.h"
@@ -53,6 +54,11 @@
   /// @return whether the owner table has been read from the store since this process started. Tables from other
   ///   processes may be older than the last change by this node's previous process.
   std::function<bool()> table_read;
+  /// @return when the store was last asked for servers that are not known, and has answered. By default the known ones
+  ///   are always all.
+  std::function<TimePoint()> servers_confirmed_at = [] { return TimePoint::max(); };
+  /// Checks the store for servers that are not known yet.
+  std::function<void()> confirm_servers = [] {};
   /// Nothing listens at the server's address.
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
@@ -148,6 +154,8 @@
   /// changes may have moved keys to others; nothing is granted until this node's ranges are confirmed in the table.
   void checkEpochAtStart();
   void createInitialTable(TimePoint now);
+  /// Creates the initial table for these servers.
+  void divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now);
   void reconcileOwnRanges();
   void reassignDeadServerRanges(TimePoint now);
   void checkUnreachableOwners(TimePoint now);
@@ -178,6 +186,7 @@
   KeyLoad key_load_;
   KeyBalancer balancer_;
   KeyMoves moves_;
+  FirstDivision first_division_;
 
   /// Empty while no server runs.
   InstanceId instance_;
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/table_writer.cc
@@ -62,9 +62,9 @@
   }
 }
 
-void TableWriter::create(const OwnerTable& table) {
+bool TableWriter::create(const OwnerTable& table) {
   if (exists() || in_flight_) {
-    return;
+    return false;
   }
   in_flight_ = true;
   store_.create(kTableKind, {ownerTableName(service_), 0, table.encode()}, [this](const StoreAnswer& answer) {
@@ -74,6 +74,7 @@
     }
     startNext();
   });
+  return true;
 }
 
 void TableWriter::tick(TimePoint now) {
--- a/source/core/router/table_writer.h
+++ b/source/core/router/table_writer.h
@@ -59,8 +59,8 @@
   /// Queues a change.
   void change(Edit edit, Done done);
 
-  /// Creates the initial table unless there is one.
-  void create(const OwnerTable& table);
+  /// Creates the initial table unless there is one. @return whether the call was sent.
+  bool create(const OwnerTable& table);
 
   /// Retries calls that were refused or got no answer, once their backoff is over.
   void tick(TimePoint now);
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -124,6 +124,10 @@
   Duration configStaleness() const { return config_watcher_.staleness(); }
   /// @return time since the known node records were last confirmed to be the newest.
   Duration nodesStaleness() const { return node_watcher_.staleness(); }
+  /// @return when the store was last asked for node records, and has answered; zero if it never has.
+  TimePoint nodesConfirmedAt() const { return node_watcher_.confirmedAt(); }
+  /// Checks the store for node records that are not known yet.
+  void confirmNodes() { node_watcher_.check(); }
   /// @return the owner table of this node's service, or its difference from the peer's; none if it is not newer.
   std::optional<RouterFrame> answerTableRequest(const OwnerTableRequestFrame& request) const;
 
--- a/source/router/kind_watcher.cc
+++ b/source/router/kind_watcher.cc
@@ -168,6 +168,7 @@
   const Duration staleness_before = staleness();
   const StoreRevision newest_before = newest_seen_;
   applyEvents(result);
+  confirmed_at_ = requested_at;
   staleness_bound_.noteFreshAt(requested_at);
   const bool paused = clock_.now() < paused_until_;
   if (newest_seen_ > newest_before && !paused) {
@@ -204,6 +205,7 @@
     backoff_.onSuccess();
     // The list is only known to be the newest at the time of the request.
     staleness_bound_.noteFreshAt(requested_at);
+    confirmed_at_ = requested_at;
     listed_ = true;
     synced_revision_ = listing.revision;
     if (events_.on_list_start) {
--- a/source/router/kind_watcher.h
+++ b/source/router/kind_watcher.h
@@ -73,6 +73,9 @@
   /// @param process_count number of processes that watch the kind and report their freshness to each other.
   void tick(std::size_t process_count);
 
+  /// Checks the store for changes now, unless a check is under way.
+  void check();
+
   /// Processes a peer's freshness of the kind: checks the store, then lists the kind, unless the watch soon delivers
   /// what the peer has seen.
   void onPeerFreshness(const KindFreshness& peer);
@@ -86,6 +89,9 @@
   /// @return the freshness to be reported to peers.
   KindFreshness freshness() const;
 
+  /// @return when this process last sent a list or a check that was answered; zero if there is none.
+  TimePoint confirmedAt() const { return confirmed_at_; }
+
   /// @return time since the known objects were last confirmed to be the newest.
   Duration staleness() const { return staleness_bound_.staleness(clock_.now()); }
 
@@ -94,7 +100,6 @@
   void watch();
   void onWatch(const WatchResult& result);
   void applyEvents(const WatchResult& result);
-  void check();
   void onChecked(const WatchResult& result, TimePoint requested_at);
   void onNewerRevisionAtPeer(StoreRevision revision);
   /// Checks the store for changes and lists the kind if the check does not deliver the revision in time.
@@ -117,6 +122,7 @@
   RetryBackoff backoff_;
   StalenessBound staleness_bound_;
   bool check_in_flight_ = false;
+  TimePoint confirmed_at_{};
   bool listed_ = false;
   /// Revision of the store up to which all changes of the kind were received.
   StoreRevision synced_revision_;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -200,6 +200,8 @@
     }
   };
   ports.table_read = [this] { return cluster_state_.tablesRead(); };
+  ports.servers_confirmed_at = [this] { return cluster_state_.nodesConfirmedAt(); };
+  ports.confirm_servers = [this] { cluster_state_.confirmNodes(); };
   ports.on_server_gone = [this] { onServerGone(); };
   ports.on_event = [this](const OwnershipEvent& event) {
     metrics_.onEvent("ownership-change");
