Let an owner far above the average move keys to all other servers at once

An owner moved keys to at most four servers in a plan, and to none at all if each one's share of its excess was below 0.4 slots. Both hold only while there are few servers: among 500 idle ones, a full owner still was at 244 times its slots after three plans, and one at 1.5 times its slots moved nothing (tests, seen failing on the earlier code with 50, 500 and 1,000 servers). Now a full owner at four times the average moves to as many servers as there are, and one at 1.5 times the average gives larger parts to some if all shares are too small.

--- a/source/core/router/balance_planner.cc
+++ b/source/core/router/balance_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <optional>
 
 namespace shedlever {
@@ -10,8 +11,13 @@
 
 /// Each move makes its keys unavailable for a moment and can add a range to the table.
 constexpr std::size_t kMaxMovesPerPlan = 4;
-/// A server whose share of the excess is smaller than this number of slots gets nothing.
+/// A smaller share of the excess, in slots, is not worth a move.
 constexpr double kMinShareSlots = 0.4;
+/// A full owner whose utilization exceeds the average by this factor gives larger shares to some servers if all shares
+/// are too small. Below it the others are about as full, and moves would gain little.
+constexpr double kMinFactorForLargerShares = 1.5;
+/// A full owner whose utilization exceeds the average by this factor moves keys to as many servers as there are.
+constexpr double kMinFactorForManyMoves = 4;
 /// Avoids a division by zero before a request has been timed.
 constexpr double kMinServiceSeconds = 1e-6;
 /// Largest accepted ratio of a move's request rate to the wanted rate.
@@ -36,28 +42,88 @@
   return slots > 0 ? demand / slots : 0;
 }
 
-/// @return the shares of this owner's excess for the servers below the average, largest first.
-std::vector<LoadShare> loadShares(const BalanceInput& input, double average) {
-  double total_excess = input.own_load.demand - average * input.own_load.slots;
-  double total_room = 0;
+/// Slots that one server can take without rising above the average.
+struct TargetRoom {
+  const BalanceTarget* target = nullptr;
+  double slots = 0;
+};
+
+std::vector<TargetRoom> targetsWithRoom(const BalanceInput& input, double average) {
+  std::vector<TargetRoom> rooms;
   for (const BalanceTarget& target : input.targets) {
-    const double above = target.load.demand - average * target.load.slots;
-    total_excess += std::max(above, 0.0);
-    total_room += std::max(-above, 0.0);
+    const double room = average * target.load.slots - target.load.demand;
+    if (room > 0) {
+      rooms.push_back({&target, room});
+    }
+  }
+  return rooms;
+}
+
+double totalRoom(const std::vector<TargetRoom>& rooms) {
+  return std::accumulate(rooms.begin(), rooms.end(), 0.0,
+                         [](double sum, const TargetRoom& room) { return sum + room.slots; });
+}
+
+/// @return slots that all owners above the average are to move away.
+double totalExcess(const BalanceInput& input, double average) {
+  double excess = input.own_load.demand - average * input.own_load.slots;
+  for (const BalanceTarget& target : input.targets) {
+    excess += std::max(target.load.demand - average * target.load.slots, 0.0);
+  }
+  return excess;
+}
+
+/// Scales the slots to a sum.
+void scaleTo(std::vector<TargetRoom>& rooms, double sum) {
+  const double present = totalRoom(rooms);
+  for (TargetRoom& room : rooms) {
+    room.slots *= sum / present;
   }
+}
+
+/// Distributes slots over the targets in proportion to their room. Targets with too small a share get nothing.
+std::vector<TargetRoom> proportionalShares(std::vector<TargetRoom> rooms, double slots) {
+  scaleTo(rooms, slots);
+  std::erase_if(rooms, [](const TargetRoom& share) { return share.slots < kMinShareSlots; });
+  return rooms;
+}
+
+/// Distributes slots over only as many targets as get a share that is worth moving; later moves reach the others.
+/// @param rotation where the targets begin, so that owners choose different ones.
+std::vector<TargetRoom> largerShares(std::vector<TargetRoom> rooms, double slots, std::size_t rotation) {
+  const auto count = static_cast<std::size_t>(std::max(slots, 0.0) / kMinShareSlots);
+  if (rooms.empty() || count == 0) {
+    return {};
+  }
+  std::rotate(rooms.begin(), rooms.begin() + static_cast<std::ptrdiff_t>(rotation % rooms.size()), rooms.end());
+  rooms.resize(std::min(rooms.size(), count));
+  scaleTo(rooms, slots);
+  return rooms;
+}
+
+/// @return whether the owner can't take all requests and its utilization is at least `factor` times the average.
+bool isFullAndAbove(const OfferedLoad& load, double average, double factor) {
+  return load.utilization() > 1 && load.utilization() >= factor * average;
+}
+
+/// @return the shares of this owner's excess for the servers below the average, largest first.
+std::vector<LoadShare> loadShares(const BalanceInput& input, double average) {
+  const std::vector<TargetRoom> rooms = targetsWithRoom(input, average);
   const double excess = input.own_load.demand - average * input.own_load.slots;
+  const double movable = excess * std::min(1.0, totalRoom(rooms) / totalExcess(input, average));
+  std::vector<TargetRoom> targets = proportionalShares(rooms, movable);
+  if (targets.empty() && isFullAndAbove(input.own_load, average, kMinFactorForLargerShares)) {
+    targets = largerShares(rooms, movable, input.rotation);
+  }
   std::vector<LoadShare> shares;
-  for (const BalanceTarget& target : input.targets) {
-    const double room = average * target.load.slots - target.load.demand;
-    const double share = total_room > 0 ? excess * room / std::max(total_room, total_excess) : 0;
-    if (room > 0 && share >= kMinShareSlots) {
-      const double seconds = std::max(input.own_load.service_seconds, target.load.service_seconds);
-      shares.push_back({target.location, share / std::max(seconds, kMinServiceSeconds)});
-    }
+  for (const TargetRoom& share : targets) {
+    const double seconds = std::max(input.own_load.service_seconds, share.target->load.service_seconds);
+    shares.push_back({share.target->location, share.slots / std::max(seconds, kMinServiceSeconds)});
   }
   std::sort(shares.begin(), shares.end(),
             [](const LoadShare& left, const LoadShare& right) { return left.rate > right.rate; });
-  if (shares.size() > kMaxMovesPerPlan) {
+  const bool many_moves = isFullAndAbove(input.own_load, average, kMinFactorForManyMoves);
+  if (!many_moves && shares.size() > kMaxMovesPerPlan) {
     shares.resize(kMaxMovesPerPlan);
   }
   return shares;
--- a/source/core/router/balance_planner.h
+++ b/source/core/router/balance_planner.h
@@ -35,6 +35,8 @@
   OfferedLoad own_load;
   /// The other servers of the service that accept requests.
   std::vector<BalanceTarget> targets;
+  /// Differs between owners, so that those that can't use all targets begin at different ones.
+  std::size_t rotation = 0;
 };
 
 /// Keys to be moved to one server.
--- a/source/core/router/key_balancer.cc
+++ b/source/core/router/key_balancer.cc
@@ -45,6 +45,7 @@
   BalanceInput input;
   input.owned = key_load_.withoutGains(owned, config_.gain_settle, now);
   input.own_load = offered_load_;
+  input.rotation = candidates_.rank();
   for (const OwnerLocation& location : candidates_.targets(now)) {
     input.targets.push_back({location, offeredTo(location, now)});
   }
--- a/test/core_router/balance_planner_test.cc
+++ b/test/core_router/balance_planner_test.cc
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
+
 namespace shedlever {
 namespace {
 
@@ -96,5 +99,99 @@
   EXPECT_TRUE(planner_.plan(input_, kNow).empty());
 }
 
+/// Servers of one service, the first of which owns all keys and gets all requests.
+class FullOwnerAmongIdleServers {
+ public:
+  explicit FullOwnerAmongIdleServers(std::size_t idle_servers, double requests_per_second) : owned_(idle_servers + 1) {
+    const double rate = requests_per_second / kKeys;
+    meter_.add(0, 1e-9, kNow - std::chrono::seconds(60));
+    for (Key key = 0; key < kKeys; ++key) {
+      meter_.add(key, rate * meter_.windowSeconds(kNow), kNow);
+    }
+    owned_[0].push_back({{0, kKeys - 1}, InstanceId("i"), NodeName("n"), 1, {}, false, 0});
+  }
+
+  /// Every server carries out one plan, one after the other, each knowing the present load of all.
+  void balanceOnce() {
+    for (std::size_t owner = 0; owner < owned_.size(); ++owner) {
+      BalanceInput input;
+      input.owned = owned_[owner];
+      input.own_load = loadOf(owner);
+      input.rotation = owner;
+      for (std::size_t other = 0; other < owned_.size(); ++other) {
+        if (other != owner) {
+          input.targets.push_back({location(std::to_string(other)), loadOf(other)});
+        }
+      }
+      for (const PlannedMove& move : planner_.plan(input, kNow)) {
+        carryOut(owner, move);
+      }
+    }
+  }
+
+  double highestUtilization() const {
+    double highest = 0;
+    for (std::size_t server = 0; server < owned_.size(); ++server) {
+      highest = std::max(highest, loadOf(server).utilization());
+    }
+    return highest;
+  }
+
+ private:
+  static constexpr Key kKeys = 20000;
+
+  OfferedLoad loadOf(std::size_t server) const {
+    double rate = 0;
+    for (const OwnedRange& range : owned_[server]) {
+      rate += meter_.rate(range.keys, kNow);
+    }
+    return load(rate * kServiceSeconds);
+  }
+
+  void carryOut(std::size_t from, const PlannedMove& move) {
+    const auto source = std::find_if(owned_[from].begin(), owned_[from].end(),
+                                     [&](const OwnedRange& range) { return range.keys.contains(move.keys.first); });
+    ASSERT_NE(source, owned_[from].end());
+    OwnedRange moved = *source;
+    moved.keys = move.keys;
+    if (source->keys == move.keys) {
+      owned_[from].erase(source);
+    } else if (source->keys.first == move.keys.first) {
+      source->keys.first = static_cast<Key>(move.keys.last + 1);
+    } else {
+      source->keys.last = static_cast<Key>(move.keys.first - 1);
+    }
+    owned_[std::stoul(move.to.node.value)].push_back(moved);
+  }
+
+  KeyMeter meter_{std::chrono::seconds(2)};
+  OwnershipConfig config_;
+  BalancePlanner planner_{meter_, config_};
+  std::vector<std::vector<OwnedRange>> owned_;
+};
+
+// Guards against a full owner moving only a few ranges at a time, so that in a large fleet most servers stay idle.
+TEST(BalancePlannerScaleTest, FullOwnerReachesAllServersInAFewPlansHoweverManyThereAre) {
+  for (const std::size_t servers : {5U, 50U, 500U, 1000U}) {
+    // Half of the slots of all servers.
+    FullOwnerAmongIdleServers cluster(servers, 0.5 * kSlots / kServiceSeconds * static_cast<double>(servers));
+    for (int plan = 0; plan < 3; ++plan) {
+      cluster.balanceOnce();
+    }
+    EXPECT_LT(cluster.highestUtilization(), 0.9) << servers;
+  }
+}
+
+// Guards against no server getting anything because each one's share of the excess is too small.
+TEST(BalancePlannerScaleTest, OwnerAmongVeryManyServersGivesLargerPartsToSome) {
+  for (const std::size_t servers : {50U, 500U, 1000U}) {
+    FullOwnerAmongIdleServers cluster(servers, 1.5 * kSlots / kServiceSeconds);
+    for (int plan = 0; plan < 3; ++plan) {
+      cluster.balanceOnce();
+    }
+    EXPECT_LT(cluster.highestUtilization(), 0.9) << servers;
+  }
+}
+
 }  // namespace
 }  // namespace shedlever
