Query the store for changes no more often than the deployment's time limit needs

Each process queries the store once what it knows of the configuration is 1.5 s old, unless another process's replies tell of a newer query. The limit now follows the time after which the deployment needs a change in force, less one second; deployments of up to 2.5 s keep 1.5 s.

--- a/source/core/router/staleness_bound.cc
+++ b/source/core/router/staleness_bound.cc
@@ -14,11 +14,24 @@
 /// Increase of the query rate towards the limit. Without it the limit would more often be reached without any query,
 /// and then all processes would query at once.
 constexpr double kMaxExtraUrgency = 9;
+/// Time for the query that a too old view leads to, and for its effects.
+constexpr Duration kQueryReserve = std::chrono::seconds(1);
+/// Shorter limits would make small deployments query more often than their results are passed on.
+constexpr Duration kShortestMaxStaleness = std::chrono::milliseconds(1500);
+constexpr int kMinPercentOfMax = 47;
+constexpr int kHundred = 100;
 /// Resolution of the random decision.
 constexpr std::uint64_t kRandomSteps = 1'000'000;
 
 }  // namespace
 
+StalenessLimits stalenessLimitsFor(Duration time_limit) {
+  StalenessLimits limits;
+  limits.max_staleness = std::max(kShortestMaxStaleness, time_limit - kQueryReserve);
+  limits.min_staleness = limits.max_staleness * kMinPercentOfMax / kHundred;
+  return limits;
+}
+
 StalenessBound::StalenessBound(const StalenessLimits& limits, TimePoint now)
     : limits_(limits), backoff_(kRetryDelay, kMaxRetryDelay), newest_at_(now), last_call_(now) {}
 
--- a/source/core/router/staleness_bound.h
+++ b/source/core/router/staleness_bound.h
@@ -12,14 +12,18 @@
 
 struct StalenessLimits {
   /// Processes do not query the store before this staleness.
-  Duration min_staleness = std::chrono::milliseconds(700);
-  /// A process queries the store at this staleness at the latest, because a change must be in effect after 2 s.
-  Duration max_staleness = std::chrono::milliseconds(1500);
+  Duration min_staleness{};
+  /// A process queries the store at this staleness at the latest.
+  Duration max_staleness{};
   /// Queries per second of all processes together, from `min_staleness` on. The first comes 0.25 s later on average,
   /// and its result reaches other processes before many of them query.
   double queries_per_second = 4;
 };
 
+/// @param time_limit time after which a change must be in effect in every process. The longer it is, the more processes
+///   learn of a query's result from each other before they query themselves.
+StalenessLimits stalenessLimitsFor(Duration time_limit);
+
 /// Decides when to query the store for changes.
 ///
 /// Watches alone are unreliable: one that was sent while the store did not answer, or whose connection has failed
--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -74,7 +74,7 @@
       config_(*ports_.config, configEvents()),
       config_watcher_(
           *ports_.loop, *ports_.clock, *ports_.random, *ports_.store,
-          {ports_.config->kind(), kConfigWatchPause, StalenessLimits{}},
+          {ports_.config->kind(), kConfigWatchPause, stalenessLimitsFor(ports_.config_time_limit)},
           watcherEvents(
               *ports_.log, "config",
               [this](const MetadataObject& object, bool deleted) { config_.onPartChanged(object, deleted); },
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -34,6 +34,8 @@
   EventLog* log = nullptr;
   /// Whether operators can evacuate zones.
   bool evacuation_enabled = false;
+  /// Time after which a change of the configuration must be in effect.
+  Duration config_time_limit = std::chrono::seconds(2);
 };
 
 struct ClusterStateEvents {
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -193,6 +193,16 @@
   }
 }
 
+void readConfigTimeLimit(const json& document, RouterSettings& settings, Findings& findings) {
+  /// A process that has regained the store needs up to two seconds to read what it has missed.
+  constexpr Duration kMinTimeLimit = std::chrono::seconds(2);
+  const Section section(document, "config", findings);
+  section.read("within", settings.config_time_limit);
+  if (settings.config_time_limit < kMinTimeLimit) {
+    findings.add("config/within", "must be at least 2s");
+  }
+}
+
 void readOwnership(const json& document, RouterSettings& settings, Findings& findings) {
   const Section section(document, "ownership", findings);
   OwnershipConfig& config = settings.ownership;
@@ -236,6 +246,7 @@
   readOwnership(document, settings, findings);
   readQuarantine(document, settings, findings);
   readEvacuation(document, settings, findings);
+  readConfigTimeLimit(document, settings, findings);
   if (!findings.empty()) {
     return leaf::new_error(std::move(findings));
   }
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -67,6 +67,8 @@
   StopConfig stop;
   QuarantineConfig quarantine;
   EvacuationConfig evacuation;
+  /// Time after which a change of the configuration must be in effect in every process.
+  Duration config_time_limit = std::chrono::seconds(2);
   /// Bandwidth of the node's network link.
   LinkConfig link;
 };
--- a/test/router/kind_watcher_test.cc
+++ b/test/router/kind_watcher_test.cc
@@ -18,7 +18,7 @@
 class KindWatcherTest : public ::testing::Test {
  protected:
   KindWatcherTest()
-      : watcher_(loop_, clock_, random_, store_, {"things", milliseconds(1), StalenessLimits{}},
+      : watcher_(loop_, clock_, random_, store_, {"things", milliseconds(1), stalenessLimitsFor(std::chrono::seconds(2))},
                  {[this](const MetadataObject& object, bool deleted) {
                     seen_.push_back((deleted ? "-" : "+") + object.name);
                   },
--- a/test/router/router_settings_test.cc
+++ b/test/router/router_settings_test.cc
@@ -29,5 +29,13 @@
   }
 }
 
+TEST(RouterSettingsTest, ConfigTimeLimitHasADefaultAndALowerBound) {
+  EXPECT_EQ(parseRouterSettings(settingsWith(""))->config_time_limit, std::chrono::seconds(2));
+  const auto given = parseRouterSettings(settingsWith(R"(,"config":{"within":"4000ms"})"));
+  ASSERT_TRUE(given);
+  EXPECT_EQ(given->config_time_limit, std::chrono::seconds(4));
+  EXPECT_FALSE(parseRouterSettings(settingsWith(R"(,"config":{"within":"1999ms"})")));
+}
+
 }  // namespace
 }  // namespace shedlever::test
