Move more keys from full owners only while the servers together have room

Now an owner moves more than before only if it is full while the average of all servers is below the utilization at which owners begin to move keys.

--- a/source/core/router/balance_planner.cc
+++ b/source/core/router/balance_planner.cc
@@ -13,9 +13,6 @@
 constexpr std::size_t kMaxMovesPerPlan = 4;
 /// A smaller share of the excess, in slots, is not worth a move.
 constexpr double kMinShareSlots = 0.4;
-/// A full owner whose utilization exceeds the average by this factor gives larger shares to some servers if all shares
-/// are too small. Below it the others are about as full, and moves would gain little.
-constexpr double kMinFactorForLargerShares = 1.5;
 /// A full owner whose utilization exceeds the average by this factor moves keys to as many servers as there are.
 constexpr double kMinFactorForManyMoves = 4;
 /// Avoids a division by zero before a request has been timed.
@@ -101,18 +98,15 @@
   return rooms;
 }
 
-/// @return whether the owner can't take all requests and its utilization is at least `factor` times the average.
-bool isFullAndAbove(const OfferedLoad& load, double average, double factor) {
-  return load.utilization() > 1 && load.utilization() >= factor * average;
-}
-
 /// @return the shares of this owner's excess for the servers below the average, largest first.
-std::vector<LoadShare> loadShares(const BalanceInput& input, double average) {
+/// @param others_have_room whether the owner can't take all requests while the servers together could. Otherwise a move
+///   of keys that nobody has room for would only cost writes of the table.
+std::vector<LoadShare> loadShares(const BalanceInput& input, double average, bool others_have_room) {
   const std::vector<TargetRoom> rooms = targetsWithRoom(input, average);
   const double excess = input.own_load.demand - average * input.own_load.slots;
   const double movable = excess * std::min(1.0, totalRoom(rooms) / totalExcess(input, average));
   std::vector<TargetRoom> targets = proportionalShares(rooms, movable);
-  if (targets.empty() && isFullAndAbove(input.own_load, average, kMinFactorForLargerShares)) {
+  if (targets.empty() && others_have_room) {
     targets = largerShares(rooms, movable, input.rotation);
   }
   std::vector<LoadShare> shares;
@@ -122,7 +116,7 @@
   }
   std::sort(shares.begin(), shares.end(),
             [](const LoadShare& left, const LoadShare& right) { return left.rate > right.rate; });
-  const bool many_moves = isFullAndAbove(input.own_load, average, kMinFactorForManyMoves);
+  const bool many_moves = others_have_room && input.own_load.utilization() >= kMinFactorForManyMoves * average;
   if (!many_moves && shares.size() > kMaxMovesPerPlan) {
     shares.resize(kMaxMovesPerPlan);
   }
@@ -207,7 +201,8 @@
     return moves;
   }
   RemainingKeys remaining(meter_, input.owned, now);
-  for (const LoadShare& share : loadShares(input, average)) {
+  const bool others_have_room = input.own_load.utilization() > 1 && average < config_.busy_occupancy;
+  for (const LoadShare& share : loadShares(input, average, others_have_room)) {
     if (const auto keys = remaining.take(share.rate)) {
       moves.push_back({*keys, share.location});
     }
--- a/test/core_router/balance_planner_test.cc
+++ b/test/core_router/balance_planner_test.cc
@@ -99,6 +99,13 @@
   EXPECT_TRUE(planner_.plan(input_, kNow).empty());
 }
 
+// Guards against many moves that gain nothing while all servers are full, each of which costs two writes of the table.
+TEST_F(BalancePlannerTest, FullOwnerAmongFullServersMovesNothingForTooSmallShares) {
+  input_.own_load = load(12);
+  input_.targets.assign(60, {location("full"), load(9.9)});
+  EXPECT_TRUE(planner_.plan(input_, kNow).empty());
+}
+
 /// Servers of one service, the first of which owns all keys and gets all requests.
 class FullOwnerAmongIdleServers {
  public:
