Divide source/core/router into folders by duty

Some 90 files lay in one folder. Now ownership, admission, claims, directory, routes and store have one each, beside quota and quarantine; the tests follow. Files are moved and includes changed, nothing else.

--- a/source/core/operators/node_status.h
+++ b/source/core/operators/node_status.h
@@ -11,7 +11,7 @@
 #include "shedlever/errors.h"
 #include "shedlever/metadata_store.h"
 #include "shedlever/router_frames.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/duration_estimator.cc
+++ b/source/core/router/admission/duration_estimator.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/duration_estimator.h"
+#include "source/core/router/admission/duration_estimator.h"
 
 namespace shedlever {
 
--- a/source/core/router/failure_meter.cc
+++ b/source/core/router/admission/failure_meter.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/failure_meter.h"
+#include "source/core/router/admission/failure_meter.h"
 
 #include <cmath>
 
--- a/source/core/router/key_wait_estimator.cc
+++ b/source/core/router/admission/key_wait_estimator.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/key_wait_estimator.h"
+#include "source/core/router/admission/key_wait_estimator.h"
 
 namespace shedlever {
 
--- a/source/core/router/key_wait_estimator.h
+++ b/source/core/router/admission/key_wait_estimator.h
@@ -7,7 +7,7 @@
 #include <map>
 
 #include "shedlever/router_frames.h"
-#include "source/core/router/duration_estimator.h"
+#include "source/core/router/admission/duration_estimator.h"
 
 namespace shedlever {
 
--- a/source/core/router/link_budget.cc
+++ b/source/core/router/admission/link_budget.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/link_budget.h"
+#include "source/core/router/admission/link_budget.h"
 
 #include <algorithm>
 
--- a/source/core/router/named_limit.cc
+++ b/source/core/router/admission/named_limit.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/named_limit.h"
+#include "source/core/router/admission/named_limit.h"
 
 #include <utility>
 
--- a/source/core/router/response_size_estimator.cc
+++ b/source/core/router/admission/response_size_estimator.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/response_size_estimator.h"
+#include "source/core/router/admission/response_size_estimator.h"
 
 namespace shedlever {
 
--- a/source/core/router/slot_queue.cc
+++ b/source/core/router/admission/slot_queue.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/slot_queue.h"
+#include "source/core/router/admission/slot_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/slot_queue.h
+++ b/source/core/router/admission/slot_queue.h
@@ -14,8 +14,8 @@
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
-#include "source/core/router/start_rate_limiter.h"
-#include "source/core/router/tenant_fair_scheduler.h"
+#include "source/core/router/admission/start_rate_limiter.h"
+#include "source/core/router/admission/tenant_fair_scheduler.h"
 
 namespace shedlever {
 
--- a/source/core/router/start_rate_limiter.cc
+++ b/source/core/router/admission/start_rate_limiter.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/start_rate_limiter.h"
+#include "source/core/router/admission/start_rate_limiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/tenant_fair_scheduler.cc
+++ b/source/core/router/admission/tenant_fair_scheduler.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/tenant_fair_scheduler.h"
+#include "source/core/router/admission/tenant_fair_scheduler.h"
 
 #include <algorithm>
 
--- a/source/core/router/claim_epoch_guard.cc
+++ b/source/core/router/claims/claim_epoch_guard.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/claim_epoch_guard.h"
+#include "source/core/router/claims/claim_epoch_guard.h"
 
 #include <functional>
 
--- a/source/core/router/claim_epoch_guard.h
+++ b/source/core/router/claims/claim_epoch_guard.h
@@ -9,8 +9,8 @@
 
 #include "shedlever/identifiers.h"
 #include "shedlever/metadata_store.h"
-#include "source/core/router/claim_config.h"
-#include "source/core/router/process_end_tracker.h"
+#include "source/core/router/claims/claim_config.h"
+#include "source/core/router/directory/process_end_tracker.h"
 
 namespace shedlever {
 
--- a/source/core/router/claim_manager.cc
+++ b/source/core/router/claims/claim_manager.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/claim_manager.h"
+#include "source/core/router/claims/claim_manager.h"
 
 #include <openssl/evp.h>
 
--- a/source/core/router/claim_manager.h
+++ b/source/core/router/claims/claim_manager.h
@@ -13,9 +13,9 @@
 #include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
 #include "shedlever/metadata_store.h"
-#include "source/core/router/claim_config.h"
-#include "source/core/router/claim_epoch_guard.h"
-#include "source/core/router/process_end_tracker.h"
+#include "source/core/router/claims/claim_config.h"
+#include "source/core/router/claims/claim_epoch_guard.h"
+#include "source/core/router/directory/process_end_tracker.h"
 
 namespace shedlever {
 
--- a/source/core/router/evacuated_zones.cc
+++ b/source/core/router/directory/evacuated_zones.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/evacuated_zones.h"
+#include "source/core/router/directory/evacuated_zones.h"
 
 namespace shedlever {
 
--- a/source/core/router/leaving_servers.cc
+++ b/source/core/router/directory/leaving_servers.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/leaving_servers.h"
+#include "source/core/router/directory/leaving_servers.h"
 
 namespace shedlever {
 
--- a/source/core/router/peer_versions.cc
+++ b/source/core/router/directory/peer_versions.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/peer_versions.h"
+#include "source/core/router/directory/peer_versions.h"
 
 #include <algorithm>
 
--- a/source/core/router/peer_versions.h
+++ b/source/core/router/directory/peer_versions.h
@@ -7,7 +7,7 @@
 
 #include "shedlever/identifiers.h"
 #include "shedlever/wire_version.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
 
 namespace shedlever {
 
--- a/source/core/router/process_end_tracker.cc
+++ b/source/core/router/directory/process_end_tracker.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/process_end_tracker.h"
+#include "source/core/router/directory/process_end_tracker.h"
 
 #include <algorithm>
 
--- a/source/core/router/report_filter.cc
+++ b/source/core/router/directory/report_filter.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/report_filter.h"
+#include "source/core/router/directory/report_filter.h"
 
 namespace shedlever {
 
--- a/source/core/router/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -14,7 +14,7 @@
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
 #include "shedlever/wire_version.h"
-#include "source/core/router/leaving_servers.h"
+#include "source/core/router/directory/leaving_servers.h"
 
 namespace shedlever {
 
--- a/source/core/router/server_presence.cc
+++ b/source/core/router/directory/server_presence.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/server_presence.h"
+#include "source/core/router/directory/server_presence.h"
 
 namespace shedlever {
 
--- a/source/core/router/server_presence.h
+++ b/source/core/router/directory/server_presence.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/report_filter.h"
+#include "source/core/router/directory/report_filter.h"
 
 namespace shedlever {
 
--- a/source/core/router/server_reachability.cc
+++ b/source/core/router/directory/server_reachability.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/server_reachability.h"
+#include "source/core/router/directory/server_reachability.h"
 
 #include <utility>
 
--- a/source/core/router/zone_evacuation.cc
+++ b/source/core/router/directory/zone_evacuation.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/zone_evacuation.h"
+#include "source/core/router/directory/zone_evacuation.h"
 
 #include <utility>
 
--- a/source/core/router/balance_planner.cc
+++ b/source/core/router/ownership/balance_planner.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/balance_planner.h"
+#include "source/core/router/ownership/balance_planner.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/balance_planner.h
+++ b/source/core/router/ownership/balance_planner.h
@@ -6,9 +6,9 @@
 
 #include <vector>
 
-#include "source/core/router/key_meter.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/key_meter.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/first_division.cc
+++ b/source/core/router/ownership/first_division.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/first_division.h"
+#include "source/core/router/ownership/first_division.h"
 
 #include <algorithm>
 
--- a/source/core/router/gained_keys.cc
+++ b/source/core/router/ownership/gained_keys.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/gained_keys.h"
+#include "source/core/router/ownership/gained_keys.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/grant_channel.h
+++ b/source/core/router/ownership/grant_channel.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "shedlever/server_commands.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/grant_selector.cc
+++ b/source/core/router/ownership/grant_selector.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/grant_selector.h"
+#include "source/core/router/ownership/grant_selector.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/grant_selector.h
+++ b/source/core/router/ownership/grant_selector.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "shedlever/key_report.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/heartbeat_grants.cc
+++ b/source/core/router/ownership/heartbeat_grants.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/heartbeat_grants.h"
+#include "source/core/router/ownership/heartbeat_grants.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/heartbeat_grants.h
+++ b/source/core/router/ownership/heartbeat_grants.h
@@ -17,8 +17,8 @@
 #include <vector>
 
 #include "shedlever/key_report.h"
-#include "source/core/router/grant_channel.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/grant_channel.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/heartbeat_responder.cc
+++ b/source/core/router/ownership/heartbeat_responder.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/heartbeat_responder.h"
+#include "source/core/router/ownership/heartbeat_responder.h"
 
 #include <utility>
 
--- a/source/core/router/key_balancer.cc
+++ b/source/core/router/ownership/key_balancer.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/key_balancer.h"
+#include "source/core/router/ownership/key_balancer.h"
 
 namespace shedlever {
 
--- a/source/core/router/key_balancer.h
+++ b/source/core/router/ownership/key_balancer.h
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "shedlever/time.h"
-#include "source/core/router/balance_planner.h"
-#include "source/core/router/key_load.h"
-#include "source/core/router/owner_candidates.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/ownership_config.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/ownership/balance_planner.h"
+#include "source/core/router/ownership/key_load.h"
+#include "source/core/router/ownership/owner_candidates.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/key_load.cc
+++ b/source/core/router/ownership/key_load.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/key_load.h"
+#include "source/core/router/ownership/key_load.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/key_load.h
+++ b/source/core/router/ownership/key_load.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "shedlever/time.h"
-#include "source/core/router/gained_keys.h"
-#include "source/core/router/key_meter.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/gained_keys.h"
+#include "source/core/router/ownership/key_meter.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/key_meter.cc
+++ b/source/core/router/ownership/key_meter.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/key_meter.h"
+#include "source/core/router/ownership/key_meter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/key_meter.h
+++ b/source/core/router/ownership/key_meter.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "shedlever/time.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/key_moves.cc
+++ b/source/core/router/ownership/key_moves.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/key_moves.h"
+#include "source/core/router/ownership/key_moves.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/key_moves.h
+++ b/source/core/router/ownership/key_moves.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "source/core/router/grant_channel.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/table_writer.h"
+#include "source/core/router/ownership/grant_channel.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/table_writer.h"
 
 namespace shedlever {
 
--- a/source/core/router/lease_manager.cc
+++ b/source/core/router/ownership/lease_manager.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/lease_manager.h"
+#include "source/core/router/ownership/lease_manager.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/source/core/router/lease_manager.h
+++ b/source/core/router/ownership/lease_manager.h
@@ -9,7 +9,7 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/router_frames.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/owner_candidates.cc
+++ b/source/core/router/ownership/owner_candidates.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/owner_candidates.h"
+#include "source/core/router/ownership/owner_candidates.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/owner_candidates.h
+++ b/source/core/router/ownership/owner_candidates.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "shedlever/time.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/ownership_config.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/owner_table.cc
+++ b/source/core/router/ownership/owner_table.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 #include <algorithm>
 #include <map>
--- a/source/core/router/owner_table_edits.cc
+++ b/source/core/router/ownership/owner_table_edits.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/owner_table_edits.h"
+#include "source/core/router/ownership/owner_table_edits.h"
 
 namespace shedlever {
 
--- a/source/core/router/owner_table_edits.h
+++ b/source/core/router/ownership/owner_table_edits.h
@@ -6,8 +6,8 @@
 
 #include <vector>
 
-#include "source/core/router/owner_table.h"
-#include "source/core/router/table_writer.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/table_writer.h"
 
 namespace shedlever {
 
--- a/source/core/router/owner_view.cc
+++ b/source/core/router/ownership/owner_view.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/owner_view.h"
+#include "source/core/router/ownership/owner_view.h"
 
 #include <iterator>
 
--- a/source/core/router/owner_view.h
+++ b/source/core/router/ownership/owner_view.h
@@ -6,7 +6,7 @@
 #include <map>
 
 #include "shedlever/metadata_store.h"
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/ownership_fields.cc
+++ b/source/core/router/ownership/ownership_fields.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/ownership_fields.h"
+#include "source/core/router/ownership/ownership_fields.h"
 
 #include <array>
 
--- a/source/core/router/ownership_fields.h
+++ b/source/core/router/ownership/ownership_fields.h
@@ -6,7 +6,7 @@
 #include <span>
 #include <string_view>
 
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -1,11 +1,11 @@
-#include "source/core/router/ownership_manager.h"
+#include "source/core/router/ownership/ownership_manager.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "source/core/router/duration_format.h"
-#include "source/core/router/owner_table_delta.h"
-#include "source/core/router/owner_table_edits.h"
+#include "source/core/router/ownership/owner_table_delta.h"
+#include "source/core/router/ownership/owner_table_edits.h"
 
 namespace shedlever {
 
--- a/source/core/router/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/request_grants.h"
+#include "source/core/router/ownership/request_grants.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -5,8 +5,8 @@
 
 #include <map>
 
-#include "source/core/router/grant_channel.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/grant_channel.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/table_writer.cc
+++ b/source/core/router/ownership/table_writer.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/table_writer.h"
+#include "source/core/router/ownership/table_writer.h"
 
 #include <utility>
 
--- a/source/core/router/table_writer.h
+++ b/source/core/router/ownership/table_writer.h
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "shedlever/metadata_store.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/retry_backoff.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/store/retry_backoff.h"
 
 namespace shedlever {
 
--- a/source/core/router/takeover_watcher.cc
+++ b/source/core/router/ownership/takeover_watcher.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/takeover_watcher.h"
+#include "source/core/router/ownership/takeover_watcher.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/takeover_watcher.h
+++ b/source/core/router/ownership/takeover_watcher.h
@@ -8,9 +8,9 @@
 #include <set>
 
 #include "shedlever/metadata_store.h"
-#include "source/core/router/lease_manager.h"
-#include "source/core/router/owner_table.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/lease_manager.h"
+#include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever {
 
--- a/source/core/router/active_config.cc
+++ b/source/core/router/routes/active_config.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/active_config.h"
+#include "source/core/router/routes/active_config.h"
 
 #include <utility>
 
--- a/source/core/router/active_config.h
+++ b/source/core/router/routes/active_config.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/route_table.h"
+#include "source/core/router/routes/route_table.h"
 
 namespace shedlever {
 
--- a/source/core/router/request_id_generator.cc
+++ b/source/core/router/routes/request_id_generator.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/request_id_generator.h"
+#include "source/core/router/routes/request_id_generator.h"
 
 #include <array>
 #include <charconv>
--- a/source/core/router/retry_policy.cc
+++ b/source/core/router/routes/retry_policy.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/retry_policy.h"
+#include "source/core/router/routes/retry_policy.h"
 
 namespace shedlever {
 
--- a/source/core/router/retry_policy.h
+++ b/source/core/router/routes/retry_policy.h
@@ -7,7 +7,7 @@
 
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
-#include "source/core/router/shared_retry_budget.h"
+#include "source/core/router/routes/shared_retry_budget.h"
 
 namespace shedlever {
 
--- a/source/core/router/route_table.cc
+++ b/source/core/router/routes/route_table.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/route_table.h"
+#include "source/core/router/routes/route_table.h"
 
 #include <algorithm>
 #include <cctype>
--- a/source/core/router/route_table.h
+++ b/source/core/router/routes/route_table.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 
 #include "shedlever/router_config.h"
-#include "source/core/router/tenant_keys.h"
+#include "source/core/router/routes/tenant_keys.h"
 
 namespace shedlever {
 
--- a/source/core/router/shared_retry_budget.cc
+++ b/source/core/router/routes/shared_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/shared_retry_budget.h"
+#include "source/core/router/routes/shared_retry_budget.h"
 
 #include <algorithm>
 
--- a/source/core/router/tenant_keys.cc
+++ b/source/core/router/routes/tenant_keys.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/tenant_keys.h"
+#include "source/core/router/routes/tenant_keys.h"
 
 #include <algorithm>
 #include <cmath>
--- a/source/core/router/traffic_splitter.cc
+++ b/source/core/router/routes/traffic_splitter.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/traffic_splitter.h"
+#include "source/core/router/routes/traffic_splitter.h"
 
 #include <algorithm>
 #include <numeric>
--- a/source/core/router/list_schedule.cc
+++ b/source/core/router/store/list_schedule.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/list_schedule.h"
+#include "source/core/router/store/list_schedule.h"
 
 #include <algorithm>
 
--- a/source/core/router/restorable_store.cc
+++ b/source/core/router/store/restorable_store.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/restorable_store.h"
+#include "source/core/router/store/restorable_store.h"
 
 #include <utility>
 
--- a/source/core/router/staleness_bound.cc
+++ b/source/core/router/store/staleness_bound.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/staleness_bound.h"
+#include "source/core/router/store/staleness_bound.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/router/staleness_bound.h
+++ b/source/core/router/store/staleness_bound.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 
 #include "shedlever/time.h"
-#include "source/core/router/retry_backoff.h"
+#include "source/core/router/store/retry_backoff.h"
 
 namespace shedlever {
 
--- a/source/lab/sim/ownership_checks.cc
+++ b/source/lab/sim/ownership_checks.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "source/core/router/owner_table_delta.h"
+#include "source/core/router/ownership/owner_table_delta.h"
 
 namespace shedlever::sim {
 
--- a/source/lab/sim/ownership_checks.h
+++ b/source/lab/sim/ownership_checks.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 #include "source/lab/sim/simulated_server.h"
 
 namespace shedlever::sim {
--- a/source/lab/sim/scenario.cc
+++ b/source/lab/sim/scenario.cc
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "source/core/router/duration_format.h"
-#include "source/core/router/ownership_fields.h"
+#include "source/core/router/ownership/ownership_fields.h"
 #include "source/net/text_file.h"
 
 namespace shedlever::sim {
--- a/source/lab/sim/scenario.h
+++ b/source/lab/sim/scenario.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "shedlever/errors.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/ownership/ownership_config.h"
 
 namespace shedlever::sim {
 
--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "source/core/router/ownership_manager.h"
+#include "source/core/router/ownership/ownership_manager.h"
 #include "source/lab/sim/ownership_checks.h"
 #include "source/lab/sim/simulated_server.h"
 #include "source/lab/sim/virtual_store.h"
--- a/source/lab/sim/simulated_cluster_node.h
+++ b/source/lab/sim/simulated_cluster_node.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <utility>
 
-#include "source/core/router/heartbeat_responder.h"
-#include "source/core/router/restorable_store.h"
+#include "source/core/router/ownership/heartbeat_responder.h"
+#include "source/core/router/store/restorable_store.h"
 #include "source/lab/sim/simulated_cluster.h"
 
 namespace shedlever::sim {
--- a/source/net/link_pacer.h
+++ b/source/net/link_pacer.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <list>
 
-#include "source/core/router/link_budget.h"
+#include "source/core/router/admission/link_budget.h"
 #include "source/net/event_loop.h"
 
 namespace shedlever {
--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "source/core/router/duration_format.h"
-#include "source/core/router/owner_table_delta.h"
+#include "source/core/router/ownership/owner_table_delta.h"
 
 namespace shedlever {
 
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -10,12 +10,12 @@
 #include <string>
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/active_config.h"
-#include "source/core/router/evacuated_zones.h"
-#include "source/core/router/owner_view.h"
-#include "source/core/router/route_table.h"
-#include "source/core/router/server_directory.h"
-#include "source/core/router/table_writer.h"
+#include "source/core/router/directory/evacuated_zones.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/ownership/owner_view.h"
+#include "source/core/router/ownership/table_writer.h"
+#include "source/core/router/routes/active_config.h"
+#include "source/core/router/routes/route_table.h"
 #include "source/router/event_log.h"
 #include "source/router/kind_poller.h"
 #include "source/router/kind_watcher.h"
--- a/source/router/forward_authentication.h
+++ b/source/router/forward_authentication.h
@@ -5,7 +5,7 @@
 /// one whose configuration has no tenants yet.
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/route_table.h"
+#include "source/core/router/routes/route_table.h"
 
 namespace shedlever {
 
--- a/source/router/gate_recorder.h
+++ b/source/router/gate_recorder.h
@@ -4,7 +4,7 @@
 /// Logs and counts the gate's decisions about requests for its server.
 
 #include "shedlever/request_fingerprint.h"
-#include "source/core/router/named_limit.h"
+#include "source/core/router/admission/named_limit.h"
 #include "source/router/event_log.h"
 #include "source/router/router_metrics.h"
 #include "source/router/server_client.h"
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -9,13 +9,13 @@
 #include <memory>
 #include <set>
 
-#include "source/core/router/duration_estimator.h"
-#include "source/core/router/owner_view.h"
+#include "source/core/router/admission/duration_estimator.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/ownership/owner_view.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
-#include "source/core/router/request_id_generator.h"
-#include "source/core/router/retry_policy.h"
-#include "source/core/router/server_directory.h"
-#include "source/core/router/traffic_splitter.h"
+#include "source/core/router/routes/request_id_generator.h"
+#include "source/core/router/routes/retry_policy.h"
+#include "source/core/router/routes/traffic_splitter.h"
 #include "source/router/gateway_recorder.h"
 #include "source/router/gateway_request.h"
 #include "source/router/peer_client.h"
--- a/source/router/gateway_recorder.h
+++ b/source/router/gateway_recorder.h
@@ -6,7 +6,7 @@
 
 #include <string_view>
 
-#include "source/core/router/retry_policy.h"
+#include "source/core/router/routes/retry_policy.h"
 #include "source/router/event_log.h"
 #include "source/router/gateway_request.h"
 #include "source/router/router_metrics.h"
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -9,8 +9,8 @@
 #include <set>
 
 #include "shedlever/platform_ports.h"
-#include "source/core/router/claim_manager.h"
-#include "source/core/router/route_table.h"
+#include "source/core/router/claims/claim_manager.h"
+#include "source/core/router/routes/route_table.h"
 #include "source/net/strict_http_server.h"
 
 namespace shedlever {
--- a/source/router/kind_poller.h
+++ b/source/router/kind_poller.h
@@ -12,7 +12,7 @@
 #include <string>
 
 #include "shedlever/metadata_store.h"
-#include "source/core/router/list_schedule.h"
+#include "source/core/router/store/list_schedule.h"
 #include "source/net/event_loop.h"
 
 namespace shedlever {
--- a/source/router/kind_watcher.h
+++ b/source/router/kind_watcher.h
@@ -14,8 +14,8 @@
 
 #include "shedlever/metadata_store.h"
 #include "shedlever/router_frames.h"
-#include "source/core/router/retry_backoff.h"
-#include "source/core/router/staleness_bound.h"
+#include "source/core/router/store/retry_backoff.h"
+#include "source/core/router/store/staleness_bound.h"
 #include "source/net/event_loop.h"
 
 namespace shedlever {
--- a/source/router/node_records.h
+++ b/source/router/node_records.h
@@ -9,8 +9,8 @@
 #include <string>
 
 #include "shedlever/metadata_store.h"
-#include "source/core/router/retry_backoff.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/store/retry_backoff.h"
 #include "source/net/event_loop.h"
 #include "source/router/event_log.h"
 
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/directory/peer_versions.h"
+#include "source/core/router/directory/server_directory.h"
 #include "source/core/router/frame_name.h"
-#include "source/core/router/lease_manager.h"
-#include "source/core/router/peer_versions.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/ownership/lease_manager.h"
 #include "source/router/peer_stream.h"
 #include "source/router/server_gate.h"
 
--- a/source/router/quarantine_coordinator.h
+++ b/source/router/quarantine_coordinator.h
@@ -7,8 +7,8 @@
 #include <functional>
 #include <vector>
 
+#include "source/core/router/directory/server_directory.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
-#include "source/core/router/server_directory.h"
 #include "source/router/event_log.h"
 #include "source/router/router_metrics.h"
 
--- a/source/router/quota_coordinator.h
+++ b/source/router/quota_coordinator.h
@@ -10,11 +10,11 @@
 #include <set>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/directory/server_directory.h"
 #include "source/core/router/quota/quota_holder.h"
 #include "source/core/router/quota/quota_placement.h"
 #include "source/core/router/quota/quota_queue.h"
-#include "source/core/router/route_table.h"
-#include "source/core/router/server_directory.h"
+#include "source/core/router/routes/route_table.h"
 #include "source/net/event_loop.h"
 #include "source/router/event_log.h"
 #include "source/router/router_metrics.h"
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -21,7 +21,7 @@
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
-#include "source/core/router/heartbeat_grants.h"
+#include "source/core/router/ownership/heartbeat_grants.h"
 
 namespace shedlever {
 
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -7,11 +7,11 @@
 
 #include "shedlever/errors.h"
 #include "shedlever/identifiers.h"
-#include "source/core/router/link_budget.h"
-#include "source/core/router/ownership_config.h"
+#include "source/core/router/admission/link_budget.h"
+#include "source/core/router/directory/server_directory.h"
+#include "source/core/router/ownership/ownership_config.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
-#include "source/core/router/server_directory.h"
-#include "source/core/router/shared_retry_budget.h"
+#include "source/core/router/routes/shared_retry_budget.h"
 
 namespace shedlever {
 
--- a/test/core_router/duration_estimator_test.cc
+++ b/test/core_router/admission/duration_estimator_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Expected durations by key.
 
-#include "source/core/router/duration_estimator.h"
+#include "source/core/router/admission/duration_estimator.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/failure_meter_test.cc
+++ b/test/core_router/admission/failure_meter_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// The ratio of recent requests that failed, and its decay.
 
-#include "source/core/router/failure_meter.h"
+#include "source/core/router/admission/failure_meter.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/key_wait_estimator_test.cc
+++ b/test/core_router/admission/key_wait_estimator_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Expected waits for keys in transfer.
 
-#include "source/core/router/key_wait_estimator.h"
+#include "source/core/router/admission/key_wait_estimator.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/link_budget_test.cc
+++ b/test/core_router/admission/link_budget_test.cc
@@ -1,11 +1,11 @@
 /// @file
 /// Rate limit of a slow link, and estimated response sizes.
 
-#include "source/core/router/link_budget.h"
+#include "source/core/router/admission/link_budget.h"
 
 #include <gtest/gtest.h>
 
-#include "source/core/router/response_size_estimator.h"
+#include "source/core/router/admission/response_size_estimator.h"
 
 namespace shedlever {
 namespace {
--- a/test/core_router/named_limit_load_test.cc
+++ b/test/core_router/admission/named_limit_load_test.cc
@@ -8,8 +8,8 @@
 #include <random>
 #include <vector>
 
-#include "source/core/router/named_limit.h"
-#include "source/core/router/slot_queue.h"
+#include "source/core/router/admission/named_limit.h"
+#include "source/core/router/admission/slot_queue.h"
 
 namespace shedlever::test {
 namespace {
--- a/test/core_router/named_limit_test.cc
+++ b/test/core_router/admission/named_limit_test.cc
@@ -2,7 +2,7 @@
 /// The rate limit that a server names. Guards against a limit that is lifted by a response written before the server
 /// named it, and against one that outlasts what the server says.
 
-#include "source/core/router/named_limit.h"
+#include "source/core/router/admission/named_limit.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/slot_queue_test.cc
+++ b/test/core_router/admission/slot_queue_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Slots, order of the queue and refusal by predicted wait.
 
-#include "source/core/router/slot_queue.h"
+#include "source/core/router/admission/slot_queue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/test/core_router/start_rate_limiter_test.cc
+++ b/test/core_router/admission/start_rate_limiter_test.cc
@@ -2,7 +2,7 @@
 /// Start rate limit of cold servers. Guards against overload of a cold server, which can handle fewer requests per
 /// second than its slots would admit, after a restart or when it becomes cold under load.
 
-#include "source/core/router/start_rate_limiter.h"
+#include "source/core/router/admission/start_rate_limiter.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +11,7 @@
 #include <random>
 #include <vector>
 
-#include "source/core/router/slot_queue.h"
+#include "source/core/router/admission/slot_queue.h"
 
 namespace shedlever::test {
 namespace {
--- a/test/core_router/tenant_fair_scheduler_test.cc
+++ b/test/core_router/admission/tenant_fair_scheduler_test.cc
@@ -5,7 +5,7 @@
 
 #include <map>
 
-#include "source/core/router/slot_queue.h"
+#include "source/core/router/admission/slot_queue.h"
 
 namespace shedlever {
 namespace {
--- a/test/core_router/claim_epoch_guard_test.cc
+++ b/test/core_router/claims/claim_epoch_guard_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// What an unclaimed key means after the store was restored from a backup.
 
-#include "source/core/router/claim_epoch_guard.h"
+#include "source/core/router/claims/claim_epoch_guard.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/claim_manager_test.cc
+++ b/test/core_router/claims/claim_manager_test.cc
@@ -1,11 +1,11 @@
 /// @file
 /// Claims of idempotency keys: at most one request per key runs, whatever failures the store and the processes have.
 
-#include "source/core/router/claim_manager.h"
+#include "source/core/router/claims/claim_manager.h"
 
 #include <gtest/gtest.h>
 
-#include "source/core/router/restorable_store.h"
+#include "source/core/router/store/restorable_store.h"
 #include "source/lab/sim/virtual_store.h"
 
 namespace shedlever {
--- a/test/core_router/evacuated_zones_test.cc
+++ b/test/core_router/directory/evacuated_zones_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Evacuated zones as known from the store's objects and from other processes.
 
-#include "source/core/router/evacuated_zones.h"
+#include "source/core/router/directory/evacuated_zones.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/peer_versions_test.cc
+++ b/test/core_router/directory/peer_versions_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Which version is spoken to a peer. Guards against processes of different builds that exchange no frame.
 
-#include "source/core/router/peer_versions.h"
+#include "source/core/router/directory/peer_versions.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/process_end_tracker_test.cc
+++ b/test/core_router/directory/process_end_tracker_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Notices of ended processes.
 
-#include "source/core/router/process_end_tracker.h"
+#include "source/core/router/directory/process_end_tracker.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/report_filter_test.cc
+++ b/test/core_router/directory/report_filter_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Acceptance and rejection of server reports.
 
-#include "source/core/router/report_filter.h"
+#include "source/core/router/directory/report_filter.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/server_presence_test.cc
+++ b/test/core_router/directory/server_presence_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Which instance of the server beside a process is the present one, and its state.
 
-#include "source/core/router/server_presence.h"
+#include "source/core/router/directory/server_presence.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/server_reachability_test.cc
+++ b/test/core_router/directory/server_reachability_test.cc
@@ -2,7 +2,7 @@
 /// Guards against requests that wait for a server which accepts no connections, and against one that stays silent after
 /// it has answered a probe.
 
-#include "source/core/router/server_reachability.h"
+#include "source/core/router/directory/server_reachability.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/zone_evacuation_test.cc
+++ b/test/core_router/directory/zone_evacuation_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Effect of a zone evacuation on the requests that a server starts.
 
-#include "source/core/router/zone_evacuation.h"
+#include "source/core/router/directory/zone_evacuation.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/balance_planner_test.cc
+++ b/test/core_router/ownership/balance_planner_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// A busy owner moves the load above the average to servers below it.
 
-#include "source/core/router/balance_planner.h"
+#include "source/core/router/ownership/balance_planner.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/first_division_test.cc
+++ b/test/core_router/ownership/first_division_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// When the keys of a service are divided for the first time.
 
-#include "source/core/router/first_division.h"
+#include "source/core/router/ownership/first_division.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/gained_keys_test.cc
+++ b/test/core_router/ownership/gained_keys_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Expected request rate of recently gained keys.
 
-#include "source/core/router/gained_keys.h"
+#include "source/core/router/ownership/gained_keys.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/grant_selector_test.cc
+++ b/test/core_router/ownership/grant_selector_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Which ranges a node may grant to its server.
 
-#include "source/core/router/grant_selector.h"
+#include "source/core/router/ownership/grant_selector.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/heartbeat_grants_test.cc
+++ b/test/core_router/ownership/heartbeat_grants_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Grants by heartbeat: contents of acknowledgements, held ranges and the end of releases.
 
-#include "source/core/router/heartbeat_grants.h"
+#include "source/core/router/ownership/heartbeat_grants.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/heartbeat_responder_test.cc
+++ b/test/core_router/ownership/heartbeat_responder_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Time at which heartbeats are acknowledged.
 
-#include "source/core/router/heartbeat_responder.h"
+#include "source/core/router/ownership/heartbeat_responder.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/key_balancer_test.cc
+++ b/test/core_router/ownership/key_balancer_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Which keys a node moves away, and when.
 
-#include "source/core/router/key_balancer.h"
+#include "source/core/router/ownership/key_balancer.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/key_load_test.cc
+++ b/test/core_router/ownership/key_load_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Load on the keys of a node's server, measured and expected.
 
-#include "source/core/router/key_load.h"
+#include "source/core/router/ownership/key_load.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/owner_candidates_test.cc
+++ b/test/core_router/ownership/owner_candidates_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Which servers a node moves keys to, and in which order.
 
-#include "source/core/router/owner_candidates.h"
+#include "source/core/router/ownership/owner_candidates.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/owner_table_delta_test.cc
+++ b/test/core_router/ownership/owner_table_delta_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// A table that is put together from an earlier one and a delta equals the sender's table, or is rejected.
 
-#include "source/core/router/owner_table_delta.h"
+#include "source/core/router/ownership/owner_table_delta.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/test/core_router/owner_table_edits_test.cc
+++ b/test/core_router/ownership/owner_table_edits_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Edits of the owner table: what each changes, and that it leaves alone ranges that have changed since it was made.
 
-#include "source/core/router/owner_table_edits.h"
+#include "source/core/router/ownership/owner_table_edits.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/owner_table_test.cc
+++ b/test/core_router/ownership/owner_table_test.cc
@@ -1,12 +1,12 @@
 /// @file
 /// Changes and encoding of the owner table, and the load meter of keys.
 
-#include "source/core/router/owner_table.h"
+#include "source/core/router/ownership/owner_table.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "source/core/router/key_meter.h"
+#include "source/core/router/ownership/key_meter.h"
 
 namespace shedlever::test {
 namespace {
--- a/test/core_router/owner_view_test.cc
+++ b/test/core_router/ownership/owner_view_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Hints from newer owner tables.
 
-#include "source/core/router/owner_view.h"
+#include "source/core/router/ownership/owner_view.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/takeover_watcher_test.cc
+++ b/test/core_router/ownership/takeover_watcher_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Expiry of the lease of an unreachable owner.
 
-#include "source/core/router/takeover_watcher.h"
+#include "source/core/router/ownership/takeover_watcher.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/active_config_test.cc
+++ b/test/core_router/routes/active_config_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Selection of the active configuration, for any order of its parts and versions.
 
-#include "source/core/router/active_config.h"
+#include "source/core/router/routes/active_config.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/request_id_generator_test.cc
+++ b/test/core_router/routes/request_id_generator_test.cc
@@ -1,4 +1,4 @@
-#include "source/core/router/request_id_generator.h"
+#include "source/core/router/routes/request_id_generator.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/test/core_router/routing_test.cc
+++ b/test/core_router/routes/routing_test.cc
@@ -3,9 +3,9 @@
 
 #include <gtest/gtest.h>
 
-#include "source/core/router/retry_policy.h"
-#include "source/core/router/route_table.h"
-#include "source/core/router/traffic_splitter.h"
+#include "source/core/router/routes/retry_policy.h"
+#include "source/core/router/routes/route_table.h"
+#include "source/core/router/routes/traffic_splitter.h"
 
 namespace shedlever::test {
 namespace {
--- a/test/core_router/tenant_keys_test.cc
+++ b/test/core_router/routes/tenant_keys_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Lookup of tenants by API key.
 
-#include "source/core/router/tenant_keys.h"
+#include "source/core/router/routes/tenant_keys.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/list_schedule_test.cc
+++ b/test/core_router/store/list_schedule_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Intervals between lists of one kind of objects, and backoff after failures.
 
-#include "source/core/router/list_schedule.h"
+#include "source/core/router/store/list_schedule.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/restorable_store_test.cc
+++ b/test/core_router/store/restorable_store_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Epochs of a restored store are kept apart, whatever the numbers of its revisions.
 
-#include "source/core/router/restorable_store.h"
+#include "source/core/router/store/restorable_store.h"
 
 #include <gtest/gtest.h>
 
--- a/test/core_router/staleness_bound_test.cc
+++ b/test/core_router/store/staleness_bound_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Times at which processes query the store for changes.
 
-#include "source/core/router/staleness_bound.h"
+#include "source/core/router/store/staleness_bound.h"
 
 #include <gtest/gtest.h>
 
--- a/test/platform_adapter/api_keys_test.cc
+++ b/test/platform_adapter/api_keys_test.cc
@@ -8,7 +8,7 @@
 #include "platform/client_protocol.h"
 #include "platform/config_protocol.h"
 #include "platform/server_protocol.h"
-#include "source/core/router/route_table.h"
+#include "source/core/router/routes/route_table.h"
 #include "source/net/http_headers.h"
 
 namespace shedlever::platform::test {
--- a/test/router/cluster_state_test.cc
+++ b/test/router/cluster_state_test.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "source/core/router/owner_table_delta.h"
+#include "source/core/router/ownership/owner_table_delta.h"
 #include "source/net/router_codec.h"
 #include "source/net/system_clock_and_random.h"
 #include "test/support/manual_clock.h"
--- a/test/support/serving_node.h
+++ b/test/support/serving_node.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-#include "source/core/router/server_directory.h"
+#include "source/core/router/directory/server_directory.h"
 
 namespace shedlever::test {
 
