--- a/source/core/router/admission/duration_estimator.cc
+++ b/source/core/router/admission/duration_estimator.cc
@@ -4,7 +4,8 @@
 
 namespace {
 
-/// The newest sample has the weight 1/n in the mean and in the deviation.
+/// The newest sample has the weight 1/n in the mean and in the deviation, so that some 16 requests, a fraction of a
+/// second under load, decide.
 constexpr int kSmoothingDivisor = 16;
 
 Duration absolute(Duration duration) { return duration < Duration::zero() ? -duration : duration; }
--- a/source/core/router/claims/claim_config.h
+++ b/source/core/router/claims/claim_config.h
@@ -20,8 +20,8 @@
   /// Limit of claims scheduled for removal. Beyond it, the oldest ones are dropped from the schedule and stay in the
   /// store.
   std::size_t max_scheduled_removals = 100000;
-  /// Time without new grants after the store was restored from a backup. Within this time every process learns of the
-  /// new epoch and rewrites its claims that the backup lacks.
+  /// Time without new grants after the store was restored from a backup. All processes hear of the new epoch within 2
+  /// s; the rest is for rewriting their claims that the backup lacks.
   Duration grant_delay_after_restore = std::chrono::milliseconds(2500);
   /// Largest age of a backup. Finished claims are retained in memory for this time so that they can be rewritten. For
   /// as long after a restore, requests count as run if the claims of an ended process may be lost.
--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -34,7 +34,7 @@
 /// Minimum interval of requests to peers for the configuration or for one service's owner table. Meanwhile rejections
 /// name the next owner of single keys.
 constexpr Duration kPeerRequestInterval = std::chrono::seconds(1);
-/// Over an open stream; well above the network latency between two nodes.
+/// Over an open stream; well above the network latency between two nodes, which is at most about 50 ms.
 constexpr Duration kTableReplyTimeout = std::chrono::milliseconds(500);
 /// Upper bound of the drift of two nodes' clocks during a lease.
 constexpr Duration kLeaseClockMargin = std::chrono::milliseconds(500);
