Move more keys at once only from owners of many times their share of the keys

Now only an owner of four times its even share of the keys moves to all servers at once. What stays as it was: in a large fleet a full owner of an even share moves nothing if each share is below 0.4 slots.

--- a/source/core/router/ownership/balance_planner.cc
+++ b/source/core/router/ownership/balance_planner.cc
@@ -13,8 +13,9 @@
 constexpr std::size_t kMaxMovesPerPlan = 4;
 /// A smaller share of the excess, in slots, is not worth a move.
 constexpr double kMinShareSlots = 0.4;
-/// A full owner whose utilization exceeds the average by this factor moves keys to as many servers as there are.
-constexpr double kMinFactorForManyMoves = 4;
+/// A full owner of this many times its even share of the keys moves keys to as many servers as there are.
+constexpr double kManySharesOfKeys = 4;
+constexpr double kKeyCount = 65536;
 /// Avoids a division by zero before a request has been timed.
 constexpr double kMinServiceSeconds = 1e-6;
 /// Largest accepted ratio of a move's request rate to the wanted rate.
@@ -98,15 +99,24 @@
   return rooms;
 }
 
+/// An owner that is full because of a few frequently requested keys would gain little by many moves.
+/// @return whether the owner can't take all requests and owns many times its even share of the keys, as it does after a
+///   division among few servers.
+bool isFullAndOwnsMostKeys(const BalanceInput& input) {
+  const double keys = std::accumulate(input.owned.begin(), input.owned.end(), 0.0,
+                                      [](double sum, const OwnedRange& range) { return sum + range.keys.size(); });
+  const double even_share = kKeyCount / static_cast<double>(input.targets.size() + 1);
+  return input.own_load.utilization() > 1 && keys >= kManySharesOfKeys * even_share;
+}
+
 /// @return the shares of this owner's excess for the servers below the average, largest first.
-/// @param others_have_room whether the owner can't take all requests while the servers together could. Otherwise a move
-///   of keys that nobody has room for would only cost writes of the table.
-std::vector<LoadShare> loadShares(const BalanceInput& input, double average, bool others_have_room) {
+std::vector<LoadShare> loadShares(const BalanceInput& input, double average) {
+  const bool move_to_all = isFullAndOwnsMostKeys(input);
   const std::vector<TargetRoom> rooms = targetsWithRoom(input, average);
   const double excess = input.own_load.demand - average * input.own_load.slots;
   const double movable = excess * std::min(1.0, totalRoom(rooms) / totalExcess(input, average));
   std::vector<TargetRoom> targets = proportionalShares(rooms, movable);
-  if (targets.empty() && others_have_room) {
+  if (targets.empty() && move_to_all) {
     targets = largerShares(rooms, movable, input.rotation);
   }
   std::vector<LoadShare> shares;
@@ -116,8 +126,7 @@
   }
   std::sort(shares.begin(), shares.end(),
             [](const LoadShare& left, const LoadShare& right) { return left.rate > right.rate; });
-  const bool many_moves = others_have_room && input.own_load.utilization() >= kMinFactorForManyMoves * average;
-  if (!many_moves && shares.size() > kMaxMovesPerPlan) {
+  if (!move_to_all && shares.size() > kMaxMovesPerPlan) {
     shares.resize(kMaxMovesPerPlan);
   }
   return shares;
@@ -201,8 +210,7 @@
     return moves;
   }
   RemainingKeys remaining(meter_, input.owned, now);
-  const bool others_have_room = input.own_load.utilization() > 1 && average < config_.busy_occupancy;
-  for (const LoadShare& share : loadShares(input, average, others_have_room)) {
+  for (const LoadShare& share : loadShares(input, average)) {
     if (const auto keys = remaining.take(share.rate)) {
       moves.push_back({*keys, share.location});
     }
--- a/test/core_router/ownership/balance_planner_test.cc
+++ b/test/core_router/ownership/balance_planner_test.cc
@@ -99,11 +99,15 @@
   EXPECT_TRUE(planner_.plan(input_, kNow).empty());
 }
 
-// Guards against many moves that gain nothing while all servers are full, each of which costs two writes of the table.
-TEST_F(BalancePlannerTest, FullOwnerAmongFullServersMovesNothingForTooSmallShares) {
+// Guards against many moves for the sake of a few frequently requested keys, each of which costs two writes of the
+// table.
+TEST_F(BalancePlannerTest, FullOwnerOfFewKeysMovesNothingForTooSmallShares) {
   input_.own_load = load(12);
-  input_.targets.assign(60, {location("full"), load(9.9)});
-  EXPECT_TRUE(planner_.plan(input_, kNow).empty());
+  input_.owned.front().keys = {1000, 1199};
+  for (const double others : {9.9, 5.0, 0.0}) {
+    input_.targets.assign(60, {location("other"), load(others)});
+    EXPECT_TRUE(planner_.plan(input_, kNow).empty()) << others;
+  }
 }
 
 /// Servers of one service, the first of which owns all keys and gets all requests.
