--- a/test/router/kind_watcher_test.cc
+++ b/test/router/kind_watcher_test.cc
@@ -18,7 +18,8 @@
 class KindWatcherTest : public ::testing::Test {
  protected:
   KindWatcherTest()
-      : watcher_(loop_, clock_, random_, store_, {"things", milliseconds(1), stalenessLimitsFor(std::chrono::seconds(2))},
+      : watcher_(loop_, clock_, random_, store_,
+                 {"things", milliseconds(1), stalenessLimitsFor(std::chrono::seconds(2))},
                  {[this](const MetadataObject& object, bool deleted) {
                     seen_.push_back((deleted ? "-" : "+") + object.name);
                   },
