--- a/source/router/quota_coordinator.cc
+++ b/source/router/quota_coordinator.cc
@@ -95,7 +95,8 @@
   }
 }
 
-void QuotaCoordinator::finish(const TenantName& tenant, std::vector<std::pair<QuotaCallback, QuotaDecision>> ended) {
+void QuotaCoordinator::finish(const TenantName& tenant,
+                              const std::vector<std::pair<QuotaCallback, QuotaDecision>>& ended) {
   for (const auto& [done, decision] : ended) {
     done(decision);
   }
--- a/source/router/quota_coordinator.h
+++ b/source/router/quota_coordinator.h
@@ -62,7 +62,7 @@
   void ask(const TenantName& tenant, const QuotaRequestFrame& question, int further_holders);
   void onAnswer(const TenantName& tenant, const QuotaRequestFrame& question, const NodeName& holder,
                 int further_holders, const std::optional<QuotaGrantFrame>& answer);
-  void finish(const TenantName& tenant, std::vector<std::pair<QuotaCallback, QuotaDecision>> ended);
+  void finish(const TenantName& tenant, const std::vector<std::pair<QuotaCallback, QuotaDecision>>& ended);
   /// Updates the view of the nodes if it is too old.
   void updatePlacement();
   std::set<NodeName> unanswering();
--- a/test/core_router/quota/quota_queue_test.cc
+++ b/test/core_router/quota/quota_queue_test.cc
@@ -21,7 +21,7 @@
     }
   }
 
-  static void run(std::vector<std::pair<QuotaCallback, QuotaDecision>> ended) {
+  static void run(const std::vector<std::pair<QuotaCallback, QuotaDecision>>& ended) {
     for (const auto& [done, decision] : ended) {
       done(decision);
     }
