--- a/source/core/router/quota/quota_holder.cc
+++ b/source/core/router/quota/quota_holder.cc
@@ -9,7 +9,7 @@
 
 /// Part of the burst that a new holder may grant at once: another one may just have granted the rest.
 constexpr double kInitialBurstShare = 0.25;
-/// Requests are told to come back after at most this time.
+/// Longest retry delay that a refused request gets.
 constexpr double kMaxRetrySeconds = 2.0;
 constexpr Duration kUnusedAfter = std::chrono::seconds(60);
 
--- a/source/core/router/quota/quota_holder.h
+++ b/source/core/router/quota/quota_holder.h
@@ -37,7 +37,7 @@
  private:
   struct Bucket {
     double tokens = 0;
-    /// Requests that were told to come back for tokens that are not there yet.
+    /// Refused requests whose retry delay counts on tokens that are still to be gained.
     double promised = 0;
     TimePoint updated{};
   };
--- a/source/core/router/routes/tenant_keys.h
+++ b/source/core/router/routes/tenant_keys.h
@@ -24,7 +24,7 @@
   /// @param tenants must outlive this object and must not change.
   explicit TenantKeys(const std::vector<Tenant>& tenants);
 
-  /// The time of a lookup depends on the key's digest alone, which tells a caller nothing about other keys.
+  /// The key is looked up by its digest, so the time of a lookup reveals nothing about other keys.
   /// @return the tenant with this key; null if there is none.
   const Tenant* find(std::string_view key) const;
 
--- a/source/router/store_call_counts.h
+++ b/source/router/store_call_counts.h
@@ -18,7 +18,7 @@
   /// @param log outlives this object.
   explicit StoreCallCounts(EventLog& log) : log_(log) {}
 
-  /// A call has been sent, whatever its answer will be.
+  /// Counts a call. Call this when it is sent, so that refused and unanswered calls count as well.
   /// @param kind of the objects; "peer" for a call made on behalf of another process.
   /// @param method of the call, or "watch" or "check".
   void onCall(const std::string& kind, const std::string& method, TimePoint now);
