Add version 8 of the frames: requests in parts, table edits, placement plans, times of sending

Cause: parts of the router that are built side by side (time on the way, link room, shared writes of owner tables, plans for a whole service) need new frames and fields, which must be agreed on before they are used.

Nothing sends the new kinds yet; peers of versions 5 to 7 get none of this.

Measured: FrameSamplesTest and RouterCodecTest pass for versions 5 to 8.

--- a/include/shedlever/router_frames.h
+++ b/include/shedlever/router_frames.h
@@ -12,9 +12,12 @@
 #include "shedlever/identifiers.h"
 #include "shedlever/outcome.h"
 #include "shedlever/owner_table_frames.h"
+#include "shedlever/placement_frames.h"
 #include "shedlever/router_config.h"
 #include "shedlever/server_crashes.h"
 #include "shedlever/store_revision.h"
+#include "shedlever/table_edit_frames.h"
+#include "shedlever/wire_version.h"
 
 namespace shedlever {
 
@@ -57,11 +60,26 @@
   ServiceName caller;
   TenantShare tenant;
   HttpRequest http;
+  /// Monotonic time of the sender's node when the frame is sent; 0 if not stated.
+  Duration::rep sent_at_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(exchange, id, instance, route, kind, priority, keyed, key, remaining_us, target_us, elapsed_us, caller,
-            tenant, http);
+            tenant, http, sinceWireVersion(kRequestPartsWireVersion, sent_at_us));
+  }
+};
+
+/// A part of a large forward frame. The parts of one request arrive in order, possibly interleaved with other frames.
+struct ForwardPartFrame {
+  ExchangeId exchange = 0;
+  /// Bytes of the encoded forward frame.
+  std::string bytes;
+  bool last = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, bytes, last);
   }
 };
 
@@ -116,10 +134,16 @@
   std::uint32_t demand_hundredths = 0;
   /// Mean run time of a request in milliseconds.
   std::uint32_t mean_service_ms = 0;
+  /// Bandwidth of the node's link in each direction, in kilobytes per second; 0 if it is no bottleneck or not stated.
+  std::uint32_t link_kbytes_per_s = 0;
+  /// How much longer than usual frames take to arrive at the node, in milliseconds.
+  std::uint32_t arrival_delay_ms = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(running, queued, slots, link_busy_ms, failed_permille, demand_hundredths, mean_service_ms);
+    archive(running, queued, slots, link_busy_ms, failed_permille, demand_hundredths, mean_service_ms,
+            sinceWireVersion(kRequestPartsWireVersion, link_kbytes_per_s),
+            sinceWireVersion(kRequestPartsWireVersion, arrival_delay_ms));
   }
 };
 
@@ -189,10 +213,13 @@
   /// For refused requests with a key: the owner of the key, if known.
   OwnerHint hint;
   HttpResponse http;
+  /// Monotonic time of the sender's node when the frame is sent; 0 if not stated.
+  Duration::rep sent_at_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, outcome, reason, reached_server, retry_after_us, service_us, load, known, hint, http);
+    archive(exchange, outcome, reason, reached_server, retry_after_us, service_us, load, known, hint, http,
+            sinceWireVersion(kRequestPartsWireVersion, sent_at_us));
   }
 };
 
@@ -387,6 +414,7 @@
     std::variant<ForwardFrame, ForwardReplyFrame, CancelForwardFrame, HelloFrame, StoppingFrame, ExchangeQueryFrame,
                  ExchangeQueryReplyFrame, StoreCallFrame, StoreReplyFrame, OwnerTableFrame, ClusterSnapshotFrame,
                  PingFrame, PongFrame, ReplyPartFrame, OwnerTableRequestFrame, ServerCrashesFrame, ConfigRequestFrame,
-                 ConfigFrame, OwnerTableDeltaFrame, QuotaRequestFrame, QuotaGrantFrame, UnknownFrame>;
+                 ConfigFrame, OwnerTableDeltaFrame, QuotaRequestFrame, QuotaGrantFrame, ForwardPartFrame,
+                 TableEditsFrame, TableEditsReplyFrame, PlacementPlanFrame, UnknownFrame>;
 
 }  // namespace shedlever
--- a/include/shedlever/wire_version.h
+++ b/include/shedlever/wire_version.h
@@ -15,7 +15,10 @@
 /// Owner tables are sent as differences.
 inline constexpr WireVersion kTableDeltaWireVersion = 6;
 inline constexpr WireVersion kExtensibleWireVersion = 7;
-inline constexpr WireVersion kNewestWireVersion = kExtensibleWireVersion;
+/// Requests may be sent in parts, frames state when they were sent, and changes of owner tables are sent to another
+/// process that writes them.
+inline constexpr WireVersion kRequestPartsWireVersion = 8;
+inline constexpr WireVersion kNewestWireVersion = kRequestPartsWireVersion;
 /// Spoken by processes whose node record states no version, unless they are still older.
 inline constexpr WireVersion kUnstatedWireVersion = 6;
 
--- a/source/core/router/frame_name.cc
+++ b/source/core/router/frame_name.cc
@@ -29,6 +29,10 @@
   const char* operator()(const OwnerTableDeltaFrame&) const { return "owner-table-delta"; }
   const char* operator()(const QuotaRequestFrame&) const { return "quota-request"; }
   const char* operator()(const QuotaGrantFrame&) const { return "quota-grant"; }
+  const char* operator()(const ForwardPartFrame&) const { return "request-part"; }
+  const char* operator()(const TableEditsFrame&) const { return "table-edits"; }
+  const char* operator()(const TableEditsReplyFrame&) const { return "table-edits-reply"; }
+  const char* operator()(const PlacementPlanFrame&) const { return "placement-plan"; }
   const char* operator()(const UnknownFrame&) const { return "unknown"; }
 };
 
--- a/source/net/router_codec.cc
+++ b/source/net/router_codec.cc
@@ -61,7 +61,19 @@
   return std::nullopt;
 }
 
+void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive&, TableEditKind& value, const std::uint8_t& number) {
+  // An edit of a kind that only later builds know must not be taken for another one.
+  if (number > static_cast<std::uint8_t>(TableEditKind::AbortRelease)) {
+    throw cereal::Exception("unknown kind of table edit");
+  }
+  value = static_cast<TableEditKind>(number);
+}
+
 bool isKnownIn(const RouterFrame& frame, WireVersion version) {
+  if (std::holds_alternative<ForwardPartFrame>(frame) || std::holds_alternative<TableEditsFrame>(frame) ||
+      std::holds_alternative<TableEditsReplyFrame>(frame) || std::holds_alternative<PlacementPlanFrame>(frame)) {
+    return version >= kRequestPartsWireVersion;
+  }
   if (std::holds_alternative<QuotaRequestFrame>(frame) || std::holds_alternative<QuotaGrantFrame>(frame)) {
     return version >= kExtensibleWireVersion;
   }
--- a/test/support/frame_samples.h
+++ b/test/support/frame_samples.h
@@ -124,6 +124,38 @@
           {"config", ConfigFrame{{{"main", {1, 9}, "{}"}}}}};
 }
 
+/// Fields that came with version 8.
+inline ForwardFrame forwardSampleSince8() {
+  ForwardFrame frame = forwardSample();
+  frame.sent_at_us = 5'000'000'123;
+  return frame;
+}
+
+inline ForwardReplyFrame replySampleSince8() {
+  ForwardReplyFrame frame = replySample();
+  frame.load.link_kbytes_per_s = 1'250;
+  frame.load.arrival_delay_ms = 35;
+  frame.sent_at_us = 5'000'090'456;
+  return frame;
+}
+
+inline TableEditsFrame tableEditsSample() {
+  TableEditEntry release;
+  release.expected = {100, 199, InstanceId("i-1"), 41, false};
+  release.first = 120;
+  release.last = 140;
+  TableEditEntry assign;
+  assign.kind = TableEditKind::Assign;
+  assign.expected = {200, 299, InstanceId("i-1"), 42, true};
+  assign.first = 200;
+  assign.last = 299;
+  assign.owner = InstanceId("i-2");
+  assign.node = NodeName("n-2");
+  assign.handover = "state";
+  assign.rate = 17;
+  return {703, ServiceName("maps"), {release, assign}};
+}
+
 /// All kinds that builds of the version know.
 inline std::vector<FrameSample> frameSamples(WireVersion version) {
   std::vector<FrameSample> samples = firstFrameSamples();
@@ -131,6 +163,16 @@
     samples.push_back({"quota-request", quotaRequestSample()});
     samples.push_back({"quota-grant", QuotaGrantFrame{702, true, 2, 250'000}});
   }
+  if (version >= kRequestPartsWireVersion) {
+    samples.push_back({"forward-sent-at", forwardSampleSince8()});
+    samples.push_back({"reply-sent-at", replySampleSince8()});
+    samples.push_back({"request-part", ForwardPartFrame{700, "bytes", true}});
+    samples.push_back({"table-edits", tableEditsSample()});
+    samples.push_back({"table-edits-reply", TableEditsReplyFrame{703, true, {true, false}, {1, 17}}});
+    samples.push_back(
+        {"placement-plan",
+         PlacementPlanFrame{ServiceName("maps"), InstanceId("i-1"), 4, {{InstanceId("i-2"), NodeName("n-2"), 130}}}});
+  }
   return samples;
 }
 
