Make the fake peer of the tests answer in the version of its stream

Cause: FakePeer encoded its frames in version 6 on every stream. Versions 6 and 7 encode the same, version 8 does not, so PeerClientTest.StatedVersionIsSpokenWithoutFurtherConnections failed: its reply could not be decoded.

Change: frames are encoded in the version that the connecting side announced. No assertion changes.

Measured: 21 of 21 PeerClientTest pass; before, that one failed.

--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -97,15 +97,15 @@
       const WireVersion version = versionOfPreface(stream.preface()).value();
       const RouterFrame frame = decodeRouterFrame(message, version).value();
       if (std::holds_alternative<HelloFrame>(frame)) {
-        stream.send(encodeRouterFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}}));
+        send(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}});
       } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
         ++peer.exchange_queries;
-        stream.send(encodeRouterFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state}));
+        send(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state});
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
-        stream.send(encodeRouterFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}}));
+        send(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
-        stream.send(encodeRouterFrame(PongFrame{}));
+        send(PongFrame{});
       } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
         ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
@@ -119,10 +119,15 @@
       std::optional<ForwardReplyFrame> reply = peer.on_forward ? peer.on_forward(forward) : std::nullopt;
       if (reply) {
         reply->exchange = forward.exchange;
-        stream.send(encodeRouterFrame(std::move(*reply)));
+        send(std::move(*reply));
       }
     }
 
+    /// Sends a frame in the version that the other side speaks.
+    void send(const RouterFrame& frame) {
+      stream.send(encodeRouterFrame(frame, versionOfPreface(stream.preface()).value()));
+    }
+
     FakePeer& peer;
     MessageStream stream;
     bool held = false;
