Move the owner tables out of ClusterState into a class of their own

Cause: ClusterState held two jobs: the view of configuration, nodes and zones, and the owner tables of all services with their requests to peers, hints and lists of the store.

Change: OwnerTables has the second job, with tests of its own; callers reach it by ClusterState::owners(). One change of behaviour: an object of the kind of node records whose name is not that of a node record is now logged as unreadable instead of being passed over.

Measured: 40 tests of the two classes and of what rests on them pass (OwnerTables, ClusterState, TableDelta, Restored*, SilentStore, KindPoller).

--- a/source/router/cluster_state.cc
+++ b/source/router/cluster_state.cc
@@ -4,13 +4,11 @@
 #include <utility>
 
 #include "source/core/router/duration_format.h"
-#include "source/core/router/ownership/owner_table_delta.h"
 
 namespace shedlever {
 
 namespace {
 
-constexpr std::string_view kTablePrefix = "owners-";
 constexpr std::string_view kNodePrefix = "node-";
 
 /// Pause between watch responses that follow each other closely; each response costs every node a call.
@@ -31,18 +29,15 @@
 constexpr Duration kRestoreGracePeriod = std::chrono::seconds(10);
 /// Covers the start of all nodes and the first reports of their servers.
 constexpr Duration kStartupPeriod = std::chrono::seconds(6);
-/// Minimum interval of requests to peers for the configuration or for one service's owner table. Meanwhile rejections
-/// name the next owner of single keys.
-constexpr Duration kPeerRequestInterval = std::chrono::seconds(1);
-/// Over an open stream; well above the network latency between two nodes, which is at most about 50 ms.
-constexpr Duration kTableReplyTimeout = std::chrono::milliseconds(500);
+/// Minimum interval of requests to peers for the configuration.
+constexpr Duration kConfigRequestInterval = std::chrono::seconds(1);
 /// Upper bound of the drift of two nodes' clocks during a lease.
 constexpr Duration kLeaseClockMargin = std::chrono::milliseconds(500);
 
 /// @return whether an object from another store epoch is the record of an earlier incarnation of a node's process than
 ///   the known record.
 bool isFromEarlierIncarnation(const MetadataObject& object, const MetadataObject& known) {
-  if (object.revision.epoch == known.revision.epoch || !object.name.starts_with(kNodePrefix)) {
+  if (object.revision.epoch == known.revision.epoch) {
     return false;
   }
   const auto record = decodeNodeRecord(object.value);
@@ -65,10 +60,9 @@
 
 }  // namespace
 
-ClusterState::ClusterState(NodeName self, ServiceName own_service, const ClusterStatePorts& ports,
+ClusterState::ClusterState(NodeName self, const ServiceName& own_service, const ClusterStatePorts& ports,
                            ClusterStateEvents events)
     : self_(std::move(self)),
-      own_service_(std::move(own_service)),
       ports_(ports),
       events_(std::move(events)),
       config_(*ports_.config, configEvents()),
@@ -83,22 +77,24 @@
                     {kNodeKind, kNodeWatchPause, kNodeStaleness},
                     watcherEvents(
                         *ports_.log, "membership",
-                        [this](const MetadataObject& object, bool deleted) { onStoredObject(object, deleted); },
+                        [this](const MetadataObject& object, bool deleted) { onNodeObject(object, deleted); },
                         [this] { onNodesListed(); })),
-      table_poller_(*ports_.loop, *ports_.clock, *ports_.store, kTableKind, ListIntervals{}, pollerEvents()),
+      owners_(own_service, {ports_.loop, ports_.clock, ports_.store, ports_.directory, ports_.log}, ownerEvents()),
       started_(ports_.clock->now()) {
   createEvacuationWatcher();
 }
 
-KindPoller::Events ClusterState::pollerEvents() {
-  return {[this](const MetadataObject& object) { onStoredObject(object, false); },
-          [this] {
-            tables_read_ = true;
-            tables_listed_epoch_ = ports_.store->epoch();
-            onListed(tables_listed_);
-          },
-          [this](bool available) { ports_.log->write("owners", available ? "list-regained" : "list-lost", {}); },
-          [this] { return tableNeed(); }};
+OwnerTablesEvents ClusterState::ownerEvents() {
+  OwnerTablesEvents events;
+  events.routes = [this] { return routes().get(); };
+  events.on_owners_changed = [this] { events_.on_owners_changed(); };
+  events.on_own_table = [this](const MetadataObject& table) { events_.on_own_table(table); };
+  events.on_listed = [this] { onListed(tables_listed_); };
+  events.on_epoch_observed = [this](StoreEpoch epoch) { events_.on_epoch_observed(epoch); };
+  events.request_owner_table = [this](const NodeName& node, const OwnerTableRequestFrame& request) {
+    events_.request_owner_table(node, request);
+  };
+  return events;
 }
 
 void ClusterState::createEvacuationWatcher() {
@@ -146,7 +142,7 @@
   }
   config_watcher_.start();
   node_watcher_.start();
-  table_poller_.start();
+  owners_.start();
 }
 
 void ClusterState::onStoreRestored() {
@@ -155,7 +151,7 @@
   if (evacuation_watcher_) {
     evacuation_watcher_->onStoreRestored();
   }
-  table_poller_.scheduleNextList();
+  owners_.scheduleNextList();
 }
 
 // Configuration.
@@ -191,7 +187,7 @@
                      {"revision", toString(config_watcher_.seen())},
                      {"routes", std::to_string(routes()->config().routes.size())}});
   events_.on_config_adopted();
-  table_poller_.scheduleNextList();
+  owners_.scheduleNextList();
 }
 
 void ClusterState::onPeerConfig(const ConfigFrame& config) { config_.onPeerConfig(config.parts); }
@@ -210,31 +206,31 @@
   if (store_has_newer || revisions.config_version <= config_.comparableVersion() || now < next_config_request_at_) {
     return;
   }
-  next_config_request_at_ = now + kPeerRequestInterval;
+  next_config_request_at_ = now + kConfigRequestInterval;
   events_.request_config(node, config_.comparableVersion());
 }
 
-// Nodes and owners.
+// Nodes.
 
-void ClusterState::onStoredObject(const MetadataObject& object, bool deleted) {
-  const auto known = stored_objects_.find(object.name);
-  if (known != stored_objects_.end() &&
+void ClusterState::onSharedObject(const MetadataObject& object) {
+  if (object.name.starts_with(kNodePrefix)) {
+    onNodeObject(object, false);
+  } else {
+    owners_.onStoredTable(object);
+  }
+}
+
+void ClusterState::onNodeObject(const MetadataObject& object, bool deleted) {
+  const auto known = stored_nodes_.find(object.name);
+  if (known != stored_nodes_.end() &&
       (object.revision < known->second.revision || isFromEarlierIncarnation(object, known->second))) {
     return;
   }
   if (deleted) {
-    stored_objects_.erase(object.name);
+    stored_nodes_.erase(object.name);
   } else {
-    stored_objects_[object.name] = object;
+    stored_nodes_[object.name] = object;
   }
-  if (object.name.starts_with(kNodePrefix)) {
-    onNodeObject(object, deleted);
-  } else if (object.name.starts_with(kTablePrefix) && !deleted) {
-    onTableObject(object);
-  }
-}
-
-void ClusterState::onNodeObject(const MetadataObject& object, bool deleted) {
   const auto record = decodeNodeRecord(object.value);
   if (!record || nodeRecordName(record->node) != object.name) {
     events_.on_unreadable(object.name);
@@ -257,7 +253,7 @@
   }
   events_.on_nodes_changed();
   updateNodeWatchPause();
-  table_poller_.scheduleNextList();
+  owners_.scheduleNextList();
 }
 
 void ClusterState::updateNodeWatchPause() {
@@ -273,63 +269,12 @@
   if (previous == 0 || previous == nodes_listed_epoch_) {
     return;
   }
-  const auto own = stored_objects_.find(nodeRecordName(self_));
-  const bool in_backup = own != stored_objects_.end() && own->second.revision.epoch == nodes_listed_epoch_;
+  const auto own = stored_nodes_.find(nodeRecordName(self_));
+  const bool in_backup = own != stored_nodes_.end() && own->second.revision.epoch == nodes_listed_epoch_;
   const auto record = in_backup ? decodeNodeRecord(own->second.value) : std::nullopt;
   events_.on_node_records_restored(record ? &*record : nullptr);
 }
 
-bool ClusterState::hasMissingTables() const {
-  if (!routes()) {
-    return false;
-  }
-  const auto& services = routes()->config().services;
-  return std::any_of(services.begin(), services.end(), [this](const auto& entry) {
-    const auto& [name, service] = entry;
-    return service.divided_by_key && !stored_objects_.contains(ownerTableName(name)) &&
-           !ports_.directory->availableServers(name).empty();
-  });
-}
-
-bool ClusterState::hasServiceWithoutReachableOwners() const {
-  const auto is_unreachable = [this](const OwnedRange& range) {
-    return !range.owner.empty() && ports_.directory->isUnreachable(range.node);
-  };
-  return std::any_of(tables_.begin(), tables_.end(), [&](const auto& entry) {
-    const std::vector<OwnedRange>& ranges = entry.second->table().ranges();
-    return !ranges.empty() && std::all_of(ranges.begin(), ranges.end(), is_unreachable);
-  });
-}
-
-ListNeed ClusterState::tableNeed() const {
-  if (hasMissingTables() || hasServiceWithoutReachableOwners()) {
-    return ListNeed::Missing;
-  }
-  const bool newer = std::any_of(table_requests_.begin(), table_requests_.end(), [this](const auto& entry) {
-    return entry.second.unanswered_revision > tableRevision(entry.first);
-  });
-  const bool of_earlier_epoch = tables_read_ && tables_listed_epoch_ < ports_.store->epoch();
-  return newer || of_earlier_epoch ? ListNeed::Newer : ListNeed::Nothing;
-}
-
-StoreRevision ClusterState::tableRevision(const ServiceName& service) const {
-  const TableWriter* table = tableOf(service);
-  return table == nullptr ? StoreRevision() : table->revision();
-}
-
-void ClusterState::onTableObject(const MetadataObject& object) {
-  const ServiceName service(object.name.substr(kTablePrefix.size()));
-  if (service == own_service_) {
-    events_.on_own_table(object);
-    return;
-  }
-  std::unique_ptr<TableWriter>& table = tables_[service];
-  if (!table) {
-    table = std::make_unique<TableWriter>(service, *ports_.store, [this] { events_.on_owners_changed(); });
-  }
-  table->onObject(object);
-}
-
 void ClusterState::onListed(bool& listed) {
   listed = true;
   if (synced()) {
@@ -337,57 +282,6 @@
   }
 }
 
-const MetadataObject* ClusterState::ownTableObject() const {
-  const auto found = stored_objects_.find(ownerTableName(own_service_));
-  return found == stored_objects_.end() ? nullptr : &found->second;
-}
-
-const TableWriter* ClusterState::tableOf(const ServiceName& service) const {
-  if (service == own_service_) {
-    return own_table_;
-  }
-  const auto found = tables_.find(service);
-  return found == tables_.end() ? nullptr : found->second.get();
-}
-
-KeyOwner ClusterState::ownerOf(const ServiceName& service, Key key) {
-  const TableWriter* table = tableOf(service);
-  return table == nullptr ? KeyOwner{} : owner_views_[service].find(key, table->table(), table->revision());
-}
-
-void ClusterState::addOwnerHint(const ServiceName& service, const OwnerHint& hint) {
-  const TableWriter* table = tableOf(service);
-  owner_views_[service].addHint(hint, table == nullptr ? StoreRevision() : table->revision());
-}
-
-void ClusterState::onOwnerTable(const ObjectCopy& table) {
-  if (table.name.starts_with(kTablePrefix)) {
-    events_.on_epoch_observed(table.revision.epoch);
-    onStoredObject({table.name, table.revision, table.value}, false);
-    table_poller_.scheduleNextList();
-  }
-}
-
-void ClusterState::onOwnerTableDelta(const NodeName& node, const OwnerTableDeltaFrame& delta) {
-  if (!delta.name.starts_with(kTablePrefix)) {
-    return;
-  }
-  const ServiceName service(delta.name.substr(kTablePrefix.size()));
-  const StoreRevision known = tableRevision(service);
-  if (known >= delta.revision) {
-    return;
-  }
-  const TableWriter* table = tableOf(service);
-  if (const auto newer = applyDelta(table == nullptr ? OwnerTable() : table->table(), delta)) {
-    onOwnerTable({delta.name, delta.revision, newer->encode()});
-    return;
-  }
-  // If the delta was made for the known table, the digest did not show all differences.
-  const bool digest_failed = known == delta.base;
-  sendTableRequest(node, service, delta.revision,
-                   digest_failed ? OwnerTableRequestFrame{known} : tableRequest(service));
-}
-
 void ClusterState::tick() {
   const std::size_t process_count = ports_.directory->nodes().size();
   config_watcher_.tick(process_count);
@@ -407,60 +301,15 @@
   if (evacuation_watcher_) {
     evacuation_watcher_->onPeerFreshness(revisions.evacuations);
   }
-  if (revisions.own_table > tableRevision(service)) {
-    requestNewerTable(node, service, revisions.own_table);
-  }
-}
-
-void ClusterState::requestNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision) {
-  const TableRequest& request = table_requests_[service];
-  const TimePoint now = ports_.clock->now();
-  if (request.requested_at != TimePoint{} && now - request.requested_at < kPeerRequestInterval) {
-    return;
-  }
-  sendTableRequest(node, service, revision, tableRequest(service));
-}
-
-void ClusterState::sendTableRequest(const NodeName& node, const ServiceName& service, StoreRevision expected,
-                                    const OwnerTableRequestFrame& request) {
-  table_requests_[service].requested_at = ports_.clock->now();
-  events_.request_owner_table(node, request);
-  ports_.loop->runAfter(kTableReplyTimeout, [this, alive = alive_, service, expected] {
-    if (*alive) {
-      table_requests_[service].unanswered_revision = expected;
-      table_poller_.scheduleNextList();
-    }
-  });
-}
-
-OwnerTableRequestFrame ClusterState::tableRequest(const ServiceName& service) const {
-  const TableWriter* table = tableOf(service);
-  return table == nullptr ? OwnerTableRequestFrame{}
-                          : OwnerTableRequestFrame{table->revision(), digestOf(table->table())};
+  owners_.onPeerRevision(node, service, revisions.own_table);
 }
 
 KnownRevisions ClusterState::knownRevisions() const {
   const KindFreshness evacuations = evacuation_watcher_ ? evacuation_watcher_->freshness() : KindFreshness{};
-  return {config_watcher_.freshness(), node_watcher_.freshness(), tableRevision(own_service_), 0, {}, evacuations,
+  return {config_watcher_.freshness(), node_watcher_.freshness(), owners_.ownRevision(), 0, {}, evacuations,
           config_.comparableVersion()};
 }
 
-std::optional<RouterFrame> ClusterState::answerTableRequest(const OwnerTableRequestFrame& request) const {
-  if (own_table_ == nullptr || own_table_->revision() <= request.known) {
-    return std::nullopt;
-  }
-  const std::string name = ownerTableName(own_service_);
-  const OwnerTable& table = own_table_->table();
-  if (request.digest.empty()) {
-    return OwnerTableFrame{{name, own_table_->revision(), table.encode()}};
-  }
-  OwnerTableDeltaFrame delta = makeDelta(table, request.digest);
-  delta.name = name;
-  delta.base = request.known;
-  delta.revision = own_table_->revision();
-  return delta;
-}
-
 void ClusterState::noteLease(const NodeName& node, TimePoint until) {
   TimePoint& end = lease_ends_[node];
   end = std::max(end, until);
@@ -472,9 +321,12 @@
   }
   ClusterSnapshotFrame snapshot;
   snapshot.config = config_.copies();
-  for (const auto& [name, object] : stored_objects_) {
+  for (const auto& [name, object] : stored_nodes_) {
     snapshot.shared.push_back({object.name, object.revision, object.value});
   }
+  for (ObjectCopy& table : owners_.copies()) {
+    snapshot.shared.push_back(std::move(table));
+  }
   snapshot.evacuations = evacuations_.copies();
   const auto lease = lease_ends_.find(node);
   const TimePoint now = ports_.clock->now();
@@ -493,7 +345,7 @@
                      {"lease_left_us", std::to_string(snapshot.lease_left_us)}});
   for (const ObjectCopy& copy : snapshot.shared) {
     events_.on_epoch_observed(copy.revision.epoch);
-    onStoredObject({copy.name, copy.revision, copy.value}, false);
+    onSharedObject({copy.name, copy.revision, copy.value});
   }
   config_.onPeerConfig(snapshot.config);
   nodes_listed_ = true;
--- a/source/router/cluster_state.h
+++ b/source/router/cluster_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// One process's view of the cluster: configuration, nodes, evacuated zones and key owners. The view is filled from the
-/// store, from peers' replies and, while the store is unreachable, from a peer's snapshot.
+/// One process's view of the cluster: configuration, nodes, evacuated zones and key owners (`OwnerTables`). The view is
+/// filled from the store, from peers' replies and, while the store is unreachable, from a peer's snapshot.
 
 #include <functional>
 #include <map>
@@ -12,14 +12,12 @@
 #include "shedlever/platform_ports.h"
 #include "source/core/router/directory/evacuated_zones.h"
 #include "source/core/router/directory/server_directory.h"
-#include "source/core/router/ownership/owner_view.h"
-#include "source/core/router/ownership/table_writer.h"
 #include "source/core/router/routes/active_config.h"
 #include "source/core/router/routes/route_table.h"
 #include "source/router/event_log.h"
-#include "source/router/kind_poller.h"
 #include "source/router/kind_watcher.h"
 #include "source/router/node_records.h"
+#include "source/router/owner_tables.h"
 
 namespace shedlever {
 
@@ -71,7 +69,8 @@
 
 class ClusterState {
  public:
-  ClusterState(NodeName self, ServiceName own_service, const ClusterStatePorts& ports, ClusterStateEvents events);
+  ClusterState(NodeName self, const ServiceName& own_service, const ClusterStatePorts& ports,
+               ClusterStateEvents events);
   ~ClusterState() { *alive_ = false; }
   ClusterState(const ClusterState&) = delete;
   ClusterState& operator=(const ClusterState&) = delete;
@@ -94,24 +93,11 @@
   bool evacuationsKnown() const { return !evacuation_watcher_ || evacuations_.known(); }
   const EvacuatedZones& evacuations() const { return evacuations_; }
 
-  /// @return whether the owner tables have been listed from the store itself, not from a snapshot, since the start.
-  bool tablesRead() const { return tables_read_; }
+  OwnerTables& owners() { return owners_; }
+  const OwnerTables& owners() const { return owners_; }
 
-  /// Sets the table of this node's service, which is maintained outside this class.
-  void setOwnTable(const TableWriter* table) { own_table_ = table; }
-  /// @return the stored table object of this node's service; null while there is none.
-  const MetadataObject* ownTableObject() const;
-
-  /// @return the owner of the key; empty while the key has no owner or the owner is unknown.
-  KeyOwner ownerOf(const ServiceName& service, Key key);
-  void addOwnerHint(const ServiceName& service, const OwnerHint& hint);
   /// A node became reachable or unreachable.
-  void onPeerReachabilityChanged() { table_poller_.scheduleNextList(); }
-  /// A peer has sent an owner table.
-  void onOwnerTable(const ObjectCopy& table);
-  /// A node has sent the difference of its table from an earlier one. If this process does not have the earlier one, it
-  /// requests the difference from the one that it has.
-  void onOwnerTableDelta(const NodeName& node, const OwnerTableDeltaFrame& delta);
+  void onPeerReachabilityChanged() { owners_.scheduleNextList(); }
 
   /// Compares the newest revisions known to a node of the given service with this process's and catches up.
   void onPeerRevisions(const NodeName& node, const ServiceName& service, const KnownRevisions& revisions);
@@ -130,9 +116,6 @@
   TimePoint nodesConfirmedAt() const { return node_watcher_.confirmedAt(); }
   /// Checks the store for node records that are not known yet.
   void confirmNodes() { node_watcher_.check(); }
-  /// @return the owner table of this node's service, or its difference from the peer's; none if it is not newer.
-  std::optional<RouterFrame> answerTableRequest(const OwnerTableRequestFrame& request) const;
-
   /// @return the active configuration if its version is above `known`.
   std::optional<ConfigFrame> configNewerThan(ConfigVersion known) const;
   /// A peer has sent its active configuration.
@@ -146,7 +129,7 @@
   void applySnapshot(const ClusterSnapshotFrame& snapshot);
 
  private:
-  KindPoller::Events pollerEvents();
+  OwnerTablesEvents ownerEvents();
   void createEvacuationWatcher();
   void onEvacuationsChanged();
   ActiveConfig::Events configEvents();
@@ -155,63 +138,32 @@
   /// newer object. A store that was restored from a backup may lack the active version.
   void onPeerConfigVersion(const NodeName& node, const KnownRevisions& revisions);
   void onNodesListed();
-  void onStoredObject(const MetadataObject& object, bool deleted);
   void onNodeObject(const MetadataObject& object, bool deleted);
+  /// Handles a node record or an owner table from a snapshot.
+  void onSharedObject(const MetadataObject& object);
   /// Lengthens the pause of the node watch with the number of nodes, to limit the store's load.
   void updateNodeWatchPause();
-  void onTableObject(const MetadataObject& object);
   void onListed(bool& listed);
-  const TableWriter* tableOf(const ServiceName& service) const;
-  /// @return whether a keyed service with ready servers has no known owner table.
-  bool hasMissingTables() const;
-  /// @return whether all key owners of some service are unreachable, so that no reply can name the next owners.
-  bool hasServiceWithoutReachableOwners() const;
-  /// @return why the owner tables have to be listed, if at all.
-  ListNeed tableNeed() const;
-  StoreRevision tableRevision(const ServiceName& service) const;
-  /// @return the request for a newer table than the known one of the service.
-  OwnerTableRequestFrame tableRequest(const ServiceName& service) const;
-  /// Requests a newer table from a peer, at a limited rate; the store is read only if the peer does not reply in time.
-  void requestNewerTable(const NodeName& node, const ServiceName& service, StoreRevision revision);
-  /// @param expected revision of the table that the node has; the store is listed unless this revision or a newer one
-  /// is
-  ///   received in time.
-  void sendTableRequest(const NodeName& node, const ServiceName& service, StoreRevision expected,
-                        const OwnerTableRequestFrame& request);
 
   NodeName self_;
-  ServiceName own_service_;
   ClusterStatePorts ports_;
   ClusterStateEvents events_;
   ActiveConfig config_;
   KindWatcher config_watcher_;
   KindWatcher node_watcher_;
-  KindPoller table_poller_;
+  OwnerTables owners_;
   EvacuatedZones evacuations_;
   /// Null where evacuation is disabled.
   std::unique_ptr<KindWatcher> evacuation_watcher_;
   TimePoint started_;
   bool nodes_listed_ = false;
   bool tables_listed_ = false;
-  bool tables_read_ = false;
   /// Earliest time of the next request to a peer for its configuration.
   TimePoint next_config_request_at_{};
-  /// Store epochs of the last lists of the node records and of the owner tables.
+  /// Store epoch of the last list of the node records.
   StoreEpoch nodes_listed_epoch_ = 0;
-  StoreEpoch tables_listed_epoch_ = 0;
-  /// Node records and owner tables as stored, for snapshots.
-  std::map<std::string, MetadataObject> stored_objects_;
-  /// Tables of services other than this node's.
-  std::map<ServiceName, std::unique_ptr<TableWriter>> tables_;
-  const TableWriter* own_table_ = nullptr;
-  /// The last request to a peer for a service's owner table.
-  struct TableRequest {
-    TimePoint requested_at{};
-    /// Revision whose reply has timed out; the store is listed while the known table is older. 0 before any timeout.
-    StoreRevision unanswered_revision;
-  };
-  std::map<ServiceName, TableRequest> table_requests_;
-  std::map<ServiceName, OwnerView> owner_views_;
+  /// Node records by name, as stored.
+  std::map<std::string, MetadataObject> stored_nodes_;
   std::map<NodeName, TimePoint> lease_ends_;
   /// Set to false by the destructor, for timers.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -115,11 +115,11 @@
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known_revisions = [this] { return knownRevisions(); };
   peer_ports.answer_table_request = [this](const OwnerTableRequestFrame& request) {
-    return cluster_state_.answerTableRequest(request);
+    return cluster_state_.owners().answerRequest(request);
   };
   peer_ports.config_newer_than = [this](ConfigVersion known) { return cluster_state_.configNewerThan(known); };
   peer_ports.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
-    cluster_state_.onOwnerTableDelta(node, delta);
+    cluster_state_.owners().onDelta(node, delta);
   };
   peer_ports.needs_snapshot = [this] { return shouldRequestSnapshot(); };
   peer_ports.on_snapshot = [this](const ClusterSnapshotFrame& snapshot) { onSnapshot(snapshot); };
@@ -157,8 +157,8 @@
   ownership_manager_ =
       std::make_unique<OwnershipManager>(self_, settings_.service, settings_.ownership, ownershipPorts());
   gate_.setOwnershipManager(ownership_manager_.get());
-  cluster_state_.setOwnTable(&ownership_manager_->tableWriter());
-  if (const MetadataObject* table = cluster_state_.ownTableObject()) {
+  cluster_state_.owners().setOwnTable(&ownership_manager_->tableWriter());
+  if (const MetadataObject* table = cluster_state_.owners().ownTableObject()) {
     ownership_manager_->onTableObject(*table);
   } else if (cluster_state_.synced()) {
     ownership_manager_->onTableAbsent();
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -75,10 +75,10 @@
       ownership_manager_->onPeerLease(node, lease);
     }
   };
-  events.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.onOwnerTable(frame.table); };
+  events.on_owner_table = [this](const OwnerTableFrame& frame) { cluster_state_.owners().onTable(frame.table); };
   events.on_config = [this](const ConfigFrame& config) { cluster_state_.onPeerConfig(config); };
   events.on_owner_table_delta = [this](const NodeName& node, const OwnerTableDeltaFrame& delta) {
-    cluster_state_.onOwnerTableDelta(node, delta);
+    cluster_state_.owners().onDelta(node, delta);
   };
   events.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
   events.on_stream_version = [this](const NodeName& node, WireVersion version) {
@@ -163,9 +163,9 @@
   ports.quota = &quota_;
   ports.log = &log_;
   ports.metrics = &metrics_;
-  ports.owner_of = [this](const ServiceName& service, Key key) { return cluster_state_.ownerOf(service, key); };
+  ports.owner_of = [this](const ServiceName& service, Key key) { return cluster_state_.owners().ownerOf(service, key); };
   ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) {
-    cluster_state_.addOwnerHint(service, hint);
+    cluster_state_.owners().addHint(service, hint);
   };
   ports.on_known_revisions = [this](const NodeName& node, const ServiceName& service, const KnownRevisions& revisions) {
     cluster_state_.onPeerRevisions(node, service, revisions);
@@ -199,7 +199,7 @@
       sendTransfer(node, delta);
     }
   };
-  ports.table_read = [this] { return cluster_state_.tablesRead(); };
+  ports.table_read = [this] { return cluster_state_.owners().isRead(); };
   ports.servers_confirmed_at = [this] { return cluster_state_.nodesConfirmedAt(); };
   ports.confirm_servers = [this] { cluster_state_.confirmNodes(); };
   ports.on_server_gone = [this] { onServerGone(); };
@@ -213,7 +213,7 @@
 void RouterProcess::sendTransfer(const NodeName& node, const OwnerTableDeltaFrame& delta) {
   if (peer_client_.versionOf(node) >= kTableDeltaWireVersion) {
     peer_client_.send(node, delta);
-  } else if (const std::optional<RouterFrame> whole_table = cluster_state_.answerTableRequest({})) {
+  } else if (const std::optional<RouterFrame> whole_table = cluster_state_.owners().answerRequest({})) {
     peer_client_.send(node, *whole_table);
   }
 }
--- a/test/router/cluster_state_test.cc
+++ b/test/router/cluster_state_test.cc
@@ -90,8 +90,8 @@
   ASSERT_EQ(requests_.size(), 1U);
   EXPECT_EQ(requests_.front(), std::make_pair(owner_, StoreRevision{0}));
   EXPECT_TRUE(store_.lists.empty());
-  cluster_state_.onOwnerTable(tableAt(7));
-  EXPECT_EQ(cluster_state_.ownerOf(keyed_, 5).node, owner_);
+  cluster_state_.owners().onTable(tableAt(7));
+  EXPECT_EQ(cluster_state_.owners().ownerOf(keyed_, 5).node, owner_);
   clock_.advance(std::chrono::seconds(5));
   cluster_state_.onPeerRevisions(owner_, keyed_, withTable(7));
   EXPECT_EQ(requests_.size(), 1U);
@@ -102,7 +102,7 @@
   clock_.advance(milliseconds(100));
   cluster_state_.onPeerRevisions(NodeName("other"), keyed_, withTable(8));
   EXPECT_EQ(requests_.size(), 1U);
-  cluster_state_.onOwnerTable(tableAt(7));
+  cluster_state_.owners().onTable(tableAt(7));
   clock_.advance(std::chrono::seconds(1));
   cluster_state_.onPeerRevisions(NodeName("other"), keyed_, withTable(8));
   ASSERT_EQ(requests_.size(), 2U);
@@ -110,7 +110,7 @@
 }
 
 TEST_F(ClusterStateTest, NewerTableOfOneServiceDoesNotHideMissingTableOfAnother) {
-  cluster_state_.onOwnerTable(tableAt(9));
+  cluster_state_.owners().onTable(tableAt(9));
   cluster_state_.onPeerRevisions(NodeName("n"), ServiceName("second"), withTable(5));
   ASSERT_EQ(requests_.size(), 1U);
   EXPECT_EQ(requests_.back(), std::make_pair(NodeName("n"), StoreRevision{0}));
@@ -165,12 +165,12 @@
   /// Makes this process know the table of its own service.
   void setOwnTable(StoreRevision revision, const OwnerTable& table) {
     own_table_.onObject(objectOf(ServiceName("own"), revision, table));
-    cluster_state_.setOwnTable(&own_table_);
+    cluster_state_.owners().setOwnTable(&own_table_);
   }
 
   /// Makes this process know the table of the keyed service.
   void learnTable(StoreRevision revision, const OwnerTable& table) {
-    cluster_state_.onOwnerTable({ownerTableName(keyed_), revision, table.encode()});
+    cluster_state_.owners().onTable({ownerTableName(keyed_), revision, table.encode()});
   }
 
   /// @return the delta with which a node that knows the newest table replies to the last request.
@@ -186,8 +186,8 @@
   bool knowsNewestOwners() {
     const std::vector<OwnedRange>& ranges = newest_table_.ranges();
     return std::all_of(ranges.begin(), ranges.end(), [this](const OwnedRange& range) {
-      return cluster_state_.ownerOf(keyed_, range.keys.first).node == range.node &&
-             cluster_state_.ownerOf(keyed_, range.keys.last).node == range.node;
+      return cluster_state_.owners().ownerOf(keyed_, range.keys.first).node == range.node &&
+             cluster_state_.owners().ownerOf(keyed_, range.keys.last).node == range.node;
     });
   }
 
@@ -208,12 +208,12 @@
   const OwnerTableRequestFrame request{StoreRevision{10}, digestOf(first_table_)};
   std::size_t bytes = 0;
   for (std::size_t i = 0; i < kAskers; ++i) {
-    const auto reply = cluster_state_.answerTableRequest(request);
+    const auto reply = cluster_state_.owners().answerRequest(request);
     ASSERT_TRUE(reply.has_value());
     EXPECT_TRUE(std::holds_alternative<OwnerTableDeltaFrame>(*reply));
     bytes += encodeRouterFrame(*reply).size();
   }
-  const auto whole = cluster_state_.answerTableRequest({});
+  const auto whole = cluster_state_.owners().answerRequest({});
   const std::size_t whole_bytes = encodeRouterFrame(*whole).size();
   RecordProperty("delta_bytes", std::to_string(bytes / kAskers));
   RecordProperty("table_bytes", std::to_string(whole_bytes));
@@ -224,7 +224,7 @@
 
 TEST_F(TableDeltaTest, ProcessWithoutTableGetsTheWholeTable) {
   setOwnTable(20, newest_table_);
-  const auto reply = cluster_state_.answerTableRequest({});
+  const auto reply = cluster_state_.owners().answerRequest({});
   ASSERT_TRUE(reply.has_value());
   const auto* whole = std::get_if<OwnerTableFrame>(&*reply);
   ASSERT_NE(whole, nullptr);
@@ -234,8 +234,8 @@
 
 TEST_F(TableDeltaTest, ProcessWithTheNewestTableGetsNoReply) {
   setOwnTable(20, newest_table_);
-  EXPECT_FALSE(cluster_state_.answerTableRequest({StoreRevision{20}, digestOf(newest_table_)}).has_value());
-  EXPECT_FALSE(cluster_state_.answerTableRequest({StoreRevision{21}, digestOf(newest_table_)}).has_value());
+  EXPECT_FALSE(cluster_state_.owners().answerRequest({StoreRevision{20}, digestOf(newest_table_)}).has_value());
+  EXPECT_FALSE(cluster_state_.owners().answerRequest({StoreRevision{21}, digestOf(newest_table_)}).has_value());
 }
 
 TEST_F(TableDeltaTest, DeltaOfTheRequestedTableIsAdopted) {
@@ -245,7 +245,7 @@
   ASSERT_EQ(requests_.size(), 1U);
   EXPECT_EQ(last_request_.known, StoreRevision{10});
   EXPECT_FALSE(knowsNewestOwners());
-  cluster_state_.onOwnerTableDelta(owner_, deltaFor(last_request_, 11));
+  cluster_state_.owners().onDelta(owner_, deltaFor(last_request_, 11));
   EXPECT_TRUE(knowsNewestOwners());
   EXPECT_EQ(requests_.size(), 1U);
   clock_.advance(std::chrono::seconds(5));
@@ -256,17 +256,17 @@
 // Snapshots for other processes contain the table as if it had been read from the store.
 TEST_F(TableDeltaTest, AdoptedTableIsStoredAsItsSenderEncodesIt) {
   const ServiceName own("own");
-  cluster_state_.onOwnerTable({ownerTableName(own), 10, first_table_.encode()});
+  cluster_state_.owners().onTable({ownerTableName(own), 10, first_table_.encode()});
   setOwnTable(10, first_table_);
   moveKeys(300);
   OwnerTableDeltaFrame delta = makeDelta(newest_table_, digestOf(first_table_));
   delta.name = ownerTableName(own);
   delta.base = 10;
   delta.revision = 11;
-  cluster_state_.onOwnerTableDelta(owner_, delta);
-  ASSERT_NE(cluster_state_.ownTableObject(), nullptr);
-  EXPECT_EQ(cluster_state_.ownTableObject()->revision, StoreRevision{11});
-  EXPECT_EQ(cluster_state_.ownTableObject()->value, newest_table_.encode());
+  cluster_state_.owners().onDelta(owner_, delta);
+  ASSERT_NE(cluster_state_.owners().ownTableObject(), nullptr);
+  EXPECT_EQ(cluster_state_.owners().ownTableObject()->revision, StoreRevision{11});
+  EXPECT_EQ(cluster_state_.owners().ownTableObject()->value, newest_table_.encode());
 }
 
 TEST_F(TableDeltaTest, WholeTableIsRequestedWhenTheDeltaDoesNotFit) {
@@ -275,11 +275,11 @@
   moveKeys(300);
   OwnerTableDeltaFrame incomplete = deltaFor(last_request_, 11);
   incomplete.ranges.clear();
-  cluster_state_.onOwnerTableDelta(owner_, incomplete);
+  cluster_state_.owners().onDelta(owner_, incomplete);
   ASSERT_EQ(requests_.size(), 2U);
   EXPECT_EQ(requests_.back(), std::make_pair(owner_, StoreRevision{10}));
   EXPECT_TRUE(last_request_.digest.empty());
-  EXPECT_EQ(cluster_state_.ownerOf(keyed_, 300).node, first_table_.find(300)->node);
+  EXPECT_EQ(cluster_state_.owners().ownerOf(keyed_, 300).node, first_table_.find(300)->node);
 }
 
 TEST_F(TableDeltaTest, AnotherDeltaIsRequestedWhenTheTableHasChangedMeanwhile) {
@@ -292,11 +292,11 @@
   moveKeys(60000);
   OwnerTableDeltaFrame unfit = deltaFor(first_request, 12);
   unfit.ranges.clear();
-  cluster_state_.onOwnerTableDelta(owner_, unfit);
+  cluster_state_.owners().onDelta(owner_, unfit);
   ASSERT_EQ(requests_.size(), 2U);
   EXPECT_EQ(requests_.back(), std::make_pair(owner_, StoreRevision{11}));
   EXPECT_EQ(last_request_.digest, digestOf(known));
-  cluster_state_.onOwnerTableDelta(owner_, deltaFor(last_request_, 12));
+  cluster_state_.owners().onDelta(owner_, deltaFor(last_request_, 12));
   EXPECT_TRUE(knowsNewestOwners());
 }
 
@@ -306,20 +306,20 @@
   const OwnerTable before = newest_table_;
   moveKeys(60000);
   const OwnerTableDeltaFrame delta = deltaFor({StoreRevision{11}, digestOf(before)}, 12);
-  cluster_state_.onOwnerTableDelta(owner_, delta);
+  cluster_state_.owners().onDelta(owner_, delta);
   ASSERT_EQ(requests_.size(), 1U);
   EXPECT_TRUE(last_request_.known.none());
   EXPECT_TRUE(last_request_.digest.empty());
   learnTable(10, first_table_);
-  cluster_state_.onOwnerTableDelta(owner_, delta);
+  cluster_state_.owners().onDelta(owner_, delta);
   ASSERT_EQ(requests_.size(), 2U);
   EXPECT_EQ(last_request_.digest, digestOf(first_table_));
-  EXPECT_EQ(cluster_state_.ownerOf(keyed_, 300).node, first_table_.find(300)->node);
+  EXPECT_EQ(cluster_state_.owners().ownerOf(keyed_, 300).node, first_table_.find(300)->node);
 }
 
 TEST_F(TableDeltaTest, StoreIsListedWhenARequestAfterADeltaGetsNoReply) {
   moveKeys(300);
-  cluster_state_.onOwnerTableDelta(owner_, deltaFor({StoreRevision{11}, digestOf(first_table_)}, 12));
+  cluster_state_.owners().onDelta(owner_, deltaFor({StoreRevision{11}, digestOf(first_table_)}, 12));
   clock_.advance(milliseconds(1200));
   EXPECT_TRUE(loop_.runUntil([&] { return !store_.lists.empty(); }, kTestTimeout));
 }
@@ -330,7 +330,7 @@
   const OwnerTableDeltaFrame late = deltaFor(last_request_, 11);
   moveKeys(300);
   learnTable(12, newest_table_);
-  cluster_state_.onOwnerTableDelta(owner_, late);
+  cluster_state_.owners().onDelta(owner_, late);
   EXPECT_TRUE(knowsNewestOwners());
   EXPECT_EQ(requests_.size(), 1U);
 }
@@ -342,7 +342,7 @@
   moveKeys(300);
   cluster_state_.onPeerRevisions(owner_, keyed_, withTable({2, 7}));
   ASSERT_EQ(requests_.size(), 1U);
-  cluster_state_.onOwnerTableDelta(owner_, deltaFor(last_request_, {2, 7}));
+  cluster_state_.owners().onDelta(owner_, deltaFor(last_request_, {2, 7}));
   EXPECT_TRUE(knowsNewestOwners());
 }
 
