--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -11,23 +11,14 @@
 
 namespace {
 
-/// Measured waits for owners are ignored once the last one is older than this.
-constexpr Duration kOwnerWaitMaxAge = std::chrono::seconds(2);
 /// Limits the attempts for one request whose key is transferred repeatedly.
 constexpr std::uint32_t kMaxAttempts = 8;
 /// A parked request is retried after this interval even if no change of owner was reported.
 constexpr Duration kParkedRetryInterval = std::chrono::milliseconds(40);
-/// Maximum jitter as a multiple of the retry delay.
-constexpr double kRetryAfterJitter = 1.0;
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 /// Roughly the time for which a process is unavailable while it starts or stops.
 constexpr Duration kUnavailableRetryAfter = std::chrono::milliseconds(500);
 /// Retry delay for a route that could not be decoded: only the operator's next version may change that.
 constexpr Duration kInvalidRouteRetryAfter = std::chrono::seconds(5);
-/// Retry delay while a request with the same idempotency key runs or the store does not respond.
-constexpr Duration kClaimRetryAfter = std::chrono::seconds(1);
-/// Clients honour a retry delay of at most a third of their remaining time.
-constexpr int kMaxRetryAfterDivisor = 4;
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -40,7 +31,9 @@
       recorder_(*ports_.clock, *ports_.log, *ports_.metrics),
       budget_(budget),
       policy_(budget_),
-      traffic_splitter_(static_cast<std::size_t>(ports_.random->next())) {}
+      traffic_splitter_(static_cast<std::size_t>(ports_.random->next())),
+      retry_delays_(*ports_.random),
+      permits_(permitPorts()) {}
 
 void Gateway::setConfig(std::shared_ptr<const RouteTable> routes) {
   routes_ = std::move(routes);
@@ -66,8 +59,7 @@
   }
   if (!routes_ || refusing_) {
     const Reason reason = refusing_ ? Reason::ShuttingDown : Reason::ServerUnavailable;
-    refuseAtOnce(http, replier,
-                 {id, Outcome::NotRun, reason, jitteredRetryAfter(kUnavailableRetryAfter, Duration::max())});
+    refuseAtOnce(http, replier, {id, Outcome::NotRun, reason, retry_delays_.nextWithoutLimit(kUnavailableRetryAfter)});
     return;
   }
   const Route* route = routes_->find(headerValue(http.headers, "host"), http.target);
@@ -107,53 +99,28 @@
   if (refuseQuarantined(number)) {
     return;
   }
-  if (request.info.quota.limited() && ports_.quota != nullptr) {
-    takeQuota(number);
-  } else {
-    begin(number);
-  }
+  permits_.obtain(number);
 }
 
-void Gateway::begin(RequestNumber number) {
-  if (requests_.at(number).route->needs_idempotency_key && ports_.claims != nullptr) {
-    claim(number);
-  } else {
-    dispatch(number);
-  }
-}
-
-void Gateway::takeQuota(RequestNumber number) {
-  Request& request = requests_.at(number);
-  request.awaits_quota = true;
-  const TenantName tenant = request.info.tenant.name;
-  ports_.quota->take(tenant, request.info.quota, [this, alive = alive_, number, tenant](const QuotaDecision& decision) {
-    if (*alive) {
-      onQuota(number, tenant, decision);
-    }
-  });
-}
-
-void Gateway::onQuota(RequestNumber number, const TenantName& tenant, const QuotaDecision& decision) {
-  const auto found = requests_.find(number);
-  if (found == requests_.end()) {
-    if (decision.verdict == QuotaVerdict::Granted) {
-      ports_.quota->giveBack(tenant);
-    }
-    return;
-  }
-  found->second.awaits_quota = false;
-  switch (decision.verdict) {
-    case QuotaVerdict::Granted:
-      found->second.has_quota_token = true;
-      begin(number);
-      return;
-    case QuotaVerdict::Exceeded:
-      refuseFor(number, Reason::QuotaExceeded, decision.retry_after);
-      return;
-    case QuotaVerdict::Unavailable:
-      refuseFor(number, Reason::ServerUnavailable, decision.retry_after);
-      return;
-  }
+RequestPermits::Ports Gateway::permitPorts() {
+  RequestPermits::Ports ports;
+  ports.quota = ports_.quota;
+  ports.claims = ports_.claims;
+  ports.server_protocol = ports_.server_protocol;
+  ports.find = [this](RequestNumber number) {
+    const auto found = requests_.find(number);
+    return found == requests_.end() ? nullptr : &found->second;
+  };
+  ports.on_granted = [this](RequestNumber number) { dispatch(number); };
+  ports.on_refused = [this](RequestNumber number, const PermitRefusal& refusal) {
+    refuseFor(number, refusal.reason, refusal.retry_after);
+  };
+  ports.on_recorded = [this](RequestNumber number, HttpResponse response) {
+    // The recorded response belongs to an earlier request; the id must be that of this request.
+    ports_.protocol->finalizeResponse(response, requests_.at(number).id);
+    finish(number, std::move(response), "recorded", ClaimOutcome::NotRun);
+  };
+  return ports;
 }
 
 bool Gateway::refuseQuarantined(RequestNumber number) {
@@ -168,46 +135,6 @@
   return left.has_value();
 }
 
-void Gateway::claim(RequestNumber number) {
-  Request& request = requests_.at(number);
-  request.claiming = true;
-  const ClaimKey key{request.service, request.info.tenant.name, request.info.idempotency_key};
-  request.claim = ports_.claims->acquire(key, request.id, request.deadline,
-                                         [this, number](const ClaimResult& answer) { onClaim(number, answer); });
-}
-
-void Gateway::onClaim(RequestNumber number, ClaimResult answer) {
-  const auto found = requests_.find(number);
-  if (found == requests_.end()) {
-    return;
-  }
-  Request& request = found->second;
-  request.claiming = false;
-  if (answer.verdict == ClaimVerdict::Granted) {
-    dispatch(number);
-    return;
-  }
-  request.claim = 0;
-  switch (answer.verdict) {
-    case ClaimVerdict::Granted:
-      return;
-    case ClaimVerdict::Recorded:
-      // The recorded response belongs to an earlier request; the id must be that of this request.
-      ports_.protocol->finalizeResponse(answer.recorded_response, request.id);
-      finish(number, std::move(answer.recorded_response), "recorded", ClaimOutcome::NotRun);
-      return;
-    case ClaimVerdict::InProgress:
-      refuseFor(number, Reason::DuplicateInProgress, kClaimRetryAfter);
-      return;
-    case ClaimVerdict::OutcomeUnknown:
-      refuseFor(number, Reason::DuplicateUnknown, {});
-      return;
-    case ClaimVerdict::Unavailable:
-      refuseFor(number, Reason::ClaimUnavailable, kClaimRetryAfter);
-      return;
-  }
-}
-
 bool Gateway::refuseOutlasting(RequestNumber number) {
   const Duration expected = service_times_.expected(requests_.at(number).route->name, Duration::zero());
   const bool outlasts = expected > process_end_ - ports_.clock->now();
@@ -456,7 +383,7 @@
     refuse(number, ForwardReason::Evacuated, kUnavailableRetryAfter);
     return;
   }
-  const Duration expected = expectedOwnerWait(request, now);
+  const Duration expected = owner_waits_.expectedRest(request.service, request.parked_since, now);
   const Duration service_time = service_times_.expected(request.route->name, Duration::zero());
   const TimePoint in_time_until =
       std::min(request.arrived + request.route->target_latency, process_end_) - service_time;
@@ -482,17 +409,8 @@
 
 void Gateway::recordOwnerWait(Request& request, TimePoint now) {
   if (request.parked_since != TimePoint{}) {
-    owner_waits_.record(request.service.value, now - std::exchange(request.parked_since, TimePoint{}));
-    owner_wait_recorded_at_ = now;
-  }
-}
-
-Duration Gateway::expectedOwnerWait(const Request& request, TimePoint now) const {
-  if (now - owner_wait_recorded_at_ > kOwnerWaitMaxAge) {
-    return Duration::zero();
+    owner_waits_.record(request.service, now - std::exchange(request.parked_since, TimePoint{}), now);
   }
-  const Duration whole = owner_waits_.expected(request.service.value, Duration::zero());
-  return std::max(whole - (now - request.parked_since), Duration::zero());
 }
 
 void Gateway::onOwnersChanged() {
@@ -505,21 +423,12 @@
   }
 }
 
-Duration Gateway::jitteredRetryAfter(Duration wanted, Duration remaining) {
-  constexpr std::uint64_t kSteps = 1000;
-  const double share = static_cast<double>(ports_.random->below(kSteps)) / static_cast<double>(kSteps);
-  const double min = static_cast<double>(std::max(wanted, kMinRetryAfter).count());
-  const double max = static_cast<double>((remaining / kMaxRetryAfterDivisor).count());
-  const double delay = std::min(min * (1.0 + kRetryAfterJitter * share), std::max(max, 0.0));
-  return Duration(static_cast<Duration::rep>(delay));
-}
-
 Duration Gateway::retryAfter(const Request& request, Duration wanted, Duration time_left) {
   if (!request.limit_met) {
-    return jitteredRetryAfter(wanted, time_left);
+    return retry_delays_.next(wanted, time_left);
   }
   // No server takes the request earlier, so the full time is reported even if it exceeds the deadline.
-  return jitteredRetryAfter(std::max(wanted, *request.shortest_wait), Duration::max());
+  return retry_delays_.nextWithoutLimit(std::max(wanted, *request.shortest_wait));
 }
 
 void Gateway::refuse(RequestNumber number, ForwardReason reason, Duration retry_after) {
@@ -572,12 +481,8 @@
 void Gateway::onDeadline(RequestNumber number) {
   Request& request = requests_.at(number);
   request.timer = 0;
-  if (request.awaits_quota) {
-    refuseFor(number, Reason::ServerUnavailable, kMinRetryAfter);
-    return;
-  }
-  if (request.claiming) {
-    refuseFor(number, Reason::ClaimUnavailable, kClaimRetryAfter);
+  if (const std::optional<PermitRefusal> refusal = RequestPermits::refusalAtDeadline(request)) {
+    refuseFor(number, refusal->reason, refusal->retry_after);
     return;
   }
   if (request.parked && !request.silent_attempt) {
@@ -639,14 +544,7 @@
 void Gateway::finish(RequestNumber number, HttpResponse response, const char* outcome, ClaimOutcome claim_end) {
   auto node = requests_.extract(number);
   Request& request = node.mapped();
-  if (request.claim != 0) {
-    HttpResponse recorded = response;
-    ports_.server_protocol->removeCondition(recorded);
-    ports_.claims->finish(request.claim, claim_end, recorded);
-  }
-  if (request.has_quota_token && claim_end == ClaimOutcome::NotRun) {
-    ports_.quota->giveBack(request.info.tenant.name);
-  }
+  permits_.release(request, claim_end, response);
   parked_.erase(number);
   ports_.loop->cancel(request.timer);
   cancelAttempts(request);
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -13,13 +13,15 @@
 #include "source/core/router/directory/server_directory.h"
 #include "source/core/router/ownership/owner_view.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
+#include "source/core/router/routes/owner_waits.h"
 #include "source/core/router/routes/request_id_generator.h"
+#include "source/core/router/routes/retry_delays.h"
 #include "source/core/router/routes/retry_policy.h"
 #include "source/core/router/routes/traffic_splitter.h"
 #include "source/router/gateway_recorder.h"
 #include "source/router/gateway_request.h"
 #include "source/router/peer_client.h"
-#include "source/router/quota_coordinator.h"
+#include "source/router/request_permits.h"
 #include "source/router/server_gate.h"
 
 namespace shedlever {
@@ -92,18 +94,10 @@
   TimePoint lastRequestAt() const { return last_request_at_; }
 
  private:
-  using RequestNumber = std::uint64_t;
-
   using Request = GatewayRequest;
 
   void refuseAtOnce(const HttpRequest& http, const StrictHttpResponder& replier, const Refusal& refusal);
-  /// Takes a token of the tenant's quota for the request.
-  void takeQuota(RequestNumber number);
-  void onQuota(RequestNumber number, const TenantName& tenant, const QuotaDecision& decision);
-  /// Claims the idempotency key, if the request needs one, or dispatches the request.
-  void begin(RequestNumber number);
-  void claim(RequestNumber number);
-  void onClaim(RequestNumber number, ClaimResult answer);
+  RequestPermits::Ports permitPorts();
   void dispatch(RequestNumber number);
   /// Refuses the request if it is quarantined. @return whether it was refused.
   bool refuseQuarantined(RequestNumber number);
@@ -134,8 +128,6 @@
   void trySecondServer(RequestNumber number);
   /// Records how long the request waited for its key's owner, if it did.
   void recordOwnerWait(Request& request, TimePoint now);
-  /// @return how much longer the request is expected to wait for its key's owner, based on earlier requests.
-  Duration expectedOwnerWait(const Request& request, TimePoint now) const;
   void park(RequestNumber number);
   void refuse(RequestNumber number, ForwardReason reason, Duration retry_after);
   void refuseFor(RequestNumber number, Reason reason, Duration retry_after);
@@ -151,8 +143,6 @@
   void finish(RequestNumber number, HttpResponse response, const char* outcome, ClaimOutcome claim_end);
   /// @return what is currently known about the server of the last attempt.
   AttemptInputs inputsOf(const Request& request) const;
-  /// @return a retry delay of at least `wanted` plus random jitter, limited to a fraction of `remaining`.
-  Duration jitteredRetryAfter(Duration wanted, Duration remaining);
   /// @return the retry delay for a refused request. @param wanted delay. @param time_left until its client gives up.
   Duration retryAfter(const Request& request, Duration wanted, Duration time_left);
 
@@ -171,12 +161,12 @@
   TimePoint last_request_at_{};
   /// Service times of all servers, by route.
   DurationEstimator service_times_;
-  /// How long requests waited for their key's owner, by service, and when this was last recorded.
-  DurationEstimator owner_waits_;
-  TimePoint owner_wait_recorded_at_{};
+  OwnerWaits owner_waits_;
+  RetryDelays retry_delays_;
   RequestNumber last_number_ = 0;
   std::map<RequestNumber, Request> requests_;
   std::set<RequestNumber> parked_;
+  RequestPermits permits_;
   /// Set to false by the destructor, for callbacks that are still pending in the event loop.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/router/gateway_request.h
+++ b/source/router/gateway_request.h
@@ -15,6 +15,9 @@
 
 namespace shedlever {
 
+/// Identifies a request within one gateway.
+using RequestNumber = std::uint64_t;
+
 /// The current or last attempt of a request.
 struct GatewayAttempt {
   NodeName node;
