Send the interim response 100 Continue on connections that have had a response

Cause: flushOutput disables writing on a connection whose output buffer is empty. The interim response to a later request was only added to the buffer, so it stayed there; the client that waited for it got 408 after the idle timeout.

Change: the interim response is flushed like responses are.

--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -223,6 +223,7 @@
     if (parser_->takeExpectsContinue()) {
       constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
       evbuffer_add(bufferevent_get_output(stream_.get()), kContinue.data(), kContinue.size());
+      flushOutput(stream_.get());
     }
   }
 
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -190,6 +190,18 @@
   EXPECT_NE(client.received.find("to /1"), std::string::npos);
 }
 
+// The interim response stayed in the output buffer of a connection that had already had a response.
+TEST_F(StrictHttpServerTest, SendsContinueForALaterRequestOfAKeptConnection) {
+  RawClient client(loop_, server_->endpoint());
+  client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(runUntil([&] { return client.received.find("to /1") != std::string::npos; }));
+  client.send("POST /2 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  ASSERT_TRUE(loop_.runUntil([&] { return client.received.find("100 Continue") != std::string::npos; },
+                             StrictHttpLimits{}.idle_timeout / 2));
+  client.send("ab");
+  EXPECT_TRUE(runUntil([&] { return client.received.find("to /2") != std::string::npos; }));
+}
+
 TEST_F(StrictHttpServerTest, SendsContinueWhenTheClientExpectsIt) {
   RawClient client(loop_, server_->endpoint());
   client.send("POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
