Pass requests on before earlier responses of their connection are written

Cause: requests that a client sends before the response to an earlier one were read only after that response.

Change: a connection passes up to 64 requests on at once, if the gateway says that they may be repeated (a client repeats them if the connection ends first); others wait for the earlier responses. Responses are written in the order of the requests (PipelinedExchanges). Nothing more is passed on while 256 KB of responses wait. A stopping process answers what it has passed on before it closes. Servers without the predicate behave as before.

--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -26,6 +26,10 @@
 constexpr int kNotModified = 304;
 /// Limit for pipelined input that is read while a response is pending.
 constexpr std::size_t kMaxReadAheadBytes = 256U << 10U;
+/// Limit for the requests of one connection without a written response.
+constexpr std::size_t kMaxPipelinedRequests = 64;
+/// No further request is passed on while this many bytes of responses wait for an earlier response.
+constexpr std::size_t kMaxReadyBytes = 256U << 10U;
 /// How long a connection waits for the client to close after the server has shut down writing.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
@@ -47,6 +51,7 @@
   EventLoop& loop;
   StrictHttpLimits limits;
   StrictHttpHandler handler;
+  MayRunAhead may_run_ahead;
   std::function<void(int status)> on_rejected;
   std::unique_ptr<TcpListener> listener;
   std::unordered_map<StrictHttpConnection*, std::shared_ptr<StrictHttpConnection>> connections;
@@ -55,7 +60,7 @@
   LinkPacer* pacer = nullptr;
 };
 
-/// One client connection with one request at a time.
+/// One client connection.
 class StrictHttpConnection : public std::enable_shared_from_this<StrictHttpConnection> {
  public:
   StrictHttpConnection(StrictHttpServer::State& server, evutil_socket_t socket)
@@ -74,65 +79,53 @@
   StrictHttpConnection(const StrictHttpConnection&) = delete;
   StrictHttpConnection& operator=(const StrictHttpConnection&) = delete;
 
-  void reply(std::uint64_t number, HttpResponse response) {
-    if (number != request_number_ || !response_pending_) {
-      return;
-    }
-    endPending();
-    const bool keep = parser_->keepsConnection() && !server_.close_after_responses;
-    if (isPaced(response)) {
-      writePaced(std::move(response), keep);
-      return;
-    }
-    write(std::move(response), keep);
-    responseWritten(keep);
-  }
-
-  /// Called when the response is written or in the output buffer.
-  void responseWritten(bool keep) {
-    if (!keep) {
-      closing_ = true;
-      finishClosing();
-      return;
-    }
-    startRequest();
-    // The next request may already be in the input buffer. Its handler must not run inside this call.
-    if (evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0) {
-      server_.loop.post([weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->readRequest();
-        }
-      });
+  void reply(PipelinedExchanges::Number number, HttpResponse response) {
+    if (exchanges_.setResponse(number, std::move(response))) {
+      --server_.in_flight;
+      writeReady();
     }
   }
 
-  void abort(std::uint64_t number) {
-    if (number == request_number_ && response_pending_) {
-      endPending();
-      remove();
+  void abort(PipelinedExchanges::Number number) {
+    if (exchanges_.isPending(number)) {
+      exchanges_.setDisconnectCallback(number, {});
+      connectionClosed();
     }
   }
 
-  void onDisconnect(std::uint64_t number, std::function<void()> callback) {
-    if (number == request_number_ && response_pending_) {
-      on_disconnect_ = std::move(callback);
-    }
+  void onDisconnect(PipelinedExchanges::Number number, std::function<void()> callback) {
+    exchanges_.setDisconnectCallback(number, std::move(callback));
   }
 
   bool idle() const {
-    return !response_pending_ && !closing_ && !in_request_ && !sending_ && !hasUnreadInput() &&
+    return exchanges_.empty() && !held_ && !closing_ && !in_request_ && !sending_ && !hasUnreadInput() &&
            evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0 &&
            evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
   }
 
   bool busy() const {
-    return response_pending_ || closing_ || sending_ || hasUnreadInput() ||
+    return !exchanges_.empty() || held_ || closing_ || sending_ || hasUnreadInput() ||
            evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0;
   }
 
-  void remove() { server_.connections.erase(this); }
+  /// @return the number of requests without a response.
+  std::size_t pending() const { return exchanges_.pending(); }
+
+  void remove() {
+    removed_ = true;
+    server_.connections.erase(this);
+  }
 
  private:
+  /// @return whether a response to an earlier request is not written yet.
+  bool hasEarlierResponse() const { return !exchanges_.empty() || sending_; }
+
+  /// A complete request that must not run before the earlier ones have their responses.
+  struct HeldRequest {
+    HttpRequest request;
+    bool keeps_connection = true;
+  };
+
   static void onRead(bufferevent*, void* argument) {
     const auto self = static_cast<StrictHttpConnection*>(argument)->shared_from_this();
     self->readRequest();
@@ -159,9 +152,12 @@
 
   void startRequest() {
     parser_.emplace(server_.limits.header_bytes, server_.limits.body_bytes);
+    ++parsed_number_;
     in_request_ = false;
     headers_received_ = false;
-    setReadTimeout(server_.limits.idle_timeout);
+    if (!hasEarlierResponse()) {
+      setReadTimeout(server_.limits.idle_timeout);
+    }
   }
 
   void setReadTimeout(Duration timeout) {
@@ -175,43 +171,55 @@
       evbuffer_drain(input, evbuffer_get_length(input));
       return;
     }
-    if (response_pending_ || sending_) {
-      return;
+    while (mayParse() && parseRequest()) {
+    }
+  }
+
+  /// @return whether the next request may be taken from the input.
+  bool mayParse() const {
+    if (removed_ || closing_ || last_request_parsed_ || held_) {
+      return false;
     }
-    const HttpRequestParseStatus status = parser_->consume(bufferevent_get_input(stream_.get()));
-    switch (status) {
+    const bool has_room = exchanges_.size() < kMaxPipelinedRequests && exchanges_.readyBytes() < kMaxReadyBytes;
+    return !hasEarlierResponse() || (server_.may_run_ahead && has_room && !server_.close_after_responses);
+  }
+
+  /// @return whether a request was complete, so that the next one may follow.
+  bool parseRequest() {
+    switch (parser_->consume(bufferevent_get_input(stream_.get()))) {
       case HttpRequestParseStatus::Empty:
-        return;
+        return false;
       case HttpRequestParseStatus::InHeaders:
         if (!in_request_) {
           in_request_ = true;
           startHeaderTimer();
         }
-        return;
+        return false;
       case HttpRequestParseStatus::InBody:
         headersReceived();
-        return;
+        return false;
       case HttpRequestParseStatus::Complete:
         headersReceived();
-        dispatchRequest();
-        return;
+        takeRequest();
+        return true;
       case HttpRequestParseStatus::Invalid:
         rejectRequest(kBadRequest);
-        return;
+        return false;
       case HttpRequestParseStatus::HeadersTooLarge:
         rejectRequest(kHeadersTooLarge);
-        return;
+        return false;
       case HttpRequestParseStatus::BodyTooLarge:
         rejectRequest(kBodyTooLarge);
-        return;
+        return false;
     }
+    return false;
   }
 
   /// Limits the total time for the headers, so that a slow client can't hold the connection.
   void startHeaderTimer() {
-    server_.loop.runAfter(server_.limits.header_timeout, [weak = weak_from_this(), number = request_number_] {
+    server_.loop.runAfter(server_.limits.header_timeout, [weak = weak_from_this(), number = parsed_number_] {
       const auto self = weak.lock();
-      if (self && self->request_number_ == number && self->in_request_ && !self->headers_received_ && !self->closing_) {
+      if (self && self->parsed_number_ == number && self->in_request_ && !self->headers_received_ && !self->closing_) {
         self->rejectRequest(kRequestTimeout);
       }
     });
@@ -220,35 +228,81 @@
   void headersReceived() {
     in_request_ = true;
     headers_received_ = true;
-    if (parser_->takeExpectsContinue()) {
+    // The interim response must not overtake the responses to earlier requests.
+    if (!hasEarlierResponse() && parser_->takeExpectsContinue()) {
       constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
       evbuffer_add(bufferevent_get_output(stream_.get()), kContinue.data(), kContinue.size());
       flushOutput(stream_.get());
     }
   }
 
-  void dispatchRequest() {
+  void takeRequest() {
+    HeldRequest taken{parser_->takeRequest(), parser_->keepsConnection()};
+    last_request_parsed_ = !taken.keeps_connection;
+    startRequest();
+    if (!hasEarlierResponse() || server_.may_run_ahead(taken.request)) {
+      dispatch(std::move(taken));
+    } else {
+      held_ = std::move(taken);
+    }
+  }
+
+  void dispatch(HeldRequest taken) {
     bufferevent_set_timeouts(stream_.get(), nullptr, nullptr);
-    response_pending_ = true;
+    const auto number = exchanges_.add(taken.request.method == "HEAD", taken.keeps_connection);
     ++server_.in_flight;
-    HttpRequest request = parser_->takeRequest();
-    is_head_ = request.method == "HEAD";
-    server_.handler(std::move(request), StrictHttpResponder(weak_from_this(), request_number_));
+    server_.handler(std::move(taken.request), StrictHttpResponder(weak_from_this(), number));
+  }
+
+  /// Writes the responses that are ready, up to the first one that is not.
+  void writeReady() {
+    while (!sending_ && !closing_ && exchanges_.ready() != nullptr) {
+      // A stopping server still responds to the requests that it has passed to the handler.
+      const bool closes = server_.close_after_responses && exchanges_.size() == 1;
+      PipelinedExchanges::Exchange exchange = exchanges_.takeReady();
+      const bool keep = exchange.keeps_connection && !closes;
+      if (isPaced(exchange)) {
+        writePaced(std::move(*exchange.response), keep);
+        return;
+      }
+      write(std::move(*exchange.response), keep, exchange.is_head);
+      responseWritten(keep);
+    }
   }
 
-  void endPending() {
-    response_pending_ = false;
-    on_disconnect_ = {};
-    ++request_number_;
-    --server_.in_flight;
+  /// Called when a response is written or in the output buffer.
+  void responseWritten(bool keep) {
+    if (!keep) {
+      closing_ = true;
+      finishClosing();
+      return;
+    }
+    if (!hasEarlierResponse() && !held_) {
+      setReadTimeout(server_.limits.idle_timeout);
+    }
+    // The next request may already be here. Its handler must not run inside this call.
+    if (held_ || in_request_ || evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0) {
+      server_.loop.post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->continueReading();
+        }
+      });
+    }
   }
 
-  bool isPaced(const HttpResponse& response) const {
-    return server_.pacer != nullptr && server_.pacer->isLimited() && !is_head_ &&
-           response.body.size() >= kMinPacedMessageBytes;
+  void continueReading() {
+    if (held_ && !hasEarlierResponse() && !closing_) {
+      dispatch(*std::exchange(held_, std::nullopt));
+    }
+    readRequest();
   }
 
-  /// Writes the head immediately and the body in pieces. The next request is read after the last piece.
+  bool isPaced(const PipelinedExchanges::Exchange& exchange) const {
+    return server_.pacer != nullptr && server_.pacer->isLimited() && !exchange.is_head &&
+           exchange.response->body.size() >= kMinPacedMessageBytes;
+  }
+
+  /// Writes the head immediately and the body in pieces. The next response follows after the last piece.
   void writePaced(HttpResponse response, bool keep) {
     sending_ = true;
     body_ = std::move(response.body);
@@ -276,6 +330,7 @@
         if (const auto self = weak.lock()) {
           self->sending_ = false;
           self->responseWritten(keep);
+          self->writeReady();
         }
       });
     }
@@ -296,32 +351,33 @@
     return head;
   }
 
-  void write(HttpResponse response, bool keep) {
+  void write(HttpResponse response, bool keep, bool is_head) {
     std::string head = responseHead(response, response.body.size(), keep);
     if (server_.pacer != nullptr) {
       server_.pacer->recordSent(head.size() + response.body.size());
     }
     evbuffer* output = bufferevent_get_output(stream_.get());
     appendBytes(output, std::move(head));
-    if (!is_head_) {
+    if (!is_head) {
       appendBytes(output, std::move(response.body));
     }
     flushOutput(stream_.get());
   }
 
-  /// Responds to an invalid request without calling the handler, and stops reading.
+  /// Responds to an invalid request without calling the handler, after the responses to earlier requests, and stops
+  /// reading.
   void rejectRequest(int status) {
-    is_head_ = false;
     if (server_.on_rejected) {
       server_.on_rejected(status);
     }
-    write({status, {}, {}}, false);
-    closing_ = true;
-    finishClosing();
+    last_request_parsed_ = true;
+    const auto number = exchanges_.add(false, false);
+    exchanges_.setResponse(number, {status, {}, {}});
+    writeReady();
   }
 
   void timedOut() {
-    if (in_request_ && !response_pending_ && !closing_) {
+    if (in_request_ && !hasEarlierResponse() && !closing_) {
       rejectRequest(kRequestTimeout);
     } else {
       remove();
@@ -329,12 +385,9 @@
   }
 
   void connectionClosed() {
-    if (response_pending_) {
-      std::function<void()> callback = std::move(on_disconnect_);
-      endPending();
-      if (callback) {
-        server_.loop.post(std::move(callback));
-      }
+    server_.in_flight -= exchanges_.pending();
+    for (PipelinedExchanges::DisconnectCallback& callback : exchanges_.clear()) {
+      server_.loop.post(std::move(callback));
     }
     remove();
   }
@@ -352,16 +405,17 @@
   StrictHttpServer::State& server_;
   BufferEventHandle stream_;
   std::optional<HttpRequestParser> parser_;
-  std::function<void()> on_disconnect_;
-  /// The number of the current request on this connection.
-  std::uint64_t request_number_ = 1;
+  PipelinedExchanges exchanges_;
+  std::optional<HeldRequest> held_;
+  /// Counts the requests that were parsed or are being parsed.
+  std::uint64_t parsed_number_ = 0;
   /// At least one byte of a request was received.
   bool in_request_ = false;
   bool headers_received_ = false;
-  /// The handler has a request without a response.
-  bool response_pending_ = false;
+  /// No further request is read: the last one was invalid or closes the connection.
+  bool last_request_parsed_ = false;
   bool closing_ = false;
-  bool is_head_ = false;
+  bool removed_ = false;
   /// A large response is being written in pieces.
   bool sending_ = false;
   TransferId transfer_ = 0;
@@ -411,6 +465,8 @@
 
 void StrictHttpServer::setLimits(const StrictHttpLimits& limits) { state_->limits = limits; }
 
+void StrictHttpServer::setMayRunAhead(MayRunAhead may_run_ahead) { state_->may_run_ahead = std::move(may_run_ahead); }
+
 void StrictHttpServer::onRejected(std::function<void(int status)> callback) {
   state_->on_rejected = std::move(callback);
 }
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -16,6 +16,7 @@
 #include "shedlever/identifiers.h"
 #include "source/net/event_loop.h"
 #include "source/net/link_pacer.h"
+#include "source/net/pipelined_exchanges.h"
 
 namespace shedlever {
 
@@ -35,7 +36,8 @@
 /// client disconnected or the server was destroyed.
 class StrictHttpResponder {
  public:
-  explicit StrictHttpResponder(std::weak_ptr<StrictHttpConnection> connection, std::uint64_t request_number)
+  explicit StrictHttpResponder(std::weak_ptr<StrictHttpConnection> connection,
+                               PipelinedExchanges::Number request_number)
       : connection_(std::move(connection)), request_number_(request_number) {}
 
   /// Sends the response with Content-Length. Framing headers of the response are left out.
@@ -49,12 +51,17 @@
 
  private:
   std::weak_ptr<StrictHttpConnection> connection_;
-  std::uint64_t request_number_;
+  PipelinedExchanges::Number request_number_;
 };
 
 using StrictHttpHandler = std::function<void(HttpRequest request, StrictHttpResponder responder)>;
 
-/// Listens on one address. Pipelined requests are passed to the handler one at a time.
+/// @return whether the request may be passed to the handler while earlier requests of its connection have no response.
+///   It must be harmless to run the request again, because the client repeats it if the connection ends first.
+using MayRunAhead = std::function<bool(const HttpRequest& request)>;
+
+/// Listens on one address. Requests of one connection are passed to the handler one at a time, except for those that
+/// may run ahead. Responses are written in the order of the requests.
 class StrictHttpServer {
  public:
   /// @param listen port 0 selects a free port.
@@ -73,10 +80,13 @@
   /// Applies to requests that begin after the call.
   void setLimits(const StrictHttpLimits& limits);
 
+  /// Allows some requests to run ahead; before, none may.
+  void setMayRunAhead(MayRunAhead may_run_ahead);
+
   /// @param callback runs for each request that is rejected without calling the handler, with the response status.
   void onRejected(std::function<void(int status)> callback);
 
-  /// From now on each connection is closed after its next response.
+  /// From now on each connection is closed after the responses to the requests that were passed to the handler.
   void closeAfterResponses();
 
   /// Closes the connections that have neither a request, nor input that was not read yet, nor an unwritten response.
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -50,6 +50,11 @@
   recorder_.refusedAtOnce(http, refusal.id, refusal.reason, routes_ ? routes_->version() : 0);
 }
 
+bool Gateway::mayRunAhead(const HttpRequest& http) const {
+  const Route* route = routes_ ? routes_->find(headerValue(http.headers, "host"), http.target) : nullptr;
+  return route != nullptr && isRepeatable(route->kind);
+}
+
 void Gateway::handle(HttpRequest http, const StrictHttpResponder& replier) {
   const TimePoint now = ports_.clock->now();
   last_request_at_ = now;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -140,6 +140,7 @@
   }
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client, &pacer_));
   clients_ = std::move(clients);
+  clients_->setMayRunAhead([this](const HttpRequest& request) { return gateway_->mayRunAhead(request); });
   clients_->onRejected([this](int status) {
     metrics_.onEvent("unreadable-request");
     if (log_.mayWriteFailed()) {
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -69,6 +69,7 @@
     config.routes.push_back(route());
     config.routes.push_back(dividedRoute());
     config.routes.push_back(invalidRoute());
+    config.routes.push_back(atMostOnceRoute());
     gateway_.setConfig(std::make_shared<const RouteTable>(std::move(config)));
     auto clients = StrictHttpServer::listen(loop_, kAnyLoopbackPort, {},
                                             [this](HttpRequest request, const StrictHttpResponder& replier) {
@@ -129,6 +130,14 @@
     return made;
   }
 
+  Route atMostOnceRoute() const {
+    Route made = route();
+    made.name = "write";
+    made.path_prefix = "/write/";
+    made.kind = RouteKind::AtMostOnce;
+    return made;
+  }
+
   GatewayPorts ports() {
     GatewayPorts ports;
     ports.loop = &loop_;
@@ -238,6 +247,14 @@
   std::size_t next_ = 0;
 };
 
+// A client repeats what it has sent behind an unanswered request if the connection ends.
+TEST_F(GatewayTest, OnlyRepeatableRequestsMayRunAhead) {
+  const auto to = [](const std::string& target) { return HttpRequest{"GET", target, {{"Host", "h"}}, {}}; };
+  EXPECT_TRUE(gateway_.mayRunAhead(to("/read/1")));
+  EXPECT_FALSE(gateway_.mayRunAhead(to("/unknown/1")));
+  EXPECT_FALSE(gateway_.mayRunAhead(to("/write/1")));
+}
+
 // No server can take over the keys, so waiting for an owner is useless.
 TEST_F(GatewayTest, RequestForAKeyOfAFullyEvacuatedServiceIsRefusedImmediately) {
   NodeRecord record;
