Begin forwarded requests only after everything that has arrived with them is read

Cause: a stream is read in pieces of 16 KB. A request was begun as soon as it was read, also when its cancellation had already arrived behind other bytes, so that servers worked for clients that had left. A cancellation on the sending side was sent behind its request even when both still waited for the peer's hello.

Change: PeerServer holds requests back (ArrivedRequests, one a stream) until the bytes are read that had arrived when the request was read; the wait is taken off the request's time. Later bytes don't prolong it. A stream that ends takes the requests with it that have not begun; they are reported as not started. PeerStream drops a request that waits for the hello together with its cancellation.

Measured: the new tests of PeerServer and PeerClient failed before the change (the cancelled request reached the server; the request of the broken stream was reported as pending and reached it; two requests and a cancellation were sent).

--- a/source/net/message_stream.cc
+++ b/source/net/message_stream.cc
@@ -126,6 +126,14 @@
   return written - std::min(written, in_kernel);
 }
 
+std::uint64_t MessageStream::readBytes() const {
+  return drained_bytes_ + evbuffer_get_length(bufferevent_get_input(stream_.get()));
+}
+
+std::uint64_t MessageStream::arrivedBytes() const {
+  return readBytes() + unreadBytes(bufferevent_getfd(stream_.get()));
+}
+
 void MessageStream::dropWrittenMessages() {
   const std::uint64_t written = writtenBytes();
   while (!message_ends_.empty() && message_ends_.front() <= written) {
@@ -191,7 +199,7 @@
     return false;
   }
   options_.preface = preface;
-  evbuffer_drain(input, kWordBytes);
+  drain(input, kWordBytes);
   expects_preface_ = false;
   return true;
 }
@@ -204,24 +212,36 @@
   if (expects_preface_ && !takePreface(input)) {
     return;
   }
+  if (passMessages(input)) {
+    callbacks_.onInputRead();
+  }
+}
+
+void MessageStream::drain(evbuffer* input, std::size_t bytes) {
+  evbuffer_drain(input, bytes);
+  drained_bytes_ += bytes;
+}
+
+bool MessageStream::passMessages(evbuffer* input) {
   const std::shared_ptr<bool> alive = alive_;
   while (evbuffer_get_length(input) >= kWordBytes) {
     const std::size_t size = peekWord(input);
     if (size > options_.max_message_bytes) {
       close();
-      return;
+      return false;
     }
     if (evbuffer_get_length(input) < kWordBytes + size) {
-      return;
+      return true;
     }
-    evbuffer_drain(input, kWordBytes);
+    drain(input, kWordBytes);
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
     callbacks_.onMessage(size == 0 ? std::string_view() : std::string_view(bytes, size));
     if (!*alive || closed_) {
-      return;
+      return false;
     }
-    evbuffer_drain(input, size);
+    drain(input, size);
   }
+  return true;
 }
 
 void MessageStream::scheduleClose() {
--- a/source/net/message_stream.h
+++ b/source/net/message_stream.h
@@ -38,6 +38,8 @@
 
   /// @param message is only valid during the call.
   virtual void onMessage(std::string_view message) = 0;
+  /// Bytes were read from the network, and all complete messages in them have been passed to `onMessage`.
+  virtual void onInputRead() {}
   /// The last event of the stream.
   virtual void onClosed() = 0;
 };
@@ -81,6 +83,12 @@
   /// @return the number of bytes of all messages that were passed to `send`, including those in the send buffer.
   std::uint64_t enqueuedBytes() const { return enqueued_bytes_; }
 
+  /// @return the number of bytes that were read from the network, the preface included; valid until the close.
+  std::uint64_t readBytes() const;
+
+  /// @return `readBytes` and the bytes that have arrived but were not read yet; valid until the close.
+  std::uint64_t arrivedBytes() const;
+
   /// @return how many of the enqueued bytes the other side has acknowledged.
   std::uint64_t acknowledgedBytes() const;
 
@@ -93,6 +101,10 @@
   void connected();
   void readMessages();
   bool takePreface(evbuffer* input);
+  /// Removes bytes that were handled.
+  void drain(evbuffer* input, std::size_t bytes);
+  /// Passes the complete messages in the buffer on. @return false if the stream was destroyed or is closing.
+  bool passMessages(evbuffer* input);
   void shutDownWriting();
   void close();
   /// Closes from the loop, not inside the current call.
@@ -116,6 +128,8 @@
   std::deque<std::uint64_t> message_ends_;
   std::uint64_t enqueued_bytes_ = 0;
   std::size_t unsent_bytes_at_close_ = 0;
+  /// Received bytes that were handled and removed from the input buffer.
+  std::uint64_t drained_bytes_ = 0;
   /// Set to false by the destructor, so that a loop over messages detects the destruction inside a callback.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/router/link/arrived_requests.h"
 #include "source/router/peer_stream_options.h"
 
 namespace shedlever {
@@ -33,6 +34,8 @@
     server.onFrame(id, std::move(frame.value()));
   }
 
+  void onInputRead() override { server.beginDueRequests(id); }
+
   void onClosed() override {
     ended = true;
     server.loop_.post([owner = &server, alive = server.alive_, stream_id = id] {
@@ -79,6 +82,8 @@
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
   bool received_unknown_frame = false;
+  /// Requests that have not begun.
+  ArrivedRequests arrived;
   /// Offset of the end of the last reply in the bytes sent on the stream.
   std::uint64_t last_reply_end = 0;
   /// Exchanges of the last replies, up to `kMaxRememberedReplies`.
@@ -135,7 +140,7 @@
 bool PeerServer::hasUndeliveredReplies() const {
   return std::any_of(streams_.begin(), streams_.end(), [](const auto& entry) {
     const Stream& stream = *entry.second;
-    return !stream.ended && stream.transport.acknowledgedBytes() < stream.last_reply_end;
+    return !stream.ended && (!stream.arrived.empty() || stream.transport.acknowledgedBytes() < stream.last_reply_end);
   });
 }
 
@@ -148,17 +153,9 @@
     return;
   }
   if (auto* forward = std::get_if<ForwardFrame>(&frame)) {
-    onForward(id, *stream, std::move(*forward));
+    onForward(*stream, std::move(*forward));
   } else if (const auto* cancel = std::get_if<CancelForwardFrame>(&frame)) {
-    const auto request = active_requests_.find({stream->sender, cancel->exchange});
-    if (request != active_requests_.end()) {
-      ports_.gate->cancel(request->second.ticket);
-      active_requests_.erase(request);
-    }
-    const auto transfer = stream->transfers.extract(cancel->exchange);
-    if (!transfer.empty()) {
-      ports_.pacer->cancel(transfer.mapped());
-    }
+    onCancel(*stream, cancel->exchange);
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
     stream->misdirected = hello->expected_node != ports_.self.name;
@@ -197,7 +194,40 @@
   }
 }
 
-void PeerServer::onForward(StreamId id, Stream& stream, ForwardFrame frame) {
+void PeerServer::onForward(Stream& stream, ForwardFrame frame) {
+  stream.arrived.add(std::move(frame), ports_.clock->now());
+}
+
+void PeerServer::onCancel(Stream& stream, ExchangeId exchange) {
+  if (stream.arrived.cancel(exchange)) {
+    return;
+  }
+  const auto request = active_requests_.find({stream.sender, exchange});
+  if (request != active_requests_.end()) {
+    ports_.gate->cancel(request->second.ticket);
+    active_requests_.erase(request);
+  }
+  const auto transfer = stream.transfers.extract(exchange);
+  if (!transfer.empty()) {
+    ports_.pacer->cancel(transfer.mapped());
+  }
+}
+
+void PeerServer::beginDueRequests(StreamId id) {
+  Stream* stream = find(id);
+  if (stream == nullptr || stream->arrived.empty()) {
+    return;
+  }
+  for (ArrivedRequest& request :
+       stream->arrived.takeDue(stream->transport.readBytes(), stream->transport.arrivedBytes())) {
+    const Duration waited = ports_.clock->now() - request.read_at;
+    request.frame.remaining_us -= waited.count();
+    request.frame.elapsed_us += waited.count();
+    begin(id, *stream, std::move(request.frame));
+  }
+}
+
+void PeerServer::begin(StreamId id, const Stream& stream, ForwardFrame frame) {
   const RequestKey key{stream.sender, frame.exchange};
   if (rejected_requests_.contains(key)) {
     return;
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -21,11 +21,13 @@
 namespace shedlever {
 
 /// A request whose stream broke is kept for a while, so that its sender can query the outcome on a new stream and gets
-/// the reply there. A request that is queried before it was received is never started.
+/// the reply there. A request that is queried before it has begun is never started; neither is one whose stream breaks
+/// before it has begun.
 class PeerServer {
  public:
   struct Ports {
     NodeIdentity self;
+    const Clock* clock = nullptr;
     ServerGate* gate = nullptr;
     LinkPacer* pacer = nullptr;
     StoreCaller call_store;
@@ -74,8 +76,9 @@
   /// @return bytes of replies that are queued but not written.
   std::size_t unsentBytes() const;
 
-  /// @return whether a peer has not yet received all replies that were written to its stream. The kernel would discard
-  ///   the rest if the process exited and the peer sent another frame.
+  /// @return whether a peer has not yet received all replies that were written to its stream, or waits for the reply to
+  ///   a request that has not begun. The kernel would discard the rest if the process exited and the peer sent another
+  ///   frame.
   bool hasUndeliveredReplies() const;
 
   /// @return number of peers' requests without a reply.
@@ -101,7 +104,11 @@
   PeerServer(EventLoop& loop, Ports ports);
   void accept(evutil_socket_t socket);
   void onFrame(StreamId id, RouterFrame frame);
-  void onForward(StreamId id, Stream& stream, ForwardFrame frame);
+  /// Lets the request wait until everything has been read that has arrived on the stream with it.
+  void onForward(Stream& stream, ForwardFrame frame);
+  void onCancel(Stream& stream, ExchangeId exchange);
+  void beginDueRequests(StreamId id);
+  void begin(StreamId id, const Stream& stream, ForwardFrame frame);
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -78,14 +78,22 @@
   if (ended_) {
     return false;
   }
-  if (!up_) {
-    if (waiting_frames_.size() >= kMaxRememberedExchanges) {
-      return false;
-    }
-    waiting_frames_.push_back({frame, exchange});
+  return up_ ? write(frame, exchange) : sendAfterHello(frame, exchange);
+}
+
+bool PeerStream::sendAfterHello(const RouterFrame& frame, ExchangeId exchange) {
+  const auto* cancellation = std::get_if<CancelForwardFrame>(&frame);
+  const auto is_cancelled = [cancellation](const WaitingFrame& waiting) {
+    return waiting.exchange == cancellation->exchange;
+  };
+  if (cancellation != nullptr && std::erase_if(waiting_frames_, is_cancelled) > 0) {
     return true;
   }
-  return write(frame, exchange);
+  if (waiting_frames_.size() >= kMaxRememberedExchanges) {
+    return false;
+  }
+  waiting_frames_.push_back({frame, exchange});
+  return true;
 }
 
 void PeerStream::writeWaitingFrames() {
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -62,7 +62,8 @@
   TimePoint lastReceivedAt() const { return last_received_at_; }
   std::size_t unsentBytes() const { return transport_.unsentBytes(); }
 
-  /// Until the peer's hello has arrived, frames wait here, since the peer may not understand them.
+  /// Until the peer's hello has arrived, frames wait here, since the peer may not understand them. The cancellation of
+  /// a request that waits here removes the request and is not sent.
   /// @param exchange exchange of a request; 0 for other frames.
   /// @return false if the frame could not be queued.
   bool send(const RouterFrame& frame, ExchangeId exchange = 0);
@@ -106,6 +107,7 @@
   /// @return false if the frame is no hello or comes from another node.
   bool acceptHello(const RouterFrame& first);
   bool write(const RouterFrame& frame, ExchangeId exchange);
+  bool sendAfterHello(const RouterFrame& frame, ExchangeId exchange);
   void writeWaitingFrames();
 
   EventLoop& loop_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -109,6 +109,7 @@
   };
   PeerServer::Ports peer_ports;
   peer_ports.self = self_;
+  peer_ports.clock = &clock_;
   peer_ports.gate = &gate_;
   peer_ports.pacer = &pacer_;
   peer_ports.call_store = call_store;
--- /dev/null
+++ b/test/core_router/link/arrived_requests_test.cc
@@ -0,0 +1,69 @@
+/// @file
+/// Tests when requests that were read from a stream begin.
+
+#include "source/core/router/link/arrived_requests.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace shedlever::test {
+namespace {
+
+ForwardFrame request(ExchangeId exchange) {
+  ForwardFrame frame;
+  frame.exchange = exchange;
+  return frame;
+}
+
+std::vector<ExchangeId> exchangesOf(const std::vector<ArrivedRequest>& requests) {
+  std::vector<ExchangeId> exchanges;
+  exchanges.reserve(requests.size());
+  for (const ArrivedRequest& each : requests) {
+    exchanges.push_back(each.frame.exchange);
+  }
+  return exchanges;
+}
+
+using Exchanges = std::vector<ExchangeId>;
+
+TEST(ArrivedRequestsTest, RequestsBeginAtOnceWhenNothingElseHasArrived) {
+  ArrivedRequests requests;
+  requests.add(request(1), {});
+  requests.add(request(2), {});
+  EXPECT_EQ(exchangesOf(requests.takeDue(100, 100)), (Exchanges{1, 2}));
+  EXPECT_TRUE(requests.empty());
+}
+
+// A client that left while its request was on the way would otherwise be served.
+TEST(ArrivedRequestsTest, RequestWhoseCancellationHadArrivedNeverBegins) {
+  ArrivedRequests requests;
+  requests.add(request(1), {});
+  requests.add(request(2), {});
+  EXPECT_TRUE(requests.takeDue(100, 300).empty());
+  EXPECT_TRUE(requests.cancel(1));
+  EXPECT_EQ(exchangesOf(requests.takeDue(300, 300)), (Exchanges{2}));
+  EXPECT_FALSE(requests.cancel(2)) << "it has begun";
+}
+
+// On a link that is always full a request would wait for ever if each later byte counted.
+TEST(ArrivedRequestsTest, RequestOnAStreamThatNeverRunsDryBeginsAfterTheBytesThatHadArrivedWithIt) {
+  ArrivedRequests requests;
+  requests.add(request(1), {});
+  EXPECT_TRUE(requests.takeDue(100, 300).empty());
+  requests.add(request(2), {});
+  EXPECT_TRUE(requests.takeDue(200, 700).empty());
+  EXPECT_EQ(exchangesOf(requests.takeDue(300, 1100)), (Exchanges{1}));
+  EXPECT_TRUE(requests.takeDue(699, 1500).empty());
+  EXPECT_EQ(exchangesOf(requests.takeDue(700, 1500)), (Exchanges{2}));
+}
+
+TEST(ArrivedRequestsTest, RequestKeepsTheTimeAtWhichItWasRead) {
+  ArrivedRequests requests;
+  const TimePoint read_at{std::chrono::seconds(5)};
+  requests.add(request(1), read_at);
+  EXPECT_EQ(requests.takeDue(1, 1).at(0).read_at, read_at);
+}
+
+}  // namespace
+}  // namespace shedlever::test
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -368,6 +368,18 @@
   EXPECT_EQ(peer.forwarded_requests, 2U);
 }
 
+// A request that waits for the peer's hello is not on the way yet, and nobody waits for it after its cancellation.
+TEST_F(PeerClientTest, RequestCancelledBeforeThePeersHelloIsNeverSent) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  addNodeAt(peer.endpoint());
+  const ExchangeId exchange = peer_client_.forward(node_, {}, [](const ForwardReplyFrame&) {});
+  peer_client_.cancel(exchange);
+  forward(RouteKind::Idempotent);
+  EXPECT_EQ(peer.forwarded_requests, 1U);
+  EXPECT_EQ(peer.cancelled_requests, 0U);
+}
+
 // Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other
 // from detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
 using std::chrono::milliseconds;
 
 constexpr ExchangeId kExchange = 1;
+/// More than is read from a socket at a time, and less than the kernel buffers at the receiving end.
+constexpr std::size_t kSeveralReads = 40U << 10U;
+/// More than the kernel buffers at both ends of a connection.
+constexpr std::size_t kMoreThanSocketBuffers = 48U << 20U;
 /// Longer than the time for which a process keeps a request or a reply whose stream has ended.
 constexpr Duration kLongerThanOrphansAreKept = milliseconds(1300);
 
@@ -36,6 +41,12 @@
   void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame)); }
   void query(ExchangeId exchange) { send(ExchangeQueryFrame{exchange, kIncarnation}); }
 
+  void sendInvalidMessage() { transport_.send("\xff"); }
+  std::size_t unsentBytes() const { return transport_.unsentBytes(); }
+
+  /// Whether the process has answered the hello.
+  bool up = false;
+  bool closed = false;
   /// State in the last reply to an exchange query.
   std::optional<ExchangeState> state;
   std::optional<ForwardReplyFrame> reply;
@@ -49,9 +60,11 @@
       state = query_reply->state;
     } else if (const auto* forward_reply = std::get_if<ForwardReplyFrame>(&frame)) {
       reply = *forward_reply;
+    } else if (std::holds_alternative<HelloFrame>(frame)) {
+      up = true;
     }
   }
-  void onClosed() override {}
+  void onClosed() override { closed = true; }
 
   MessageStream transport_;
 };
@@ -60,11 +73,16 @@
  protected:
   PeerServerTest()
       : log_(loop_, clock_, open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        server_(loop_, [this](ScriptedConnection& connection) { running_ = &connection; }),
+        server_(loop_,
+                [this](ScriptedConnection& connection) {
+                  running_ = &connection;
+                  started_.insert(connection.received.substr(0, connection.received.find("\r\n")));
+                }),
         gate_(clock_, queue_, server_client_, {[](double) { return Duration::zero(); }}, recorder_, gateEvents()) {
     gate_.serverUp(InstanceId("i-1"), 10);
     PeerServer::Ports ports;
     ports.self = {node_, Incarnation{7}};
+    ports.clock = &clock_;
     ports.gate = &gate_;
     ports.pacer = &pacer_;
     ports.known_revisions = [] { return KnownRevisions{}; };
@@ -85,17 +103,33 @@
 
   void connect() { gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_); }
 
-  /// Sends a request that may run at most once, and waits until the server runs it.
-  void startRequest() {
+  void connectAndAwaitHello() {
+    connect();
+    ASSERT_TRUE(loop_.runUntil([this] { return gateway_->up; }, kTestTimeout));
+  }
+
+  /// @return a request that may run at most once.
+  static ForwardFrame request(ExchangeId exchange, const std::string& path, std::size_t body_bytes = 0) {
     ForwardFrame frame;
-    frame.exchange = kExchange;
+    frame.exchange = exchange;
     frame.id = RequestId("0123456789abcdef");
     frame.instance = InstanceId("i-1");
     frame.kind = RouteKind::AtMostOnce;
     frame.remaining_us = Duration(std::chrono::seconds(10)).count();
     frame.target_us = Duration(std::chrono::seconds(10)).count();
-    frame.http = {"GET", "/x", {}, {}};
-    gateway_->send(frame);
+    frame.http = {"GET", path, {}, std::string(body_bytes, 'x')};
+    return frame;
+  }
+
+  /// Runs until the server has received the head of the request.
+  bool runUntilStarted(const std::string& path) {
+    return loop_.runUntil([&] { return hasStarted(path); }, kTestTimeout);
+  }
+  bool hasStarted(const std::string& path) const { return started_.contains("GET " + path + " HTTP/1.1"); }
+
+  /// Sends a request and waits until the server runs it.
+  void startRequest() {
+    gateway_->send(request(kExchange, "/x"));
     ASSERT_TRUE(loop_.runUntil([this] { return running_ != nullptr; }, kTestTimeout));
   }
 
@@ -120,6 +154,8 @@
   QueueConfig queue_;
   platform::ServerProtocolImpl protocol_;
   ScriptedConnection* running_ = nullptr;
+  /// First lines of the requests that the server has received.
+  std::set<std::string> started_;
   ScriptedServer server_;
   ServerClient server_client_{loop_, server_.endpoint(), protocol_};
   LinkPacer pacer_{loop_, clock_, {}};
@@ -162,5 +198,38 @@
   EXPECT_EQ(queryOutcome(), ExchangeState::Answered);
 }
 
+// The server would work for a client that had left before the request arrived.
+TEST_F(PeerServerTest, RequestWhoseCancellationHasArrivedIsNotStarted) {
+  connectAndAwaitHello();
+  gateway_->send(request(1, "/cancelled"));
+  gateway_->send(request(2, "/large", kSeveralReads));
+  gateway_->send(CancelForwardFrame{1});
+  gateway_->send(request(3, "/last"));
+  ASSERT_TRUE(runUntilStarted("/last"));
+  ASSERT_TRUE(runUntilStarted("/large"));
+  EXPECT_FALSE(hasStarted("/cancelled"));
+}
+
+// Requests would wait for the rest of each large body that follows them.
+TEST_F(PeerServerTest, RequestStartsWhileTheMessageBehindItIsStillArriving) {
+  connectAndAwaitHello();
+  gateway_->send(request(1, "/first"));
+  gateway_->send(request(2, "/large", kMoreThanSocketBuffers));
+  ASSERT_TRUE(runUntilStarted("/first"));
+  EXPECT_GT(gateway_->unsentBytes(), 0U);
+}
+
+// The gateway sends a request that has not begun to another server, so it must not begin here afterwards.
+TEST_F(PeerServerTest, RequestWhoseStreamEndsBeforeItBeginsIsReportedAsNotStartedAndNeverStarts) {
+  connectAndAwaitHello();
+  gateway_->send(request(kExchange, "/lost"));
+  gateway_->send(request(kExchange + 1, "/large", kSeveralReads));
+  gateway_->sendInvalidMessage();
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->closed; }, kTestTimeout));
+  connect();
+  EXPECT_EQ(queryOutcome(), ExchangeState::NotStarted);
+  EXPECT_FALSE(hasStarted("/lost"));
+}
+
 }  // namespace
 }  // namespace shedlever::test
