Count the time that forwarded requests spend on the way

Cause: a gate took a request's stated time from the moment at which its frame was read. On a full link that is seconds after it was sent: work was begun for clients that had got their final answer. The wait for a peer's hello was not counted either.

Change: PeerStream states the time of sending in each request and takes the wait for the hello off its time. TransitDelay, one object for each stream, finds how late a frame is from the least difference of both clocks seen lately. PeerServer takes the lateness off the request's time; a request that is over by then is answered at once as not run, reaches neither gate nor server, and is logged (bounded) and counted. Replies state their time of sending; nothing reads it yet.

--- a/source/core/router/link/arrived_requests.cc
+++ b/source/core/router/link/arrived_requests.cc
@@ -4,9 +4,7 @@
 
 namespace shedlever {
 
-void ArrivedRequests::add(ForwardFrame frame, TimePoint now) {
-  requests_.push_back({{std::move(frame), now}, std::nullopt});
-}
+void ArrivedRequests::add(ArrivedRequest request) { requests_.push_back({std::move(request), std::nullopt}); }
 
 bool ArrivedRequests::cancel(ExchangeId exchange) {
   const auto is_cancelled = [exchange](const Waiting& waiting) { return waiting.request.frame.exchange == exchange; };
--- a/source/core/router/link/arrived_requests.h
+++ b/source/core/router/link/arrived_requests.h
@@ -17,13 +17,15 @@
 struct ArrivedRequest {
   ForwardFrame frame;
   TimePoint read_at{};
+  /// By how much its frame was late.
+  Duration lateness{};
 };
 
 /// Holds requests back until all bytes have been read that had arrived on the stream when the request was read, so that
 /// a cancellation among those bytes comes first. Bytes that arrive later don't prolong the wait.
 class ArrivedRequests {
  public:
-  void add(ForwardFrame frame, TimePoint now);
+  void add(ArrivedRequest request);
 
   /// @return whether the request was waiting here; then it never begins.
   bool cancel(ExchangeId exchange);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "source/core/router/link/arrived_requests.h"
+#include "source/core/router/link/transit_delay.h"
 #include "source/router/peer_stream_options.h"
 
 namespace shedlever {
@@ -82,6 +82,8 @@
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
   bool received_unknown_frame = false;
+  /// How late the peer's requests arrive.
+  TransitDelay transit_delay;
   /// Requests that have not begun.
   ArrivedRequests arrived;
   /// Offset of the end of the last reply in the bytes sent on the stream.
@@ -195,7 +197,9 @@
 }
 
 void PeerServer::onForward(Stream& stream, ForwardFrame frame) {
-  stream.arrived.add(std::move(frame), ports_.clock->now());
+  const TimePoint now = ports_.clock->now();
+  const Duration lateness = stream.transit_delay.onFrame(Duration(frame.sent_at_us), now);
+  stream.arrived.add({std::move(frame), now, lateness});
 }
 
 void PeerServer::onCancel(Stream& stream, ExchangeId exchange) {
@@ -220,19 +224,24 @@
   }
   for (ArrivedRequest& request :
        stream->arrived.takeDue(stream->transport.readBytes(), stream->transport.arrivedBytes())) {
-    const Duration waited = ports_.clock->now() - request.read_at;
-    request.frame.remaining_us -= waited.count();
-    request.frame.elapsed_us += waited.count();
-    begin(id, *stream, std::move(request.frame));
+    begin(id, *stream, std::move(request));
   }
 }
 
-void PeerServer::begin(StreamId id, const Stream& stream, ForwardFrame frame) {
+void PeerServer::begin(StreamId id, const Stream& stream, ArrivedRequest request) {
+  ForwardFrame& frame = request.frame;
   const RequestKey key{stream.sender, frame.exchange};
   if (rejected_requests_.contains(key)) {
     return;
   }
   active_requests_[key] = {id, 0};
+  const Duration on_the_way = request.lateness + (ports_.clock->now() - request.read_at);
+  frame.remaining_us -= on_the_way.count();
+  frame.elapsed_us += on_the_way.count();
+  if (frame.remaining_us <= 0) {
+    refuseLate(key, request);
+    return;
+  }
   if (!ports_.authenticate(frame)) {
     ForwardReplyFrame refusal;
     refusal.outcome = ForwardOutcome::NotRun;
@@ -243,12 +252,22 @@
   // The reply callback may run before `forward` returns.
   const QueueTicket ticket =
       ports_.gate->forward(std::move(frame), [this, key](ForwardReplyFrame reply) { onReply(key, std::move(reply)); });
-  const auto request = active_requests_.find(key);
-  if (request != active_requests_.end()) {
-    request->second.ticket = ticket;
+  const auto active = active_requests_.find(key);
+  if (active != active_requests_.end()) {
+    active->second.ticket = ticket;
   }
 }
 
+void PeerServer::refuseLate(const RequestKey& key, const ArrivedRequest& request) {
+  ports_.on_late_request(key.sender.name, request.frame, request.lateness);
+  ForwardReplyFrame refusal;
+  refusal.outcome = ForwardOutcome::NotRun;
+  refusal.reason = ForwardReason::Overloaded;
+  refusal.retry_after_us = request.lateness.count();
+  refusal.load = ports_.gate->load();
+  onReply(key, std::move(refusal));
+}
+
 void PeerServer::onReply(const RequestKey& key, ForwardReplyFrame reply) {
   const auto found = active_requests_.find(key);
   if (found == active_requests_.end()) {
@@ -277,6 +296,7 @@
 
 void PeerServer::sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply) {
   const ExchangeId exchange = reply.exchange;
+  reply.sent_at_us = ports_.clock->now().time_since_epoch().count();
   const RouterFrame frame(std::move(reply));
   std::string bytes = encodeRouterFrame(frame, stream.version());
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -13,6 +13,7 @@
 
 #include "shedlever/platform_ports.h"
 #include "source/core/router/frame_name.h"
+#include "source/core/router/link/arrived_requests.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -56,6 +57,9 @@
       return QuotaGrantFrame{asked.exchange};
     };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
+    std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
+        [](const NodeName&, const ForwardFrame&, Duration) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
   };
@@ -108,7 +112,9 @@
   void onForward(Stream& stream, ForwardFrame frame);
   void onCancel(Stream& stream, ExchangeId exchange);
   void beginDueRequests(StreamId id);
-  void begin(StreamId id, const Stream& stream, ForwardFrame frame);
+  void begin(StreamId id, const Stream& stream, ArrivedRequest request);
+  /// Answers a request whose time was over when it arrived.
+  void refuseLate(const RequestKey& key, const ArrivedRequest& request);
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -31,7 +31,8 @@
       version_(version),
       transport_(loop, endpoint, peerStreamOptions(version), *this),
       last_received_at_(clock.now()) {
-  write(HelloFrame{self.name, self.incarnation, false, node_}, 0);
+  RouterFrame hello(HelloFrame{self.name, self.incarnation, false, node_});
+  write(hello, 0);
   loop_.runAfter(kHelloTimeout, [this, alive = alive_] {
     if (*alive && !up_ && !ended_) {
       transport_.abort();
@@ -74,14 +75,14 @@
   });
 }
 
-bool PeerStream::send(const RouterFrame& frame, ExchangeId exchange) {
+bool PeerStream::send(RouterFrame frame, ExchangeId exchange) {
   if (ended_) {
     return false;
   }
-  return up_ ? write(frame, exchange) : sendAfterHello(frame, exchange);
+  return up_ ? write(frame, exchange) : sendAfterHello(std::move(frame), exchange);
 }
 
-bool PeerStream::sendAfterHello(const RouterFrame& frame, ExchangeId exchange) {
+bool PeerStream::sendAfterHello(RouterFrame frame, ExchangeId exchange) {
   const auto* cancellation = std::get_if<CancelForwardFrame>(&frame);
   const auto is_cancelled = [cancellation](const WaitingFrame& waiting) {
     return waiting.exchange == cancellation->exchange;
@@ -92,18 +93,27 @@
   if (waiting_frames_.size() >= kMaxRememberedExchanges) {
     return false;
   }
-  waiting_frames_.push_back({frame, exchange});
+  waiting_frames_.push_back({std::move(frame), exchange, clock_.now()});
   return true;
 }
 
 void PeerStream::writeWaitingFrames() {
-  for (const WaitingFrame& waiting : std::exchange(waiting_frames_, {})) {
+  for (WaitingFrame& waiting : std::exchange(waiting_frames_, {})) {
+    countWait(waiting);
     if (!write(waiting.frame, waiting.exchange) && waiting.exchange != 0) {
-      waiting_frames_.push_back(waiting);
+      waiting_frames_.push_back(std::move(waiting));
     }
   }
 }
 
+void PeerStream::countWait(WaitingFrame& waiting) const {
+  if (auto* request = std::get_if<ForwardFrame>(&waiting.frame)) {
+    const Duration waited = clock_.now() - waiting.since;
+    request->remaining_us -= waited.count();
+    request->elapsed_us += waited.count();
+  }
+}
+
 std::vector<ExchangeId> PeerStream::waitingExchanges() const {
   std::vector<ExchangeId> exchanges;
   for (const WaitingFrame& waiting : waiting_frames_) {
@@ -114,10 +124,13 @@
   return exchanges;
 }
 
-bool PeerStream::write(const RouterFrame& frame, ExchangeId exchange) {
+bool PeerStream::write(RouterFrame& frame, ExchangeId exchange) {
   if (!isKnownIn(frame, version_)) {
     return false;
   }
+  if (auto* request = std::get_if<ForwardFrame>(&frame)) {
+    request->sent_at_us = clock_.now().time_since_epoch().count();
+  }
   std::string bytes = encodeRouterFrame(frame, version_);
   const std::size_t size = bytes.size();
   if (ended_ || !transport_.send(std::move(bytes))) {
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -66,7 +66,7 @@
   /// a request that waits here removes the request and is not sent.
   /// @param exchange exchange of a request; 0 for other frames.
   /// @return false if the frame could not be queued.
-  bool send(const RouterFrame& frame, ExchangeId exchange = 0);
+  bool send(RouterFrame frame, ExchangeId exchange = 0);
 
   WireVersion version() const { return version_; }
   /// @return whether the stream was connected and has ended before any hello. The peer may not know its version.
@@ -106,8 +106,9 @@
   /// Verifies from the first frame that the peer is the expected node.
   /// @return false if the frame is no hello or comes from another node.
   bool acceptHello(const RouterFrame& first);
-  bool write(const RouterFrame& frame, ExchangeId exchange);
-  bool sendAfterHello(const RouterFrame& frame, ExchangeId exchange);
+  /// Writes the frame and states in a request when it is sent.
+  bool write(RouterFrame& frame, ExchangeId exchange);
+  bool sendAfterHello(RouterFrame frame, ExchangeId exchange);
   void writeWaitingFrames();
 
   EventLoop& loop_;
@@ -122,7 +123,11 @@
   struct WaitingFrame {
     RouterFrame frame;
     ExchangeId exchange = 0;
+    TimePoint since{};
   };
+  /// Takes the wait for the hello off a request's time.
+  void countWait(WaitingFrame& waiting) const;
+
   /// Frames that wait for the hello.
   std::vector<WaitingFrame> waiting_frames_;
   /// Bytes received so far of large replies.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -127,6 +127,9 @@
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
+  peer_ports.on_late_request = [this](const NodeName& node, const ForwardFrame& request, Duration lateness) {
+    logLateRequest(node, request, lateness);
+  };
   peer_ports.answer_quota_request = [this](const QuotaRequestFrame& question) { return quota_.answer(question); };
   peer_ports.authenticate = [this](ForwardFrame& frame) {
     const auto& routes = cluster_state_.routes();
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -97,6 +97,19 @@
   }
 }
 
+void RouterProcess::logLateRequest(const NodeName& node, const ForwardFrame& request, Duration lateness) {
+  metrics_.onEvent("peer-request-over-on-arrival");
+  if (!log_.mayWriteAttempt()) {
+    return;
+  }
+  log_.write("peer", "request-over-on-arrival",
+             {{"node", node.value},
+              {"id", request.id.value},
+              {"route", request.route},
+              {"late_ms", formatMilliseconds(lateness)},
+              {"over_ms", formatMilliseconds(-Duration(request.remaining_us))}});
+}
+
 void RouterProcess::logStreamFailure(const PeerStreamFailure& failure) {
   metrics_.onEvent(failure.silent ? "peer-stream-silent" : "peer-stream-broken");
   if (!log_.mayWriteFailed()) {
--- a/test/core_router/link/arrived_requests_test.cc
+++ b/test/core_router/link/arrived_requests_test.cc
@@ -10,10 +10,10 @@
 namespace shedlever::test {
 namespace {
 
-ForwardFrame request(ExchangeId exchange) {
-  ForwardFrame frame;
-  frame.exchange = exchange;
-  return frame;
+ArrivedRequest request(ExchangeId exchange) {
+  ArrivedRequest arrived;
+  arrived.frame.exchange = exchange;
+  return arrived;
 }
 
 std::vector<ExchangeId> exchangesOf(const std::vector<ArrivedRequest>& requests) {
@@ -29,8 +29,8 @@
 
 TEST(ArrivedRequestsTest, RequestsBeginAtOnceWhenNothingElseHasArrived) {
   ArrivedRequests requests;
-  requests.add(request(1), {});
-  requests.add(request(2), {});
+  requests.add(request(1));
+  requests.add(request(2));
   EXPECT_EQ(exchangesOf(requests.takeDue(100, 100)), (Exchanges{1, 2}));
   EXPECT_TRUE(requests.empty());
 }
@@ -38,8 +38,8 @@
 // A client that left while its request was on the way would otherwise be served.
 TEST(ArrivedRequestsTest, RequestWhoseCancellationHadArrivedNeverBegins) {
   ArrivedRequests requests;
-  requests.add(request(1), {});
-  requests.add(request(2), {});
+  requests.add(request(1));
+  requests.add(request(2));
   EXPECT_TRUE(requests.takeDue(100, 300).empty());
   EXPECT_TRUE(requests.cancel(1));
   EXPECT_EQ(exchangesOf(requests.takeDue(300, 300)), (Exchanges{2}));
@@ -49,20 +49,24 @@
 // On a link that is always full a request would wait for ever if each later byte counted.
 TEST(ArrivedRequestsTest, RequestOnAStreamThatNeverRunsDryBeginsAfterTheBytesThatHadArrivedWithIt) {
   ArrivedRequests requests;
-  requests.add(request(1), {});
+  requests.add(request(1));
   EXPECT_TRUE(requests.takeDue(100, 300).empty());
-  requests.add(request(2), {});
+  requests.add(request(2));
   EXPECT_TRUE(requests.takeDue(200, 700).empty());
   EXPECT_EQ(exchangesOf(requests.takeDue(300, 1100)), (Exchanges{1}));
   EXPECT_TRUE(requests.takeDue(699, 1500).empty());
   EXPECT_EQ(exchangesOf(requests.takeDue(700, 1500)), (Exchanges{2}));
 }
 
-TEST(ArrivedRequestsTest, RequestKeepsTheTimeAtWhichItWasRead) {
+TEST(ArrivedRequestsTest, RequestKeepsItsTimes) {
   ArrivedRequests requests;
-  const TimePoint read_at{std::chrono::seconds(5)};
-  requests.add(request(1), read_at);
-  EXPECT_EQ(requests.takeDue(1, 1).at(0).read_at, read_at);
+  ArrivedRequest arrived = request(1);
+  arrived.read_at = TimePoint(std::chrono::seconds(5));
+  arrived.lateness = std::chrono::milliseconds(700);
+  requests.add(arrived);
+  const ArrivedRequest taken = requests.takeDue(1, 1).at(0);
+  EXPECT_EQ(taken.read_at, arrived.read_at);
+  EXPECT_EQ(taken.lateness, arrived.lateness);
 }
 
 }  // namespace
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -380,6 +380,32 @@
   EXPECT_EQ(peer.cancelled_requests, 0U);
 }
 
+// The receiver would believe that the client waits for as long as when the request was made.
+TEST_F(PeerClientTest, WaitForThePeersHelloIsTakenOffTheTimeOfARequest) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.hold();
+  std::optional<ForwardFrame> received;
+  TimePoint arrived;
+  peer.on_forward = [&](const ForwardFrame& frame) {
+    received = frame;
+    arrived = clock_.now();
+    return std::optional(ForwardReplyFrame{});
+  };
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  const TimePoint asked = clock_.now();
+  const auto reply = startForward(RouteKind::Idempotent);
+  const TimePoint sent = clock_.now();
+  ASSERT_TRUE(loop_.runUntil([&] { return peer.keptFrames() > 0; }, kTestTimeout));
+  const TimePoint released = clock_.now();
+  peer.release();
+  ASSERT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kTestTimeout));
+  const Duration::rep waited = received->elapsed_us;
+  EXPECT_GE(waited, (released - sent).count());
+  EXPECT_LE(waited, (arrived - asked).count());
+  EXPECT_EQ(received->remaining_us, Duration(std::chrono::seconds(20)).count() - waited);
+  EXPECT_GE(received->sent_at_us, released.time_since_epoch().count());
+}
+
 // Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other
 // from detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -10,8 +10,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "platform/http_names.h"
 #include "platform/server_protocol.h"
 #include "source/net/system_clock_and_random.h"
 #include "source/router/peer_stream_options.h"
@@ -34,11 +36,11 @@
 class GatewayStream final : public MessageStreamCallbacks {
  public:
   GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer)
-      : transport_(loop, to, peerStreamOptions(), *this) {
+      : transport_(loop, to, peerStreamOptions(kNewestWireVersion), *this) {
     send(HelloFrame{NodeName("gateway"), kIncarnation, false, peer});
   }
 
-  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame)); }
+  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame, kNewestWireVersion)); }
   void query(ExchangeId exchange) { send(ExchangeQueryFrame{exchange, kIncarnation}); }
 
   void sendInvalidMessage() { transport_.send("\xff"); }
@@ -55,7 +57,7 @@
   static constexpr Incarnation kIncarnation{1};
 
   void onMessage(std::string_view message) override {
-    const RouterFrame frame = decodeRouterFrame(message).value();
+    const RouterFrame frame = decodeRouterFrame(message, kNewestWireVersion).value();
     if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
       state = query_reply->state;
     } else if (const auto* forward_reply = std::get_if<ForwardReplyFrame>(&frame)) {
@@ -88,6 +90,9 @@
     ports.known_revisions = [] { return KnownRevisions{}; };
     ports.needs_snapshot = [] { return false; };
     ports.server_crashes = [] { return ServerCrashesFrame{}; };
+    ports.on_late_request = [this](const NodeName&, const ForwardFrame& frame, Duration lateness) {
+      late_requests_.emplace_back(frame.exchange, lateness);
+    };
     peers_ = std::move(PeerServer::listen(loop_, kAnyLoopbackPort, std::move(ports)).value());
     connect();
   }
@@ -127,6 +132,14 @@
   }
   bool hasStarted(const std::string& path) const { return started_.contains("GET " + path + " HTTP/1.1"); }
 
+  /// @return the time that the last request's server has for it, in milliseconds.
+  int deadlineMsAtServer() const {
+    const std::string name = std::string(platform::kDeadlineHeader) + ": ";
+    const std::size_t at = running_->received.rfind(name);
+    EXPECT_NE(at, std::string::npos) << running_->received;
+    return at == std::string::npos ? 0 : std::stoi(running_->received.substr(at + name.size()));
+  }
+
   /// Sends a request and waits until the server runs it.
   void startRequest() {
     gateway_->send(request(kExchange, "/x"));
@@ -156,6 +169,8 @@
   ScriptedConnection* running_ = nullptr;
   /// First lines of the requests that the server has received.
   std::set<std::string> started_;
+  /// Exchanges of the requests that were over when they arrived, and how late they were.
+  std::vector<std::pair<ExchangeId, Duration>> late_requests_;
   ScriptedServer server_;
   ServerClient server_client_{loop_, server_.endpoint(), protocol_};
   LinkPacer pacer_{loop_, clock_, {}};
@@ -231,5 +246,55 @@
   EXPECT_FALSE(hasStarted("/lost"));
 }
 
+// The server would work for a client that has got its final answer while the request was on the way.
+TEST_F(PeerServerTest, RequestThatWasOverWhenItArrivedIsAnsweredAsNotRunAndNotStarted) {
+  connectAndAwaitHello();
+  const Duration sender_clock = std::chrono::hours(9);
+  ForwardFrame punctual = request(1, "/punctual");
+  punctual.sent_at_us = sender_clock.count();
+  gateway_->send(punctual);
+  ASSERT_TRUE(runUntilStarted("/punctual"));
+  ForwardFrame late = request(2, "/late");
+  late.sent_at_us = (sender_clock - std::chrono::seconds(3)).count();
+  late.remaining_us = Duration(std::chrono::seconds(2)).count();
+  gateway_->send(late);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->exchange, 2U);
+  EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(gateway_->reply->reason, ForwardReason::Overloaded);
+  EXPECT_FALSE(gateway_->reply->reached_server);
+  EXPECT_GE(gateway_->reply->retry_after_us, Duration(std::chrono::seconds(3)).count());
+  EXPECT_EQ(gateway_->reply->load.slots, 10U);
+  ASSERT_EQ(late_requests_.size(), 1U);
+  EXPECT_GE(late_requests_.front().second, std::chrono::seconds(3));
+  EXPECT_FALSE(hasStarted("/late"));
+}
+
+// The gate would let a request wait longer than its client does.
+TEST_F(PeerServerTest, TimeOnTheWayIsTakenOffTheTimeOfARequestThatIsNotOver) {
+  connectAndAwaitHello();
+  const Duration sender_clock = std::chrono::hours(9);
+  ForwardFrame punctual = request(1, "/punctual");
+  punctual.sent_at_us = sender_clock.count();
+  gateway_->send(punctual);
+  ASSERT_TRUE(runUntilStarted("/punctual"));
+  ForwardFrame late = request(2, "/late");
+  late.sent_at_us = (sender_clock - std::chrono::seconds(3)).count();
+  gateway_->send(late);
+  ASSERT_TRUE(runUntilStarted("/late"));
+  EXPECT_LE(deadlineMsAtServer(), 7000);
+  EXPECT_TRUE(late_requests_.empty());
+}
+
+// Without the time of sending the gateway takes a reply that was held up for news.
+TEST_F(PeerServerTest, ReplyStatesWhenItWasSent) {
+  const TimePoint before = clock_.now();
+  startRequest();
+  running_->write(httpResponseText(200, "", "done"));
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_GE(gateway_->reply->sent_at_us, before.time_since_epoch().count());
+  EXPECT_LE(gateway_->reply->sent_at_us, clock_.now().time_since_epoch().count());
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -65,6 +65,9 @@
     }
   }
 
+  /// @return number of the kept frames.
+  std::size_t keptFrames() const { return held_.size(); }
+
   /// Takes only streams of this version, as an earlier build does. Later streams than the open ones.
   void speakOnly(WireVersion version) { only_version_ = version; }
   std::size_t acceptedStreams() const { return streams_.size(); }
