--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/router/link/transit_delay.h"
 #include "source/router/peer_stream_options.h"
 
 namespace shedlever {
@@ -33,6 +34,8 @@
     server.onFrame(id, std::move(frame.value()));
   }
 
+  void onInputRead() override { server.beginDueRequests(id); }
+
   void onClosed() override {
     ended = true;
     server.loop_.post([owner = &server, alive = server.alive_, stream_id = id] {
@@ -79,6 +82,10 @@
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
   bool received_unknown_frame = false;
+  /// How late the peer's requests arrive.
+  TransitDelay transit_delay;
+  /// Requests that have not begun.
+  ArrivedRequests arrived;
   /// Offset of the end of the last reply in the bytes sent on the stream.
   std::uint64_t last_reply_end = 0;
   /// Exchanges of the last replies, up to `kMaxRememberedReplies`.
@@ -135,7 +142,7 @@
 bool PeerServer::hasUndeliveredReplies() const {
   return std::any_of(streams_.begin(), streams_.end(), [](const auto& entry) {
     const Stream& stream = *entry.second;
-    return !stream.ended && stream.transport.acknowledgedBytes() < stream.last_reply_end;
+    return !stream.ended && (!stream.arrived.empty() || stream.transport.acknowledgedBytes() < stream.last_reply_end);
   });
 }
 
@@ -148,17 +155,9 @@
     return;
   }
   if (auto* forward = std::get_if<ForwardFrame>(&frame)) {
-    onForward(id, *stream, std::move(*forward));
+    onForward(*stream, std::move(*forward));
   } else if (const auto* cancel = std::get_if<CancelForwardFrame>(&frame)) {
-    const auto request = active_requests_.find({stream->sender, cancel->exchange});
-    if (request != active_requests_.end()) {
-      ports_.gate->cancel(request->second.ticket);
-      active_requests_.erase(request);
-    }
-    const auto transfer = stream->transfers.extract(cancel->exchange);
-    if (!transfer.empty()) {
-      ports_.pacer->cancel(transfer.mapped());
-    }
+    onCancel(*stream, cancel->exchange);
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
     stream->misdirected = hello->expected_node != ports_.self.name;
@@ -197,12 +196,52 @@
   }
 }
 
-void PeerServer::onForward(StreamId id, Stream& stream, ForwardFrame frame) {
+void PeerServer::onForward(Stream& stream, ForwardFrame frame) {
+  const TimePoint now = ports_.clock->now();
+  const Duration lateness = stream.transit_delay.onFrame(Duration(frame.sent_at_us), now);
+  stream.arrived.add({std::move(frame), now, lateness});
+}
+
+void PeerServer::onCancel(Stream& stream, ExchangeId exchange) {
+  if (stream.arrived.cancel(exchange)) {
+    return;
+  }
+  const auto request = active_requests_.find({stream.sender, exchange});
+  if (request != active_requests_.end()) {
+    ports_.gate->cancel(request->second.ticket);
+    active_requests_.erase(request);
+  }
+  const auto transfer = stream.transfers.extract(exchange);
+  if (!transfer.empty()) {
+    ports_.pacer->cancel(transfer.mapped());
+  }
+}
+
+void PeerServer::beginDueRequests(StreamId id) {
+  Stream* stream = find(id);
+  if (stream == nullptr || stream->arrived.empty()) {
+    return;
+  }
+  for (ArrivedRequest& request :
+       stream->arrived.takeDue(stream->transport.readBytes(), stream->transport.arrivedBytes())) {
+    begin(id, *stream, std::move(request));
+  }
+}
+
+void PeerServer::begin(StreamId id, const Stream& stream, ArrivedRequest request) {
+  ForwardFrame& frame = request.frame;
   const RequestKey key{stream.sender, frame.exchange};
   if (rejected_requests_.contains(key)) {
     return;
   }
   active_requests_[key] = {id, 0};
+  const Duration on_the_way = request.lateness + (ports_.clock->now() - request.read_at);
+  frame.remaining_us -= on_the_way.count();
+  frame.elapsed_us += on_the_way.count();
+  if (frame.remaining_us <= 0) {
+    refuseLate(key, request);
+    return;
+  }
   if (!ports_.authenticate(frame)) {
     ForwardReplyFrame refusal;
     refusal.outcome = ForwardOutcome::NotRun;
@@ -213,12 +252,22 @@
   // The reply callback may run before `forward` returns.
   const QueueTicket ticket =
       ports_.gate->forward(std::move(frame), [this, key](ForwardReplyFrame reply) { onReply(key, std::move(reply)); });
-  const auto request = active_requests_.find(key);
-  if (request != active_requests_.end()) {
-    request->second.ticket = ticket;
+  const auto active = active_requests_.find(key);
+  if (active != active_requests_.end()) {
+    active->second.ticket = ticket;
   }
 }
 
+void PeerServer::refuseLate(const RequestKey& key, const ArrivedRequest& request) {
+  ports_.on_late_request(key.sender.name, request.frame, request.lateness);
+  ForwardReplyFrame refusal;
+  refusal.outcome = ForwardOutcome::NotRun;
+  refusal.reason = ForwardReason::Overloaded;
+  refusal.retry_after_us = request.lateness.count();
+  refusal.load = ports_.gate->load();
+  onReply(key, std::move(refusal));
+}
+
 void PeerServer::onReply(const RequestKey& key, ForwardReplyFrame reply) {
   const auto found = active_requests_.find(key);
   if (found == active_requests_.end()) {
@@ -247,6 +296,7 @@
 
 void PeerServer::sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply) {
   const ExchangeId exchange = reply.exchange;
+  reply.sent_at_us = ports_.clock->now().time_since_epoch().count();
   const RouterFrame frame(std::move(reply));
   std::string bytes = encodeRouterFrame(frame, stream.version());
   if (!ports_.pacer->isLimited() || bytes.size() < kMinPacedMessageBytes) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -13,6 +13,7 @@
 
 #include "shedlever/platform_ports.h"
 #include "source/core/router/frame_name.h"
+#include "source/core/router/link/arrived_requests.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -21,11 +22,13 @@
 namespace shedlever {
 
 /// A request whose stream broke is kept for a while, so that its sender can query the outcome on a new stream and gets
-/// the reply there. A request that is queried before it was received is never started.
+/// the reply there. A request that is queried before it has begun is never started; neither is one whose stream breaks
+/// before it has begun.
 class PeerServer {
  public:
   struct Ports {
     NodeIdentity self;
+    const Clock* clock = nullptr;
     ServerGate* gate = nullptr;
     LinkPacer* pacer = nullptr;
     StoreCaller call_store;
@@ -54,6 +57,9 @@
       return QuotaGrantFrame{asked.exchange};
     };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
+    std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
+        [](const NodeName&, const ForwardFrame&, Duration) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
   };
@@ -74,8 +80,9 @@
   /// @return bytes of replies that are queued but not written.
   std::size_t unsentBytes() const;
 
-  /// @return whether a peer has not yet received all replies that were written to its stream. The kernel would discard
-  ///   the rest if the process exited and the peer sent another frame.
+  /// @return whether a peer has not yet received all replies that were written to its stream, or waits for the reply to
+  ///   a request that has not begun. The kernel would discard the rest if the process exited and the peer sent another
+  ///   frame.
   bool hasUndeliveredReplies() const;
 
   /// @return number of peers' requests without a reply.
@@ -101,7 +108,13 @@
   PeerServer(EventLoop& loop, Ports ports);
   void accept(evutil_socket_t socket);
   void onFrame(StreamId id, RouterFrame frame);
-  void onForward(StreamId id, Stream& stream, ForwardFrame frame);
+  /// Lets the request wait until everything has been read that has arrived on the stream with it.
+  void onForward(Stream& stream, ForwardFrame frame);
+  void onCancel(Stream& stream, ExchangeId exchange);
+  void beginDueRequests(StreamId id);
+  void begin(StreamId id, const Stream& stream, ArrivedRequest request);
+  /// Answers a request whose time was over when it arrived.
+  void refuseLate(const RequestKey& key, const ArrivedRequest& request);
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -8,9 +8,12 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "platform/http_names.h"
 #include "platform/server_protocol.h"
 #include "source/net/system_clock_and_random.h"
 #include "source/router/peer_stream_options.h"
@@ -22,6 +25,10 @@
 using std::chrono::milliseconds;
 
 constexpr ExchangeId kExchange = 1;
+/// More than is read from a socket at a time, and less than the kernel buffers at the receiving end.
+constexpr std::size_t kSeveralReads = 40U << 10U;
+/// More than the kernel buffers at both ends of a connection.
+constexpr std::size_t kMoreThanSocketBuffers = 48U << 20U;
 /// Longer than the time for which a process keeps a request or a reply whose stream has ended.
 constexpr Duration kLongerThanOrphansAreKept = milliseconds(1300);
 
@@ -29,13 +36,19 @@
 class GatewayStream final : public MessageStreamCallbacks {
  public:
   GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer)
-      : transport_(loop, to, peerStreamOptions(), *this) {
+      : transport_(loop, to, peerStreamOptions(kNewestWireVersion), *this) {
     send(HelloFrame{NodeName("gateway"), kIncarnation, false, peer});
   }
 
-  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame)); }
+  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame, kNewestWireVersion)); }
   void query(ExchangeId exchange) { send(ExchangeQueryFrame{exchange, kIncarnation}); }
 
+  void sendInvalidMessage() { transport_.send("\xff"); }
+  std::size_t unsentBytes() const { return transport_.unsentBytes(); }
+
+  /// Whether the process has answered the hello.
+  bool up = false;
+  bool closed = false;
   /// State in the last reply to an exchange query.
   std::optional<ExchangeState> state;
   std::optional<ForwardReplyFrame> reply;
@@ -44,14 +57,16 @@
   static constexpr Incarnation kIncarnation{1};
 
   void onMessage(std::string_view message) override {
-    const RouterFrame frame = decodeRouterFrame(message).value();
+    const RouterFrame frame = decodeRouterFrame(message, kNewestWireVersion).value();
     if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
       state = query_reply->state;
     } else if (const auto* forward_reply = std::get_if<ForwardReplyFrame>(&frame)) {
       reply = *forward_reply;
+    } else if (std::holds_alternative<HelloFrame>(frame)) {
+      up = true;
     }
   }
-  void onClosed() override {}
+  void onClosed() override { closed = true; }
 
   MessageStream transport_;
 };
@@ -60,16 +75,24 @@
  protected:
   PeerServerTest()
       : log_(loop_, clock_, open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        server_(loop_, [this](ScriptedConnection& connection) { running_ = &connection; }),
+        server_(loop_,
+                [this](ScriptedConnection& connection) {
+                  running_ = &connection;
+                  started_.insert(connection.received.substr(0, connection.received.find("\r\n")));
+                }),
         gate_(clock_, queue_, server_client_, {[](double) { return Duration::zero(); }}, recorder_, gateEvents()) {
     gate_.serverUp(InstanceId("i-1"), 10);
     PeerServer::Ports ports;
     ports.self = {node_, Incarnation{7}};
+    ports.clock = &clock_;
     ports.gate = &gate_;
     ports.pacer = &pacer_;
     ports.known_revisions = [] { return KnownRevisions{}; };
     ports.needs_snapshot = [] { return false; };
     ports.server_crashes = [] { return ServerCrashesFrame{}; };
+    ports.on_late_request = [this](const NodeName&, const ForwardFrame& frame, Duration lateness) {
+      late_requests_.emplace_back(frame.exchange, lateness);
+    };
     peers_ = std::move(PeerServer::listen(loop_, kAnyLoopbackPort, std::move(ports)).value());
     connect();
   }
@@ -85,17 +108,41 @@
 
   void connect() { gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_); }
 
-  /// Sends a request that may run at most once, and waits until the server runs it.
-  void startRequest() {
+  void connectAndAwaitHello() {
+    connect();
+    ASSERT_TRUE(loop_.runUntil([this] { return gateway_->up; }, kTestTimeout));
+  }
+
+  /// @return a request that may run at most once.
+  static ForwardFrame request(ExchangeId exchange, const std::string& path, std::size_t body_bytes = 0) {
     ForwardFrame frame;
-    frame.exchange = kExchange;
+    frame.exchange = exchange;
     frame.id = RequestId("0123456789abcdef");
     frame.instance = InstanceId("i-1");
     frame.kind = RouteKind::AtMostOnce;
     frame.remaining_us = Duration(std::chrono::seconds(10)).count();
     frame.target_us = Duration(std::chrono::seconds(10)).count();
-    frame.http = {"GET", "/x", {}, {}};
-    gateway_->send(frame);
+    frame.http = {"GET", path, {}, std::string(body_bytes, 'x')};
+    return frame;
+  }
+
+  /// Runs until the server has received the head of the request.
+  bool runUntilStarted(const std::string& path) {
+    return loop_.runUntil([&] { return hasStarted(path); }, kTestTimeout);
+  }
+  bool hasStarted(const std::string& path) const { return started_.contains("GET " + path + " HTTP/1.1"); }
+
+  /// @return the time that the last request's server has for it, in milliseconds.
+  int deadlineMsAtServer() const {
+    const std::string name = std::string(platform::kDeadlineHeader) + ": ";
+    const std::size_t at = running_->received.rfind(name);
+    EXPECT_NE(at, std::string::npos) << running_->received;
+    return at == std::string::npos ? 0 : std::stoi(running_->received.substr(at + name.size()));
+  }
+
+  /// Sends a request and waits until the server runs it.
+  void startRequest() {
+    gateway_->send(request(kExchange, "/x"));
     ASSERT_TRUE(loop_.runUntil([this] { return running_ != nullptr; }, kTestTimeout));
   }
 
@@ -120,6 +167,10 @@
   QueueConfig queue_;
   platform::ServerProtocolImpl protocol_;
   ScriptedConnection* running_ = nullptr;
+  /// First lines of the requests that the server has received.
+  std::set<std::string> started_;
+  /// Exchanges of the requests that were over when they arrived, and how late they were.
+  std::vector<std::pair<ExchangeId, Duration>> late_requests_;
   ScriptedServer server_;
   ServerClient server_client_{loop_, server_.endpoint(), protocol_};
   LinkPacer pacer_{loop_, clock_, {}};
@@ -162,5 +213,88 @@
   EXPECT_EQ(queryOutcome(), ExchangeState::Answered);
 }
 
+// The server would work for a client that had left before the request arrived.
+TEST_F(PeerServerTest, RequestWhoseCancellationHasArrivedIsNotStarted) {
+  connectAndAwaitHello();
+  gateway_->send(request(1, "/cancelled"));
+  gateway_->send(request(2, "/large", kSeveralReads));
+  gateway_->send(CancelForwardFrame{1});
+  gateway_->send(request(3, "/last"));
+  ASSERT_TRUE(runUntilStarted("/last"));
+  ASSERT_TRUE(runUntilStarted("/large"));
+  EXPECT_FALSE(hasStarted("/cancelled"));
+}
+
+// Requests would wait for the rest of each large body that follows them.
+TEST_F(PeerServerTest, RequestStartsWhileTheMessageBehindItIsStillArriving) {
+  connectAndAwaitHello();
+  gateway_->send(request(1, "/first"));
+  gateway_->send(request(2, "/large", kMoreThanSocketBuffers));
+  ASSERT_TRUE(runUntilStarted("/first"));
+  EXPECT_GT(gateway_->unsentBytes(), 0U);
+}
+
+// The gateway sends a request that has not begun to another server, so it must not begin here afterwards.
+TEST_F(PeerServerTest, RequestWhoseStreamEndsBeforeItBeginsIsReportedAsNotStartedAndNeverStarts) {
+  connectAndAwaitHello();
+  gateway_->send(request(kExchange, "/lost"));
+  gateway_->send(request(kExchange + 1, "/large", kSeveralReads));
+  gateway_->sendInvalidMessage();
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->closed; }, kTestTimeout));
+  connect();
+  EXPECT_EQ(queryOutcome(), ExchangeState::NotStarted);
+  EXPECT_FALSE(hasStarted("/lost"));
+}
+
+// The server would work for a client that has got its final answer while the request was on the way.
+TEST_F(PeerServerTest, RequestThatWasOverWhenItArrivedIsAnsweredAsNotRunAndNotStarted) {
+  connectAndAwaitHello();
+  const Duration sender_clock = std::chrono::hours(9);
+  ForwardFrame punctual = request(1, "/punctual");
+  punctual.sent_at_us = sender_clock.count();
+  gateway_->send(punctual);
+  ASSERT_TRUE(runUntilStarted("/punctual"));
+  ForwardFrame late = request(2, "/late");
+  late.sent_at_us = (sender_clock - std::chrono::seconds(3)).count();
+  late.remaining_us = Duration(std::chrono::seconds(2)).count();
+  gateway_->send(late);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->exchange, 2U);
+  EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(gateway_->reply->reason, ForwardReason::Overloaded);
+  EXPECT_FALSE(gateway_->reply->reached_server);
+  EXPECT_GE(gateway_->reply->retry_after_us, Duration(std::chrono::seconds(3)).count());
+  EXPECT_EQ(gateway_->reply->load.slots, 10U);
+  ASSERT_EQ(late_requests_.size(), 1U);
+  EXPECT_GE(late_requests_.front().second, std::chrono::seconds(3));
+  EXPECT_FALSE(hasStarted("/late"));
+}
+
+// The gate would let a request wait longer than its client does.
+TEST_F(PeerServerTest, TimeOnTheWayIsTakenOffTheTimeOfARequestThatIsNotOver) {
+  connectAndAwaitHello();
+  const Duration sender_clock = std::chrono::hours(9);
+  ForwardFrame punctual = request(1, "/punctual");
+  punctual.sent_at_us = sender_clock.count();
+  gateway_->send(punctual);
+  ASSERT_TRUE(runUntilStarted("/punctual"));
+  ForwardFrame late = request(2, "/late");
+  late.sent_at_us = (sender_clock - std::chrono::seconds(3)).count();
+  gateway_->send(late);
+  ASSERT_TRUE(runUntilStarted("/late"));
+  EXPECT_LE(deadlineMsAtServer(), 7000);
+  EXPECT_TRUE(late_requests_.empty());
+}
+
+// Without the time of sending the gateway takes a reply that was held up for news.
+TEST_F(PeerServerTest, ReplyStatesWhenItWasSent) {
+  const TimePoint before = clock_.now();
+  startRequest();
+  running_->write(httpResponseText(200, "", "done"));
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_GE(gateway_->reply->sent_at_us, before.time_since_epoch().count());
+  EXPECT_LE(gateway_->reply->sent_at_us, clock_.now().time_since_epoch().count());
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -65,6 +65,9 @@
     }
   }
 
+  /// @return number of the kept frames.
+  std::size_t keptFrames() const { return held_.size(); }
+
   /// Takes only streams of this version, as an earlier build does. Later streams than the open ones.
   void speakOnly(WireVersion version) { only_version_ = version; }
   std::size_t acceptedStreams() const { return streams_.size(); }
@@ -94,18 +97,17 @@
     }
 
     void process(std::string_view message) {
-      const WireVersion version = versionOfPreface(stream.preface()).value();
-      const RouterFrame frame = decodeRouterFrame(message, version).value();
+      const RouterFrame frame = decodeRouterFrame(message, version()).value();
       if (std::holds_alternative<HelloFrame>(frame)) {
-        send(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}});
+        sendFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}});
       } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
         ++peer.exchange_queries;
-        send(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state});
+        sendFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state});
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
-        send(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
+        sendFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
-        send(PongFrame{});
+        sendFrame(PongFrame{});
       } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
         ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
@@ -115,19 +117,18 @@
     }
     void onClosed() override {}
 
+    /// @return the version in which the connecting side speaks.
+    WireVersion version() const { return versionOfPreface(stream.preface()).value(); }
+    void sendFrame(const RouterFrame& frame) { stream.send(encodeRouterFrame(frame, version())); }
+
     void replyTo(const ForwardFrame& forward) {
       std::optional<ForwardReplyFrame> reply = peer.on_forward ? peer.on_forward(forward) : std::nullopt;
       if (reply) {
         reply->exchange = forward.exchange;
-        send(std::move(*reply));
+        sendFrame(std::move(*reply));
       }
     }
 
-    /// Sends a frame in the version that the other side speaks.
-    void send(const RouterFrame& frame) {
-      stream.send(encodeRouterFrame(frame, versionOfPreface(stream.preface()).value()));
-    }
-
     FakePeer& peer;
     MessageStream stream;
     bool held = false;
