Count what is under way to each node and the time until a request arrives there

Cause: the choice of a server knows slots and running times only; a request counts once it has arrived, so that a fast server looks free while its link is full.

Change: LinkRoom keeps for each node the bandwidth that its replies state (version 8), how late frames arrive there, and the large requests that this process has sent it and not seen acknowledged or answered; it gives the expected time until a request of some size has arrived. ShipmentTracker feeds it from the acknowledgements of the kernel. The routers state the bandwidth that their settings limit. Nothing decides by it yet. A gauge tells the bytes under way.

--- a/source/core/router/admission/link_budget.h
+++ b/source/core/router/admission/link_budget.h
@@ -9,6 +9,9 @@
 
 namespace shedlever {
 
+/// Messages of at least this size are paced where the link is limited. Smaller ones are sent between their pieces.
+inline constexpr std::size_t kMinPacedMessageBytes = 24U << 10U;
+
 struct LinkConfig {
   /// Bandwidth of the link; 0 disables the limit.
   double bytes_per_second = 0;
--- a/source/core/router/directory/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -44,11 +44,15 @@
   }
   if (entry.record.incarnation != record.incarnation) {
     entry.unreachable = false;
+    links_.forgetStatement(record.node);
   }
   entry.record = record;
 }
 
-void ServerDirectory::remove(const NodeName& node) { entries_.erase(node); }
+void ServerDirectory::remove(const NodeName& node) {
+  entries_.erase(node);
+  links_.forgetStatement(node);
+}
 
 const NodeRecord* ServerDirectory::node(const NodeName& node) const {
   const auto found = entries_.find(node);
@@ -213,6 +217,9 @@
     entry.load = reply.load;
     entry.failure_ratio = reply.load.failed_permille / kPermille;
     entry.load_at = now;
+    if (node != self_) {
+      links_.onStatement(node, reply.load, now);
+    }
   }
   if (reply.service_us <= 0 || reply.outcome != ForwardOutcome::Answered) {
     return;
--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -15,6 +15,7 @@
 #include "shedlever/time.h"
 #include "shedlever/wire_version.h"
 #include "source/core/router/directory/leaving_servers.h"
+#include "source/core/router/link/link_room.h"
 
 namespace shedlever {
 
@@ -124,6 +125,10 @@
   /// @return last reported ratio of failed requests at the node's server; decays without new reports.
   double failureRatio(const NodeName& node, TimePoint now) const;
 
+  /// @return what is known of the links to the nodes.
+  LinkRoom& links() { return links_; }
+  const LinkRoom& links() const { return links_; }
+
  private:
   struct Entry {
     NodeRecord record;
@@ -153,6 +158,7 @@
   std::map<NodeName, Entry> entries_;
   std::set<ZoneName> evacuated_;
   LeavingServers leaving_;
+  LinkRoom links_;
   /// Usual service time of each route, in microseconds.
   std::map<std::string, double> usual_service_us_;
 };
--- a/source/net/link_pacer.cc
+++ b/source/net/link_pacer.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMinPieceBytes = 4U << 10U;
 constexpr std::size_t kMaxPieceBytes = 256U << 10U;
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kBytesPerKilobyte = 1000.0;
 
 }  // namespace
 
@@ -30,6 +31,13 @@
   return std::clamp(static_cast<std::size_t>(bytes), kMinPieceBytes, kMaxPieceBytes);
 }
 
+std::uint32_t LinkPacer::kilobytesPerSecond() const {
+  if (!budget_.isLimited()) {
+    return 0;
+  }
+  return std::max(static_cast<std::uint32_t>(config_.bytes_per_second / kBytesPerKilobyte), 1U);
+}
+
 void LinkPacer::recordSent(std::size_t bytes) {
   if (budget_.isLimited()) {
     budget_.spend(bytes, clock_.now());
--- a/source/net/link_pacer.h
+++ b/source/net/link_pacer.h
@@ -14,9 +14,6 @@
 
 namespace shedlever {
 
-/// Messages of at least this size are paced.
-inline constexpr std::size_t kMinPacedMessageBytes = 24U << 10U;
-
 /// Identifies a paced message. 0 is not a message.
 using TransferId = std::uint64_t;
 
@@ -47,6 +44,9 @@
 
   bool isLimited() const { return budget_.isLimited(); }
 
+  /// @return bandwidth of the link in kilobytes per second; 0 if it is not limited.
+  std::uint32_t kilobytesPerSecond() const;
+
   /// @return how long the link takes to send the backlog and `more_bytes` bytes.
   Duration transmissionTime(double more_bytes) const {
     return budget_.transmissionTime(static_cast<double>(backlog_bytes_) + more_bytes);
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -17,7 +17,15 @@
 
 PeerClient::PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
                        Events events)
-    : loop_(loop), clock_(clock), self_(std::move(self)), directory_(directory), events_(std::move(events)) {}
+    : loop_(loop),
+      clock_(clock),
+      self_(std::move(self)),
+      directory_(directory),
+      events_(std::move(events)),
+      shipments_(loop, clock, directory.links(), [this](PeerStreamId id) {
+        const PeerStream* stream = find(id);
+        return stream == nullptr ? std::nullopt : std::optional(stream->acknowledgedBytes());
+      }) {}
 
 PeerClient::~PeerClient() {
   *alive_ = false;
@@ -92,7 +100,11 @@
   pending.sent_at = clock_.now();
   PeerStream* stream = streamTo(node);
   pending.stream = stream == nullptr ? 0 : stream->id();
+  shipments_.start(exchange, node, frame.http.body.size());
   pending.sent = stream != nullptr && stream->send(std::move(frame), exchange);
+  if (pending.sent && stream->isUp()) {
+    shipments_.onWritten(exchange, stream->id(), stream->enqueuedBytes());
+  }
   if (!pending.sent) {
     loop_.post([this, alive = alive_, exchange] {
       if (*alive) {
@@ -197,6 +209,7 @@
   if (pending.empty()) {
     return;
   }
+  shipments_.end(exchange);
   // Sent on the stream of the request, since a cancellation that arrives before its request has no effect.
   const PeerStreamId id = pending.mapped().stream;
   const auto current = streams_.find(pending.mapped().node);
@@ -326,6 +339,7 @@
   if (node.empty()) {
     return;
   }
+  shipments_.end(reply.exchange);
   if (reply.known.lease_left_us > 0) {
     // The reply was made after the request was sent and before the reply arrived, which bounds the end of the lease.
     const Duration left(reply.known.lease_left_us);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -17,6 +17,7 @@
 #include "source/core/router/ownership/lease_manager.h"
 #include "source/router/peer_stream.h"
 #include "source/router/server_gate.h"
+#include "source/router/shipment_tracker.h"
 
 namespace shedlever {
 
@@ -191,6 +192,7 @@
   std::unordered_map<ExchangeId, PendingRequest> pending_;
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
   std::unordered_map<ExchangeId, PendingQuotaQuestion> quota_questions_;
+  ShipmentTracker shipments_;
   ExchangeId last_exchange_ = 0;
   bool silence_check_scheduled_ = false;
   /// Set to false by the destructor; checked by pending callbacks.
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -228,6 +228,7 @@
   active_requests_.erase(found);
   reply.exchange = key.exchange;
   reply.known = ports_.known_revisions();
+  reply.load.link_kbytes_per_s = ports_.pacer->kilobytesPerSecond();
   Stream* stream = id == 0 ? nullptr : find(id);
   if (stream != nullptr && !stream->ended) {
     stream->answered_exchanges.push_back(reply.exchange);
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -61,6 +61,10 @@
   Incarnation incarnation() const { return incarnation_; }
   TimePoint lastReceivedAt() const { return last_received_at_; }
   std::size_t unsentBytes() const { return transport_.unsentBytes(); }
+  /// @return the number of bytes of all frames that were written, including those in the send buffer.
+  std::uint64_t enqueuedBytes() const { return transport_.enqueuedBytes(); }
+  /// @return how many of the enqueued bytes the peer's kernel has acknowledged.
+  std::uint64_t acknowledgedBytes() const { return transport_.acknowledgedBytes(); }
 
   /// Until the peer's hello has arrived, frames wait here, since the peer may not understand them.
   /// @param exchange exchange of a request; 0 for other frames.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -99,6 +99,8 @@
       running_(gauge("shedlever_server_running", "Requests that run at the server")),
       waiting_(gauge("shedlever_server_waiting", "Requests that wait for a slot")),
       link_wait_(gauge("shedlever_link_wait_seconds", "How long large answers keep the machine's link busy")),
+      link_bytes_under_way_(gauge("shedlever_link_bytes_under_way",
+                                  "Bytes of large requests sent to nodes with limited links that have not arrived")),
       in_flight_(gauge("shedlever_requests_in_flight", "Requests of clients without their final answer")),
       nodes_(gauge("shedlever_nodes", "Nodes known")),
       peer_streams_(gauge("shedlever_peer_streams", "Streams to other nodes that are up")),
@@ -194,6 +196,7 @@
   running_.Set(gauges.load.running);
   waiting_.Set(gauges.load.queued);
   link_wait_.Set(gauges.load.link_busy_ms / kMillisecondsPerSecond);
+  link_bytes_under_way_.Set(static_cast<double>(gauges.link_bytes_under_way));
   in_flight_.Set(static_cast<double>(gauges.in_flight));
   nodes_.Set(static_cast<double>(gauges.nodes));
   peer_streams_.Set(static_cast<double>(gauges.peer_streams));
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -41,6 +41,8 @@
   ServerLoad load;
   /// Requests per second that the local server takes, as it names them.
   std::optional<double> named_limit;
+  /// Bytes of large requests that were sent to nodes with limited links and have not arrived.
+  std::size_t link_bytes_under_way = 0;
   std::size_t in_flight = 0;
   std::size_t nodes = 0;
   std::size_t peer_streams = 0;
@@ -124,6 +126,7 @@
   prometheus::Gauge& running_;
   prometheus::Gauge& waiting_;
   prometheus::Gauge& link_wait_;
+  prometheus::Gauge& link_bytes_under_way_;
   prometheus::Gauge& in_flight_;
   prometheus::Gauge& nodes_;
   prometheus::Gauge& peer_streams_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -56,6 +56,7 @@
               }),
       status_pages_(settings_.interface_kind, statusPorts()) {
   gate_.setQuarantine(quarantine_.quarantine());
+  directory_.links().setOwnLink([this](double bytes) { return pacer_.transmissionTime(bytes); });
   applyEvacuation();
 }
 
--- a/source/router/router_process_status.cc
+++ b/source/router/router_process_status.cc
@@ -49,6 +49,7 @@
   levels.nodes = directory_.nodes().size();
   levels.config_staleness = cluster_state_.configStaleness();
   levels.nodes_staleness = cluster_state_.nodesStaleness();
+  levels.link_bytes_under_way = directory_.links().bytesUnderWay();
   levels.peer_streams = peer_client_.connectedNodes().size();
   if (cluster_state_.routes()) {
     levels.config_version = cluster_state_.routes()->version();
--- a/test/core_router/directory/server_directory_test.cc
+++ b/test/core_router/directory/server_directory_test.cc
@@ -153,6 +153,30 @@
   EXPECT_FALSE(directory_.isUnreachable(NodeName("b")));
 }
 
+TEST_F(ServerDirectoryTest, StatedBandwidthIsKnownUntilTheNodesProcessRestarts) {
+  ForwardReplyFrame reply;
+  reply.load = {1, 0, 10};
+  reply.load.link_kbytes_per_s = 1250;
+  directory_.onReply(NodeName("b"), "r", reply, kNow);
+  EXPECT_TRUE(directory_.links().isLimited(NodeName("b")));
+  directory_.update(record("b", "far"));
+  EXPECT_TRUE(directory_.links().isLimited(NodeName("b")));
+  NodeRecord restarted = record("b", "far");
+  restarted.incarnation = Incarnation{5};
+  directory_.update(restarted);
+  EXPECT_FALSE(directory_.links().isLimited(NodeName("b")));
+}
+
+// No link lies between a process and its own server.
+TEST_F(ServerDirectoryTest, OwnNodeHasNoLink) {
+  ForwardReplyFrame reply;
+  reply.load = {1, 0, 10};
+  reply.load.link_kbytes_per_s = 1250;
+  directory_.update(record("self", "near"));
+  directory_.onReply(NodeName("self"), "r", reply, kNow);
+  EXPECT_FALSE(directory_.links().isLimited(NodeName("self")));
+}
+
 TEST_F(ServerDirectoryTest, UnknownNodeIsUnreachableAndHasNoRecord) {
   EXPECT_TRUE(directory_.isUnreachable(NodeName("z")));
   EXPECT_EQ(directory_.node(NodeName("z")), nullptr);
--- a/test/net/link_pacer_test.cc
+++ b/test/net/link_pacer_test.cc
@@ -96,5 +96,11 @@
   EXPECT_EQ(pacer.backlogBytes(), 0U);
 }
 
+TEST_F(LinkPacerTest, StatesItsBandwidthWhereItIsLimited) {
+  EXPECT_EQ(LinkPacer(loop_, clock_, linkOf(1'250'000)).kilobytesPerSecond(), 1250U);
+  EXPECT_EQ(LinkPacer(loop_, clock_, linkOf(10)).kilobytesPerSecond(), 1U) << "0 would mean that it is not limited";
+  EXPECT_EQ(LinkPacer(loop_, clock_, linkOf(0)).kilobytesPerSecond(), 0U);
+}
+
 }  // namespace
 }  // namespace shedlever::test
