Let the tests' fake peer answer in the version of its stream

Cause: FakePeer encoded its frames in the version that peers assume for each other, whatever the stream's version. With version 8 the load in a reply has two more fields, so that such a reply can't be decoded on a stream of version 8: PeerClientTest.StatedVersionIsSpokenWithoutFurtherConnections failed with a second connection.

Change: all frames of FakePeer are encoded in the version of their stream, as PeerServer does. No check is changed.

Measured: PeerClientTest, 22 tests pass.

--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -94,18 +94,17 @@
     }
 
     void process(std::string_view message) {
-      const WireVersion version = versionOfPreface(stream.preface()).value();
-      const RouterFrame frame = decodeRouterFrame(message, version).value();
+      const RouterFrame frame = decodeRouterFrame(message, version()).value();
       if (std::holds_alternative<HelloFrame>(frame)) {
-        stream.send(encodeRouterFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}}));
+        sendFrame(HelloFrame{peer.identity_.name, peer.identity_.incarnation, false, {}});
       } else if (const auto* query = std::get_if<ExchangeQueryFrame>(&frame)) {
         ++peer.exchange_queries;
-        stream.send(encodeRouterFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state}));
+        sendFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state});
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
-        stream.send(encodeRouterFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}}));
+        sendFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
-        stream.send(encodeRouterFrame(PongFrame{}));
+        sendFrame(PongFrame{});
       } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
         ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
@@ -115,11 +114,15 @@
     }
     void onClosed() override {}
 
+    /// @return the version in which the connecting side speaks.
+    WireVersion version() const { return versionOfPreface(stream.preface()).value(); }
+    void sendFrame(const RouterFrame& frame) { stream.send(encodeRouterFrame(frame, version())); }
+
     void replyTo(const ForwardFrame& forward) {
       std::optional<ForwardReplyFrame> reply = peer.on_forward ? peer.on_forward(forward) : std::nullopt;
       if (reply) {
         reply->exchange = forward.exchange;
-        stream.send(encodeRouterFrame(std::move(*reply)));
+        sendFrame(std::move(*reply));
       }
     }
 
