Choose servers by the room on their links, and refuse at once what would arrive too late

Cause: on nodes with links of 10 Mbit/s large uploads went to few fast servers, whose slots looked free while their links were full, and calls to these nodes failed behind the bodies.

Change: where a node states the bandwidth of its link, the expected time until a request has arrived counts as cost, in units of the usual service time. A large request goes to the better of two servers drawn by how many such requests each could take by link and free slots, since reports are too old for all gateways to take the best. A request that would arrive too late at each server (with a key: at its owner) is refused at once as overloaded, not run, with the time after which a link has room; gateway: event=link-full names node and times. How much longer than expected a large request took to arrive is remembered as a lower bandwidth of the link. Nodes that state no bandwidth are served as before.

--- a/source/core/router/directory/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
+#include "source/core/router/admission/link_budget.h"
+
 namespace shedlever {
 
 namespace {
@@ -13,6 +16,12 @@
 constexpr double kPermille = 1000.0;
 /// Assumed occupancy of a server without a recent load report.
 constexpr double kUnknownOccupancy = 0.4;
+/// Behind a longer wait for its link a server is not tried only to measure how fast it is.
+constexpr double kMaxExploredLinkCost = 0.5;
+/// A server that is full or fails every request is still drawn with this part of its probability.
+constexpr double kMinFreeShare = 0.05;
+/// Assumed at least, so that an unknown service time does not make costs infinite.
+constexpr Duration kMinServiceTime = std::chrono::milliseconds(10);
 /// Weights of the newest value in the moving averages.
 constexpr double kSlownessSmoothing = 0.08;
 constexpr double kUsualServiceSmoothing = 0.03;
@@ -143,7 +152,96 @@
   return found == entries_.end() ? 0 : failureRatioOf(found->second, now);
 }
 
-double ServerDirectory::costOf(const Entry& entry, RouteKind kind, TimePoint now) const {
+Duration ServerDirectory::usualServiceTime(const Entry& entry, const std::string& route) const {
+  const auto usual = usual_service_us_.find(route);
+  return usual == usual_service_us_.end() ? Duration(std::chrono::milliseconds(entry.load.mean_service_ms))
+                                          : Duration(static_cast<Duration::rep>(usual->second));
+}
+
+std::optional<LinkShortage> ServerDirectory::shortageAt(const Entry& entry, TimePoint now,
+                                                        const RequestDemand& demand) const {
+  const NodeName& node = entry.record.node;
+  if (node == self_ || demand.time_left == Duration::max()) {
+    return std::nullopt;
+  }
+  const Duration arrival = links_.arrivalTime(node, demand.bytes, now);
+  // A service time that leaves the link less than half of the time is the server's limit, not that of its link.
+  const Duration service = std::min(usualServiceTime(entry, demand.route), demand.time_left / 2);
+  const Duration wait = arrival + service - demand.time_left;
+  if (arrival == Duration::zero() || wait <= Duration::zero()) {
+    return std::nullopt;
+  }
+  return LinkShortage{node, arrival, wait};
+}
+
+std::optional<LinkShortage> ServerDirectory::linkShortageAt(const NodeName& node, TimePoint now,
+                                                            const RequestDemand& demand) const {
+  const auto found = entries_.find(node);
+  return found == entries_.end() ? std::nullopt : shortageAt(found->second, now, demand);
+}
+
+std::optional<LinkShortage> ServerDirectory::linkShortage(const ServiceName& service,
+                                                          const std::set<InstanceId>& excluded, TimePoint now,
+                                                          const RequestDemand& demand) const {
+  std::optional<LinkShortage> least;
+  for (const auto& [name, entry] : entries_) {
+    if (!takesRequestsFor(entry, service) || excluded.contains(entry.record.instance)) {
+      continue;
+    }
+    const std::optional<LinkShortage> shortage = shortageAt(entry, now, demand);
+    if (!shortage) {
+      return std::nullopt;
+    }
+    if (!least || shortage->wait < least->wait) {
+      least = shortage;
+    }
+  }
+  return least;
+}
+
+double ServerDirectory::requestsPerSecond(const Entry& entry, TimePoint now, const RequestDemand& demand) const {
+  const Duration usual = std::max(usualServiceTime(entry, demand.route), kMinServiceTime);
+  const double service_seconds = std::chrono::duration<double>(usual).count() * entry.slowness;
+  const bool reported = now - entry.load_at <= kMaxLoadAge && entry.load.slots > 0;
+  const double slots = std::max(reported ? entry.load.slots : entry.record.slots, 1U);
+  const double free = std::max(1.0 - occupancyOf(entry, now), kMinFreeShare);
+  const double working = std::max(1.0 - failureRatioOf(entry, now), kMinFreeShare);
+  const double by_slots = free * working * slots / service_seconds;
+  const double bandwidth = links_.usableBytesPerSecond(entry.record.node, now);
+  return bandwidth > 0 ? std::min(by_slots, bandwidth / static_cast<double>(demand.bytes)) : by_slots;
+}
+
+std::vector<const ServerDirectory::Entry*> ServerDirectory::drawTwo(std::vector<const Entry*> candidates, TimePoint now,
+                                                                    const RequestDemand& demand) {
+  constexpr std::size_t kDrawn = 2;
+  std::vector<const Entry*> drawn;
+  while (drawn.size() < kDrawn && !candidates.empty()) {
+    double total = 0;
+    for (const Entry* entry : candidates) {
+      total += requestsPerSecond(*entry, now, demand);
+    }
+    double left = total * randomFraction();
+    auto chosen = candidates.begin();
+    while (std::next(chosen) != candidates.end() && left >= requestsPerSecond(**chosen, now, demand)) {
+      left -= requestsPerSecond(**chosen, now, demand);
+      ++chosen;
+    }
+    drawn.push_back(*chosen);
+    candidates.erase(chosen);
+  }
+  return drawn;
+}
+
+double ServerDirectory::linkCostOf(const Entry& entry, TimePoint now, const RequestDemand& demand) const {
+  if (entry.record.node == self_) {
+    return 0;
+  }
+  const Duration usual = std::max(usualServiceTime(entry, demand.route), kMinServiceTime);
+  const Duration arrival = links_.arrivalTime(entry.record.node, demand.bytes, now);
+  return std::chrono::duration<double>(arrival) / std::chrono::duration<double>(usual);
+}
+
+double ServerDirectory::costOf(const Entry& entry, RouteKind kind, TimePoint now, const RequestDemand& demand) const {
   const double occupancy = occupancyOf(entry, now);
   double cost = entry.slowness;
   if (occupancy > config_.busy_occupancy) {
@@ -155,6 +253,7 @@
   if (kind == RouteKind::Download && now - entry.load_at <= kMaxLoadAge) {
     cost += entry.load.link_busy_ms * kLinkCostPerMs;
   }
+  cost += linkCostOf(entry, now, demand);
   if (entry.record.zone != zone_) {
     cost += kind == RouteKind::Download ? config_.cross_zone_download_cost : config_.cross_zone_cost;
   }
@@ -162,27 +261,40 @@
 }
 
 const NodeRecord* ServerDirectory::choose(const ServiceName& service, RouteKind kind,
-                                          const std::set<InstanceId>& excluded, TimePoint now) {
+                                          const std::set<InstanceId>& excluded, TimePoint now,
+                                          const RequestDemand& demand) {
   std::vector<const Entry*> candidates;
-  const Entry* best = nullptr;
-  double best_cost = 0;
+  bool limited = false;
   for (const auto& [name, entry] : entries_) {
-    if (!takesRequestsFor(entry, service) || excluded.contains(entry.record.instance)) {
+    if (!takesRequestsFor(entry, service) || excluded.contains(entry.record.instance) ||
+        shortageAt(entry, now, demand)) {
       continue;
     }
     candidates.push_back(&entry);
-    const double cost = costOf(entry, kind, now) * (1.0 + kJitter * randomFraction());
+    limited = limited || links_.isLimited(name);
+  }
+  const bool is_large = demand.bytes >= kMinPacedMessageBytes;
+  // What is known of the links is too old for all processes to send their large requests to the best one.
+  if (limited && is_large) {
+    candidates = drawTwo(std::move(candidates), now, demand);
+  }
+  const Entry* best = nullptr;
+  double best_cost = 0;
+  for (const Entry* entry : candidates) {
+    const double cost = costOf(*entry, kind, now, demand) * (1.0 + kJitter * randomFraction());
     if (best == nullptr || cost < best_cost) {
-      best = &entry;
+      best = entry;
       best_cost = cost;
     }
   }
   if (best == nullptr) {
     return nullptr;
   }
-  if (kind != RouteKind::Download && candidates.size() > 1 && randomFraction() < config_.exploration) {
+  const bool may_explore = kind != RouteKind::Download && !(limited && is_large);
+  if (may_explore && candidates.size() > 1 && randomFraction() < config_.exploration) {
     const Entry* explored = candidates[random_.below(candidates.size())];
-    if (occupancyOf(*explored, now) < config_.busy_occupancy) {
+    if (occupancyOf(*explored, now) < config_.busy_occupancy &&
+        linkCostOf(*explored, now, demand) < kMaxExploredLinkCost) {
       return &explored->record;
     }
   }
--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -57,6 +57,27 @@
   double failing_cost = 6.0;
 };
 
+/// What a request needs of the links to its server.
+struct RequestDemand {
+  /// Size of the request; 0 if it does not matter.
+  std::size_t bytes = 0;
+  /// Time until the request's deadline.
+  Duration time_left = Duration::max();
+  /// The request's route.
+  std::string route = {};
+};
+
+/// A request could not be served before its deadline, because it would arrive at its server too late.
+struct LinkShortage {
+  NodeName node;
+  /// Expected time until the request has arrived at the node.
+  Duration arrival{};
+  /// Time after which the link is expected to have room for the request.
+  Duration wait{};
+
+  bool operator==(const LinkShortage&) const = default;
+};
+
 class ServerDirectory {
  public:
   ServerDirectory(NodeName self, ZoneName zone, const ServerChoiceConfig& config, RandomSource& random);
@@ -80,9 +101,17 @@
 
   /// Chooses a server for a request without a key.
   /// @param excluded servers that have been tried.
-  /// @return null if there is no other server.
+  /// @return null if there is no other server at which the request could arrive in time.
   const NodeRecord* choose(const ServiceName& service, RouteKind kind, const std::set<InstanceId>& excluded,
-                           TimePoint now);
+                           TimePoint now, const RequestDemand& demand = {});
+
+  /// @return the least shortage among the servers that `choose` may return, if all of them have one; std::nullopt
+  ///   otherwise, or if there is no server.
+  std::optional<LinkShortage> linkShortage(const ServiceName& service, const std::set<InstanceId>& excluded,
+                                           TimePoint now, const RequestDemand& demand) const;
+
+  /// @return the shortage of the link to this node; std::nullopt if the request is expected to be served in time.
+  std::optional<LinkShortage> linkShortageAt(const NodeName& node, TimePoint now, const RequestDemand& demand) const;
 
   /// A request was sent to the node.
   void onRequestSent(const NodeName& node);
@@ -148,7 +177,16 @@
 
   double occupancyOf(const Entry& entry, TimePoint now) const;
   static double failureRatioOf(const Entry& entry, TimePoint now);
-  double costOf(const Entry& entry, RouteKind kind, TimePoint now) const;
+  /// @return expected time until the request has arrived, in units of the usual service time.
+  double linkCostOf(const Entry& entry, TimePoint now, const RequestDemand& demand) const;
+  double costOf(const Entry& entry, RouteKind kind, TimePoint now, const RequestDemand& demand) const;
+  std::optional<LinkShortage> shortageAt(const Entry& entry, TimePoint now, const RequestDemand& demand) const;
+  /// @return usual service time of the route, or of the server if the route has none; zero if neither is known.
+  Duration usualServiceTime(const Entry& entry, const std::string& route) const;
+  /// @return how many requests of this demand the server could take in a second, by its link and its slots.
+  double requestsPerSecond(const Entry& entry, TimePoint now, const RequestDemand& demand) const;
+  /// Draws two candidates, with probabilities that follow how many such requests they could take.
+  std::vector<const Entry*> drawTwo(std::vector<const Entry*> candidates, TimePoint now, const RequestDemand& demand);
   double randomFraction();
 
   NodeName self_;
--- a/source/core/router/link/link_room.cc
+++ b/source/core/router/link/link_room.cc
@@ -1,6 +1,7 @@
 #include "source/core/router/link/link_room.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "source/core/router/admission/link_budget.h"
 
@@ -8,8 +9,14 @@
 
 namespace {
 
-/// An older statement of the delay is ignored.
-constexpr Duration kMaxDelayAge = std::chrono::seconds(2);
+/// Without requests a node states nothing: the last stated delay decays so that the node is tried again.
+constexpr Duration kDelayHalfLife = std::chrono::seconds(2);
+/// Large requests are rare at each of many gateways, so that a measurement must last.
+constexpr Duration kSlowdownHalfLife = std::chrono::seconds(30);
+constexpr double kSlowdownSmoothing = 0.25;
+constexpr double kMaxSlowdown = 32;
+/// The time of an arrival is known no more exactly than to a part of this.
+constexpr Duration kMinMeasuredTime = std::chrono::milliseconds(50);
 constexpr double kBytesPerKilobyte = 1000.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
@@ -17,6 +24,11 @@
   return Duration(static_cast<Duration::rep>(bytes / bytes_per_second * kMicrosecondsPerSecond));
 }
 
+/// @return what is left of the value after an exponential decay.
+double decayed(double value, Duration age, Duration half_life) {
+  return value * std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
+}
+
 }  // namespace
 
 const LinkRoom::Link* LinkRoom::find(const NodeName& node) const {
@@ -46,10 +58,27 @@
   Link& link = links_[node];
   link.bytes_since_statement += bytes;
   link.bytes_under_way += bytes;
-  link.shipments[++last_shipment_] = {bytes, due};
+  link.shipments[++last_shipment_] = {bytes, now, due};
   return last_shipment_;
 }
 
+void LinkRoom::onArrived(const NodeName& node, ShipmentId shipment, TimePoint now) {
+  const auto found = links_.find(node);
+  if (found == links_.end() || !found->second.shipments.contains(shipment)) {
+    return;
+  }
+  Link& link = found->second;
+  const Shipment& arrived = link.shipments.at(shipment);
+  const Duration expected = std::max(arrived.due - arrived.sent, kMinMeasuredTime);
+  const double measured = static_cast<double>((now - arrived.sent).count()) / static_cast<double>(expected.count());
+  const double before = slowdownAt(link, now);
+  const double slowdown = std::clamp(before * measured, 1.0, kMaxSlowdown);
+  // A worse link takes effect at once, a better one gradually.
+  link.slowdown = std::max(slowdown, before + (slowdown - before) * kSlowdownSmoothing);
+  link.slowdown_at = now;
+  onEnded(node, shipment);
+}
+
 void LinkRoom::onEnded(const NodeName& node, ShipmentId shipment) {
   const auto link = links_.find(node);
   if (link == links_.end()) {
@@ -61,22 +90,32 @@
   }
 }
 
+double LinkRoom::slowdownAt(const Link& link, TimePoint now) {
+  return 1.0 + decayed(link.slowdown - 1.0, now - link.slowdown_at, kSlowdownHalfLife);
+}
+
+double LinkRoom::usableBytesPerSecond(const NodeName& node, TimePoint now) const {
+  const Link* link = find(node);
+  return link == nullptr ? 0 : link->bytes_per_second / slowdownAt(*link, now);
+}
+
 double LinkRoom::bytesPerSecond(const NodeName& node) const {
   const Link* link = find(node);
   return link == nullptr ? 0 : link->bytes_per_second;
 }
 
 Duration LinkRoom::waitAt(const Link& link, bool passes_parts, TimePoint now) {
-  const bool stated = link.stated_at != TimePoint{} && now - link.stated_at <= kMaxDelayAge;
-  const Duration stated_delay = stated ? link.stated_delay : Duration::zero();
+  const Duration stated_delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(
+      decayed(static_cast<double>(link.stated_delay.count()), now - link.stated_at, kDelayHalfLife)));
   if (passes_parts) {
     return stated_delay;
   }
+  const double bandwidth = link.bytes_per_second / slowdownAt(link, now);
   const auto under_way = static_cast<double>(link.bytes_under_way);
   // What was sent after the statement may have arrived already, and what is under way may be part of the stated delay.
   const auto unstated = std::min(static_cast<double>(link.bytes_since_statement), under_way);
-  Duration wait = std::max(stated_delay + transmissionTime(unstated, link.bytes_per_second),
-                           transmissionTime(under_way, link.bytes_per_second));
+  Duration wait =
+      std::max(stated_delay + transmissionTime(unstated, bandwidth), transmissionTime(under_way, bandwidth));
   // A link that carries less than stated shows by requests that are late; more requests would be at least as late.
   if (!link.shipments.empty()) {
     wait = std::max(wait, now - link.shipments.begin()->second.due);
@@ -93,7 +132,8 @@
     return own;
   }
   // Both links carry the request at the same time, so that the slower one decides.
-  return std::max(own, waitAt(*link, passes_parts, now) + transmissionTime(size, link->bytes_per_second));
+  return std::max(
+      own, waitAt(*link, passes_parts, now) + transmissionTime(size, link->bytes_per_second / slowdownAt(*link, now)));
 }
 
 std::size_t LinkRoom::bytesUnderWay(const NodeName& node) const {
--- a/source/core/router/link/link_room.h
+++ b/source/core/router/link/link_room.h
@@ -34,15 +34,22 @@
   /// A request was passed on to the node.
   ShipmentId onSent(const NodeName& node, std::size_t bytes, TimePoint now);
 
-  /// The request has been acknowledged or answered, or will not be sent completely. Unknown ids are ignored.
+  /// The node's kernel has acknowledged the request. Unknown ids are ignored.
+  void onArrived(const NodeName& node, ShipmentId shipment, TimePoint now);
+
+  /// The request was answered, or will not be sent completely; when it arrived is not known. Unknown ids are ignored.
   void onEnded(const NodeName& node, ShipmentId shipment);
 
   /// @return whether the node has stated the bandwidth of its link.
   bool isLimited(const NodeName& node) const { return bytesPerSecond(node) > 0; }
 
-  /// @return bandwidth of the node's link; 0 if it has stated none.
+  /// @return stated bandwidth of the node's link; 0 if it has stated none.
   double bytesPerSecond(const NodeName& node) const;
 
+  /// @return the bandwidth that large requests have met at the node of late, at most the stated one; 0 if it has stated
+  ///   none.
+  double usableBytesPerSecond(const NodeName& node, TimePoint now) const;
+
   /// @return expected time until a request of this size has arrived at the node; zero if no link is known to be
   /// limited.
   Duration arrivalTime(const NodeName& node, std::size_t bytes, TimePoint now) const;
@@ -56,6 +63,7 @@
  private:
   struct Shipment {
     std::size_t bytes = 0;
+    TimePoint sent{};
     /// When the request should have arrived.
     TimePoint due{};
   };
@@ -65,12 +73,16 @@
     Duration stated_delay{};
     TimePoint stated_at{};
     std::size_t bytes_since_statement = 0;
+    /// Time that requests took to arrive over the expected time, at least 1; as measured at `slowdown_at`.
+    double slowdown = 1;
+    TimePoint slowdown_at{};
     std::size_t bytes_under_way = 0;
     /// In the order in which they were sent.
     std::map<ShipmentId, Shipment> shipments;
   };
 
   const Link* find(const NodeName& node) const;
+  static double slowdownAt(const Link& link, TimePoint now);
   /// @return how long a request waits for the node's link.
   static Duration waitAt(const Link& link, bool passes_parts, TimePoint now);
 
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -225,9 +225,14 @@
   const TimePoint now = ports_.clock->now();
   request.parked = false;
   if (!request.keyed) {
+    const RequestDemand demand = demandOf(request, now);
     const NodeRecord* server =
-        ports_.directory->choose(request.service, request.route->kind, request.tried_instances, now);
+        ports_.directory->choose(request.service, request.route->kind, request.tried_instances, now, demand);
     if (server == nullptr) {
+      if (refuseForLink(number,
+                        ports_.directory->linkShortage(request.service, request.tried_instances, now, demand))) {
+        return;
+      }
       const ForwardReason reason =
           request.last_reason == ForwardReason::None ? ForwardReason::NoInstance : request.last_reason;
       refuse(number, reason, kMinRetryAfter);
@@ -250,7 +255,21 @@
     return;
   }
   recordOwnerWait(request, now);
-  sendTo(number, owner.node, owner.instance);
+  if (!refuseForLink(number, ports_.directory->linkShortageAt(owner.node, now, demandOf(request, now)))) {
+    sendTo(number, owner.node, owner.instance);
+  }
+}
+
+RequestDemand Gateway::demandOf(const Request& request, TimePoint now) const {
+  return {request.http.body.size(), endOf(request) - now, request.route->name};
+}
+
+bool Gateway::refuseForLink(RequestNumber number, const std::optional<LinkShortage>& shortage) {
+  if (shortage) {
+    recorder_.linkFull(requests_.at(number), *shortage);
+    refuse(number, ForwardReason::Overloaded, shortage->wait);
+  }
+  return shortage.has_value();
 }
 
 ForwardFrame Gateway::frameOf(const Request& request, const InstanceId& instance, TimePoint until) const {
@@ -316,8 +335,9 @@
   const TimePoint now = ports_.clock->now();
   std::set<InstanceId> tried = request.tried_instances;
   tried.insert(request.attempt.instance);
-  const NodeRecord* server =
-      request.keyed ? nullptr : ports_.directory->choose(request.service, request.route->kind, tried, now);
+  const NodeRecord* server = request.keyed ? nullptr
+                                           : ports_.directory->choose(request.service, request.route->kind, tried, now,
+                                                                      demandOf(request, now));
   const AttemptState state{request.route, request.service, request.keyed, request.reached + 1, endOf(request) - now};
   if (server == nullptr || !policy_.mayAddAttempt(state)) {
     return;
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -109,6 +109,9 @@
   bool refuseQuarantined(RequestNumber number);
   /// Refuses the request if no server is expected to respond before this process ends. @return whether it was refused.
   bool refuseOutlasting(RequestNumber number);
+  RequestDemand demandOf(const Request& request, TimePoint now) const;
+  /// Refuses the request if a link has no room for it. @return whether it was refused.
+  bool refuseForLink(RequestNumber number, const std::optional<LinkShortage>& shortage);
   void sendTo(RequestNumber number, const NodeName& node, const InstanceId& instance);
   /// @param until until when the server may work on the request.
   ForwardFrame frameOf(const Request& request, const InstanceId& instance, TimePoint until) const;
--- a/source/router/gateway_recorder.cc
+++ b/source/router/gateway_recorder.cc
@@ -91,6 +91,21 @@
               {"left_ms", formatMilliseconds(request.deadline - now)}});
 }
 
+void GatewayRecorder::linkFull(const GatewayRequest& request, const LinkShortage& shortage) {
+  metrics_.onEvent("link-full");
+  if (!log_.mayWriteAttempt()) {
+    return;
+  }
+  log_.write("gateway", "link-full",
+             {{"id", request.id.value},
+              {"route", request.route->name},
+              {"bytes", std::to_string(request.http.body.size())},
+              {"node", shortage.node.value},
+              {"arrival_ms", formatMilliseconds(shortage.arrival)},
+              {"wait_ms", formatMilliseconds(shortage.wait)},
+              {"left_ms", formatMilliseconds(request.deadline - clock_.now())}});
+}
+
 void GatewayRecorder::serverLeaving(const NodeName& node, const InstanceId& instance) {
   metrics_.onEvent("server-leaving");
   log_.write("gateway", "server-leaving", {{"node", node.value}, {"instance", instance.value}});
--- a/source/router/gateway_recorder.h
+++ b/source/router/gateway_recorder.h
@@ -6,6 +6,7 @@
 
 #include <string_view>
 
+#include "source/core/router/directory/server_directory.h"
 #include "source/core/router/routes/retry_policy.h"
 #include "source/router/event_log.h"
 #include "source/router/gateway_request.h"
@@ -43,6 +44,9 @@
   /// @param outcome "answered", "refused", "failed", "recorded" or "client-gone".
   void ended(const GatewayRequest& request, int status, std::string_view outcome);
 
+  /// Records that the request is refused because it would arrive too late at every server that it could go to.
+  void linkFull(const GatewayRequest& request, const LinkShortage& shortage);
+
   /// Records that a server said for the first time that it is leaving.
   void serverLeaving(const NodeName& node, const InstanceId& instance);
 
--- a/source/router/shipment_tracker.cc
+++ b/source/router/shipment_tracker.cc
@@ -67,7 +67,7 @@
     }
     const bool arrived = bytes->second && *bytes->second >= shipment.end;
     if (arrived) {
-      links_.onEnded(shipment.node, shipment.shipment);
+      links_.onArrived(shipment.node, shipment.shipment, clock_.now());
     }
     entry = arrived ? entries_.erase(entry) : std::next(entry);
   }
--- a/test/core_router/directory/server_directory_test.cc
+++ b/test/core_router/directory/server_directory_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <optional>
 
 #include "source/lab/sim/simulated_cluster.h"
 
@@ -177,6 +178,78 @@
   EXPECT_FALSE(directory_.links().isLimited(NodeName("self")));
 }
 
+class LinkChoiceTest : public ServerDirectoryTest {
+ protected:
+  /// The node states a link of 10 Mbit/s and this delay of arrivals.
+  void stateLink(const std::string& node, std::uint32_t delay_ms) {
+    ForwardReplyFrame reply;
+    reply.load = {1, 0, 10};
+    reply.load.link_kbytes_per_s = 1250;
+    reply.load.arrival_delay_ms = delay_ms;
+    directory_.onReply(NodeName(node), "r", reply, kNow);
+  }
+
+  std::map<std::string, int> chooseFor(const RequestDemand& demand) {
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 100; ++i) {
+      const NodeRecord* server = directory_.choose(kService, RouteKind::AtMostOnce, {}, kNow, demand);
+      ++chosen[server == nullptr ? "none" : server->node.value];
+    }
+    return chosen;
+  }
+
+  const RequestDemand upload_{60'000, milliseconds(1000), "r"};
+  const RequestDemand call_{500, milliseconds(1000), "r"};
+};
+
+// A server with free slots behind a full link must not look free.
+TEST_F(LinkChoiceTest, ServersBehindFullLinksGetNothingThatWouldArriveTooLate) {
+  stateLink("a", 1500);
+  stateLink("b", 1500);
+  stateLink("c", 0);
+  EXPECT_EQ(chooseFor(upload_)["c"], 100);
+  EXPECT_EQ(chooseFor(call_)["c"], 100);
+  EXPECT_EQ(directory_.linkShortage(kService, {}, kNow, upload_), std::nullopt);
+}
+
+// A request that waits here for a link can't go elsewhere in time.
+TEST_F(LinkChoiceTest, RequestThatWouldArriveTooLateEverywhereHasAShortageOfTheLeastWait) {
+  stateLink("a", 1500);
+  stateLink("b", 1200);
+  stateLink("c", 2000);
+  EXPECT_EQ(chooseFor(upload_)["none"], 100);
+  const std::optional<LinkShortage> shortage = directory_.linkShortage(kService, {}, kNow, upload_);
+  ASSERT_TRUE(shortage.has_value());
+  EXPECT_EQ(shortage->node, NodeName("b"));
+  EXPECT_EQ(shortage->arrival, milliseconds(1248));
+  EXPECT_EQ(shortage->wait, milliseconds(248));
+  EXPECT_EQ(directory_.linkShortage(kService, {InstanceId("i-b")}, kNow, upload_)->node, NodeName("a"));
+  EXPECT_TRUE(directory_.linkShortageAt(NodeName("c"), kNow, upload_).has_value());
+  EXPECT_EQ(directory_.linkShortageAt(NodeName("unknown"), kNow, upload_), std::nullopt);
+}
+
+TEST_F(LinkChoiceTest, WhereNoLinkIsStatedTheChoiceIsAsWithoutADemand) {
+  load("a", 5, 0);
+  load("b", 5, 0);
+  load("c", 9, 0);
+  EXPECT_EQ(chooseFor(upload_)["none"], 0);
+  EXPECT_EQ(chooseFor(upload_)["c"], 0);
+  EXPECT_EQ(directory_.linkShortage(kService, {}, kNow, upload_), std::nullopt);
+  EXPECT_EQ(directory_.linkShortage(ServiceName("none"), {}, kNow, upload_), std::nullopt);
+}
+
+// Otherwise all processes would send their uploads to the server that looked best in the last reply.
+TEST_F(LinkChoiceTest, LargeRequestsAreSpreadOverEqualLinksAlsoIfOneServerLooksBest) {
+  for (const char* node : {"a", "b", "c"}) {
+    stateLink(node, 20);
+  }
+  stateLink("a", 0);
+  const std::map<std::string, int> chosen = chooseFor(upload_);
+  EXPECT_LT(chosen.at("a"), 85);
+  EXPECT_GT(chosen.at("b"), 5);
+  EXPECT_GT(chosen.at("c"), 5);
+}
+
 TEST_F(ServerDirectoryTest, UnknownNodeIsUnreachableAndHasNoRecord) {
   EXPECT_TRUE(directory_.isUnreachable(NodeName("z")));
   EXPECT_EQ(directory_.node(NodeName("z")), nullptr);
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -158,6 +158,16 @@
     directory_.update(record);
   }
 
+  /// Lets the node state a limited link over which requests arrive far too late.
+  void stateFullLink(const std::string& node) {
+    constexpr std::uint32_t kNarrow = 1250;
+    ForwardReplyFrame statement = reply(ForwardOutcome::NotRun, ForwardReason::Overloaded, false);
+    statement.load = {0, 0, 4};
+    statement.load.link_kbytes_per_s = kNarrow;
+    statement.load.arrival_delay_ms = static_cast<std::uint32_t>(milliseconds(std::chrono::hours(24)).count());
+    directory_.onReply(NodeName(node), "read", statement, clock_.now());
+  }
+
   std::optional<ForwardReplyFrame> nextAnswer() {
     if (next_ == answers_.size()) {
       return std::nullopt;
@@ -425,6 +435,28 @@
   EXPECT_LE(retry_after, 6.0);
 }
 
+// A request that waits for a link until its deadline can't be sent elsewhere by its client.
+TEST_F(GatewayTest, RequestThatWouldArriveTooLateAtAllServersIsRefusedWithoutAnAttempt) {
+  stateFullLink("node-1");
+  EXPECT_EQ(ask({answered(200, "by the other")}).body, "by the other");
+  EXPECT_EQ(first_.forwarded_requests, 0U);
+  stateFullLink("node-2");
+  const HttpResponse response = ask({answered(200, "too late")});
+  EXPECT_EQ(response.status, kUnavailable);
+  EXPECT_TRUE(hasRetryAfter(response));
+  EXPECT_EQ(first_.forwarded_requests + second_.forwarded_requests, 1U);
+}
+
+TEST_F(GatewayTest, RequestForAKeyThatWouldArriveTooLateAtItsOwnerIsRefusedWithoutAnAttempt) {
+  stateFullLink("node-1");
+  key_owner_ = {InstanceId("i-node-1"), NodeName("node-1"), {}};
+  const auto refusal = askForKey();
+  ASSERT_TRUE(refusal.has_value());
+  EXPECT_EQ(refusal->status, kUnavailable);
+  EXPECT_TRUE(hasRetryAfter(*refusal));
+  EXPECT_EQ(first_.forwarded_requests, 0U);
+}
+
 TEST_F(GatewayTest, AnswerAfterAnAttemptOfUnknownOutcomeIsReturned) {
   const HttpResponse response = ask({unknown(), answered(200, "here")});
   EXPECT_EQ(response.status, 200);
