Count the load in a reply from when the reply was sent, and state how late requests arrive

Cause: a reply that was held up on a full link counted as news from when it arrived, so that a loaded server looked free; a reply that was sent earlier could replace a later one. Nothing told other nodes that frames reach a node late.

Change: PeerStream translates a reply's time of sending into its own clock by the reply's lateness; ServerDirectory counts the load from there and keeps the later one. Each reply states arrival_delay_ms: the largest lateness of the streams' last small requests, less the time since (a queue that grows no longer is empty by then); a gauge shows it. The staleness of known revisions and the lease already count from the request's sending, which is earlier.

--- a/source/core/router/directory/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -210,9 +210,13 @@
   if (reply.load.slots > 0) {
     entry.unreachable = false;
     entry.confirmed_reachable = true;
+  }
+  const TimePoint sent_at = reply.sent_at_us == 0 ? now : TimePoint(Duration(reply.sent_at_us));
+  // Replies on two streams, and large ones, may arrive in another order than they were sent.
+  if (reply.load.slots > 0 && sent_at >= entry.load_at) {
     entry.load = reply.load;
     entry.failure_ratio = reply.load.failed_permille / kPermille;
-    entry.load_at = now;
+    entry.load_at = sent_at;
   }
   if (reply.service_us <= 0 || reply.outcome != ForwardOutcome::Answered) {
     return;
--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -88,7 +88,8 @@
   /// A request sent to the node has ended.
   void onRequestEnded(const NodeName& node);
   /// @param route identifies requests of similar cost.
-  /// @param reply as sent by the node's process.
+  /// @param reply as sent by the node's process. Its load counts from its time of sending by this machine's clock; from
+  ///   `now` if it states none.
   void onReply(const NodeName& node, const std::string& route, const ForwardReplyFrame& reply, TimePoint now);
 
   /// The node's process cannot be reached. It gets no requests until it answers again or restarts.
--- a/source/core/router/link/transit_delay.cc
+++ b/source/core/router/link/transit_delay.cc
@@ -32,6 +32,19 @@
   return std::max(difference - usual, Duration::zero());
 }
 
+Duration TransitDelay::onSmallFrame(Duration sent_at, TimePoint now) {
+  const Duration lateness = onFrame(sent_at, now);
+  if (sent_at != Duration::zero()) {
+    last_lateness_ = lateness;
+    last_at_ = now;
+  }
+  return lateness;
+}
+
+Duration TransitDelay::current(TimePoint now) const {
+  return std::max(last_lateness_ - (now - last_at_), Duration::zero());
+}
+
 void TransitDelay::learn(Duration difference, TimePoint now) {
   while (!slices_.empty() && now - slices_.front().begin > kWindow) {
     slices_.pop_front();
--- a/source/core/router/link/transit_delay.h
+++ b/source/core/router/link/transit_delay.h
@@ -20,6 +20,14 @@
   /// @return by how much the frame is late; zero for the first frame and for those that state no time.
   Duration onFrame(Duration sent_at, TimePoint now);
 
+  /// As above, for a frame so small that its own transmission is no part of its lateness.
+  Duration onSmallFrame(Duration sent_at, TimePoint now);
+
+  /// @return how late a small frame would be at most if it arrived now and nothing had been sent before it since the
+  /// last
+  ///   one: a queue that grows no longer is empty once the lateness of its last frame has passed.
+  Duration current(TimePoint now) const;
+
  private:
   /// The least difference of the clocks in one part of the window.
   struct Slice {
@@ -30,6 +38,9 @@
 
   void learn(Duration difference, TimePoint now);
 
+  /// Lateness of the last small frame, and when it arrived.
+  Duration last_lateness_{};
+  TimePoint last_at_{};
   /// Oldest first.
   std::deque<Slice> slices_;
 };
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -146,6 +146,15 @@
   });
 }
 
+Duration PeerServer::arrivalDelay() const {
+  const TimePoint now = ports_.clock->now();
+  Duration longest{};
+  for (const auto& [id, stream] : streams_) {
+    longest = std::max(longest, stream->transit_delay.current(now));
+  }
+  return longest;
+}
+
 void PeerServer::onFrame(StreamId id, RouterFrame frame) {
   Stream* stream = find(id);
   if (stream == nullptr) {
@@ -198,7 +207,10 @@
 
 void PeerServer::onForward(Stream& stream, ForwardFrame frame) {
   const TimePoint now = ports_.clock->now();
-  const Duration lateness = stream.transit_delay.onFrame(Duration(frame.sent_at_us), now);
+  const Duration sent_at(frame.sent_at_us);
+  const bool small = frame.http.body.size() < kMinPacedMessageBytes;
+  const Duration lateness =
+      small ? stream.transit_delay.onSmallFrame(sent_at, now) : stream.transit_delay.onFrame(sent_at, now);
   stream.arrived.add({std::move(frame), now, lateness});
 }
 
@@ -277,6 +289,8 @@
   active_requests_.erase(found);
   reply.exchange = key.exchange;
   reply.known = ports_.known_revisions();
+  reply.load.arrival_delay_ms =
+      static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(arrivalDelay()).count());
   Stream* stream = id == 0 ? nullptr : find(id);
   if (stream != nullptr && !stream->ended) {
     stream->answered_exchanges.push_back(reply.exchange);
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -85,6 +85,9 @@
   ///   frame.
   bool hasUndeliveredReplies() const;
 
+  /// @return how late frames from the peers arrive now: the largest value of the streams.
+  Duration arrivalDelay() const;
+
   /// @return number of peers' requests without a reply.
   std::size_t inFlight() const { return active_requests_.size(); }
 
--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/net/link_pacer.h"
 #include "source/net/router_codec.h"
 #include "source/router/peer_stream_options.h"
 
@@ -48,9 +49,22 @@
     transport_.abort();
     return;
   }
+  if (auto* reply = std::get_if<ForwardReplyFrame>(&frame.value())) {
+    translateSendTime(*reply, message.size() < kMinPacedMessageBytes);
+  }
   callbacks_.onStreamFrame(*this, std::move(frame.value()));
 }
 
+void PeerStream::translateSendTime(ForwardReplyFrame& reply, bool small) {
+  if (reply.sent_at_us == 0) {
+    return;
+  }
+  const TimePoint now = clock_.now();
+  const Duration sent_at(reply.sent_at_us);
+  const Duration lateness = small ? transit_delay_.onSmallFrame(sent_at, now) : transit_delay_.onFrame(sent_at, now);
+  reply.sent_at_us = (now - lateness).time_since_epoch().count();
+}
+
 bool PeerStream::acceptHello(const RouterFrame& first) {
   const auto* hello = std::get_if<HelloFrame>(&first);
   if (hello == nullptr || hello->node != node_) {
@@ -166,6 +180,7 @@
     transport_.abort();
     return std::nullopt;
   }
+  translateSendTime(*reply, false);
   return std::move(*reply);
 }
 
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/link/transit_delay.h"
 #include "source/net/message_stream.h"
 
 namespace shedlever {
@@ -29,7 +30,8 @@
 
   /// The hello of the expected node has arrived.
   virtual void onStreamUp(PeerStream& stream) = 0;
-  /// Called for each frame, the hello included, while the stream is up.
+  /// Called for each frame, the hello included, while the stream is up. A reply's time of sending is that of this
+  /// machine's clock.
   virtual void onStreamFrame(PeerStream& stream, RouterFrame frame) = 0;
   /// The last event of the stream.
   virtual void onStreamClosed(PeerStreamId id) = 0;
@@ -106,6 +108,8 @@
   /// Verifies from the first frame that the peer is the expected node.
   /// @return false if the frame is no hello or comes from another node.
   bool acceptHello(const RouterFrame& first);
+  /// Replaces the reply's time of sending by the corresponding time of this machine's clock; 0 if it is not stated.
+  void translateSendTime(ForwardReplyFrame& reply, bool small);
   /// Writes the frame and states in a request when it is sent.
   bool write(RouterFrame& frame, ExchangeId exchange);
   bool sendAfterHello(RouterFrame frame, ExchangeId exchange);
@@ -132,6 +136,8 @@
   std::vector<WaitingFrame> waiting_frames_;
   /// Bytes received so far of large replies.
   std::unordered_map<ExchangeId, std::string> partial_replies_;
+  /// How late the peer's replies arrive.
+  TransitDelay transit_delay_;
   /// When the last message was received; when the stream was opened if there was none.
   TimePoint last_received_at_;
   /// When the unanswered ping was sent; zero if there is none.
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -102,6 +102,7 @@
       in_flight_(gauge("shedlever_requests_in_flight", "Requests of clients without their final answer")),
       nodes_(gauge("shedlever_nodes", "Nodes known")),
       peer_streams_(gauge("shedlever_peer_streams", "Streams to other nodes that are up")),
+      arrival_delay_(gauge("shedlever_arrival_delay_seconds", "How late requests from other nodes arrive")),
       config_version_(gauge("shedlever_config_version", "Version of the configuration in force")),
       config_age_(gauge("shedlever_config_age_seconds", "Time since the configuration in force was taken over")),
       config_staleness_(gauge("shedlever_config_staleness_seconds",
@@ -197,6 +198,7 @@
   in_flight_.Set(static_cast<double>(gauges.in_flight));
   nodes_.Set(static_cast<double>(gauges.nodes));
   peer_streams_.Set(static_cast<double>(gauges.peer_streams));
+  arrival_delay_.Set(secondsOf(gauges.arrival_delay));
   config_version_.Set(static_cast<double>(gauges.config_version));
   config_age_.Set(secondsOf(gauges.config_age));
   config_staleness_.Set(secondsOf(gauges.config_staleness));
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -44,6 +44,8 @@
   std::size_t in_flight = 0;
   std::size_t nodes = 0;
   std::size_t peer_streams = 0;
+  /// How late frames from other nodes arrive.
+  Duration arrival_delay{};
   ConfigVersion config_version = 0;
   /// Time since the active configuration was adopted.
   Duration config_age{};
@@ -127,6 +129,7 @@
   prometheus::Gauge& in_flight_;
   prometheus::Gauge& nodes_;
   prometheus::Gauge& peer_streams_;
+  prometheus::Gauge& arrival_delay_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& config_age_;
   prometheus::Gauge& config_staleness_;
--- a/source/router/router_process_status.cc
+++ b/source/router/router_process_status.cc
@@ -50,6 +50,7 @@
   levels.config_staleness = cluster_state_.configStaleness();
   levels.nodes_staleness = cluster_state_.nodesStaleness();
   levels.peer_streams = peer_client_.connectedNodes().size();
+  levels.arrival_delay = peer_server_->arrivalDelay();
   if (cluster_state_.routes()) {
     levels.config_version = cluster_state_.routes()->version();
     levels.config_age = now - config_adopted_at_;
--- a/test/core_router/directory/server_directory_test.cc
+++ b/test/core_router/directory/server_directory_test.cc
@@ -86,6 +86,29 @@
   EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
 }
 
+// A reply that was held up on a full link would be taken for news.
+TEST_F(ServerDirectoryTest, LoadOfAReplyCountsFromWhenTheReplyWasSent) {
+  ForwardReplyFrame reply;
+  reply.load = {10, 5, 10};
+  reply.sent_at_us = (kNow - milliseconds(700)).time_since_epoch().count();
+  directory_.onReply(NodeName("a"), "r", reply, kNow);
+  EXPECT_EQ(directory_.loadAge(NodeName("a"), kNow), milliseconds(700));
+}
+
+// A large reply is sent in parts and arrives after small ones that were sent later.
+TEST_F(ServerDirectoryTest, LoadOfAnEarlierReplyDoesNotReplaceThatOfALaterOne) {
+  ForwardReplyFrame later;
+  later.load = {10, 5, 10};
+  later.sent_at_us = (kNow - milliseconds(10)).time_since_epoch().count();
+  directory_.onReply(NodeName("a"), "r", later, kNow);
+  ForwardReplyFrame earlier;
+  earlier.load = {1, 0, 10};
+  earlier.sent_at_us = (kNow - milliseconds(400)).time_since_epoch().count();
+  directory_.onReply(NodeName("a"), "r", earlier, kNow);
+  EXPECT_EQ(directory_.load(NodeName("a"), kNow)->queued, 5U);
+  EXPECT_EQ(directory_.loadAge(NodeName("a"), kNow), milliseconds(10));
+}
+
 // A server that fails all requests quickly must not appear fast and idle and attract most of them.
 TEST_F(ServerDirectoryTest, FailingServerIsAvoidedUntilItsFailureRatioHasDecayed) {
   ForwardReplyFrame reply;
--- a/test/core_router/link/transit_delay_test.cc
+++ b/test/core_router/link/transit_delay_test.cc
@@ -114,6 +114,29 @@
   }
 }
 
+// Gateways would avoid a node long after its link has become free, or not at all.
+TEST(TransitDelayTest, PresentDelayIsThatOfTheLastSmallFrameLessTheTimeSince) {
+  TransitDelay delay;
+  delay.onSmallFrame(seconds(100), TimePoint(seconds(1)));
+  EXPECT_EQ(delay.current(TimePoint(seconds(1))), Duration::zero());
+  const Duration late = delay.onSmallFrame(seconds(101), TimePoint(seconds(4)));
+  EXPECT_EQ(late, seconds(2) - maxDrift(seconds(3)));
+  EXPECT_EQ(delay.current(TimePoint(seconds(4))), late);
+  EXPECT_EQ(delay.current(TimePoint(seconds(5))), late - seconds(1));
+  EXPECT_EQ(delay.current(TimePoint(seconds(9))), Duration::zero());
+  delay.onSmallFrame(seconds(103), TimePoint(seconds(5)));
+  delay.onSmallFrame(seconds(105), TimePoint(seconds(6)));
+  EXPECT_EQ(delay.current(TimePoint(seconds(6))), Duration::zero()) << "a frame came through at once";
+}
+
+// The time that a body itself takes on the link says nothing about other frames.
+TEST(TransitDelayTest, LargeFrameDoesNotChangeThePresentDelay) {
+  TransitDelay delay;
+  delay.onSmallFrame(seconds(100), TimePoint(seconds(1)));
+  EXPECT_GT(delay.onFrame(seconds(101), TimePoint(seconds(4))), seconds(1));
+  EXPECT_EQ(delay.current(TimePoint(seconds(4))), Duration::zero());
+}
+
 // A route that has become longer would make every later request late.
 TEST(TransitDelayTest, LongerDelayIsTheUsualOneAfterTheWindow) {
   TransitDelay delay;
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -406,6 +406,34 @@
   EXPECT_GE(received->sent_at_us, released.time_since_epoch().count());
 }
 
+// A gateway would take the load in a reply that was held up for news.
+TEST_F(PeerClientTest, TimeOfSendingOfALateReplyIsTranslatedToTheOwnClock) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  const Duration peer_clock = std::chrono::hours(9);
+  const Duration lateness = std::chrono::seconds(3);
+  Duration stated = peer_clock;
+  peer.on_forward = [&stated](const ForwardFrame&) {
+    ForwardReplyFrame reply;
+    reply.sent_at_us = stated.count();
+    return std::optional(reply);
+  };
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  const TimePoint before = clock_.now();
+  EXPECT_GE(forward(RouteKind::Idempotent).sent_at_us, before.time_since_epoch().count())
+      << "the first one is not late";
+  stated = peer_clock - lateness;
+  const Duration sent_at(forward(RouteKind::Idempotent).sent_at_us);
+  EXPECT_LE(sent_at, clock_.now().time_since_epoch() - lateness);
+  EXPECT_GE(sent_at, before.time_since_epoch() - lateness);
+}
+
+TEST_F(PeerClientTest, ReplyThatStatesNoTimeOfSendingKeepsNone) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  EXPECT_EQ(forward(RouteKind::Idempotent).sent_at_us, 0);
+}
+
 // Without the latency of replies in the reported staleness, peers that can't reach the store would keep each other
 // from detecting that their state is stale.
 TEST_F(PeerClientTest, ReportedStalenessCountsFromSendTimeOfRequest) {
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -265,6 +265,7 @@
   EXPECT_FALSE(gateway_->reply->reached_server);
   EXPECT_GE(gateway_->reply->retry_after_us, Duration(std::chrono::seconds(3)).count());
   EXPECT_EQ(gateway_->reply->load.slots, 10U);
+  EXPECT_GT(gateway_->reply->load.arrival_delay_ms, 0U) << "other gateways are to know of the delay";
   ASSERT_EQ(late_requests_.size(), 1U);
   EXPECT_GE(late_requests_.front().second, std::chrono::seconds(3));
   EXPECT_FALSE(hasStarted("/late"));
