--- a/source/router/router_process_status.cc
+++ b/source/router/router_process_status.cc
@@ -51,6 +51,7 @@
   levels.nodes_staleness = cluster_state_.nodesStaleness();
   levels.link_bytes_under_way = directory_.links().bytesUnderWay();
   levels.peer_streams = peer_client_.connectedNodes().size();
+  levels.arrival_delay = peer_server_->arrivalDelay();
   if (cluster_state_.routes()) {
     levels.config_version = cluster_state_.routes()->version();
     levels.config_age = now - config_adopted_at_;
