Make changes of the owner table typed edits with the state that they expect

Cause: owners changed the table by functions that ran on whatever table was newest. Such a function can't be sent to another process, and what it does to a later table has to be argued for each of them. Change: a TableEdit names the keys, their owner, token and mark of release as they were when it was made, and applies to no other state; it also tells whether its effect is in a table, so a write whose answer was lost is reported as in the table. Each edit of a change has a result. A confirmation after a revocation counts only if all ranges of the server got their tokens from it: ranges that were not known when it was made are confirmed in a second write.

--- a/source/core/router/ownership/key_moves.cc
+++ b/source/core/router/ownership/key_moves.cc
@@ -19,17 +19,17 @@
 void KeyMoves::start(const OwnerLocation& from, const std::vector<KeyRange>& pieces,
                      const std::vector<OwnerLocation>& to) {
   from_ = from;
-  const auto mark = [pieces, owner = from.instance](OwnerTable& table) {
-    bool changed = false;
-    for (const KeyRange& keys : pieces) {
-      changed = table.beginRelease(keys, owner).has_value() || changed;
+  std::vector<TableEdit> marks;
+  for (const KeyRange& keys : pieces) {
+    const OwnedRange* range = ports_.writer->table().find(keys.first);
+    if (range != nullptr && range->owner == from.instance && !range->releasing) {
+      marks.push_back(TableEdit::beginRelease(*range, keys));
     }
-    return changed;
-  };
+  }
   ports_.change(
       "release begun for " + describe(pieces.front()) + " and " + std::to_string(pieces.size() - 1) + " more pieces",
-      mark, [this, pieces, to, batch = batch_](bool written) {
-        if (written && batch == batch_ && moves_.empty()) {
+      std::move(marks), [this, pieces, to, batch = batch_](const EditResults& results) {
+        if (anyInTable(results) && batch == batch_ && moves_.empty()) {
           onReleaseMarked(pieces, to);
         }
       });
@@ -83,20 +83,15 @@
     }
     recipients.push_back(moves_[i].target);
   }
-  const auto edit = [moves = moves_, owner = from_.instance](OwnerTable& table) {
-    bool changed = false;
-    for (const Move& move : moves) {
-      const OwnedRange* range = table.find(move.range.keys.first);
-      if (range != nullptr && range->keys == move.range.keys && range->owner == owner && range->releasing) {
-        changed = table.assign(move.range.keys, move.target, move.handover, move.rate) || changed;
-      }
-    }
-    return changed;
-  };
-  ports_.transfer("ranges moved to " + recipients.front().node.value, recipients, edit, [this](bool) {
-    cancel();
-    ports_.on_batch_done();
-  });
+  std::vector<TableEdit> assignments;
+  for (const Move& move : moves_) {
+    assignments.push_back(TableEdit::assign(move.range, move.range.keys, move.target, move.handover, move.rate));
+  }
+  ports_.transfer("ranges moved to " + recipients.front().node.value, recipients, std::move(assignments),
+                  [this](const EditResults&) {
+                    cancel();
+                    ports_.on_batch_done();
+                  });
 }
 
 }  // namespace shedlever
--- a/source/core/router/ownership/key_moves.h
+++ b/source/core/router/ownership/key_moves.h
@@ -21,9 +21,9 @@
   struct Ports {
     const TableWriter* writer = nullptr;
     /// Queues a change of the table.
-    std::function<void(const std::string& what, TableWriter::Edit, TableWriter::Done)> change;
+    std::function<void(const std::string& what, std::vector<TableEdit>, TableWriter::Done)> change;
     /// Queues a change of the table that transfers keys to these servers.
-    std::function<void(const std::string& what, const std::vector<OwnerLocation>& to, TableWriter::Edit,
+    std::function<void(const std::string& what, const std::vector<OwnerLocation>& to, std::vector<TableEdit>,
                        TableWriter::Done)>
         transfer;
     /// Asks the server to release a range.
--- a/source/core/router/ownership/owner_table_edits.cc
+++ b/source/core/router/ownership/owner_table_edits.cc
@@ -1,69 +1,71 @@
 #include "source/core/router/ownership/owner_table_edits.h"
 
+#include <algorithm>
+
 namespace shedlever {
 
-TableWriter::Edit confirmRanges(const OwnerLocation& self) {
-  return [self](OwnerTable& table) {
-    bool changed = false;
-    for (const OwnedRange& range : table.ownedBy(self.instance)) {
-      changed = table.assign(range.keys, self, range.handover) || changed;
+std::vector<TableEdit> confirmRanges(const OwnerTable& table, const OwnerLocation& self) {
+  std::vector<TableEdit> edits;
+  for (const OwnedRange& range : table.ownedBy(self.instance)) {
+    edits.push_back(TableEdit::assign(range, range.keys, self, range.handover));
+  }
+  return edits;
+}
+
+bool allConfirmed(const OwnerTable& table, const InstanceId& server, const std::vector<TableEdit>& confirmation,
+                  const EditResults& results) {
+  const std::vector<OwnedRange> owned = table.ownedBy(server);
+  return std::all_of(owned.begin(), owned.end(), [&](const OwnedRange& range) {
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      if (results[i] == EditResult::Written && confirmation[i].keys() == range.keys) {
+        return true;
+      }
     }
-    return changed;
-  };
+    return false;
+  });
 }
 
 bool needsReclaim(const OwnedRange& range, const OwnerLocation& self, bool moving) {
   return range.owner != self.instance || (range.releasing && !moving);
 }
 
-TableWriter::Edit reclaimRanges(const OwnerLocation& self) {
-  return [self](OwnerTable& table) {
-    bool changed = false;
-    for (const OwnedRange& range : table.ownedAt(self.node)) {
-      if (range.owner != self.instance) {
-        changed = table.assign(range.keys, self, {}) || changed;
-      } else if (range.releasing) {
-        table.abortRelease(range.keys);
-        changed = true;
-      }
+std::vector<TableEdit> reclaimRanges(const OwnerTable& table, const OwnerLocation& self) {
+  std::vector<TableEdit> edits;
+  for (const OwnedRange& range : table.ownedAt(self.node)) {
+    if (range.owner != self.instance) {
+      edits.push_back(TableEdit::assign(range, range.keys, self, {}));
+    } else if (range.releasing) {
+      edits.push_back(TableEdit::abortRelease(range));
     }
-    return changed;
-  };
+  }
+  return edits;
 }
 
-TableWriter::Edit reassignPieces(const InstanceId& ended, const std::vector<KeyRange>& pieces,
-                                 const std::vector<OwnerLocation>& to) {
-  return [ended, pieces, to](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < pieces.size(); ++i) {
-      const OwnedRange* range = table.find(pieces[i].first);
-      if (range != nullptr && range->owner == ended && table.splitOff(pieces[i]) != nullptr) {
-        changed = table.assign(pieces[i], to[i % to.size()], {}) || changed;
-      }
+std::vector<TableEdit> reassignPieces(const OwnerTable& table, const InstanceId& ended,
+                                      const std::vector<KeyRange>& pieces, const std::vector<OwnerLocation>& to) {
+  std::vector<TableEdit> edits;
+  for (std::size_t i = 0; i < pieces.size(); ++i) {
+    const OwnedRange* range = table.find(pieces[i].first);
+    if (range != nullptr && range->owner == ended) {
+      edits.push_back(TableEdit::assign(*range, pieces[i], to[i % to.size()], {}));
     }
-    return changed;
-  };
+  }
+  return edits;
 }
 
-TableWriter::Edit takeOver(const std::vector<OwnedRange>& lost, const std::vector<OwnerLocation>& to) {
-  return [lost, to](OwnerTable& table) {
-    bool changed = false;
-    for (std::size_t i = 0; i < lost.size(); ++i) {
-      const OwnedRange* range = table.find(lost[i].keys.first);
-      if (range != nullptr && range->keys == lost[i].keys && range->token == lost[i].token) {
-        changed = table.assign(lost[i].keys, to[i % to.size()], {}) || changed;
-      }
-    }
-    return changed;
-  };
+std::vector<TableEdit> takeOver(const std::vector<OwnedRange>& lost, const std::vector<OwnerLocation>& to) {
+  std::vector<TableEdit> edits;
+  for (std::size_t i = 0; i < lost.size(); ++i) {
+    edits.push_back(TableEdit::assign(lost[i], lost[i].keys, to[i % to.size()], {}));
+  }
+  return edits;
 }
 
-TableWriter::Edit raiseToken(const OwnedRange& range, const OwnerLocation& owner) {
-  return [keys = range.keys, token = range.token, owner](OwnerTable& table) {
-    const OwnedRange* now = table.find(keys.first);
-    return now != nullptr && now->keys == keys && now->token == token && now->owner == owner.instance &&
-           !now->releasing && table.assign(keys, owner, now->handover);
-  };
+TableEdit raiseToken(const OwnedRange& range, const OwnerLocation& owner) {
+  OwnedRange expected = range;
+  expected.owner = owner.instance;
+  expected.releasing = false;
+  return TableEdit::assign(expected, range.keys, owner, range.handover);
 }
 
 }  // namespace shedlever
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -41,11 +41,11 @@
 KeyMoves::Ports OwnershipManager::movePorts() {
   KeyMoves::Ports ports;
   ports.writer = &writer_;
-  ports.change = [this](const std::string& what, TableWriter::Edit edit, TableWriter::Done done) {
-    queueChange(what, std::move(edit), std::move(done));
+  ports.change = [this](const std::string& what, std::vector<TableEdit> edits, TableWriter::Done done) {
+    queueChange(what, std::move(edits), std::move(done));
   };
-  ports.transfer = [this](const std::string& what, const std::vector<OwnerLocation>& to, TableWriter::Edit edit,
-                          TableWriter::Done done) { queueTransfer(what, to, std::move(edit), std::move(done)); };
+  ports.transfer = [this](const std::string& what, const std::vector<OwnerLocation>& to, std::vector<TableEdit> edits,
+                          TableWriter::Done done) { queueTransfer(what, to, std::move(edits), std::move(done)); };
   ports.release = [this](const OwnedRange& range, GrantChannel::ReleaseCallback done) {
     grants_->release(range, std::move(done));
   };
@@ -59,7 +59,7 @@
 GrantChannel::Events OwnershipManager::grantEvents() {
   GrantChannel::Events events;
   events.superseded = [this](const OwnedRange& range) {
-    queueChange("token raised", raiseToken(range, {instance_, self_.name}));
+    queueChange("token raised", {raiseToken(range, {instance_, self_.name})});
   };
   events.server_gone = [this] { ports_.on_server_gone(); };
   events.newly_held = [this] { ports_.on_change(); };
@@ -181,45 +181,44 @@
   return owned.empty();
 }
 
-void OwnershipManager::queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done) {
+void OwnershipManager::queueChange(const std::string& what, std::vector<TableEdit> edits, TableWriter::Done done) {
   change_pending_ = true;
-  writer_.change(std::move(edit), [this, what, done = std::move(done)](bool written) {
+  writer_.change(std::move(edits), [this, what, done = std::move(done)](const EditResults& results) {
     change_pending_ = false;
-    logEvent(what, written ? "written" : "no longer applies");
+    logEvent(what, anyInTable(results) ? "written" : "no longer applies");
     if (done) {
-      done(written);
+      done(results);
     }
   });
 }
 
 void OwnershipManager::queueTransfer(const std::string& what, const std::vector<OwnerLocation>& to,
-                                     TableWriter::Edit edit, std::function<void(bool)> done) {
+                                     std::vector<TableEdit> edits, TableWriter::Done done) {
   std::set<NodeName> recipients;
   for (const OwnerLocation& location : to) {
     if (location.node != self_.name) {
       recipients.insert(location.node);
     }
   }
-  // The table to which the edit was applied last.
-  const auto base = std::make_shared<OwnerTableRequestFrame>();
-  auto recorded_edit = [this, base, edit = std::move(edit)](OwnerTable& table) {
-    *base = {writer_.revision(), digestOf(table)};
-    return edit(table);
-  };
-  queueChange(what, std::move(recorded_edit), [this, recipients, base, done = std::move(done)](bool written) {
-    if (written && ports_.on_keys_transferred) {
-      OwnerTableDeltaFrame delta = makeDelta(writer_.table(), base->digest);
-      delta.name = ownerTableName(service_);
-      delta.base = base->known;
-      delta.revision = writer_.revision();
-      ports_.on_keys_transferred(delta, recipients);
+  queueChange(what, std::move(edits), [this, recipients, done = std::move(done)](const EditResults& results) {
+    if (anyInTable(results) && ports_.on_keys_transferred) {
+      sendTransferredKeys(recipients);
     }
     if (done) {
-      done(written);
+      done(results);
     }
   });
 }
 
+void OwnershipManager::sendTransferredKeys(const std::set<NodeName>& recipients) {
+  const TableWriter::Version& base = writer_.changedFrom();
+  OwnerTableDeltaFrame delta = makeDelta(writer_.table(), digestOf(base.table));
+  delta.name = ownerTableName(service_);
+  delta.base = base.revision;
+  delta.revision = writer_.revision();
+  ports_.on_keys_transferred(delta, recipients);
+}
+
 void OwnershipManager::tick(TimePoint now) {
   if (last_tick_ != TimePoint{} && now - last_tick_ > config_.pause_limit) {
     takeover_.reset();
@@ -294,7 +293,7 @@
 void OwnershipManager::reconcileOwnRanges() {
   const OwnerLocation self{instance_, self_.name};
   if (must_confirm_) {
-    queueChange("ranges confirmed", confirmRanges(self), [this](bool) { must_confirm_ = false; });
+    confirmOwnRanges();
     return;
   }
   const auto owned = writer_.table().ownedAt(self_.name);
@@ -302,7 +301,15 @@
   if (!hasServer() || std::none_of(owned.begin(), owned.end(), needs_reclaim)) {
     return;
   }
-  queueChange("ranges of an earlier instance reclaimed", reclaimRanges(self));
+  queueChange("ranges of an earlier instance reclaimed", reclaimRanges(writer_.table(), self));
+}
+
+void OwnershipManager::confirmOwnRanges() {
+  const std::vector<TableEdit> edits = confirmRanges(writer_.table(), {instance_, self_.name});
+  queueChange("ranges confirmed", edits, [this, edits](const EditResults& results) {
+    // The table may hold ranges of this server that were not known when the edits were made.
+    must_confirm_ = !allConfirmed(writer_.table(), instance_, edits, results);
+  });
 }
 
 void OwnershipManager::reassignDeadServerRanges(TimePoint now) {
@@ -319,7 +326,7 @@
     return;
   }
   const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
-  queueTransfer("ranges of dead server reassigned", to, reassignPieces(dead_instance_, pieces, to));
+  queueTransfer("ranges of dead server reassigned", to, reassignPieces(writer_.table(), dead_instance_, pieces, to));
 }
 
 void OwnershipManager::checkUnreachableOwners(TimePoint now) {
@@ -359,8 +366,7 @@
 }
 
 void OwnershipManager::mergeRanges() {
-  queueChange("adjacent ranges merged",
-              [owner = instance_](OwnerTable& table) { return table.mergeAdjacentRanges(owner); });
+  queueChange("adjacent ranges merged", {TableEdit::mergeAdjacentRanges(instance_)});
 }
 
 }  // namespace shedlever
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -165,10 +165,14 @@
   void startMoves(const KeyTransfer& moves);
   void mergeRanges();
 
-  void queueChange(const std::string& what, TableWriter::Edit edit, std::function<void(bool)> done = {});
+  void queueChange(const std::string& what, std::vector<TableEdit> edits, TableWriter::Done done = {});
   /// Queues a change that transfers keys to other nodes.
-  void queueTransfer(const std::string& what, const std::vector<OwnerLocation>& to, TableWriter::Edit edit,
-                     std::function<void(bool)> done = {});
+  void queueTransfer(const std::string& what, const std::vector<OwnerLocation>& to, std::vector<TableEdit> edits,
+                     TableWriter::Done done = {});
+  /// Sends the difference of the table from the one before the last change.
+  void sendTransferredKeys(const std::set<NodeName>& recipients);
+  /// Queues the confirmation of this node's ranges under new tokens.
+  void confirmOwnRanges();
   void logEvent(const std::string& what, const std::string& detail);
 
   NodeIdentity self_;
--- a/source/core/router/ownership/table_writer.cc
+++ b/source/core/router/ownership/table_writer.cc
@@ -1,5 +1,6 @@
 #include "source/core/router/ownership/table_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shedlever {
@@ -13,6 +14,23 @@
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
+/// Applies the edits in order. @return what each of them did.
+EditResults applyEdits(const std::vector<TableEdit>& edits, OwnerTable& table) {
+  EditResults results;
+  for (const TableEdit& edit : edits) {
+    if (edit.apply(table)) {
+      results.push_back(EditResult::Written);
+    } else {
+      results.push_back(edit.isDone(table) ? EditResult::AlreadyDone : EditResult::NoLongerApplies);
+    }
+  }
+  return results;
+}
+
+bool changesTable(const EditResults& results) {
+  return std::find(results.begin(), results.end(), EditResult::Written) != results.end();
+}
+
 }  // namespace
 
 std::string ownerTableName(const ServiceName& service) { return "owners-" + service.value; }
@@ -55,8 +73,8 @@
   on_table_();
 }
 
-void TableWriter::change(Edit edit, Done done) {
-  changes_.push_back({std::move(edit), std::move(done)});
+void TableWriter::change(std::vector<TableEdit> edits, Done done) {
+  changes_.push_back({std::move(edits), std::move(done)});
   if (changes_.size() == 1) {
     startNext();
   }
@@ -199,8 +217,11 @@
 void TableWriter::write() {
   OwnerTable changed = table_;
   changed.beginChange(store_.epoch());
-  if (!changes_.front().edit(changed)) {
-    finish(false);
+  changed_from_ = {revision_, table_};
+  Change& change = changes_.front();
+  change.results = applyEdits(change.edits, changed);
+  if (!changesTable(change.results)) {
+    finish();
     return;
   }
   in_flight_ = true;
@@ -215,7 +236,7 @@
       conflicts_ = 0;
       backoff_.onSuccess();
       onStored(answer.object);
-      finish(true);
+      finish();
       return;
     case StoreStatus::Conflict:
       onStored(answer.object);
@@ -241,10 +262,10 @@
   store_.get(kTableKind, ownerTableName(service_), [this](const StoreAnswer& answer) { onTableReconciled(answer); });
 }
 
-void TableWriter::finish(bool written) {
-  Done done = std::move(changes_.front().done);
+void TableWriter::finish() {
+  const Change change = std::move(changes_.front());
   changes_.pop_front();
-  done(written);
+  change.done(change.results);
   startNext();
 }
 
--- a/source/core/router/ownership/table_writer.h
+++ b/source/core/router/ownership/table_writer.h
@@ -6,9 +6,11 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "shedlever/metadata_store.h"
 #include "source/core/router/ownership/owner_table.h"
+#include "source/core/router/ownership/table_edit.h"
 #include "source/core/router/store/retry_backoff.h"
 
 namespace shedlever {
@@ -20,15 +22,18 @@
 /// @return the name of the service's table object.
 std::string ownerTableName(const ServiceName& service);
 
-/// Holds the newest known table. A change is an edit that is applied to the newest table until it is written or no
-/// longer applies. A change without an answer is therefore compared with the table in the store before anything else is
-/// done.
+/// Holds the newest known table. A change is a list of edits that are applied to the newest table until it is written
+/// or none of them applies. A change without an answer is therefore compared with the table in the store before
+/// anything else is done.
 class TableWriter {
  public:
-  /// @return whether the edit changed the table. Must be safe to run on any later table.
-  using Edit = std::function<bool(OwnerTable&)>;
-  /// @param written whether the edit is in the store; false if it no longer applied.
-  using Done = std::function<void(bool written)>;
+  using Done = std::function<void(const EditResults&)>;
+
+  /// A table and its revision.
+  struct Version {
+    StoreRevision revision;
+    OwnerTable table;
+  };
 
   /// Delays after the store has been restored from a backup, which may hold an earlier table.
   struct RestoreDelays {
@@ -57,7 +62,10 @@
   StoreRevision revision() const { return revision_; }
 
   /// Queues a change.
-  void change(Edit edit, Done done);
+  void change(std::vector<TableEdit> edits, Done done);
+
+  /// @return the table that the last change was applied to. For use in callbacks of changes.
+  const Version& changedFrom() const { return changed_from_; }
 
   /// Creates the initial table unless there is one. @return whether the call was sent.
   bool create(const OwnerTable& table);
@@ -73,8 +81,9 @@
 
  private:
   struct Change {
-    Edit edit;
+    std::vector<TableEdit> edits;
     Done done;
+    EditResults results = {};
   };
 
   /// Handles the state of the table in the store, as contained in an answer to a call of this object.
@@ -97,7 +106,7 @@
   void onWritten(const StoreAnswer& answer);
   void rereadTable();
   void onTableReconciled(const StoreAnswer& answer);
-  void finish(bool written);
+  void finish();
 
   ServiceName service_;
   MetadataStore& store_;
@@ -107,6 +116,7 @@
   bool absence_known_ = false;
   /// Conflicts since the last successful write.
   unsigned conflicts_ = 0;
+  Version changed_from_;
   std::deque<Change> changes_;
   bool in_flight_ = false;
   /// The first change got no answer; the table must be read before the change is retried.
