Write all queued changes of an owner table at once

Cause: the writer took one change for each write, so changes that came while a write was under way each cost a write of their own. Change: all queued changes are applied in order to the newest table and written once; each is told what became of its own edits. After a conflict all are applied again, with those that came meanwhile. Callbacks of a batch run before the next write, so that each finds the table of its own write.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -182,9 +182,9 @@
 }
 
 void OwnershipManager::queueChange(const std::string& what, std::vector<TableEdit> edits, TableWriter::Done done) {
-  change_pending_ = true;
+  ++pending_changes_;
   writer_.change(std::move(edits), [this, what, done = std::move(done)](const EditResults& results) {
-    change_pending_ = false;
+    --pending_changes_;
     logEvent(what, anyInTable(results) ? "written" : "no longer applies");
     if (done) {
       done(results);
@@ -239,14 +239,14 @@
     return;
   }
   grants_->update(grantable(), lease_.validUntil(), now);
-  if (!change_pending_) {
+  if (pending_changes_ == 0) {
     reconcileOwnRanges();
   }
-  if (!change_pending_) {
+  if (pending_changes_ == 0) {
     reassignDeadServerRanges(now);
   }
   checkUnreachableOwners(now);
-  if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
+  if (pending_changes_ == 0 && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
       startMoves(balancer_.moveAll(instance_, candidates_.unlimitedTargets(now), now));
     } else {
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -207,8 +207,8 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
-  /// A change queued by this class is pending; the next one waits for it.
-  bool change_pending_ = false;
+  /// Changes queued by this class that are pending; the next one mostly waits for them.
+  unsigned pending_changes_ = 0;
 };
 
 }  // namespace shedlever
--- a/source/core/router/ownership/table_writer.cc
+++ b/source/core/router/ownership/table_writer.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// After this many conflicts in a row the change waits for the next tick.
+/// After this many conflicts in a row the changes wait for the next tick.
 constexpr unsigned kConflictsBeforeDelay = 2;
 /// Delay after a call that was refused or got no answer; doubles with each failure, so that a store that refuses calls
 /// for seconds is not called at every tick.
@@ -124,7 +124,7 @@
 }
 
 void TableWriter::startNext() {
-  if (in_flight_ || delayed_until_ != TimePoint{} || !exists()) {
+  if (in_flight_ || finishing_ || delayed_until_ != TimePoint{} || !exists()) {
     return;
   }
   if (awaitsRestore()) {
@@ -218,10 +218,14 @@
   OwnerTable changed = table_;
   changed.beginChange(store_.epoch());
   changed_from_ = {revision_, table_};
-  Change& change = changes_.front();
-  change.results = applyEdits(change.edits, changed);
-  if (!changesTable(change.results)) {
-    finish();
+  batch_size_ = changes_.size();
+  bool changes_table = false;
+  for (Change& change : changes_) {
+    change.results = applyEdits(change.edits, changed);
+    changes_table = changesTable(change.results) || changes_table;
+  }
+  if (!changes_table) {
+    finishBatch();
     return;
   }
   in_flight_ = true;
@@ -236,7 +240,7 @@
       conflicts_ = 0;
       backoff_.onSuccess();
       onStored(answer.object);
-      finish();
+      finishBatch();
       return;
     case StoreStatus::Conflict:
       onStored(answer.object);
@@ -262,10 +266,14 @@
   store_.get(kTableKind, ownerTableName(service_), [this](const StoreAnswer& answer) { onTableReconciled(answer); });
 }
 
-void TableWriter::finish() {
-  const Change change = std::move(changes_.front());
-  changes_.pop_front();
-  change.done(change.results);
+void TableWriter::finishBatch() {
+  finishing_ = true;
+  for (std::size_t left = std::exchange(batch_size_, 0); left > 0; --left) {
+    const Change change = std::move(changes_.front());
+    changes_.pop_front();
+    change.done(change.results);
+  }
+  finishing_ = false;
   startNext();
 }
 
--- a/source/core/router/ownership/table_writer.h
+++ b/source/core/router/ownership/table_writer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Reads and changes the owner table of one service in the metadata store, one change at a time.
+/// Reads and changes the owner table of one service in the metadata store.
 
 #include <deque>
 #include <functional>
@@ -24,7 +24,7 @@
 
 /// Holds the newest known table. A change is a list of edits that are applied to the newest table until it is written
 /// or none of them applies. A change without an answer is therefore compared with the table in the store before
-/// anything else is done.
+/// anything else is done. All changes that wait go in one write.
 class TableWriter {
  public:
   using Done = std::function<void(const EditResults&)>;
@@ -106,7 +106,8 @@
   void onWritten(const StoreAnswer& answer);
   void rereadTable();
   void onTableReconciled(const StoreAnswer& answer);
-  void finish();
+  /// Ends the changes of the batch.
+  void finishBatch();
 
   ServiceName service_;
   MetadataStore& store_;
@@ -117,9 +118,13 @@
   /// Conflicts since the last successful write.
   unsigned conflicts_ = 0;
   Version changed_from_;
+  /// Changes in order; the first `batch_size_` of them were applied for the last write.
   std::deque<Change> changes_;
+  std::size_t batch_size_ = 0;
+  /// The callbacks of a batch are running; the next write waits for them.
+  bool finishing_ = false;
   bool in_flight_ = false;
-  /// The first change got no answer; the table must be read before the change is retried.
+  /// A write got no answer; the table must be read before the changes are retried.
   bool must_reread_ = false;
   void backOff();
 
@@ -134,7 +139,7 @@
   /// not.
   TimePoint earlier_epoch_since_{};
 
-  /// The first change waits for a tick after this time; zero: it does not wait.
+  /// The changes wait for a tick after this time; zero: they do not wait.
   TimePoint delayed_until_{};
   TimePoint last_tick_{};
   RetryBackoff backoff_;
