--- a/source/core/router/ownership/table_writer.cc
+++ b/source/core/router/ownership/table_writer.cc
@@ -1,18 +1,36 @@
 #include "source/core/router/ownership/table_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shedlever {
 
 namespace {
 
-/// After this many conflicts in a row the change waits for the next tick.
+/// After this many conflicts in a row the changes wait for the next tick.
 constexpr unsigned kConflictsBeforeDelay = 2;
 /// Delay after a call that was refused or got no answer; doubles with each failure, so that a store that refuses calls
 /// for seconds is not called at every tick.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
+/// Applies the edits in order. @return what each of them did.
+EditResults applyEdits(const std::vector<TableEdit>& edits, OwnerTable& table) {
+  EditResults results;
+  for (const TableEdit& edit : edits) {
+    if (edit.apply(table)) {
+      results.push_back(EditResult::Written);
+    } else {
+      results.push_back(edit.isDone(table) ? EditResult::AlreadyDone : EditResult::NoLongerApplies);
+    }
+  }
+  return results;
+}
+
+bool changesTable(const EditResults& results) {
+  return std::find(results.begin(), results.end(), EditResult::Written) != results.end();
+}
+
 }  // namespace
 
 std::string ownerTableName(const ServiceName& service) { return "owners-" + service.value; }
@@ -55,8 +73,8 @@
   on_table_();
 }
 
-void TableWriter::change(Edit edit, Done done) {
-  changes_.push_back({std::move(edit), std::move(done)});
+void TableWriter::change(std::vector<TableEdit> edits, Done done) {
+  changes_.push_back({std::move(edits), std::move(done)});
   if (changes_.size() == 1) {
     startNext();
   }
@@ -106,7 +124,7 @@
 }
 
 void TableWriter::startNext() {
-  if (in_flight_ || delayed_until_ != TimePoint{} || !exists()) {
+  if (in_flight_ || finishing_ || delayed_until_ != TimePoint{} || !exists()) {
     return;
   }
   if (awaitsRestore()) {
@@ -199,8 +217,15 @@
 void TableWriter::write() {
   OwnerTable changed = table_;
   changed.beginChange(store_.epoch());
-  if (!changes_.front().edit(changed)) {
-    finish(false);
+  changed_from_ = {revision_, table_};
+  batch_size_ = changes_.size();
+  bool changes_table = false;
+  for (Change& change : changes_) {
+    change.results = applyEdits(change.edits, changed);
+    changes_table = changesTable(change.results) || changes_table;
+  }
+  if (!changes_table) {
+    finishBatch();
     return;
   }
   in_flight_ = true;
@@ -215,7 +240,7 @@
       conflicts_ = 0;
       backoff_.onSuccess();
       onStored(answer.object);
-      finish(true);
+      finishBatch();
       return;
     case StoreStatus::Conflict:
       onStored(answer.object);
@@ -241,10 +266,14 @@
   store_.get(kTableKind, ownerTableName(service_), [this](const StoreAnswer& answer) { onTableReconciled(answer); });
 }
 
-void TableWriter::finish(bool written) {
-  Done done = std::move(changes_.front().done);
-  changes_.pop_front();
-  done(written);
+void TableWriter::finishBatch() {
+  finishing_ = true;
+  for (std::size_t left = std::exchange(batch_size_, 0); left > 0; --left) {
+    const Change change = std::move(changes_.front());
+    changes_.pop_front();
+    change.done(change.results);
+  }
+  finishing_ = false;
   startNext();
 }
 
