Send large requests in parts between which small frames pass

Cause: the body of an upload was written to its stream at once, so that calls, cancellations and pings waited behind it, a cancelled upload was sent to its end, and the memory of a sender held all that a slow node did not take.

Change: towards peers of version 8, where the own link or that of the node is limited, requests with bodies of 24 KB to 6 MB go as ForwardPartFrames through the pacer of the machine's link, with a bounded number of bytes ahead of the peer's acknowledgements (ForwardPartSender). A cancelled or refused request stops; one whose last part was not sent is reported as not run when its stream breaks. RequestAssembler holds unfinished requests up to a bound for each stream and for the process, refuses beyond it as not run (peer: event=parts-refused), and drops parts with cancellation and stream. Frames that are not paced are now counted against the link's budget as well. Requests on streams whose hello has not arrived go whole, as to earlier versions.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -16,16 +16,52 @@
 }  // namespace
 
 PeerClient::PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory,
-                       Events events)
+                       Events events, LinkPacer* pacer)
     : loop_(loop),
       clock_(clock),
       self_(std::move(self)),
       directory_(directory),
       events_(std::move(events)),
-      shipments_(loop, clock, directory.links(), [this](PeerStreamId id) {
-        const PeerStream* stream = find(id);
-        return stream == nullptr ? std::nullopt : std::optional(stream->acknowledgedBytes());
-      }) {}
+      shipments_(loop, clock, directory.links(),
+                 [this](PeerStreamId id) {
+                   const PeerStream* stream = find(id);
+                   return stream == nullptr ? std::nullopt : std::optional(stream->acknowledgedBytes());
+                 }),
+      pacer_(pacer) {
+  if (pacer_ != nullptr) {
+    parts_.emplace(loop_, clock_, *pacer_, directory_.links(), partPorts());
+  }
+}
+
+ForwardPartSender::Ports PeerClient::partPorts() {
+  ForwardPartSender::Ports ports;
+  ports.stream = [this](PeerStreamId id) { return find(id); };
+  ports.on_last_part = [this](ExchangeId exchange, const PeerStream& stream) {
+    shipments_.onWritten(exchange, stream.id(), stream.enqueuedBytes());
+  };
+  return ports;
+}
+
+void PeerClient::onFrameSent(const RouterFrame& frame, std::size_t bytes) {
+  const bool is_paced = std::holds_alternative<ForwardPartFrame>(frame);
+  if (pacer_ != nullptr && !is_paced) {
+    pacer_->recordSent(bytes);
+  }
+  events_.on_sent(frame, bytes);
+}
+
+bool PeerClient::sendRequest(PeerStream& stream, ForwardFrame frame) {
+  const ExchangeId exchange = frame.exchange;
+  if (parts_ && parts_->takes(stream, frame)) {
+    parts_->start(stream, std::move(frame));
+    return true;
+  }
+  const bool sent = stream.send(std::move(frame), exchange);
+  if (sent && stream.isUp()) {
+    shipments_.onWritten(exchange, stream.id(), stream.enqueuedBytes());
+  }
+  return sent;
+}
 
 PeerClient::~PeerClient() {
   *alive_ = false;
@@ -101,10 +137,7 @@
   PeerStream* stream = streamTo(node);
   pending.stream = stream == nullptr ? 0 : stream->id();
   shipments_.start(exchange, node, frame.http.body.size());
-  pending.sent = stream != nullptr && stream->send(std::move(frame), exchange);
-  if (pending.sent && stream->isUp()) {
-    shipments_.onWritten(exchange, stream->id(), stream->enqueuedBytes());
-  }
+  pending.sent = stream != nullptr && sendRequest(*stream, std::move(frame));
   if (!pending.sent) {
     loop_.post([this, alive = alive_, exchange] {
       if (*alive) {
@@ -210,6 +243,11 @@
     return;
   }
   shipments_.end(exchange);
+  const bool nothing_sent = parts_ && parts_->cancel(pending.mapped().stream, exchange) == false;
+  if (nothing_sent) {
+    closeSilentStreamIfUnused(pending.mapped().stream);
+    return;
+  }
   // Sent on the stream of the request, since a cancellation that arrives before its request has no effect.
   const PeerStreamId id = pending.mapped().stream;
   const auto current = streams_.find(pending.mapped().node);
@@ -266,6 +304,11 @@
   return nodes;
 }
 
+std::uint64_t PeerClient::unacknowledgedBytes(const NodeName& node) const {
+  const auto stream = streams_.find(node);
+  return stream == streams_.end() ? 0 : stream->second->enqueuedBytes() - stream->second->acknowledgedBytes();
+}
+
 void PeerClient::send(const NodeName& node, const RouterFrame& frame) {
   if (PeerStream* stream = streamTo(node)) {
     stream->send(frame);
@@ -340,6 +383,7 @@
     return;
   }
   shipments_.end(reply.exchange);
+  stopSending(reply.exchange, node.mapped().stream);
   if (reply.known.lease_left_us > 0) {
     // The reply was made after the request was sent and before the reply arrived, which bounds the end of the lease.
     const Duration left(reply.known.lease_left_us);
@@ -356,6 +400,14 @@
   closeSilentStreamIfUnused(node.mapped().stream);
 }
 
+void PeerClient::stopSending(ExchangeId exchange, PeerStreamId id) {
+  const std::optional<bool> begun = parts_ ? parts_->cancel(id, exchange) : std::nullopt;
+  PeerStream* stream = begun == true ? find(id) : nullptr;
+  if (stream != nullptr) {
+    stream->send(CancelForwardFrame{exchange});
+  }
+}
+
 void PeerClient::onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply) {
   const auto found = pending_.find(query_reply.exchange);
   if (found == pending_.end()) {
@@ -434,7 +486,12 @@
   }
   // Another node's process that uses the address ignores all frames.
   const ForwardReason reason = stream.isMisdirected() ? ForwardReason::ServerDown : ForwardReason::ConnectionLost;
-  for (const ExchangeId exchange : stream.unsentExchanges()) {
+  std::vector<ExchangeId> unsent = stream.unsentExchanges();
+  if (parts_) {
+    const std::vector<ExchangeId> in_parts = parts_->takeUnsent(stream.id());
+    unsent.insert(unsent.end(), in_parts.begin(), in_parts.end());
+  }
+  for (const ExchangeId exchange : unsent) {
     finish(exchange, ForwardOutcome::NotRun, reason);
   }
 }
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -15,6 +15,7 @@
 #include "source/core/router/directory/server_directory.h"
 #include "source/core/router/frame_name.h"
 #include "source/core/router/ownership/lease_manager.h"
+#include "source/router/forward_part_sender.h"
 #include "source/router/peer_stream.h"
 #include "source/router/server_gate.h"
 #include "source/router/shipment_tracker.h"
@@ -76,7 +77,9 @@
     std::function<void(const NodeIdentity&)> on_identified = [](const NodeIdentity&) {};
   };
 
-  PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events);
+  /// @param pacer paces large requests to the rate of the machine's link; null: they are sent whole.
+  PeerClient(EventLoop& loop, const Clock& clock, NodeIdentity self, ServerDirectory& directory, Events events,
+             LinkPacer* pacer = nullptr);
   ~PeerClient() override;
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
@@ -103,6 +106,12 @@
   /// @return the version in which frames to the node are encoded.
   WireVersion versionOf(const NodeName& node) const;
 
+  /// @return bytes of the node's stream that its kernel has not acknowledged; 0 without a stream.
+  std::uint64_t unacknowledgedBytes(const NodeName& node) const;
+
+  /// @return bytes of large requests that wait here for links.
+  std::size_t queuedRequestBytes() const { return parts_ ? parts_->queuedBytes() : 0; }
+
   /// Sends a frame without waiting for a reply.
   void send(const NodeName& node, const RouterFrame& frame);
 
@@ -144,8 +153,13 @@
   void onStreamUp(PeerStream& stream) override;
   void onStreamFrame(PeerStream& stream, RouterFrame frame) override;
   void onStreamClosed(PeerStreamId id) override;
-  void onFrameSent(const RouterFrame& frame, std::size_t bytes) override { events_.on_sent(frame, bytes); }
+  void onFrameSent(const RouterFrame& frame, std::size_t bytes) override;
+  ForwardPartSender::Ports partPorts();
+  /// Passes the request to the stream, in parts if it is large. @return whether the stream took it.
+  bool sendRequest(PeerStream& stream, ForwardFrame frame);
   void onReply(ForwardReplyFrame reply);
+  /// Sends no further parts of a request that has ended, and makes the peer drop those that it has.
+  void stopSending(ExchangeId exchange, PeerStreamId id);
   void onQuotaGrant(const QuotaGrantFrame& grant);
   void onReplyPart(PeerStream& stream, const ReplyPartFrame& part);
   void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
@@ -193,6 +207,9 @@
   std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
   std::unordered_map<ExchangeId, PendingQuotaQuestion> quota_questions_;
   ShipmentTracker shipments_;
+  LinkPacer* pacer_;
+  /// Empty without a pacer.
+  std::optional<ForwardPartSender> parts_;
   ExchangeId last_exchange_ = 0;
   bool silence_check_scheduled_ = false;
   /// Set to false by the destructor; checked by pending callbacks.
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -149,7 +149,10 @@
   }
   if (auto* forward = std::get_if<ForwardFrame>(&frame)) {
     onForward(id, *stream, std::move(*forward));
+  } else if (const auto* part = std::get_if<ForwardPartFrame>(&frame)) {
+    onForwardPart(id, *stream, *part);
   } else if (const auto* cancel = std::get_if<CancelForwardFrame>(&frame)) {
+    assembler_.drop(id, cancel->exchange);
     const auto request = active_requests_.find({stream->sender, cancel->exchange});
     if (request != active_requests_.end()) {
       ports_.gate->cancel(request->second.ticket);
@@ -219,6 +222,29 @@
   }
 }
 
+void PeerServer::onForwardPart(StreamId id, Stream& stream, const ForwardPartFrame& part) {
+  const PartResult result = assembler_.add(id, part);
+  if (result.verdict == PartVerdict::Refused) {
+    ports_.on_parts_refused(stream.sender.name, assembler_.heldBytes());
+    ForwardReplyFrame refusal;
+    refusal.exchange = part.exchange;
+    refusal.outcome = ForwardOutcome::NotRun;
+    refusal.reason = ForwardReason::Overloaded;
+    stream.send(refusal);
+    return;
+  }
+  if (result.verdict != PartVerdict::Complete) {
+    return;
+  }
+  auto frame = decodeRouterFrame(result.bytes, stream.version());
+  auto* forward = frame ? std::get_if<ForwardFrame>(&frame.value()) : nullptr;
+  if (forward == nullptr || forward->exchange != part.exchange) {
+    stream.transport.abort();
+    return;
+  }
+  onForward(id, stream, std::move(*forward));
+}
+
 void PeerServer::onReply(const RequestKey& key, ForwardReplyFrame reply) {
   const auto found = active_requests_.find(key);
   if (found == active_requests_.end()) {
@@ -331,6 +357,7 @@
     }
   });
   streams_.erase(found);
+  assembler_.onStreamEnd(id);
   bool orphaned = false;
   for (auto& [key, request] : active_requests_) {
     if (request.stream == id) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -13,6 +13,7 @@
 
 #include "shedlever/platform_ports.h"
 #include "source/core/router/frame_name.h"
+#include "source/core/router/link/request_assembler.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -54,6 +55,8 @@
       return QuotaGrantFrame{asked.exchange};
     };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
+    /// A request in parts was refused, because `held_bytes` of unfinished requests are held already.
+    std::function<void(const NodeName&, std::size_t held_bytes)> on_parts_refused = [](const NodeName&, std::size_t) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
   };
@@ -102,6 +105,7 @@
   void accept(evutil_socket_t socket);
   void onFrame(StreamId id, RouterFrame frame);
   void onForward(StreamId id, Stream& stream, ForwardFrame frame);
+  void onForwardPart(StreamId id, Stream& stream, const ForwardPartFrame& part);
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
@@ -122,6 +126,7 @@
   std::map<StreamId, std::unique_ptr<Stream>> streams_;
   StreamId last_stream_id_ = 0;
   std::map<RequestKey, ActiveRequest> active_requests_;
+  RequestAssembler assembler_;
   /// Replies sent on an ended stream, for later outcome queries.
   struct EndedStream {
     NodeIdentity sender;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -34,7 +34,7 @@
               return pacer_.isLimited() ? pacer_.transmissionTime(more_bytes) : Duration::zero();
             }},
             gate_recorder_, gateEvents()),
-      peer_client_(loop_, clock_, self_, directory_, peerClientEvents()),
+      peer_client_(loop_, clock_, self_, directory_, peerClientEvents(), &pacer_),
       quota_(self_.name, quotaPorts()),
       store_client_(loop_, clock_, settings_.store, peer_client_, log_, metrics_),
       platform_store_(platform_.make_store(
@@ -56,7 +56,9 @@
               }),
       status_pages_(settings_.interface_kind, statusPorts()) {
   gate_.setQuarantine(quarantine_.quarantine());
-  directory_.links().setOwnLink([this](double bytes) { return pacer_.transmissionTime(bytes); });
+  directory_.links().setOwnLink([this](double bytes) {
+    return pacer_.transmissionTime(static_cast<double>(peer_client_.queuedRequestBytes()) + bytes);
+  });
   applyEvacuation();
 }
 
@@ -112,6 +114,12 @@
   peer_ports.self = self_;
   peer_ports.gate = &gate_;
   peer_ports.pacer = &pacer_;
+  peer_ports.on_parts_refused = [this](const NodeName& node, std::size_t held_bytes) {
+    metrics_.onEvent("peer-parts-refused");
+    if (log_.mayWriteAttempt()) {
+      log_.write("peer", "parts-refused", {{"node", node.value}, {"held_bytes", std::to_string(held_bytes)}});
+    }
+  };
   peer_ports.call_store = call_store;
   peer_ports.on_stopping = [this](const NodeName& node) { directory_.markDraining(node); };
   peer_ports.known_revisions = [this] { return knownRevisions(); };
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -28,31 +28,33 @@
 /// A gateway's end of a stream to the tested process.
 class GatewayStream final : public MessageStreamCallbacks {
  public:
-  GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer)
-      : transport_(loop, to, peerStreamOptions(), *this) {
+  GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer, WireVersion version = kUnstatedWireVersion)
+      : version_(version), transport_(loop, to, peerStreamOptions(version), *this) {
     send(HelloFrame{NodeName("gateway"), kIncarnation, false, peer});
   }
 
-  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame)); }
+  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame, version_)); }
   void query(ExchangeId exchange) { send(ExchangeQueryFrame{exchange, kIncarnation}); }
 
   /// State in the last reply to an exchange query.
   std::optional<ExchangeState> state;
   std::optional<ForwardReplyFrame> reply;
+  bool closed = false;
 
  private:
   static constexpr Incarnation kIncarnation{1};
 
   void onMessage(std::string_view message) override {
-    const RouterFrame frame = decodeRouterFrame(message).value();
+    const RouterFrame frame = decodeRouterFrame(message, version_).value();
     if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
       state = query_reply->state;
     } else if (const auto* forward_reply = std::get_if<ForwardReplyFrame>(&frame)) {
       reply = *forward_reply;
     }
   }
-  void onClosed() override {}
+  void onClosed() override { closed = true; }
 
+  WireVersion version_;
   MessageStream transport_;
 };
 
@@ -83,10 +85,12 @@
     return events;
   }
 
-  void connect() { gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_); }
+  void connect(WireVersion version = kUnstatedWireVersion) {
+    gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_, version);
+  }
 
-  /// Sends a request that may run at most once, and waits until the server runs it.
-  void startRequest() {
+  /// @return a request that may run at most once.
+  static ForwardFrame request() {
     ForwardFrame frame;
     frame.exchange = kExchange;
     frame.id = RequestId("0123456789abcdef");
@@ -95,7 +99,19 @@
     frame.remaining_us = Duration(std::chrono::seconds(10)).count();
     frame.target_us = Duration(std::chrono::seconds(10)).count();
     frame.http = {"GET", "/x", {}, {}};
-    gateway_->send(frame);
+    return frame;
+  }
+
+  /// Sends half of the request, or its other half.
+  void sendHalf(bool last) {
+    const std::string bytes = encodeRouterFrame(request(), kRequestPartsWireVersion);
+    const std::size_t half = bytes.size() / 2;
+    gateway_->send(ForwardPartFrame{kExchange, last ? bytes.substr(half) : bytes.substr(0, half), last});
+  }
+
+  /// Sends a request, and waits until the server runs it.
+  void startRequest() {
+    gateway_->send(request());
     ASSERT_TRUE(loop_.runUntil([this] { return running_ != nullptr; }, kTestTimeout));
   }
 
@@ -162,5 +178,59 @@
   EXPECT_EQ(queryOutcome(), ExchangeState::Answered);
 }
 
+TEST_F(PeerServerTest, RequestInPartsRunsWithItsLastPart) {
+  connect(kRequestPartsWireVersion);
+  sendHalf(false);
+  runFor(milliseconds(50));
+  EXPECT_EQ(running_, nullptr);
+  sendHalf(true);
+  ASSERT_TRUE(loop_.runUntil([this] { return running_ != nullptr; }, kTestTimeout));
+  running_->write(httpResponseText(200, "X-Request-Id: 0123456789abcdef\r\nX-Response-Seal: s\r\n", "done"));
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::Answered);
+}
+
+// The second half alone is no request, so that the stream is closed.
+TEST_F(PeerServerTest, PartsOfCancelledRequestAreDropped) {
+  connect(kRequestPartsWireVersion);
+  sendHalf(false);
+  gateway_->send(CancelForwardFrame{kExchange});
+  sendHalf(true);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->closed; }, kTestTimeout));
+  EXPECT_EQ(running_, nullptr);
+}
+
+// The gateway reports a request as not run whose last part was not sent.
+TEST_F(PeerServerTest, PartsOfAnEndedStreamAreDropped) {
+  connect(kRequestPartsWireVersion);
+  sendHalf(false);
+  runFor(milliseconds(50));
+  connect(kRequestPartsWireVersion);
+  sendHalf(true);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->closed; }, kTestTimeout));
+  EXPECT_EQ(running_, nullptr);
+}
+
+// The gateway has been told that the request has not started, and may have sent it elsewhere.
+TEST_F(PeerServerTest, RequestThatWasQueriedBetweenItsPartsDoesNotRun) {
+  connect(kRequestPartsWireVersion);
+  sendHalf(false);
+  EXPECT_EQ(queryOutcome(), ExchangeState::NotStarted);
+  sendHalf(true);
+  runFor(milliseconds(100));
+  EXPECT_EQ(running_, nullptr);
+}
+
+TEST_F(PeerServerTest, RequestInPartsWithoutRoomIsRefusedAsNotRun) {
+  connect(kRequestPartsWireVersion);
+  const std::string megabyte(1U << 20U, 'x');
+  for (std::size_t sent = 0; sent <= kMaxRequestBytesInParts; sent += megabyte.size()) {
+    gateway_->send(ForwardPartFrame{kExchange, megabyte, false});
+  }
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::NotRun);
+  EXPECT_EQ(gateway_->reply->reason, ForwardReason::Overloaded);
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "source/core/router/link/request_assembler.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
 #include "source/router/peer_stream_options.h"
@@ -75,6 +76,10 @@
   std::size_t forwarded_requests = 0;
   std::size_t cancelled_requests = 0;
   std::size_t exchange_queries = 0;
+  /// Parts of requests.
+  std::size_t received_parts = 0;
+  /// Refuses each request at its first part.
+  bool refuse_parts = false;
   /// Reply to exchange queries.
   ExchangeState exchange_state = ExchangeState::NotStarted;
   /// Makes the reply to a forwarded request; without a function or a reply, the request stays unanswered.
@@ -110,6 +115,24 @@
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
         ++peer.forwarded_requests;
         replyTo(*forward);
+      } else if (const auto* part = std::get_if<ForwardPartFrame>(&frame)) {
+        ++peer.received_parts;
+        onPart(*part);
+      }
+    }
+
+    void onPart(const ForwardPartFrame& part) {
+      if (peer.refuse_parts) {
+        ForwardReplyFrame refusal;
+        refusal.outcome = ForwardOutcome::NotRun;
+        refusal.reason = ForwardReason::Overloaded;
+        refusal.exchange = part.exchange;
+        sendFrame(std::move(refusal));
+        return;
+      }
+      const PartResult result = assembler.add(0, part);
+      if (result.verdict == PartVerdict::Complete) {
+        process(result.bytes);
       }
     }
     void onClosed() override {}
@@ -128,6 +151,7 @@
 
     FakePeer& peer;
     MessageStream stream;
+    RequestAssembler assembler;
     bool held = false;
   };
 
