--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -14,6 +14,7 @@
 #include "shedlever/platform_ports.h"
 #include "source/core/router/frame_name.h"
 #include "source/core/router/link/arrived_requests.h"
+#include "source/core/router/link/request_assembler.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -60,6 +61,8 @@
     /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
     std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
         [](const NodeName&, const ForwardFrame&, Duration) {};
+    /// A request in parts was refused, because `held_bytes` of unfinished requests are held already.
+    std::function<void(const NodeName&, std::size_t held_bytes)> on_parts_refused = [](const NodeName&, std::size_t) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
   };
@@ -118,6 +121,7 @@
   void begin(StreamId id, const Stream& stream, ArrivedRequest request);
   /// Answers a request whose time was over when it arrived.
   void refuseLate(const RequestKey& key, const ArrivedRequest& request);
+  void onForwardPart(StreamId id, Stream& stream, const ForwardPartFrame& part);
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
@@ -138,6 +142,7 @@
   std::map<StreamId, std::unique_ptr<Stream>> streams_;
   StreamId last_stream_id_ = 0;
   std::map<RequestKey, ActiveRequest> active_requests_;
+  RequestAssembler assembler_;
   /// Replies sent on an ended stream, for later outcome queries.
   struct EndedStream {
     NodeIdentity sender;
