Notice within 200 ms that a node has fallen behind, and prefer other nodes meanwhile

Cause: a node that stalls, or whose link is full, got new requests for 800 ms, until it counted as silent. Late replies were no sign at all.

ServerDirectory adds a cost to a node that is behind, which ends by itself after 200 ms; streams, keys and the node's reachability are not touched. A bounded line and a counter (peer-behind) tell of it.

--- a/source/core/router/directory/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -21,6 +21,8 @@
 /// Extra cost of a full server, and of each further queue as long as its slots, in units of the usual service time.
 constexpr double kFullCost = 1.0;
 constexpr double kQueueCost = 4.0;
+/// Extra cost of a node that has fallen behind: as much as that of another queue as long as its slots.
+constexpr double kBehindCost = kQueueCost;
 /// Cost of each millisecond that a large answer waits for the network link of the machine.
 constexpr double kLinkCostPerMs = 0.01;
 /// Costs vary randomly by up to this share, so that processes do not all choose the same server.
@@ -148,6 +150,7 @@
   }
   cost += kQueueCost * std::max(occupancy - 1.0, 0.0);
   cost += config_.failing_cost * failureRatioOf(entry, now);
+  cost += now < entry.behind_until ? kBehindCost : 0.0;
   if (kind == RouteKind::Download && now - entry.load_at <= kMaxLoadAge) {
     cost += entry.load.link_busy_ms * kLinkCostPerMs;
   }
@@ -178,7 +181,7 @@
   }
   if (kind != RouteKind::Download && candidates.size() > 1 && randomFraction() < config_.exploration) {
     const Entry* explored = candidates[random_.below(candidates.size())];
-    if (occupancyOf(*explored, now) < config_.busy_occupancy) {
+    if (occupancyOf(*explored, now) < config_.busy_occupancy && explored->behind_until <= now) {
       return &explored->record;
     }
   }
@@ -237,6 +240,18 @@
   }
 }
 
+void ServerDirectory::markBehind(const NodeName& node, TimePoint until) {
+  const auto found = entries_.find(node);
+  if (found != entries_.end()) {
+    found->second.behind_until = until;
+  }
+}
+
+bool ServerDirectory::isBehind(const NodeName& node, TimePoint now) const {
+  const auto found = entries_.find(node);
+  return found != entries_.end() && now < found->second.behind_until;
+}
+
 void ServerDirectory::onReachable(const NodeName& node) {
   const auto found = entries_.find(node);
   if (found != entries_.end()) {
--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -94,6 +94,10 @@
 
   /// The node's process cannot be reached. It gets no requests until it answers again or restarts.
   void markUnreachable(const NodeName& node);
+  /// The node's process answers late. Until then requests without a key prefer other servers unless those have long
+  /// queues.
+  void markBehind(const NodeName& node, TimePoint until);
+  bool isBehind(const NodeName& node, TimePoint now) const;
   /// The node's process has answered.
   void onReachable(const NodeName& node);
   /// @return whether the last attempt to reach the node's process failed, or the node is unknown.
@@ -136,6 +140,8 @@
     /// Service time relative to the usual time for the same route.
     double slowness = 1.0;
     bool names_limit = false;
+    /// See `markBehind`.
+    TimePoint behind_until{};
     bool unreachable = false;
     bool confirmed_reachable = false;
   };
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
-constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(50);
+/// How long a node that has fallen behind stays so after the last check that found it.
+constexpr Duration kBehindRetention = std::chrono::milliseconds(200);
 /// Time for a node to be connected again after a stream broke; then its requests finish with an unknown outcome.
 constexpr Duration kOutcomeTimeout = std::chrono::milliseconds(700);
 
@@ -129,12 +131,24 @@
     }
   }
   for (const auto& [node, since] : waiting_since) {
+    const Duration behind_by = streams_.at(node)->behindBy(now, since);
+    if (behind_by > Duration::zero()) {
+      markBehind(node, behind_by, now + kBehindRetention);
+    }
     if (streams_.at(node)->isSilent(now, since)) {
       replaceSilentStream(node);
     }
   }
 }
 
+void PeerClient::markBehind(const NodeName& node, Duration behind_by, TimePoint until) {
+  const bool is_new = !directory_.isBehind(node, clock_.now());
+  directory_.markBehind(node, until);
+  if (is_new) {
+    events_.on_behind(node, behind_by);
+  }
+}
+
 void PeerClient::replaceSilentStream(const NodeName& node) {
   std::unique_ptr<PeerStream> stream = std::move(streams_.extract(node).mapped());
   const std::vector<ExchangeId> waiting = pendingOn(node, stream->id());
@@ -279,6 +293,7 @@
     onSilentNodeResponds(node);
   }
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
+    onReplyDelay(stream);
     onReply(std::move(*reply));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     events_.on_unknown_frame(node, stream.markUnknownFrame());
@@ -311,6 +326,14 @@
   }
 }
 
+void PeerClient::onReplyDelay(const PeerStream& stream) {
+  const TimePoint now = clock_.now();
+  const Duration behind_by = stream.replyDelay(now) - PeerLiveness::kBehindAge;
+  if (behind_by > Duration::zero()) {
+    markBehind(stream.node(), behind_by, now + behind_by);
+  }
+}
+
 void PeerClient::onReplyPart(PeerStream& stream, const ReplyPartFrame& part) {
   if (!pending_.contains(part.exchange)) {
     stream.dropReplyParts(part.exchange);
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -59,6 +59,8 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// Requests wait on a stream that broke or fell silent.
     std::function<void(const PeerStreamFailure&)> on_stream_failure = [](const PeerStreamFailure&) {};
+    /// The node has fallen behind: what it says, if anything, is old. `behind_by` how much older than it may be.
+    std::function<void(const NodeName&, Duration behind_by)> on_behind = [](const NodeName&, Duration) {};
     /// The requests wait at a node that has fallen silent; their replies may still arrive.
     std::function<void(const std::vector<ExchangeId>&)> on_silent_requests = [](const std::vector<ExchangeId>&) {};
     /// A peer has sent its active configuration.
@@ -146,6 +148,8 @@
   void onFrameSent(const RouterFrame& frame, std::size_t bytes) override { events_.on_sent(frame, bytes); }
   void onReply(ForwardReplyFrame reply);
   void onQuotaGrant(const QuotaGrantFrame& grant);
+  /// A node whose replies arrive late is behind for as long as the delay would last if nothing more was sent.
+  void onReplyDelay(const PeerStream& stream);
   void onReplyPart(PeerStream& stream, const ReplyPartFrame& part);
   void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
   void onStreamEnd(PeerStream& stream);
@@ -162,6 +166,8 @@
   /// Finishes requests whose outcome can't be queried.
   /// @param misdirected whether another node's process uses the node's address.
   void finishUnresolved(const std::vector<ExchangeId>& open, bool misdirected);
+  /// Makes the node get fewer requests until then.
+  void markBehind(const NodeName& node, Duration behind_by, TimePoint until);
   /// Pings nodes that are silent while requests wait for them and replaces the streams of those that do not respond.
   void checkSilence();
   void scheduleSilenceCheck();
--- a/source/router/peer_stream.cc
+++ b/source/router/peer_stream.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// A node is pinged when nothing was received from it for this time while requests wait for it.
-constexpr Duration kPingAfterSilence = std::chrono::milliseconds(300);
-/// A node that does not respond to a ping within this time counts as silent.
-constexpr Duration kPongTimeout = std::chrono::milliseconds(500);
 /// A node whose hello has not arrived this long after the stream was opened is given up; a full link delays it for
 /// less.
 constexpr Duration kHelloTimeout = std::chrono::seconds(2);
@@ -31,7 +27,7 @@
       node_(std::move(node)),
       version_(version),
       transport_(loop, endpoint, peerStreamOptions(version), *this),
-      last_received_at_(clock.now()) {
+      liveness_(clock.now()) {
   RouterFrame hello(HelloFrame{self.name, self.incarnation, false, node_});
   write(hello, 0);
   loop_.runAfter(kHelloTimeout, [this, alive = alive_] {
@@ -42,8 +38,6 @@
 }
 
 void PeerStream::onMessage(std::string_view message) {
-  last_received_at_ = clock_.now();
-  pinged_at_ = {};
   auto frame = decodeRouterFrame(message, version_);
   if (!frame || (!up_ && !acceptHello(frame.value()))) {
     transport_.abort();
@@ -52,9 +46,21 @@
   if (auto* reply = std::get_if<ForwardReplyFrame>(&frame.value())) {
     translateSendTime(*reply, message.size() < kMinPacedMessageBytes);
   }
+  updateLiveness(frame.value());
   callbacks_.onStreamFrame(*this, std::move(frame.value()));
 }
 
+void PeerStream::updateLiveness(const RouterFrame& frame) {
+  const TimePoint now = clock_.now();
+  if (std::holds_alternative<PongFrame>(frame)) {
+    liveness_.onPong(now);
+    return;
+  }
+  const auto* reply = std::get_if<ForwardReplyFrame>(&frame);
+  const bool states_time = reply != nullptr && reply->sent_at_us != 0;
+  liveness_.onFrame(states_time ? TimePoint(Duration(reply->sent_at_us)) : now, now);
+}
+
 void PeerStream::translateSendTime(ForwardReplyFrame& reply, bool small) {
   if (reply.sent_at_us == 0) {
     return;
@@ -185,14 +191,11 @@
 }
 
 bool PeerStream::isSilent(TimePoint now, TimePoint waiting_since) {
-  if (pinged_at_ != TimePoint{}) {
-    return now - pinged_at_ >= kPongTimeout;
-  }
-  if (now - std::max(waiting_since, last_received_at_) >= kPingAfterSilence) {
-    pinged_at_ = now;
+  if (liveness_.mustPing(now, waiting_since)) {
+    liveness_.onPinged(now);
     send(PingFrame{});
   }
-  return false;
+  return liveness_.isSilent(now);
 }
 
 }  // namespace shedlever
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "shedlever/router_frames.h"
+#include "source/core/router/link/peer_liveness.h"
 #include "source/core/router/link/transit_delay.h"
 #include "source/net/message_stream.h"
 
@@ -61,7 +62,7 @@
   bool isMisdirected() const { return misdirected_; }
   /// @return incarnation of the node's process; valid while the stream is up.
   Incarnation incarnation() const { return incarnation_; }
-  TimePoint lastReceivedAt() const { return last_received_at_; }
+  TimePoint lastReceivedAt() const { return liveness_.lastReceivedAt(); }
   std::size_t unsentBytes() const { return transport_.unsentBytes(); }
 
   /// Until the peer's hello has arrived, frames wait here, since the peer may not understand them. The cancellation of
@@ -92,6 +93,12 @@
   /// @return whether the peer has left a ping unanswered for too long.
   bool isSilent(TimePoint now, TimePoint waiting_since);
 
+  /// @param waiting_since since when a request waits on the stream.
+  /// @return by how much the peer's news is older than it may be; zero or less if the peer keeps up.
+  Duration behindBy(TimePoint now, TimePoint waiting_since) const { return liveness_.behindBy(now, waiting_since); }
+  /// @return how late a reply would arrive now.
+  Duration replyDelay(TimePoint now) const { return transit_delay_.current(now); }
+
   /// The node fell silent and got a new stream.
   void markReplaced() { replaced_ = true; }
   bool isReplaced() const { return replaced_; }
@@ -108,6 +115,7 @@
   /// Verifies from the first frame that the peer is the expected node.
   /// @return false if the frame is no hello or comes from another node.
   bool acceptHello(const RouterFrame& first);
+  void updateLiveness(const RouterFrame& frame);
   /// Replaces the reply's time of sending by the corresponding time of this machine's clock; 0 if it is not stated.
   void translateSendTime(ForwardReplyFrame& reply, bool small);
   /// Writes the frame and states in a request when it is sent.
@@ -138,10 +146,7 @@
   std::unordered_map<ExchangeId, std::string> partial_replies_;
   /// How late the peer's replies arrive.
   TransitDelay transit_delay_;
-  /// When the last message was received; when the stream was opened if there was none.
-  TimePoint last_received_at_;
-  /// When the unanswered ping was sent; zero if there is none.
-  TimePoint pinged_at_{};
+  PeerLiveness liveness_;
   bool up_ = false;
   Incarnation incarnation_;
   bool misdirected_ = false;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -59,6 +59,12 @@
       process_ends_.onLost(node, clock_.now());
     }
   };
+  events.on_behind = [this](const NodeName& node, Duration behind_by) {
+    metrics_.onEvent("peer-behind");
+    if (log_.mayWriteAttempt()) {
+      log_.write("peer", "behind", {{"node", node.value}, {"behind_ms", formatMilliseconds(behind_by)}});
+    }
+  };
   events.on_stream_failure = [this](const PeerStreamFailure& failure) { logStreamFailure(failure); };
   events.on_silent_requests = [this](const std::vector<ExchangeId>& exchanges) {
     gateway_->onSilentRequests(exchanges);
--- a/test/core_router/directory/server_directory_test.cc
+++ b/test/core_router/directory/server_directory_test.cc
@@ -155,6 +155,25 @@
   EXPECT_GT(choose(RouteKind::AtMostOnce, 50)["a"], 0);
 }
 
+// Requests would go on being sent to a node that has stalled, until it counts as silent.
+TEST_F(ServerDirectoryTest, RequestsPreferOtherServersWhileANodeIsBehind) {
+  directory_.markBehind(NodeName("a"), kNow + milliseconds(100));
+  EXPECT_TRUE(directory_.isBehind(NodeName("a"), kNow));
+  EXPECT_EQ(choose(RouteKind::Idempotent, 100)["a"], 0);
+  EXPECT_EQ(directory_.availableServers(kService).size(), 3U) << "its keys stay with it";
+  directory_.markBehind(NodeName("a"), kNow);
+  EXPECT_FALSE(directory_.isBehind(NodeName("a"), kNow));
+  EXPECT_GT(choose(RouteKind::Idempotent, 100)["a"], 0);
+}
+
+TEST_F(ServerDirectoryTest, NodeThatIsBehindIsChosenBeforeServersWithLongQueues) {
+  directory_.markBehind(NodeName("a"), kNow + milliseconds(100));
+  load("a", 1, 0);
+  load("b", 10, 30);
+  load("c", 10, 30);
+  EXPECT_EQ(choose(RouteKind::Idempotent, 100)["a"], 100);
+}
+
 TEST_F(ServerDirectoryTest, NewIncarnationOfANodeIsReachable) {
   directory_.markUnreachable(NodeName("b"));
   NodeRecord restarted = record("b", "far");
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -32,6 +32,7 @@
     events.on_silent_requests = [this](const std::vector<ExchangeId>& exchanges) {
       silent_requests_.insert(silent_requests_.end(), exchanges.begin(), exchanges.end());
     };
+    events.on_behind = [this](const NodeName& node, Duration) { behind_.push_back(node); };
     events.on_stream_failure = [this](const PeerStreamFailure& failure) { failures_.push_back(failure); };
     events.on_sent = [this](const RouterFrame& frame, std::size_t bytes) { sent_bytes_[frameName(frame)] += bytes; };
     events.on_identified = [this](const NodeIdentity& process) { identified_.push_back(process); };
@@ -105,6 +106,7 @@
   ServerDirectory directory_;
   std::vector<PeerStreamFailure> failures_;
   std::vector<ExchangeId> silent_requests_;
+  std::vector<NodeName> behind_;
   /// Bytes passed to streams, by kind of frame.
   std::map<std::string, std::size_t> sent_bytes_;
   PeerClient peer_client_;
@@ -230,6 +232,38 @@
   EXPECT_FALSE(reply->has_value());
 }
 
+// New requests would go to a stalled node until it counts as silent.
+TEST_F(PeerClientTest, PeerThatStopsRespondingIsBehindBeforeItIsSilentAndKeepsItsStream) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  connectTo(peer);
+  peer.hold();
+  const auto reply = startForward(RouteKind::Idempotent);
+  ASSERT_TRUE(loop_.runUntil([this] { return directory_.isBehind(node_, clock_.now()); }, kTestTimeout));
+  EXPECT_FALSE(directory_.isUnreachable(node_));
+  EXPECT_EQ(peer.acceptedStreams(), 1U);
+  EXPECT_EQ(behind_, std::vector<NodeName>{node_});
+  peer.release();
+  ASSERT_TRUE(loop_.runUntil([&] { return reply->has_value(); }, kTestTimeout));
+  EXPECT_FALSE(directory_.isBehind(node_, clock_.now() + std::chrono::seconds(1))) << "ends by itself";
+  EXPECT_TRUE(failures_.empty());
+}
+
+TEST_F(PeerClientTest, PeerWhoseRepliesArriveLateIsBehind) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  Duration stated = std::chrono::hours(9);
+  peer.on_forward = [&stated](const ForwardFrame&) {
+    ForwardReplyFrame reply;
+    reply.sent_at_us = stated.count();
+    return std::optional(reply);
+  };
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  forward(RouteKind::Idempotent);
+  EXPECT_FALSE(directory_.isBehind(node_, clock_.now()));
+  stated -= std::chrono::seconds(30);
+  forward(RouteKind::Idempotent);
+  EXPECT_TRUE(directory_.isBehind(node_, clock_.now()));
+}
+
 // The logs must show that a peer fell silent while requests waited for it.
 TEST_F(PeerClientTest, SilentPeerIsReportedWithItsWaitingRequests) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
