Keep what is known of the time on the way across streams of one process

Cause: a stream that falls silent is replaced by a new one while the link is still full.

Change: PeerServer keeps one TransitDelay for each sending process, shared by its streams; another incarnation of the node begins anew.

--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -82,8 +82,8 @@
   /// The peer expects another node, which had this address before; its frames are ignored.
   bool misdirected = false;
   bool received_unknown_frame = false;
-  /// How late the peer's requests arrive.
-  TransitDelay transit_delay;
+  /// How late the peer's requests arrive; shared with the peer's earlier streams.
+  std::shared_ptr<TransitDelay> transit_delay = std::make_shared<TransitDelay>();
   /// Requests that have not begun.
   ArrivedRequests arrived;
   /// Offset of the end of the last reply in the bytes sent on the stream.
@@ -150,7 +150,7 @@
   const TimePoint now = ports_.clock->now();
   Duration longest{};
   for (const auto& [id, stream] : streams_) {
-    longest = std::max(longest, stream->transit_delay.current(now));
+    longest = std::max(longest, stream->transit_delay->current(now));
   }
   return longest;
 }
@@ -172,6 +172,7 @@
     onCancel(*stream, cancel->exchange);
   } else if (const auto* hello = std::get_if<HelloFrame>(&frame)) {
     stream->sender = {hello->node, hello->incarnation};
+    stream->transit_delay = transitDelayOf(stream->sender);
     stream->misdirected = hello->expected_node != ports_.self.name;
     const bool requests_snapshot = !stream->misdirected && ports_.needs_snapshot();
     stream->send(HelloFrame{ports_.self.name, ports_.self.incarnation, requests_snapshot, {}});
@@ -208,12 +209,23 @@
   }
 }
 
+std::shared_ptr<TransitDelay> PeerServer::transitDelayOf(const NodeIdentity& sender) {
+  std::erase_if(transit_delays_, [&sender](const auto& entry) {
+    return entry.first.name == sender.name && entry.first.incarnation != sender.incarnation;
+  });
+  std::shared_ptr<TransitDelay>& delay = transit_delays_[sender];
+  if (!delay) {
+    delay = std::make_shared<TransitDelay>();
+  }
+  return delay;
+}
+
 void PeerServer::onForward(Stream& stream, ForwardFrame frame) {
   const TimePoint now = ports_.clock->now();
   const Duration sent_at(frame.sent_at_us);
   const bool small = frame.http.body.size() < kMinPacedMessageBytes;
   const Duration lateness =
-      small ? stream.transit_delay.onSmallFrame(sent_at, now) : stream.transit_delay.onFrame(sent_at, now);
+      small ? stream.transit_delay->onSmallFrame(sent_at, now) : stream.transit_delay->onFrame(sent_at, now);
   stream.arrived.add({std::move(frame), now, lateness});
 }
 
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -15,6 +15,7 @@
 #include "source/core/router/frame_name.h"
 #include "source/core/router/link/arrived_requests.h"
 #include "source/core/router/link/request_assembler.h"
+#include "source/core/router/link/transit_delay.h"
 #include "source/net/link_pacer.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -117,6 +118,9 @@
   /// Lets the request wait until everything has been read that has arrived on the stream with it.
   void onForward(Stream& stream, ForwardFrame frame);
   void onCancel(Stream& stream, ExchangeId exchange);
+  /// @return what is known of the time on the way from the sender. A stream that replaces a silent one is opened while
+  ///   the link is full, so that its own first frames don't show how late they are.
+  std::shared_ptr<TransitDelay> transitDelayOf(const NodeIdentity& sender);
   void beginDueRequests(StreamId id);
   void begin(StreamId id, const Stream& stream, ArrivedRequest request);
   /// Answers a request whose time was over when it arrived.
@@ -141,6 +145,8 @@
   std::unique_ptr<TcpListener> listener_;
   std::map<StreamId, std::unique_ptr<Stream>> streams_;
   StreamId last_stream_id_ = 0;
+  /// One for each node: of the incarnation that has connected last.
+  std::map<NodeIdentity, std::shared_ptr<TransitDelay>> transit_delays_;
   std::map<RequestKey, ActiveRequest> active_requests_;
   RequestAssembler assembler_;
   /// Replies sent on an ended stream, for later outcome queries.
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -297,6 +297,25 @@
   EXPECT_TRUE(late_requests_.empty());
 }
 
+// A stream that replaces a silent one is opened while the link is full: its own first frame is late already.
+TEST_F(PeerServerTest, RequestThatIsOverIsNotStartedOnALaterStreamOfTheSameProcess) {
+  connectAndAwaitHello();
+  const Duration sender_clock = std::chrono::hours(9);
+  ForwardFrame punctual = request(1, "/punctual");
+  punctual.sent_at_us = sender_clock.count();
+  gateway_->send(punctual);
+  ASSERT_TRUE(runUntilStarted("/punctual"));
+  const std::unique_ptr<GatewayStream> silent = std::move(gateway_);
+  connectAndAwaitHello();
+  ForwardFrame late = request(2, "/late");
+  late.sent_at_us = (sender_clock - std::chrono::seconds(3)).count();
+  late.remaining_us = Duration(std::chrono::seconds(2)).count();
+  gateway_->send(late);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::NotRun);
+  EXPECT_FALSE(hasStarted("/late"));
+}
+
 // Without the time of sending the gateway takes a reply that was held up for news.
 TEST_F(PeerServerTest, ReplyStatesWhenItWasSent) {
   const TimePoint before = clock_.now();
