Predict a request's wait with what will arrive later and overtake it

Cause: the wait was predicted from the requests ahead at arrival. Under overload, requests of a better rank arrive all the time and go ahead, so that requests were queued that could never start, and were refused only when their wait was over.

Change: the queue measures, for each class (priority and latency objective), the rate at which requests are admitted and their service time. The wait until a start is that of the work ahead plus the work that will arrive and overtake meanwhile, also under a cold or a named limit. A request is queued only if it starts in time even with a wait two standard deviations above the expected one.

`onRequestEnded` takes the ticket, since service times are kept by class.

Test: RequestThatLaterArrivalsWouldDelayTooLongIsRefusedAtOnce fails with the earlier queue (the request is queued, predicted wait below 500 ms).

--- /dev/null
+++ b/source/core/router/admission/queue_class_loads.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Measures, for each class of requests at a server, how many are admitted and how long they run.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "shedlever/time.h"
+#include "source/core/router/admission/arrival_rate_meter.h"
+
+namespace shedlever {
+
+/// Requests that are queued alike.
+struct QueueClass {
+  /// 0 is the most urgent.
+  std::uint32_t priority = 0;
+  Duration target_latency{};
+
+  auto operator<=>(const QueueClass&) const = default;
+};
+
+/// Service time of a class.
+struct ServiceTime {
+  Duration mean{};
+  /// Mean absolute deviation from the mean.
+  Duration deviation{};
+};
+
+/// Admitted requests of one class.
+struct ClassFlow {
+  QueueClass queue_class;
+  double per_second = 0;
+  Duration service_time{};
+};
+
+/// Only admitted requests count, because a refused one delays no other.
+class QueueClassLoads {
+ public:
+  void onAdmitted(const QueueClass& queue_class, TimePoint now);
+
+  /// Records that a request of the class has run for this time.
+  void onServed(const QueueClass& queue_class, Duration service_time);
+
+  /// @return service time of the class; that of all classes together while the class has no sample.
+  ServiceTime serviceTime(const QueueClass& queue_class) const;
+
+  /// @return mean service time over all classes.
+  Duration meanServiceTime() const { return all_.mean; }
+
+  /// @return the classes of which requests are admitted now.
+  std::vector<ClassFlow> flows(TimePoint now) const;
+
+ private:
+  struct ClassLoad {
+    ArrivalRateMeter admitted;
+    std::optional<ServiceTime> service_time;
+  };
+
+  void dropIdle(TimePoint now);
+
+  std::map<QueueClass, ClassLoad> classes_;
+  /// Assumed before the first request has ended.
+  ServiceTime all_{std::chrono::milliseconds(100), {}};
+};
+
+}  // namespace shedlever
--- a/source/core/router/admission/slot_queue.cc
+++ b/source/core/router/admission/slot_queue.cc
@@ -9,44 +9,78 @@
 
 namespace {
 
-/// The newest service time has the weight 1/n in the mean.
-constexpr std::int64_t kMeanDivisor = 16;
+/// A request is queued if it starts in time even with a wait that exceeds the expected one by this many standard
+/// deviations, so that few wait in vain.
+constexpr int kAdmissionDeviations = 2;
+
+double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+/// @return whether a later arrival of the class goes ahead of a waiting request of this rank.
+bool overtakes(const QueueClass& queue_class, const QueueRank& rank) {
+  return queue_class.priority < rank.priority ||
+         (queue_class.priority == rank.priority && queue_class.target_latency <= rank.target_latency);
+}
 
 }  // namespace
 
-Duration SlotQueue::waitBehind(std::size_t ahead, TimePoint now) const {
-  const std::int64_t positions = static_cast<std::int64_t>(ahead) + (running_ < slots_ ? 0 : 1);
-  return std::max(mean_service_time_ * positions / static_cast<std::int64_t>(slots_),
-                  start_rate_.timeUntilStartBehind(ahead, now));
+void SlotQueue::addWork(WorkAhead& work, const QueueRank& rank) const {
+  const ServiceTime service_time = loads_.serviceTime(rank.queueClass());
+  const double deviation = toSeconds(service_time.deviation);
+  ++work.requests;
+  work.slot_seconds += toSeconds(service_time.mean);
+  work.variance += deviation * deviation;
+}
+
+std::vector<OvertakingFlow> SlotQueue::overtakingFlows(const std::vector<ClassFlow>& flows,
+                                                       const QueueRank& rank) const {
+  std::vector<OvertakingFlow> overtaking;
+  for (const ClassFlow& flow : flows) {
+    if (overtakes(flow.queue_class, rank)) {
+      overtaking.push_back({flow.per_second, toSeconds(flow.service_time), std::numeric_limits<double>::infinity()});
+    }
+  }
+  return overtaking;
 }
 
-Duration SlotQueue::predictedWait(const QueueRank& rank, TimePoint now) const {
+WaitForecast SlotQueue::forecast(const QueueRank& rank, TimePoint now) const {
   if (slots_ == 0) {
-    return Duration::max();
+    return {Duration::max(), {}, {}};
+  }
+  const bool slot_free = running_.size() < slots_;
+  if (slot_free && !start_rate_.isLimited()) {
+    return {};
   }
-  if (running_ < slots_ && !start_rate_.isLimited()) {
-    return Duration::zero();
+  WorkAhead ahead;
+  // Until one of the running requests ends.
+  ahead.slot_seconds = slot_free ? 0.0 : toSeconds(meanServiceTime());
+  const auto behind = waiting_.upper_bound(Entry{rank, std::numeric_limits<QueueTicket>::max()});
+  for (auto entry = waiting_.begin(); entry != behind; ++entry) {
+    addWork(ahead, entry->first.rank);
   }
-  const auto ahead =
-      std::distance(waiting_.begin(), waiting_.upper_bound(Entry{rank, std::numeric_limits<QueueTicket>::max()}));
-  return waitBehind(static_cast<std::size_t>(ahead), now);
+  return forecastWait({slots_, start_rate_, now}, ahead, overtakingFlows(loads_.flows(now), rank));
+}
+
+void SlotQueue::start(QueueTicket ticket, const QueueRank& rank, TimePoint now) {
+  running_.emplace(ticket, rank.queueClass());
+  start_rate_.onStart(now);
 }
 
 QueueDecision SlotQueue::admit(QueueTicket ticket, const QueueRank& rank, TimePoint now, Duration max_wait) {
   const bool may_start =
       !start_rate_.isLimited() || (waiting_.empty() && start_rate_.timeUntilNextStart(now) <= Duration::zero());
-  if (running_ < slots_ && may_start) {
-    ++running_;
-    start_rate_.onStart(now);
-    return {QueueVerdict::Start, {}};
+  if (running_.size() < slots_ && may_start) {
+    loads_.onAdmitted(rank.queueClass(), now);
+    start(ticket, rank, now);
+    return {QueueVerdict::Start, {}, {}};
   }
-  const Duration wait = predictedWait(rank, now);
-  if (wait > max_wait) {
-    return {QueueVerdict::Refuse, wait};
+  const WaitForecast wait = forecast(rank, now);
+  if (wait.expected > max_wait || wait.expected + wait.deviation * kAdmissionDeviations > max_wait) {
+    return {QueueVerdict::Refuse, wait.expected, wait.overtaking};
   }
+  loads_.onAdmitted(rank.queueClass(), now);
   waiting_.emplace(Entry{rank, ticket}, now + max_wait);
   ranks_.emplace(ticket, rank);
-  return {QueueVerdict::Wait, {}};
+  return {QueueVerdict::Wait, {}, {}};
 }
 
 QueueDecision SlotQueue::admit(QueueTicket ticket, const TenantShare& tenant, QueueRank rank, TimePoint now,
@@ -56,8 +90,9 @@
   }
   const auto waiting = waiting_by_tenant_.find(tenant.name);
   const std::uint32_t count = waiting == waiting_by_tenant_.end() ? 0 : waiting->second;
-  if (running_ >= slots_ && tenant.queue_limit != 0 && count >= tenant.queue_limit) {
-    return {QueueVerdict::TenantFull, predictedWait(rank, now)};
+  if (running_.size() >= slots_ && tenant.queue_limit != 0 && count >= tenant.queue_limit) {
+    const WaitForecast wait = forecast(rank, now);
+    return {QueueVerdict::TenantFull, wait.expected, wait.overtaking};
   }
   rank.start_tag = fair_scheduler_.nextStartTag(tenant);
   const QueueDecision decision = admit(ticket, rank, now, max_wait);
@@ -79,15 +114,15 @@
   }
 }
 
-void SlotQueue::onRequestEnded(std::optional<Duration> service_time) {
-  running_ -= std::min(running_, 1U);
-  if (service_time) {
-    mean_service_time_ += (*service_time - mean_service_time_) / kMeanDivisor;
+void SlotQueue::onRequestEnded(QueueTicket ticket, std::optional<Duration> service_time) {
+  const auto ended = running_.extract(ticket);
+  if (!ended.empty() && service_time) {
+    loads_.onServed(ended.mapped(), *service_time);
   }
 }
 
 std::optional<QueueTicket> SlotQueue::startNext(TimePoint now) {
-  if (running_ >= slots_ || waiting_.empty() || start_rate_.timeUntilNextStart(now) > Duration::zero()) {
+  if (running_.size() >= slots_ || waiting_.empty() || start_rate_.timeUntilNextStart(now) > Duration::zero()) {
     return std::nullopt;
   }
   const Entry entry = waiting_.begin()->first;
@@ -96,8 +131,7 @@
   ranks_.erase(ticket);
   fair_scheduler_.onServed(entry.rank.start_tag);
   releaseTenant(ticket);
-  ++running_;
-  start_rate_.onStart(now);
+  start(ticket, entry.rank, now);
   return ticket;
 }
 
@@ -118,7 +152,7 @@
   for (const auto& [entry, latest_start] : waiting_) {
     const Duration by_slots =
         slots_ == 0 ? Duration::zero()
-                    : mean_service_time_ * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(slots_);
+                    : meanServiceTime() * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(slots_);
     const Duration wait = std::max(by_slots, start_rate_.timeUntilStartBehind(ahead, now));
     if (latest_start - wait <= now) {
       overdue.push_back(entry.ticket);
@@ -145,9 +179,9 @@
 
 SlotQueue::Capacity SlotQueue::capacity() const {
   const std::optional<double> rate = start_rate_.sustainedRate();
-  const double seconds = std::chrono::duration<double>(mean_service_time_).count();
+  const double seconds = std::chrono::duration<double>(meanServiceTime()).count();
   if (!rate || *rate * seconds >= slots_) {
-    return {slots_, mean_service_time_};
+    return {slots_, meanServiceTime()};
   }
   const double slots = std::max(1.0, std::round(*rate * seconds));
   const std::chrono::duration<double> slot_time(slots / *rate);
@@ -157,7 +191,7 @@
 ServerLoad SlotQueue::load() const {
   const Capacity capacity = this->capacity();
   ServerLoad load;
-  load.running = running_;
+  load.running = static_cast<std::uint32_t>(running_.size());
   load.queued = static_cast<std::uint32_t>(waiting_.size());
   load.slots = capacity.slots;
   load.mean_service_ms =
--- a/source/core/router/admission/slot_queue.h
+++ b/source/core/router/admission/slot_queue.h
@@ -14,8 +14,10 @@
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "source/core/router/admission/queue_class_loads.h"
 #include "source/core/router/admission/start_rate_limiter.h"
 #include "source/core/router/admission/tenant_fair_scheduler.h"
+#include "source/core/router/admission/wait_forecast.h"
 
 namespace shedlever {
 
@@ -33,6 +35,8 @@
   QueueVerdict verdict = QueueVerdict::Refuse;
   /// How long the request would have waited; set with Refuse and TenantFull.
   Duration predicted_wait{};
+  /// Part of the predicted wait that is due to requests expected to arrive later and to go ahead.
+  Duration overtaking_wait{};
 };
 
 /// Determines the order of requests in the queue.
@@ -48,6 +52,8 @@
   /// request that has waited long would probably be answered too late anyway.
   TimePoint deadline{};
 
+  QueueClass queueClass() const { return {priority, target_latency}; }
+
   bool operator==(const QueueRank&) const = default;
   auto operator<=>(const QueueRank& other) const {
     return std::tie(priority, start_tag, target_latency, other.deadline) <=>
@@ -56,7 +62,8 @@
 };
 
 /// Slots and a queue, ordered by rank and then by arrival. A request whose predicted wait is too long is refused at
-/// once.
+/// once. The prediction includes the requests that will arrive later and go ahead, at the rate at which such requests
+/// have been admitted lately.
 class SlotQueue {
  public:
   /// @param slots number of requests that may run concurrently.
@@ -81,9 +88,9 @@
   /// is refused if the tenant has reached its limit of waiting requests.
   QueueDecision admit(QueueTicket ticket, const TenantShare& tenant, QueueRank rank, TimePoint now, Duration max_wait);
 
-  /// Frees the slot of a request that has ended.
+  /// Frees the slot of a request that has ended; other tickets are ignored.
   /// @param service_time how long the request ran; none if the time is not representative.
-  void onRequestEnded(std::optional<Duration> service_time);
+  void onRequestEnded(QueueTicket ticket, std::optional<Duration> service_time);
 
   /// Moves the next waiting request into a free slot.
   /// @return its ticket; none if no slot is free, no request waits, or the start limit is reached.
@@ -112,11 +119,11 @@
   /// @return how long a request occupies one of the slots that `load` states.
   Duration slotTime() const { return capacity().slot_time; }
 
-  /// @return how long a request of this rank would wait if it arrived now.
-  Duration predictedWait(const QueueRank& rank, TimePoint now) const;
+  /// @return how long a request of this rank would wait if it arrived now; the longest duration if there is no slot.
+  Duration predictedWait(const QueueRank& rank, TimePoint now) const { return forecast(rank, now).expected; }
 
   /// @return mean time for which a request runs.
-  Duration meanServiceTime() const { return mean_service_time_; }
+  Duration meanServiceTime() const { return loads_.meanServiceTime(); }
 
  private:
   struct Capacity {
@@ -126,8 +133,12 @@
 
   Capacity capacity() const;
   void releaseTenant(QueueTicket ticket);
-  /// @return how long a request waits with this many requests ahead of it.
-  Duration waitBehind(std::size_t ahead, TimePoint now) const;
+  void start(QueueTicket ticket, const QueueRank& rank, TimePoint now);
+  void addWork(WorkAhead& work, const QueueRank& rank) const;
+  /// @return the wait of a request of this rank that arrives now.
+  WaitForecast forecast(const QueueRank& rank, TimePoint now) const;
+  /// @return the classes of which later arrivals go ahead of a request of this rank.
+  std::vector<OvertakingFlow> overtakingFlows(const std::vector<ClassFlow>& flows, const QueueRank& rank) const;
 
   struct Entry {
     QueueRank rank;
@@ -136,9 +147,9 @@
   };
 
   std::uint32_t slots_;
-  std::uint32_t running_ = 0;
+  std::unordered_map<QueueTicket, QueueClass> running_;
   StartRateLimiter start_rate_;
-  Duration mean_service_time_ = std::chrono::milliseconds(100);
+  QueueClassLoads loads_;
   /// Waiting requests with their latest start. Tickets increase with arrival, so the order is rank, then arrival.
   std::map<Entry, TimePoint> waiting_;
   std::unordered_map<QueueTicket, QueueRank> ranks_;
--- /dev/null
+++ b/source/core/router/admission/wait_forecast.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/// @file
+/// Predicts how long a request waits for a slot, including what arrives later and goes ahead of it.
+
+#include <cstddef>
+#include <vector>
+
+#include "shedlever/time.h"
+#include "source/core/router/admission/start_rate_limiter.h"
+
+namespace shedlever {
+
+/// What goes ahead of a request already.
+struct WorkAhead {
+  std::size_t requests = 0;
+  /// Time that they occupy a slot, in seconds.
+  double slot_seconds = 0;
+  /// Variance of that time, in square seconds.
+  double variance = 0;
+};
+
+/// Requests that arrive later and go ahead.
+struct OvertakingFlow {
+  double per_second = 0;
+  /// Time that each occupies a slot, in seconds.
+  double service_seconds = 0;
+  /// Only those that arrive within this time go ahead, in seconds; infinite if all do.
+  double window_seconds = 0;
+};
+
+/// The server as the prediction sees it.
+struct WaitModel {
+  /// At least 1.
+  std::uint32_t slots = 1;
+  const StartRateLimiter& start_rate;
+  TimePoint now{};
+};
+
+struct WaitForecast {
+  /// At most `kMaxForecast`.
+  Duration expected{};
+  /// Part of the expected wait that is due to requests that have not arrived yet.
+  Duration overtaking{};
+  /// Standard deviation of the wait.
+  Duration deviation{};
+};
+
+/// The rates of the last half second say little about a time beyond this.
+inline constexpr Duration kMaxForecast = std::chrono::seconds(5);
+
+/// @return the wait of a request that has this work ahead.
+WaitForecast forecastWait(const WaitModel& model, const WorkAhead& ahead, const std::vector<OvertakingFlow>& flows);
+
+}  // namespace shedlever
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -363,7 +363,7 @@
     reason = ForwardReason::Overloaded;
   }
   if (reason != ForwardReason::None) {
-    queue_.onRequestEnded(std::nullopt);
+    queue_.onRequestEnded(ticket, std::nullopt);
     refuseQueued(ticket, reason, kKeyRetryAfter);
     return;
   }
@@ -390,7 +390,7 @@
   const TimePoint now = clock_.now();
   const Duration service_time = now - entry.started;
   const bool answered = result.outcome == ForwardOutcome::Answered;
-  queue_.onRequestEnded(answered ? std::optional<Duration>(service_time) : std::nullopt);
+  queue_.onRequestEnded(ticket, answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
   trackUnanswered(ticket, entry.fingerprint, result);
   updateCondition(entry, result);
--- a/test/core_router/admission/named_limit_load_test.cc
+++ b/test/core_router/admission/named_limit_load_test.cc
@@ -50,8 +50,8 @@
       if ((now - kStart) % kTick == Duration::zero()) {
         queue_.removeOverdue(now);
       }
-      while (queue_.startNext(now)) {
-        start(now);
+      while (const auto ticket = queue_.startNext(now)) {
+        start(*ticket, now);
       }
     }
   }
@@ -87,21 +87,22 @@
   void arrive(TimePoint now) {
     const QueueRank rank{1, 0, kMaxWait, now + seconds(2)};
     if (queue_.admit(++ticket_, rank, now, kMaxWait).verdict == QueueVerdict::Start) {
-      start(now);
+      start(ticket_, now);
     }
   }
 
-  void start(TimePoint now) {
+  void start(QueueTicket ticket, TimePoint now) {
     starts_.push_back(now);
     const milliseconds extra(random_() % 100);
-    ends_.emplace(now + kServiceTime + extra, now);
+    ends_.emplace(now + kServiceTime + extra, std::pair(now, ticket));
   }
 
   void finishRequests(TimePoint now) {
     while (!ends_.empty() && ends_.begin()->first <= now) {
-      const auto [end, sent] = *ends_.begin();
+      const auto [end, started] = *ends_.begin();
+      const auto [sent, ticket] = started;
       ends_.erase(ends_.begin());
-      queue_.onRequestEnded(end - sent);
+      queue_.onRequestEnded(ticket, end - sent);
       limit_.onResponse({limitAt(now), false, false}, sent, now);
       queue_.setNamedLimit(limit_.perSecond());
     }
@@ -111,8 +112,8 @@
   std::vector<LimitStep> steps_;
   NamedLimit limit_;
   SlotQueue queue_{kSlots};
-  /// Ends of running requests, with their starts.
-  std::multimap<TimePoint, TimePoint> ends_;
+  /// Ends of running requests, with their starts and tickets.
+  std::multimap<TimePoint, std::pair<TimePoint, QueueTicket>> ends_;
   std::vector<TimePoint> starts_;
   QueueTicket ticket_ = 0;
 };
--- a/test/core_router/admission/slot_queue_test.cc
+++ b/test/core_router/admission/slot_queue_test.cc
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <deque>
+
 namespace shedlever::test {
 namespace {
 
@@ -24,7 +26,7 @@
   EXPECT_EQ(queue.admit(2, rank(0), kNow, milliseconds(500)).verdict, QueueVerdict::Start);
   EXPECT_EQ(queue.admit(3, rank(0), kNow, milliseconds(500)).verdict, QueueVerdict::Wait);
   EXPECT_EQ(queue.startNext(kNow), std::nullopt);
-  queue.onRequestEnded(milliseconds(100));
+  queue.onRequestEnded(1, milliseconds(100));
   EXPECT_EQ(queue.startNext(kNow), 3U);
 }
 
@@ -34,12 +36,12 @@
   queue.admit(2, rank(2), kNow, milliseconds(5000));
   queue.admit(3, rank(1), kNow, milliseconds(5000));
   queue.admit(4, rank(1), kNow, milliseconds(5000));
-  std::vector<QueueTicket> order;
+  std::vector<QueueTicket> order{1};
   for (int i = 0; i < 3; ++i) {
-    queue.onRequestEnded(std::nullopt);
+    queue.onRequestEnded(order.back(), std::nullopt);
     order.push_back(queue.startNext(kNow).value_or(0));
   }
-  EXPECT_EQ(order, (std::vector<QueueTicket>{3, 4, 2}));
+  EXPECT_EQ(order, (std::vector<QueueTicket>{1, 3, 4, 2}));
 }
 
 TEST(SlotQueueTest, AtEqualPriorityTheShorterObjectiveStartsFirst) {
@@ -47,7 +49,7 @@
   queue.admit(1, rank(1), kNow, milliseconds(5000));
   queue.admit(2, rank(1, milliseconds(800), kDeadline + milliseconds(500)), kNow, milliseconds(5000));
   queue.admit(3, rank(1, milliseconds(200), kDeadline - milliseconds(900)), kNow, milliseconds(5000));
-  queue.onRequestEnded(std::nullopt);
+  queue.onRequestEnded(1, std::nullopt);
   EXPECT_EQ(queue.startNext(kNow), 3U);
 }
 
@@ -57,7 +59,7 @@
   queue.admit(1, rank(1), kNow, milliseconds(5000));
   queue.admit(2, rank(1), kNow, milliseconds(5000));
   queue.admit(3, rank(1, milliseconds(600), kDeadline + milliseconds(1)), kNow, milliseconds(5000));
-  queue.onRequestEnded(std::nullopt);
+  queue.onRequestEnded(1, std::nullopt);
   EXPECT_EQ(queue.startNext(kNow), 3U);
 }
 
@@ -93,6 +95,41 @@
   EXPECT_EQ(queue.load().queued, 2U);
 }
 
+/// Admits a request and ends it, `count` times at intervals of 20 ms. @return the time of the last one.
+TimePoint serveSteadily(SlotQueue& queue, const QueueRank& served, QueueTicket first, int count, TimePoint from) {
+  for (int i = 0; i < count; ++i, from += milliseconds(20)) {
+    const QueueTicket ticket = first + static_cast<QueueTicket>(i);
+    queue.admit(ticket, served, from, milliseconds(0));
+    queue.onRequestEnded(ticket, milliseconds(100));
+  }
+  return from;
+}
+
+// Guards against requests that are queued although more urgent ones, which arrive all the time, take every slot first.
+TEST(SlotQueueTest, RequestThatLaterArrivalsWouldDelayTooLongIsRefusedAtOnce) {
+  SlotQueue queue(3);
+  // 50 requests per second of 100 ms each: more than the 3 slots serve.
+  const TimePoint now = serveSteadily(queue, rank(0), 100, 50, kNow);
+  for (QueueTicket ticket = 1; ticket <= 3; ++ticket) {
+    queue.admit(ticket, rank(0), now, milliseconds(500));
+  }
+  const QueueDecision decision = queue.admit(4, rank(1), now, milliseconds(500));
+  EXPECT_EQ(decision.verdict, QueueVerdict::Refuse);
+  EXPECT_GT(decision.predicted_wait, milliseconds(500));
+  EXPECT_GT(decision.overtaking_wait, milliseconds(400));
+  EXPECT_EQ(queue.load().queued, 0U);
+}
+
+// The same arrivals do not delay a more urgent request, which must not be refused.
+TEST(SlotQueueTest, RequestThatNoLaterArrivalOvertakesIsQueued) {
+  SlotQueue queue(3);
+  const TimePoint now = serveSteadily(queue, rank(1), 100, 50, kNow);
+  for (QueueTicket ticket = 1; ticket <= 3; ++ticket) {
+    queue.admit(ticket, rank(1), now, milliseconds(500));
+  }
+  EXPECT_EQ(queue.admit(4, rank(0), now, milliseconds(100)).verdict, QueueVerdict::Wait);
+}
+
 TEST(SlotQueueTest, WithoutSlotsEveryRequestIsRefused) {
   SlotQueue queue(0);
   EXPECT_EQ(queue.admit(1, rank(0), kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
@@ -101,7 +138,7 @@
 RC_GTEST_PROP(SlotQueueProperty, NeverExceedsItsSlotsAndLosesNoRequest, (const std::vector<std::uint8_t>& steps)) {
   constexpr std::uint32_t kSlots = 3;
   SlotQueue queue(kSlots);
-  std::uint32_t running = 0;
+  std::deque<QueueTicket> running;
   std::size_t waiting = 0;
   QueueTicket ticket = 0;
   TimePoint now = kNow;
@@ -113,20 +150,22 @@
               .admit(++ticket, rank(step % 4U, milliseconds(step % 5), now + milliseconds(step)), now,
                      milliseconds(200))
               .verdict;
-      running += verdict == QueueVerdict::Start ? 1 : 0;
+      if (verdict == QueueVerdict::Start) {
+        running.push_back(ticket);
+      }
       waiting += verdict == QueueVerdict::Wait ? 1 : 0;
-    } else if (step % 3 == 1 && running > 0) {
-      --running;
-      queue.onRequestEnded(milliseconds(step));
+    } else if (step % 3 == 1 && !running.empty()) {
+      queue.onRequestEnded(running.front(), milliseconds(step));
+      running.pop_front();
     } else {
       waiting -= queue.removeOverdue(now).size();
     }
-    while (queue.startNext(now)) {
-      ++running;
+    while (const auto started = queue.startNext(now)) {
+      running.push_back(*started);
       --waiting;
     }
-    RC_ASSERT(running <= kSlots);
-    RC_ASSERT(queue.load().running == running);
+    RC_ASSERT(running.size() <= kSlots);
+    RC_ASSERT(queue.load().running == running.size());
     RC_ASSERT(queue.load().queued == waiting);
   }
 }
--- a/test/core_router/admission/start_rate_limiter_test.cc
+++ b/test/core_router/admission/start_rate_limiter_test.cc
@@ -83,8 +83,8 @@
       if (is_tick) {
         dropOverdue(now);
       }
-      while (queue_.startNext(now)) {
-        start(now);
+      while (const auto ticket = queue_.startNext(now)) {
+        start(*ticket, now);
       }
     }
   }
@@ -121,7 +121,7 @@
     arrived_[++ticket_] = now;
     const QueueDecision decision = queue_.admit(ticket_, rank, now, kMaxWait);
     if (decision.verdict == QueueVerdict::Start) {
-      start(now);
+      start(ticket_, now);
     }
     refused_at_once += decision.verdict == QueueVerdict::Refuse ? 1 : 0;
   }
@@ -132,15 +132,15 @@
     }
   }
 
-  void start(TimePoint now) {
+  void start(QueueTicket ticket, TimePoint now) {
     starts.push_back(now);
-    ends_.push_back(now + kServiceTime);
+    ends_.emplace_back(now + kServiceTime, ticket);
   }
 
   void finishRequests(TimePoint now) {
-    while (!ends_.empty() && ends_.front() <= now) {
+    while (!ends_.empty() && ends_.front().first <= now) {
+      queue_.onRequestEnded(ends_.front().second, kServiceTime);
       ends_.pop_front();
-      queue_.onRequestEnded(kServiceTime);
     }
   }
 
@@ -148,7 +148,8 @@
   TimePoint cold_at_;
   TimePoint cold_until_;
   SlotQueue queue_{kSlots};
-  std::deque<TimePoint> ends_;
+  /// Ends of running requests, with their tickets.
+  std::deque<std::pair<TimePoint, QueueTicket>> ends_;
   QueueTicket ticket_ = 0;
   std::map<QueueTicket, TimePoint> arrived_;
 };
--- a/test/core_router/admission/tenant_fair_scheduler_test.cc
+++ b/test/core_router/admission/tenant_fair_scheduler_test.cc
@@ -19,16 +19,19 @@
   return {TenantName(name), weight, limit};
 }
 
-/// Serves up to `count` requests one after the other. @return number of served requests by tenant.
-std::map<std::string, int> serve(SlotQueue& queue, const std::map<QueueTicket, std::string>& owners, int count) {
+/// Ends the running request, then serves up to `count` requests one after the other. @return number of served requests
+/// by tenant.
+std::map<std::string, int> serve(SlotQueue& queue, const std::map<QueueTicket, std::string>& owners, int count,
+                                 QueueTicket& running) {
   std::map<std::string, int> counts;
   for (int i = 0; i < count; ++i) {
-    queue.onRequestEnded(std::nullopt);
+    queue.onRequestEnded(running, std::nullopt);
     const auto ticket = queue.startNext(kNow);
     if (!ticket) {
       break;
     }
-    ++counts[owners.at(*ticket)];
+    running = *ticket;
+    ++counts[owners.at(running)];
   }
   return counts;
 }
@@ -46,7 +49,8 @@
     owners[++ticket] = "steady";
     queue.admit(ticket, tenant("steady", 2), {0, 0, {}, kNow + kMaxWait}, kNow, kMaxWait);
   }
-  const std::map<std::string, int> counts = serve(queue, owners, 30);
+  QueueTicket running = 1;
+  const std::map<std::string, int> counts = serve(queue, owners, 30, running);
   EXPECT_NEAR(counts.at("steady"), 20, 1);
   EXPECT_NEAR(counts.at("bursting"), 10, 1);
 }
@@ -58,7 +62,7 @@
     queue.admit(ticket, tenant("a", 1), {1, 0, {}, kNow + kMaxWait}, kNow, kMaxWait);
   }
   queue.admit(6, tenant("a", 1), {0, 0, {}, kNow + kMaxWait}, kNow, kMaxWait);
-  queue.onRequestEnded(std::nullopt);
+  queue.onRequestEnded(1, std::nullopt);
   EXPECT_EQ(queue.startNext(kNow), 6U);
 }
 
@@ -82,12 +86,13 @@
     owners[++ticket] = "busy";
     queue.admit(ticket, tenant("busy", 1), {0, 0, {}, kNow + kMaxWait}, kNow, kMaxWait);
   }
-  serve(queue, owners, 30);
+  QueueTicket running = 1;
+  serve(queue, owners, 30, running);
   for (int i = 0; i < 50; ++i) {
     owners[++ticket] = "late";
     queue.admit(ticket, tenant("late", 1), {0, 0, {}, kNow + kMaxWait}, kNow, kMaxWait);
   }
-  const std::map<std::string, int> counts = serve(queue, owners, 20);
+  const std::map<std::string, int> counts = serve(queue, owners, 20, running);
   EXPECT_NEAR(counts.at("late"), 10, 1);
 }
 
