Refuse queued requests as soon as they will not start in time

Cause: a queued request was refused when the work ahead of it now left no time, or its wait was over. Later arrivals that overtake, and a server that had become slower, showed only when it was too late to try another server. Fewer slots and a cold limit were noticed at the next tick.

Change: `removeOverdue` predicts as on arrival, with the classes' service times and what will overtake. The ages of the running requests show a slower server before its next response (`RunningRequests`). The gate looks for such requests at once when slots or limits change. A request is removed only if it starts too late even with a wait two standard deviations below the expected one. Service times at one server are taken as correlated.

Log and metric: `refused` has `overtaking_ms` and `waited_ms`; requests that were queued and then refused as overloaded count as `waited-in-vain`.

Tests that fail with the queue before: RequestsThatFewerSlotsDelayTooLong AreRemovedAtOnce, RequestsThatASlowerServerDelaysTooLongAreRemovedBefore ItsNextResponse, RequestThatLaterArrivalsDelayTooLongIsRemovedBeforeThey HaveArrived.

--- a/source/core/router/admission/queue_class_loads.cc
+++ b/source/core/router/admission/queue_class_loads.cc
@@ -52,7 +52,7 @@
   for (const auto& [queue_class, load] : classes_) {
     const double per_second = load.admitted.perSecond(now);
     if (per_second > 0) {
-      flows.push_back({queue_class, per_second, serviceTime(queue_class).mean});
+      flows.push_back({queue_class, per_second, serviceTime(queue_class)});
     }
   }
   return flows;
--- a/source/core/router/admission/queue_class_loads.h
+++ b/source/core/router/admission/queue_class_loads.h
@@ -33,7 +33,7 @@
 struct ClassFlow {
   QueueClass queue_class;
   double per_second = 0;
-  Duration service_time{};
+  ServiceTime service_time;
 };
 
 /// Only admitted requests count, because a refused one delays no other.
--- a/source/core/router/admission/slot_queue.cc
+++ b/source/core/router/admission/slot_queue.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// A request is queued if it starts in time even with a wait that exceeds the expected one by this many standard
-/// deviations, so that few wait in vain.
-constexpr int kAdmissionDeviations = 2;
+/// A request is queued only if it starts in time even with a wait this many standard deviations above the expected one,
+/// and removed only if it starts too late even with a wait as much below. Few requests wait in vain then.
+constexpr int kDeviations = 2;
 
 double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -25,10 +25,9 @@
 
 void SlotQueue::addWork(WorkAhead& work, const QueueRank& rank) const {
   const ServiceTime service_time = loads_.serviceTime(rank.queueClass());
-  const double deviation = toSeconds(service_time.deviation);
   ++work.requests;
   work.slot_seconds += toSeconds(service_time.mean);
-  work.variance += deviation * deviation;
+  work.deviation_seconds += toSeconds(service_time.deviation);
 }
 
 std::vector<OvertakingFlow> SlotQueue::overtakingFlows(const std::vector<ClassFlow>& flows,
@@ -36,7 +35,8 @@
   std::vector<OvertakingFlow> overtaking;
   for (const ClassFlow& flow : flows) {
     if (overtakes(flow.queue_class, rank)) {
-      overtaking.push_back({flow.per_second, toSeconds(flow.service_time), std::numeric_limits<double>::infinity()});
+      overtaking.push_back({flow.per_second, toSeconds(flow.service_time.mean), toSeconds(flow.service_time.deviation),
+                            std::numeric_limits<double>::infinity()});
     }
   }
   return overtaking;
@@ -57,11 +57,13 @@
   for (auto entry = waiting_.begin(); entry != behind; ++entry) {
     addWork(ahead, entry->first.rank);
   }
-  return forecastWait({slots_, start_rate_, now}, ahead, overtakingFlows(loads_.flows(now), rank));
+  return forecastWait(modelAt(now), ahead, overtakingFlows(loads_.flows(now), rank));
 }
 
+WaitModel SlotQueue::modelAt(TimePoint now) const { return {slots_, start_rate_, now, running_.slowdown(loads_, now)}; }
+
 void SlotQueue::start(QueueTicket ticket, const QueueRank& rank, TimePoint now) {
-  running_.emplace(ticket, rank.queueClass());
+  running_.onStart(ticket, rank.queueClass(), now);
   start_rate_.onStart(now);
 }
 
@@ -74,7 +76,7 @@
     return {QueueVerdict::Start, {}, {}};
   }
   const WaitForecast wait = forecast(rank, now);
-  if (wait.expected > max_wait || wait.expected + wait.deviation * kAdmissionDeviations > max_wait) {
+  if (wait.expected > max_wait || wait.expected + wait.deviation * kDeviations > max_wait) {
     return {QueueVerdict::Refuse, wait.expected, wait.overtaking};
   }
   loads_.onAdmitted(rank.queueClass(), now);
@@ -115,9 +117,9 @@
 }
 
 void SlotQueue::onRequestEnded(QueueTicket ticket, std::optional<Duration> service_time) {
-  const auto ended = running_.extract(ticket);
-  if (!ended.empty() && service_time) {
-    loads_.onServed(ended.mapped(), *service_time);
+  const std::optional<QueueClass> queue_class = running_.onEnd(ticket);
+  if (queue_class && service_time) {
+    loads_.onServed(*queue_class, *service_time);
   }
 }
 
@@ -147,17 +149,23 @@
 }
 
 std::vector<QueueTicket> SlotQueue::removeOverdue(TimePoint now) {
+  if (waiting_.empty()) {
+    return {};
+  }
+  if (slots_ == 0) {
+    return removeAll();
+  }
+  const WaitModel model = modelAt(now);
+  const std::vector<ClassFlow> flows = loads_.flows(now);
   std::vector<QueueTicket> overdue;
-  std::size_t ahead = 0;
+  WorkAhead ahead;
   for (const auto& [entry, latest_start] : waiting_) {
-    const Duration by_slots =
-        slots_ == 0 ? Duration::zero()
-                    : meanServiceTime() * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(slots_);
-    const Duration wait = std::max(by_slots, start_rate_.timeUntilStartBehind(ahead, now));
-    if (latest_start - wait <= now) {
+    const WaitForecast wait = forecastWait(model, ahead, overtakingFlows(flows, entry.rank));
+    const Duration shortest = std::max(wait.expected - wait.deviation * kDeviations, Duration::zero());
+    if (latest_start - shortest <= now) {
       overdue.push_back(entry.ticket);
     } else {
-      ++ahead;
+      addWork(ahead, entry.rank);
     }
   }
   for (const QueueTicket ticket : overdue) {
--- a/source/core/router/admission/slot_queue.h
+++ b/source/core/router/admission/slot_queue.h
@@ -15,15 +15,13 @@
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
 #include "source/core/router/admission/queue_class_loads.h"
+#include "source/core/router/admission/running_requests.h"
 #include "source/core/router/admission/start_rate_limiter.h"
 #include "source/core/router/admission/tenant_fair_scheduler.h"
 #include "source/core/router/admission/wait_forecast.h"
 
 namespace shedlever {
 
-/// Identifies a request within one queue.
-using QueueTicket = std::uint64_t;
-
 enum class QueueVerdict : std::uint8_t {
   Start,
   Wait,
@@ -100,8 +98,8 @@
   /// @return whether the request was waiting.
   bool remove(QueueTicket ticket);
 
-  /// Removes all requests that would wait too long, given the requests that are ahead of them now. Requests with a
-  /// better rank that arrive later delay the others.
+  /// Removes all requests that are not expected to start in time any more, by the same prediction as on arrival. Call
+  /// after each change of the slots or limits, and often, because service times and other requests change it too.
   std::vector<QueueTicket> removeOverdue(TimePoint now);
 
   /// Removes all waiting requests.
@@ -119,8 +117,8 @@
   /// @return how long a request occupies one of the slots that `load` states.
   Duration slotTime() const { return capacity().slot_time; }
 
-  /// @return how long a request of this rank would wait if it arrived now; the longest duration if there is no slot.
-  Duration predictedWait(const QueueRank& rank, TimePoint now) const { return forecast(rank, now).expected; }
+  /// @return the wait of a request of this rank that arrived now; the longest duration if there is no slot.
+  WaitForecast forecast(const QueueRank& rank, TimePoint now) const;
 
   /// @return mean time for which a request runs.
   Duration meanServiceTime() const { return loads_.meanServiceTime(); }
@@ -135,8 +133,7 @@
   void releaseTenant(QueueTicket ticket);
   void start(QueueTicket ticket, const QueueRank& rank, TimePoint now);
   void addWork(WorkAhead& work, const QueueRank& rank) const;
-  /// @return the wait of a request of this rank that arrives now.
-  WaitForecast forecast(const QueueRank& rank, TimePoint now) const;
+  WaitModel modelAt(TimePoint now) const;
   /// @return the classes of which later arrivals go ahead of a request of this rank.
   std::vector<OvertakingFlow> overtakingFlows(const std::vector<ClassFlow>& flows, const QueueRank& rank) const;
 
@@ -147,7 +144,7 @@
   };
 
   std::uint32_t slots_;
-  std::unordered_map<QueueTicket, QueueClass> running_;
+  RunningRequests running_;
   StartRateLimiter start_rate_;
   QueueClassLoads loads_;
   /// Waiting requests with their latest start. Tickets increase with arrival, so the order is rank, then arrival.
--- a/source/core/router/admission/wait_forecast.cc
+++ b/source/core/router/admission/wait_forecast.cc
@@ -11,6 +11,8 @@
 constexpr int kMaxSteps = 64;
 /// The iteration ends when a step adds less.
 constexpr Duration kPrecision = std::chrono::milliseconds(1);
+/// Correlation of the service times at one server: all of them grow with its load.
+constexpr double kServiceTimeCorrelation = 0.5;
 
 Duration toDuration(double seconds) {
   const double longest = std::chrono::duration<double>(kMaxForecast).count();
@@ -26,18 +28,25 @@
     requests += overtaking;
     work.slot_seconds += overtaking * flow.service_seconds;
     // Poisson arrivals: the variance of their number is its mean.
-    work.variance += overtaking * flow.service_seconds * flow.service_seconds;
+    work.count_variance += overtaking * flow.service_seconds * flow.service_seconds;
+    work.deviation_seconds += overtaking * flow.deviation_seconds;
   }
   work.requests += static_cast<std::size_t>(std::lround(requests));
   return work;
 }
 
 Duration waitFor(const WaitModel& model, const WorkAhead& work) {
-  const Duration by_slots = toDuration(work.slot_seconds / model.slots);
+  const Duration by_slots = toDuration(work.slot_seconds * model.slowdown / model.slots);
   const Duration by_rate = model.start_rate.timeUntilStartBehind(work.requests, model.now);
   return std::min(std::max(by_slots, by_rate), kMaxForecast);
 }
 
+Duration deviationOf(const WaitModel& model, const WorkAhead& work) {
+  const double variance =
+      work.count_variance + kServiceTimeCorrelation * work.deviation_seconds * work.deviation_seconds;
+  return toDuration(std::sqrt(variance) * model.slowdown / model.slots);
+}
+
 }  // namespace
 
 WaitForecast forecastWait(const WaitModel& model, const WorkAhead& ahead, const std::vector<OvertakingFlow>& flows) {
@@ -52,7 +61,7 @@
     }
     wait = next;
   }
-  return {wait, wait - without_overtaking, toDuration(std::sqrt(work.variance) / model.slots)};
+  return {wait, wait - without_overtaking, deviationOf(model, work)};
 }
 
 }  // namespace shedlever
--- a/source/core/router/admission/wait_forecast.h
+++ b/source/core/router/admission/wait_forecast.h
@@ -16,8 +16,10 @@
   std::size_t requests = 0;
   /// Time that they occupy a slot, in seconds.
   double slot_seconds = 0;
-  /// Variance of that time, in square seconds.
-  double variance = 0;
+  /// Sum of the mean absolute deviations of their service times, in seconds.
+  double deviation_seconds = 0;
+  /// Variance of the slot time that does not come from the service times, in square seconds.
+  double count_variance = 0;
 };
 
 /// Requests that arrive later and go ahead.
@@ -25,6 +27,8 @@
   double per_second = 0;
   /// Time that each occupies a slot, in seconds.
   double service_seconds = 0;
+  /// Mean absolute deviation of that time, in seconds.
+  double deviation_seconds = 0;
   /// Only those that arrive within this time go ahead, in seconds; infinite if all do.
   double window_seconds = 0;
 };
@@ -35,6 +39,8 @@
   std::uint32_t slots = 1;
   const StartRateLimiter& start_rate;
   TimePoint now{};
+  /// Factor by which requests run longer than the service times say.
+  double slowdown = 1.0;
 };
 
 struct WaitForecast {
--- a/source/router/gate_recorder.cc
+++ b/source/router/gate_recorder.cc
@@ -33,15 +33,17 @@
 
 }  // namespace
 
-void GateRecorder::refused(const ForwardFrame& frame, ForwardReason reason, Duration retry_after,
-                           const GateInputs& inputs) {
-  metrics_.onGateRefusal(reason);
+void GateRecorder::refused(const ForwardFrame& frame, const GateRefusal& refusal, const GateInputs& inputs) {
+  metrics_.onGateRefusal(refusal.reason);
+  if (refusal.reason == ForwardReason::Overloaded && refusal.waited > Duration::zero()) {
+    metrics_.onEvent("waited-in-vain");
+  }
   if (!log_.mayWriteAttempt()) {
     return;
   }
   log_.write("gate", "refused",
              {{"id", frame.id.value},
-              {"reason", toString(reason)},
+              {"reason", toString(refusal.reason)},
               {"priority", std::to_string(frame.priority)},
               {"key", keyOf(frame)},
               {"asked_for", frame.instance.value},
@@ -50,7 +52,9 @@
               {"queued", std::to_string(inputs.load.queued)},
               {"slots", std::to_string(inputs.load.slots)},
               {"link_ms", std::to_string(inputs.load.link_busy_ms)},
-              {"retry_after_ms", formatMilliseconds(retry_after)},
+              {"retry_after_ms", formatMilliseconds(refusal.retry_after)},
+              {"overtaking_ms", formatMilliseconds(refusal.overtaking_wait)},
+              {"waited_ms", formatMilliseconds(refusal.waited)},
               {"longest_wait_ms", formatMilliseconds(inputs.max_wait)},
               {"table", inputs.table.none() ? "-" : toString(inputs.table)},
               {"lease_left_ms", frame.keyed ? formatMilliseconds(inputs.lease_left) : "-"},
--- a/source/router/gate_recorder.h
+++ b/source/router/gate_recorder.h
@@ -24,14 +24,25 @@
   Duration lease_left{};
 };
 
+/// Why a request is refused.
+struct GateRefusal {
+  ForwardReason reason = ForwardReason::None;
+  /// Suggested delay before a retry; the predicted wait if the queue was too long.
+  Duration retry_after{};
+  /// Part of the predicted wait that is due to requests expected to arrive later and to go ahead.
+  Duration overtaking_wait{};
+  /// How long the request was queued; zero if it was refused on arrival.
+  Duration waited{};
+};
+
 class GateRecorder {
  public:
   /// @param log, metrics outlive the recorder.
   GateRecorder(EventLog& log, RouterMetrics& metrics) : log_(log), metrics_(metrics) {}
 
-  /// Records a request that was not started.
-  /// @param retry_after suggested delay before a retry; the predicted wait if the queue was too long.
-  void refused(const ForwardFrame& frame, ForwardReason reason, Duration retry_after, const GateInputs& inputs);
+  /// Records a request that was not started, and counts it as `waited-in-vain` if it was queued and the queue was too
+  /// long after all.
+  void refused(const ForwardFrame& frame, const GateRefusal& refusal, const GateInputs& inputs);
 
   /// Records the end of a request that was sent to the server.
   /// @param queued time before the request was sent. @param ran time until it ended.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -93,6 +93,7 @@
 void ServerGate::applyColdLimit() {
   const bool limited = cold_rate_ > 0 && clock_.now() < cold_until_;
   queue_.setStartLimit(limited ? std::optional(cold_rate_) : std::nullopt);
+  refuseOverdue();
 }
 
 void ServerGate::setMaxSlots(std::uint32_t slots) {
@@ -106,6 +107,7 @@
   const double used = std::max(1.0, reported_slots_ * config_.slot_share);
   queue_.setSlots(std::min(static_cast<std::uint32_t>(used), max_slots_));
   startQueued();
+  refuseOverdue();
 }
 
 void ServerGate::endInstance() {
@@ -152,7 +154,7 @@
   }
   for (const QueueTicket ticket : tickets) {
     queue_.remove(ticket);
-    refuseQueued(ticket, reason, {});
+    refuseQueued(ticket, {reason});
   }
 }
 
@@ -210,21 +212,21 @@
   return ForwardReason::NotOwner;
 }
 
-ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) {
+ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, const GateRefusal& refusal) {
   ForwardReplyFrame reply;
   reply.exchange = frame.exchange;
   reply.outcome = ForwardOutcome::NotRun;
-  reply.reason = reason;
-  reply.retry_after_us = quarantineLeft(frame).value_or(retry_after).count();
+  reply.reason = refusal.reason;
+  reply.retry_after_us = quarantineLeft(frame).value_or(refusal.retry_after).count();
   reply.load = reportedLoad();
-  if (frame.keyed && ownership_manager_ != nullptr && reason == ForwardReason::Overloaded) {
+  if (frame.keyed && ownership_manager_ != nullptr && refusal.reason == ForwardReason::Overloaded) {
     ownership_manager_->onKeyRequestRefused(frame.key, clock_.now());
   }
   if (frame.keyed && ownership_manager_ != nullptr) {
     const OwnerHint hint = ownership_manager_->hintFor(frame.key);
     // No hint for a key that is assigned to this server but not granted yet, so that the sender waits. Only a sender
     // that addressed an earlier instance is to retry immediately.
-    const bool waits_here = hint.owner == instance_ && reason != ForwardReason::WrongInstance;
+    const bool waits_here = hint.owner == instance_ && refusal.reason != ForwardReason::WrongInstance;
     reply.hint = waits_here ? OwnerHint{} : hint;
   }
   GateInputs inputs{instance_, reply.load, maxWait(frame), 0, {}};
@@ -232,7 +234,7 @@
     inputs.table = ownership_manager_->tableWriter().revision();
     inputs.lease_left = std::max(ownership_manager_->leaseUntil() - clock_.now(), Duration::zero());
   }
-  recorder_.refused(frame, reason, retry_after, inputs);
+  recorder_.refused(frame, refusal, inputs);
   return reply;
 }
 
@@ -246,7 +248,7 @@
   } else if (reason == ForwardReason::NotYetOwner) {
     holdForKey(ticket, std::move(frame), std::move(done));
   } else {
-    done(refusal(frame, reason, kKeyRetryAfter));
+    done(refusal(frame, {reason, kKeyRetryAfter}));
   }
   return ticket;
 }
@@ -258,7 +260,7 @@
   const Duration expected = key_waits_.expectedRemaining(range, now);
   const Duration max_wait = maxWait(frame);
   if (expected > max_wait) {
-    done(refusal(frame, ForwardReason::NotYetOwner, std::max(expected, kKeyRetryAfter)));
+    done(refusal(frame, {ForwardReason::NotYetOwner, std::max(expected, kKeyRetryAfter)}));
     return;
   }
   const TimePoint deadline = now + Duration(frame.remaining_us);
@@ -290,7 +292,7 @@
   auto node = held_.extract(found);
   HeldRequest& held = node.mapped();
   if (reason != ForwardReason::None) {
-    held.done(refusal(held.frame, reason, kKeyRetryAfter));
+    held.done(refusal(held.frame, {reason, kKeyRetryAfter}));
     return;
   }
   held.frame.remaining_us = (held.deadline - now).count();
@@ -319,7 +321,7 @@
   if (expected_bytes > 0) {
     const Duration link_wait = machine_link_.transfer_time(expected_bytes_);
     if (link_wait > max_wait) {
-      done(refusal(frame, ForwardReason::Overloaded, link_wait));
+      done(refusal(frame, {ForwardReason::Overloaded, link_wait}));
       return;
     }
   }
@@ -327,7 +329,8 @@
   const QueueDecision decision = queue_.admit(ticket, frame.tenant, rank, now, max_wait);
   if (decision.verdict == QueueVerdict::Refuse || decision.verdict == QueueVerdict::TenantFull) {
     const bool tenant_full = decision.verdict == QueueVerdict::TenantFull;
-    done(refusal(frame, tenant_full ? ForwardReason::QueueFull : ForwardReason::Overloaded, decision.predicted_wait));
+    const ForwardReason reason = tenant_full ? ForwardReason::QueueFull : ForwardReason::Overloaded;
+    done(refusal(frame, {reason, decision.predicted_wait, decision.overtaking_wait}));
     return;
   }
   Entry& entry = entries_[ticket];
@@ -364,7 +367,7 @@
   }
   if (reason != ForwardReason::None) {
     queue_.onRequestEnded(ticket, std::nullopt);
-    refuseQueued(ticket, reason, kKeyRetryAfter);
+    refuseQueued(ticket, {reason, kKeyRetryAfter});
     return;
   }
   entry.running = true;
@@ -502,10 +505,11 @@
   }
 }
 
-void ServerGate::refuseQueued(QueueTicket ticket, ForwardReason reason, Duration retry_after) {
+void ServerGate::refuseQueued(QueueTicket ticket, GateRefusal refused) {
   const std::optional<Entry> entry = takeEntry(ticket);
   if (entry && !entry->abandoned) {
-    entry->done(refusal(entry->frame, reason, retry_after));
+    refused.waited = clock_.now() - entry->arrived;
+    entry->done(refusal(entry->frame, refused));
   }
 }
 
@@ -520,7 +524,7 @@
 
 void ServerGate::refuseAllQueued(ForwardReason reason) {
   for (const QueueTicket ticket : queue_.removeAll()) {
-    refuseQueued(ticket, reason, {});
+    refuseQueued(ticket, {reason});
   }
   onKeysChanged();
 }
@@ -556,8 +560,9 @@
     if (found == entries_.end()) {
       continue;
     }
-    const Duration wait = queue_.predictedWait(rankOf(found->second.frame, found->second.deadline), now);
-    refuseQueued(ticket, ForwardReason::Overloaded, std::max(wait, queue_.meanServiceTime()));
+    const WaitForecast wait = queue_.forecast(rankOf(found->second.frame, found->second.deadline), now);
+    const Duration retry_after = std::max(wait.expected, queue_.meanServiceTime());
+    refuseQueued(ticket, {ForwardReason::Overloaded, retry_after, wait.overtaking});
   }
 }
 
@@ -567,7 +572,6 @@
   if (!held_.empty()) {
     onKeysChanged();
   }
-  refuseOverdue();
   applyColdLimit();
   startQueued();
   probeSilentServer();
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -161,9 +161,10 @@
   /// @return the load for other processes: a server that may start no request now counts as full.
   ServerLoad reportedLoad() const;
   QueueRank rankOf(const ForwardFrame& frame, TimePoint deadline) const;
-  /// Refuses the queued requests that would wait too long.
+  /// Refuses the queued requests that are not expected to start in time any more.
   void refuseOverdue();
   void applySlots();
+  /// Limits the starts while the server is cold, and refuses the requests that this delays too long.
   void applyColdLimit();
   /// The current instance has ended; another one is running, or none.
   void endInstance();
@@ -193,10 +194,10 @@
   /// Removes and returns an entry, and subtracts its expected bytes from the total.
   std::optional<Entry> takeEntry(QueueTicket ticket);
   void startQueued();
-  void refuseQueued(QueueTicket ticket, ForwardReason reason, Duration retry_after);
+  void refuseQueued(QueueTicket ticket, GateRefusal refused);
   void refuseAllQueued(ForwardReason reason);
   /// Makes the reply for a refused request and records the refusal.
-  ForwardReplyFrame refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after);
+  ForwardReplyFrame refusal(const ForwardFrame& frame, const GateRefusal& refusal);
   /// Takes into account what the server says about its condition in the response to a request.
   void updateCondition(const Entry& entry, const ServerResult& result);
   /// As above, for the response to a command or health check. @param instance that the command was sent to.
--- a/test/core_router/admission/slot_queue_test.cc
+++ b/test/core_router/admission/slot_queue_test.cc
@@ -130,6 +130,65 @@
   EXPECT_EQ(queue.admit(4, rank(0), now, milliseconds(100)).verdict, QueueVerdict::Wait);
 }
 
+// Guards against requests that wait until their deadline although the server has lost slots meanwhile.
+TEST(SlotQueueTest, RequestsThatFewerSlotsDelayTooLongAreRemovedAtOnce) {
+  SlotQueue queue(8);
+  for (QueueTicket ticket = 1; ticket <= 16; ++ticket) {
+    queue.admit(ticket, rank(0), kNow, milliseconds(150));
+  }
+  EXPECT_TRUE(queue.removeOverdue(kNow).empty());
+  queue.setSlots(2);
+  EXPECT_EQ(queue.removeOverdue(kNow), (std::vector<QueueTicket>{12, 13, 14, 15, 16}));
+  queue.setSlots(0);
+  EXPECT_EQ(queue.removeOverdue(kNow), (std::vector<QueueTicket>{9, 10, 11}));
+}
+
+// Guards against requests that wait behind others on a server that has just been limited.
+TEST(SlotQueueTest, RequestsThatAColdOrNamedLimitDelaysTooLongAreRemovedAtOnce) {
+  for (const bool cold : {false, true}) {
+    SlotQueue queue(2);
+    for (QueueTicket ticket = 1; ticket <= 6; ++ticket) {
+      queue.admit(ticket, rank(0), kNow, milliseconds(700));
+    }
+    EXPECT_TRUE(queue.removeOverdue(kNow).empty());
+    if (cold) {
+      queue.setStartLimit(1);
+    } else {
+      queue.setNamedLimit(1);
+    }
+    EXPECT_EQ(queue.removeOverdue(kNow).size(), 4U) << cold;
+  }
+}
+
+// Guards against requests that wait on while those that run take far longer than usual.
+TEST(SlotQueueTest, RequestsThatASlowerServerDelaysTooLongAreRemovedBeforeItsNextResponse) {
+  SlotQueue queue(16);
+  for (QueueTicket ticket = 1; ticket <= 64; ++ticket) {
+    queue.admit(ticket, rank(0), kNow, milliseconds(350));
+  }
+  EXPECT_TRUE(queue.removeOverdue(kNow + milliseconds(50)).empty());
+  const std::vector<QueueTicket> overdue = queue.removeOverdue(kNow + milliseconds(200));
+  EXPECT_FALSE(overdue.empty());
+  // At twice the usual service time, 150 ms suffice for the start of 12 requests.
+  EXPECT_LE(queue.load().queued, 13U);
+}
+
+// Guards against requests that wait although more urgent ones have begun to take all slots.
+TEST(SlotQueueTest, RequestThatLaterArrivalsDelayTooLongIsRemovedBeforeTheyHaveArrived) {
+  SlotQueue queue(3);
+  for (QueueTicket ticket = 1; ticket <= 3; ++ticket) {
+    queue.admit(ticket, rank(0), kNow, milliseconds(500));
+  }
+  queue.admit(4, rank(1), kNow, milliseconds(2000));
+  queue.admit(5, rank(1), kNow, milliseconds(2000));
+  for (int i = 0; i < 25; ++i) {
+    const QueueTicket ticket = 100 + static_cast<QueueTicket>(i);
+    queue.onRequestEnded(i < 3 ? static_cast<QueueTicket>(i + 1) : ticket - 3, milliseconds(100));
+    queue.admit(ticket, rank(0), kNow + milliseconds(20 * i), milliseconds(500));
+  }
+  EXPECT_EQ(queue.removeOverdue(kNow + milliseconds(500)), std::vector<QueueTicket>{5});
+}
+
 TEST(SlotQueueTest, WithoutSlotsEveryRequestIsRefused) {
   SlotQueue queue(0);
   EXPECT_EQ(queue.admit(1, rank(0), kNow, std::chrono::hours(1)).verdict, QueueVerdict::Refuse);
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -116,15 +116,28 @@
   frame.keyed = true;
   frame.key = 77;
   GateInputs inputs{InstanceId("i-new"), {18, 40, 18, 0}, milliseconds(105), 901, milliseconds(7000)};
-  recorder.refused(frame, ForwardReason::WrongInstance, milliseconds(100), inputs);
+  recorder.refused(frame, {ForwardReason::WrongInstance, milliseconds(100), milliseconds(40), milliseconds(30)},
+                   inputs);
   const std::string line = logged();
   EXPECT_THAT(line, HasSubstr("gate: event=refused "));
   EXPECT_THAT(line, HasSubstr(" id=r3 reason=wrong-instance "));
   EXPECT_THAT(line, HasSubstr(" key=77 asked_for=i-old instance=i-new running=18 queued=40 slots=18 "));
   EXPECT_THAT(line, HasSubstr(" longest_wait_ms=105 table=901 lease_left_ms=7000 "));
+  EXPECT_THAT(line, HasSubstr(" retry_after_ms=100 overtaking_ms=40 waited_ms=30 "));
   EXPECT_THAT(metrics(), HasSubstr("shedlever_gate_refusals_total{reason=\"wrong-instance\"} 1"));
 }
 
+// Guards against waits in vain that only a trace of single requests would show.
+TEST_F(RecordersTest, RequestThatIsRefusedAfterItWasQueuedCountsAsWaitedInVain) {
+  GateRecorder recorder(*log_, metrics_);
+  const ForwardFrame frame;
+  recorder.refused(frame, {ForwardReason::Overloaded, milliseconds(400)}, {});
+  EXPECT_THAT(metrics(), ::testing::Not(HasSubstr("waited-in-vain")));
+  recorder.refused(frame, {ForwardReason::Overloaded, milliseconds(400), {}, milliseconds(25)}, {});
+  recorder.refused(frame, {ForwardReason::Draining, {}, {}, milliseconds(25)}, {});
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_events_total{event=\"waited-in-vain\"} 1"));
+}
+
 TEST_F(RecordersTest, GateLogsOnlyUnansweredRequests) {
   GateRecorder recorder(*log_, metrics_);
   ForwardFrame frame;
