Split held requests and server limits from the gate

Cause: `ServerGate` held requests for keys in transit, tracked the server's cold and named limits, and admitted, started and refused requests, so that none of these could be tested alone.

Change: `HeldRequests` keeps the requests that wait for their key, with the estimate of how long keys take; `ServerLimits` keeps the cold and the named limit and applies them to the queue. Whether the server is silent is `ServerReachability`'s already. Behaviour is unchanged.

--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -13,8 +13,6 @@
 /// A request with less time left than this is refused instead of started.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
-/// Exceeds the interval between server reports, which is usually one second.
-constexpr Duration kAssumedColdDuration = std::chrono::milliseconds(1500);
 constexpr double kPermille = 1000.0;
 constexpr double kHundredths = 100.0;
 
@@ -70,29 +68,24 @@
     reachability_.reset();
     failures_.reset();
     service_times_.reset();
-    named_limit_ = {};
-    queue_.setNamedLimit(std::nullopt);
-    queue_.setNamedLimitUnknown(false);
+    limits_.onNewInstance();
   }
   reported_slots_ = slots;
   applySlots();
 }
 
 void ServerGate::setColdRate(double per_second) {
-  cold_rate_ = per_second;
-  applyColdLimit();
+  limits_.setColdRate(per_second, clock_.now());
+  refuseOverdue();
 }
 
 void ServerGate::setCold(Duration left) {
-  cold_until_ = clock_.now() + left;
-  applyColdLimit();
+  limits_.setCold(left, clock_.now());
+  refuseOverdue();
 }
 
-void ServerGate::assumeCold() { setCold(std::max(cold_until_ - clock_.now(), kAssumedColdDuration)); }
-
-void ServerGate::applyColdLimit() {
-  const bool limited = cold_rate_ > 0 && clock_.now() < cold_until_;
-  queue_.setStartLimit(limited ? std::optional(cold_rate_) : std::nullopt);
+void ServerGate::assumeCold() {
+  limits_.assumeCold(clock_.now());
   refuseOverdue();
 }
 
@@ -254,17 +247,11 @@
 }
 
 void ServerGate::holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
-  const TimePoint now = clock_.now();
-  const Key range = rangeStartOf(frame.key);
-  key_waits_.onWaiting(range, now);
-  const Duration expected = key_waits_.expectedRemaining(range, now);
   const Duration max_wait = maxWait(frame);
-  if (expected > max_wait) {
-    done(refusal(frame, {ForwardReason::NotYetOwner, std::max(expected, kKeyRetryAfter)}));
-    return;
+  const std::optional<Duration> too_long = held_.hold(ticket, frame, done, rangeStartOf(frame.key), max_wait);
+  if (too_long) {
+    done(refusal(frame, {ForwardReason::NotYetOwner, std::max(*too_long, kKeyRetryAfter)}));
   }
-  const TimePoint deadline = now + Duration(frame.remaining_us);
-  held_.emplace(ticket, HeldRequest{std::move(frame), std::move(done), now + max_wait, deadline});
 }
 
 bool ServerGate::isKeyInTransit(Key key, TimePoint now) const {
@@ -279,35 +266,20 @@
   return range == nullptr ? key : range->keys.first;
 }
 
-void ServerGate::retryHeld(QueueTicket ticket) {
-  const auto found = held_.find(ticket);
-  if (found == held_.end()) {
-    return;
-  }
-  const TimePoint now = clock_.now();
-  const ForwardReason reason = refusalReason(found->second.frame, found->second.deadline, now);
-  if (reason == ForwardReason::NotYetOwner && now < found->second.until) {
-    return;
-  }
-  auto node = held_.extract(found);
-  HeldRequest& held = node.mapped();
+void ServerGate::onReleased(QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason) {
   if (reason != ForwardReason::None) {
-    held.done(refusal(held.frame, {reason, kKeyRetryAfter}));
+    done(refusal(frame, {reason, kKeyRetryAfter}));
     return;
   }
-  held.frame.remaining_us = (held.deadline - now).count();
-  admit(ticket, std::move(held.frame), std::move(held.done));
+  admit(ticket, std::move(frame), std::move(done));
 }
 
 void ServerGate::onKeysChanged() {
-  std::vector<QueueTicket> tickets;
-  tickets.reserve(held_.size());
-  for (const auto& [ticket, held] : held_) {
-    tickets.push_back(ticket);
-  }
-  for (const QueueTicket ticket : tickets) {
-    retryHeld(ticket);
-  }
+  held_.release(
+      [this](const ForwardFrame& frame, TimePoint deadline) { return refusalReason(frame, deadline, clock_.now()); },
+      [this](QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason) {
+        onReleased(ticket, std::move(frame), std::move(done), reason);
+      });
 }
 
 void ServerGate::admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
@@ -446,19 +418,17 @@
     recorder_.limitInvalid(instance_);
   }
   onNamedLimitKnown();
-  onLimitChange(named_limit_.onResponse(*result.condition, entry.started, clock_.now()));
+  onLimitChange(limits_.onResponse(*result.condition, entry.started, clock_.now()));
   if (result.condition->leaving) {
     events_.server_leaving();
   }
 }
 
-void ServerGate::onNamedLimitKnown() { queue_.setNamedLimitUnknown(false); }
-
 void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
   if (instance != instance_ || instance_.empty()) {
     return;
   }
-  onLimitChange(named_limit_.onCommandResponse(condition, sent, clock_.now()));
+  onLimitChange(limits_.onCommandResponse(condition, sent, clock_.now()));
   if (condition.leaving) {
     events_.server_leaving();
   }
@@ -468,8 +438,7 @@
   if (change == LimitChange::None) {
     return;
   }
-  recorder_.limitChanged(instance_, change, named_limit_.perSecond());
-  queue_.setNamedLimit(named_limit_.perSecond());
+  recorder_.limitChanged(instance_, change, limits_.named());
   refuseOverdue();
 }
 
@@ -530,7 +499,7 @@
 }
 
 void ServerGate::cancel(QueueTicket ticket) {
-  held_.erase(ticket);
+  held_.cancel(ticket);
   const auto found = entries_.find(ticket);
   if (found == entries_.end()) {
     return;
@@ -568,11 +537,12 @@
 
 void ServerGate::tick() {
   const TimePoint now = clock_.now();
-  key_waits_.update([this, now](Key first) { return isKeyInTransit(first, now); }, now);
+  held_.updateWaits([this, now](Key first) { return isKeyInTransit(first, now); });
   if (!held_.empty()) {
     onKeysChanged();
   }
-  applyColdLimit();
+  limits_.update(now);
+  refuseOverdue();
   startQueued();
   probeSilentServer();
 }
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -7,7 +7,6 @@
 
 #include <functional>
 #include <limits>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -15,9 +14,8 @@
 
 #include "source/core/router/admission/duration_estimator.h"
 #include "source/core/router/admission/failure_meter.h"
-#include "source/core/router/admission/key_wait_estimator.h"
-#include "source/core/router/admission/named_limit.h"
 #include "source/core/router/admission/response_size_estimator.h"
+#include "source/core/router/admission/server_limits.h"
 #include "source/core/router/admission/slot_queue.h"
 #include "source/core/router/directory/server_reachability.h"
 #include "source/core/router/directory/zone_evacuation.h"
@@ -25,14 +23,12 @@
 #include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/quarantine/unanswered_requests.h"
 #include "source/router/gate_recorder.h"
+#include "source/router/held_requests.h"
 #include "source/router/router_settings.h"
 #include "source/router/server_client.h"
 
 namespace shedlever {
 
-/// Receives the reply to a forwarded request, whether from the local gate or from a peer.
-using ForwardCallback = std::function<void(ForwardReplyFrame)>;
-
 /// Backlog of the machine's network link. The gate refuses requests whose large responses the link could not carry in
 /// time.
 struct LinkBacklog {
@@ -85,9 +81,9 @@
   void assumeCold();
   /// The server may have named a limit to an earlier process: few requests start until a response shows whether it
   /// does.
-  void assumeNamedLimitUnknown() { queue_.setNamedLimitUnknown(true); }
+  void assumeNamedLimitUnknown() { limits_.assumeNamedLimitUnknown(); }
   /// A response of the instance has shown whether it names a limit.
-  void onNamedLimitKnown();
+  void onNamedLimitKnown() { limits_.onNamedLimitKnown(); }
   /// The server started before this process: an earlier process may have used up the server's request rate.
   void assumeStartLimitExhausted() { queue_.assumeStartLimitExhausted(clock_.now()); }
   /// The server has ended: refuses queued requests and starts no more.
@@ -125,7 +121,7 @@
 
   ServerLoad load() const;
   /// @return requests per second that the server takes, as it names them; std::nullopt if it names no limit.
-  std::optional<double> namedLimit() const { return named_limit_.perSecond(); }
+  std::optional<double> namedLimit() const { return limits_.named(); }
   /// @return share of the server's recent requests that failed.
   double failureRatio() const { return failures_.failureRatio(clock_.now()); }
   const InstanceId& instance() const { return instance_; }
@@ -150,22 +146,12 @@
     double expected_bytes = 0;
   };
 
-  /// A request whose key is being transferred or is not granted yet.
-  struct HeldRequest {
-    ForwardFrame frame;
-    ForwardCallback done;
-    TimePoint until{};
-    TimePoint deadline{};
-  };
-
   /// @return the load for other processes: a server that may start no request now counts as full.
   ServerLoad reportedLoad() const;
   static QueueRank rankOf(const ForwardFrame& frame, TimePoint arrived);
   /// Refuses the queued requests that are not expected to start in time any more.
   void refuseOverdue();
   void applySlots();
-  /// Limits the starts while the server is cold, and refuses the requests that this delays too long.
-  void applyColdLimit();
   /// The current instance has ended; another one is running, or none.
   void endInstance();
   /// Updates the record of unanswered requests after a request ended at the server.
@@ -173,7 +159,8 @@
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   /// Holds a request whose key is in transit if it can still be served in time; refuses it otherwise.
   void holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
-  void retryHeld(QueueTicket ticket);
+  /// Starts or refuses a request that is held no longer. @param reason why it must not be started; None if it may be.
+  void onReleased(QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason);
   /// @return whether the key is being transferred to or from the server.
   bool isKeyInTransit(Key key, TimePoint now) const;
   /// @return the first key of the owned range that contains the key; the key itself if there is none.
@@ -215,7 +202,6 @@
   GateEvents events_;
   ResponseSizeEstimator answer_sizes_;
   DurationEstimator service_times_;
-  KeyWaitEstimator key_waits_;
   FailureMeter failures_;
   UnansweredRequests unanswered_;
   /// Expected response bytes of all entries.
@@ -226,11 +212,7 @@
   SlotQueue queue_{0};
   std::uint32_t reported_slots_ = 0;
   std::uint32_t max_slots_ = std::numeric_limits<std::uint32_t>::max();
-  /// Requests per second; 0: no limit.
-  double cold_rate_ = 0;
-  TimePoint cold_until_{};
-  /// Limit named by the current instance.
-  NamedLimit named_limit_;
+  ServerLimits limits_{queue_};
   InstanceId instance_;
   bool draining_ = false;
   bool keyed_requests_stopped_ = false;
@@ -240,7 +222,7 @@
   ServerReachability reachability_;
   QueueTicket last_ticket_ = 0;
   std::unordered_map<QueueTicket, Entry> entries_;
-  std::map<QueueTicket, HeldRequest> held_;
+  HeldRequests held_{clock_};
 };
 
 }  // namespace shedlever
