Count the time that a request is held for its key as elapsed

Cause: a request held at the gate until its key arrived kept the elapsed time that its gateway had sent. It could then wait for a slot as long as one that had just arrived, and be answered after its latency objective.

Change: the time held is added to the elapsed time when the request is released to the queue, as it is subtracted from the remaining time.

Test: HeldRequestsTest.TimeHeldCountsAsTimeSinceArrival failed before (50 ms instead of 250 ms).

--- a/source/router/held_requests.cc
+++ b/source/router/held_requests.cc
@@ -41,7 +41,9 @@
   auto node = held_.extract(found);
   Held& held = node.mapped();
   if (reason == ForwardReason::None) {
-    held.frame.remaining_us = (held.deadline - now).count();
+    const Duration::rep remaining_us = (held.deadline - now).count();
+    held.frame.elapsed_us += held.frame.remaining_us - remaining_us;
+    held.frame.remaining_us = remaining_us;
   }
   released(ticket, std::move(held.frame), std::move(held.done), reason);
 }
--- a/source/router/held_requests.h
+++ b/source/router/held_requests.h
@@ -33,7 +33,8 @@
 
   /// @return why a request with this deadline must not be started now; NotYetOwner while its key is in transit.
   using ReasonCheck = std::function<ForwardReason(const ForwardFrame& frame, TimePoint deadline)>;
-  /// Receives a request that is held no longer, with its remaining time updated.
+  /// Receives a request that is held no longer.
+  /// @param frame with its remaining and its elapsed time updated if it may be started.
   /// @param reason None if the request may be started.
   using ReleaseCallback =
       std::function<void(QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason)>;
--- a/test/router/held_requests_test.cc
+++ b/test/router/held_requests_test.cc
@@ -59,6 +59,22 @@
   EXPECT_TRUE(held_.empty());
 }
 
+// Guards against a request that may wait for a slot as if it had not been held, and is answered after its objective.
+TEST_F(HeldRequestsTest, TimeHeldCountsAsTimeSinceArrival) {
+  ForwardFrame frame;
+  frame.remaining_us = Duration(seconds(2)).count();
+  frame.elapsed_us = Duration(milliseconds(50)).count();
+  ForwardCallback done = [](const ForwardReplyFrame&) {};
+  held_.hold(1, frame, done, kRange, milliseconds(300));
+  pass(milliseconds(200));
+  Duration elapsed{};
+  held_.release([](const ForwardFrame&, TimePoint) { return ForwardReason::None; },
+                [&](QueueTicket, const ForwardFrame& released, const ForwardCallback&, ForwardReason) {
+                  elapsed = Duration(released.elapsed_us);
+                });
+  EXPECT_EQ(elapsed, milliseconds(250));
+}
+
 TEST_F(HeldRequestsTest, RequestWhoseKeyDoesNotComeInTimeIsReleasedWithTheReason) {
   hold(1);
   pass(milliseconds(299));
