--- a/source/core/router/admission/slot_queue.h
+++ b/source/core/router/admission/slot_queue.h
@@ -4,6 +4,7 @@
 /// Admission control for one server: counts its slots and decides which requests run, which wait, and which are refused
 /// because they would wait too long.
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,14 +15,15 @@
 
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
+#include "source/core/router/admission/overtaking_share.h"
+#include "source/core/router/admission/queue_class_loads.h"
+#include "source/core/router/admission/running_requests.h"
 #include "source/core/router/admission/start_rate_limiter.h"
 #include "source/core/router/admission/tenant_fair_scheduler.h"
+#include "source/core/router/admission/wait_forecast.h"
 
 namespace shedlever {
 
-/// Identifies a request within one queue.
-using QueueTicket = std::uint64_t;
-
 enum class QueueVerdict : std::uint8_t {
   Start,
   Wait,
@@ -33,6 +35,8 @@
   QueueVerdict verdict = QueueVerdict::Refuse;
   /// How long the request would have waited; set with Refuse and TenantFull.
   Duration predicted_wait{};
+  /// Part of the predicted wait that is due to requests expected to arrive later and to go ahead.
+  Duration overtaking_wait{};
 };
 
 /// Determines the order of requests in the queue.
@@ -41,22 +45,32 @@
   std::uint32_t priority = 0;
   /// Start tag from `TenantFairScheduler`; 0 for requests without a tenant.
   double start_tag = 0;
-  /// Latency objective; shorter ones go first. Short objectives mostly belong to calls from other servers, each of
-  /// which occupies a slot there while it waits.
+  /// Latency objective. Short objectives mostly belong to calls from other servers, each of which occupies a slot there
+  /// while it waits.
   Duration target_latency{};
-  /// Deadline of the request; later deadlines go first. A queue forms only while the server is overloaded, and a
-  /// request that has waited long would probably be answered too late anyway.
-  TimePoint deadline{};
-
-  bool operator==(const QueueRank&) const = default;
-  auto operator<=>(const QueueRank& other) const {
-    return std::tie(priority, start_tag, target_latency, other.deadline) <=>
-           std::tie(other.priority, other.start_tag, other.target_latency, deadline);
+  /// When the request arrived at this queue.
+  TimePoint arrived{};
+
+  /// Earlier ones go first: within a class the earlier arrival, and requests with a shorter objective ahead of those
+  /// that arrived earlier by no more than the difference of the objectives. Time spent elsewhere does not count,
+  /// because a request that is late already would delay those that are not.
+  TimePoint due() const { return arrived + target_latency; }
+
+  QueueClass queueClass() const { return {priority, target_latency}; }
+
+  /// @return whether only the due time decides which of the two goes first.
+  bool isComparable(const QueueRank& other) const { return priority == other.priority && start_tag == other.start_tag; }
+
+  bool operator==(const QueueRank& other) const { return (*this <=> other) == 0; }
+  std::partial_ordering operator<=>(const QueueRank& other) const {
+    return std::tuple(priority, start_tag, due()) <=> std::tuple(other.priority, other.start_tag, other.due());
   }
 };
 
-/// Slots and a queue, ordered by rank and then by arrival. A request whose predicted wait is too long is refused at
-/// once.
+/// Slots and a queue, ordered by rank and then by arrival. Requests that overtake earlier ones of their priority get
+/// only a part of the slot time, see `OvertakingShare`. A request whose predicted wait is too long is refused at once.
+/// The prediction includes the requests that will arrive later and go ahead, at the rate at which such requests have
+/// been admitted lately.
 class SlotQueue {
  public:
   /// @param slots number of requests that may run concurrently.
@@ -81,9 +95,9 @@
   /// is refused if the tenant has reached its limit of waiting requests.
   QueueDecision admit(QueueTicket ticket, const TenantShare& tenant, QueueRank rank, TimePoint now, Duration max_wait);
 
-  /// Frees the slot of a request that has ended.
+  /// Frees the slot of a request that has ended; other tickets are ignored.
   /// @param service_time how long the request ran; none if the time is not representative.
-  void onRequestEnded(std::optional<Duration> service_time);
+  void onRequestEnded(QueueTicket ticket, std::optional<Duration> service_time);
 
   /// Moves the next waiting request into a free slot.
   /// @return its ticket; none if no slot is free, no request waits, or the start limit is reached.
@@ -93,8 +107,8 @@
   /// @return whether the request was waiting.
   bool remove(QueueTicket ticket);
 
-  /// Removes all requests that would wait too long, given the requests that are ahead of them now. Requests with a
-  /// better rank that arrive later delay the others.
+  /// Removes all requests that are not expected to start in time any more, by the same prediction as on arrival. Call
+  /// after each change of the slots or limits, and often, because service times and other requests change it too.
   std::vector<QueueTicket> removeOverdue(TimePoint now);
 
   /// Removes all waiting requests.
@@ -112,11 +126,11 @@
   /// @return how long a request occupies one of the slots that `load` states.
   Duration slotTime() const { return capacity().slot_time; }
 
-  /// @return how long a request of this rank would wait if it arrived now.
-  Duration predictedWait(const QueueRank& rank, TimePoint now) const;
+  /// @return the wait of a request of this rank that arrived now; the longest duration if there is no slot.
+  WaitForecast forecast(const QueueRank& rank, TimePoint now) const;
 
   /// @return mean time for which a request runs.
-  Duration meanServiceTime() const { return mean_service_time_; }
+  Duration meanServiceTime() const { return loads_.meanServiceTime(); }
 
  private:
   struct Capacity {
@@ -124,23 +138,31 @@
     Duration slot_time{};
   };
 
-  Capacity capacity() const;
-  void releaseTenant(QueueTicket ticket);
-  /// @return how long a request waits with this many requests ahead of it.
-  Duration waitBehind(std::size_t ahead, TimePoint now) const;
-
+  /// Waiting requests with their latest start. Tickets increase with arrival, so the order is rank, then arrival.
   struct Entry {
     QueueRank rank;
     QueueTicket ticket = 0;
     auto operator<=>(const Entry&) const = default;
   };
+  using Waiting = std::map<Entry, TimePoint>;
+
+  Capacity capacity() const;
+  void releaseTenant(QueueTicket ticket);
+  void start(QueueTicket ticket, const QueueRank& rank, TimePoint now);
+  void addWork(WorkAhead& work, const QueueRank& rank) const;
+  WaitModel modelAt(TimePoint now) const;
+  /// @return the classes of which later arrivals go ahead of a request of this rank.
+  std::vector<OvertakingFlow> overtakingFlows(const std::vector<ClassFlow>& flows, const QueueRank& rank,
+                                              TimePoint now) const;
+  /// @return the waiting request that starts next; the queue must not be empty.
+  Waiting::const_iterator chooseNext();
 
   std::uint32_t slots_;
-  std::uint32_t running_ = 0;
+  RunningRequests running_;
   StartRateLimiter start_rate_;
-  Duration mean_service_time_ = std::chrono::milliseconds(100);
-  /// Waiting requests with their latest start. Tickets increase with arrival, so the order is rank, then arrival.
-  std::map<Entry, TimePoint> waiting_;
+  QueueClassLoads loads_;
+  OvertakingShare overtaking_share_;
+  Waiting waiting_;
   std::unordered_map<QueueTicket, QueueRank> ranks_;
   TenantFairScheduler fair_scheduler_;
   /// Tenants of the waiting requests that have one.
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -13,8 +13,6 @@
 /// A request with less time left than this is refused instead of started.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
-/// Exceeds the interval between server reports, which is usually one second.
-constexpr Duration kAssumedColdDuration = std::chrono::milliseconds(1500);
 constexpr double kPermille = 1000.0;
 constexpr double kHundredths = 100.0;
 
@@ -70,29 +68,25 @@
     reachability_.reset();
     failures_.reset();
     service_times_.reset();
-    named_limit_ = {};
-    queue_.setNamedLimit(std::nullopt);
-    queue_.setNamedLimitUnknown(false);
+    limits_.onNewInstance();
   }
   reported_slots_ = slots;
   applySlots();
 }
 
 void ServerGate::setColdRate(double per_second) {
-  cold_rate_ = per_second;
-  applyColdLimit();
+  limits_.setColdRate(per_second, clock_.now());
+  refuseOverdue();
 }
 
 void ServerGate::setCold(Duration left) {
-  cold_until_ = clock_.now() + left;
-  applyColdLimit();
+  limits_.setCold(left, clock_.now());
+  refuseOverdue();
 }
 
-void ServerGate::assumeCold() { setCold(std::max(cold_until_ - clock_.now(), kAssumedColdDuration)); }
-
-void ServerGate::applyColdLimit() {
-  const bool limited = cold_rate_ > 0 && clock_.now() < cold_until_;
-  queue_.setStartLimit(limited ? std::optional(cold_rate_) : std::nullopt);
+void ServerGate::assumeCold() {
+  limits_.assumeCold(clock_.now());
+  refuseOverdue();
 }
 
 void ServerGate::setMaxSlots(std::uint32_t slots) {
@@ -106,6 +100,7 @@
   const double used = std::max(1.0, reported_slots_ * config_.slot_share);
   queue_.setSlots(std::min(static_cast<std::uint32_t>(used), max_slots_));
   startQueued();
+  refuseOverdue();
 }
 
 void ServerGate::endInstance() {
@@ -152,7 +147,7 @@
   }
   for (const QueueTicket ticket : tickets) {
     queue_.remove(ticket);
-    refuseQueued(ticket, reason, {});
+    refuseQueued(ticket, {reason});
   }
 }
 
@@ -210,21 +205,21 @@
   return ForwardReason::NotOwner;
 }
 
-ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, ForwardReason reason, Duration retry_after) {
+ForwardReplyFrame ServerGate::refusal(const ForwardFrame& frame, const GateRefusal& refusal) {
   ForwardReplyFrame reply;
   reply.exchange = frame.exchange;
   reply.outcome = ForwardOutcome::NotRun;
-  reply.reason = reason;
-  reply.retry_after_us = quarantineLeft(frame).value_or(retry_after).count();
+  reply.reason = refusal.reason;
+  reply.retry_after_us = quarantineLeft(frame).value_or(refusal.retry_after).count();
   reply.load = reportedLoad();
-  if (frame.keyed && ownership_manager_ != nullptr && reason == ForwardReason::Overloaded) {
+  if (frame.keyed && ownership_manager_ != nullptr && refusal.reason == ForwardReason::Overloaded) {
     ownership_manager_->onKeyRequestRefused(frame.key, clock_.now());
   }
   if (frame.keyed && ownership_manager_ != nullptr) {
     const OwnerHint hint = ownership_manager_->hintFor(frame.key);
     // No hint for a key that is assigned to this server but not granted yet, so that the sender waits. Only a sender
     // that addressed an earlier instance is to retry immediately.
-    const bool waits_here = hint.owner == instance_ && reason != ForwardReason::WrongInstance;
+    const bool waits_here = hint.owner == instance_ && refusal.reason != ForwardReason::WrongInstance;
     reply.hint = waits_here ? OwnerHint{} : hint;
   }
   GateInputs inputs{instance_, reply.load, maxWait(frame), 0, {}};
@@ -232,7 +227,7 @@
     inputs.table = ownership_manager_->tableWriter().revision();
     inputs.lease_left = std::max(ownership_manager_->leaseUntil() - clock_.now(), Duration::zero());
   }
-  recorder_.refused(frame, reason, retry_after, inputs);
+  recorder_.refused(frame, refusal, inputs);
   return reply;
 }
 
@@ -246,23 +241,17 @@
   } else if (reason == ForwardReason::NotYetOwner) {
     holdForKey(ticket, std::move(frame), std::move(done));
   } else {
-    done(refusal(frame, reason, kKeyRetryAfter));
+    done(refusal(frame, {reason, kKeyRetryAfter}));
   }
   return ticket;
 }
 
 void ServerGate::holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
-  const TimePoint now = clock_.now();
-  const Key range = rangeStartOf(frame.key);
-  key_waits_.onWaiting(range, now);
-  const Duration expected = key_waits_.expectedRemaining(range, now);
   const Duration max_wait = maxWait(frame);
-  if (expected > max_wait) {
-    done(refusal(frame, ForwardReason::NotYetOwner, std::max(expected, kKeyRetryAfter)));
-    return;
+  const std::optional<Duration> too_long = held_.hold(ticket, frame, done, rangeStartOf(frame.key), max_wait);
+  if (too_long) {
+    done(refusal(frame, {ForwardReason::NotYetOwner, std::max(*too_long, kKeyRetryAfter)}));
   }
-  const TimePoint deadline = now + Duration(frame.remaining_us);
-  held_.emplace(ticket, HeldRequest{std::move(frame), std::move(done), now + max_wait, deadline});
 }
 
 bool ServerGate::isKeyInTransit(Key key, TimePoint now) const {
@@ -277,35 +266,20 @@
   return range == nullptr ? key : range->keys.first;
 }
 
-void ServerGate::retryHeld(QueueTicket ticket) {
-  const auto found = held_.find(ticket);
-  if (found == held_.end()) {
-    return;
-  }
-  const TimePoint now = clock_.now();
-  const ForwardReason reason = refusalReason(found->second.frame, found->second.deadline, now);
-  if (reason == ForwardReason::NotYetOwner && now < found->second.until) {
-    return;
-  }
-  auto node = held_.extract(found);
-  HeldRequest& held = node.mapped();
+void ServerGate::onReleased(QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason) {
   if (reason != ForwardReason::None) {
-    held.done(refusal(held.frame, reason, kKeyRetryAfter));
+    done(refusal(frame, {reason, kKeyRetryAfter}));
     return;
   }
-  held.frame.remaining_us = (held.deadline - now).count();
-  admit(ticket, std::move(held.frame), std::move(held.done));
+  admit(ticket, std::move(frame), std::move(done));
 }
 
 void ServerGate::onKeysChanged() {
-  std::vector<QueueTicket> tickets;
-  tickets.reserve(held_.size());
-  for (const auto& [ticket, held] : held_) {
-    tickets.push_back(ticket);
-  }
-  for (const QueueTicket ticket : tickets) {
-    retryHeld(ticket);
-  }
+  held_.release(
+      [this](const ForwardFrame& frame, TimePoint deadline) { return refusalReason(frame, deadline, clock_.now()); },
+      [this](QueueTicket ticket, ForwardFrame frame, ForwardCallback done, ForwardReason reason) {
+        onReleased(ticket, std::move(frame), std::move(done), reason);
+      });
 }
 
 void ServerGate::admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
@@ -319,15 +293,16 @@
   if (expected_bytes > 0) {
     const Duration link_wait = machine_link_.transfer_time(expected_bytes_);
     if (link_wait > max_wait) {
-      done(refusal(frame, ForwardReason::Overloaded, link_wait));
+      done(refusal(frame, {ForwardReason::Overloaded, link_wait}));
       return;
     }
   }
-  const QueueRank rank = rankOf(frame, now + remaining);
+  const QueueRank rank = rankOf(frame, now);
   const QueueDecision decision = queue_.admit(ticket, frame.tenant, rank, now, max_wait);
   if (decision.verdict == QueueVerdict::Refuse || decision.verdict == QueueVerdict::TenantFull) {
     const bool tenant_full = decision.verdict == QueueVerdict::TenantFull;
-    done(refusal(frame, tenant_full ? ForwardReason::QueueFull : ForwardReason::Overloaded, decision.predicted_wait));
+    const ForwardReason reason = tenant_full ? ForwardReason::QueueFull : ForwardReason::Overloaded;
+    done(refusal(frame, {reason, decision.predicted_wait, decision.overtaking_wait}));
     return;
   }
   Entry& entry = entries_[ticket];
@@ -342,8 +317,8 @@
   }
 }
 
-QueueRank ServerGate::rankOf(const ForwardFrame& frame, TimePoint deadline) const {
-  return {frame.priority, 0, Duration(frame.target_us), deadline};
+QueueRank ServerGate::rankOf(const ForwardFrame& frame, TimePoint arrived) {
+  return {frame.priority, 0, Duration(frame.target_us), arrived};
 }
 
 Duration ServerGate::maxWait(const ForwardFrame& frame) const {
@@ -363,8 +338,8 @@
     reason = ForwardReason::Overloaded;
   }
   if (reason != ForwardReason::None) {
-    queue_.onRequestEnded(std::nullopt);
-    refuseQueued(ticket, reason, kKeyRetryAfter);
+    queue_.onRequestEnded(ticket, std::nullopt);
+    refuseQueued(ticket, {reason, kKeyRetryAfter});
     return;
   }
   entry.running = true;
@@ -390,7 +365,7 @@
   const TimePoint now = clock_.now();
   const Duration service_time = now - entry.started;
   const bool answered = result.outcome == ForwardOutcome::Answered;
-  queue_.onRequestEnded(answered ? std::optional<Duration>(service_time) : std::nullopt);
+  queue_.onRequestEnded(ticket, answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
   trackUnanswered(ticket, entry.fingerprint, result);
   updateCondition(entry, result);
@@ -443,19 +418,17 @@
     recorder_.limitInvalid(instance_);
   }
   onNamedLimitKnown();
-  onLimitChange(named_limit_.onResponse(*result.condition, entry.started, clock_.now()));
+  onLimitChange(limits_.onResponse(*result.condition, entry.started, clock_.now()));
   if (result.condition->leaving) {
     events_.server_leaving();
   }
 }
 
-void ServerGate::onNamedLimitKnown() { queue_.setNamedLimitUnknown(false); }
-
 void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
   if (instance != instance_ || instance_.empty()) {
     return;
   }
-  onLimitChange(named_limit_.onCommandResponse(condition, sent, clock_.now()));
+  onLimitChange(limits_.onCommandResponse(condition, sent, clock_.now()));
   if (condition.leaving) {
     events_.server_leaving();
   }
@@ -465,8 +438,7 @@
   if (change == LimitChange::None) {
     return;
   }
-  recorder_.limitChanged(instance_, change, named_limit_.perSecond());
-  queue_.setNamedLimit(named_limit_.perSecond());
+  recorder_.limitChanged(instance_, change, limits_.named());
   refuseOverdue();
 }
 
@@ -502,10 +474,11 @@
   }
 }
 
-void ServerGate::refuseQueued(QueueTicket ticket, ForwardReason reason, Duration retry_after) {
+void ServerGate::refuseQueued(QueueTicket ticket, GateRefusal refused) {
   const std::optional<Entry> entry = takeEntry(ticket);
   if (entry && !entry->abandoned) {
-    entry->done(refusal(entry->frame, reason, retry_after));
+    refused.waited = clock_.now() - entry->arrived;
+    entry->done(refusal(entry->frame, refused));
   }
 }
 
@@ -520,13 +493,13 @@
 
 void ServerGate::refuseAllQueued(ForwardReason reason) {
   for (const QueueTicket ticket : queue_.removeAll()) {
-    refuseQueued(ticket, reason, {});
+    refuseQueued(ticket, {reason});
   }
   onKeysChanged();
 }
 
 void ServerGate::cancel(QueueTicket ticket) {
-  held_.erase(ticket);
+  held_.cancel(ticket);
   const auto found = entries_.find(ticket);
   if (found == entries_.end()) {
     return;
@@ -556,19 +529,20 @@
     if (found == entries_.end()) {
       continue;
     }
-    const Duration wait = queue_.predictedWait(rankOf(found->second.frame, found->second.deadline), now);
-    refuseQueued(ticket, ForwardReason::Overloaded, std::max(wait, queue_.meanServiceTime()));
+    const WaitForecast wait = queue_.forecast(rankOf(found->second.frame, now), now);
+    const Duration retry_after = std::max(wait.expected, queue_.meanServiceTime());
+    refuseQueued(ticket, {ForwardReason::Overloaded, retry_after, wait.overtaking});
   }
 }
 
 void ServerGate::tick() {
   const TimePoint now = clock_.now();
-  key_waits_.update([this, now](Key first) { return isKeyInTransit(first, now); }, now);
+  held_.updateWaits([this, now](Key first) { return isKeyInTransit(first, now); });
   if (!held_.empty()) {
     onKeysChanged();
   }
+  limits_.update(now);
   refuseOverdue();
-  applyColdLimit();
   startQueued();
   probeSilentServer();
 }
