--- a/source/core/router/ownership/balance_planner.cc
+++ b/source/core/router/ownership/balance_planner.cc
@@ -1,9 +1,9 @@
 #include "source/core/router/ownership/balance_planner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
-#include <optional>
+
+#include "source/core/router/ownership/remaining_keys.h"
 
 namespace shedlever {
 
@@ -18,10 +18,6 @@
 constexpr double kKeyCount = 65536;
 /// Avoids a division by zero before a request has been timed.
 constexpr double kMinServiceSeconds = 1e-6;
-/// Largest accepted ratio of a move's request rate to the wanted rate.
-constexpr double kMaxRateFactor = 1.4;
-/// Smallest ratio of a whole range's request rate to the wanted rate for which the range is moved without cutting it.
-constexpr double kWholeRangeShare = 0.7;
 
 /// Part of the excess that one server is to take.
 struct LoadShare {
@@ -132,74 +128,6 @@
   return shares;
 }
 
-/// Keys that the owner still has while its moves are planned one after the other.
-class RemainingKeys {
- public:
-  RemainingKeys(const KeyMeter& meter, const std::vector<OwnedRange>& owned, TimePoint now) : meter_(meter), now_(now) {
-    for (const OwnedRange& range : owned) {
-      remaining_.push_back(range.keys);
-    }
-  }
-
-  /// Removes keys with about the wanted request rate: a whole range if one fits, else the end of a range.
-  /// @param rate wanted requests per second.
-  /// @return the removed keys; none if no part of a range fits.
-  std::optional<KeyRange> take(double rate) {
-    std::optional<Choice> best;
-    for (std::size_t i = 0; i < remaining_.size() && remaining_.size() > 1; ++i) {
-      const double whole = meter_.rate(remaining_[i], now_);
-      if (whole >= rate * kWholeRangeShare && whole <= rate * kMaxRateFactor) {
-        consider(best, {i, remaining_[i], std::abs(whole - rate)});
-      }
-    }
-    if (!best) {
-      considerEnds(best, rate);
-    }
-    if (best) {
-      remove(best->index, best->keys);
-    }
-    return best ? std::optional<KeyRange>(best->keys) : std::nullopt;
-  }
-
- private:
-  struct Choice {
-    std::size_t index = 0;
-    KeyRange keys;
-    /// Difference between its request rate and the wanted rate.
-    double distance = 0;
-  };
-
-  static void consider(std::optional<Choice>& best, const Choice& choice) {
-    if (!best || choice.distance < best->distance) {
-      best = choice;
-    }
-  }
-
-  void considerEnds(std::optional<Choice>& best, double rate) const {
-    const double wanted = rate * meter_.windowSeconds(now_);
-    for (std::size_t i = 0; i < remaining_.size(); ++i) {
-      if (const auto keys = meter_.cutFromEnd(remaining_[i], wanted, wanted * kMaxRateFactor, now_)) {
-        consider(best, {i, *keys, std::abs(meter_.rate(*keys, now_) - rate)});
-      }
-    }
-  }
-
-  void remove(std::size_t index, const KeyRange& keys) {
-    const KeyRange whole = remaining_[index];
-    if (keys == whole) {
-      remaining_.erase(remaining_.begin() + static_cast<std::ptrdiff_t>(index));
-    } else if (keys.first == whole.first) {
-      remaining_[index].first = static_cast<Key>(keys.last + 1);
-    } else {
-      remaining_[index].last = static_cast<Key>(keys.first - 1);
-    }
-  }
-
-  const KeyMeter& meter_;
-  TimePoint now_;
-  std::vector<KeyRange> remaining_;
-};
-
 }  // namespace
 
 std::vector<PlannedMove> BalancePlanner::plan(const BalanceInput& input, TimePoint now) const {
--- a/source/core/router/ownership/key_meter.cc
+++ b/source/core/router/ownership/key_meter.cc
@@ -54,6 +54,12 @@
   return total / scaleAt(now);
 }
 
+Key KeyMeter::hottest(const KeyRange& range) const {
+  const auto begin = load_.begin() + range.first;
+  const auto end = load_.begin() + range.last + 1;
+  return static_cast<Key>(std::max_element(begin, end) - load_.begin());
+}
+
 std::vector<KeyRange> KeyMeter::split(const KeyRange& range, std::size_t parts, TimePoint now) const {
   const double scale = scaleAt(now);
   const double share = sum(range, now) / static_cast<double>(parts);
--- a/source/core/router/ownership/key_meter.h
+++ b/source/core/router/ownership/key_meter.h
@@ -30,6 +30,9 @@
   ///   meter is new.
   double windowSeconds(TimePoint now) const;
 
+  /// @return the key of the range with the highest load; the first of several.
+  Key hottest(const KeyRange& range) const;
+
   /// Divides the range into at most `parts` consecutive ranges of about equal load.
   std::vector<KeyRange> split(const KeyRange& range, std::size_t parts, TimePoint now) const;
 
