Let one node plan the moves of keys for all owners of a service

Cause: from about 24 servers on, each owner's share of an excess is too small to be moved, and a process knows the loads of those servers alone to which its gateway has sent requests of late. Change: the reachable node with the lowest name asks all servers of the service for their load each second, by a plan without flows that is answered with a reply of exchange 0, and sends each owner above the mean its flows 300 ms later (`ServicePlanner`). The owner chooses the keys. It drops plans that are late, not newer, for an earlier instance, of a node with a higher name than the planner that it hears, or that may not know its last moves (`PlanFollower`). An owner that hears no planner for three intervals plans for itself as before. Earlier builds get no plans. `ownership.service_plan_from` (24; 0: never) says from how many servers on. Ruled out: plans from the loads in replies alone. With 80 gateways and 65 owners a gateway hears of an owner every few seconds, of the idle ones least.

--- a/source/core/router/ownership/key_balancer.cc
+++ b/source/core/router/ownership/key_balancer.cc
@@ -1,7 +1,17 @@
 #include "source/core/router/ownership/key_balancer.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace shedlever {
 
+namespace {
+
+/// Demand and flows are sent in hundredths of a slot.
+constexpr double kHundredths = 100.0;
+
+}  // namespace
+
 KeyBalancer::KeyBalancer(const OwnershipConfig& config, const ServerDirectory& directory,
                          const OwnerCandidates& candidates, const OwnerTable& table, const KeyLoad& key_load)
     : config_(config),
@@ -13,6 +23,11 @@
 
 BalanceStep KeyBalancer::nextStep(const InstanceId& self, TimePoint now) {
   BalanceStep step;
+  if (std::optional<KeyTransfer> planned = plannedTransfer(self, now)) {
+    next_step_ = now + config_.balance_interval;
+    step.moves = std::move(*planned);
+    return step;
+  }
   if (now < next_step_) {
     return step;
   }
@@ -27,6 +42,9 @@
     step.merge_ranges = true;
     return step;
   }
+  if (planner_silence_ && plans_.hearsPlanner(*planner_silence_, now)) {
+    return step;
+  }
   for (const PlannedMove& move : planner_.plan(plannerInput(owned, now), now)) {
     step.moves.pieces.push_back(move.keys);
     step.moves.to.push_back(move.to);
@@ -34,6 +52,38 @@
   return step;
 }
 
+std::optional<KeyTransfer> KeyBalancer::plannedTransfer(const InstanceId& self, TimePoint now) {
+  const std::optional<PlacementPlanFrame> plan = plans_.takeFlows(now);
+  if (!plan || !planner_silence_) {
+    return std::nullopt;
+  }
+  const BalanceInput input = plannerInput(table_.ownedBy(self), now);
+  FlowInput flows{input.owned, input.own_load, {}, input.targets};
+  for (const PlannedFlow& flow : plan->flows) {
+    const OwnerLocation to{flow.to, flow.node};
+    const bool is_target = std::any_of(input.targets.begin(), input.targets.end(),
+                                       [&to](const BalanceTarget& target) { return target.location == to; });
+    if (is_target) {
+      flows.flows.push_back({to, flow.hundredths_of_slots / kHundredths});
+    }
+  }
+  if (flows.flows.empty()) {
+    plans_.report(PlacementStep::TargetsNotPresent, *plan, plan->flows.size());
+    return std::nullopt;
+  }
+  KeyTransfer transfer;
+  for (const PlannedMove& move : chooseKeys(key_load_.meter(), flows, now)) {
+    transfer.pieces.push_back(move.keys);
+    transfer.to.push_back(move.to);
+  }
+  if (transfer.pieces.empty()) {
+    plans_.report(PlacementStep::NoKeysFit, *plan, plan->flows.size());
+    return std::nullopt;
+  }
+  plans_.report(PlacementStep::Given, *plan, transfer.pieces.size());
+  return transfer;
+}
+
 KeyTransfer KeyBalancer::moveAll(const InstanceId& self, const std::vector<OwnerLocation>& to, TimePoint now) const {
   if (to.empty()) {
     return {};
@@ -53,7 +103,6 @@
 }
 
 OfferedLoad KeyBalancer::offeredTo(const OwnerLocation& location, TimePoint now) const {
-  constexpr double kHundredths = 100.0;
   constexpr double kMilliseconds = 1000.0;
   // Without a recent load report little load is assumed.
   OfferedLoad offered{0, offered_load_.slots, offered_load_.service_seconds};
--- a/source/core/router/ownership/key_balancer.h
+++ b/source/core/router/ownership/key_balancer.h
@@ -4,6 +4,7 @@
 /// Decides which keys of this node's server to move to other servers: all of them if too many requests fail here, and
 /// some if this server is busier than the others.
 
+#include <optional>
 #include <vector>
 
 #include "shedlever/time.h"
@@ -13,6 +14,8 @@
 #include "source/core/router/ownership/owner_candidates.h"
 #include "source/core/router/ownership/owner_table.h"
 #include "source/core/router/ownership/ownership_config.h"
+#include "source/core/router/ownership/placement/flow_keys.h"
+#include "source/core/router/ownership/placement/plan_follower.h"
 
 namespace shedlever {
 
@@ -42,7 +45,16 @@
   void setFailureRatio(double ratio) { failure_ratio_ = ratio; }
 
   /// Moves have ended: the next step waits until the load that others report reflects them.
-  void onMovesDone(TimePoint now) { next_step_ = now + config_.balance_settle; }
+  void onMovesDone(TimePoint now) {
+    next_step_ = now + config_.balance_settle;
+    plans_.onMovesDone(next_step_);
+  }
+
+  /// Plans for the whole service that this owner receives.
+  PlanFollower& plans() { return plans_; }
+  /// Sets whether the service is planned as a whole: then the owner plans for itself only while it hears no planner.
+  /// @param silence time after which a planner is no longer followed; none if each owner plans for itself.
+  void setServicePlan(std::optional<Duration> silence) { planner_silence_ = silence; }
 
   /// @param self this node's server.
   /// @return the step to take now; nothing while the next step is not due.
@@ -52,6 +64,8 @@
   KeyTransfer moveAll(const InstanceId& self, const std::vector<OwnerLocation>& to, TimePoint now) const;
 
  private:
+  /// @return the moves for the flows of a plan that was received since the last call; none if there was none.
+  std::optional<KeyTransfer> plannedTransfer(const InstanceId& self, TimePoint now);
   BalanceInput plannerInput(const std::vector<OwnedRange>& owned, TimePoint now) const;
   /// @return the load offered to another server, as it reported it.
   OfferedLoad offeredTo(const OwnerLocation& location, TimePoint now) const;
@@ -62,6 +76,8 @@
   const OwnerTable& table_;
   const KeyLoad& key_load_;
   BalancePlanner planner_;
+  PlanFollower plans_;
+  std::optional<Duration> planner_silence_;
   OfferedLoad offered_load_;
   double failure_ratio_ = 0;
   TimePoint next_step_{};
--- a/source/core/router/ownership/ownership_config.h
+++ b/source/core/router/ownership/ownership_config.h
@@ -3,6 +3,7 @@
 /// @file
 /// Timing and limits of key ownership.
 
+#include <cstddef>
 #include <cstdint>
 
 #include "shedlever/time.h"
@@ -60,6 +61,10 @@
   Duration balance_settle = std::chrono::milliseconds(1000);
   /// How long gained keys stay with their new owner, until it has measured their load.
   Duration gain_settle = std::chrono::seconds(3);
+  /// Number of servers of a service from which one node plans the moves of all owners; 0: never.
+  std::size_t service_plan_from = 24;
+  /// Time between two such plans.
+  Duration service_plan_interval = std::chrono::seconds(1);
   /// Utilization below which an owner keeps its keys.
   double busy_occupancy = 0.6;
   /// Difference to the mean utilization of all servers from which an owner moves keys.
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -26,6 +26,7 @@
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
       balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
+      planner_(self_.name, service_, config_, *ports_.directory, writer_.table(), plannerPorts()),
       moves_(movePorts()),
       first_division_(config_) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
@@ -36,6 +37,24 @@
     grants_ = std::make_unique<RequestGrants>(config_, *ports_.server_commands, *ports_.clock, grantEvents());
   }
   writer_.setRestoreDelays(restoreDelays());
+  balancer_.plans().setEventCallback(ports_.on_placement);
+}
+
+ServicePlanner::Ports OwnershipManager::plannerPorts() {
+  const auto send = [this](const NodeName& node, const PlacementPlanFrame& plan) {
+    if (node == self_.name) {
+      onPlacementPlan(node, plan);
+    } else {
+      ports_.send_plan(node, plan);
+    }
+  };
+  return {send, ports_.on_placement};
+}
+
+void OwnershipManager::onPlacementPlan(const NodeName& sender, const PlacementPlanFrame& plan) {
+  if (plan.service == service_ && planner_.isActive()) {
+    balancer_.plans().onPlan(sender, plan, instance_, planner_.silenceLimit(), ports_.clock->now());
+  }
 }
 
 KeyMoves::Ports OwnershipManager::movePorts() {
@@ -247,6 +266,9 @@
     reassignDeadServerRanges(now);
   }
   checkUnreachableOwners(now);
+  if (hasServer()) {
+    planner_.tick(now);
+  }
   if (!change_pending_ && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
       startMoves(balancer_.moveAll(instance_, candidates_.unlimitedTargets(now), now));
@@ -345,6 +367,7 @@
 }
 
 void OwnershipManager::balance(TimePoint now) {
+  balancer_.setServicePlan(planner_.isActive() ? std::optional<Duration>(planner_.silenceLimit()) : std::nullopt);
   const BalanceStep step = balancer_.nextStep(instance_, now);
   if (step.merge_ranges) {
     mergeRanges();
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -23,6 +23,7 @@
 #include "source/core/router/ownership/key_moves.h"
 #include "source/core/router/ownership/lease_manager.h"
 #include "source/core/router/ownership/owner_candidates.h"
+#include "source/core/router/ownership/placement/service_planner.h"
 #include "source/core/router/ownership/request_grants.h"
 #include "source/core/router/ownership/table_writer.h"
 #include "source/core/router/ownership/takeover_watcher.h"
@@ -65,6 +66,10 @@
   /// A table was written that transfers keys to these nodes; they should receive it at once.
   /// @param delta difference from the table before the write.
   std::function<void(const OwnerTableDeltaFrame& delta, const std::set<NodeName>& recipients)> on_keys_transferred;
+  /// Sends a plan for the whole service to another node.
+  std::function<void(const NodeName&, const PlacementPlanFrame&)> send_plan = [](const NodeName&,
+                                                                                 const PlacementPlanFrame&) {};
+  std::function<void(const PlacementEvent&)> on_placement = [](const PlacementEvent&) {};
 };
 
 class OwnershipManager {
@@ -106,6 +111,9 @@
   /// The server refused a request because it does not hold the key.
   void onKeyRefused(Key key) { grants_->onKeyRefused(key); }
 
+  /// Handles this node's share of a plan for the whole service, which another node has sent.
+  void onPlacementPlan(const NodeName& sender, const PlacementPlanFrame& plan);
+
   /// Handles a listed or watched object of the table kind.
   void onTableObject(const MetadataObject& object) { writer_.onObject(object); }
   void onTableAbsent() { writer_.onAbsent(); }
@@ -123,7 +131,10 @@
   /// @return requests per second for the keys of this node's server, as of the last tick.
   double requestRate() const { return request_rate_; }
   /// @param load offered to this node's server.
-  void setOfferedLoad(const OfferedLoad& load) { balancer_.setOfferedLoad(load); }
+  void setOfferedLoad(const OfferedLoad& load) {
+    balancer_.setOfferedLoad(load);
+    planner_.setOwnLoad(load);
+  }
   /// @param ratio share of recent requests that failed at this node's server.
   void setFailureRatio(double ratio) { balancer_.setFailureRatio(ratio); }
 
@@ -136,6 +147,7 @@
 
  private:
   KeyMoves::Ports movePorts();
+  ServicePlanner::Ports plannerPorts();
   GrantChannel::Events grantEvents();
   bool hasServer() const { return !instance_.empty(); }
   /// @return whether the server is to hold no keys.
@@ -185,6 +197,7 @@
   TakeoverWatcher takeover_;
   KeyLoad key_load_;
   KeyBalancer balancer_;
+  ServicePlanner planner_;
   KeyMoves moves_;
   FirstDivision first_division_;
 
--- /dev/null
+++ b/source/core/router/ownership/placement/load_history.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Averages the load of each server since it last changed.
+
+#include <map>
+#include <set>
+
+#include "shedlever/identifiers.h"
+#include "shedlever/time.h"
+#include "source/core/router/ownership/balance_planner.h"
+
+namespace shedlever {
+
+/// A load and how long it has been so.
+struct AveragedLoad {
+  OfferedLoad load;
+  /// Time over which requests were counted, in seconds.
+  double seconds = 0;
+};
+
+class LoadHistory {
+ public:
+  /// Adds a reported load. One that differs from the average by more than chance explains starts a new average.
+  /// @return the average with this load.
+  const AveragedLoad& add(const InstanceId& server, const OfferedLoad& load, TimePoint now);
+
+  /// The next load of the server starts a new average.
+  void forget(const InstanceId& server) { entries_.erase(server); }
+  /// Forgets all servers but these.
+  void keepOnly(const std::set<InstanceId>& servers);
+  void clear() { entries_.clear(); }
+
+ private:
+  struct Entry {
+    AveragedLoad averaged;
+    TimePoint since{};
+    TimePoint last{};
+  };
+
+  std::map<InstanceId, Entry> entries_;
+};
+
+}  // namespace shedlever
--- /dev/null
+++ b/source/core/router/ownership/placement/plan_follower.h
@@ -0,0 +1,56 @@
+#pragma once
+
+/// @file
+/// An owner's view of the plans that it receives: which of them it follows.
+
+#include <functional>
+#include <optional>
+
+#include "shedlever/placement_frames.h"
+#include "shedlever/time.h"
+#include "source/core/router/ownership/placement/placement_event.h"
+
+namespace shedlever {
+
+/// Follows one planner at a time. If two nodes plan, because their views of the reachable nodes differ, the one with
+/// the lower name is followed while it is heard. A plan that is missed or dropped costs nothing but time.
+class PlanFollower {
+ public:
+  using EventCallback = std::function<void(const PlacementEvent&)>;
+
+  void setEventCallback(EventCallback on_event) { on_event_ = std::move(on_event); }
+
+  /// @param self instance of this node's server.
+  /// @param silence time after which a planner is no longer followed.
+  void onPlan(const NodeName& sender, const PlacementPlanFrame& plan, const InstanceId& self, Duration silence,
+              TimePoint now);
+
+  /// @return whether the planner was heard within the last `silence`.
+  bool hearsPlanner(Duration silence, TimePoint now) const;
+
+  /// This owner's moves have ended; plans made before `visible_at` may not take them into account.
+  void onMovesDone(TimePoint visible_at) { visible_at_ = visible_at; }
+
+  /// @return the flows to be carried out now, once; none if there are no new ones.
+  std::optional<PlacementPlanFrame> takeFlows(TimePoint now);
+
+  /// Reports what became of a plan.
+  void report(PlacementStep step, const PlacementPlanFrame& plan, std::size_t moves) const;
+
+ private:
+  struct ReceivedPlan {
+    PlacementPlanFrame plan;
+    TimePoint at{};
+  };
+
+  EventCallback on_event_ = [](const PlacementEvent&) {};
+  /// The planner that is followed; empty before the first plan.
+  NodeName planner_;
+  TimePoint heard_at_{};
+  /// Number of the planner's last plan with flows.
+  std::uint64_t last_plan_ = 0;
+  std::optional<ReceivedPlan> received_;
+  TimePoint visible_at_{};
+};
+
+}  // namespace shedlever
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "shedlever/load_report.h"
+
 namespace shedlever {
 
 namespace {
@@ -278,7 +280,10 @@
   if (stream.isReplaced()) {
     onSilentNodeResponds(node);
   }
-  if (auto* reply = std::get_if<ForwardReplyFrame>(&frame)) {
+  if (auto* reply = std::get_if<ForwardReplyFrame>(&frame);
+      reply != nullptr && reply->exchange == kLoadReportExchange) {
+    directory_.onReply(node, {}, *reply, clock_.now());
+  } else if (reply != nullptr) {
     onReply(std::move(*reply));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     events_.on_unknown_frame(node, stream.markUnknownFrame());
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "shedlever/load_report.h"
 #include "source/router/peer_stream_options.h"
 
 namespace shedlever {
@@ -192,6 +193,12 @@
     onStoreCall(id, std::move(*call));
   } else if (const auto* question = std::get_if<QuotaRequestFrame>(&frame)) {
     stream->send(ports_.answer_quota_request(*question));
+  } else if (const auto* plan = std::get_if<PlacementPlanFrame>(&frame)) {
+    ports_.on_placement_plan(stream->sender.name, *plan);
+    ForwardReplyFrame load_report;
+    load_report.exchange = kLoadReportExchange;
+    load_report.load = ports_.gate->load();
+    stream->send(std::move(load_report));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     ports_.on_unknown_frame(stream->sender.name, !std::exchange(stream->received_unknown_frame, true));
   }
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -53,6 +53,9 @@
     std::function<QuotaGrantFrame(const QuotaRequestFrame&)> answer_quota_request = [](const QuotaRequestFrame& asked) {
       return QuotaGrantFrame{asked.exchange};
     };
+    /// A peer has sent this node's share of a plan for its service. It is answered with the server's load.
+    std::function<void(const NodeName&, const PlacementPlanFrame&)> on_placement_plan =
+        [](const NodeName&, const PlacementPlanFrame&) {};
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
     /// A frame of an unknown kind was received. `first` on its stream.
     std::function<void(const NodeName&, bool first)> on_unknown_frame = [](const NodeName&, bool) {};
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -81,6 +81,8 @@
                                 "Requests sent to the server beside this process, by outcome and reason")),
       store_calls_(counters("shedlever_store_calls_total", "Calls to the metadata store by method and outcome")),
       events_(counters("shedlever_events_total", "Changes of what the process believes")),
+      placement_moves_(counters("shedlever_placement_moves_total",
+                                "Moves of keys planned for the service, begun here, or dropped here, by step")),
       peer_sent_bytes_(prometheus::BuildCounter()
                            .Name("shedlever_peer_sent_bytes_total")
                            .Help("Bytes of frames sent to other nodes' processes, by kind of frame")
@@ -180,6 +182,10 @@
 
 void RouterMetrics::onEvent(const std::string& event) { events_.at("event", event).Increment(); }
 
+void RouterMetrics::onPlacement(const PlacementEvent& event) {
+  placement_moves_.at("step", toString(event.step)).Increment(static_cast<double>(event.moves));
+}
+
 void RouterMetrics::onFrameSent(const RouterFrame& frame, std::size_t bytes) {
   prometheus::Counter*& counter = peer_sent_bytes_by_kind_.at(frame.index());
   if (counter == nullptr) {
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -22,6 +22,7 @@
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
 #include "source/core/router/ownership/heartbeat_grants.h"
+#include "source/core/router/ownership/placement/placement_event.h"
 
 namespace shedlever {
 
@@ -81,6 +82,8 @@
   void onStoreCall(const std::string& method, int status, Duration took);
   /// A frame of this encoded size was queued for a peer.
   void onFrameSent(const RouterFrame& frame, std::size_t bytes);
+  /// Flows of a plan for the service were planned, carried out or dropped here.
+  void onPlacement(const PlacementEvent& event);
   /// An event occurred that changes the state of the process.
   void onEvent(const std::string& event);
 
@@ -111,6 +114,7 @@
   CounterFamily server_requests_;
   CounterFamily store_calls_;
   CounterFamily events_;
+  CounterFamily placement_moves_;
   prometheus::Family<prometheus::Counter>& peer_sent_bytes_;
   /// Indexed by the kind of frame; null until a frame of the kind is sent.
   std::array<prometheus::Counter*, std::variant_size_v<RouterFrame>> peer_sent_bytes_by_kind_{};
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -127,6 +127,11 @@
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
   peer_ports.answer_quota_request = [this](const QuotaRequestFrame& question) { return quota_.answer(question); };
+  peer_ports.on_placement_plan = [this](const NodeName& node, const PlacementPlanFrame& plan) {
+    if (ownership_manager_) {
+      ownership_manager_->onPlacementPlan(node, plan);
+    }
+  };
   peer_ports.authenticate = [this](ForwardFrame& frame) {
     const auto& routes = cluster_state_.routes();
     return routes == nullptr || authenticateForwarded(frame, *routes, *platform_.clients);
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -163,7 +163,9 @@
   ports.quota = &quota_;
   ports.log = &log_;
   ports.metrics = &metrics_;
-  ports.owner_of = [this](const ServiceName& service, Key key) { return cluster_state_.owners().ownerOf(service, key); };
+  ports.owner_of = [this](const ServiceName& service, Key key) {
+    return cluster_state_.owners().ownerOf(service, key);
+  };
   ports.on_hint = [this](const ServiceName& service, const OwnerHint& hint) {
     cluster_state_.owners().addHint(service, hint);
   };
@@ -203,6 +205,13 @@
   ports.servers_confirmed_at = [this] { return cluster_state_.nodesConfirmedAt(); };
   ports.confirm_servers = [this] { cluster_state_.confirmNodes(); };
   ports.on_server_gone = [this] { onServerGone(); };
+  ports.send_plan = [this](const NodeName& node, const PlacementPlanFrame& plan) { peer_client_.send(node, plan); };
+  ports.on_placement = [this](const PlacementEvent& event) {
+    metrics_.onPlacement(event);
+    log_.write(
+        "placement", toString(event.step),
+        {{"plan", std::to_string(event.plan)}, {"moves", std::to_string(event.moves)}, {"detail", event.detail}});
+  };
   ports.on_event = [this](const OwnershipEvent& event) {
     metrics_.onEvent("ownership-change");
     log_.write("ownership", event.what, {{"detail", event.detail}});
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -203,6 +203,9 @@
   }
 }
 
+/// Upper limit for the number of servers from which a service is planned as a whole.
+constexpr double kMaxServicePlanFrom = 1'000'000;
+
 void readOwnership(const json& document, RouterSettings& settings, Findings& findings) {
   const Section section(document, "ownership", findings);
   OwnershipConfig& config = settings.ownership;
@@ -212,6 +215,9 @@
   for (const OwnershipShareField& field : ownershipShareFields()) {
     section.read(field.name.data(), config.*field.member, 0.0, 1.0);
   }
+  double service_plan_from = static_cast<double>(config.service_plan_from);
+  section.read("service_plan_from", service_plan_from, 0, kMaxServicePlanFrom);
+  config.service_plan_from = static_cast<std::size_t>(service_plan_from);
   Duration longest_grant = config.heartbeat_hold;
   section.read("longest_grant", longest_grant);
   config.grant_hold = std::min(config.grant_hold, longest_grant);
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -152,6 +152,30 @@
   EXPECT_EQ(peer.acceptedStreams(), 2U);
 }
 
+// Guards against a planner that knows only the loads of the servers to which its own gateway has sent requests.
+TEST_F(PeerClientTest, AnswerToAPlanUpdatesTheLoadOfTheNodesServer) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.load.slots = 6;
+  peer.load.demand_hundredths = 450;
+  addNodeAt(peer.endpoint(), kNewestWireVersion);
+  peer_client_.ensureConnected(node_);
+  peer_client_.send(node_, PlacementPlanFrame{ServiceName("s"), InstanceId("i-1"), 1, {}});
+  const auto is_known = [this] { return directory_.load(node_, clock_.now()) != nullptr; };
+  ASSERT_TRUE(loop_.runUntil(is_known, kTestTimeout));
+  EXPECT_EQ(directory_.load(node_, clock_.now())->demand_hundredths, 450U);
+  EXPECT_TRUE(directory_.isConfirmedReachable(node_));
+}
+
+TEST_F(PeerClientTest, PlansAreNotSentToEarlierBuilds) {
+  FakePeer peer(loop_, {node_, Incarnation{7}});
+  peer.speakOnly(kExtensibleWireVersion);
+  addNodeAt(peer.endpoint(), kExtensibleWireVersion);
+  peer_client_.send(node_, PlacementPlanFrame{ServiceName("s"), InstanceId("i-1"), 1, {}});
+  peer.on_forward = [](const ForwardFrame&) { return std::optional(ForwardReplyFrame{}); };
+  forward(RouteKind::Idempotent);
+  EXPECT_EQ(peer.placement_plans, 0U);
+}
+
 /// A node that accepts connections and reads nothing.
 class DeadNodeTest : public PeerClientTest, public ::testing::WithParamInterface<RouteKind> {
  protected:
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "platform/server_protocol.h"
+#include "shedlever/load_report.h"
 #include "source/net/system_clock_and_random.h"
 #include "source/router/peer_stream_options.h"
 #include "test/support/scripted_server.h"
@@ -28,12 +29,12 @@
 /// A gateway's end of a stream to the tested process.
 class GatewayStream final : public MessageStreamCallbacks {
  public:
-  GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer)
-      : transport_(loop, to, peerStreamOptions(), *this) {
+  GatewayStream(EventLoop& loop, const Endpoint& to, const NodeName& peer, WireVersion version = kUnstatedWireVersion)
+      : version_(version), transport_(loop, to, peerStreamOptions(version), *this) {
     send(HelloFrame{NodeName("gateway"), kIncarnation, false, peer});
   }
 
-  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame)); }
+  void send(const RouterFrame& frame) { transport_.send(encodeRouterFrame(frame, version_)); }
   void query(ExchangeId exchange) { send(ExchangeQueryFrame{exchange, kIncarnation}); }
 
   /// State in the last reply to an exchange query.
@@ -44,7 +45,7 @@
   static constexpr Incarnation kIncarnation{1};
 
   void onMessage(std::string_view message) override {
-    const RouterFrame frame = decodeRouterFrame(message).value();
+    const RouterFrame frame = decodeRouterFrame(message, version_).value();
     if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
       state = query_reply->state;
     } else if (const auto* forward_reply = std::get_if<ForwardReplyFrame>(&frame)) {
@@ -53,6 +54,7 @@
   }
   void onClosed() override {}
 
+  WireVersion version_;
   MessageStream transport_;
 };
 
@@ -70,6 +72,10 @@
     ports.known_revisions = [] { return KnownRevisions{}; };
     ports.needs_snapshot = [] { return false; };
     ports.server_crashes = [] { return ServerCrashesFrame{}; };
+    ports.on_placement_plan = [this](const NodeName& sender, const PlacementPlanFrame& plan) {
+      plan_senders_.push_back(sender);
+      plans_.push_back(plan.plan);
+    };
     peers_ = std::move(PeerServer::listen(loop_, kAnyLoopbackPort, std::move(ports)).value());
     connect();
   }
@@ -126,8 +132,20 @@
   ServerGate gate_;
   std::unique_ptr<PeerServer> peers_;
   std::unique_ptr<GatewayStream> gateway_;
+  std::vector<NodeName> plan_senders_;
+  std::vector<std::uint64_t> plans_;
 };
 
+TEST_F(PeerServerTest, PlanIsPassedOnAndAnsweredWithTheLoadOfTheServer) {
+  gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_, kNewestWireVersion);
+  gateway_->send(PlacementPlanFrame{ServiceName("s"), InstanceId("i-1"), 5, {}});
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->exchange, kLoadReportExchange);
+  EXPECT_EQ(gateway_->reply->load.slots, 10U);
+  EXPECT_EQ(plan_senders_, std::vector{NodeName("gateway")});
+  EXPECT_EQ(plans_, std::vector<std::uint64_t>{5});
+}
+
 // The gateway would send the request to another server although it runs here.
 TEST_F(PeerServerTest, OutcomeOfRequestGivenUpAfterItsStreamEndedIsNotReportedAsNotStarted) {
   startRequest();
--- a/test/router/router_settings_test.cc
+++ b/test/router/router_settings_test.cc
@@ -37,5 +37,16 @@
   EXPECT_FALSE(parseRouterSettings(settingsWith(R"(,"config":{"within":"1999ms"})")));
 }
 
+TEST(RouterSettingsTest, NumberOfServersForServicePlansHasADefaultAndCanBeTurnedOff) {
+  EXPECT_EQ(parseRouterSettings(settingsWith(""))->ownership.service_plan_from, OwnershipConfig{}.service_plan_from);
+  const auto off = parseRouterSettings(settingsWith(R"(,"ownership":{"service_plan_from":0})"));
+  ASSERT_TRUE(off);
+  EXPECT_EQ(off->ownership.service_plan_from, 0U);
+  for (const char* wrong : {"-1", "\"24\"", "true"}) {
+    const std::string section = R"(,"ownership":{"service_plan_from":)" + std::string(wrong) + "}";
+    EXPECT_FALSE(parseRouterSettings(settingsWith(section))) << wrong;
+  }
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "shedlever/load_report.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
 #include "source/router/peer_stream_options.h"
@@ -77,6 +78,9 @@
   std::size_t exchange_queries = 0;
   /// Reply to exchange queries.
   ExchangeState exchange_state = ExchangeState::NotStarted;
+  /// Number of received plans, each of which is answered with this load.
+  std::size_t placement_plans = 0;
+  ServerLoad load;
   /// Makes the reply to a forwarded request; without a function or a reply, the request stays unanswered.
   std::function<std::optional<ForwardReplyFrame>(const ForwardFrame&)> on_forward;
 
@@ -106,6 +110,12 @@
         send(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
         send(PongFrame{});
+      } else if (std::holds_alternative<PlacementPlanFrame>(frame)) {
+        ++peer.placement_plans;
+        ForwardReplyFrame report;
+        report.exchange = kLoadReportExchange;
+        report.load = peer.load;
+        send(std::move(report));
       } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
         ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
