Move a hot key also to servers that are not faster, if they are less utilized

Seen in a run of PlacementClusterTest's set-up: two owners moved their hot keys to the same fast server at once; there the two keys, each larger than any flow and with no faster server to go to, kept 1.1% of the requests refused for the rest of the run (20 s). Cause: a hot key moved only to servers at least 1.2 times as fast. Change: it moves to the fastest server that is not full with it and whose utilization with it is lower by 0.15 than the owner's is now. FlowKeysTest.OneOfTwoHotKeysMovesToAServerThatIsAsFast failed before.

--- a/source/core/router/ownership/placement/flow_keys.cc
+++ b/source/core/router/ownership/placement/flow_keys.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A key with much load moves only to a server that runs its requests this much faster; else little would be gained.
-constexpr double kMinSpeedup = 1.2;
+/// A key with much load moves only to a server whose utilization with it is lower by this than the owner's is now; else
+/// little would be gained.
+constexpr double kMinRelief = 0.15;
 /// Each piece can add a range to the table.
 constexpr int kMaxPiecesPerFlow = 2;
 /// A flow is complete with this share of its load; the rest is not worth another piece.
@@ -45,7 +46,7 @@
  private:
   double slotsOf(const KeyRange& keys) const { return meter_.rate(keys, now_) * seconds_; }
 
-  /// Moves the hottest key if it alone has more load than the owner is to keep and a faster server can take it.
+  /// Moves the hottest key if it alone has more load than the owner is to keep and another server is better for it.
   /// @param kept slots that the owner is to keep.
   /// @return slots of the moved load.
   double giveHottestKey(double kept) {
@@ -64,16 +65,19 @@
   }
 
   /// @param slots of the load at this owner.
-  /// @return the server that runs the load fastest and is not full with it; null if none is faster enough than this
-  /// one.
+  /// @return the server that runs the load fastest of those that are not full with it and much less utilized than this
+  ///   one is; null if there is none.
   const BalanceTarget* fastestWithRoom(double slots) const {
+    const double max_utilization = std::min(input_.own_load.utilization() - kMinRelief, 1.0);
     const BalanceTarget* best = nullptr;
+    double best_seconds = 0;
     for (const BalanceTarget& target : input_.targets) {
-      const double seconds = target.load.service_seconds;
-      const bool is_faster = seconds > 0 && seconds * kMinSpeedup <= seconds_;
-      const bool has_room = target.load.demand + slots * seconds / seconds_ <= target.load.slots;
-      if (is_faster && has_room && (best == nullptr || seconds < best->load.service_seconds)) {
+      const OfferedLoad& load = target.load;
+      const double seconds = load.service_seconds > 0 ? load.service_seconds : seconds_;
+      const bool has_room = load.demand + slots * seconds / seconds_ <= max_utilization * load.slots;
+      if (has_room && (best == nullptr || seconds < best_seconds)) {
         best = &target;
+        best_seconds = seconds;
       }
     }
     return best;
--- a/source/core/router/ownership/placement/flow_keys.h
+++ b/source/core/router/ownership/placement/flow_keys.h
@@ -25,9 +25,9 @@
   std::vector<BalanceTarget> targets;
 };
 
-/// A key with more load than the owner is to keep moves alone, to the fastest server that is not full with it; the
-/// other keys then move only as far as the owner still has more than it is to keep. If no server is fast enough, the
-/// key stays and the others move.
+/// A key with more load than the owner is to keep moves alone, to the fastest server that is not full with it and less
+/// utilized than the owner; the other keys then move only as far as the owner still has more than it is to keep. If
+/// there is no such server, the key stays and the others move.
 /// @return the moves; fewer than the flows ask for if no keys fit.
 std::vector<PlannedMove> chooseKeys(const KeyMeter& meter, const FlowInput& input, TimePoint now);
 
--- a/test/core_router/ownership/placement/flow_keys_test.cc
+++ b/test/core_router/ownership/placement/flow_keys_test.cc
@@ -93,7 +93,20 @@
   EXPECT_EQ(moves.front().to, location("fast"));
 }
 
-TEST_F(FlowKeysTest, OtherKeysMoveIfNoServerIsFasterThanTheHottestKeysOwner) {
+// Guards against two hot keys that stay at one server, because each is too large for the flows and no server is faster.
+TEST_F(FlowKeysTest, OneOfTwoHotKeysMovesToAServerThatIsAsFast) {
+  addSlots({kHotKey, kHotKey}, 3.7);
+  addSlots({kHotKey + 1, kHotKey + 1}, 3.5);
+  input_.flows = {{location("alike"), 0.6}, {location("fast"), 0.6}, {location("fastest"), 3.6}};
+  for (BalanceTarget& target : input_.targets) {
+    target.load.service_seconds = kServiceSeconds;
+  }
+  const auto moves = choose();
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves.front().keys, (KeyRange{kHotKey, kHotKey}));
+}
+
+TEST_F(FlowKeysTest, OtherKeysMoveIfNoServerIsBetterForTheHottestKey) {
   addSlots(kOwned, 2);
   addSlots({kHotKey, kHotKey}, 7);
   input_.flows = {{location("alike"), 3}, {location("fast"), 3}};
