Plan more rarely for an owner whose load does not change by its plans

Cause: an owner of one key that no server can take gets flows every three seconds and drops them, and the servers that were to take them take part in no other plan until they settle. Change: after flows that left the owner with more than half of their load, it takes part again after 4, 8, then 16 intervals in place of 2. ServicePlannerTest.OwnerWhoseLoadDoesNotChangeByItsFlowsGetsThemMoreAndMoreRarely; not measured on a deployment.

--- a/source/core/router/ownership/placement/service_planner.cc
+++ b/source/core/router/ownership/placement/service_planner.cc
@@ -24,6 +24,10 @@
 constexpr std::size_t kMinFlowsPerPlan = 16;
 /// Intervals for which the ends of a flow take no part in further plans, until their loads show the moves.
 constexpr int kSettlingIntervals = 2;
+/// An owner that has not given this share of its last flows away may have no keys that fit, such as a single hot key.
+constexpr double kMinGivenShare = 0.5;
+/// Such an owner is asked again after twice as many intervals each time, this many times at most.
+constexpr int kMaxDoublings = 3;
 /// Intervals without a plan after which owners plan for themselves.
 constexpr int kSilentIntervals = 3;
 /// Time for which moved keys have no owner: a release, a write of the table and a grant.
@@ -59,6 +63,7 @@
     next_question_ = now + config_.service_plan_interval;
     plan_at_.reset();
     history_.clear();
+    given_.clear();
     return;
   }
   const std::vector<const NodeRecord*> servers = directory_.availableServers(service_);
@@ -122,6 +127,7 @@
          {averaged.load, averaged.seconds, !is_settling && understandsPlans(*record), !is_settling && is_healthy}});
   }
   history_.keepOnly(present);
+  std::erase_if(given_, [&](const auto& entry) { return !present.contains(entry.first); });
   return candidates;
 }
 
@@ -144,20 +150,35 @@
   }
 }
 
+int ServicePlanner::recordGiven(const InstanceId& owner, double demand, double slots) {
+  GivenLoad& last = given_[owner];
+  const bool had_effect = demand < last.demand - last.slots * kMinGivenShare;
+  const bool is_first = last.slots == 0;
+  const int without_effect = is_first || had_effect ? 0 : std::min(last.without_effect + 1, kMaxDoublings);
+  last = {demand, slots, without_effect};
+  return kSettlingIntervals << without_effect;
+}
+
 void ServicePlanner::sendFlows(const std::vector<Candidate>& candidates, const ServicePlan& plan, TimePoint now) {
   ++last_plan_;
-  const TimePoint settled_at = now + planInterval(config_, candidates.size()) * kSettlingIntervals;
+  const Duration interval = planInterval(config_, candidates.size());
   std::map<std::size_t, PlacementPlanFrame> frames;
+  std::map<std::size_t, double> given;
   for (const LoadFlow& flow : plan.flows) {
     const NodeRecord& from = *candidates[flow.from].record;
     const NodeRecord& to = *candidates[flow.to].record;
     PlacementPlanFrame& frame =
         frames.try_emplace(flow.from, PlacementPlanFrame{service_, from.instance, last_plan_, {}}).first->second;
     frame.flows.push_back({to.instance, to.node, static_cast<std::uint32_t>(std::lround(flow.slots * kHundredths))});
-    for (const NodeRecord* end : {&from, &to}) {
-      settling_until_[end->instance] = settled_at;
-      history_.forget(end->instance);
-    }
+    given[flow.from] += flow.slots;
+    settling_until_[to.instance] = now + interval * kSettlingIntervals;
+    history_.forget(to.instance);
+  }
+  for (const auto& [from, slots] : given) {
+    const InstanceId& owner = candidates[from].record->instance;
+    const int intervals = recordGiven(owner, candidates[from].offer.load.demand, slots);
+    settling_until_[owner] = now + interval * intervals;
+    history_.forget(owner);
   }
   std::ostringstream detail;
   detail.precision(3);
--- a/source/core/router/ownership/placement/service_planner.h
+++ b/source/core/router/ownership/placement/service_planner.h
@@ -50,6 +50,15 @@
     ServerOffer offer;
   };
 
+  /// The last flows of an owner.
+  struct GivenLoad {
+    /// Slots in use before the flows, and slots to be given.
+    double demand = 0;
+    double slots = 0;
+    /// Number of plans in sequence after which the owner's load had hardly changed.
+    int without_effect = 0;
+  };
+
   bool plansHere() const;
   void askForLoads(const std::vector<const NodeRecord*>& servers);
   void plan(const std::vector<const NodeRecord*>& servers, TimePoint now);
@@ -57,6 +66,8 @@
   std::vector<Candidate> candidates(const std::vector<const NodeRecord*>& servers, TimePoint now);
   std::optional<OfferedLoad> loadOf(const NodeRecord& record, TimePoint now) const;
   bool isSettling(const InstanceId& server, TimePoint now) const;
+  /// Records an owner's flows. @return intervals for which the owner takes no part in further plans.
+  int recordGiven(const InstanceId& owner, double demand, double slots);
   void sendFlows(const std::vector<Candidate>& candidates, const ServicePlan& plan, TimePoint now);
 
   NodeName self_;
@@ -73,6 +84,7 @@
   std::optional<TimePoint> plan_at_;
   /// Servers whose load may not show the last plan's moves yet, and until when.
   std::map<InstanceId, TimePoint> settling_until_;
+  std::map<InstanceId, GivenLoad> given_;
 };
 
 }  // namespace shedlever
--- a/test/core_router/ownership/placement/service_planner_test.cc
+++ b/test/core_router/ownership/placement/service_planner_test.cc
@@ -127,6 +127,21 @@
   EXPECT_EQ(sent_.front().second.plan, 2U);
 }
 
+// Guards against an owner of one hot key whose plans, none of which it can carry out, keep the room of the others.
+TEST_F(ServicePlannerTest, OwnerWhoseLoadDoesNotChangeByItsFlowsGetsThemMoreAndMoreRarely) {
+  std::vector<int> planned_at;
+  for (int second = 0; second < 60; ++second) {
+    planOnce(kStart + seconds(second));
+    if (!sent_.empty()) {
+      planned_at.push_back(second);
+    }
+  }
+  ASSERT_GE(planned_at.size(), 5U);
+  EXPECT_LE(planned_at.size(), 7U);
+  EXPECT_LE(planned_at[1] - planned_at[0], 3);
+  EXPECT_GT(planned_at[4] - planned_at[3], 8);
+}
+
 TEST_F(ServicePlannerTest, PlansNothingWithoutTheLoadsOfMostServers) {
   planner_.tick(kStart);
   for (const int node : {1, 2, 3, 4, 5}) {
