Divide the keys of a service that is planned as a whole by the servers' slots

Cause: the first division gives each server the same number of keys, also a server with a third of the slots of the others. Change: where one node plans for the service, ranges of the first table are in proportion to the slots that the node records state; with equal slots the table is as before.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -6,6 +6,7 @@
 #include "source/core/router/duration_format.h"
 #include "source/core/router/ownership/owner_table_delta.h"
 #include "source/core/router/ownership/owner_table_edits.h"
+#include "source/core/router/ownership/placement/weighted_division.h"
 
 namespace shedlever {
 
@@ -305,8 +306,15 @@
 
 void OwnershipManager::divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now) {
   const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
-  const bool created = writer_.create(OwnerTable::divideEvenly(
-      locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch()));
+  OwnerTable table = OwnerTable::divideEvenly(
+      locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch());
+  if (planner_.isActive()) {
+    table = resizeBySlots(table, [this](const NodeName& node) {
+      const NodeRecord* record = ports_.directory->node(node);
+      return record == nullptr ? 0U : record->slots;
+    });
+  }
+  const bool created = writer_.create(table);
   if (created) {
     logEvent("first division",
              std::to_string(locations.size()) + " servers after " + formatMilliseconds(now - server_since_) + " ms");
--- a/test/core_router/ownership/placement/placement_cluster_test.cc
+++ b/test/core_router/ownership/placement/placement_cluster_test.cc
@@ -42,6 +42,15 @@
   EXPECT_LE(cluster.takeMoves(), 3U);
 }
 
+// Guards against a first division by count that stands until the loads of all servers have been averaged for long.
+TEST(PlacementClusterTest, FirstPlanCorrectsTheDivisionInTheFirstSecondOfTraffic) {
+  PlacementCluster cluster = skewedCluster({});
+  cluster.setSkewedKeys(kSkewed, kUtilization * cluster.capacity());
+  cluster.run(seconds(1));
+  EXPECT_EQ(cluster.plansBy(0), 1U);
+  EXPECT_GT(cluster.takeMoves(), 0U);
+}
+
 TEST(PlacementClusterTest, EachOwnerForItselfLeavesSkewedKeysWhereTheyAre) {
   PlacementCluster cluster = skewedCluster(eachForItself());
   cluster.setSkewedKeys(kSkewed, kUtilization * cluster.capacity());
