--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -45,6 +45,9 @@
   void setZone(const std::string& zone) { zone_ = zone; }
   /// Starts or ends the evacuation of a zone, as an operator does.
   void evacuate(const std::string& zone, bool evacuated);
+  /// Sets the number of servers of a service from which one router plans for all owners, for routers that are added
+  /// later.
+  void setServicePlanFrom(std::size_t servers) { service_plan_from_ = servers; }
   /// Sets the stop grace period of routers that are added later.
   void setStopGrace(Duration grace) { grace_ = grace; }
   /// Sets the deadline that clients state in requests sent later.
@@ -137,6 +140,7 @@
   std::uint64_t last_request_ = 0;
   std::string zone_;
   Duration grace_ = StopConfig{}.grace;
+  std::size_t service_plan_from_ = OwnershipConfig{}.service_plan_from;
   Duration client_deadline_ = std::chrono::seconds(15);
   bool config_exists_ = false;
   bool idempotency_keys_required_ = false;
