--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -6,6 +6,7 @@
 #include "source/core/router/duration_format.h"
 #include "source/core/router/ownership/owner_table_delta.h"
 #include "source/core/router/ownership/owner_table_edits.h"
+#include "source/core/router/ownership/placement/weighted_division.h"
 
 namespace shedlever {
 
@@ -26,6 +27,7 @@
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
       takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
       balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
+      planner_(self_.name, service_, config_, *ports_.directory, writer_.table(), plannerPorts()),
       moves_(movePorts()),
       first_division_(config_) {
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
@@ -36,6 +38,24 @@
     grants_ = std::make_unique<RequestGrants>(config_, *ports_.server_commands, *ports_.clock, grantEvents());
   }
   writer_.setRestoreDelays(restoreDelays());
+  balancer_.plans().setEventCallback(ports_.on_placement);
+}
+
+ServicePlanner::Ports OwnershipManager::plannerPorts() {
+  const auto send = [this](const NodeName& node, const PlacementPlanFrame& plan) {
+    if (node == self_.name) {
+      onPlacementPlan(node, plan);
+    } else {
+      ports_.send_plan(node, plan);
+    }
+  };
+  return {send, ports_.on_placement};
+}
+
+void OwnershipManager::onPlacementPlan(const NodeName& sender, const PlacementPlanFrame& plan) {
+  if (plan.service == service_ && planner_.isActive()) {
+    balancer_.plans().onPlan(sender, plan, instance_, planner_.silenceLimit(), ports_.clock->now());
+  }
 }
 
 KeyMoves::Ports OwnershipManager::movePorts() {
@@ -246,6 +266,9 @@
     reassignDeadServerRanges(now);
   }
   checkUnreachableOwners(now);
+  if (hasServer()) {
+    planner_.tick(now);
+  }
   if (pending_changes_ == 0 && moves_.empty() && hasServer() && lease_.valid(now)) {
     if (movesKeysAway() || serverGrantsLapsed(now)) {
       startMoves(balancer_.moveAll(instance_, candidates_.unlimitedTargets(now), now));
@@ -282,8 +305,15 @@
 
 void OwnershipManager::divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now) {
   const auto ranges_per_server = config_.max_initial_ranges / static_cast<std::uint32_t>(locations.size());
-  const bool created = writer_.create(OwnerTable::divideEvenly(
-      locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch()));
+  OwnerTable table = OwnerTable::divideEvenly(
+      locations, std::clamp(ranges_per_server, 1U, config_.initial_ranges_per_server), ports_.store->epoch());
+  if (planner_.isActive()) {
+    table = resizeBySlots(table, [this](const NodeName& node) {
+      const NodeRecord* record = ports_.directory->node(node);
+      return record == nullptr ? 0U : record->slots;
+    });
+  }
+  const bool created = writer_.create(table);
   if (created) {
     logEvent("first division",
              std::to_string(locations.size()) + " servers after " + formatMilliseconds(now - server_since_) + " ms");
@@ -352,6 +382,7 @@
 }
 
 void OwnershipManager::balance(TimePoint now) {
+  balancer_.setServicePlan(planner_.isActive() ? std::optional<Duration>(planner_.silenceLimit()) : std::nullopt);
   const BalanceStep step = balancer_.nextStep(instance_, now);
   if (step.merge_ranges) {
     mergeRanges();
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "shedlever/load_report.h"
 #include "source/core/router/link/transit_delay.h"
 #include "source/router/peer_stream_options.h"
 
@@ -204,6 +205,14 @@
     onStoreCall(id, std::move(*call));
   } else if (const auto* question = std::get_if<QuotaRequestFrame>(&frame)) {
     stream->send(ports_.answer_quota_request(*question));
+  } else if (const auto* plan = std::get_if<PlacementPlanFrame>(&frame)) {
+    ports_.on_placement_plan(stream->sender.name, *plan);
+    ForwardReplyFrame load_report;
+    load_report.exchange = kLoadReportExchange;
+    load_report.load = ports_.gate->load();
+    stateLink(load_report.load);
+    load_report.sent_at_us = ports_.clock->now().time_since_epoch().count();
+    stream->send(std::move(load_report));
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     ports_.on_unknown_frame(stream->sender.name, !std::exchange(stream->received_unknown_frame, true));
   }
@@ -318,6 +327,12 @@
   onForward(stream, std::move(*forward));
 }
 
+void PeerServer::stateLink(ServerLoad& load) const {
+  load.link_kbytes_per_s = ports_.pacer->kilobytesPerSecond();
+  load.arrival_delay_ms =
+      static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(arrivalDelay()).count());
+}
+
 void PeerServer::onReply(const RequestKey& key, ForwardReplyFrame reply) {
   const auto found = active_requests_.find(key);
   if (found == active_requests_.end()) {
@@ -327,9 +342,7 @@
   active_requests_.erase(found);
   reply.exchange = key.exchange;
   reply.known = ports_.known_revisions();
-  reply.load.link_kbytes_per_s = ports_.pacer->kilobytesPerSecond();
-  reply.load.arrival_delay_ms =
-      static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(arrivalDelay()).count());
+  stateLink(reply.load);
   Stream* stream = id == 0 ? nullptr : find(id);
   if (stream != nullptr && !stream->ended) {
     stream->answered_exchanges.push_back(reply.exchange);
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -58,6 +58,9 @@
     std::function<QuotaGrantFrame(const QuotaRequestFrame&)> answer_quota_request = [](const QuotaRequestFrame& asked) {
       return QuotaGrantFrame{asked.exchange};
     };
+    /// A peer has sent this node's share of a plan for its service. It is answered with the server's load.
+    std::function<void(const NodeName&, const PlacementPlanFrame&)> on_placement_plan =
+        [](const NodeName&, const PlacementPlanFrame&) {};
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
     /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
     std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
@@ -126,6 +129,8 @@
   /// Answers a request whose time was over when it arrived.
   void refuseLate(const RequestKey& key, const ArrivedRequest& request);
   void onForwardPart(StreamId id, Stream& stream, const ForwardPartFrame& part);
+  /// Adds what is known of this machine's link.
+  void stateLink(ServerLoad& load) const;
   void onReply(const RequestKey& key, ForwardReplyFrame reply);
   void sendReply(StreamId id, Stream& stream, ForwardReplyFrame reply);
   /// Writes a large reply in parts, paced by the link.
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -15,6 +15,7 @@
 
 #include "platform/http_names.h"
 #include "platform/server_protocol.h"
+#include "shedlever/load_report.h"
 #include "source/net/system_clock_and_random.h"
 #include "source/router/peer_stream_options.h"
 #include "test/support/scripted_server.h"
@@ -94,6 +95,10 @@
     ports.on_late_request = [this](const NodeName&, const ForwardFrame& frame, Duration lateness) {
       late_requests_.emplace_back(frame.exchange, lateness);
     };
+    ports.on_placement_plan = [this](const NodeName& sender, const PlacementPlanFrame& plan) {
+      plan_senders_.push_back(sender);
+      plans_.push_back(plan.plan);
+    };
     peers_ = std::move(PeerServer::listen(loop_, kAnyLoopbackPort, std::move(ports)).value());
     connect();
   }
@@ -187,8 +192,20 @@
   ServerGate gate_;
   std::unique_ptr<PeerServer> peers_;
   std::unique_ptr<GatewayStream> gateway_;
+  std::vector<NodeName> plan_senders_;
+  std::vector<std::uint64_t> plans_;
 };
 
+TEST_F(PeerServerTest, PlanIsPassedOnAndAnsweredWithTheLoadOfTheServer) {
+  gateway_ = std::make_unique<GatewayStream>(loop_, peers_->endpoint(), node_, kNewestWireVersion);
+  gateway_->send(PlacementPlanFrame{ServiceName("s"), InstanceId("i-1"), 5, {}});
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->reply.has_value(); }, kTestTimeout));
+  EXPECT_EQ(gateway_->reply->exchange, kLoadReportExchange);
+  EXPECT_EQ(gateway_->reply->load.slots, 10U);
+  EXPECT_EQ(plan_senders_, std::vector{NodeName("gateway")});
+  EXPECT_EQ(plans_, std::vector<std::uint64_t>{5});
+}
+
 // The gateway would send the request to another server although it runs here.
 TEST_F(PeerServerTest, OutcomeOfRequestGivenUpAfterItsStreamEndedIsNotReportedAsNotStarted) {
   startRequest();
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "shedlever/load_report.h"
 #include "source/core/router/link/request_assembler.h"
 #include "source/net/message_stream.h"
 #include "source/net/tcp_listener.h"
@@ -85,6 +86,9 @@
   bool refuse_parts = false;
   /// Reply to exchange queries.
   ExchangeState exchange_state = ExchangeState::NotStarted;
+  /// Number of received plans, each of which is answered with this load.
+  std::size_t placement_plans = 0;
+  ServerLoad load;
   /// Makes the reply to a forwarded request; without a function or a reply, the request stays unanswered.
   std::function<std::optional<ForwardReplyFrame>(const ForwardFrame&)> on_forward;
 
@@ -113,6 +117,12 @@
         sendFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
         sendFrame(PongFrame{});
+      } else if (std::holds_alternative<PlacementPlanFrame>(frame)) {
+        ++peer.placement_plans;
+        ForwardReplyFrame report;
+        report.exchange = kLoadReportExchange;
+        report.load = peer.load;
+        sendFrame(std::move(report));
       } else if (std::holds_alternative<CancelForwardFrame>(frame)) {
         ++peer.cancelled_requests;
       } else if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
