Move calls that wait for answers of peers out of PeerClient

Cause: PeerClient kept store calls and quota questions besides requests and streams, with the same code twice; its destructor cancelled the timers of store calls only, so that the timer of a quota question could run afterwards.

Change: PendingCalls keeps calls until their answer or timeout and cancels its timers. Behaviour is otherwise unchanged.

--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -22,6 +22,8 @@
       self_(std::move(self)),
       directory_(directory),
       events_(std::move(events)),
+      store_calls_(loop),
+      quota_questions_(loop),
       shipments_(loop, clock, directory.links(),
                  [this](PeerStreamId id) {
                    const PeerStream* stream = find(id);
@@ -63,12 +65,7 @@
   return sent;
 }
 
-PeerClient::~PeerClient() {
-  *alive_ = false;
-  for (const auto& [exchange, call] : store_calls_) {
-    loop_.cancel(call.timer);
-  }
-}
+PeerClient::~PeerClient() { *alive_ = false; }
 
 PeerStream* PeerClient::streamTo(const NodeName& node) {
   const auto found = streams_.find(node);
@@ -260,13 +257,7 @@
 
 void PeerClient::callStore(const NodeName& node, HttpRequest request, Duration timeout, StoreCallback done) {
   const ExchangeId exchange = ++last_exchange_;
-  PendingStoreCall& call = store_calls_[exchange];
-  call.node = node;
-  call.done = std::move(done);
-  call.timer = loop_.runAfter(timeout, [this, exchange] {
-    auto ended = store_calls_.extract(exchange);
-    ended.mapped().done(std::nullopt);
-  });
+  store_calls_.add(exchange, timeout, std::move(done));
   PeerStream* stream = streamTo(node);
   if (stream != nullptr) {
     stream->send(StoreCallFrame{exchange, timeout.count(), std::move(request)});
@@ -275,25 +266,12 @@
 
 void PeerClient::askQuota(const NodeName& node, QuotaRequestFrame question, Duration timeout, QuotaGrantCallback done) {
   question.exchange = ++last_exchange_;
-  PendingQuotaQuestion& pending = quota_questions_[question.exchange];
-  pending.done = std::move(done);
-  pending.timer = loop_.runAfter(timeout, [this, exchange = question.exchange] {
-    auto ended = quota_questions_.extract(exchange);
-    ended.mapped().done(std::nullopt);
-  });
+  quota_questions_.add(question.exchange, timeout, std::move(done));
   if (PeerStream* stream = streamTo(node)) {
     stream->send(question);
   }
 }
 
-void PeerClient::onQuotaGrant(const QuotaGrantFrame& grant) {
-  auto question = quota_questions_.extract(grant.exchange);
-  if (!question.empty()) {
-    loop_.cancel(question.mapped().timer);
-    question.mapped().done(grant);
-  }
-}
-
 std::vector<NodeName> PeerClient::connectedNodes() const {
   std::vector<NodeName> nodes;
   for (const auto& [node, stream] : streams_) {
@@ -339,7 +317,7 @@
   } else if (std::holds_alternative<UnknownFrame>(frame)) {
     events_.on_unknown_frame(node, stream.markUnknownFrame());
   } else if (const auto* grant = std::get_if<QuotaGrantFrame>(&frame)) {
-    onQuotaGrant(*grant);
+    quota_questions_.finish(grant->exchange, *grant);
   } else if (const auto* part = std::get_if<ReplyPartFrame>(&frame)) {
     onReplyPart(stream, *part);
   } else if (const auto* query_reply = std::get_if<ExchangeQueryReplyFrame>(&frame)) {
@@ -359,11 +337,8 @@
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
     events_.on_server_crashes(*crashes);
   } else if (auto* answer = std::get_if<StoreReplyFrame>(&frame)) {
-    auto call = store_calls_.extract(answer->exchange);
-    if (!call.empty()) {
-      loop_.cancel(call.mapped().timer);
-      call.mapped().done(answer->answered ? std::optional<HttpResponse>(std::move(answer->http)) : std::nullopt);
-    }
+    store_calls_.finish(answer->exchange,
+                        answer->answered ? std::optional<HttpResponse>(std::move(answer->http)) : std::nullopt);
   }
 }
 
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -17,6 +17,7 @@
 #include "source/core/router/ownership/lease_manager.h"
 #include "source/router/forward_part_sender.h"
 #include "source/router/peer_stream.h"
+#include "source/router/pending_calls.h"
 #include "source/router/server_gate.h"
 #include "source/router/shipment_tracker.h"
 
@@ -43,8 +44,8 @@
 /// marked unreachable and gets a new stream; the silent one stays open until its requests have ended.
 class PeerClient final : public PeerStreamCallbacks {
  public:
-  using StoreCallback = std::function<void(std::optional<HttpResponse>)>;
-  using QuotaGrantCallback = std::function<void(std::optional<QuotaGrantFrame>)>;
+  using StoreCallback = PendingCalls<HttpResponse>::Callback;
+  using QuotaGrantCallback = PendingCalls<QuotaGrantFrame>::Callback;
 
   struct Events {
     /// The node's process became reachable or unreachable.
@@ -136,17 +137,6 @@
     bool reply_sent = false;
   };
 
-  struct PendingStoreCall {
-    NodeName node;
-    StoreCallback done;
-    TimerId timer = 0;
-  };
-
-  struct PendingQuotaQuestion {
-    QuotaGrantCallback done;
-    TimerId timer = 0;
-  };
-
   PeerStream* streamTo(const NodeName& node);
   /// @return the stream if it is open.
   PeerStream* find(PeerStreamId id);
@@ -160,7 +150,6 @@
   void onReply(ForwardReplyFrame reply);
   /// Sends no further parts of a request that has ended, and makes the peer drop those that it has.
   void stopSending(ExchangeId exchange, PeerStreamId id);
-  void onQuotaGrant(const QuotaGrantFrame& grant);
   void onReplyPart(PeerStream& stream, const ReplyPartFrame& part);
   void onExchangeQueryReply(const PeerStream& stream, const ExchangeQueryReplyFrame& query_reply);
   void onStreamEnd(PeerStream& stream);
@@ -204,8 +193,8 @@
   std::map<PeerStreamId, std::unique_ptr<PeerStream>> silent_streams_;
   PeerStreamId last_stream_ = 0;
   std::unordered_map<ExchangeId, PendingRequest> pending_;
-  std::unordered_map<ExchangeId, PendingStoreCall> store_calls_;
-  std::unordered_map<ExchangeId, PendingQuotaQuestion> quota_questions_;
+  PendingCalls<HttpResponse> store_calls_;
+  PendingCalls<QuotaGrantFrame> quota_questions_;
   ShipmentTracker shipments_;
   LinkPacer* pacer_;
   /// Empty without a pacer.
