--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -61,6 +61,11 @@
     /// A peer has sent this node's share of a plan for its service. It is answered with the server's load.
     std::function<void(const NodeName&, const PlacementPlanFrame&)> on_placement_plan =
         [](const NodeName&, const PlacementPlanFrame&) {};
+    /// A peer asks to write its edits of the owner table. The callback runs once, with what to answer.
+    std::function<void(const TableEditsFrame&, std::function<void(const TableEditsReplyFrame&)>)> write_table_edits =
+        [](const TableEditsFrame& edits, const std::function<void(const TableEditsReplyFrame&)>& reply) {
+          reply({edits.exchange, false, {}, {}});
+        };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
     /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
     std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
@@ -136,6 +141,7 @@
   /// Writes a large reply in parts, paced by the link.
   void sendParts(StreamId id, Stream& stream, ExchangeId exchange, std::string bytes);
   void onExchangeQuery(StreamId id, Stream& stream, const ExchangeQueryFrame& query);
+  void onTableEdits(StreamId id, const TableEditsFrame& edits);
   void onStoreCall(StreamId id, StoreCallFrame call);
   void onStreamEnd(StreamId id);
   void cancelOrphans(const NodeIdentity& sender);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -145,6 +145,13 @@
       ownership_manager_->onPlacementPlan(node, plan);
     }
   };
+  peer_ports.write_table_edits = [this](const TableEditsFrame& edits, const auto& reply) {
+    if (ownership_manager_ && edits.service == settings_.service) {
+      ownership_manager_->onTableEdits(edits, reply);
+    } else {
+      reply({edits.exchange, false, {}, {}});
+    }
+  };
   peer_ports.authenticate = [this](ForwardFrame& frame) {
     const auto& routes = cluster_state_.routes();
     return routes == nullptr || authenticateForwarded(frame, *routes, *platform_.clients);
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -218,6 +218,10 @@
   double service_plan_from = static_cast<double>(config.service_plan_from);
   section.read("service_plan_from", service_plan_from, 0, kMaxServicePlanFrom);
   config.service_plan_from = static_cast<std::size_t>(service_plan_from);
+  constexpr double kMaxOwners = 100'000;
+  double shared_writes_from = config.shared_writes_from;
+  section.read("shared_writes_from", shared_writes_from, 0, kMaxOwners);
+  config.shared_writes_from = static_cast<std::uint32_t>(shared_writes_from);
   Duration longest_grant = config.heartbeat_hold;
   section.read("longest_grant", longest_grant);
   config.grant_hold = std::min(config.grant_hold, longest_grant);
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -140,6 +140,7 @@
   settings.ownership.grant_delivery = grants_;
   settings.ownership.first_division_delay = milliseconds(10);
   settings.ownership.service_plan_from = service_plan_from_;
+  settings.ownership.shared_writes_from = shared_writes_from_;
   settings.stop.clients_leave = milliseconds(750);
   settings.stop.grace = grace_;
   settings.link.bytes_per_second = link_bytes_per_second;
