Give the folder of each run of the command line's tests a name of its own

Cause: the folder was named after the test alone, so that runs in several work trees overwrote each other's files: two tests failed once each beside other runs; three loops side by side failed 27 of 180 times.

Change: the process id is part of the name.

Measured: the tests pass; the loops were not run again.

--- a/test/cli/cli_fixture.h
+++ b/test/cli/cli_fixture.h
@@ -3,6 +3,8 @@
 /// @file
 /// Runs `shedlever` commands with an in-memory store and fake routers.
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -61,9 +63,11 @@
     return path.string();
   }
 
+  /// Differs between processes, so that test runs of several work trees don't share it.
   std::filesystem::path folder() const {
     return std::filesystem::path(::testing::TempDir()) /
-           (std::string("cli-") + ::testing::UnitTest::GetInstance()->current_test_info()->name());
+           (std::string("cli-") + ::testing::UnitTest::GetInstance()->current_test_info()->name() + "-" +
+            std::to_string(getpid()));
   }
 
   EventQueue queue;
