Take over only ranges with tokens that were known when the revocation was sent

Cause: the ranges of a node whose lease was revoked were collected when the answer of the store arrived. If the answer came late, the node could have renewed its lease and confirmed its ranges meanwhile; these were then assigned to others although the node held them.

Change: TakeoverWatcher takes the newest token of the table before it sends the revocation; ranges with later tokens stay.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -26,7 +26,9 @@
       grant_selector_(self_.name, writer_.table()),
       candidates_(self_.name, service_, config_, *ports_.directory, writer_.table()),
       lease_(self_, config_, *ports_.store, *ports_.clock, [this] { onLeaseRevoked(); }),
-      takeover_(config_, *ports_.store, *ports_.clock, [this](const NodeName& node) { takeOverRanges(node); }),
+      takeover_(
+          config_, *ports_.store, *ports_.clock, [this] { return writer_.table().lastToken(); },
+          [this](const NodeName& node, FenceToken newest_token) { takeOverRanges(node, newest_token); }),
       balancer_(config_, *ports_.directory, candidates_, writer_.table(), key_load_),
       planner_(self_.name, service_, config_, *ports_.directory, writer_.table(), plannerPorts()),
       moves_(movePorts()),
@@ -399,13 +401,14 @@
   takeover_.tick(suspects, config_.rank_delay * static_cast<int>(candidates_.rank()), now);
 }
 
-void OwnershipManager::takeOverRanges(const NodeName& node) {
+void OwnershipManager::takeOverRanges(const NodeName& node, FenceToken newest_token) {
   const TimePoint now = ports_.clock->now();
   std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
   to.push_back({instance_, self_.name});
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
-  const std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
+  std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
+  std::erase_if(lost, [newest_token](const OwnedRange& range) { return range.token > newest_token; });
   queueTransfer("ranges taken over from " + node.value, to, takeOver(lost, to), {}, WrittenBy::ThisProcess);
 }
 
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -187,7 +187,8 @@
   void reconcileOwnRanges();
   void reassignDeadServerRanges(TimePoint now);
   void checkUnreachableOwners(TimePoint now);
-  void takeOverRanges(const NodeName& node);
+  /// @param newest_token newest token in the table when the revocation of the node's lease was sent.
+  void takeOverRanges(const NodeName& node, FenceToken newest_token);
   void balance(TimePoint now);
   /// Moves these keys of the server; does nothing if there are none.
   void startMoves(const KeyTransfer& moves);
--- a/source/core/router/ownership/takeover_watcher.cc
+++ b/source/core/router/ownership/takeover_watcher.cc
@@ -6,8 +6,12 @@
 namespace shedlever {
 
 TakeoverWatcher::TakeoverWatcher(const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
-                                 std::function<void(const NodeName&)> on_revoked)
-    : config_(config), store_(store), clock_(clock), on_revoked_(std::move(on_revoked)) {}
+                                 NewestToken newest_token, OnRevoked on_revoked)
+    : config_(config),
+      store_(store),
+      clock_(clock),
+      newest_token_(std::move(newest_token)),
+      on_revoked_(std::move(on_revoked)) {}
 
 void TakeoverWatcher::tick(const std::set<NodeName>& suspects, Duration delay, TimePoint now) {
   std::erase_if(challenges_, [&](const auto& entry) { return !suspects.contains(entry.first); });
@@ -89,7 +93,8 @@
 void TakeoverWatcher::revoke(const NodeName& node, const Challenge& challenge) {
   LeaseRecord revoked = challenge.lease;
   revoked.revoked = true;
-  const auto done = [this, node](const StoreAnswer& answer) {
+  // Taken before the call, because the answer may arrive after the node has confirmed its ranges.
+  const auto done = [this, node, newest_token = newest_token_()](const StoreAnswer& answer) {
     const auto found = challenges_.find(node);
     if (found == challenges_.end()) {
       return;
@@ -97,7 +102,7 @@
     found->second.in_flight = false;
     if (answer.status == StoreStatus::Done) {
       challenges_.erase(found);
-      on_revoked_(node);
+      on_revoked_(node, newest_token);
     } else if (answer.status == StoreStatus::Conflict) {
       // The lease was renewed, or revoked by another node; in both cases its duration counts from now.
       adopt(found->second, answer.object);
--- a/source/core/router/ownership/takeover_watcher.h
+++ b/source/core/router/ownership/takeover_watcher.h
@@ -19,9 +19,14 @@
 /// unchanged revision, so a later renewal fails, and an earlier one makes the revocation fail.
 class TakeoverWatcher {
  public:
-  /// @param on_revoked the node's lease has been revoked; its ranges may be reassigned.
-  TakeoverWatcher(const OwnershipConfig& config, MetadataStore& store, const Clock& clock,
-                  std::function<void(const NodeName&)> on_revoked);
+  /// @return the newest token in the known owner table.
+  using NewestToken = std::function<FenceToken()>;
+  /// The node's lease has been revoked. Its ranges with tokens up to `newest_token` may be reassigned; under later
+  /// tokens it may have confirmed them after the revocation.
+  using OnRevoked = std::function<void(const NodeName&, FenceToken newest_token)>;
+
+  TakeoverWatcher(const OwnershipConfig& config, MetadataStore& store, const Clock& clock, NewestToken newest_token,
+                  OnRevoked on_revoked);
 
   /// @param suspects nodes of owners that are unreachable now. Observations about other nodes are dropped.
   /// @param delay additional wait before this process revokes a lease.
@@ -56,7 +61,8 @@
   const OwnershipConfig& config_;
   MetadataStore& store_;
   const Clock& clock_;
-  std::function<void(const NodeName&)> on_revoked_;
+  NewestToken newest_token_;
+  OnRevoked on_revoked_;
   std::map<NodeName, Challenge> challenges_;
   /// The newest lease reported by each node.
   std::map<NodeName, PeerLease> peer_leases_;
--- a/test/core_router/ownership/takeover_watcher_test.cc
+++ b/test/core_router/ownership/takeover_watcher_test.cc
@@ -38,7 +38,10 @@
   OwnershipConfig config_;
   ScriptedStore store_;
   ManualClock clock_;
-  TakeoverWatcher watcher_{config_, store_, clock_, [](const NodeName&) {}};
+  FenceToken newest_token_ = 1;
+  std::vector<FenceToken> revoked_up_to_;
+  TakeoverWatcher watcher_{config_, store_, clock_, [this] { return newest_token_; },
+                           [this](const NodeName&, FenceToken token) { revoked_up_to_.push_back(token); }};
 };
 
 TEST_F(TakeoverWatcherTest, UnreportedLeaseExpiresOneLeaseAfterItWasRead) {
@@ -47,6 +50,17 @@
   EXPECT_TRUE(revokesAfter(milliseconds(1)));
 }
 
+// A node that confirms its ranges between the revocation and its answer holds them under a new lease; taking them over
+// would give its keys a second owner.
+TEST_F(TakeoverWatcherTest, RevocationCoversTheTokensThatWereKnownWhenItWasSent) {
+  newest_token_ = 20;
+  readLeaseAt(7);
+  ASSERT_TRUE(revokesAfter(config_.lease + config_.lease_margin));
+  newest_token_ = 25;
+  store_.replaces.back().done({StoreStatus::Done, store_.replaces.back().object});
+  EXPECT_EQ(revoked_up_to_, std::vector<FenceToken>{20});
+}
+
 // A reported lease must shorten the takeover of an owner that failed while the store was down.
 TEST_F(TakeoverWatcherTest, ReportedLeaseExpiresAsReportedIfUnchanged) {
   const TimePoint expiry = clock_.now() + seconds(3);
