Reword unclear or wrong comments of the link, queue, placement and shared-write code

Cause: a reader who is new to the code could not follow some comments: private words ("news", "hears"), doc comments broken by the formatter in the middle of a sentence, constants without what they bound, and classes without a doc comment. Some were wrong: an owner without a reply first asks the next process before it writes its edits itself, and `on_fallback` is also called then; the shortest round trip is unset, not zero, before the first pong; the forecast without slots is the longest duration, above `kMaxForecast`; `removeOverdue` does not predict exactly as on arrival.

Change: comments only. With comments removed, each file equals the one before.

--- a/include/shedlever/placement_frames.h
+++ b/include/shedlever/placement_frames.h
@@ -12,6 +12,7 @@
 
 /// Load that the receiver's server is to move to another server.
 struct PlannedFlow {
+  /// The other server and its node.
   InstanceId to;
   NodeName node;
   /// Hundredths of a slot of the receiver's server.
@@ -23,14 +24,15 @@
   }
 };
 
-/// The receiver's share of a plan for the whole service. A receiver may miss it: the next plan starts from the load
-/// that is there then.
+/// The part of a plan for the whole service that concerns the receiver. A receiver may miss it: the next plan starts
+/// from the load that is there then.
 struct PlacementPlanFrame {
   ServiceName service;
   /// Instance of the receiver's server for which the plan was made.
   InstanceId from;
   /// Increases with each plan of the sender's incarnation.
   std::uint64_t plan = 0;
+  /// Empty: asks for the load of the receiver's server and tells that the sender plans.
   std::vector<PlannedFlow> flows;
 
   template <class Archive>
--- a/include/shedlever/table_edit_frames.h
+++ b/include/shedlever/table_edit_frames.h
@@ -29,6 +29,7 @@
   }
 };
 
+/// What an edit does with its keys.
 enum class TableEditKind : std::uint8_t {
   BeginRelease,  ///< mark the keys as about to be released
   Assign,        ///< assign the keys to an owner
@@ -45,6 +46,7 @@
   /// New owner; used by `Assign`.
   InstanceId owner;
   NodeName node;
+  /// Data from the previous owner's server for the new one; used by `Assign`.
   std::string handover;
   /// Requests per second for the keys; 0 if unknown.
   std::uint32_t rate = 0;
--- a/include/shedlever/wire_version.h
+++ b/include/shedlever/wire_version.h
@@ -15,8 +15,8 @@
 /// Owner tables are sent as differences.
 inline constexpr WireVersion kTableDeltaWireVersion = 6;
 inline constexpr WireVersion kExtensibleWireVersion = 7;
-/// Requests may be sent in parts, frames state when they were sent, and changes of owner tables are sent to another
-/// process that writes them.
+/// Requests may be sent in parts, requests and replies state when they were sent, changes of owner tables may be sent
+/// to another process that writes them, and one process may plan the moves of keys for all owners of a service.
 inline constexpr WireVersion kRequestPartsWireVersion = 8;
 inline constexpr WireVersion kNewestWireVersion = kRequestPartsWireVersion;
 /// Spoken by processes whose node record states no version, unless they are still older.
--- a/source/core/router/admission/queue_class_loads.h
+++ b/source/core/router/admission/queue_class_loads.h
@@ -13,7 +13,7 @@
 
 namespace shedlever {
 
-/// Requests that are queued alike.
+/// Requests of the same priority and latency objective, which the queue treats alike.
 struct QueueClass {
   /// 0 is the most urgent.
   std::uint32_t priority = 0;
@@ -29,14 +29,14 @@
   Duration deviation{};
 };
 
-/// Admitted requests of one class.
+/// Rate of the admitted requests of one class, and their service time.
 struct ClassFlow {
   QueueClass queue_class;
   double per_second = 0;
   ServiceTime service_time;
 };
 
-/// Only admitted requests count, because a refused one delays no other.
+/// Admission rates and service times by class. Refused requests are not counted, because they delay no others.
 class QueueClassLoads {
  public:
   void onAdmitted(const QueueClass& queue_class, TimePoint now);
--- a/source/core/router/admission/running_requests.cc
+++ b/source/core/router/admission/running_requests.cc
@@ -8,7 +8,8 @@
 
 /// The excess is divided by at least this number of requests, so that one long request among few is no slowdown.
 constexpr std::size_t kMinSample = 16;
-/// One request that never ends must not stop all others.
+/// Maximum excess of one request as a multiple of its usual time, so that one that never ends does not make the queue
+/// refuse all others.
 constexpr double kMaxExcess = 4.0;
 
 }  // namespace
--- a/source/core/router/admission/running_requests.h
+++ b/source/core/router/admission/running_requests.h
@@ -16,6 +16,7 @@
 /// Identifies a request within one queue.
 using QueueTicket = std::uint64_t;
 
+/// The requests that occupy the slots of one server.
 class RunningRequests {
  public:
   void onStart(QueueTicket ticket, const QueueClass& queue_class, TimePoint now);
@@ -25,7 +26,7 @@
 
   std::size_t size() const { return running_.size(); }
 
-  /// A server that becomes slower shows it in requests that run longer than usual before the first of them ends.
+  /// Detects a server that becomes slower by requests that run longer than usual, before the first of them ends.
   /// @return factor of at least 1 by which service times have grown beyond the measured ones.
   double slowdown(const QueueClassLoads& loads, TimePoint now) const;
 
--- a/source/core/router/admission/slot_queue.h
+++ b/source/core/router/admission/slot_queue.h
@@ -51,9 +51,10 @@
   /// When the request arrived at this queue.
   TimePoint arrived{};
 
-  /// Earlier ones go first: within a class the earlier arrival, and requests with a shorter objective ahead of those
-  /// that arrived earlier by no more than the difference of the objectives. Time spent elsewhere does not count,
-  /// because a request that is late already would delay those that are not.
+  /// @return when the latency objective is reached, counted from the arrival at this queue. Earlier due times go first:
+  ///   a request overtakes one that arrived earlier only if its objective is shorter by more than the difference of the
+  ///   arrivals. Time spent before the arrival does not count, because a request that is already late would otherwise
+  ///   delay those that are not.
   TimePoint due() const { return arrived + target_latency; }
 
   QueueClass queueClass() const { return {priority, target_latency}; }
@@ -107,8 +108,9 @@
   /// @return whether the request was waiting.
   bool remove(QueueTicket ticket);
 
-  /// Removes all requests that are not expected to start in time any more, by the same prediction as on arrival. Call
-  /// after each change of the slots or limits, and often, because service times and other requests change it too.
+  /// Removes all requests that are not expected to start in time any more. The prediction is that of `forecast`, except
+  /// that it assumes a free slot and that requests that overtake need not leave slot time to earlier ones. Call after
+  /// each change of the slots or limits, and often, because service times and other requests change it too.
   std::vector<QueueTicket> removeOverdue(TimePoint now);
 
   /// Removes all waiting requests.
--- a/source/core/router/admission/wait_forecast.cc
+++ b/source/core/router/admission/wait_forecast.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Ends the iteration where the work that overtakes takes nearly all slots.
+/// Maximum number of iteration steps; reached if overtaking requests take nearly all slots.
 constexpr int kMaxSteps = 64;
-/// The iteration ends when a step adds less.
+/// The iteration ends when a step adds less than this to the wait.
 constexpr Duration kPrecision = std::chrono::milliseconds(1);
 
 Duration toDuration(double seconds) {
--- a/source/core/router/admission/wait_forecast.h
+++ b/source/core/router/admission/wait_forecast.h
@@ -43,16 +43,17 @@
   double slowdown = 1.0;
 };
 
+/// The predicted wait of a request.
 struct WaitForecast {
-  /// At most `kMaxForecast`.
+  /// At most `kMaxForecast`; the longest duration if the server has no slots.
   Duration expected{};
   /// Part of the expected wait that is due to requests that have not arrived yet.
   Duration overtaking{};
-  /// Standard deviation of the wait.
+  /// Estimated standard deviation of the wait.
   Duration deviation{};
 };
 
-/// The rates of the last half second say little about a time beyond this.
+/// Longest predicted wait: the rates of the last half second say little about a longer time.
 inline constexpr Duration kMaxForecast = std::chrono::seconds(5);
 
 /// @return the wait of a request that has this work ahead.
--- a/source/core/router/directory/server_directory.cc
+++ b/source/core/router/directory/server_directory.cc
@@ -16,11 +16,11 @@
 constexpr double kPermille = 1000.0;
 /// Assumed occupancy of a server without a recent load report.
 constexpr double kUnknownOccupancy = 0.4;
-/// Behind a longer wait for its link a server is not tried only to measure how fast it is.
+/// A server with a higher link cost, in units of the usual service time, is not chosen just to measure its speed.
 constexpr double kMaxExploredLinkCost = 0.5;
 /// A server that is full or fails every request is still drawn with this part of its probability.
 constexpr double kMinFreeShare = 0.05;
-/// Assumed at least, so that an unknown service time does not make costs infinite.
+/// Minimum assumed service time, so that an unknown one does not make costs infinite.
 constexpr Duration kMinServiceTime = std::chrono::milliseconds(10);
 /// Weights of the newest value in the moving averages.
 constexpr double kSlownessSmoothing = 0.08;
@@ -167,7 +167,7 @@
     return std::nullopt;
   }
   const Duration arrival = links_.arrivalTime(node, demand.bytes, now);
-  // A service time that leaves the link less than half of the time is the server's limit, not that of its link.
+  // If the service time exceeds half of the time left, the server is too slow, which is no shortage of its link.
   const Duration service = std::min(usualServiceTime(entry, demand.route), demand.time_left / 2);
   const Duration wait = arrival + service - demand.time_left;
   if (arrival == Duration::zero() || wait <= Duration::zero()) {
--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -67,7 +67,7 @@
   std::string route = {};
 };
 
-/// A request could not be served before its deadline, because it would arrive at its server too late.
+/// Describes why a request could not be served before its deadline: it would arrive at its server too late.
 struct LinkShortage {
   NodeName node;
   /// Expected time until the request has arrived at the node.
--- a/source/core/router/link/link_room.cc
+++ b/source/core/router/link/link_room.cc
@@ -9,13 +9,15 @@
 
 namespace {
 
-/// Without requests a node states nothing: the last stated delay decays so that the node is tried again.
+/// Half-life of the last stated delay. A node that gets no requests states no new delay, so the old one has to decay
+/// for the node to be tried again.
 constexpr Duration kDelayHalfLife = std::chrono::seconds(2);
-/// Large requests are rare at each of many gateways, so that a measurement must last.
+/// Half-life of a measured slowdown. Long, because each gateway sends few large requests and so rarely measures one.
 constexpr Duration kSlowdownHalfLife = std::chrono::seconds(30);
+/// Weight of a measurement that shows a smaller slowdown than before.
 constexpr double kSlowdownSmoothing = 0.25;
 constexpr double kMaxSlowdown = 32;
-/// The time of an arrival is known no more exactly than to a part of this.
+/// Shorter expected times count as this, because acknowledgements are only checked at intervals.
 constexpr Duration kMinMeasuredTime = std::chrono::milliseconds(50);
 constexpr double kBytesPerKilobyte = 1000.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -116,7 +118,7 @@
   const auto unstated = std::min(static_cast<double>(link.bytes_since_statement), under_way);
   Duration wait =
       std::max(stated_delay + transmissionTime(unstated, bandwidth), transmissionTime(under_way, bandwidth));
-  // A link that carries less than stated shows by requests that are late; more requests would be at least as late.
+  // An overdue request shows that the link carries less than stated; further ones would be at least as late.
   if (!link.shipments.empty()) {
     wait = std::max(wait, now - link.shipments.begin()->second.due);
   }
--- a/source/core/router/link/link_room.h
+++ b/source/core/router/link/link_room.h
@@ -18,6 +18,8 @@
 /// Identifies a request that is under way to a node. 0 is none.
 using ShipmentId = std::uint64_t;
 
+/// Predicts arrival times from the bandwidth and delay that each node states and from the requests that this process
+/// has sent to it.
 class LinkRoom {
  public:
   /// @return how long the machine's own link takes for its backlog and `bytes` more; zero if it is no bottleneck.
@@ -43,11 +45,11 @@
   /// @return whether the node has stated the bandwidth of its link.
   bool isLimited(const NodeName& node) const { return bytesPerSecond(node) > 0; }
 
-  /// @return stated bandwidth of the node's link; 0 if it has stated none.
+  /// @return stated bandwidth of the node's link, in bytes per second; 0 if it has stated none.
   double bytesPerSecond(const NodeName& node) const;
 
-  /// @return the bandwidth that large requests have met at the node of late, at most the stated one; 0 if it has stated
-  ///   none.
+  /// @return the stated bandwidth reduced by the recently measured slowdown, in bytes per second; 0 if the node has
+  ///   stated none.
   double usableBytesPerSecond(const NodeName& node, TimePoint now) const;
 
   /// @return expected time until a request of this size has arrived at the node; zero if no link is known to be
@@ -72,8 +74,9 @@
     double bytes_per_second = 0;
     Duration stated_delay{};
     TimePoint stated_at{};
+    /// Bytes sent since the last statement.
     std::size_t bytes_since_statement = 0;
-    /// Time that requests took to arrive over the expected time, at least 1; as measured at `slowdown_at`.
+    /// Ratio of the time that requests took to arrive to the expected time, at least 1; as measured at `slowdown_at`.
     double slowdown = 1;
     TimePoint slowdown_at{};
     std::size_t bytes_under_way = 0;
@@ -83,6 +86,7 @@
 
   const Link* find(const NodeName& node) const;
   static double slowdownAt(const Link& link, TimePoint now);
+  /// @param passes_parts whether the request is small enough to be sent between the parts of large ones.
   /// @return how long a request waits for the node's link.
   static Duration waitAt(const Link& link, bool passes_parts, TimePoint now);
 
--- a/source/core/router/link/peer_liveness.cc
+++ b/source/core/router/link/peer_liveness.cc
@@ -27,7 +27,7 @@
   }
   const Duration round_trip = now - *pinged_at_;
   round_trip_ = std::min(round_trip_.value_or(round_trip), round_trip);
-  // A pong that takes as long as the fastest one is news; a later one was held up.
+  // A pong that takes longer than the shortest round trip was delayed, so it counts as sent that much earlier.
   said_at_ = std::max(said_at_, *pinged_at_ + *round_trip_);
   pinged_at_.reset();
 }
--- a/source/core/router/link/peer_liveness.h
+++ b/source/core/router/link/peer_liveness.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Whether the peer of a stream keeps up, has fallen behind or is silent, from the times of what it says.
+/// Whether the peer of a stream keeps up, has fallen behind or is silent, from the times at which its frames were sent.
 
 #include <optional>
 
@@ -9,12 +9,11 @@
 
 namespace shedlever {
 
-/// A peer on which requests wait is behind when the newest thing that it has said is older than `kBehindAge`, and
-/// silent when it leaves a ping unanswered. Only requests that wait make a silence meaningful, since nothing else is
-/// owed an answer.
+/// While requests wait for a peer, it is behind when its newest frame was sent longer ago than `kBehindAge`, and silent
+/// when it leaves a ping unanswered. Without waiting requests the peer has nothing to send, so silence means nothing.
 class PeerLiveness {
  public:
-  /// Age of the newest news above which a peer is behind. Checked every 50 ms, it is noticed within 200 ms.
+  /// Age of the peer's newest frame above which the peer is behind. Checked every 50 ms, so noticed within 200 ms.
   static constexpr Duration kBehindAge = std::chrono::milliseconds(150);
 
   /// @param opened when the stream was opened.
@@ -31,7 +30,7 @@
   bool mustPing(TimePoint now, TimePoint waiting_since) const;
   /// @return whether the peer has left a ping unanswered for too long.
   bool isSilent(TimePoint now) const;
-  /// @return by how much the peer's news is older than it may be; zero or less if the peer keeps up.
+  /// @return by how much the age of the peer's newest frame exceeds the limit; zero or less if the peer keeps up.
   Duration behindBy(TimePoint now, TimePoint waiting_since) const;
 
   /// When the last frame was received; when the stream was opened if there was none.
@@ -43,7 +42,7 @@
   TimePoint said_at_;
   /// When the unanswered ping was sent.
   std::optional<TimePoint> pinged_at_;
-  /// Shortest time from a ping to its pong; zero if there was none.
+  /// Shortest time from a ping to its pong; std::nullopt before the first pong.
   std::optional<Duration> round_trip_;
 };
 
--- a/source/core/router/link/request_assembler.h
+++ b/source/core/router/link/request_assembler.h
@@ -35,6 +35,7 @@
   std::string bytes = {};
 };
 
+/// Holds the parts of unfinished requests by stream and exchange.
 class RequestAssembler {
  public:
   /// Identifies a stream of the receiving process.
@@ -42,6 +43,7 @@
 
   explicit RequestAssembler(const RequestAssemblerConfig& config = {}) : config_(config) {}
 
+  /// Adds the next part of a request.
   PartResult add(StreamId stream, const ForwardPartFrame& part);
 
   /// The request was cancelled.
--- a/source/core/router/link/transit_delay.cc
+++ b/source/core/router/link/transit_delay.cc
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// How long the least difference is remembered. Longer than links stay full without a moment in which a frame gets
-/// through.
+/// How long the least difference is remembered. Longer than a link usually stays full without a single frame that meets
+/// no queue.
 constexpr Duration kWindow = std::chrono::minutes(2);
+/// Length of the parts of the window, each with a least difference of its own.
 constexpr Duration kSlice = std::chrono::seconds(10);
 /// Clocks of two machines drift apart by at most this share of the elapsed time, in parts per million.
 constexpr Duration::rep kMaxClockDriftPpm = 200;
--- a/source/core/router/link/transit_delay.h
+++ b/source/core/router/link/transit_delay.h
@@ -23,9 +23,8 @@
   /// As above, for a frame so small that its own transmission is no part of its lateness.
   Duration onSmallFrame(Duration sent_at, TimePoint now);
 
-  /// @return how late a small frame would be at most if it arrived now and nothing had been sent before it since the
-  /// last
-  ///   one: a queue that grows no longer is empty once the lateness of its last frame has passed.
+  /// @return estimated lateness of a small frame that arrives now: the lateness of the last one less the time since
+  ///   then, because a queue to which nothing is added is empty after the lateness of its last frame.
   Duration current(TimePoint now) const;
 
  private:
--- a/source/core/router/ownership/key_balancer.h
+++ b/source/core/router/ownership/key_balancer.h
@@ -77,6 +77,7 @@
   const KeyLoad& key_load_;
   BalancePlanner planner_;
   PlanFollower plans_;
+  /// See `setServicePlan`.
   std::optional<Duration> planner_silence_;
   OfferedLoad offered_load_;
   double failure_ratio_ = 0;
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -70,6 +70,7 @@
   /// Sends a plan for the whole service to another node.
   std::function<void(const NodeName&, const PlacementPlanFrame&)> send_plan = [](const NodeName&,
                                                                                  const PlacementPlanFrame&) {};
+  /// Reports a step of a plan for the service.
   std::function<void(const PlacementEvent&)> on_placement = [](const PlacementEvent&) {};
   /// @return whether edits of the table can be sent to the node's process now.
   std::function<bool(const NodeName&)> can_send_edits = [](const NodeName&) { return false; };
@@ -79,7 +80,7 @@
   /// process writes its edits itself.
   std::function<void(const NodeName&, const TableEditsFrame&, Duration timeout, SharedWrites::ReplyCallback)>
       send_edits;
-  /// Counts an event of the writes that are shared, by its name in the metrics.
+  /// Counts an event of shared writes; `event` is its name in the metrics.
   std::function<void(const std::string& event)> on_shared_write = [](const std::string&) {};
 };
 
@@ -246,7 +247,7 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
-  /// Changes queued by this class that are pending; the next one mostly waits for them.
+  /// Queued changes that have not ended. Reconciliation, reassignment and balancing wait until there are none.
   unsigned pending_changes_ = 0;
 };
 
--- a/source/core/router/ownership/placement/flow_keys.cc
+++ b/source/core/router/ownership/placement/flow_keys.cc
@@ -9,10 +9,9 @@
 
 namespace {
 
-/// A key with much load moves only to a server whose utilization with it is lower by this than the owner's is now; else
-/// little would be gained.
+/// A hot key moves only to a server whose utilization with it is lower than the owner's present one by at least this.
 constexpr double kMinRelief = 0.15;
-/// Each piece can add a range to the table.
+/// Maximum number of key ranges for a flow; each can add a range to the table.
 constexpr int kMaxPiecesPerFlow = 2;
 /// A flow is complete with this share of its load; the rest is not worth another piece.
 constexpr double kCompleteShare = 0.7;
--- a/source/core/router/ownership/placement/load_history.cc
+++ b/source/core/router/ownership/placement/load_history.cc
@@ -7,13 +7,13 @@
 
 namespace {
 
-/// An owner counts requests with a half-life of a second, which corresponds to this averaging time.
+/// Averaging time of a reported load: an owner counts requests with a half-life of one second.
 constexpr double kCountedSeconds = 1.44;
 /// Older loads are forgotten, because the most requested keys change within seconds.
 constexpr double kMaxHistorySeconds = 4;
-/// A load that differs from the average by more standard deviations has changed.
+/// A load that differs from the average by more standard deviations than this has changed.
 constexpr double kChangeDeviations = 3;
-/// A service time that differs from the average by a larger factor has changed.
+/// A service time that differs from the average by a larger factor than this has changed.
 constexpr double kServiceTimeChange = 1.5;
 
 double deviation(const AveragedLoad& averaged, double seconds) {
--- a/source/core/router/ownership/placement/load_history.h
+++ b/source/core/router/ownership/placement/load_history.h
@@ -12,13 +12,14 @@
 
 namespace shedlever {
 
-/// A load and how long it has been so.
+/// A load averaged over some time.
 struct AveragedLoad {
   OfferedLoad load;
   /// Time over which requests were counted, in seconds.
   double seconds = 0;
 };
 
+/// The averaged load of each server.
 class LoadHistory {
  public:
   /// Adds a reported load. One that differs from the average by more than chance explains starts a new average.
@@ -34,7 +35,9 @@
  private:
   struct Entry {
     AveragedLoad averaged;
+    /// When the first load of the average was added.
     TimePoint since{};
+    /// When the newest load was added.
     TimePoint last{};
   };
 
--- a/source/core/router/ownership/placement/placement_event.h
+++ b/source/core/router/ownership/placement/placement_event.h
@@ -8,6 +8,7 @@
 
 namespace shedlever {
 
+/// What became of a plan or of its flows.
 enum class PlacementStep : std::uint8_t {
   Planned,            ///< this node has planned flows for the service
   Given,              ///< this owner moves keys for its flows
@@ -23,11 +24,12 @@
 /// @return the word used in logs and metrics.
 const char* toString(PlacementStep step);
 
+/// One step of a plan at this node.
 struct PlacementEvent {
   PlacementStep step = PlacementStep::Planned;
   /// Number of the plan.
   std::uint64_t plan = 0;
-  /// Flows, or moves for them.
+  /// Number of flows; for `Given` the number of moves.
   std::size_t moves = 0;
   /// Further details as key=value.
   std::string detail = {};
--- a/source/core/router/ownership/placement/plan_follower.cc
+++ b/source/core/router/ownership/placement/plan_follower.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// The load on which a plan rests has changed after this time.
+/// A plan is dropped after this time, because the loads that it is based on may have changed.
 constexpr Duration kMaxPlanAge = std::chrono::seconds(1);
 
 }  // namespace
--- a/source/core/router/ownership/placement/plan_follower.h
+++ b/source/core/router/ownership/placement/plan_follower.h
@@ -13,7 +13,7 @@
 namespace shedlever {
 
 /// Follows one planner at a time. If two nodes plan, because their views of the reachable nodes differ, the one with
-/// the lower name is followed while it is heard. A plan that is missed or dropped costs nothing but time.
+/// the lower name is followed while it is heard. A missed or dropped plan only delays moves.
 class PlanFollower {
  public:
   using EventCallback = std::function<void(const PlacementEvent&)>;
@@ -50,6 +50,7 @@
   /// Number of the planner's last plan with flows.
   std::uint64_t last_plan_ = 0;
   std::optional<ReceivedPlan> received_;
+  /// Plans received before this time may not take this owner's last moves into account.
   TimePoint visible_at_{};
 };
 
--- a/source/core/router/ownership/placement/planner_choice.cc
+++ b/source/core/router/ownership/placement/planner_choice.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// Servers that are asked for their load in one planning interval; more take several intervals.
+/// Number of servers above which plans are further apart: one more interval for each further group of this size.
 constexpr std::size_t kServersPerInterval = 128;
 
 }  // namespace
--- a/source/core/router/ownership/placement/planner_choice.h
+++ b/source/core/router/ownership/placement/planner_choice.h
@@ -22,9 +22,8 @@
 bool understandsPlans(const NodeRecord& record);
 
 /// @param self the node that asks; it can reach itself.
-/// @return the node that plans: the one with the lowest name whose server accepts requests and that can be reached;
-/// none
-///   if there is no such node.
+/// @return the node that plans: the reachable one with the lowest name whose server accepts requests and whose process
+///   understands plans; std::nullopt if there is none.
 std::optional<NodeName> choosePlanner(const NodeName& self, const ServiceName& service,
                                       const ServerDirectory& directory);
 
--- a/source/core/router/ownership/placement/service_plan.cc
+++ b/source/core/router/ownership/placement/service_plan.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A smaller flow moves too little load for two writes of the owner table.
+/// Smaller flows are not worth the two writes of the owner table that a move takes.
 constexpr double kMinFlowSlots = 0.25;
-/// A measured load is this many of its standard deviations off at most.
+/// Assumed maximum error of a measured load, in standard deviations.
 constexpr double kMaxDeviations = 3;
 /// Assumed before a request has been timed at any server.
 constexpr double kDefaultServiceSeconds = 0.1;
@@ -23,7 +23,7 @@
   /// Slots in use with the flows planned so far.
   double demand = 0;
   double slots = 0;
-  /// Bounds of the utilization, as counting the requests of a limited time leaves it uncertain.
+  /// Bounds of the utilization, which is uncertain because requests are counted over a limited time.
   double min_utilization = 0;
   double max_utilization = 0;
   /// Slots that are still to be given, and that can still be taken.
@@ -101,9 +101,8 @@
   }
 }
 
-/// @return slots' worth of load that finds all slots in use, and waits or is refused: the demand times the loss ratio
-/// by
-///   Erlang's formula B.
+/// @return the load, in slots, that arrives while all slots are in use and so waits or is refused: the demand times the
+///   blocking probability by Erlang's formula B.
 double unservedSlots(double demand, double slots) {
   if (demand <= 0) {
     return 0;
--- a/source/core/router/ownership/placement/service_plan.h
+++ b/source/core/router/ownership/placement/service_plan.h
@@ -29,6 +29,7 @@
   double cold_seconds = 0;
 };
 
+/// Which owners give load away, and how many flows a plan may have.
 struct PlanLimits {
   /// Utilization below which an owner keeps its keys.
   double busy_utilization = 0;
@@ -40,13 +41,14 @@
 
 /// Load that one server is to give to another.
 struct LoadFlow {
-  /// Positions in the planned loads.
+  /// Indexes into the servers passed to `planService`.
   std::size_t from = 0;
   std::size_t to = 0;
   /// Slots that the load occupies at the giving server.
   double slots = 0;
 };
 
+/// The flows for all servers of a service, and the figures that they are based on.
 struct ServicePlan {
   std::vector<LoadFlow> flows;
   /// Utilization of each server if all had the same.
--- a/source/core/router/ownership/placement/service_planner.cc
+++ b/source/core/router/ownership/placement/service_planner.cc
@@ -16,21 +16,22 @@
 constexpr double kMillisecondsPerSecond = 1000.0;
 /// Time for the servers to answer with their load.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(300);
-/// With the loads of fewer servers, the mean of all is not known.
+/// Minimum share of the servers with a recent load; with fewer the mean of all is too uncertain to plan.
 constexpr double kMinKnownShare = 0.75;
 /// Each flow makes its keys unavailable for a moment and can add ranges to the table.
 constexpr std::size_t kMaxFlowsPerOwner = 8;
-/// In a small service each owner may take part; in a larger one half of them.
+/// A plan may have this many flows, or one for two servers if that is more.
 constexpr std::size_t kMinFlowsPerPlan = 16;
 /// Intervals for which the ends of a flow take no part in further plans, until their loads show the moves.
 constexpr int kSettlingIntervals = 2;
-/// An owner that has not given this share of its last flows away may have no keys that fit, such as a single hot key.
+/// An owner that has given away less than this share of its last flows may have no keys that fit, for example only a
+/// single hot key.
 constexpr double kMinGivenShare = 0.5;
-/// Such an owner is asked again after twice as many intervals each time, this many times at most.
+/// The interval after which such an owner gets flows again doubles each time, at most this often.
 constexpr int kMaxDoublings = 3;
 /// Intervals without a plan after which owners plan for themselves.
 constexpr int kSilentIntervals = 3;
-/// Time for which moved keys have no owner: a release, a write of the table and a grant.
+/// Moved keys have no owner for about 0.3 s: a release, a write of the table and a grant. No cold work is assumed.
 constexpr MoveCost kMoveCost{0.3, 0};
 
 }  // namespace
--- a/source/core/router/ownership/placement/service_planner.h
+++ b/source/core/router/ownership/placement/service_planner.h
@@ -19,8 +19,8 @@
 
 namespace shedlever {
 
-/// In each interval it asks all servers for their load by a plan without flows, and plans when they have had time to
-/// answer. Keeps no state that another node could not replace.
+/// In each interval it asks all servers for their load with a plan that has no flows, and plans when they have had time
+/// to answer. Its state is lost with the process; the next planner starts without it.
 class ServicePlanner {
  public:
   struct Ports {
@@ -55,7 +55,7 @@
     /// Slots in use before the flows, and slots to be given.
     double demand = 0;
     double slots = 0;
-    /// Number of plans in sequence after which the owner's load had hardly changed.
+    /// Number of consecutive plans after which the owner's load had hardly changed.
     int without_effect = 0;
   };
 
@@ -79,6 +79,7 @@
   OfferedLoad own_load_;
   LoadHistory history_;
   std::uint64_t last_plan_ = 0;
+  /// When to ask for loads again.
   TimePoint next_question_{};
   /// When to plan with the answers to the last question; none if that was done.
   std::optional<TimePoint> plan_at_;
--- a/source/core/router/ownership/placement/weighted_division.h
+++ b/source/core/router/ownership/placement/weighted_division.h
@@ -11,9 +11,8 @@
 
 /// @param even initial table whose ranges are about equal.
 /// @param slots_of number of slots of the server at a node; 0 if unknown, which counts as the mean of the others.
-/// @return the table with the same owners and tokens and ranges in proportion to the owners' slots; `even` itself if
-/// all
-///   have the same, or if a range would have no keys.
+/// @return the table with the same owners and tokens, and with ranges in proportion to the owners' slots; `even` itself
+///   if all owners have the same number of slots, or if a range would have no keys.
 OwnerTable resizeBySlots(const OwnerTable& even, const std::function<std::uint32_t(const NodeName&)>& slots_of);
 
 }  // namespace shedlever
--- a/source/core/router/ownership/shared_writes/shared_writes.cc
+++ b/source/core/router/ownership/shared_writes/shared_writes.cc
@@ -10,19 +10,18 @@
 
 namespace {
 
-/// Without a reply after this time an owner writes its edits itself.
+/// Without a reply after this time the next process is asked, or the owner writes its edits itself.
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(800);
-/// Changes that come in this time after a batch wait for the next one, so that the edits of many owners that follow
-/// each other closely take few writes.
+/// Minimum interval of batches, so that edits of many owners that follow each other closely take few writes.
 constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
-/// The table of a reply comes before it on the same stream, or is requested at once.
+/// How long a decided change waits for its table, which is sent before the reply on the same stream.
 constexpr Duration kTableTimeout = std::chrono::milliseconds(300);
-/// So many processes are asked before an owner writes its edits itself. Owners that lose their writer together ask the
-/// same next one; if each wrote by itself, their writes would conflict.
+/// Number of processes that are asked before an owner writes its edits itself. Owners that lose their writer together
+/// ask the same next one; if each wrote by itself, their writes would conflict.
 constexpr unsigned kMaxAttempts = 2;
 /// If no process that writes is found in this time, an owner writes its edits itself.
 constexpr Duration kSelectionTimeout = std::chrono::milliseconds(800);
-/// While the store takes no writes, edits of others are kept up to this number of changes.
+/// Edits of others are refused while this many changes wait, for example because the store takes no writes.
 constexpr std::size_t kMaxWaitingChanges = 2000;
 
 std::size_t countOwners(const OwnerTable& table) {
--- a/source/core/router/ownership/shared_writes/shared_writes.h
+++ b/source/core/router/ownership/shared_writes/shared_writes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// One process writes the edits of many owners: sends this process's edits there, and writes those of others.
+/// Sends this process's edits of the owner table to the process that writes for all owners, and writes those of others.
 
 #include <functional>
 #include <map>
@@ -16,8 +16,8 @@
 
 namespace shedlever {
 
-/// Nobody needs the process that writes: an owner that gets no decision in time writes its edits itself. An edit
-/// applies only to the state that it was made for, so it does no harm if both write it.
+/// No owner depends on the process that writes: one that gets no decision in time writes its edits itself. An edit
+/// applies only to the state that it was made for, so both may write it.
 class SharedWrites {
  public:
   using ReplyCallback = std::function<void(const std::optional<TableEditsReplyFrame>&)>;
@@ -32,7 +32,8 @@
     std::function<void(const NodeName&, const TableEditsFrame&, Duration timeout, ReplyCallback)> send;
     /// Edits were written for other processes.
     std::function<void(std::size_t changes, std::size_t edits)> on_batch;
-    /// This process writes edits itself that another one did not.
+    /// Edits were not written by another process: the next process is asked, or this one writes them.
+    /// @param node that was asked; empty if none was.
     std::function<void(const std::string& reason, const NodeName& node)> on_fallback;
   };
 
@@ -64,8 +65,9 @@
     unsigned attempts = 0;
     /// Revision of this process's table when the edits were sent.
     StoreRevision known = {};
-    /// Set by the reply.
+    /// Set by the reply; empty before.
     EditResults results = {};
+    /// Revision of the table that the results hold for.
     StoreRevision decided_at = {};
     /// Until when the table of the reply may arrive.
     TimePoint table_deadline{};
@@ -84,7 +86,9 @@
   std::string findFault(const PendingChange& pending, const std::optional<TableEditsReplyFrame>& reply) const;
   /// The node did not decide: asks the next one, or writes the edits after several.
   void onNotDecided(std::uint64_t id, const std::string& reason, TimePoint now);
+  /// Ends the decided changes whose table has arrived; falls back for those whose table is overdue.
   void finishOrFallBack(TimePoint now);
+  /// Lets this process write the change.
   void fallBack(std::uint64_t id, const std::string& reason);
   TableEditsReplyFrame replyTo(std::uint64_t exchange, const EditResults& results) const;
   void writeBatch(TimePoint now);
--- a/source/core/router/ownership/shared_writes/writer_selector.cc
+++ b/source/core/router/ownership/shared_writes/writer_selector.cc
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// How long a node that failed gets no edits.
+/// How long a node gets no edits after it failed to answer or to decide.
 constexpr Duration kExclusion = std::chrono::seconds(2);
 /// A node that is not connected after this time is passed over.
 constexpr Duration kConnectTime = std::chrono::milliseconds(600);
-/// Streams are opened to so many nodes at once, so that nodes that are gone cost this time together and not each.
+/// Number of nodes to which streams are opened at once, so that `kConnectTime` is waited once for several lost nodes.
 constexpr std::size_t kConnectedAtOnce = 3;
 
 }  // namespace
--- a/source/core/router/ownership/table_edit.h
+++ b/source/core/router/ownership/table_edit.h
@@ -13,7 +13,7 @@
 
 namespace shedlever {
 
-/// Value type. An edit applies only while its keys are in the state that it was made for. Each state of a key (owner,
+/// An edit applies only while its keys are in the state that it was made for. Each state of a key (owner,
 /// token, releasing) holds for one unbroken time, because a token is given out once and the mark of a release ends only
 /// with a new token. An edit that is delayed or applied twice can therefore not change a later state.
 class TableEdit {
--- a/source/core/router/ownership/table_writer.h
+++ b/source/core/router/ownership/table_writer.h
@@ -24,10 +24,11 @@
 std::string ownerTableName(const ServiceName& service);
 
 /// Holds the newest known table. A change is a list of edits that are applied to the newest table until it is written
-/// or none of them applies. A change without an answer is therefore compared with the table in the store before
+/// or none of them applies. A write without an answer may have succeeded, so the table is read from the store before
 /// anything else is done. All changes that wait go in one write.
 class TableWriter {
  public:
+  /// Receives one result for each edit of the change.
   using Done = std::function<void(const EditResults&)>;
 
   /// A table and its revision.
@@ -62,11 +63,13 @@
   const OwnerTable& table() const { return table_; }
   StoreRevision revision() const { return revision_; }
 
+  /// A list of edits and the callback for their results.
   struct Change {
     std::vector<TableEdit> edits;
     Done done;
     /// If set, the edits are applied only in this epoch of the store.
     std::optional<StoreEpoch> epoch = std::nullopt;
+    /// What the last attempt to write did with each edit.
     EditResults results = {};
   };
 
--- a/source/core/router/routes/owner_waits.h
+++ b/source/core/router/routes/owner_waits.h
@@ -8,13 +8,14 @@
 
 namespace shedlever {
 
+/// Waits of recent requests, by service.
 class OwnerWaits {
  public:
   /// A request of the service has waited this long.
   void record(const ServiceName& service, Duration wait, TimePoint now);
 
   /// @param since when the request began to wait.
-  /// @return how much longer it is expected to wait, based on other requests; zero if none has ended its wait of late.
+  /// @return how much longer it is expected to wait, based on other requests; zero if none ended its wait recently.
   Duration expectedRest(const ServiceName& service, TimePoint since, TimePoint now) const;
 
  private:
--- a/source/core/router/routes/retry_delays.cc
+++ b/source/core/router/routes/retry_delays.cc
@@ -9,7 +9,7 @@
 
 /// Maximum jitter as a multiple of the retry delay.
 constexpr double kMaxJitter = 1.0;
-/// Clients honour a retry delay of at most a third of their remaining time.
+/// Delays are at most the remaining time over this, because clients only honour those of up to a third of it.
 constexpr int kMaxDelayDivisor = 4;
 
 }  // namespace
--- a/source/net/pipelined_exchanges.h
+++ b/source/net/pipelined_exchanges.h
@@ -15,6 +15,7 @@
 
 namespace shedlever {
 
+/// Keeps each response until all earlier ones have been taken.
 class PipelinedExchanges {
  public:
   using Number = std::uint64_t;
@@ -22,6 +23,7 @@
 
   struct Exchange {
     Number number = 0;
+    /// Whether the request's method is HEAD, so that the response has no body.
     bool is_head = false;
     /// Whether the client keeps the connection open after the response.
     bool keeps_connection = true;
@@ -33,7 +35,7 @@
   /// Adds the next request. @return its number.
   Number add(bool is_head, bool keeps_connection);
 
-  /// @return false if the request has a response or is not here.
+  /// @return false if the request already has a response or is unknown.
   bool setResponse(Number number, HttpResponse response);
   /// @param callback for the end of the connection before the response; ignored if the request has a response.
   void setDisconnectCallback(Number number, DisconnectCallback callback);
--- a/source/router/forward_authentication.cc
+++ b/source/router/forward_authentication.cc
@@ -12,7 +12,7 @@
   }
   const Route* route = routes.find(headerValue(frame.http.headers, "host"), frame.http.target);
   if (route == nullptr) {
-    // Whether the route needs a key is not known.
+    // The route may need an API key.
     return false;
   }
   const ClientRequestInfo info = protocol.readRequestInfo(frame.http, *route, nullptr, tenants);
--- a/source/router/forward_authentication.h
+++ b/source/router/forward_authentication.h
@@ -10,9 +10,8 @@
 namespace shedlever {
 
 /// Sets the request's tenant and removes its API key.
-/// @return false if the request needs an API key and has no valid one, or if its route is not known here, so that it
-/// may
-///   need one.
+/// @return false if the request needs an API key and has no valid one, or if its route is unknown here and may need
+/// one.
 bool authenticateForwarded(ForwardFrame& frame, const RouteTable& routes, const ClientProtocol& protocol);
 
 }  // namespace shedlever
--- a/source/router/forward_part_sender.cc
+++ b/source/router/forward_part_sender.cc
@@ -10,13 +10,14 @@
 
 namespace {
 
-/// What the slower link carries in this time is sent ahead of the acknowledgements.
+/// As many bytes as the slower link carries in this time are sent ahead of the acknowledgements.
 constexpr Duration kWindowTime = std::chrono::milliseconds(25);
 constexpr std::size_t kMinWindowBytes = 32U << 10U;
 constexpr std::size_t kMaxWindowBytes = 512U << 10U;
 /// Smaller pieces would cost more in headers than they would save in waiting time.
 constexpr std::size_t kMinPieceBytes = 4U << 10U;
-/// The kernel reports no acknowledgements, so it is asked. Shorter than the window, so that the link stays in use.
+/// Interval at which the kernel is asked for acknowledgements, which it does not report by itself. Shorter than
+/// `kWindowTime`, so that the link stays in use.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(10);
 constexpr double kBytesPerKilobyte = 1000.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
--- a/source/router/forward_part_sender.h
+++ b/source/router/forward_part_sender.h
@@ -39,6 +39,7 @@
   ///   that of the node is limited.
   bool takes(const PeerStream& stream, const ForwardFrame& frame) const;
 
+  /// Queues a request for which `takes` returns true.
   void start(const PeerStream& stream, ForwardFrame frame);
 
   /// Stops sending the request.
@@ -74,6 +75,7 @@
   void sendNext(PeerStreamId id);
   std::size_t writePart(PeerStreamId id, std::uint64_t piece, std::size_t max_bytes);
   void encode(Transfer& transfer, const PeerStream& stream) const;
+  /// Cancels the piece that the pacer writes.
   void endPiece(Queue& queue);
   /// @return how many bytes may be sent ahead of the node's acknowledgements.
   std::size_t windowBytes(const NodeName& node) const;
--- a/source/router/held_requests.h
+++ b/source/router/held_requests.h
@@ -43,7 +43,7 @@
   /// The callbacks may hold and cancel requests.
   void release(const ReasonCheck& reason_of, const ReleaseCallback& released);
 
-  /// Records how long the keys took that have arrived.
+  /// Records how long the keys that have arrived took to do so.
   /// @param is_waiting whether the range that begins at `first` is still in transit.
   void updateWaits(const std::function<bool(Key first)>& is_waiting) { waits_.update(is_waiting, clock_.now()); }
 
@@ -53,7 +53,9 @@
   struct Held {
     ForwardFrame frame;
     ForwardCallback done;
+    /// When the request is released even if its key has not arrived.
     TimePoint until{};
+    /// Deadline of the request.
     TimePoint deadline{};
   };
 
--- a/source/router/owner_tables.h
+++ b/source/router/owner_tables.h
@@ -29,6 +29,7 @@
   EventLog* log = nullptr;
 };
 
+/// Callbacks of `OwnerTables`.
 struct OwnerTablesEvents {
   /// @return the active configuration; null while none is known.
   std::function<const RouteTable*()> routes;
@@ -44,8 +45,8 @@
   std::function<void(const NodeName&, const OwnerTableRequestFrame&)> request_owner_table;
 };
 
-/// Newer tables are requested from peers, whose replies tell of them. The store is listed while no peer can help, and
-/// now and then.
+/// Peers' replies state the revisions of their tables; newer ones are requested from them. The store is listed
+/// periodically, and earlier if no peer can provide a table.
 class OwnerTables {
  public:
   OwnerTables(ServiceName own_service, const OwnerTablesPorts& ports, OwnerTablesEvents events);
@@ -53,7 +54,7 @@
   OwnerTables(const OwnerTables&) = delete;
   OwnerTables& operator=(const OwnerTables&) = delete;
 
-  /// @return whether the kind of objects with this name is the owner table.
+  /// @return whether an object with this name is an owner table.
   static bool isTableName(const std::string& name);
 
   /// Starts reading the store.
--- a/source/router/peer_client.h
+++ b/source/router/peer_client.h
@@ -63,7 +63,8 @@
     std::function<void(const ServerCrashesFrame&)> on_server_crashes;
     /// Requests wait on a stream that broke or fell silent.
     std::function<void(const PeerStreamFailure&)> on_stream_failure = [](const PeerStreamFailure&) {};
-    /// The node has fallen behind: what it says, if anything, is old. `behind_by` how much older than it may be.
+    /// The node has fallen behind: its replies and pongs arrive late or not at all. `behind_by` how far beyond the
+    /// limit.
     std::function<void(const NodeName&, Duration behind_by)> on_behind = [](const NodeName&, Duration) {};
     /// The requests wait at a node that has fallen silent; their replies may still arrive.
     std::function<void(const std::vector<ExchangeId>&)> on_silent_requests = [](const std::vector<ExchangeId>&) {};
@@ -189,9 +190,10 @@
   /// Finishes requests whose outcome can't be queried.
   /// @param misdirected whether another node's process uses the node's address.
   void finishUnresolved(const std::vector<ExchangeId>& open, bool misdirected);
-  /// Makes the node get fewer requests until then.
+  /// Makes requests without a key prefer other nodes until then.
   void markBehind(const NodeName& node, Duration behind_by, TimePoint until);
-  /// Pings nodes that are silent while requests wait for them and replaces the streams of those that do not respond.
+  /// Pings nodes that are silent while requests wait for them, marks those that have fallen behind, and replaces the
+  /// streams of those that do not respond.
   void checkSilence();
   void scheduleSilenceCheck();
   void replaceSilentStream(const NodeName& node);
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -67,7 +67,7 @@
           reply({edits.exchange, false, {}, {}});
         };
     FrameSentCallback on_sent = [](const RouterFrame&, std::size_t) {};
-    /// A request's time was over when it arrived. It has not run. `lateness` of its frame.
+    /// A request's deadline had passed when it arrived. It has not run. `lateness` of its frame.
     std::function<void(const NodeName&, const ForwardFrame&, Duration lateness)> on_late_request =
         [](const NodeName&, const ForwardFrame&, Duration) {};
     /// A request in parts was refused, because `held_bytes` of unfinished requests are held already.
@@ -126,12 +126,12 @@
   /// Lets the request wait until everything has been read that has arrived on the stream with it.
   void onForward(Stream& stream, ForwardFrame frame);
   void onCancel(Stream& stream, ExchangeId exchange);
-  /// @return what is known of the time on the way from the sender. A stream that replaces a silent one is opened while
-  ///   the link is full, so that its own first frames don't show how late they are.
+  /// @return the measurement for the sender, shared by all its streams: a stream that replaces a silent one is opened
+  ///   while the link is full, so that its own first frames don't show how late they are.
   std::shared_ptr<TransitDelay> transitDelayOf(const NodeIdentity& sender);
   void beginDueRequests(StreamId id);
   void begin(StreamId id, const Stream& stream, ArrivedRequest request);
-  /// Answers a request whose time was over when it arrived.
+  /// Answers a request whose deadline had passed when it arrived.
   void refuseLate(const RequestKey& key, const ArrivedRequest& request);
   void onForwardPart(StreamId id, Stream& stream, const ForwardPartFrame& part);
   /// Adds what is known of this machine's link.
@@ -156,7 +156,7 @@
   std::unique_ptr<TcpListener> listener_;
   std::map<StreamId, std::unique_ptr<Stream>> streams_;
   StreamId last_stream_id_ = 0;
-  /// One for each node: of the incarnation that has connected last.
+  /// By sender; only the newest incarnation of each node.
   std::map<NodeIdentity, std::shared_ptr<TransitDelay>> transit_delays_;
   std::map<RequestKey, ActiveRequest> active_requests_;
   RequestAssembler assembler_;
--- a/source/router/peer_stream.h
+++ b/source/router/peer_stream.h
@@ -94,13 +94,14 @@
 
   /// Pings the peer if nothing was received for a while.
   /// @param waiting_since since when a request waits on the stream.
+  /// Pings the peer if it has been silent for a while.
   /// @return whether the peer has left a ping unanswered for too long.
   bool isSilent(TimePoint now, TimePoint waiting_since);
 
   /// @param waiting_since since when a request waits on the stream.
-  /// @return by how much the peer's news is older than it may be; zero or less if the peer keeps up.
+  /// @return by how much the age of the peer's newest frame exceeds the limit; zero or less if the peer keeps up.
   Duration behindBy(TimePoint now, TimePoint waiting_since) const { return liveness_.behindBy(now, waiting_since); }
-  /// @return how late a reply would arrive now.
+  /// @return estimated lateness of a small reply that arrives now.
   Duration replyDelay(TimePoint now) const { return transit_delay_.current(now); }
 
   /// The node fell silent and got a new stream.
@@ -141,7 +142,7 @@
     ExchangeId exchange = 0;
     TimePoint since{};
   };
-  /// Takes the wait for the hello off a request's time.
+  /// Subtracts the wait for the hello from a request's remaining time.
   void countWait(WaitingFrame& waiting) const;
 
   /// Frames that wait for the hello.
--- a/source/router/pending_calls.h
+++ b/source/router/pending_calls.h
@@ -13,6 +13,7 @@
 
 namespace shedlever {
 
+/// Runs the callback of a call at most once: with the answer, or without one after the timeout.
 template <class Answer>
 class PendingCalls {
  public:
--- a/source/router/request_permits.h
+++ b/source/router/request_permits.h
@@ -21,9 +21,10 @@
   Duration retry_after{};
 };
 
+/// Takes the quota token first, then claims the idempotency key.
 class RequestPermits {
  public:
-  /// Dependencies and results; all of them outlive the permits.
+  /// Dependencies, which must outlive this object, and callbacks for the results.
   struct Ports {
     /// Null if no tenant has a quota.
     QuotaCoordinator* quota = nullptr;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -121,7 +121,7 @@
   /// A peer sent a frame of a kind that this build does not know. @param first on its stream.
   void onUnknownFrame(const NodeName& node, bool first);
   void logStreamFailure(const PeerStreamFailure& failure);
-  /// A peer's request was over when it arrived.
+  /// Records a peer's request whose deadline had passed when it arrived.
   void logLateRequest(const NodeName& node, const ForwardFrame& request, Duration lateness);
   void publishRecord();
 
--- a/source/router/shipment_tracker.cc
+++ b/source/router/shipment_tracker.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// The kernel reports no acknowledgements, so it is asked.
+/// Interval at which the kernel is asked for acknowledgements, which it does not report by itself.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
 
 }  // namespace
--- a/source/router/shipment_tracker.h
+++ b/source/router/shipment_tracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Keeps account of large requests until the kernel of their node has acknowledged them, for the choice of servers.
+/// Reports large requests to `LinkRoom` from when they are sent until the kernel of their node has acknowledged them.
 
 #include <cstddef>
 #include <cstdint>
@@ -16,6 +16,7 @@
 
 namespace shedlever {
 
+/// Checks at intervals how many bytes of each stream are acknowledged.
 class ShipmentTracker {
  public:
   /// @return how many bytes of the stream are acknowledged; std::nullopt if it is not open.
