--- a/test/core_router/directory/server_directory_test.cc
+++ b/test/core_router/directory/server_directory_test.cc
@@ -87,7 +87,7 @@
   EXPECT_EQ(choose(RouteKind::Download, 100)["a"], 100);
 }
 
-// A reply that was held up on a full link would be taken for news.
+// Guards against outdated loads that count as current because their reply was delayed on a full link.
 TEST_F(ServerDirectoryTest, LoadOfAReplyCountsFromWhenTheReplyWasSent) {
   ForwardReplyFrame reply;
   reply.load = {10, 5, 10};
@@ -156,7 +156,7 @@
   EXPECT_GT(choose(RouteKind::AtMostOnce, 50)["a"], 0);
 }
 
-// Requests would go on being sent to a node that has stalled, until it counts as silent.
+// Guards against requests that are sent to a stalled node until it counts as silent.
 TEST_F(ServerDirectoryTest, RequestsPreferOtherServersWhileANodeIsBehind) {
   directory_.markBehind(NodeName("a"), kNow + milliseconds(100));
   EXPECT_TRUE(directory_.isBehind(NodeName("a"), kNow));
--- a/test/core_router/link/arrived_requests_test.cc
+++ b/test/core_router/link/arrived_requests_test.cc
@@ -35,7 +35,7 @@
   EXPECT_TRUE(requests.empty());
 }
 
-// A client that left while its request was on the way would otherwise be served.
+// Guards against work for clients that left while their request was on the way.
 TEST(ArrivedRequestsTest, RequestWhoseCancellationHadArrivedNeverBegins) {
   ArrivedRequests requests;
   requests.add(request(1));
@@ -46,7 +46,7 @@
   EXPECT_FALSE(requests.cancel(2)) << "it has begun";
 }
 
-// On a link that is always full a request would wait for ever if each later byte counted.
+// Guards against requests on a full link that wait for each later byte and so never begin.
 TEST(ArrivedRequestsTest, RequestOnAStreamThatNeverRunsDryBeginsAfterTheBytesThatHadArrivedWithIt) {
   ArrivedRequests requests;
   requests.add(request(1));
--- a/test/core_router/link/link_room_test.cc
+++ b/test/core_router/link/link_room_test.cc
@@ -79,7 +79,7 @@
   EXPECT_EQ(arrivalTime(kUpload), Duration::zero());
 }
 
-// A link that has shrunk to a tenth must not go on being given what it carried before.
+// Guards against a link that has shrunk to a tenth and still gets as many requests as before.
 TEST_F(LinkRoomTest, LateRequestsShowALinkThatCarriesLessThanStated) {
   room_.onStatement(node_, statement(kNarrow), kNow);
   const ShipmentId late = room_.onSent(node_, kUpload, kNow);
@@ -88,7 +88,7 @@
   EXPECT_EQ(arrivalTime(kUpload, milliseconds(480)), milliseconds(48));
 }
 
-// Large requests are rare at each of many gateways: what one of them has met must count for longer than a moment.
+// Each of many gateways sends few large requests, so a measured slowdown has to last until the next one.
 TEST_F(LinkRoomTest, BandwidthThatARequestHasMetIsRememberedForSeconds) {
   room_.onStatement(node_, statement(kNarrow), kNow);
   const ShipmentId shipment = room_.onSent(node_, kUpload, kNow);
--- a/test/core_router/link/peer_liveness_test.cc
+++ b/test/core_router/link/peer_liveness_test.cc
@@ -63,7 +63,7 @@
   int pings_ = 0;
 };
 
-// New requests went to a stalled node for 800 ms.
+// Guards against new requests to a stalled node until it counts as silent.
 TEST(PeerLivenessTest, PeerThatSaysNothingIsBehindWithin200MillisecondsAndSilentAt800) {
   WaitingRequest request(milliseconds(1));
   request.stopAnswering();
@@ -82,14 +82,14 @@
   EXPECT_TRUE(request.runUntil(seconds(5) + milliseconds(201)));
 }
 
-// A long request at a healthy node would drive other requests away.
+// Guards against a healthy node that gets fewer requests because one of them runs for long.
 TEST(PeerLivenessTest, PeerThatAnswersPingsKeepsUpWhileARequestRuns) {
   WaitingRequest request(milliseconds(2));
   EXPECT_FALSE(request.runUntil(seconds(20)));
   EXPECT_LE(request.pings(), 20 * 10);
 }
 
-// Nodes of a distant region would always be behind.
+// Guards against nodes of a distant region that always count as behind.
 TEST(PeerLivenessTest, PeerWithALongRoundTripKeepsUpOnceItIsKnown) {
   WaitingRequest request(milliseconds(180));
   request.runUntil(seconds(1));
@@ -104,7 +104,7 @@
   EXPECT_FALSE(request.isSilent());
 }
 
-// Replies that were held up for a second arrive one after the other, and none of them is news.
+// Replies that were delayed for a second arrive one after the other, all with outdated loads.
 TEST(PeerLivenessTest, PeerWhoseRepliesWereHeldUpIsBehindAlthoughFramesArrive) {
   PeerLiveness liveness(kStart);
   const TimePoint now = kStart + seconds(3);
--- a/test/core_router/link/transit_delay_test.cc
+++ b/test/core_router/link/transit_delay_test.cc
@@ -68,7 +68,7 @@
 
 class LinkTest : public ::testing::TestWithParam<std::int64_t> {};
 
-// Work would be begun for clients that had left while the request waited behind bodies.
+// Guards against work for clients that left while their request was queued behind large bodies.
 TEST_P(LinkTest, FrameBehindOtherStreamsBodiesIsLateByTheirTransmission) {
   Link link(GetParam());
   link.send(TimePoint(seconds(1)), kSmallFrame);
@@ -103,7 +103,7 @@
   EXPECT_NEAR(static_cast<double>(after.count()), 8e6, 10e3);
 }
 
-// A request would be given up although it came as fast as any.
+// Guards against requests that are refused as late although no queue delayed them.
 TEST(TransitDelayTest, ClocksThatDriftApartMakeNoFrameLate) {
   for (const std::int64_t drift : {-kDriftPpm, kDriftPpm}) {
     TransitDelay delay;
@@ -114,7 +114,7 @@
   }
 }
 
-// Gateways would avoid a node long after its link has become free, or not at all.
+// Guards against gateways that avoid a node long after its link has become free, or never do.
 TEST(TransitDelayTest, PresentDelayIsThatOfTheLastSmallFrameLessTheTimeSince) {
   TransitDelay delay;
   delay.onSmallFrame(seconds(100), TimePoint(seconds(1)));
@@ -137,7 +137,7 @@
   EXPECT_EQ(delay.current(TimePoint(seconds(4))), Duration::zero());
 }
 
-// A route that has become longer would make every later request late.
+// Guards against requests that all count as late after the network path has become longer.
 TEST(TransitDelayTest, LongerDelayIsTheUsualOneAfterTheWindow) {
   TransitDelay delay;
   delay.onFrame(seconds(1), TimePoint(seconds(1)));
@@ -149,7 +149,7 @@
   EXPECT_EQ(late, Duration::zero());
 }
 
-// Frames that fill a link for half a minute would otherwise be taken for punctual.
+// Guards against a window so short that frames on a link that stays full count as punctual.
 TEST(TransitDelayTest, FramesStayLateWhileALinkIsFullForAMinute) {
   TransitDelay delay;
   delay.onFrame(seconds(1), TimePoint(seconds(1)));
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -190,7 +190,7 @@
   EXPECT_NE(client.received.find("to /1"), std::string::npos);
 }
 
-// The interim response stayed in the output buffer of a connection that had already had a response.
+// Guards against an interim response that stays in the output buffer of a connection that had a response before.
 TEST_F(StrictHttpServerTest, SendsContinueForALaterRequestOfAKeptConnection) {
   RawClient client(loop_, server_->endpoint());
   client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/test/router/forward_parts_test.cc
+++ b/test/router/forward_parts_test.cc
@@ -130,7 +130,7 @@
   EXPECT_EQ(arrived_[1].exchange, second);
 }
 
-// The time that an upload waits here is no longer left at its server.
+// Guards against a server that gets the time that the upload has already spent waiting at its sender.
 TEST_F(ForwardPartsTest, TimeBeforeTheFirstPartIsTakenFromTheRemainingTime) {
   connect(kNewestWireVersion, kNarrow);
   forward(kUploadBytes, upload_);
@@ -213,7 +213,7 @@
   EXPECT_EQ(peer_.exchange_queries, 1U);
 }
 
-// A peer without room refuses an upload before it has ended.
+// A peer that holds too many unfinished bytes refuses an upload before its last part.
 TEST_F(ForwardPartsTest, RefusedUploadStops) {
   connect(kNewestWireVersion, kNarrow);
   peer_.refuse_parts = true;
--- a/test/router/peer_client_test.cc
+++ b/test/router/peer_client_test.cc
@@ -256,7 +256,7 @@
   EXPECT_FALSE(reply->has_value());
 }
 
-// New requests would go to a stalled node until it counts as silent.
+// Guards against new requests to a stalled node until it counts as silent.
 TEST_F(PeerClientTest, PeerThatStopsRespondingIsBehindBeforeItIsSilentAndKeepsItsStream) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
   connectTo(peer);
@@ -438,7 +438,7 @@
   EXPECT_EQ(peer.cancelled_requests, 0U);
 }
 
-// The receiver would believe that the client waits for as long as when the request was made.
+// Guards against a receiver that overestimates how much longer the client waits.
 TEST_F(PeerClientTest, WaitForThePeersHelloIsTakenOffTheTimeOfARequest) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
   peer.hold();
@@ -464,7 +464,7 @@
   EXPECT_GE(received->sent_at_us, released.time_since_epoch().count());
 }
 
-// A gateway would take the load in a reply that was held up for news.
+// Guards against outdated loads that count as current because their reply was delayed.
 TEST_F(PeerClientTest, TimeOfSendingOfALateReplyIsTranslatedToTheOwnClock) {
   FakePeer peer(loop_, {node_, Incarnation{7}});
   const Duration peer_clock = std::chrono::hours(9);
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -240,7 +240,7 @@
   EXPECT_EQ(queryOutcome(), ExchangeState::Answered);
 }
 
-// The server would work for a client that had left before the request arrived.
+// Guards against work for clients that left before their request arrived.
 TEST_F(PeerServerTest, RequestWhoseCancellationHasArrivedIsNotStarted) {
   connectAndAwaitHello();
   gateway_->send(request(1, "/cancelled"));
@@ -252,7 +252,7 @@
   EXPECT_FALSE(hasStarted("/cancelled"));
 }
 
-// Requests would wait for the rest of each large body that follows them.
+// Guards against requests that wait for the rest of a large message behind them.
 TEST_F(PeerServerTest, RequestStartsWhileTheMessageBehindItIsStillArriving) {
   connectAndAwaitHello();
   gateway_->send(request(1, "/first"));
@@ -273,7 +273,7 @@
   EXPECT_FALSE(hasStarted("/lost"));
 }
 
-// The server would work for a client that has got its final answer while the request was on the way.
+// Guards against work for clients that got their final answer while the request was on the way.
 TEST_F(PeerServerTest, RequestThatWasOverWhenItArrivedIsAnsweredAsNotRunAndNotStarted) {
   connectAndAwaitHello();
   const Duration sender_clock = std::chrono::hours(9);
@@ -298,7 +298,7 @@
   EXPECT_FALSE(hasStarted("/late"));
 }
 
-// The gate would let a request wait longer than its client does.
+// Guards against requests that wait at the gate for longer than their clients do.
 TEST_F(PeerServerTest, TimeOnTheWayIsTakenOffTheTimeOfARequestThatIsNotOver) {
   connectAndAwaitHello();
   const Duration sender_clock = std::chrono::hours(9);
@@ -333,7 +333,7 @@
   EXPECT_FALSE(hasStarted("/late"));
 }
 
-// Without the time of sending the gateway takes a reply that was held up for news.
+// Without the time of sending, the gateway takes the load in a delayed reply for a current one.
 TEST_F(PeerServerTest, ReplyStatesWhenItWasSent) {
   const TimePoint before = clock_.now();
   startRequest();
@@ -355,7 +355,7 @@
   EXPECT_EQ(gateway_->reply->outcome, ForwardOutcome::Answered);
 }
 
-// The second half alone is no request, so that the stream is closed.
+// The second half alone can't be decoded as a request, so that the stream is closed.
 TEST_F(PeerServerTest, PartsOfCancelledRequestAreDropped) {
   connect(kRequestPartsWireVersion);
   sendHalf(false);
@@ -365,7 +365,7 @@
   EXPECT_EQ(running_, nullptr);
 }
 
-// The gateway reports a request as not run whose last part was not sent.
+// The gateway reports a request whose last part was not sent as not run, so it must not run.
 TEST_F(PeerServerTest, PartsOfAnEndedStreamAreDropped) {
   connect(kRequestPartsWireVersion);
   sendHalf(false);
--- a/test/support/queue_load.cc
+++ b/test/support/queue_load.cc
@@ -13,7 +13,7 @@
 /// Interval at which the gate looks for overdue requests.
 constexpr Duration kTick = milliseconds(25);
 constexpr Duration kMinWaitLimit = milliseconds(100);
-/// After the last arrival.
+/// Time that is simulated after the last arrival, so that the queue empties.
 constexpr Duration kUntilEmpty = std::chrono::seconds(3);
 
 }  // namespace
--- a/test/support/queue_load.h
+++ b/test/support/queue_load.h
@@ -33,6 +33,7 @@
   TenantShare tenant = {};
 };
 
+/// What became of the requests of one stream.
 struct StreamResult {
   std::size_t arrived = 0;
   std::size_t started = 0;
@@ -48,15 +49,16 @@
   double shareInVain() const { return static_cast<double>(waited_in_vain) / static_cast<double>(arrived); }
 };
 
+/// Sends requests at random times to one `SlotQueue`, which decides when they start.
 class QueueLoad {
  public:
-  /// Handles one millisecond of the load, for example a change of the server.
+  /// Runs in each simulated millisecond, for example to change the server.
   using Step = std::function<void(QueueLoad& load, Duration since_start)>;
 
   QueueLoad(std::uint64_t seed, std::uint32_t slots, std::vector<LoadStream> streams)
       : random_(seed), streams_(std::move(streams)), results_(streams_.size()), queue_(slots) {}
 
-  /// Plays the load and then waits for the last requests.
+  /// Simulates arrivals for this time, and then some time for the last requests.
   void run(Duration length, const Step& step = {});
 
   const StreamResult& result(std::size_t stream) const { return results_.at(stream); }
@@ -79,7 +81,7 @@
   void start(QueueTicket ticket, TimePoint now);
   void finishRequests(TimePoint now);
   void removeOverdue(TimePoint now);
-  /// @return as the gate computes it.
+  /// @return the longest wait with which a request may still be queued, as the gate computes it.
   Duration maxWait(const LoadStream& stream) const;
 
   std::mt19937_64 random_;
