Let only requests without effect run beside others of their connection

Cause: every repeatable request could run ahead of earlier ones, also one with an effect: two PUTs could run in the wrong order, and a read could miss the write before it. A connection that closed with its input at the limit was never ended, as reading stays suspended then. Both were found by review of the pipelined requests, before any landing.

A closing connection drains its input.

RequestThatMayNotRunAheadWaitsForTheEarlierResponses now asks besides that nothing overtakes it.

--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -240,7 +240,7 @@
     HeldRequest taken{parser_->takeRequest(), parser_->keepsConnection()};
     last_request_parsed_ = !taken.keeps_connection;
     startRequest();
-    if (!hasEarlierResponse() || server_.may_run_ahead(taken.request)) {
+    if (!hasEarlierResponse() || (!runs_alone_ && server_.may_run_ahead(taken.request))) {
       dispatch(std::move(taken));
     } else {
       held_ = std::move(taken);
@@ -250,6 +250,7 @@
   void dispatch(HeldRequest taken) {
     bufferevent_set_timeouts(stream_.get(), nullptr, nullptr);
     const auto number = exchanges_.add(taken.request.method == "HEAD", taken.keeps_connection);
+    runs_alone_ = !server_.may_run_ahead || !server_.may_run_ahead(taken.request);
     ++server_.in_flight;
     server_.handler(std::move(taken.request), StrictHttpResponder(weak_from_this(), number));
   }
@@ -399,6 +400,9 @@
       return;
     }
     shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+    // Input at its limit would keep reading suspended, and with it the notice of the client's end.
+    evbuffer* input = bufferevent_get_input(stream_.get());
+    evbuffer_drain(input, evbuffer_get_length(input));
     setReadTimeout(kLingerTimeout);
   }
 
@@ -407,6 +411,8 @@
   std::optional<HttpRequestParser> parser_;
   PipelinedExchanges exchanges_;
   std::optional<HeldRequest> held_;
+  /// The last request that was passed on may not run beside others, so that later ones wait for its response.
+  bool runs_alone_ = false;
   /// Counts the requests that were parsed or are being parsed.
   std::uint64_t parsed_number_ = 0;
   /// At least one byte of a request was received.
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -56,8 +56,8 @@
 
 using StrictHttpHandler = std::function<void(HttpRequest request, StrictHttpResponder responder)>;
 
-/// @return whether the request may be passed to the handler while earlier requests of its connection have no response.
-///   It must be harmless to run the request again, because the client repeats it if the connection ends first.
+/// @return whether the request may run beside other such requests of its connection. It must be safe to run them in any
+///   order, and harmless to run the request again, because the client repeats it if the connection ends first.
 using MayRunAhead = std::function<bool(const HttpRequest& request)>;
 
 /// Listens on one address. Requests of one connection are passed to the handler one at a time, except for those that
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -52,7 +52,8 @@
 
 bool Gateway::mayRunAhead(const HttpRequest& http) const {
   const Route* route = routes_ ? routes_->find(headerValue(http.headers, "host"), http.target) : nullptr;
-  return route != nullptr && isRepeatable(route->kind);
+  const bool is_safe = http.method == "GET" || http.method == "HEAD";
+  return is_safe && route != nullptr && isRepeatable(route->kind);
 }
 
 void Gateway::handle(HttpRequest http, const StrictHttpResponder& replier) {
--- a/source/router/gateway.h
+++ b/source/router/gateway.h
@@ -68,8 +68,9 @@
   /// Sets how long a server that says that it is leaving still gets requests for its keys.
   void setKeyHandoverTime(Duration time) { key_handover_time_ = time; }
 
-  /// @return whether a request may run before the earlier ones of its connection have their responses. Only repeatable
-  ///   ones may, because the client repeats them if the connection ends first.
+  /// @return whether a request may run before the earlier ones of its connection have their responses: it changes
+  /// nothing,
+  ///   so that the order does not matter, and may be repeated if the connection ends first.
   bool mayRunAhead(const HttpRequest& http) const;
 
   /// Handles a completely received request.
--- a/test/net/pipelined_requests_test.cc
+++ b/test/net/pipelined_requests_test.cc
@@ -104,13 +104,35 @@
   ASSERT_TRUE(runUntilPassedOn(1));
   respond(0);
   EXPECT_EQ(targets_.size(), 1U);
-  ASSERT_TRUE(runUntilPassedOn(3));
+  ASSERT_TRUE(runUntilPassedOn(2));
   EXPECT_EQ(targets_[1], "/2");
   respond(1);
+  ASSERT_TRUE(runUntilPassedOn(3));
   respond(2);
   EXPECT_TRUE(runUntilReceived("to /3"));
 }
 
+// A read that overtakes a write of its connection would see the state before it.
+TEST_F(PipelinedRequestsTest, NothingRunsBesideARequestThatMayNotRunAhead) {
+  client_.send("PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab" + get("/2"));
+  ASSERT_TRUE(runUntilPassedOn(1));
+  loop_.runUntil([] { return false; }, std::chrono::milliseconds(20));
+  EXPECT_EQ(targets_.size(), 1U);
+  respond(0);
+  EXPECT_TRUE(runUntilPassedOn(2));
+}
+
+// Reading is suspended at the limit of the input, so that neither the client's end nor a timeout would be noticed.
+TEST_F(PipelinedRequestsTest, ConnectionThatClosesWithMuchUnreadInputEnds) {
+  client_.send(get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + std::string(300U << 10U, 'x'));
+  ASSERT_TRUE(runUntilPassedOn(2));
+  respond(0);
+  respond(1);
+  ASSERT_TRUE(runUntilReceived("to /2"));
+  client_.disconnect();
+  EXPECT_TRUE(runUntil([&] { return server_->busyConnections() == 0; }));
+}
+
 TEST_F(PipelinedRequestsTest, OneThatHangsAmongTwoHundredHoldsUpABoundedNumber) {
   constexpr std::size_t kRequests = 200;
   constexpr std::size_t kMaxAhead = 64;
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -258,11 +258,12 @@
 };
 
 // A client repeats what it has sent behind an unanswered request if the connection ends.
-TEST_F(GatewayTest, OnlyRepeatableRequestsMayRunAhead) {
+TEST_F(GatewayTest, OnlyRepeatableRequestsWithoutEffectMayRunAhead) {
   const auto to = [](const std::string& target) { return HttpRequest{"GET", target, {{"Host", "h"}}, {}}; };
   EXPECT_TRUE(gateway_.mayRunAhead(to("/read/1")));
   EXPECT_FALSE(gateway_.mayRunAhead(to("/unknown/1")));
   EXPECT_FALSE(gateway_.mayRunAhead(to("/write/1")));
+  EXPECT_FALSE(gateway_.mayRunAhead({"PUT", "/read/1", {{"Host", "h"}}, {}}));
 }
 
 // No server can take over the keys, so waiting for an owner is useless.
