Take keys over only for a running server, and end moves with a revoked lease

Cause, read in review and shown by no run: a node whose server had ended while its revocation of another's lease was under way assigned ranges to no server, and nobody took them up again; a lease that was revoked during a move dropped the releases but not the moves, so that no later move could begin; a handover that is no UTF-8 text ended the process that encoded the table.

Change: ranges go to this node's server only if it has one; a revoked lease cancels the moves; invalid text in a table is replaced when it is encoded.

--- a/source/core/router/ownership/owner_table.cc
+++ b/source/core/router/ownership/owner_table.cc
@@ -237,7 +237,8 @@
               {"changes", changes_},
               {"owners", owners.take()},
               {"ranges", std::move(list)}}
-      .dump();
+      // A handover may hold any bytes; one that is no UTF-8 text must not end the process.
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 namespace {
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -139,6 +139,8 @@
   logEvent("lease revoked", "");
   must_confirm_ = true;
   grants_->clear();
+  // The releases of these moves were dropped with the grants; their marks are removed with the confirmation.
+  moves_.cancel();
 }
 
 void OwnershipManager::checkEpochAtStart() {
@@ -404,8 +406,15 @@
 void OwnershipManager::takeOverRanges(const NodeName& node, FenceToken newest_token) {
   const TimePoint now = ports_.clock->now();
   std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
-  to.push_back({instance_, self_.name});
+  if (hasServer()) {
+    to.push_back({instance_, self_.name});
+  }
   std::erase_if(to, [&](const OwnerLocation& location) { return location.node == node; });
+  if (to.empty()) {
+    // Another node finds the revoked lease and takes the ranges over.
+    logEvent("ranges not taken over from " + node.value, "no server");
+    return;
+  }
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
   std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
   std::erase_if(lost, [newest_token](const OwnedRange& range) { return range.token > newest_token; });
