Drop what is kept of large replies that have ended, and give hot keys only to servers with a known load

Cause, found by review: the received parts of a cancelled large reply stayed until the stream ended; a reply that was written inside the pacer's call left an entry for each such reply; a hot key could go to a server whose load was not known and that was taken for idle.

Change: parts are dropped with the cancellation; the entry is made only for unfinished replies; servers without a reported load get no hot key.

--- a/source/core/router/ownership/balance_planner.h
+++ b/source/core/router/ownership/balance_planner.h
@@ -27,6 +27,8 @@
 struct BalanceTarget {
   OwnerLocation location;
   OfferedLoad load;
+  /// Whether the server's node has reported the load of late; otherwise little load is assumed.
+  bool reported = true;
 };
 
 /// Input of one planning step.
--- a/source/core/router/ownership/key_balancer.cc
+++ b/source/core/router/ownership/key_balancer.cc
@@ -97,7 +97,8 @@
   input.own_load = offered_load_;
   input.rotation = candidates_.rank();
   for (const OwnerLocation& location : candidates_.targets(now)) {
-    input.targets.push_back({location, offeredTo(location, now)});
+    const bool reported = directory_.load(location.node, now) != nullptr;
+    input.targets.push_back({location, offeredTo(location, now), reported});
   }
   return input;
 }
--- a/source/core/router/ownership/placement/flow_keys.cc
+++ b/source/core/router/ownership/placement/flow_keys.cc
@@ -73,7 +73,7 @@
     for (const BalanceTarget& target : input_.targets) {
       const OfferedLoad& load = target.load;
       const double seconds = load.service_seconds > 0 ? load.service_seconds : seconds_;
-      const bool has_room = load.demand + slots * seconds / seconds_ <= max_utilization * load.slots;
+      const bool has_room = target.reported && load.demand + slots * seconds / seconds_ <= max_utilization * load.slots;
       if (has_room && (best == nullptr || seconds < best_seconds)) {
         best = &target;
         best_seconds = seconds;
--- a/source/router/peer_client.cc
+++ b/source/router/peer_client.cc
@@ -266,6 +266,7 @@
   const auto current = streams_.find(pending.mapped().node);
   const bool use_current = id == 0 && current != streams_.end() && !current->second->hasEnded();
   if (PeerStream* stream = use_current ? current->second.get() : find(id)) {
+    stream->dropReplyParts(exchange);
     stream->send(CancelForwardFrame{exchange});
   }
   closeSilentStreamIfUnused(id);
--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -377,7 +377,8 @@
 
 void PeerServer::sendParts(StreamId id, Stream& stream, ExchangeId exchange, std::string bytes) {
   const std::size_t size = bytes.size();
-  const auto write = [this, alive = alive_, id, exchange, bytes = std::move(bytes),
+  const auto finished = std::make_shared<bool>(false);
+  const auto write = [this, alive = alive_, id, exchange, finished, bytes = std::move(bytes),
                       written = std::size_t{0}](std::size_t max_bytes) mutable -> std::size_t {
     Stream* to = *alive ? find(id) : nullptr;
     if (to == nullptr || to->ended) {
@@ -388,12 +389,16 @@
     const RouterFrame part(ReplyPartFrame{exchange, bytes.substr(written, piece), last});
     written += piece;
     if (last) {
+      *finished = true;
       to->transfers.erase(exchange);
     }
     return to->sendEncodedReply(part, encodeRouterFrame(part, to->version())) ? piece : 0;
   };
   const TransferId transfer = ports_.pacer->start(size, write);
-  stream.transfers[exchange] = transfer;
+  // The whole reply may have been written inside the call.
+  if (!*finished) {
+    stream.transfers[exchange] = transfer;
+  }
 }
 
 void PeerServer::onExchangeQuery(StreamId id, Stream& stream, const ExchangeQueryFrame& query) {
