--- a/test/net/pipelined_requests_test.cc
+++ b/test/net/pipelined_requests_test.cc
@@ -57,7 +57,7 @@
     return leaf::try_handle_all(
         [&] {
           return StrictHttpServer::listen(loop_, kAnyLoopbackPort, {},
-                                          [this](HttpRequest request, StrictHttpResponder responder) {
+                                          [this](const HttpRequest& request, StrictHttpResponder responder) {
                                             targets_.push_back(request.target);
                                             responders_.push_back(std::move(responder));
                                           });
