Reword five comments on plans and the queue

Cause: a newcomer had to read them twice, or the comment said who hears whom in place of what happens.

Change: comments alone.

Measured: format-check is clean; no code differs.

--- a/include/shedlever/placement_frames.h
+++ b/include/shedlever/placement_frames.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Frames by which one process tells the owners of a service which load to move to which servers.
+/// Frames by which the planner of a service tells each owner how much load to move, and to which servers.
 
 #include <cstdint>
 #include <vector>
@@ -32,7 +32,7 @@
   InstanceId from;
   /// Increases with each plan of the sender's incarnation.
   std::uint64_t plan = 0;
-  /// Empty: asks for the load of the receiver's server and tells that the sender plans.
+  /// If empty, the frame only requests the load of the receiver's server and shows that the sender is the planner.
   std::vector<PlannedFlow> flows;
 
   template <class Archive>
--- a/source/core/router/admission/slot_queue.cc
+++ b/source/core/router/admission/slot_queue.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A request is queued only if it starts in time even with a wait this many standard deviations above the expected one,
-/// and removed only if it starts too late even with a wait as much below. Few requests wait in vain then.
+/// A request is queued only if it would start in time after the expected wait plus this many standard deviations, and
+/// removed only if it would start too late even after the expected wait minus as many.
 constexpr int kDeviations = 2;
 
 double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
--- a/source/core/router/ownership/balance_planner.h
+++ b/source/core/router/ownership/balance_planner.h
@@ -27,7 +27,7 @@
 struct BalanceTarget {
   OwnerLocation location;
   OfferedLoad load;
-  /// Whether the server's node has reported the load of late; otherwise little load is assumed.
+  /// Whether `load` comes from a recent report of the server's node; otherwise it is an assumption.
   bool reported = true;
 };
 
--- a/source/core/router/ownership/key_balancer.h
+++ b/source/core/router/ownership/key_balancer.h
@@ -52,7 +52,7 @@
 
   /// Plans for the whole service that this owner receives.
   PlanFollower& plans() { return plans_; }
-  /// Sets whether the service is planned as a whole: then the owner plans for itself only while it hears no planner.
+  /// Sets whether one node plans for the whole service. This owner then plans for itself only without a planner.
   /// @param silence time after which a planner is no longer followed; none if each owner plans for itself.
   void setServicePlan(std::optional<Duration> silence) { planner_silence_ = silence; }
 
--- a/source/core/router/ownership/placement/plan_follower.h
+++ b/source/core/router/ownership/placement/plan_follower.h
@@ -12,8 +12,8 @@
 
 namespace shedlever {
 
-/// Follows one planner at a time. If two nodes plan, because their views of the reachable nodes differ, the one with
-/// the lower name is followed while it is heard. A missed or dropped plan only delays moves.
+/// Follows one planner at a time. Two nodes plan if their views of the reachable nodes differ; then the plans of the
+/// one with the lower name count for as long as they arrive. A missed or dropped plan only delays moves.
 class PlanFollower {
  public:
   using EventCallback = std::function<void(const PlacementEvent&)>;
