Check all three sentences of the rule OWNER on the servers' real holds

Cause: the checker read "begin" and "take" alone. It could not see that two servers held a key at once, nor that keys were given away while their server was still at work on them.

Change: HoldChecker reads until when each hold lasts, releases, ends of work, ends of instances and resumed processes; HoldSweep applies them in order, by segments between the bounds of all ranges. It reports two servers that hold keys at once and both begin requests on them, two that hold the same keys for over 0.5 s, a key given while another server is at work on it before its hold has run out, and a token that is not above all of the other instances' tokens (before, the highest token alone was compared, so that a server with a higher token of its own could take keys with one below another server's). A token is reported once, not with each renewal. Late grants, and grants within 300 ms after the router of the node was resumed, don't count, as the rule says. Logs without ends of holds are read as before.

--- a/source/lab/check/history_checker.cc
+++ b/source/lab/check/history_checker.cc
@@ -19,8 +19,10 @@
 
 void HistoryChecker::readLog(const std::string& path) {
   std::ifstream file(path);
+  const std::size_t log = logs_++;
   std::string line;
   while (std::getline(file, line)) {
+    holds_.addLine(log, line);
     std::istringstream words(line);
     std::int64_t at = 0;
     std::string instance;
@@ -31,9 +33,7 @@
       words >> execution.id >> execution.key >> execution.token;
       executions_.push_back(execution);
     } else if (event == "take") {
-      Acquisition acquisition{at, instance, 0, 0, 0};
-      words >> acquisition.first >> acquisition.last >> acquisition.token;
-      acquisitions_.push_back(acquisition);
+      ++acquisitions_;
     }
   }
 }
@@ -83,35 +83,12 @@
   }
 }
 
-void HistoryChecker::checkAcquisitions(std::vector<std::string>& messages) const {
-  std::vector<Acquisition> acquisitions = acquisitions_;
-  std::sort(acquisitions.begin(), acquisitions.end(),
-            [](const Acquisition& left, const Acquisition& right) { return left.at < right.at; });
-  constexpr int kKeys = 65536;
-  std::vector<std::uint64_t> highest(kKeys, 0);
-  std::vector<std::string> holder(kKeys);
-  for (const Acquisition& acquisition : acquisitions) {
-    bool bad = false;
-    for (int key = acquisition.first; key <= acquisition.last; ++key) {
-      bad = bad || (acquisition.token <= highest[key] && holder[key] != acquisition.instance);
-      if (acquisition.token >= highest[key]) {
-        highest[key] = acquisition.token;
-        holder[key] = acquisition.instance;
-      }
-    }
-    if (bad) {
-      messages.push_back(acquisition.instance + " took keys " + std::to_string(acquisition.first) + "-" +
-                         std::to_string(acquisition.last) + " with token " + std::to_string(acquisition.token) +
-                         ", not above that of another server");
-    }
-  }
-}
-
 std::vector<std::string> HistoryChecker::violations() const {
   std::vector<std::string> messages;
   checkRequests(messages);
   checkTokenOrder(messages);
-  checkAcquisitions(messages);
+  const std::vector<std::string> hold_violations = holds_.violations();
+  messages.insert(messages.end(), hold_violations.begin(), hold_violations.end());
   return messages;
 }
 
@@ -142,7 +119,7 @@
     counts.unanswered += record.status == 0 ? 1 : 0;
   }
   counts.executions = executions_.size();
-  counts.acquisitions = acquisitions_.size();
+  counts.acquisitions = acquisitions_;
   return counts;
 }
 
--- a/source/lab/check/history_checker.h
+++ b/source/lab/check/history_checker.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "shedlever/time.h"
+#include "source/lab/check/hold_checker.h"
 
 namespace shedlever::check {
 
@@ -38,14 +39,14 @@
  public:
   void addClientRecord(const ClientRecord& record) { records_.push_back(record); }
 
-  /// Adds the events of a server's log, whose lines have the form "microseconds instance event ..."; other events than
-  /// "begin" and "take" are ignored.
+  /// Adds the events of a server's log, whose lines have the form "microseconds instance event ..."; `HoldChecker` says
+  /// which events are read. Unknown ones are ignored.
   void readLog(const std::string& path);
 
   /// @return one message for each violation: an at-most-once request was executed more than once; an at-most-once
   ///   request was refused although it was executed; a successful response does not belong to its request; a request
-  ///   for a key was executed with a lower token than an earlier one, so that a previous owner was still active; a
-  ///   server acquired a key with a token that is not higher than that of another server before.
+  ///   for a key was executed with a lower token than an earlier one, so that a previous owner was still active; and
+  ///   those of `HoldChecker`.
   std::vector<std::string> violations() const;
 
   /// @return one message for each request that a server started, before or after its client was answered, and whose
@@ -69,21 +70,14 @@
     int key = -1;
     std::uint64_t token = 0;
   };
-  struct Acquisition {
-    std::int64_t at = 0;
-    std::string instance;
-    int first = 0;
-    int last = 0;
-    std::uint64_t token = 0;
-  };
-
   void checkRequests(std::vector<std::string>& messages) const;
   void checkTokenOrder(std::vector<std::string>& messages) const;
-  void checkAcquisitions(std::vector<std::string>& messages) const;
 
   std::vector<ClientRecord> records_;
   std::vector<Execution> executions_;
-  std::vector<Acquisition> acquisitions_;
+  HoldChecker holds_;
+  std::size_t acquisitions_ = 0;
+  std::size_t logs_ = 0;
 };
 
 }  // namespace shedlever::check
