Let the stand-in server leave in more ways and log its holds

Cause: the stand-in server logged a take without its end, listened until it died, and reported at once. No server stopped listening while it worked on, left slowly, or ran beside its successor at one address.

Change: it logs until when each grant, renewal or assigned range lasts (part by part where keys differ), releases, the end of the work on them, the end of requests, "drain", "stop-listening" and "down"; "up" names the process id, so that the soak can log a SIGKILL. A grant that was executed late does not lengthen the holds that the log states for later grants.

--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -27,6 +28,32 @@
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(800);
 /// Simulates a slow clock: a grant lasts longer than its stated duration by this factor.
 constexpr double kGrantStretchFactor = 1.02;
+/// A server that is to end looks in this interval whether its work has ended.
+constexpr Duration kEndInterval = std::chrono::milliseconds(20);
+
+std::string inMicroseconds(TimePoint time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count());
+}
+
+/// @return the parts of the range that none of the ranges contains.
+std::vector<AssignedRange> partsOutside(const AssignedRange& range, std::vector<AssignedRange> kept) {
+  std::sort(kept.begin(), kept.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+  std::vector<AssignedRange> parts;
+  const auto add = [&](int first, int last) {
+    if (first <= last) {
+      parts.push_back({static_cast<Key>(first), static_cast<Key>(last), range.token, {}});
+    }
+  };
+  int next = range.first;
+  for (const AssignedRange& other : kept) {
+    if (other.last >= next && other.first <= range.last) {
+      add(next, other.first - 1);
+      next = other.last + 1;
+    }
+  }
+  add(next, range.last);
+  return parts;
+}
 
 }  // namespace
 
@@ -49,13 +76,30 @@
   };
   BOOST_LEAF_AUTO(http, StandinHttpServer::listen(loop, config.listen, 0, handler));
   server->http_ = std::move(http);
-  server->log("up " + server->instance_);
-  if (config.heartbeat_endpoint.port != 0) {
+  server->log("up " + server->instance_ + " " + std::to_string(getpid()));
+  if (config.heartbeat_endpoint.port != 0 && config.first_report_delay == Duration{}) {
     server->startHeartbeats(config.heartbeat_endpoint);
+  } else if (config.heartbeat_endpoint.port != 0) {
+    server->runAfter(config.first_report_delay,
+                     [raw = server.get()] { raw->startHeartbeats(raw->config_.heartbeat_endpoint); });
   }
   return server;
 }
 
+KeyServer::~KeyServer() {
+  *alive_ = false;
+  http_.reset();
+  log("down");
+}
+
+void KeyServer::runAfter(Duration delay, std::function<void()> step) {
+  loop_.runAfter(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive) {
+      step();
+    }
+  });
+}
+
 void KeyServer::startHeartbeats(const Endpoint& endpoint) {
   HttpClientConfig client;
   client.server = endpoint;
@@ -66,6 +110,43 @@
 void KeyServer::startDraining(std::function<void()> acknowledged) {
   draining_ = true;
   on_acknowledged_ = std::move(acknowledged);
+  log("drain");
+}
+
+void KeyServer::stopListening() {
+  if (std::exchange(listening_, false)) {
+    http_->stopListening();
+    log("stop-listening");
+  }
+}
+
+void KeyServer::setCondition(const std::string& body) {
+  const json document = json::parse(body, nullptr, false);
+  setNamedLimit(document.value("limit", named_limit_));
+  leaving_ = leaving_ || document.value("leaving", false);
+  heartbeats_after_listening_ = document.value("heartbeats", heartbeats_after_listening_);
+  if (document.value("drain", false)) {
+    startDraining([] {});
+  }
+  if (document.contains("stop_listening")) {
+    runAfter(std::chrono::milliseconds(document.value("stop_listening", 0)), [this] { stopListening(); });
+  }
+  if (document.contains("end_after_ms")) {
+    runAfter(std::chrono::milliseconds(document.value("end_after_ms", 0)), [this] {
+      if (!std::exchange(ending_, true)) {
+        stopListening();
+        leaveWhenIdle();
+      }
+    });
+  }
+}
+
+void KeyServer::leaveWhenIdle() {
+  if (running_requests_ == 0 && queue_.empty()) {
+    config_.on_left();
+    return;
+  }
+  runAfter(kEndInterval, [this] { leaveWhenIdle(); });
 }
 
 void KeyServer::setNamedLimit(const std::string& limit) { named_limit_ = limit; }
@@ -96,6 +177,9 @@
 }
 
 void KeyServer::sendHeartbeat() {
+  if (!listening_ && !heartbeats_after_listening_) {
+    return;
+  }
   json body = {{"service", config_.service},
                {"address", toString(http_->endpoint())},
                {"zone", "z"},
@@ -148,14 +232,43 @@
       assignment->ranges.push_back({row.at(0), row.at(1), row.at(2), row.at(3)});
     }
   }
-  for (const AssignedRange& range : assigned_.onAcknowledged(assignment, reported.released, sent)) {
-    log("take " + std::to_string(range.first) + " " + std::to_string(range.last) + " " + std::to_string(range.token));
+  assigned_.onAcknowledged(assignment, reported.released, sent);
+  if (assignment) {
+    logAssignment(*assignment, sent);
   }
   if (assigned_.isReleasing()) {
     scheduleHeartbeat(kReleaseHeartbeatInterval);
   }
 }
 
+void KeyServer::logAssignment(const KeyAssignment& assignment, TimePoint sent) {
+  std::vector<AssignedRange> accepted = assignment.ranges;
+  std::erase_if(accepted, [this](const AssignedRange& range) { return assigned_.tokenOf(range.first) != range.token; });
+  for (const AssignedRange& before : std::exchange(logged_ranges_, accepted)) {
+    for (const AssignedRange& part : partsOutside(before, accepted)) {
+      logRange("release", part.first, part.last, part.token);
+      logged_releases_.push_back(part);
+    }
+  }
+  logEndedReleases();
+  const TimePoint expires_at =
+      sent + std::chrono::duration_cast<Duration>(assignment.hold_duration * kGrantStretchFactor);
+  for (const AssignedRange& range : accepted) {
+    log("take " + std::to_string(range.first) + " " + std::to_string(range.last) + " " + std::to_string(range.token) +
+        " " + inMicroseconds(expires_at));
+  }
+}
+
+void KeyServer::logEndedReleases() {
+  std::erase_if(logged_releases_, [this](const AssignedRange& range) {
+    const bool has_ended = !isRunningOn(range.first, range.last);
+    if (has_ended) {
+      logRange("released", range.first, range.last, range.token);
+    }
+    return has_ended;
+  });
+}
+
 std::uint64_t KeyServer::tokenFor(int key) const {
   if (config_.keys_by_heartbeat) {
     return assigned_.tokenOf(static_cast<Key>(key));
@@ -176,9 +289,7 @@
                document.value("slow", 1.0)};
     answer.replyJson(kOk, "{}");
   } else if (request.path == "/condition") {
-    const json document = json::parse(request.http.body, nullptr, false);
-    setNamedLimit(document.value("limit", named_limit_));
-    leaving_ = leaving_ || document.value("leaving", false);
+    setCondition(request.http.body);
     answer.replyJson(kOk, "{}");
   } else if (request.path == "/health") {
     HttpResponse response{leaving_ ? kUnavailable : kOk, {{"X-Instance-Id", instance_}}, {}};
@@ -229,13 +340,35 @@
   const std::chrono::milliseconds hold(std::stoi(command.at("hold_time").get<std::string>()));
   const TimePoint expires_at = clock_.now() + std::chrono::duration_cast<Duration>(hold * kGrantStretchFactor);
   for (int key = first; key <= last; ++key) {
-    grants_[key] = {token, std::max(grants_[key].expires_at, expires_at)};
+    KeyGrant& grant = grants_[key];
+    grant.token = token;
+    grant.expires_at = std::max(grant.expires_at, expires_at);
+    grant.expires_without_late = late ? grant.expires_without_late : std::max(grant.expires_without_late, expires_at);
   }
-  log((late ? "late-take " : "take ") + std::to_string(first) + " " + std::to_string(last) + " " +
-      std::to_string(token));
+  logGrant(first, last, late);
   return true;
 }
 
+void KeyServer::logGrant(int first, int last, bool late) {
+  const auto expiry = [this, late](int key) {
+    return late ? grants_[key].expires_at : grants_[key].expires_without_late;
+  };
+  const std::string event = late ? "late-take " : "take ";
+  for (int key = first; key <= last;) {
+    int part_last = key;
+    while (part_last < last && expiry(part_last + 1) == expiry(key)) {
+      ++part_last;
+    }
+    log(event + std::to_string(key) + " " + std::to_string(part_last) + " " + std::to_string(grants_[key].token) + " " +
+        inMicroseconds(expiry(key)));
+    key = part_last + 1;
+  }
+}
+
+void KeyServer::logRange(const std::string& event, int first, int last, std::uint64_t token) {
+  log(event + " " + std::to_string(first) + " " + std::to_string(last) + " " + std::to_string(token));
+}
+
 void KeyServer::release(const std::string& body, const StandinResponder& responder) {
   const json command = json::parse(body);
   const int first = command.at("rangeStart");
@@ -244,9 +377,10 @@
   for (int key = first; key <= last; ++key) {
     grants_[key].token = std::max(grants_[key].token, token);
     grants_[key].expires_at = {};
+    grants_[key].expires_without_late = {};
   }
-  log("release " + std::to_string(first) + " " + std::to_string(last) + " " + std::to_string(token));
-  releases_.push_back({first, last, responder});
+  logRange("release", first, last, token);
+  releases_.push_back({first, last, token, responder});
   respondToReleases();
 }
 
@@ -255,6 +389,7 @@
     if (isRunningOn(release.first, release.last)) {
       return false;
     }
+    logRange("released", release.first, release.last, release.token);
     StandinResponder answer = release.responder;
     answer.reply({kOk, {{"X-Handover", "h-" + instance_}}, {}});
     return true;
@@ -323,13 +458,16 @@
 
 void KeyServer::finishRequest(const std::shared_ptr<PendingRequest>& pending) {
   if (isFatal(*pending)) {
+    log("down");
     config_.on_fatal_end();
     return;
   }
   --running_requests_;
+  log("end " + pending->id + " " + std::to_string(pending->key));
   if (pending->key >= 0 && --running_keys_[pending->key] == 0) {
     running_keys_.erase(pending->key);
     respondToReleases();
+    logEndedReleases();
   }
   const bool is_expired = pending->key >= 0 && !config_.keys_by_heartbeat &&
                           grants_[pending->key].expires_at <= clock_.now() &&
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Stand-in for a server on the platform, with request slots, key grants, heartbeats and faults. Logs each request that
-/// it begins and each grant for a checker.
+/// Stand-in for a server on the platform, with request slots, key grants, heartbeats and faults. Logs each request,
+/// grant and release for a checker.
 
 #include <cstdint>
 #include <deque>
@@ -32,6 +32,8 @@
   Duration request_duration = std::chrono::milliseconds(20);
   /// Receives the heartbeats; with port 0, none are sent until `startHeartbeats`.
   Endpoint heartbeat_endpoint;
+  /// Time from the start until the first heartbeat.
+  Duration first_report_delay{};
   std::string log_file;
   std::uint64_t seed = 1;
   /// Server id; if empty, an id unique to the instance is generated.
@@ -42,18 +44,34 @@
   std::function<void()> on_fatal_begin;
   /// Runs when a fatal request has been executed. The owner must end or destroy the server, but not within this call.
   std::function<void()> on_fatal_end;
+  /// Runs when the server has ended its work after `end_after_ms`. The owner must end or destroy the server, but not
+  /// within this call.
+  std::function<void()> on_left;
 };
 
 /// `POST /faults` sets probabilities: `lost` (executed, but the connection is closed without a response), `broken`
 /// (response truncated), `late_orders` (commands executed seconds later; a late grant is not answered), and `slow`,
 /// a factor of the request duration. `POST /condition` sets what the server says in its responses: `limit`, the request
-/// limit as text, and `leaving`: that it is leaving, which it never takes back. A request with `bytes=N` in its query
-/// gets a response body of at least that size.
+/// limit as text, and `leaving`: that it is leaving, which it never takes back. It also sets how the server leaves:
+///   - `drain`: true makes it report the state `draining`, as `startDraining` does;
+///   - `stop_listening`: milliseconds until it closes its listening socket, so that its successor may listen at the
+///   same
+///     address, and its idle connections. It keeps its keys and goes on with what it has begun;
+///   - `heartbeats`: false makes it send no more heartbeats from the time when it stops listening;
+///   - `end_after_ms`: milliseconds until it ends: it stops listening, finishes what it has begun, and ends. Without
+///     `stop_listening` it serves until then, long after its drain was acknowledged.
+/// A request with `bytes=N` in its query gets a response body of at least that size.
+///
+/// The log has a line "microseconds instance event ..." for each of these events: `up ID PID`; `begin ID KEY TOKEN` and
+/// `end ID KEY`; `take FIRST LAST TOKEN UNTIL` for each grant, renewal or assigned range, with the time in microseconds
+/// until which the keys are held now; `late-take` in the same form for a grant that was executed late, which later
+/// lines do not count; `release FIRST LAST TOKEN` when no more requests on the keys begin, and `released` when those
+/// that ran have ended; `drain`, `stop-listening`, `leaving`, `limit`, and `down` at the end.
 class KeyServer {
  public:
   /// @return the server, or a NetworkError.
   static leaf::result<std::unique_ptr<KeyServer>> start(EventLoop& loop, const KeyServerConfig& config);
-  ~KeyServer() { *alive_ = false; }
+  ~KeyServer();
   KeyServer(const KeyServer&) = delete;
   KeyServer& operator=(const KeyServer&) = delete;
 
@@ -67,6 +85,8 @@
   /// Reports the state `draining` from the next heartbeat on; the server continues to serve.
   /// @param acknowledged runs once such a heartbeat has received a response.
   void startDraining(std::function<void()> acknowledged);
+  /// Closes the listening socket and the idle connections.
+  void stopListening();
 
   /// Names a limit of requests per second in all responses from now on. @param limit sent as it is; empty for none.
   void setNamedLimit(const std::string& limit);
@@ -82,6 +102,8 @@
   struct KeyGrant {
     std::uint64_t token = 0;
     TimePoint expires_at{};
+    /// As `expires_at`, without grants that were executed late.
+    TimePoint expires_without_late{};
   };
   struct PendingRequest {
     StandinRequest request;
@@ -98,9 +120,14 @@
 
   KeyServer(EventLoop& loop, const KeyServerConfig& config);
   void handle(const StandinRequest& request, const StandinResponder& responder);
+  void setCondition(const std::string& body);
+  /// Ends the server once it executes nothing.
+  void leaveWhenIdle();
   void handleCommand(const StandinRequest& request, const StandinResponder& responder);
   /// @return false if a higher token was seen for one of the keys.
   bool grant(const std::string& body, bool late);
+  /// Logs the grant once for each part of the range that is held until another time.
+  void logGrant(int first, int last, bool late);
   void release(const std::string& body, const StandinResponder& responder);
   void handleClientRequest(const StandinRequest& request, const StandinResponder& responder);
   void startRequest(const std::shared_ptr<PendingRequest>& pending);
@@ -114,10 +141,16 @@
   void sendHeartbeat();
   void scheduleHeartbeat(Duration delay);
   void onAcknowledged(const HttpExchangeResult& exchange, const KeyReport& reported, TimePoint sent);
+  /// Logs what an assignment in the acknowledgement of a heartbeat changed.
+  void logAssignment(const KeyAssignment& assignment, TimePoint sent);
+  /// Logs the end of releases by heartbeat whose requests have ended.
+  void logEndedReleases();
+  void runAfter(Duration delay, std::function<void()> step);
   /// @return the token under which requests for the key may begin now; 0 if they may not.
   std::uint64_t tokenFor(int key) const;
   /// @return whether a request for a key in the range is being executed.
   bool isRunningOn(int first, int last) const;
+  void logRange(const std::string& event, int first, int last, std::uint64_t token);
   void log(const std::string& line);
   bool happens(double probability);
 
@@ -139,10 +172,14 @@
   struct Release {
     int first = 0;
     int last = 0;
+    std::uint64_t token = 0;
     StandinResponder responder;
   };
   /// Releases that wait for running requests on their keys.
   std::vector<Release> releases_;
+  /// Ranges of the latest assignment, and those that it took back whose requests may still run.
+  std::vector<AssignedRange> logged_ranges_;
+  std::vector<AssignedRange> logged_releases_;
   /// Keeps the connections of unanswered commands open.
   std::vector<StandinResponder> withheld_;
   /// Empty while no limit is named.
@@ -152,6 +189,9 @@
   std::string logged_limit_;
   bool leaving_logged_ = false;
   bool draining_ = false;
+  bool listening_ = true;
+  bool heartbeats_after_listening_ = true;
+  bool ending_ = false;
   std::function<void()> on_acknowledged_;
   std::size_t started_requests_ = 0;
   std::uint64_t sequence_ = 0;
--- a/standins/standin_http_server.cc
+++ b/standins/standin_http_server.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <utility>
+#include <vector>
 
 namespace shedlever::standins {
 
@@ -152,6 +153,9 @@
       evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     }
     evhttp_add_header(headers, "Content-Length", std::to_string(response.body.size()).c_str());
+    if (server_->bound_ == nullptr) {
+      evhttp_add_header(headers, "Connection", "close");
+    }
   }
 
   StandinHttpServer* server_;
@@ -185,14 +189,13 @@
   }
   evhttp_set_allowed_methods(server->http_.get(), static_cast<ev_uint16_t>(methods));
   evhttp_set_gencb(server->http_.get(), &StandinHttpServer::requestArrived, server.get());
-  evhttp_bound_socket* const bound =
-      evhttp_bind_socket_with_handle(server->http_.get(), listen.address.c_str(), listen.port);
-  if (bound == nullptr) {
+  server->bound_ = evhttp_bind_socket_with_handle(server->http_.get(), listen.address.c_str(), listen.port);
+  if (server->bound_ == nullptr) {
     return leaf::new_error(NetworkError{"bind " + toString(listen), errno});
   }
   sockaddr_in address{};
   socklen_t size = sizeof(address);
-  getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &size);
+  getsockname(evhttp_bound_socket_get_fd(server->bound_), reinterpret_cast<sockaddr*>(&address), &size);
   server->endpoint_ = {listen.address, ntohs(address.sin_port)};
   return server;
 }
@@ -207,6 +210,23 @@
   }
 }
 
+void StandinHttpServer::stopListening() {
+  if (bound_ == nullptr) {
+    return;
+  }
+  evhttp_del_accept_socket(http_.get(), std::exchange(bound_, nullptr));
+  std::vector<evhttp_connection*> idle;
+  for (const auto& [connection, latest] : connections_) {
+    const auto exchange = latest.lock();
+    if (!exchange || !exchange->open()) {
+      idle.push_back(connection);
+    }
+  }
+  for (evhttp_connection* const connection : idle) {
+    evhttp_connection_free(connection);
+  }
+}
+
 void StandinHttpServer::requestArrived(evhttp_request* request, void* self) {
   auto* const server = static_cast<StandinHttpServer*>(self);
   evhttp_connection* const connection = evhttp_request_get_connection(request);
--- a/standins/standin_http_server.h
+++ b/standins/standin_http_server.h
@@ -18,6 +18,7 @@
 
 struct evhttp_request;
 struct evhttp_connection;
+struct evhttp_bound_socket;
 
 namespace shedlever::standins {
 
@@ -65,6 +66,10 @@
   StandinHttpServer(const StandinHttpServer&) = delete;
   StandinHttpServer& operator=(const StandinHttpServer&) = delete;
 
+  /// Closes the listening socket and the idle connections. Requests being executed still get their responses, after
+  /// which their connections are closed too. Must not be called while a request arrives.
+  void stopListening();
+
   const Endpoint& endpoint() const { return endpoint_; }
   std::size_t connections() const { return connections_.size(); }
 
@@ -78,6 +83,8 @@
 
   EventLoop& loop_;
   EvhttpHandle http_;
+  /// Null once the server has stopped listening.
+  evhttp_bound_socket* bound_ = nullptr;
   Endpoint endpoint_;
   StandinHandler handler_;
   std::size_t connection_limit_ = 0;
