Simulator: let servers run on after they refuse connections

Cause: a simulated server that ended was gone at once, and a command to a server that runs was never refused. The simulator could therefore not show a server that closes its listening socket while it still holds keys, nor two instances at one address.

Change: a node has a list of running instances; at most one of them accepts connections. `refuseConnections` closes the listening socket of a server that runs on with its grants and heartbeats, `startUnreportedServer` and `reportServer` separate the start of a successor from its first report, `killEarlierServers` ends the instances before it, and `connectToServer` lets the process notice a refused connection as the router does (RouterProcess::onServerGone). The process accepts heartbeats only from the instance that it knows.

OwnershipChecks keeps the tokens of all instances, with those that have ended, and checks each acquisition against them. Before, it compared with running servers only. `acquired_tokens` of the servers is no longer needed.

--- a/source/lab/sim/ownership_checks.cc
+++ b/source/lab/sim/ownership_checks.cc
@@ -11,30 +11,37 @@
   return static_cast<Key>(index * kStep + index % kStep);
 }
 
-void OwnershipChecks::onAcquired(const SimulatedServer& server, Key first, Key last, FenceToken token,
-                                 const Servers& running) {
+void OwnershipChecks::onAcquired(const SimulatedServer& server, Key first, Key last, FenceToken token) {
+  auto& own_tokens = acquired_tokens_[server.instance];
   for (std::size_t i = 0; i < kSampleCount; ++i) {
     const Key key = sampleKey(i);
     if (key < first || last < key) {
       continue;
     }
-    for (const SimulatedServer* other : running) {
-      if (other != &server && other->acquired_tokens[key] >= token) {
-        violations_.push_back("key " + std::to_string(key) + ": token " + std::to_string(token) +
-                              " is not above that of another server");
+    for (const auto& [instance, tokens] : acquired_tokens_) {
+      if (instance != server.instance && tokens[i] >= token) {
+        violations_.push_back("key " + std::to_string(key) + ": token " + std::to_string(token) + " of " +
+                              server.instance.value + " is not above that of " + instance.value);
       }
     }
+    own_tokens[i] = std::max(own_tokens[i], token);
   }
 }
 
 void OwnershipChecks::check(const Servers& running, TimePoint now) {
   for (std::size_t i = 0; i < kSampleCount; ++i) {
     const Key key = sampleKey(i);
-    const auto holders = std::count_if(running.begin(), running.end(),
-                                       [key](const SimulatedServer* server) { return server->occupies(key); });
-    if (holders > 1) {
-      violations_.push_back("key " + std::to_string(key) + " is held by " + std::to_string(holders) + " servers at " +
-                            std::to_string(now.time_since_epoch().count()));
+    std::string holders;
+    std::size_t count = 0;
+    for (const SimulatedServer* server : running) {
+      if (server->occupies(key)) {
+        holders += " " + server->instance.value;
+        ++count;
+      }
+    }
+    if (count > 1) {
+      violations_.push_back("key " + std::to_string(key) + " is held by " + std::to_string(count) + " servers at " +
+                            std::to_string(now.time_since_epoch().count()) + " us:" + holders);
     }
   }
 }
--- a/source/lab/sim/ownership_checks.h
+++ b/source/lab/sim/ownership_checks.h
@@ -3,6 +3,8 @@
 /// @file
 /// Invariants of the servers that share the keys of one service: no key has two owners, and fencing tokens increase.
 
+#include <array>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,9 +21,9 @@
   static constexpr std::size_t kSampleCount = 128;
   static Key sampleKey(std::size_t index);
 
-  /// Checks the token of keys that the server has just acquired.
-  /// @param running all running servers.
-  void onAcquired(const SimulatedServer& server, Key first, Key last, FenceToken token, const Servers& running);
+  /// Checks that the token of keys that the server has just acquired is above those of all other servers, running or
+  /// ended. Another instance at the same node is another server.
+  void onAcquired(const SimulatedServer& server, Key first, Key last, FenceToken token);
 
   /// Checks that no sampled key has two owners.
   /// @param running all running servers.
@@ -35,6 +37,8 @@
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
+  /// Highest token with which each instance acquired each sampled key.
+  std::map<InstanceId, std::array<FenceToken, kSampleCount>> acquired_tokens_;
   std::vector<std::string> violations_;
 };
 
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -84,10 +84,8 @@
   ports.table_read = [&node] { return node.table_read; };
   ports.on_server_gone = [this, &node, process_generation = node.process_generation] {
     time_.after(Duration::zero(), [this, &node, process_generation] {
-      if (node.process_generation == process_generation && !node.server && node.manager) {
-        node.manager->serverDead();
-        node.record.instance = {};
-        propagateRecords();
+      if (node.process_generation == process_generation) {
+        onConnectionRefused(node);
       }
     });
   };
@@ -114,9 +112,9 @@
     node.manager->onTableObject(node.peer_table);
   }
   readTable(node);
-  if (node.server) {
-    node.manager->serverUp(node.server->instance, time_.now());
-    node.record.instance = node.server->instance;
+  if (const auto server = node.reportingServer()) {
+    node.manager->serverUp(server->instance, time_.now());
+    node.record.instance = server->instance;
   }
   propagateRecords();
   time_.after(kTickInterval, [this, index = node.index, process_generation = node.process_generation] {
@@ -296,31 +294,6 @@
   }
 }
 
-void SimulatedCluster::killServer(std::size_t node) { nodes_[node]->server.reset(); }
-
-void SimulatedCluster::startServer(std::size_t node) {
-  Node& started_node = *nodes_[node];
-  started_node.server = std::make_shared<SimulatedServer>(time_, InstanceId("i-" + std::to_string(++last_instance_)));
-  started_node.record.instance = started_node.server->instance;
-  started_node.record.draining = false;
-  if (started_node.manager) {
-    started_node.manager->serverUp(started_node.server->instance, time_.now());
-    propagateRecords();
-  }
-  started_node.last_sequence = 0;
-  if (config_.grant_delivery == GrantDelivery::Heartbeat) {
-    sendHeartbeat(started_node);
-  }
-}
-
-void SimulatedCluster::drainServer(std::size_t node) {
-  nodes_[node]->record.draining = true;
-  if (nodes_[node]->manager) {
-    nodes_[node]->manager->startDraining();
-  }
-  propagateRecords();
-}
-
 void SimulatedCluster::setEvacuated(std::size_t node, bool evacuated) {
   if (evacuated) {
     evacuated_.insert(zoneOf(node));
@@ -442,14 +415,14 @@
 }
 
 void SimulatedCluster::checkAcquisition(const SimulatedServer& server, Key first, Key last, FenceToken token) {
-  checks_.onAcquired(server, first, last, token, running());
+  checks_.onAcquired(server, first, last, token);
 }
 
 OwnershipChecks::Servers SimulatedCluster::running() const {
   OwnershipChecks::Servers servers;
   for (const auto& node : nodes_) {
-    if (node->server) {
-      servers.push_back(node->server.get());
+    for (const auto& server : node->running_servers) {
+      servers.push_back(server.get());
     }
   }
   return servers;
--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -71,11 +71,23 @@
   /// Pauses the process; its server continues.
   void pauseNode(std::size_t node);
   void resumeNode(std::size_t node);
-  /// Crashes the server; commands to its address fail with ServerGone.
+  /// Crashes all server instances at the node; commands to its address fail with ServerGone.
   void killServer(std::size_t node);
-  /// Starts a new server instance at the node.
+  /// Crashes all server instances at the node and starts a new one, which reports at once.
   void startServer(std::size_t node);
   void drainServer(std::size_t node);
+  /// The server accepts no more connections but runs on: it holds its keys until its grants end, processes the requests
+  /// that it has begun and sends heartbeats.
+  void refuseConnections(std::size_t node);
+  /// The node's process opens a connection to its server, as for a request or a health check.
+  void connectToServer(std::size_t node);
+  /// Starts a new server instance that accepts the connections to the node's address but has not reported yet. Earlier
+  /// instances run on as with `refuseConnections`.
+  void startUnreportedServer(std::size_t node);
+  /// The first report of the instance that accepts connections reaches the node's process.
+  void reportServer(std::size_t node);
+  /// Crashes all server instances at the node except the one that accepts connections.
+  void killEarlierServers(std::size_t node);
   /// Evacuates the node's zone, or ends its evacuation. All processes learn of the change at once, and new processes
   /// when they start.
   void setEvacuated(std::size_t node, bool evacuated);
@@ -115,6 +127,9 @@
   std::uint64_t tableChanges(const std::string& outcome) const;
   /// @return the number of sampled keys that the node serves.
   std::size_t servedBy(std::size_t node) const;
+  /// @return the number of sampled keys that running server instances of the node hold, with those that refuse
+  ///   connections.
+  std::size_t heldAt(std::size_t node) const;
 
   /// @return how often a table was checked that a process had sent after a write, as a difference, to a process that
   /// knew
@@ -134,11 +149,14 @@
   void applyEvacuations(Node& node);
   void readTable(Node& node);
   void onKeysTransferred(const Node& writer, const OwnerTableDeltaFrame& delta);
-  /// Sends a heartbeat of the node's server and schedules the next one.
-  void sendHeartbeat(Node& node);
+  /// Sends a heartbeat of the server and schedules the next one.
+  void sendHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server);
   /// Schedules a heartbeat, which is skipped if another one is sent first.
-  void scheduleHeartbeat(Node& node, Duration delay);
-  void deliverHeartbeat(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent);
+  void scheduleHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server, Duration delay);
+  void deliverHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server, const KeyReport& report,
+                        std::uint64_t sequence, TimePoint sent);
+  /// Handles a refused connection to the node's server, as a router process does.
+  void onConnectionRefused(Node& node);
   void tickNode(std::size_t index, std::uint64_t process_generation);
   /// Reports the load and failure ratio of the node's server to all running processes.
   void reportLoad(std::size_t node);
@@ -152,7 +170,7 @@
                  const SharedWrites::ReplyCallback& done);
   /// Runs the event at the node's process after the delay of the network; a paused process runs it when it resumes.
   void deliver(Node& from, Node& to, std::function<void()> event);
-  /// @return all running servers.
+  /// @return all running servers, with several instances at one node.
   OwnershipChecks::Servers running() const;
   void checkAcquisition(const SimulatedServer& server, Key first, Key last, FenceToken token);
   bool happens(double probability);
--- a/source/lab/sim/simulated_cluster_heartbeats.cc
+++ b/source/lab/sim/simulated_cluster_heartbeats.cc
@@ -20,15 +20,14 @@
 
 }  // namespace
 
-void SimulatedCluster::sendHeartbeat(Node& node) {
-  const std::shared_ptr<SimulatedServer> server = node.server;
+void SimulatedCluster::sendHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server) {
   const KeyReport report = server->assigned.report();
   const TimePoint sent = time_.now();
-  const std::uint64_t sequence = ++node.last_sequence;
+  const std::uint64_t sequence = ++server->last_sequence;
   const ServerFaults& faults = node.server_faults;
   const auto arrive = [this, &node, server, report, sequence, sent] {
-    if (node.server == server) {
-      deliverHeartbeat(node, report, sequence, sent);
+    if (node.runs(server)) {
+      deliverHeartbeat(node, server, report, sequence, sent);
     }
   };
   if (happens(faults.late_probability)) {
@@ -39,40 +38,39 @@
       time_.after(milliseconds(10 + random_.below(3000)), arrive);
     }
   }
-  scheduleHeartbeat(node, server->assigned.isReleasing() ? kUrgentHeartbeatInterval : kHeartbeatInterval);
+  scheduleHeartbeat(node, server, server->assigned.isReleasing() ? kUrgentHeartbeatInterval : kHeartbeatInterval);
 }
 
-void SimulatedCluster::scheduleHeartbeat(Node& node, Duration delay) {
-  time_.after(delay, [this, &node, server = node.server, sequence = node.last_sequence] {
-    if (node.server == server && node.last_sequence == sequence) {
-      sendHeartbeat(node);
+void SimulatedCluster::scheduleHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server, Duration delay) {
+  time_.after(delay, [this, &node, server, sequence = server->last_sequence] {
+    if (node.runs(server) && server->last_sequence == sequence) {
+      sendHeartbeat(node, server);
     }
   });
 }
 
-void SimulatedCluster::deliverHeartbeat(Node& node, const KeyReport& report, std::uint64_t sequence, TimePoint sent) {
+void SimulatedCluster::deliverHeartbeat(Node& node, const std::shared_ptr<SimulatedServer>& server,
+                                        const KeyReport& report, std::uint64_t sequence, TimePoint sent) {
   if (!node.manager || node.paused) {
     return;
   }
-  const std::shared_ptr<SimulatedServer> server = node.server;
   const bool lost = happens(node.server_faults.lost_acknowledgement_probability);
   const auto reply = [this, &node, server, report, sent, lost](const std::optional<KeyAssignment>& assignment) {
     time_.after(kLoopbackDelay, [this, &node, server, report, sent, lost, assignment] {
-      if (lost || node.server != server || time_.now() - sent >= kAcknowledgementLimit) {
+      if (lost || !node.runs(server) || time_.now() - sent >= kAcknowledgementLimit) {
         return;
       }
       for (const AssignedRange& range : server->assigned.onAcknowledged(assignment, report.released, sent)) {
-        std::fill(server->acquired_tokens.begin() + range.first, server->acquired_tokens.begin() + range.last + 1,
-                  range.token);
         checkAcquisition(*server, range.first, range.last, range.token);
       }
       if (server->assigned.isReleasing()) {
-        scheduleHeartbeat(node, kUrgentHeartbeatInterval);
+        scheduleHeartbeat(node, server, kUrgentHeartbeatInterval);
       }
     });
   };
   std::uint64_t& newest = node.latest_sequences[server->instance];
-  if (sequence <= newest) {
+  const bool is_known = node.record.instance == server->instance;
+  if (sequence <= newest || !is_known) {
     reply(std::nullopt);
     return;
   }
--- a/source/lab/sim/simulated_cluster_node.h
+++ b/source/lab/sim/simulated_cluster_node.h
@@ -3,6 +3,7 @@
 /// @file
 /// One node of a simulated cluster: its process, its server and the commands between them. Internal to the cluster.
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -31,10 +32,10 @@
   bool table_read = false;
   /// Owner table that peers send to a process when it starts.
   MetadataObject peer_table;
-  /// Sequence number of the latest heartbeat of the current server instance.
-  std::uint64_t last_sequence = 0;
-  /// Null if no server is running.
+  /// Accepts connections at the node's address; null if connections are refused.
   std::shared_ptr<SimulatedServer> server;
+  /// All running instances in the order of their starts, with those that refuse connections.
+  std::vector<std::shared_ptr<SimulatedServer>> running_servers;
   ServerFaults server_faults;
   StoreFaults store_faults;
   EditFaults edit_faults;
@@ -49,9 +50,24 @@
   std::uint64_t process_generation = 0;
   bool paused = false;
   bool knows_records_only = false;
+
+  bool runs(const std::shared_ptr<SimulatedServer>& instance) const {
+    return std::find(running_servers.begin(), running_servers.end(), instance) != running_servers.end();
+  }
+
+  /// @return the running instance whose reports a process that starts now accepts; null if there is none. The instance
+  ///   that accepts connections takes precedence.
+  std::shared_ptr<SimulatedServer> reportingServer() const {
+    if (server && server->has_reported) {
+      return server;
+    }
+    const auto found = std::find_if(running_servers.rbegin(), running_servers.rend(),
+                                    [](const auto& instance) { return instance->has_reported; });
+    return found == running_servers.rend() ? nullptr : *found;
+  }
 };
 
-/// Sends commands from a node to its server.
+/// Sends commands to the server that accepts connections at the node's address, whichever instance that is.
 /// Scheduled events refer to the cluster and the node and not to this object, which is replaced when the process
 /// restarts.
 class SimulatedCluster::ServerCommandChannel final : public ServerCommands {
@@ -104,7 +120,7 @@
       return;
     }
     time.after(kLoopbackDelay, [&node = node_, apply, server, reply, server_gone] {
-      reply(node.server == server ? apply(*server, false) : server_gone);
+      reply(node.runs(server) ? apply(*server, false) : server_gone);
     });
   }
 
--- a/source/lab/sim/simulated_server.cc
+++ b/source/lab/sim/simulated_server.cc
@@ -16,7 +16,6 @@
 SimulatedServer::SimulatedServer(VirtualTime& time, InstanceId server_instance)
     : instance(std::move(server_instance)),
       assigned(time, [&time](const KeyRange&, TimePoint let_go) { return time.now() < let_go + kWorkDuration; }),
-      acquired_tokens(kKeyCount, 0),
       time_(time),
       max_tokens_(kKeyCount, 0),
       until_(kKeyCount, TimePoint{}) {}
@@ -32,7 +31,6 @@
     max_tokens_[key] = command.token;
     if (!late) {
       until_[key] = std::max(until_[key], time_.now() + hold);
-      acquired_tokens[key] = std::max(acquired_tokens[key], command.token);
     }
   }
   return true;
--- a/source/lab/sim/simulated_server.h
+++ b/source/lab/sim/simulated_server.h
@@ -3,6 +3,7 @@
 /// @file
 /// Simulated server that receives keys by commands or in heartbeat acknowledgements.
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -34,10 +35,12 @@
   bool occupies(Key key) const { return holds(key) || assigned.occupies(key); }
 
   InstanceId instance;
+  /// Whether a report of the server has reached a process of its node.
+  bool has_reported = false;
+  /// Sequence number of its latest heartbeat.
+  std::uint64_t last_sequence = 0;
   /// Keys assigned in heartbeat acknowledgements.
   AssignedKeys assigned;
-  /// Highest token with which the server acquired each key; late grants do not count.
-  std::vector<FenceToken> acquired_tokens;
 
  private:
   VirtualTime& time_;
--- /dev/null
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -0,0 +1,86 @@
+/// @file
+/// Ownership while a server refuses connections but runs on, and while several instances of a server run at one node.
+
+#include <gtest/gtest.h>
+
+#include "test/support/ownership_expectations.h"
+
+namespace shedlever::sim::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 20261202;
+constexpr std::size_t kNodes = 4;
+/// The node whose server ends in the tests.
+constexpr std::size_t kNode = 1;
+/// Long enough for all grants to end and for their keys to be granted to other servers.
+constexpr Duration kSettleTime = seconds(12);
+
+class ServerEndOwnershipTest : public ::testing::TestWithParam<GrantDelivery> {
+ protected:
+  void SetUp() override {
+    world_.run(seconds(5));
+    ASSERT_EQ(world_.servedKeys(), world_.sampledKeys());
+  }
+  void TearDown() override { expectNoViolations(world_); }
+
+  static OwnershipConfig config() {
+    OwnershipConfig config;
+    config.grant_delivery = GetParam();
+    return config;
+  }
+
+  void expectAllServed() { EXPECT_EQ(world_.servedKeys(), world_.sampledKeys()); }
+
+  /// Runs until all keys must be served again by one server each.
+  void settle() {
+    world_.run(kSettleTime);
+    expectNoViolations(world_);
+    expectAllServed();
+  }
+
+  SimulatedCluster world_{kNodes, kSeed, config()};
+};
+
+std::string nameOf(const ::testing::TestParamInfo<GrantDelivery>& info) {
+  return info.param == GrantDelivery::Heartbeat ? "ByHeartbeat" : "ByRequest";
+}
+
+INSTANTIATE_TEST_SUITE_P(Grants, ServerEndOwnershipTest,
+                         ::testing::Values(GrantDelivery::Request, GrantDelivery::Heartbeat), nameOf);
+
+// A simulated server that lost its keys with its listening socket would hide a second owner.
+TEST_P(ServerEndOwnershipTest, RefusingServerHoldsItsKeysUntilItsGrantsEnd) {
+  const OwnershipConfig settings = config();
+  const Duration hold = GetParam() == GrantDelivery::Heartbeat ? settings.heartbeat_hold : settings.grant_hold;
+  world_.killNode(kNode);
+  world_.refuseConnections(kNode);
+  world_.run(hold / 2);
+  EXPECT_EQ(world_.heldAt(kNode), world_.sampledKeys() / kNodes);
+  world_.run(hold);
+  EXPECT_EQ(world_.heldAt(kNode), 0U);
+}
+
+// As above, for a server whose address a successor has taken.
+TEST_P(ServerEndOwnershipTest, EarlierInstanceHoldsItsKeysBesideItsSuccessor) {
+  world_.killNode(kNode);
+  world_.startUnreportedServer(kNode);
+  world_.run(milliseconds(500));
+  EXPECT_EQ(world_.heldAt(kNode), world_.sampledKeys() / kNodes);
+  world_.killEarlierServers(kNode);
+  EXPECT_EQ(world_.heldAt(kNode), 0U);
+}
+
+// The wait for the grants of a server that may still run must leave no keys without an owner.
+TEST_P(ServerEndOwnershipTest, KeysOfAnEndedServerAreServedAgainAfterARefusedConnection) {
+  world_.killServer(kNode);
+  world_.connectToServer(kNode);
+  settle();
+  world_.startServer(kNode);
+  settle();
+}
+
+}  // namespace
+}  // namespace shedlever::sim::test
