Show a refused connection taken for the end of a server

A server that is not draining stops listening and runs on; the process notices it at once and its keys are reassigned.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -34,6 +34,12 @@
 
   void expectAllServed() { EXPECT_EQ(world_.servedKeys(), world_.sampledKeys()); }
 
+  /// The server refuses connections and the process notices it at once.
+  void refuseConnections() {
+    world_.refuseConnections(kNode);
+    world_.connectToServer(kNode);
+  }
+
   /// Runs until all keys must be served again by one server each.
   void settle() {
     world_.run(kSettleTime);
@@ -82,5 +88,11 @@
   settle();
 }
 
+// A server that closes its listening socket first may still hold keys until its grants end.
+TEST_P(ServerEndOwnershipTest, KeysOfARefusingServerMoveOnlyAfterItsGrantsEnd) {
+  refuseConnections();
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
