Show a refusing server that drains and loses its held keys

Fails by request: "key 4104 is held by 2 servers" 0.15 s after the refusal. Passes by heartbeat, where a refusal of a draining server proves nothing.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -94,5 +94,12 @@
   settle();
 }
 
+// As above, for a server that reports that it is leaving and then closes its listening socket.
+TEST_P(ServerEndOwnershipTest, KeysOfADrainingServerThatRefusesMoveOnlyAfterItsGrantsEnd) {
+  world_.drainServer(kNode);
+  refuseConnections();
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
