Show a refusing server without heartbeats losing held keys

Hypothesis 1: the server stops listening and its heartbeats are lost too, so only the end of its grants shows that it holds nothing.

Fails by request and by heartbeat: "key 4104 is held by 2 servers", 0.15 s and 0.22 s after the refusal.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -101,5 +101,12 @@
   settle();
 }
 
+// As above, for a server whose heartbeats do not arrive either.
+TEST_P(ServerEndOwnershipTest, KeysOfARefusingServerWithoutHeartbeatsMoveOnlyAfterItsGrantsEnd) {
+  world_.silenceServer(kNode, true);
+  refuseConnections();
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
