Show a restarted process that takes a refusal for an end

Hypothesis 1: the process that notices the refusal has started after it and knows none of the grants of the process before it.

Fails by request and by heartbeat: "key 4104 is held by 2 servers" 0.25 s after the refusal and 0.15 s after the restart of the process.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -108,5 +108,15 @@
   settle();
 }
 
+// A process that starts after the refusal knows nothing of the grants of the process before it.
+TEST_P(ServerEndOwnershipTest, RestartedProcessWaitsForTheGrantsOfARefusingServer) {
+  world_.killNode(kNode);
+  world_.refuseConnections(kNode);
+  world_.run(milliseconds(100));
+  world_.restartNode(kNode);
+  world_.connectToServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
