Show a successor that gets the keys of a running instance

Hypothesis 4: the first report of a new instance counts as the end of the one before it, which still runs and holds keys.

Fails by request and by heartbeat: "key 4104 is held by 2 servers", the two instances of one node, 0.1 s after the report.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -118,5 +118,12 @@
   settle();
 }
 
+// The first report of a successor does not show that the earlier instance has ended.
+TEST_P(ServerEndOwnershipTest, SuccessorGetsKeysOnlyAfterTheGrantsOfARunningEarlierInstanceEnd) {
+  world_.startUnreportedServer(kNode);
+  world_.reportServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
