Show a successor that starts beside a refusing instance

Fails by request and by heartbeat: "key 4104 is held by 2 servers", 0.15 s and 0.22 s after the refusal, so before the successor has started.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -125,5 +125,14 @@
   settle();
 }
 
+// As above, for a successor that starts while the earlier instance refuses connections.
+TEST_P(ServerEndOwnershipTest, SuccessorOfARefusingServerGetsKeysOnlyAfterItsGrantsEnd) {
+  refuseConnections();
+  world_.run(milliseconds(300));
+  world_.startUnreportedServer(kNode);
+  world_.reportServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
