Show a successor that takes the grants of an earlier instance

A renewal that is sent before the first report of a successor reaches it while the earlier instance still holds the keys.

Fails by request: "key 4104: token of i-5 is not above that of i-2". Passes by heartbeat, where no command is sent.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kNodes = 4;
 /// The node whose server ends in the tests.
 constexpr std::size_t kNode = 1;
+/// Time between the start of a server and its first report.
+constexpr Duration kReportDelay = seconds(1);
 /// Long enough for all grants to end and for their keys to be granted to other servers.
 constexpr Duration kSettleTime = seconds(12);
 
@@ -134,5 +136,15 @@
   settle();
 }
 
+// A renewal meant for the earlier instance would give its keys to the successor under the same token.
+TEST_P(ServerEndOwnershipTest, UnreportedSuccessorTakesNoGrantsOfARunningEarlierInstance) {
+  world_.startUnreportedServer(kNode);
+  world_.run(kReportDelay);
+  expectNoViolations(world_);
+  world_.killEarlierServers(kNode);
+  world_.reportServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
