Show a restarted server that gets its keys under old tokens

Fails by request: "key 4104: token of i-5 is not above that of i-2". Passes by heartbeat, where no command is sent.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -146,5 +146,14 @@
   settle();
 }
 
+// As above, for an earlier instance that ended before any command was refused.
+TEST_P(ServerEndOwnershipTest, ServerRestartedWithinTheRenewalIntervalGetsKeysUnderHigherTokens) {
+  world_.killServer(kNode);
+  world_.startUnreportedServer(kNode);
+  world_.run(kReportDelay);
+  world_.reportServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
