Show a release answered by a successor of the holder

Fails by request: "key 4104 is held by 2 servers" 0.15 s after the release began. Passes by heartbeat, where the holder itself reports its releases.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -155,5 +155,12 @@
   settle();
 }
 
+// A release that the successor answers does not show that the earlier instance has released the keys.
+TEST_P(ServerEndOwnershipTest, ReleaseAnsweredByAnUnreportedSuccessorMovesNoKeysOfARunningEarlierInstance) {
+  world_.startUnreportedServer(kNode);
+  world_.drainServer(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
