Simulator: let writes to one kind of objects take longer

Change: `StoreFaults` names a kind of objects whose writes are slower; `SimulatedCluster::lease` returns a node's lease from the store.

--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -273,6 +273,10 @@
 
 MetadataObject SimulatedCluster::table() const { return store_.get(kTableKind, ownerTableName(kService)).object; }
 
+LeaseRecord SimulatedCluster::lease(std::size_t node) const {
+  return LeaseRecord::decode(store_.get(kLeaseKind, nodeName(node).value).object.value);
+}
+
 void SimulatedCluster::pauseNode(std::size_t node) {
   nodes_[node]->paused = true;
   propagateRecords();
--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -68,6 +68,8 @@
   void restartNodeWithRecordsOnly(std::size_t node);
   /// @return the owner table in the store.
   MetadataObject table() const;
+  /// @return the node's lease in the store.
+  LeaseRecord lease(std::size_t node) const;
   /// Pauses the process; its server continues.
   void pauseNode(std::size_t node);
   void resumeNode(std::size_t node);
--- a/source/lab/sim/virtual_store.cc
+++ b/source/lab/sim/virtual_store.cc
@@ -124,7 +124,10 @@
 }
 
 /// @param apply must not refer to this client, which may be destroyed before the call completes.
-void VirtualMetadataStore::write(std::function<StoreAnswer()> apply, const AnswerCallback& done) {
+void VirtualMetadataStore::write(const std::string& kind, std::function<StoreAnswer()> apply,
+                                 const AnswerCallback& done) {
+  const Duration response_time =
+      faults.response_time + (kind == faults.slow_kind ? faults.slow_write_delay : Duration{});
   const auto unanswered = [this, done, alive_now = alive] {
     time_.after(kCallTimeout, [done, alive_now] {
       if (*alive_now) {
@@ -143,11 +146,11 @@
     return;
   }
   if (happens(faults.lost_answer_probability)) {
-    time_.after(faults.response_time, [apply] { apply(); });
+    time_.after(response_time, [apply] { apply(); });
     unanswered();
     return;
   }
-  time_.after(faults.response_time, [apply, done, alive_now = alive] {
+  time_.after(response_time, [apply, done, alive_now = alive] {
     const StoreAnswer answer = apply();
     if (*alive_now) {
       done(answer);
@@ -156,16 +159,19 @@
 }
 
 void VirtualMetadataStore::create(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([&state = state_, kind, object] { return state.create(kind, object); }, done);
+  write(
+      kind, [&state = state_, kind, object] { return state.create(kind, object); }, done);
 }
 
 void VirtualMetadataStore::replace(const std::string& kind, const MetadataObject& object, AnswerCallback done) {
-  write([&state = state_, kind, object] { return state.replace(kind, object); }, done);
+  write(
+      kind, [&state = state_, kind, object] { return state.replace(kind, object); }, done);
 }
 
 void VirtualMetadataStore::remove(const std::string& kind, const std::string& name, StoreRevision revision,
                                   AnswerCallback done) {
-  write([&state = state_, kind, name, revision] { return state.remove(kind, name, revision); }, done);
+  write(
+      kind, [&state = state_, kind, name, revision] { return state.remove(kind, name, revision); }, done);
 }
 
 void VirtualMetadataStore::list(const std::string& kind, ListFreshness, ListCallback done) {
--- a/source/lab/sim/virtual_store.h
+++ b/source/lab/sim/virtual_store.h
@@ -104,6 +104,10 @@
   double late_write_probability = 0;
   /// Time from a call to its response.
   Duration response_time = std::chrono::milliseconds(4);
+  /// Kind of the objects whose writes take longer; empty if there is none.
+  std::string slow_kind = {};
+  /// Added to the response time of writes to objects of that kind.
+  Duration slow_write_delay{};
 };
 
 /// One node's client of the store.
@@ -128,7 +132,7 @@
   void check(const std::string& kind, StoreRevision after, WatchCallback done) override;
 
  private:
-  void write(std::function<StoreAnswer()> apply, const AnswerCallback& done);
+  void write(const std::string& kind, std::function<StoreAnswer()> apply, const AnswerCallback& done);
   bool happens(double probability);
 
   VirtualTime& time_;
