Show a revocation that a restarted process does not see

The lease of node 1 is revoked while its process is paused; the table write of the process that revoked it takes 3 s. The paused process continues, renews its lease without the mark and is killed 0.1 s later, before its ranges are confirmed. Its successor reads the lease and the old table from the store.

Fails by request and by heartbeat: "key 36936 is held by 2 servers" at the time of the takeover's write. The control without the end of the process passes.

--- a/test/core_router/ownership/lease_revocation_ownership_test.cc
+++ b/test/core_router/ownership/lease_revocation_ownership_test.cc
@@ -90,5 +90,12 @@
 // A process that renews its revoked lease must not grant its old ranges while another process takes them over.
 TEST_P(LeaseRevocationOwnershipTest, RunningProcessGrantsNothingBeforeItsRangesAreConfirmed) { settle(); }
 
+// The renewal after a revocation must not hide the revocation from a process that starts before the confirmation.
+TEST_P(LeaseRevocationOwnershipTest, RestartedProcessGrantsNothingBeforeItsRangesAreConfirmed) {
+  endProcessBeforeConfirmation();
+  world_.restartNode(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
