Show a revocation that a process with a peer's lease misses

The lease of node 1 is revoked while its process is paused; the table write of the process that revoked it takes 3 s. The paused process continues, renews its lease without the mark and is killed 0.1 s later, before its ranges are confirmed. Its successor also learns from its peers how long the lease lasts.

Fails by request and by heartbeat: "key 36936 is held by 2 servers" at the time of the takeover's write.

--- a/test/core_router/ownership/lease_revocation_ownership_test.cc
+++ b/test/core_router/ownership/lease_revocation_ownership_test.cc
@@ -97,5 +97,12 @@
   settle();
 }
 
+// As above, for a process that takes over the rest of the lease from its peers.
+TEST_P(LeaseRevocationOwnershipTest, ProcessWithAnInheritedLeaseGrantsNothingBeforeItsRangesAreConfirmed) {
+  endProcessBeforeConfirmation();
+  world_.restartNodeWithLease(kNode);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
