Show a revocation missed while the store is unreachable

The lease of node 1 is revoked while its process is paused; the table write of the process that revoked it takes 3 s. The paused process continues, renews its lease without the mark and is killed 0.1 s later, before its ranges are confirmed. Its successor cannot reach the store and gets the lease and the table before the takeover from its peers.

Fails by request: "key 36936 is held by 2 servers" at the time of the takeover's write. Passes by heartbeat: the server's grants have ended, so that it reports no keys to resume.

--- a/test/core_router/ownership/lease_revocation_ownership_test.cc
+++ b/test/core_router/ownership/lease_revocation_ownership_test.cc
@@ -104,5 +104,13 @@
   settle();
 }
 
+// As above, for a process that gets the lease and the table from its peers while it cannot read the store.
+TEST_P(LeaseRevocationOwnershipTest, ProcessWithAPeersTableGrantsNothingBeforeItsRangesAreConfirmed) {
+  endProcessBeforeConfirmation();
+  world_.setStoreFaults(kNode, {true, 0, 0});
+  world_.restartNodeWithPeerTable(kNode, before_);
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
