Log and count grant and release commands to the server

Cause: the router's log had no line for a grant or a release, so after two servers held the same keys nobody could tell whether a grant had outlasted the lease it was taken from, or had arrived late.

Change: CommandRecorder wraps the server client for the ownership manager. A release is logged with keys, token, status and time to the answer. A grant is logged, with the cause named, if it failed, if the server may hold the range for longer than the lease lasts, if the lease cut it short, if the answer took over 100 ms, or if the range is newly held; a plain renewal is only counted. A line has the hold, what was left of the lease when the command was handed to the HTTP client, and the time since the tick that decided it. Metrics: shedlever_grants_total{result}, shedlever_grant_seconds, shedlever_releases_total{result}, the event grant-past-lease. The lines have a rate limit of their own (50 a second). RequestGrants adds the tick's time and the lease's end to the command; neither is sent, and the decisions are the same as before.

The new tests need the new class, so they were not seen failing before.

--- a/include/shedlever/server_commands.h
+++ b/include/shedlever/server_commands.h
@@ -12,6 +12,18 @@
 
 namespace shedlever {
 
+/// What a grant was decided from, for logs; not sent to the server.
+struct GrantBasis {
+  /// Time at which the duration of the grant was computed.
+  TimePoint decided_at{};
+  /// End of the node's lease at that time.
+  TimePoint lease_until{};
+  /// The server already held the range when the command was sent.
+  bool renewal = false;
+  /// The lease ends before a grant of full length would.
+  bool limited_by_lease = false;
+};
+
 struct GrantCommand {
   Key first = 0;
   Key last = 0;
@@ -19,6 +31,7 @@
   Duration hold_duration{};
   /// State from the previous owner; empty if there is none.
   std::string handover;
+  GrantBasis basis = {};
 };
 
 struct ReleaseCommand {
@@ -34,6 +47,9 @@
   ServerGone,  ///< the server's address refuses connections
 };
 
+/// @return the name in logs and metrics: `done`, `superseded`, `no-answer` or `connection-refused`.
+const char* toString(CommandStatus status);
+
 struct ReleaseResult {
   CommandStatus status = CommandStatus::NoAnswer;
   std::string handover;
--- a/source/core/router/ownership/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -34,16 +34,17 @@
     Grant& grant = grants_[range.keys.first];
     grant.range = range;
     if (!grant.in_flight && now >= grant.next_send_at) {
-      send(grant, hold, now);
+      send(grant, hold, lease_until, now);
     }
   }
 }
 
-void RequestGrants::send(Grant& grant, Duration hold, TimePoint now) {
+void RequestGrants::send(Grant& grant, Duration hold, TimePoint lease_until, TimePoint now) {
   grant.in_flight = true;
   grant.send_number = ++last_send_;
   const OwnedRange& range = grant.range;
-  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover};
+  const GrantBasis basis{now, lease_until, grant.held_until > now, hold < config_.grant_hold};
+  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover, basis};
   server_commands_.grant(command, [this, first = range.keys.first, number = grant.send_number, now,
                                    hold](CommandStatus status) { onAnswer(first, number, status, now, hold); });
 }
--- a/source/core/router/ownership/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -32,7 +32,7 @@
     std::uint64_t send_number = 0;
   };
 
-  void send(Grant& grant, Duration hold, TimePoint now);
+  void send(Grant& grant, Duration hold, TimePoint lease_until, TimePoint now);
   void onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent, Duration hold);
 
   const OwnershipConfig& config_;
--- a/source/router/event_log.cc
+++ b/source/router/event_log.cc
@@ -17,6 +17,7 @@
 constexpr double kServedPerSecond = 5.0;
 constexpr double kFailedPerSecond = 100.0;
 constexpr double kAttemptsPerSecond = 50.0;
+constexpr double kCommandsPerSecond = 50.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
 
@@ -47,7 +48,8 @@
       file_descriptor_(file_descriptor),
       served_{kServedPerSecond, kServedPerSecond, kServedPerSecond, {}},
       failed_{kFailedPerSecond, kFailedPerSecond, kFailedPerSecond, {}},
-      attempts_{kAttemptsPerSecond, kAttemptsPerSecond, kAttemptsPerSecond, {}} {
+      attempts_{kAttemptsPerSecond, kAttemptsPerSecond, kAttemptsPerSecond, {}},
+      commands_{kCommandsPerSecond, kCommandsPerSecond, kCommandsPerSecond, {}} {
   fcntl(file_descriptor_, F_SETFL, fcntl(file_descriptor_, F_GETFL) | O_NONBLOCK);
 }
 
@@ -75,6 +77,8 @@
 
 bool EventLog::mayWriteAttempt() { return takeToken(attempts_); }
 
+bool EventLog::mayWriteCommand() { return takeToken(commands_); }
+
 void EventLog::write(const char* component, std::string_view event, std::initializer_list<LogField> fields) {
   if (buffer_.size() > kBufferLimitBytes) {
     ++dropped_lines_;
--- a/source/router/event_log.h
+++ b/source/router/event_log.h
@@ -24,8 +24,8 @@
 
 /// Each line contains the wall-clock time (`at_ms`, comparable between machines) and the boot time (`t_us`, monotonic).
 /// Lines are buffered and written from the event loop. The log never blocks: when the buffer is full, lines are dropped
-/// and counted, and the count is logged. Lines about requests served in time, failed requests and attempts have
-/// separate rate limits.
+/// and counted, and the count is logged. Lines about requests served in time, failed requests, attempts and key
+/// commands have separate rate limits.
 class EventLog {
  public:
   /// @param loop, clock outlive the log. @param file_descriptor is set to non-blocking mode.
@@ -34,7 +34,7 @@
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
 
-  /// Writes one line. Lines about single requests need one of the permissions below first.
+  /// Writes one line. Lines about single requests and key commands need one of the permissions below first.
   void write(const char* component, std::string_view event, std::initializer_list<LogField> fields);
 
   /// Rate limit for requests that were answered in time.
@@ -45,6 +45,9 @@
   /// As `mayWriteServed`, for attempts that did not end their request and for a gate's decisions.
   bool mayWriteAttempt();
 
+  /// As `mayWriteServed`, for grant and release commands to the server.
+  bool mayWriteCommand();
+
   /// @return number of lines dropped because of a rate limit or a full buffer.
   std::uint64_t droppedLines() const { return dropped_lines_; }
 
@@ -73,6 +76,7 @@
   RateLimit served_;
   RateLimit failed_;
   RateLimit attempts_;
+  RateLimit commands_;
   /// Set to false by the destructor, for callbacks that are still pending in the event loop.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/source/router/router_metrics.cc
+++ b/source/router/router_metrics.cc
@@ -83,6 +83,8 @@
       events_(counters("shedlever_events_total", "Changes of what the process believes")),
       placement_moves_(counters("shedlever_placement_moves_total",
                                 "Moves of keys planned for the service, begun here, or dropped here, by step")),
+      grants_(counters("shedlever_grants_total", "Grant commands to the server beside this process, by result")),
+      releases_(counters("shedlever_releases_total", "Release commands to the server beside this process, by result")),
       peer_sent_bytes_(prometheus::BuildCounter()
                            .Name("shedlever_peer_sent_bytes_total")
                            .Help("Bytes of frames sent to other nodes' processes, by kind of frame")
@@ -95,6 +97,9 @@
                .Add({}, kSecondsBoundaries)),
       store_seconds_(histograms(registry_, "shedlever_store_call_seconds", "Time to the store's answer, watches apart")
                          .Add({}, kSecondsBoundaries)),
+      grant_seconds_(
+          histograms(registry_, "shedlever_grant_seconds", "Time to the answer or the timeout of grant commands")
+              .Add({}, kSecondsBoundaries)),
       slots_(gauge("shedlever_server_slots", "Slots of the server that are used")),
       named_limit_(gauge("shedlever_server_named_limit",
                          "Requests per second that the server takes, as it names them; +Inf if it names no limit")),
@@ -183,6 +188,13 @@
   }
 }
 
+void RouterMetrics::onGrant(CommandStatus status, Duration took) {
+  grants_.at("result", toString(status)).Increment();
+  grant_seconds_.Observe(secondsOf(took));
+}
+
+void RouterMetrics::onRelease(CommandStatus status) { releases_.at("result", toString(status)).Increment(); }
+
 void RouterMetrics::onEvent(const std::string& event) { events_.at("event", event).Increment(); }
 
 void RouterMetrics::onPlacement(const PlacementEvent& event) {
--- a/source/router/router_metrics.h
+++ b/source/router/router_metrics.h
@@ -20,6 +20,7 @@
 
 #include "shedlever/router_config.h"
 #include "shedlever/router_frames.h"
+#include "shedlever/server_commands.h"
 #include "shedlever/time.h"
 #include "source/core/router/ownership/heartbeat_grants.h"
 #include "source/core/router/ownership/placement/placement_event.h"
@@ -88,6 +89,10 @@
   void onFrameSent(const RouterFrame& frame, std::size_t bytes);
   /// Flows of a plan for the service were planned, carried out or dropped here.
   void onPlacement(const PlacementEvent& event);
+  /// A grant command to the server has ended. @param took time from the sending to the answer or the timeout.
+  void onGrant(CommandStatus status, Duration took);
+  /// A release command to the server has ended.
+  void onRelease(CommandStatus status);
   /// An event occurred that changes the state of the process.
   void onEvent(const std::string& event);
 
@@ -119,6 +124,8 @@
   CounterFamily store_calls_;
   CounterFamily events_;
   CounterFamily placement_moves_;
+  CounterFamily grants_;
+  CounterFamily releases_;
   prometheus::Family<prometheus::Counter>& peer_sent_bytes_;
   /// Indexed by the kind of frame; null until a frame of the kind is sent.
   std::array<prometheus::Counter*, std::variant_size_v<RouterFrame>> peer_sent_bytes_by_kind_{};
@@ -127,6 +134,7 @@
   prometheus::Histogram& queued_;
   prometheus::Histogram& ran_;
   prometheus::Histogram& store_seconds_;
+  prometheus::Histogram& grant_seconds_;
   prometheus::Gauge& slots_;
   prometheus::Gauge& named_limit_;
   prometheus::Gauge& running_;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -18,6 +18,7 @@
 #include "source/core/router/store/restorable_store.h"
 #include "source/net/system_clock_and_random.h"
 #include "source/router/cluster_state.h"
+#include "source/router/command_recorder.h"
 #include "source/router/gateway.h"
 #include "source/router/peer_server.h"
 #include "source/router/quarantine_coordinator.h"
@@ -151,6 +152,7 @@
   QuarantineCoordinator quarantine_;
   GateRecorder gate_recorder_;
   ServerClient server_client_;
+  CommandRecorder command_recorder_;
   ServerPresence server_;
   LinkPacer pacer_;
   ServerGate gate_;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -207,7 +207,7 @@
 OwnershipPorts RouterProcess::ownershipPorts() {
   OwnershipPorts ports;
   ports.store = &store_;
-  ports.server_commands = &server_client_;
+  ports.server_commands = &command_recorder_;
   ports.clock = &clock_;
   ports.directory = &directory_;
   ports.on_change = [this] {
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -7,8 +7,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <vector>
 
 #include "source/lab/sim/simulated_cluster.h"
+#include "source/router/command_recorder.h"
 #include "source/router/gate_recorder.h"
 #include "source/router/gateway_recorder.h"
 
@@ -18,6 +20,20 @@
 using std::chrono::milliseconds;
 using ::testing::HasSubstr;
 
+/// Keeps the callbacks of commands until the test answers them.
+class HeldCommands final : public ServerCommands {
+ public:
+  void grant(const GrantCommand&, std::function<void(CommandStatus)> done) override {
+    grants.push_back(std::move(done));
+  }
+  void release(const ReleaseCommand&, std::function<void(ReleaseResult)> done) override {
+    releases.push_back(std::move(done));
+  }
+
+  std::vector<std::function<void(CommandStatus)>> grants;
+  std::vector<std::function<void(ReleaseResult)>> releases;
+};
+
 class RecordersTest : public ::testing::Test {
  protected:
   RecordersTest() {
@@ -59,6 +75,21 @@
     return request;
   }
 
+  /// A grant of 2 s, decided 30 ms before it is sent, under a lease of 7 s.
+  GrantCommand grantCommand() const {
+    return {10, 20, 33, milliseconds(2000), {}, {time_.now() - milliseconds(30), time_.now() + milliseconds(7000)}};
+  }
+
+  /// Sends a grant that is answered after the given time.
+  void runGrant(const GrantCommand& command, CommandStatus status, Duration answer_time) {
+    CommandRecorder recorder(commands_, time_, *log_, metrics_);
+    CommandStatus passed_on = CommandStatus::NoAnswer;
+    recorder.grant(command, [&passed_on](CommandStatus answered) { passed_on = answered; });
+    time_.runFor(answer_time, [] {});
+    commands_.grants.back()(status);
+    EXPECT_EQ(passed_on, status);
+  }
+
   std::string metrics() { return metrics_.text({}); }
 
   std::array<int, 2> pipe_{};
@@ -66,6 +97,7 @@
   sim::VirtualTime time_;
   std::unique_ptr<EventLog> log_;
   RouterMetrics metrics_;
+  HeldCommands commands_;
   std::shared_ptr<const RouteTable> routes_;
 };
 
@@ -182,6 +214,70 @@
   EXPECT_THAT(metrics_.text({}), HasSubstr("shedlever_retries_total{reason=\"none\"} 1000"));
 }
 
+// Guards against two owners of a key that no log line can explain.
+TEST_F(RecordersTest, NewGrantIsLoggedWithItsLeaseAndTimes) {
+  runGrant(grantCommand(), CommandStatus::Done, milliseconds(4));
+  EXPECT_THAT(logged(), HasSubstr(" cause=newly-held keys=10-20 token=33 status=done hold_ms=2000 lease_left_ms=7000 "
+                                  "decided_before_ms=30 answered_after_ms=4 past_lease_ms=0\n"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"done\"} 1"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grant_seconds_count 1"));
+}
+
+TEST_F(RecordersTest, PlainRenewalIsOnlyCounted) {
+  GrantCommand command = grantCommand();
+  command.basis.renewal = true;
+  runGrant(command, CommandStatus::Done, milliseconds(100));
+  EXPECT_EQ(logged(), "");
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"done\"} 1"));
+}
+
+TEST_F(RecordersTest, RenewalThatFailsIsSlowOrIsLimitedByTheLeaseIsLogged) {
+  GrantCommand command = grantCommand();
+  command.basis.renewal = true;
+  runGrant(command, CommandStatus::ServerGone, milliseconds(1));
+  EXPECT_THAT(logged(), HasSubstr(" cause=failed keys=10-20 token=33 status=connection-refused "));
+  runGrant(command, CommandStatus::Done, milliseconds(101));
+  EXPECT_THAT(logged(), HasSubstr(" cause=slow keys=10-20 "));
+  command.basis.limited_by_lease = true;
+  runGrant(command, CommandStatus::Done, milliseconds(1));
+  EXPECT_THAT(logged(), HasSubstr(" cause=cut-short keys=10-20 "));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"connection-refused\"} 1"));
+}
+
+// Guards against grants that outlast the lease without a trace in the logs.
+TEST_F(RecordersTest, GrantThatOutlastsTheLeaseIsLoggedAndCounted) {
+  GrantCommand command = grantCommand();
+  command.basis.renewal = true;
+  command.basis.lease_until = time_.now() + milliseconds(2200);
+  runGrant(command, CommandStatus::Done, milliseconds(250));
+  EXPECT_THAT(logged(), HasSubstr(" cause=past-lease "));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_events_total{event=\"grant-past-lease\"} 1"));
+}
+
+TEST_F(RecordersTest, ReleaseIsLoggedWithItsStatusAndTime) {
+  CommandRecorder recorder(commands_, time_, *log_, metrics_);
+  std::string handover;
+  recorder.release({10, 20, 34}, [&handover](const ReleaseResult& result) { handover = result.handover; });
+  time_.runFor(milliseconds(70), [] {});
+  commands_.releases.back()({CommandStatus::Done, "h"});
+  EXPECT_EQ(handover, "h");
+  const std::string line = logged();
+  EXPECT_THAT(line, HasSubstr("ownership: event=release "));
+  EXPECT_THAT(line, HasSubstr(" keys=10-20 token=34 status=done answered_after_ms=70\n"));
+  runGrant(grantCommand(), CommandStatus::NoAnswer, milliseconds(300));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_releases_total{result=\"done\"} 1"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"no-answer\"} 1"));
+}
+
+TEST_F(RecordersTest, GrantLinesAreRateLimited) {
+  constexpr int kGrants = 1000;
+  for (int i = 0; i < kGrants; ++i) {
+    runGrant(grantCommand(), CommandStatus::NoAnswer, Duration::zero());
+  }
+  EXPECT_EQ(log_->droppedLines(), 950U);
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"no-answer\"} 1000"));
+}
+
 TEST_F(RecordersTest, SentBytesAreCountedByKindOfFrame) {
   metrics_.onFrameSent(PingFrame{}, 3);
   metrics_.onFrameSent(OwnerTableFrame{}, 20'000);
