Let servers leave in more ways in the soak, and log their real ends

Cause: in the soak a server listened until it was killed, and each successor started after its predecessor's end. The checker needs the real end of a killed server, and the times at which paused processes were resumed.

Change: LeavingServers lets servers stop listening while they drain or without a report, leave 5 to 9 s after their drain began, be restarted at once after SIGKILL with a late first report (not in planned runs, since this interrupts requests), and be followed by a successor that listens at the same address beside them. Several leave at the same time, one server of each service stays. The deployment states in the server's log when it kills a server, and when it resumes a paused router or a paused server that gets grants by request, whose waiting grants are carried out late then. The demo ends its victim in the same way. faults.log has times. A leaving stand-in server ends one interval after its last response, so that the response is sent.

--- a/demo/demo_main.cc
+++ b/demo/demo_main.cc
@@ -141,7 +141,7 @@
   soak::LocalNode& victim = *deployment.nodes().front();
   print("SIGKILL to the router and the server of " + victim.name + ", an owner of keys");
   victim.router_process->signal(SIGKILL);
-  victim.server_process->signal(SIGKILL);
+  deployment.killServer(victim);
   while (!runner.done()) {
     deployment.runFor(kRestartCheckInterval);
     deployment.restartExitedProcesses();
--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -68,17 +68,89 @@
 }
 
 void LocalDeployment::replaceNode(LocalNode& node, const std::string& service, bool divided) {
-  for (auto* process : {node.router_process.get(), node.server_process.get()}) {
-    if (process != nullptr) {
-      process->signal(SIGKILL);
-    }
+  if (node.router_process) {
+    node.router_process->signal(SIGKILL);
+  }
+  killServer(node);
+  for (const auto& server : node.earlier_servers) {
+    kill(node, *server);
   }
   assignName(node);
   node.service = service;
   node.divided_by_key = divided;
 }
 
+void LocalDeployment::addToServerLog(const LocalNode& node, const std::string& event) const {
+  std::ofstream(node.server_log, std::ios::app)
+      << std::to_string(clock_.now().time_since_epoch().count()) + " " + event + "\n";
+}
+
+void LocalDeployment::kill(const LocalNode& node, test::ChildProcess& server) {
+  server.signal(SIGKILL);
+  addToServerLog(node, "server killed " + std::to_string(server.pid()));
+}
+
+void LocalDeployment::killServer(LocalNode& node) {
+  if (node.server_process) {
+    kill(node, *node.server_process);
+  }
+}
+
+void LocalDeployment::restartServerAtOnce(LocalNode& node, unsigned first_report_ms) {
+  killServer(node);
+  // Waits for the end, so that the address is free.
+  node.server_process.reset();
+  node.first_report_ms = first_report_ms;
+  startServer(node);
+}
+
+void LocalDeployment::startSuccessor(LocalNode& node, unsigned first_report_ms) {
+  node.earlier_servers.push_back(std::move(node.server_process));
+  node.first_report_ms = first_report_ms;
+  startServer(node);
+}
+
+void LocalDeployment::pauseRouter(LocalNode& node) {
+  if (node.router_process) {
+    node.router_process->signal(SIGSTOP);
+    node.router_paused = true;
+  }
+}
+
+void LocalDeployment::pauseServer(LocalNode& node) {
+  if (node.server_process) {
+    node.server_process->signal(SIGSTOP);
+    node.server_paused = true;
+  }
+}
+
+void LocalDeployment::resume(const LocalNode& node, test::ChildProcess& process, const std::string& event) {
+  // Stated before and after the signal, because commands may be executed in between.
+  addToServerLog(node, event);
+  process.signal(SIGCONT);
+  addToServerLog(node, event);
+}
+
+void LocalDeployment::resumeRouter(LocalNode& node) {
+  if (node.router_process && std::exchange(node.router_paused, false)) {
+    resume(node, *node.router_process, "router resumed");
+  }
+}
+
+void LocalDeployment::resumeServer(LocalNode& node) {
+  if (!node.server_process || !std::exchange(node.server_paused, false)) {
+    return;
+  }
+  if (config_.keys_by_heartbeat) {
+    // Holds are counted from when the heartbeat was sent, so that a pause does not lengthen them.
+    node.server_process->signal(SIGCONT);
+  } else {
+    resume(node, *node.server_process, "server resumed");
+  }
+}
+
 void LocalDeployment::startRouter(LocalNode& node) {
+  node.router_paused = false;
   const json settings = {
       {"interface", config_.interface_kind},
       {"node", {{"name", node.name}, {"zone", "z"}, {"service", node.service}}},
@@ -99,12 +171,21 @@
 }
 
 void LocalDeployment::startServer(LocalNode& node) {
-  std::vector<std::string> arguments = {"--listen",     toString(node.server),
-                                        "--reports-to", toString(node.reports),
-                                        "--service",    node.service,
-                                        "--log",        node.server_log,
-                                        "--work-ms",    std::to_string(config_.request_duration_ms),
-                                        "--seed",       std::to_string(random_())};
+  node.server_paused = false;
+  std::vector<std::string> arguments = {"--listen",
+                                        toString(node.server),
+                                        "--reports-to",
+                                        toString(node.reports),
+                                        "--service",
+                                        node.service,
+                                        "--log",
+                                        node.server_log,
+                                        "--work-ms",
+                                        std::to_string(config_.request_duration_ms),
+                                        "--seed",
+                                        std::to_string(random_()),
+                                        "--first-report-ms",
+                                        std::to_string(std::exchange(node.first_report_ms, 0))};
   if (node.divided_by_key) {
     arguments.emplace_back("--divided");
   }
@@ -136,6 +217,7 @@
     if (!node->router_process && node->restart_router) {
       startRouter(*node);
     }
+    std::erase_if(node->earlier_servers, [](const auto& server) { return server->poll().has_value(); });
     if (node->server_process && node->server_process->poll()) {
       node->server_process.reset();
     }
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -11,6 +11,7 @@
 
 #include "soak/fault_proxy.h"
 #include "soak/loopback_ports.h"
+#include "source/net/system_clock_and_random.h"
 #include "test/support/child_process.h"
 
 namespace shedlever::soak {
@@ -54,6 +55,13 @@
   /// Whether the next router process is of the earlier build.
   bool runs_old_router = false;
   std::unique_ptr<test::ChildProcess> server_process;
+  /// Earlier servers of the node that still run beside it.
+  std::vector<std::unique_ptr<test::ChildProcess>> earlier_servers;
+  /// Time from the start of the next server process until its first heartbeat, in milliseconds.
+  unsigned first_report_ms = 0;
+  /// Whether the process was stopped by SIGSTOP.
+  bool router_paused = false;
+  bool server_paused = false;
   /// Whether the process is started again after it has ended.
   bool restart_router = true;
   bool restart_server = true;
@@ -74,6 +82,20 @@
   /// are started by `restartExitedProcesses`.
   void replaceNode(LocalNode& node, const std::string& service, bool divided);
 
+  /// Kills the node's server and states the end in the server's log.
+  void killServer(LocalNode& node);
+  /// Kills the node's server and starts its successor without a pause.
+  /// @param first_report_ms time from the start until the first heartbeat, in milliseconds.
+  void restartServerAtOnce(LocalNode& node, unsigned first_report_ms);
+  /// Starts a second server at the address of one that has stopped listening and still runs.
+  void startSuccessor(LocalNode& node, unsigned first_report_ms);
+  void pauseRouter(LocalNode& node);
+  void pauseServer(LocalNode& node);
+  /// Lets a paused process run again and states that in the server's log, because commands that waited do not count
+  /// as holds. Do nothing if the process is not paused.
+  void resumeRouter(LocalNode& node);
+  void resumeServer(LocalNode& node);
+
   /// Starts the processes that have ended and are to be restarted.
   /// @return one sentence for each router that ended with an error and not by SIGKILL.
   std::vector<std::string> restartExitedProcesses();
@@ -96,12 +118,18 @@
   void assignName(LocalNode& node);
   void startRouter(LocalNode& node);
   void startServer(LocalNode& node);
+  /// Appends an event to the log of the node's server.
+  void addToServerLog(const LocalNode& node, const std::string& event) const;
+  void kill(const LocalNode& node, test::ChildProcess& server);
+  void resume(const LocalNode& node, test::ChildProcess& process, const std::string& event);
   std::string logFileOf(const std::string& name) const { return config_.run_folder + "/" + name + ".log"; }
 
   EventLoop& loop_;
   LocalDeploymentConfig config_;
   std::mt19937_64 random_;
   LoopbackPorts ports_;
+  /// The clock of the servers' logs.
+  BootTimeClock clock_;
   Endpoint store_endpoint_;
   std::unique_ptr<test::ChildProcess> store_;
   std::vector<std::unique_ptr<LocalNode>> nodes_;
--- a/soak/server_conditions.cc
+++ b/soak/server_conditions.cc
@@ -79,10 +79,10 @@
 void ServerConditions::leave(LocalNode& node) {
   callbacks_.log_fault(node.name + ": server says that it is leaving");
   callbacks_.set_condition(node, R"({"leaving":true})");
-  runAfter(kLeavingDuration, [&node, leaving = node.server_process->pid()] {
+  runAfter(kLeavingDuration, [this, &node, leaving = node.server_process->pid()] {
     // Spares a successor at the same node.
     if (node.server_process && node.server_process->pid() == leaving) {
-      node.server_process->signal(SIGKILL);
+      deployment_.killServer(node);
     }
   });
 }
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -11,6 +11,13 @@
 
 #include "soak/soak_runner.h"
 
+namespace {
+
+constexpr std::size_t kMinNodes = 4;
+constexpr std::size_t kMaxNodes = 36;
+
+}  // namespace
+
 int main(int argc, char** argv) {
   namespace options = boost::program_options;
   using namespace shedlever;
@@ -36,6 +43,7 @@
       "router program of an earlier build: nodes begin with it and are replaced in turn")(
       "folder", options::value(&config.run_folder)->default_value("soak-run"),
       "for settings and logs, with a subfolder per seed");
+  flags.add_options()("nodes", options::value(&config.nodes), "number of nodes, 4 to 36");
   options::variables_map values;
   try {
     options::store(options::parse_command_line(argc, argv, flags), values);
@@ -48,6 +56,10 @@
     std::cout << flags;
     return EXIT_SUCCESS;
   }
+  if (config.nodes < kMinNodes || config.nodes > kMaxNodes) {
+    std::cerr << "nodes: must be " << kMinNodes << " to " << kMaxNodes << "\n";
+    return EXIT_FAILURE;
+  }
   config.fault_duration = std::chrono::seconds(seconds);
   const std::string base = config.run_folder;
   bool all_held = true;
--- a/soak/soak_runner.cc
+++ b/soak/soak_runner.cc
@@ -17,8 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kDividedNodes = 3;
-constexpr std::size_t kUndividedNodes = 3;
 constexpr std::ptrdiff_t kMinNodesPerService = 2;
 /// One in this many faults is the permanent loss of a node.
 constexpr std::uint64_t kNodeReplacementOdds = 12;
@@ -70,6 +68,10 @@
                          {.set_condition = [this](const LocalNode& node,
                                                   const std::string& body) { post(node.server, "/condition", body); },
                           .log_fault = [this](const std::string& what) { logFault(what); }}),
+      leaving_servers_(loop_, config_.seed, deployment_, !config_.maintenance_only,
+                       {.set_condition = [this](const LocalNode& node,
+                                                const std::string& body) { post(node.server, "/condition", body); },
+                        .log_fault = [this](const std::string& what) { logFault(what); }}),
       router_upgrades_(loop_, config_.seed, deployment_,
                        {.stop_router = [this](LocalNode& node) { stopRouter(node); },
                         .log_fault = [this](const std::string& what) { logFault(what); }}) {}
@@ -77,7 +79,8 @@
 SoakRunner::~SoakRunner() = default;
 
 void SoakRunner::logFault(const std::string& what) {
-  std::ofstream(config_.run_folder + "/faults.log", std::ios::app) << what << "\n";
+  std::ofstream(config_.run_folder + "/faults.log", std::ios::app)
+      << clock_.now().time_since_epoch().count() << " " << what << "\n";
 }
 
 Duration SoakRunner::routeTimeout() const {
@@ -104,8 +107,8 @@
   store_client.server = deployment_.store();
   store_control_ = std::make_unique<HttpClient>(loop_, store_client);
   writeConfig();
-  for (std::size_t i = 0; i < kDividedNodes + kUndividedNodes; ++i) {
-    const bool divided = i < kDividedNodes;
+  for (std::size_t i = 0; i < config_.nodes; ++i) {
+    const bool divided = i < config_.nodes / 2;
     const LocalNode& node = deployment_.addNode(divided ? kSearch : undividedService(i), divided);
     HttpClientConfig client;
     client.server = node.clients;
@@ -274,12 +277,8 @@
       return;
     default:
       logFault(node.name + ": router SIGSTOP for " + std::to_string(fault_duration.count() / 1000) + " ms");
-      node.router_process->signal(SIGSTOP);
-      loop_.runAfter(fault_duration, [&node] {
-        if (node.router_process) {
-          node.router_process->signal(SIGCONT);
-        }
-      });
+      deployment_.pauseRouter(node);
+      loop_.runAfter(fault_duration, [this, &node] { deployment_.resumeRouter(node); });
       return;
   }
 }
@@ -322,7 +321,7 @@
   switch (randomBelow(4)) {
     case 0:
       logFault(node.name + ": server SIGKILL");
-      node.server_process->signal(SIGKILL);
+      deployment_.killServer(node);
       node.restart_server = false;
       loop_.runAfter(fault_duration, [&node] { node.restart_server = true; });
       return;
@@ -332,21 +331,13 @@
         return;
       }
       logFault(node.name + ": server SIGSTOP");
-      node.server_process->signal(SIGSTOP);
-      loop_.runAfter(fault_duration, [&node] {
-        if (node.server_process) {
-          node.server_process->signal(SIGCONT);
-        }
-      });
+      deployment_.pauseServer(node);
+      loop_.runAfter(fault_duration, [this, &node] { deployment_.resumeServer(node); });
       return;
     case 2:
       logFault(node.name + ": server drains");
       node.server_process->signal(SIGUSR1);
-      loop_.runAfter(seconds(3), [&node] {
-        if (node.server_process) {
-          node.server_process->signal(SIGKILL);
-        }
-      });
+      loop_.runAfter(seconds(3), [this, &node] { deployment_.killServer(node); });
       return;
     default:
       logFault(node.name + ": server response faults");
@@ -395,9 +386,9 @@
         logFault(node.name + ": server drains");
         node.server_process->signal(SIGUSR1);
         // Spares a successor at the same node, which is not draining.
-        loop_.runAfter(kServerDrainDuration, [&node, leaving = node.server_process->pid()] {
+        loop_.runAfter(kServerDrainDuration, [this, &node, leaving = node.server_process->pid()] {
           if (node.server_process && node.server_process->pid() == leaving) {
-            node.server_process->signal(SIGKILL);
+            deployment_.killServer(node);
           }
         });
       }
@@ -444,6 +435,7 @@
   logFault("all faults ended");
   peer_link_holds_.stop();
   server_conditions_.stop();
+  leaving_servers_.stop();
   router_upgrades_.stop();
   restores_.stop();
   post(deployment_.store(), "/faults", "{}");
@@ -452,11 +444,9 @@
     node->restart_server = true;
     node->store_link->setFault(LinkFault::None);
     node->peer_link->setFault(LinkFault::None);
-    if (node->router_process) {
-      node->router_process->signal(SIGCONT);
-    }
+    deployment_.resumeRouter(*node);
+    deployment_.resumeServer(*node);
     if (node->server_process) {
-      node->server_process->signal(SIGCONT);
       post(node->server, "/faults", "{}");
     }
   }
@@ -490,6 +480,7 @@
   }
   if (changesConditions()) {
     server_conditions_.start();
+    leaving_servers_.start();
   }
   if (!config_.old_router.empty()) {
     router_upgrades_.start();
@@ -529,6 +520,9 @@
   if (changesConditions() && condition_checks_.limitsNamed() == 0) {
     violations.push_back("no server named a limit");
   }
+  if (changesConditions() && leaving_servers_.count() == 0) {
+    violations.push_back("no server stopped listening, left slowly or got a successor at its address");
+  }
   if (!config_.old_router.empty() && router_upgrades_.count() == 0) {
     violations.push_back("no router was replaced by another build");
   }
--- a/soak/soak_runner.h
+++ b/soak/soak_runner.h
@@ -10,6 +10,7 @@
 
 #include "soak/config_probe.h"
 #include "soak/fatal_requests.h"
+#include "soak/leaving_servers.h"
 #include "soak/local_deployment.h"
 #include "soak/peer_link_holds.h"
 #include "soak/router_upgrades.h"
@@ -31,6 +32,9 @@
   /// Existing folder for settings files and logs.
   std::string run_folder;
   int requests_per_second = 120;
+  /// Number of nodes, half of them of the service that is divided by key. With a few dozen, each process gets little
+  /// processor time.
+  std::size_t nodes = 6;
   /// Whether servers receive their keys in the acknowledgements of their heartbeats.
   bool keys_by_heartbeat = false;
   /// Injects only maintenance by operators, overlapping in time (router stops, server drains and configuration
@@ -81,7 +85,8 @@
   static std::string processOf(const LocalNode& node);
   /// Takes a response in which a server says that it is leaving into account.
   void checkLeaving(const std::string& process, const HttpResponse& response);
-  /// @return whether servers name limits and say that they are leaving. Earlier builds may not heed that.
+  /// @return whether servers name limits, say that they are leaving, and leave in the ways of `LeavingServers`. Earlier
+  ///   builds may not heed that.
   bool changesConditions() const { return !config_.fatal_only && config_.old_router.empty(); }
   /// Adds the violations that only some kinds of runs are checked for.
   void addViolationsOfThisKind(std::vector<std::string>& violations);
@@ -123,6 +128,7 @@
   StoreRestores restores_;
   PeerLinkHolds peer_link_holds_;
   ServerConditions server_conditions_;
+  LeavingServers leaving_servers_;
   RouterUpgrades router_upgrades_;
   std::unique_ptr<HttpClient> store_control_;
   std::uint64_t config_version_ = 0;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -88,8 +88,10 @@
 
 KeyServer::~KeyServer() {
   *alive_ = false;
-  http_.reset();
-  log("down");
+  if (http_) {
+    http_.reset();
+    log("down");
+  }
 }
 
 void KeyServer::runAfter(Duration delay, std::function<void()> step) {
@@ -135,18 +137,19 @@
     runAfter(std::chrono::milliseconds(document.value("end_after_ms", 0)), [this] {
       if (!std::exchange(ending_, true)) {
         stopListening();
-        leaveWhenIdle();
+        leaveWhenIdle(false);
       }
     });
   }
 }
 
-void KeyServer::leaveWhenIdle() {
-  if (running_requests_ == 0 && queue_.empty()) {
+void KeyServer::leaveWhenIdle(bool was_idle) {
+  const bool is_idle = running_requests_ == 0 && queue_.empty();
+  if (is_idle && was_idle) {
     config_.on_left();
     return;
   }
-  runAfter(kEndInterval, [this] { leaveWhenIdle(); });
+  runAfter(kEndInterval, [this, is_idle] { leaveWhenIdle(is_idle); });
 }
 
 void KeyServer::setNamedLimit(const std::string& limit) { named_limit_ = limit; }
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -121,8 +121,8 @@
   KeyServer(EventLoop& loop, const KeyServerConfig& config);
   void handle(const StandinRequest& request, const StandinResponder& responder);
   void setCondition(const std::string& body);
-  /// Ends the server once it executes nothing.
-  void leaveWhenIdle();
+  /// Ends the server once it has executed nothing for an interval, in which its last responses are sent.
+  void leaveWhenIdle(bool was_idle);
   void handleCommand(const StandinRequest& request, const StandinResponder& responder);
   /// @return false if a higher token was seen for one of the keys.
   bool grant(const std::string& body, bool late);
