--- a/test/core_router/ownership/server_end_ownership_soak_test.cc
+++ b/test/core_router/ownership/server_end_ownership_soak_test.cc
@@ -46,6 +46,17 @@
     }
   }
 
+  /// The server refuses connections, in half of the cases after it has reported that it drains.
+  void refuse(std::size_t node) {
+    if (random_.below(2) == 0) {
+      world_.drainServer(node);
+    }
+    world_.refuseConnections(node);
+    if (random_.below(2) == 0) {
+      world_.connectToServer(node);
+    }
+  }
+
   /// Faults that each of the tests adds its own to.
   void commonFault(std::size_t node) {
     switch (random_.below(7)) {
@@ -91,6 +102,11 @@
   runWithFaults([this](std::size_t node) { commonFault(node); });
 }
 
+// A server that runs on after a refused connection must not hold keys that others get.
+TEST_P(ServerEndOwnershipSoakTest, KeepsOneOwnerWhileServersRefuseConnectionsAndRunOn) {
+  runWithFaults([this](std::size_t node) { refuse(node); });
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ServerEndOwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 31));
 
 }  // namespace
