--- a/test/core_router/ownership/server_end_ownership_soak_test.cc
+++ b/test/core_router/ownership/server_end_ownership_soak_test.cc
@@ -57,6 +57,12 @@
     }
   }
 
+  /// A successor starts while the earlier instance runs on, and reports at once.
+  void startBesideEarlierInstance(std::size_t node) {
+    world_.startUnreportedServer(node);
+    world_.reportServer(node);
+  }
+
   /// Faults that each of the tests adds its own to.
   void commonFault(std::size_t node) {
     switch (random_.below(7)) {
@@ -107,6 +113,11 @@
   runWithFaults([this](std::size_t node) { refuse(node); });
 }
 
+// As above, for a server that runs on beside its successor.
+TEST_P(ServerEndOwnershipSoakTest, KeepsOneOwnerWhileServersRunOnBesideTheirSuccessors) {
+  runWithFaults([this](std::size_t node) { startBesideEarlierInstance(node); });
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ServerEndOwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 31));
 
 }  // namespace
