--- a/test/core_router/ownership/server_end_ownership_soak_test.cc
+++ b/test/core_router/ownership/server_end_ownership_soak_test.cc
@@ -63,6 +63,14 @@
     world_.reportServer(node);
   }
 
+  /// The server crashes, and its successor reports up to 1.2 s after it has taken the address.
+  void restartWithLateReport(std::size_t node) {
+    world_.killServer(node);
+    world_.startUnreportedServer(node);
+    world_.run(milliseconds(random_.below(1200)));
+    world_.reportServer(node);
+  }
+
   /// Faults that each of the tests adds its own to.
   void commonFault(std::size_t node) {
     switch (random_.below(7)) {
@@ -118,6 +126,11 @@
   runWithFaults([this](std::size_t node) { startBesideEarlierInstance(node); });
 }
 
+// A successor must not get keys under the token of its predecessor before its first report.
+TEST_P(ServerEndOwnershipSoakTest, KeepsTokensRisingWhileServersRestartAndReportLate) {
+  runWithFaults([this](std::size_t node) { restartWithLateReport(node); });
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ServerEndOwnershipSoakTest, ::testing::Range<std::uint64_t>(1, 31));
 
 }  // namespace
