Scenarios: add servers that run on and successors at one address

Cause: a scenario could end a server, but not let it run on after it refuses connections or beside its successor.

Scenarios grant by request; the kind of grants is no setting of a scenario.

--- a/source/lab/sim/scenario.cc
+++ b/source/lab/sim/scenario.cc
@@ -21,11 +21,15 @@
   FaultKind kind;
 };
 
-constexpr std::array<FaultName, 11> kFaultNames{{
+constexpr std::array<FaultName, 15> kFaultNames{{
     {"kill-node", FaultKind::KillNode},
     {"pause-node", FaultKind::PauseNode},
     {"kill-server", FaultKind::KillServer},
     {"drain-server", FaultKind::DrainServer},
+    {"refuse-server", FaultKind::RefuseServer},
+    {"leave-server", FaultKind::LeaveServer},
+    {"overlap-servers", FaultKind::OverlapServers},
+    {"report-late", FaultKind::ReportLate},
     {"silence-server", FaultKind::SilenceServer},
     {"late-orders", FaultKind::LateCommands},
     {"store-down", FaultKind::StoreDown},
--- a/source/lab/sim/scenario.h
+++ b/source/lab/sim/scenario.h
@@ -13,17 +13,21 @@
 namespace shedlever::sim {
 
 enum class FaultKind : std::uint8_t {
-  KillNode,       ///< the process stops and restarts after the duration
-  PauseNode,      ///< the process is paused
-  KillServer,     ///< the server crashes; a new instance starts after the duration
-  DrainServer,    ///< the server drains; a new instance starts after the duration
-  SilenceServer,  ///< commands to the server and its heartbeats are lost
-  LateCommands,   ///< half of the commands to the server, or of its heartbeats, are seconds late
-  StoreDown,      ///< the store is unreachable
-  StoreLossy,     ///< writes lose their response or are applied seconds late
-  StoreRestored,  ///< after the duration the store is restored to its state at `at`; ignores `nodes`
-  Busy,           ///< all slots of the server are in use
-  LimitServer,    ///< the server names a limit of a third of the requests for its keys
+  KillNode,        ///< the process stops and restarts after the duration
+  PauseNode,       ///< the process is paused
+  KillServer,      ///< the server crashes; a new instance starts after the duration
+  DrainServer,     ///< the server drains; a new instance starts after the duration
+  RefuseServer,    ///< the server refuses connections and runs on; it ends and a new instance starts after the duration
+  LeaveServer,     ///< as `RefuseServer`, after the server has reported that it drains
+  OverlapServers,  ///< a new instance starts; the earlier one runs on for the duration
+  ReportLate,      ///< the server is replaced; the new instance reports after the duration
+  SilenceServer,   ///< commands to the server and its heartbeats are lost
+  LateCommands,    ///< half of the commands to the server, or of its heartbeats, are seconds late
+  StoreDown,       ///< the store is unreachable
+  StoreLossy,      ///< writes lose their response or are applied seconds late
+  StoreRestored,   ///< after the duration the store is restored to its state at `at`; ignores `nodes`
+  Busy,            ///< all slots of the server are in use
+  LimitServer,     ///< the server names a limit of a third of the requests for its keys
 };
 
 struct Fault {
--- a/source/lab/sim/simulation.cc
+++ b/source/lab/sim/simulation.cc
@@ -25,12 +25,33 @@
   std::function<void(SimulatedCluster&)> act;
 };
 
-using NodeAction = void (SimulatedCluster::*)(std::size_t);
+using NodeAction = std::function<void(SimulatedCluster&, std::size_t node)>;
 
-void addPair(std::vector<ScheduledAction>& steps, const Fault& fault, std::size_t node, NodeAction begin,
-             NodeAction end) {
-  steps.push_back({fault.at, [node, begin](SimulatedCluster& cluster) { (cluster.*begin)(node); }});
-  steps.push_back({fault.at + fault.duration, [node, end](SimulatedCluster& cluster) { (cluster.*end)(node); }});
+void addPair(std::vector<ScheduledAction>& steps, const Fault& fault, std::size_t node, const NodeAction& begin,
+             const NodeAction& end) {
+  steps.push_back({fault.at, [node, begin](SimulatedCluster& cluster) { begin(cluster, node); }});
+  steps.push_back({fault.at + fault.duration, [node, end](SimulatedCluster& cluster) { end(cluster, node); }});
+}
+
+/// The server refuses connections, which a request notices at once.
+void refuseConnections(SimulatedCluster& cluster, std::size_t node) {
+  cluster.refuseConnections(node);
+  cluster.connectToServer(node);
+}
+
+void leave(SimulatedCluster& cluster, std::size_t node) {
+  cluster.drainServer(node);
+  refuseConnections(cluster, node);
+}
+
+void startBesideEarlierInstance(SimulatedCluster& cluster, std::size_t node) {
+  cluster.startUnreportedServer(node);
+  cluster.reportServer(node);
+}
+
+void replaceWithoutReport(SimulatedCluster& cluster, std::size_t node) {
+  cluster.killServer(node);
+  cluster.startUnreportedServer(node);
 }
 
 template <class Faults>
@@ -72,6 +93,18 @@
     case FaultKind::DrainServer:
       addPair(steps, fault, node, &SimulatedCluster::drainServer, &SimulatedCluster::startServer);
       return;
+    case FaultKind::RefuseServer:
+      addPair(steps, fault, node, refuseConnections, &SimulatedCluster::startServer);
+      return;
+    case FaultKind::LeaveServer:
+      addPair(steps, fault, node, leave, &SimulatedCluster::startServer);
+      return;
+    case FaultKind::OverlapServers:
+      addPair(steps, fault, node, startBesideEarlierInstance, &SimulatedCluster::killEarlierServers);
+      return;
+    case FaultKind::ReportLate:
+      addPair(steps, fault, node, replaceWithoutReport, &SimulatedCluster::reportServer);
+      return;
     case FaultKind::SilenceServer:
       addSetting(steps, fault, node, &SimulatedCluster::setServerFaults, ServerFaults{true, 0});
       return;
