Simulator: let requests for keys run on after their release

Cause: with grants by request, a simulated server answered a release at once and processed nothing for the keys from then on. A server answers once the requests have ended (PROTOCOL), as the simulated one already did with grants by heartbeat.

Change: `ServerFaults::work_after_release` sets how long requests for released keys run on. Until then, and no longer than the hold, the server counts as an owner of the keys; the release is answered afterwards, or not at all if the server has ended. The default is zero, so that the other tests see what they saw before. The random tests of servers that run on use 220 ms.

--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -33,6 +33,9 @@
   double lost_acknowledgement_probability = 0;
   /// Probability that a heartbeat arrives twice.
   double duplicate_probability = 0;
+  /// Requests for keys that a command releases still run for this long; the release is answered when they have ended.
+  /// Must be shorter than the timeout of a command.
+  Duration work_after_release{};
 };
 
 /// Faults of the edits that processes send to each other, and of the replies.
--- a/source/lab/sim/simulated_cluster_node.h
+++ b/source/lab/sim/simulated_cluster_node.h
@@ -84,20 +84,22 @@
       }
       return CommandStatus::Done;
     };
-    send<CommandStatus>(apply, CommandStatus::NoAnswer, CommandStatus::ServerGone, std::move(done));
+    send<CommandStatus>(apply, CommandStatus::NoAnswer, CommandStatus::ServerGone, Duration::zero(), std::move(done));
   }
 
   void release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) override {
-    const auto apply = [command](SimulatedServer& server, bool) {
-      return ReleaseResult{CommandStatus::Done, server.release(command)};
+    const Duration work = node_.server_faults.work_after_release;
+    const auto apply = [command, work](SimulatedServer& server, bool) {
+      return ReleaseResult{CommandStatus::Done, server.release(command, work)};
     };
-    send<ReleaseResult>(apply, {CommandStatus::NoAnswer, {}}, {CommandStatus::ServerGone, {}}, std::move(done));
+    send<ReleaseResult>(apply, {CommandStatus::NoAnswer, {}}, {CommandStatus::ServerGone, {}}, work, std::move(done));
   }
 
  private:
+  /// @param work time between the execution of the command and its answer.
   template <class Answer>
   void send(const std::function<Answer(SimulatedServer&, bool)>& apply, const Answer& no_answer,
-            const Answer& server_gone, std::function<void(Answer)> done) {
+            const Answer& server_gone, Duration work, std::function<void(Answer)> done) {
     VirtualTime& time = cluster_.time_;
     const std::shared_ptr<SimulatedServer> server = node_.server;
     const auto alive = node_.virtual_store->alive;
@@ -119,8 +121,17 @@
       time.after(kCommandTimeout, [reply, no_answer] { reply(no_answer); });
       return;
     }
-    time.after(kLoopbackDelay, [&node = node_, apply, server, reply, server_gone] {
-      reply(node.runs(server) ? apply(*server, false) : server_gone);
+    time.after(kLoopbackDelay, [&node = node_, &time, apply, server, reply, no_answer, server_gone, work] {
+      if (!node.runs(server)) {
+        reply(server_gone);
+        return;
+      }
+      const Answer answer = apply(*server, false);
+      if (work == Duration::zero()) {
+        reply(answer);
+        return;
+      }
+      time.after(work, [&node, server, reply, answer, no_answer] { reply(node.runs(server) ? answer : no_answer); });
     });
   }
 
--- a/source/lab/sim/simulated_server.h
+++ b/source/lab/sim/simulated_server.h
@@ -24,15 +24,16 @@
   ///   may no longer own the keys.
   /// @return false if the server has received a higher token for one of the keys.
   bool grant(const GrantCommand& command, bool late);
-  /// @return the handover data.
-  std::string release(const ReleaseCommand& command);
+  /// @param work how long requests for the keys still run.
+  /// @return the handover data, which the server sends once the requests have ended.
+  std::string release(const ReleaseCommand& command, Duration work);
 
   /// Drops all keys until the next grant or assignment.
   void dropAllKeys();
   /// @return whether the server starts requests for the key.
   bool holds(Key key) const;
   /// @return whether the server holds the key or, before the end of the hold, still processes requests for it.
-  bool occupies(Key key) const { return holds(key) || assigned.occupies(key); }
+  bool occupies(Key key) const;
 
   InstanceId instance;
   /// Whether a report of the server has reached a process of its node.
@@ -47,6 +48,8 @@
   std::vector<FenceToken> max_tokens_;
   /// End of the hold of each key by grants that were not late.
   std::vector<TimePoint> until_;
+  /// End of the requests for each key that a command has released, at the latest the end of the hold.
+  std::vector<TimePoint> works_until_;
 };
 
 }  // namespace shedlever::sim
--- a/test/core_router/ownership/server_end_ownership_soak_test.cc
+++ b/test/core_router/ownership/server_end_ownership_soak_test.cc
@@ -16,6 +16,8 @@
 
 constexpr std::size_t kNodes = 4;
 constexpr int kSteps = 40;
+/// How long requests for released keys run on, as they do by default with grants by heartbeat.
+constexpr Duration kWorkAfterRelease = milliseconds(220);
 
 OwnershipConfig configFor(std::uint64_t seed) {
   OwnershipConfig config;
@@ -83,7 +85,7 @@
       case 3:
         return world_.setStoreFaults(node, {random_.below(4) == 0, 0.2, 0.2});
       case 4:
-        return world_.setServerFaults(node, {random_.below(4) == 0, 0.2, 0.2, 0.2});
+        return world_.setServerFaults(node, {random_.below(4) == 0, 0.2, 0.2, 0.2, kWorkAfterRelease});
       case 5:
         return world_.drainServer(node);
       default:
--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kNode = 1;
 /// Time between the start of a server and its first report.
 constexpr Duration kReportDelay = seconds(1);
+/// The requests for released keys run on, as they do by default with grants by heartbeat.
+constexpr ServerFaults kWorkAfterRelease{false, 0, 0, 0, milliseconds(220)};
 /// Long enough for all grants to end and for their keys to be granted to other servers.
 constexpr Duration kSettleTime = seconds(12);
 
@@ -90,6 +92,14 @@
   settle();
 }
 
+// A release is complete only when the requests for its keys have ended.
+TEST_P(ServerEndOwnershipTest, DrainingServersKeysMoveAfterTheWorkOnThemEnds) {
+  world_.setServerFaults(kNode, kWorkAfterRelease);
+  world_.drainServer(kNode);
+  settle();
+  EXPECT_EQ(world_.servedBy(kNode), 0U);
+}
+
 // A server that closes its listening socket first may still hold keys until its grants end.
 TEST_P(ServerEndOwnershipTest, KeysOfARefusingServerMoveOnlyAfterItsGrantsEnd) {
   refuseConnections();
