Show a refusal that ends the wait for the work on released keys

Hypothesis 1: a draining server has been asked to release all its keys, refuses new connections and still processes requests for the keys. A refused connection ends the wait for the answers to the releases.

Fails by request: "key 4104 is held by 2 servers" while the requests of the first one run. Passes by heartbeat, where a refusal of a draining server proves nothing.

--- a/test/core_router/ownership/server_end_ownership_test.cc
+++ b/test/core_router/ownership/server_end_ownership_test.cc
@@ -19,6 +19,9 @@
 constexpr Duration kReportDelay = seconds(1);
 /// The requests for released keys run on, as they do by default with grants by heartbeat.
 constexpr ServerFaults kWorkAfterRelease{false, 0, 0, 0, milliseconds(220)};
+constexpr Duration kStep = milliseconds(1);
+/// Long enough for a draining server to start to release its keys.
+constexpr int kMaxSteps = 2000;
 /// Long enough for all grants to end and for their keys to be granted to other servers.
 constexpr Duration kSettleTime = seconds(12);
 
@@ -172,5 +175,18 @@
   settle();
 }
 
+// A server that refuses connections may still process requests for the keys that it releases.
+TEST_P(ServerEndOwnershipTest, KeysOfAServerThatRefusesDuringTheirReleaseMoveAfterTheWorkOnThemEnds) {
+  world_.setServerFaults(kNode, kWorkAfterRelease);
+  world_.drainServer(kNode);
+  for (int step = 0; step < kMaxSteps && world_.servedBy(kNode) != 0; ++step) {
+    world_.run(kStep);
+  }
+  ASSERT_EQ(world_.servedBy(kNode), 0U) << "the server has started to release its keys";
+  ASSERT_GT(world_.heldAt(kNode), 0U) << "requests for them still run";
+  refuseConnections();
+  settle();
+}
+
 }  // namespace
 }  // namespace shedlever::sim::test
