Report what each change of owner rests on

Cause: a change of owner was logged as "written", without what showed that the previous owner held the keys no longer. With several such proofs, two servers that held the same keys could not be traced to one of them.

Change: OwnershipManager passes each written change of owners out as a typed OwnerChange: proof (release answered, grants expired, connection refused, lease revoked, earlier instance, planned first division), for each range the old and new owner and token, and until when the old owner may have held the keys at the latest. After a refused connection or a new instance that is the time of that event plus the longest grant, so it is an upper bound and not the end of the last grant. OwnershipRecorder writes one line a change (`ownership: event=owner-changed`, four ranges named and a count of more) and counts changes by proof and those made before that end (owner-changed-while-held). A first division is reported when the table in the store equals the one that this process sent. Nothing is decided from any of this: edits, their order and times are the same as before.

The new tests need the new type, so they were not seen failing before.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -19,6 +19,7 @@
       writer_(service_, *ports_.store,
               [this] {
                 checkEpochAtStart();
+                reportFirstDivision();
                 key_load_.recordGains(writer_.table().ownedBy(instance_), ports_.clock->now());
                 ports_.on_change();
               }),
@@ -40,6 +41,7 @@
   } else {
     grants_ = std::make_unique<RequestGrants>(config_, *ports_.server_commands, *ports_.clock, grantEvents());
   }
+  earlier_hold_end_ = ports_.clock->now() + longestHold();
   writer_.setRestoreDelays(restoreDelays());
   balancer_.plans().setEventCallback(ports_.on_placement);
 }
@@ -86,7 +88,12 @@
     queueChange(what, std::move(edits), std::move(done));
   };
   ports.transfer = [this](const std::string& what, const std::vector<OwnerLocation>& to, std::vector<TableEdit> edits,
-                          TableWriter::Done done) { queueTransfer(what, to, std::move(edits), std::move(done)); };
+                          TableWriter::Done done) {
+    const bool lapsed = lapsedReleases() > lapsed_before_moves_;
+    const auto proof = lapsed ? OwnerChangeProof::GrantsExpired : OwnerChangeProof::ReleaseAnswered;
+    TableWriter::Done reported = reportOwners({proof, self_.name, {}, {}}, edits, std::move(done));
+    queueTransfer(what, to, std::move(edits), std::move(reported));
+  };
   ports.release = [this](const OwnedRange& range, GrantChannel::ReleaseCallback done) {
     grants_->release(range, std::move(done));
   };
@@ -113,10 +120,44 @@
   }
 }
 
+TableWriter::Done OwnershipManager::reportOwners(OwnerChange change, std::vector<TableEdit> edits,
+                                                 TableWriter::Done done) {
+  return
+      [this, change = std::move(change), edits = std::move(edits), done = std::move(done)](const EditResults& results) {
+        OwnerChange written = change;
+        written.transfers = transfersIn(edits, results, writer_.table());
+        if (!written.transfers.empty()) {
+          ports_.on_owner_change(written);
+        }
+        if (done) {
+          done(results);
+        }
+      };
+}
+
+void OwnershipManager::reportFirstDivision() {
+  if (!sent_division_) {
+    return;
+  }
+  const OwnerTable sent = *std::exchange(sent_division_, std::nullopt);
+  if (sent.ranges() == writer_.table().ranges()) {
+    ports_.on_owner_change({OwnerChangeProof::PlannedFirstDivision, {}, {}, firstTransfers(sent)});
+  }
+}
+
+Duration OwnershipManager::longestHold() const {
+  const bool by_heartbeat = config_.grant_delivery == GrantDelivery::Heartbeat;
+  const Duration hold = by_heartbeat ? config_.heartbeat_hold : config_.grant_hold;
+  return std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
+}
+
 void OwnershipManager::serverUp(const InstanceId& instance, TimePoint now) {
   if (instance_ == instance) {
     return;
   }
+  if (hasServer()) {
+    earlier_hold_end_ = now + longestHold();
+  }
   instance_ = instance;
   balancer_.setFailureRatio(0);
   dead_instance_ = {};
@@ -130,6 +171,7 @@
   if (!hasServer()) {
     return;
   }
+  earlier_hold_end_ = ports_.clock->now() + longestHold();
   dead_instance_ = std::exchange(instance_, {});
   moves_.cancel();
   grants_->clear();
@@ -346,6 +388,7 @@
   }
   const bool created = writer_.create(table);
   if (created) {
+    sent_division_ = table;
     logEvent("first division",
              std::to_string(locations.size()) + " servers after " + formatMilliseconds(now - server_since_) + " ms");
   }
@@ -362,7 +405,10 @@
   if (!hasServer() || std::none_of(owned.begin(), owned.end(), needs_reclaim)) {
     return;
   }
-  queueChange("ranges of an earlier instance reclaimed", reclaimRanges(writer_.table(), self));
+  std::vector<TableEdit> edits = reclaimRanges(writer_.table(), self);
+  TableWriter::Done reported =
+      reportOwners({OwnerChangeProof::EarlierInstance, self_.name, earlier_hold_end_, {}}, edits);
+  queueChange("ranges of an earlier instance reclaimed", std::move(edits), std::move(reported));
 }
 
 void OwnershipManager::confirmOwnRanges() {
@@ -388,7 +434,10 @@
     return;
   }
   const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
-  queueTransfer("ranges of dead server reassigned", to, reassignPieces(writer_.table(), dead_instance_, pieces, to));
+  std::vector<TableEdit> edits = reassignPieces(writer_.table(), dead_instance_, pieces, to);
+  TableWriter::Done reported =
+      reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, earlier_hold_end_, {}}, edits);
+  queueTransfer("ranges of dead server reassigned", to, std::move(edits), std::move(reported));
 }
 
 void OwnershipManager::checkUnreachableOwners(TimePoint now) {
@@ -418,7 +467,12 @@
   // Only ranges that the node owned when its lease was revoked; it may have confirmed its ranges since.
   std::vector<OwnedRange> lost = writer_.table().ownedAt(node);
   std::erase_if(lost, [newest_token](const OwnedRange& range) { return range.token > newest_token; });
-  queueTransfer("ranges taken over from " + node.value, to, takeOver(lost, to), {}, WrittenBy::ThisProcess);
+  std::vector<TableEdit> edits = takeOver(lost, to);
+  // The lease had ended at least `lease_margin` before it was revoked.
+  TableWriter::Done reported =
+      reportOwners({OwnerChangeProof::LeaseRevoked, node, now - config_.lease_margin, {}}, edits);
+  queueTransfer("ranges taken over from " + node.value, to, std::move(edits), std::move(reported),
+                WrittenBy::ThisProcess);
 }
 
 void OwnershipManager::balance(TimePoint now) {
@@ -432,6 +486,7 @@
 
 void OwnershipManager::startMoves(const KeyTransfer& moves) {
   if (!moves.pieces.empty()) {
+    lapsed_before_moves_ = lapsedReleases();
     moves_.start({instance_, self_.name}, moves.pieces, moves.to);
   }
 }
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 #include "source/core/router/ownership/key_moves.h"
 #include "source/core/router/ownership/lease_manager.h"
 #include "source/core/router/ownership/owner_candidates.h"
+#include "source/core/router/ownership/owner_change.h"
 #include "source/core/router/ownership/placement/service_planner.h"
 #include "source/core/router/ownership/request_grants.h"
 #include "source/core/router/ownership/shared_writes/shared_writes.h"
@@ -64,6 +66,8 @@
   /// Nothing listens at the server's address.
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
+  /// Keys have other owners in the table, by a change of this process.
+  std::function<void(const OwnerChange&)> on_owner_change = [](const OwnerChange&) {};
   /// A table was written that transfers keys to these nodes; they should receive it at once.
   /// @param delta difference from the table before the write.
   std::function<void(const OwnerTableDeltaFrame& delta, const std::set<NodeName>& recipients)> on_keys_transferred;
@@ -213,6 +217,15 @@
   /// Queues the confirmation of this node's ranges under new tokens.
   void confirmOwnRanges();
   void logEvent(const std::string& what, const std::string& detail);
+  /// @return a callback for the results of the edits, which reports the new owners in the table and then calls `done`.
+  /// @param change without the transfers.
+  TableWriter::Done reportOwners(OwnerChange change, std::vector<TableEdit> edits, TableWriter::Done done = {});
+  /// Reports the initial table once it is in the store.
+  void reportFirstDivision();
+  /// @return longest time for which the server may hold a range by one grant.
+  Duration longestHold() const;
+  /// @return the number of releases that ended because the grants expired.
+  std::uint64_t lapsedReleases() const { return heartbeat_grants_ ? heartbeat_grants_->counts().lapsed : 0; }
 
   NodeIdentity self_;
   ServiceName service_;
@@ -248,6 +261,12 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
+  /// An earlier instance of the server may have held keys until then at the latest.
+  TimePoint earlier_hold_end_{};
+  /// Value of `lapsedReleases` when the last moves began.
+  std::uint64_t lapsed_before_moves_ = 0;
+  /// The initial table that this process has sent to the store.
+  std::optional<OwnerTable> sent_division_;
   /// Queued changes that have not ended. Reconciliation, reassignment and balancing wait until there are none.
   unsigned pending_changes_ = 0;
 };
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -81,6 +81,7 @@
   };
   addEditPorts(node, ports);
   ports.on_event = [this](const OwnershipEvent& event) { ++table_changes_[event.detail]; };
+  ports.on_owner_change = [this](const OwnerChange& change) { owner_changes_.push_back(change); };
   ports.table_read = [&node] { return node.table_read; };
   ports.on_server_gone = [this, &node, process_generation = node.process_generation] {
     time_.after(Duration::zero(), [this, &node, process_generation] {
--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -52,6 +52,7 @@
   ~SimulatedCluster();
 
   void run(Duration span);
+  TimePoint now() const { return time_.now(); }
 
   /// Stops all processes and servers.
   void killAll();
@@ -113,6 +114,8 @@
   std::uint64_t tableReads() const { return store_.reads(kTableKind); }
   /// @return the number of changes that processes have ended, by what became of them.
   std::uint64_t tableChanges(const std::string& outcome) const;
+  /// @return the changes of owners that the processes have reported, in order.
+  const std::vector<OwnerChange>& ownerChanges() const { return owner_changes_; }
   /// @return the number of sampled keys that the node serves.
   std::size_t servedBy(std::size_t node) const;
 
@@ -171,6 +174,7 @@
   /// Set while several nodes change at once, so that the records are propagated once.
   bool holds_records_ = false;
   std::map<std::string, std::uint64_t> table_changes_;
+  std::vector<OwnerChange> owner_changes_;
 };
 
 }  // namespace shedlever::sim
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -29,6 +29,7 @@
       gate_recorder_(log_, metrics_),
       server_client_(loop_, settings_.server, *platform_.servers),
       command_recorder_(server_client_, clock_, log_, metrics_),
+      ownership_recorder_(clock_, log_, metrics_),
       server_(settings_.service, settings_.server),
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_client_, {[this](double more_bytes) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -20,6 +20,7 @@
 #include "source/router/cluster_state.h"
 #include "source/router/command_recorder.h"
 #include "source/router/gateway.h"
+#include "source/router/ownership_recorder.h"
 #include "source/router/peer_server.h"
 #include "source/router/quarantine_coordinator.h"
 #include "source/router/status_pages.h"
@@ -153,6 +154,7 @@
   GateRecorder gate_recorder_;
   ServerClient server_client_;
   CommandRecorder command_recorder_;
+  OwnershipRecorder ownership_recorder_;
   ServerPresence server_;
   LinkPacer pacer_;
   ServerGate gate_;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -240,6 +240,7 @@
         "placement", toString(event.step),
         {{"plan", std::to_string(event.plan)}, {"moves", std::to_string(event.moves)}, {"detail", event.detail}});
   };
+  ports.on_owner_change = [this](const OwnerChange& change) { ownership_recorder_.ownerChanged(change); };
   ports.on_event = [this](const OwnershipEvent& event) {
     metrics_.onEvent("ownership-change");
     log_.write("ownership", event.what, {{"detail", event.detail}});
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -13,6 +13,7 @@
 #include "source/router/command_recorder.h"
 #include "source/router/gate_recorder.h"
 #include "source/router/gateway_recorder.h"
+#include "source/router/ownership_recorder.h"
 
 namespace shedlever::test {
 namespace {
@@ -278,6 +279,34 @@
   EXPECT_THAT(metrics(), HasSubstr("shedlever_grants_total{result=\"no-answer\"} 1000"));
 }
 
+// Guards against a change of owner whose proof cannot be read from the log.
+TEST_F(RecordersTest, ChangeOfOwnerIsLoggedInOneLineWithItsProof) {
+  OwnershipRecorder recorder(time_, *log_, metrics_);
+  const OwnerLocation to{InstanceId("i-2"), NodeName("b")};
+  OwnerChange change{OwnerChangeProof::ConnectionRefused, NodeName("a"), time_.now() + milliseconds(1500), {}};
+  for (Key first = 0; first < 6; ++first) {
+    change.transfers.push_back({{first, first}, InstanceId("i-1"), 7, to, 11});
+  }
+  recorder.ownerChanged(change);
+  const std::string line = logged();
+  EXPECT_THAT(line, HasSubstr("ownership: event=owner-changed "));
+  EXPECT_THAT(line, HasSubstr(" proof=connection-refused from_node=a may_hold_ms=1500 ranges=6 "
+                              "transfers=\"0-0 from i-1 token 7 to i-2 at b token 11; 1-1 from "));
+  EXPECT_THAT(line, HasSubstr("; 3-3 from i-1 token 7 to i-2 at b token 11\" more=2\n"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_events_total{event=\"owner-changed-connection-refused\"} 1"));
+  EXPECT_THAT(metrics(), HasSubstr("shedlever_events_total{event=\"owner-changed-while-held\"} 1"));
+}
+
+TEST_F(RecordersTest, ChangeOfOwnerAfterTheHoldHasEndedIsNotCountedAsWhileHeld) {
+  OwnershipRecorder recorder(time_, *log_, metrics_);
+  const OwnerTransfer transfer{{0, 9}, InstanceId("i-1"), 7, {InstanceId("i-2"), NodeName("b")}, 11};
+  recorder.ownerChanged({OwnerChangeProof::LeaseRevoked, NodeName("a"), time_.now() - milliseconds(500), {transfer}});
+  EXPECT_THAT(logged(), HasSubstr(" proof=lease-revoked from_node=a may_hold_ms=-500 ranges=1 "));
+  recorder.ownerChanged({OwnerChangeProof::ReleaseAnswered, NodeName("a"), {}, {transfer}});
+  EXPECT_THAT(logged(), HasSubstr(" proof=release-answered from_node=a may_hold_ms=- ranges=1 "));
+  EXPECT_THAT(metrics(), ::testing::Not(HasSubstr("owner-changed-while-held")));
+}
+
 TEST_F(RecordersTest, SentBytesAreCountedByKindOfFrame) {
   metrics_.onFrameSent(PingFrame{}, 3);
   metrics_.onFrameSent(OwnerTableFrame{}, 20'000);
