Log what shows that a server has ended or was replaced

Cause: `server: event=gone` and `event=up` didn't say what they rest on, and a report that was rejected left no line, so a server that only refuses connections while it drains looked like one that had ended.

Change: `gone` names the call whose connection was refused (command, request or health check) and whether the server was draining; `refuses` is written where the refusal doesn't count as an end. `up` names its cause (reported, or verified by a health check) and the instance that it replaces. `report-rejected` and `other-instance-left` are written for reports of another instance that change nothing (rate limit of attempts), `other-instance-answered` if a health check is answered by another server; `instance-verified` says whether the connection was refused. What the process does with each of them is the same as before. The gate passes the refused call on as a RefusedCall; one test's callback takes that argument now. The routers of RouterCluster log to a file in its temporary folder.

--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -104,7 +104,10 @@
   PresenceChange onReport(const ServerReport& report);
   /// Asks the server which instance it is; the report counts only if it comes from that instance.
   void verifyInstance(const ServerReport& report);
-  PresenceChange applyReport(const ServerReport& report);
+  /// @param cause why the report counts, for the log.
+  PresenceChange applyReport(const ServerReport& report, const char* cause);
+  /// Logs a report that changes nothing, if it is of another instance than the present one.
+  void logIgnoredReport(const char* event, const ServerReport& report);
   /// @return whether a cold server's current instance started before this process.
   bool startedBeforeThisProcess(const ServerReport& report) const;
   void logAcknowledgement(const KeyReport& report, const std::optional<KeyAssignment>& keys);
@@ -114,7 +117,8 @@
   void onServerDraining(const char* cause);
   /// @return how long a leaving server still gets requests with keys that it holds, while these are handed over.
   Duration keyHandoverTime() const;
-  void onServerGone();
+  /// The server's address refuses connections.
+  void onServerGone(RefusedCall call);
   void onServerSilence(bool silent);
   QuarantineCoordinator::Ports quarantinePorts();
   QuotaCoordinator::Ports quotaPorts();
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -74,6 +74,8 @@
   if (report.leaving) {
     if (server_.onLeaving(report)) {
       onServerDraining("deregistered");
+    } else {
+      logIgnoredReport("other-instance-left", report);
     }
     return PresenceChange::None;
   }
@@ -81,7 +83,7 @@
     verifyInstance(report);
     return PresenceChange::None;
   }
-  return applyReport(report);
+  return applyReport(report, "reported");
 }
 
 void RouterProcess::verifyInstance(const ServerReport& report) {
@@ -89,25 +91,41 @@
     return;
   }
   verifying_instance_ = true;
-  server_client_.identify(gate_.healthPath(), [this, report](const ServerId& running, bool) {
+  server_client_.identify(gate_.healthPath(), [this, report](const ServerId& running, bool refused) {
     verifying_instance_ = false;
     log_.write("server", "instance-verified",
-               {{"reported", report.instance.value}, {"known", server_.instance().value}, {"running", running.value}});
+               {{"reported", report.instance.value},
+                {"known", server_.instance().value},
+                {"running", running.value},
+                {"refused", refused ? "1" : "0"}});
     if (running == serverIdOf(report.instance)) {
-      applyReport(report);
+      applyReport(report, "verified");
     } else if (!running.empty() && running == serverIdOf(server_.instance())) {
       server_.onEarlierInstanceEnded(report.instance);
     }
   });
 }
 
-PresenceChange RouterProcess::applyReport(const ServerReport& report) {
+void RouterProcess::logIgnoredReport(const char* event, const ServerReport& report) {
+  if (report.instance == server_.instance() || !log_.mayWriteAttempt()) {
+    return;
+  }
+  log_.write("server", event, {{"reported", report.instance.value}, {"known", server_.instance().value}});
+}
+
+PresenceChange RouterProcess::applyReport(const ServerReport& report, const char* cause) {
+  const InstanceId previous = server_.instance();
   const PresenceChange change = server_.onReport(report);
   if (change == PresenceChange::None) {
+    logIgnoredReport("report-rejected", report);
     return change;
   }
   if (change == PresenceChange::NewInstance) {
-    log_.write("server", "up", {{"instance", report.instance.value}, {"slots", std::to_string(report.slots)}});
+    log_.write("server", "up",
+               {{"instance", report.instance.value},
+                {"slots", std::to_string(report.slots)},
+                {"cause", cause},
+                {"replaces", previous.empty() ? "-" : previous.value}});
     if (ownership_manager_) {
       ownership_manager_->serverUp(report.instance, clock_.now());
     }
@@ -140,6 +158,8 @@
   server_client_.identify(gate_.healthPath(), [this, instance = server_.instance()](const ServerId& server, bool) {
     if (instance == gate_.instance() && server == serverIdOf(instance)) {
       gate_.onNamedLimitKnown();
+    } else if (!server.empty() && server != serverIdOf(instance)) {
+      log_.write("server", "other-instance-answered", {{"asked", instance.value}, {"running", server.value}});
     }
   });
 }
@@ -167,12 +187,21 @@
   scheduleTick();
 }
 
-void RouterProcess::onServerGone() {
+void RouterProcess::onServerGone(RefusedCall call) {
   const bool reports_keys = ownership_manager_ && settings_.ownership.grant_delivery == GrantDelivery::Heartbeat;
-  if (server_.instance().empty() || !server_.refusalProvesEnd(reports_keys)) {
+  if (server_.instance().empty()) {
+    return;
+  }
+  if (!server_.refusalProvesEnd(reports_keys)) {
+    if (log_.mayWriteAttempt()) {
+      log_.write("server", "refuses", {{"instance", server_.instance().value}, {"cause", toString(call)}});
+    }
     return;
   }
-  log_.write("server", "gone", {{"instance", server_.instance().value}});
+  log_.write("server", "gone",
+             {{"instance", server_.instance().value},
+              {"cause", toString(call)},
+              {"draining", server_.draining() ? "1" : "0"}});
   metrics_.onEvent("server-gone");
   server_.onGone();
   gate_.serverEnded();
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -39,7 +39,7 @@
 
 GateEvents RouterProcess::gateEvents() {
   GateEvents events;
-  events.server_gone = [this] { onServerGone(); };
+  events.server_gone = [this](RefusedCall call) { onServerGone(call); };
   events.silence_changed = [this](bool silent) { onServerSilence(silent); };
   events.server_crashed = [this](const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
     quarantine_.onServerCrash(instance, unanswered);
@@ -232,7 +232,7 @@
   ports.table_read = [this] { return cluster_state_.owners().isRead(); };
   ports.servers_confirmed_at = [this] { return cluster_state_.nodesConfirmedAt(); };
   ports.confirm_servers = [this] { cluster_state_.confirmNodes(); };
-  ports.on_server_gone = [this] { onServerGone(); };
+  ports.on_server_gone = [this] { onServerGone(RefusedCall::Command); };
   ports.send_plan = [this](const NodeName& node, const PlacementPlanFrame& plan) { peer_client_.send(node, plan); };
   ports.on_placement = [this](const PlacementEvent& event) {
     metrics_.onPlacement(event);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -444,7 +444,7 @@
 
 void ServerGate::updateReachability(const ServerResult& result) {
   if (result.server_gone) {
-    events_.server_gone();
+    events_.server_gone(RefusedCall::Request);
     return;
   }
   if (result.connect_failed) {
@@ -554,7 +554,7 @@
   server_client_.identify(health_path_, [this](const ServerId& server, bool refused) {
     reachability_.onProbeEnded(!refused && !server.empty());
     if (refused) {
-      events_.server_gone();
+      events_.server_gone(RefusedCall::HealthCheck);
     } else if (!server.empty()) {
       assumeCold();
       events_.silence_changed(false);
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -24,6 +24,7 @@
 #include "source/core/router/quarantine/unanswered_requests.h"
 #include "source/router/gate_recorder.h"
 #include "source/router/held_requests.h"
+#include "source/router/refused_call.h"
 #include "source/router/router_settings.h"
 #include "source/router/server_client.h"
 
@@ -38,7 +39,7 @@
 
 struct GateEvents {
   /// The server's address refuses connections, so the server is certainly not running.
-  std::function<void()> server_gone;
+  std::function<void(RefusedCall)> server_gone;
   /// The server has become silent, that is, unresponsive, or responds again.
   std::function<void(bool silent)> silence_changed;
   /// An instance ended that had not announced its shutdown. @param unanswered requests that it may have been
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -105,7 +105,7 @@
 
   static GateEvents gateEvents() {
     GateEvents events;
-    events.server_gone = [] {};
+    events.server_gone = [](RefusedCall) {};
     events.silence_changed = [](bool) {};
     events.server_crashed = [](const InstanceId&, const std::vector<RequestFingerprint>&) {};
     events.served = [](const RequestFingerprint&) {};
--- a/test/router/restarted_server_test.cc
+++ b/test/router/restarted_server_test.cc
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "source/core/settings/endpoint_text.h"
 #include "test/support/http_call.h"
 #include "test/support/router_cluster.h"
@@ -50,6 +53,19 @@
     return answer ? answer->status : 0;
   }
 
+  std::string routerLog(std::size_t index) {
+    std::ostringstream text;
+    text << std::ifstream(cluster_.routerLogFile(node(index))).rdbuf();
+    return text.str();
+  }
+
+  /// Waits until the text is in the log of the node's router.
+  void expectLogged(std::size_t index, const std::string& text) {
+    EXPECT_TRUE(cluster_.runUntil([&] { return routerLog(index).find(text) != std::string::npos; }))
+        << text << " is not in:\n"
+        << routerLog(index);
+  }
+
   RouterCluster cluster_{GetParam()};
 };
 
@@ -101,6 +117,25 @@
   }
 }
 
+// Guards against logs that do not show why a server counts as ended or replaced.
+TEST_P(RestartedServerTest, LogNamesTheInstanceThatWasReplaced) {
+  const std::string before = node(2).server->instance();
+  expectLogged(2, " cause=reported replaces=-\n");
+  cluster_.restartServer(node(2));
+  expectLogged(2, " cause=reported replaces=" + before);
+  reportFromEarlierInstance(2, 1'000);
+  expectLogged(2, "server: event=report-rejected ");
+}
+
+TEST_P(RestartedServerTest, LogNamesTheCallThatWasRefused) {
+  node(2).server.reset();
+  for (int tries = 0; tries < kTries && routerLog(2).find("event=gone") == std::string::npos; ++tries) {
+    cluster_.sendAndWait(node(2), "/orders/x");
+    cluster_.runFor(std::chrono::milliseconds(20));
+  }
+  expectLogged(2, " cause=refused-request draining=0\n");
+}
+
 INSTANTIATE_TEST_SUITE_P(BothFormsOfGrants, RestartedServerTest,
                          ::testing::Values(GrantDelivery::Request, GrantDelivery::Heartbeat));
 
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -174,8 +174,9 @@
   adapters.make_store = [](StoreCaller caller, UnreadableEntryCallback on_unreadable) {
     return std::make_unique<platform::PlatformStore>(std::move(caller), std::move(on_unreadable));
   };
-  node.router =
-      std::make_unique<RouterProcess>(loop_, node.settings, adapters, open("/dev/null", O_WRONLY | O_CLOEXEC));
+  constexpr mode_t kLogMode = 0600;
+  const int log = open(routerLogFile(node).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
+  node.router = std::make_unique<RouterProcess>(loop_, node.settings, adapters, log);
   EXPECT_TRUE(static_cast<bool>(node.router->open()));
   node.server->startHeartbeats(node.router->reportsEndpoint());
   HttpClientConfig client;
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -97,6 +97,10 @@
   /// Runs the loop until `done` or the test timeout.
   /// @return whether `done` held.
   bool runUntil(const std::function<bool()>& done);
+  /// @return the file with the log lines of the node's routers.
+  std::filesystem::path routerLogFile(const Node& node) const {
+    return folder_ / ("router-" + node.settings.node.value + ".log");
+  }
 
   /// @return a flag that becomes true after the time; the caller may discard it earlier.
   std::shared_ptr<const bool> timerFlag(Duration time);
