--- a/source/lab/sim/simulated_cluster.h
+++ b/source/lab/sim/simulated_cluster.h
@@ -55,6 +55,7 @@
   ~SimulatedCluster();
 
   void run(Duration span);
+  TimePoint now() const { return time_.now(); }
 
   /// Stops all processes and servers.
   void killAll();
@@ -130,6 +131,8 @@
   std::uint64_t tableReads() const { return store_.reads(kTableKind); }
   /// @return the number of changes that processes have ended, by what became of them.
   std::uint64_t tableChanges(const std::string& outcome) const;
+  /// @return the changes of owners that the processes have reported, in order.
+  const std::vector<OwnerChange>& ownerChanges() const { return owner_changes_; }
   /// @return the number of sampled keys that the node serves.
   std::size_t servedBy(std::size_t node) const;
   /// @return the number of sampled keys that running server instances of the node hold, with those that refuse
@@ -194,6 +197,7 @@
   /// Set while several nodes change at once, so that the records are propagated once.
   bool holds_records_ = false;
   std::map<std::string, std::uint64_t> table_changes_;
+  std::vector<OwnerChange> owner_changes_;
 };
 
 }  // namespace shedlever::sim
