Reassign keys of a server that refuses connections only after its grants end

What callers saw: two servers held the same keys. A server that closes its listening socket first and then finishes its work refuses connections while it holds keys; after the first refusal its router gave all of them to others at once. The same happened when a new instance reported while the one before it still ran.

Cause: a failed connection was taken as proof of the end of a lease holder. Only an answered release or the end of every grant proves that a key is free.

Change: grant channels know until when servers may hold keys by earlier grants, commands without an answer and the predecessor process (2 s, also of older builds) included; `serverGone` and `serverUp` keep the old owner's ranges in the table until then. With grants by heartbeat, which last 4 s, a refusal counts as a crash only if all requests at the server lost their connections and none was answered since (`CrashEvidence`).

--- a/include/shedlever/server_commands.h
+++ b/include/shedlever/server_commands.h
@@ -12,6 +12,9 @@
 
 namespace shedlever {
 
+/// A grant without an answer after this time ends with `NoAnswer`.
+inline constexpr Duration kGrantTimeout = std::chrono::milliseconds(300);
+
 /// What a grant was decided from, for logs; not sent to the server.
 struct GrantBasis {
   /// Time at which the duration of the grant was computed.
--- a/source/core/router/directory/server_presence.h
+++ b/source/core/router/directory/server_presence.h
@@ -40,7 +40,7 @@
   /// @return false if that was known already.
   bool startDraining();
 
-  /// The present instance has ended for certain; its late reports are rejected.
+  /// The present instance is given up, as it accepts no connections; its later reports are rejected.
   void onGone();
 
   /// Sets whether the server fails to answer.
@@ -50,9 +50,10 @@
   const InstanceId& instance() const { return instance_; }
   std::uint32_t slots() const { return slots_; }
   /// @param reports_keys whether the server's heartbeats list the keys that it holds.
-  /// @return whether a refused connection proves that the server has ended. A leaving server may refuse connections
-  ///   while it still works and holds keys; then only its heartbeats show which keys it holds.
-  bool refusalProvesEnd(bool reports_keys) const { return !(draining_ && reports_keys); }
+  /// @return whether the present instance is given up after a refused connection. A refusal does not prove that it has
+  ///   ended: a leaving server may refuse connections while it still works and holds keys. If its heartbeats list keys,
+  ///   they are needed to learn which ones it has released.
+  bool refusalEndsUse(bool reports_keys) const { return !(draining_ && reports_keys); }
 
   bool draining() const { return draining_; }
   bool silent() const { return silent_; }
--- a/source/core/router/ownership/grant_channel.h
+++ b/source/core/router/ownership/grant_channel.h
@@ -17,7 +17,7 @@
   struct Events {
     /// The server has seen a higher token for the range.
     std::function<void(const OwnedRange&)> superseded;
-    /// Nothing listens at the server's address.
+    /// The server's address refuses connections. The server may still run and hold keys.
     std::function<void()> server_gone;
     /// The server holds a range that it did not hold before.
     std::function<void()> newly_held;
@@ -33,6 +33,10 @@
   /// @return whether the server holds the key, as far as this process can know.
   virtual bool isHeld(Key key, TimePoint now) const = 0;
 
+  /// @return time from which no server holds a key by a grant before the last `clear`, whether or not it still runs.
+  ///   Includes commands without an answer so far and grants by an earlier process.
+  virtual TimePoint earlierHoldsUntil() const = 0;
+
   /// The server refused a request because it does not hold the key.
   virtual void onKeyRefused(Key key) = 0;
 
@@ -40,7 +44,7 @@
   /// @param done runs once the server can no longer hold the range, never inside this call and never after `clear`.
   virtual void release(const OwnedRange& range, ReleaseCallback done) = 0;
 
-  /// Drops all state, because the server has ended or everything it held has expired.
+  /// Drops all state, because this process no longer grants keys to the server. The server may still hold some.
   virtual void clear() = 0;
 };
 
--- a/source/core/router/ownership/heartbeat_grants.cc
+++ b/source/core/router/ownership/heartbeat_grants.cc
@@ -21,6 +21,11 @@
 /// Limit for handovers of ranges that are not assigned again.
 constexpr std::size_t kMaxHandovers = 128;
 
+/// @return how long a server with a slow clock may hold a range after the heartbeat that the assignment acknowledges.
+Duration longestHold(const OwnershipConfig& config) {
+  return std::chrono::duration_cast<Duration>(config.heartbeat_hold * config.clock_drift_factor);
+}
+
 KeyRange keyRangeOf(const ReleasedRange& range) { return {range.first, range.last}; }
 KeyRange keyRangeOf(const ReportedRange& range) { return {range.first, range.last}; }
 
@@ -64,7 +69,7 @@
 }  // namespace
 
 HeartbeatGrants::HeartbeatGrants(const OwnershipConfig& config, TimePoint started, Events events)
-    : config_(config), started_(started), events_(std::move(events)) {}
+    : config_(config), started_(started), events_(std::move(events)), earlier_hold_end_(started_ + longestHold(config_)) {}
 
 void HeartbeatGrants::update(const std::vector<OwnedRange>&, TimePoint, TimePoint now) {
   std::erase_if(expiring_, [now](const RangeAssignment& assignment) { return assignment.may_hold_until <= now; });
@@ -101,6 +106,7 @@
 }
 
 void HeartbeatGrants::clear() {
+  earlier_hold_end_ = std::max(earlier_hold_end_, latest_hold_end_);
   assigned_.clear();
   expiring_.clear();
   releases_.clear();
@@ -156,8 +162,7 @@
 
 TimePoint HeartbeatGrants::mayHoldUntil(const KeyRange& keys) const {
   // Assignments by an earlier process are unknown; they may last one grant duration after the start of this one.
-  TimePoint until =
-      started_ + std::chrono::duration_cast<Duration>(config_.heartbeat_hold * config_.clock_drift_factor);
+  TimePoint until = started_ + longestHold(config_);
   const auto extend = [&](const RangeAssignment& assignment) {
     if (overlap(assignment.range.keys, keys)) {
       until = std::max(until, assignment.may_hold_until);
@@ -261,6 +266,9 @@
                                        TimePoint received) {
   std::map<Key, RangeAssignment> before = std::exchange(assigned_, {});
   const auto max_hold = std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
+  if (!ranges.empty()) {
+    latest_hold_end_ = std::max(latest_hold_end_, received + max_hold);
+  }
   for (const OwnedRange& range : ranges) {
     RangeAssignment assignment{range, received + max_hold, received + hold - kAcknowledgementDeadline, 0};
     const auto earlier = before.find(range.keys.first);
@@ -286,8 +294,7 @@
 }
 
 bool HeartbeatGrants::allLapsed(TimePoint now) const {
-  const auto max_hold = std::chrono::duration_cast<Duration>(config_.heartbeat_hold * config_.clock_drift_factor);
-  return now - std::max(last_report_, started_) > max_hold + kLapseMargin;
+  return now - std::max(last_report_, started_) > longestHold(config_) + kLapseMargin;
 }
 
 }  // namespace shedlever
--- a/source/core/router/ownership/heartbeat_grants.h
+++ b/source/core/router/ownership/heartbeat_grants.h
@@ -39,6 +39,7 @@
 
   void update(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) override;
   bool isHeld(Key key, TimePoint now) const override;
+  TimePoint earlierHoldsUntil() const override { return earlier_hold_end_; }
   void onKeyRefused(Key key) override;
   void release(const OwnedRange& range, ReleaseCallback done) override;
   void clear() override;
@@ -103,6 +104,10 @@
   const OwnershipConfig& config_;
   TimePoint started_;
   Events events_;
+  /// Latest end of all assignments by this process.
+  TimePoint latest_hold_end_{};
+  /// Latest end of the assignments before the last `clear` and by an earlier process.
+  TimePoint earlier_hold_end_;
   /// Ranges of the last acknowledgement, by first key.
   std::map<Key, RangeAssignment> assigned_;
   /// Ranges of earlier acknowledgements that may not have expired yet.
--- a/source/core/router/ownership/owner_change.h
+++ b/source/core/router/ownership/owner_change.h
@@ -17,9 +17,9 @@
 enum class OwnerChangeProof : std::uint8_t {
   ReleaseAnswered,       ///< the owner has answered the release, or reported it in a heartbeat
   GrantsExpired,         ///< for some of the ranges nobody reported the release; all grants had run out
-  ConnectionRefused,     ///< the owner's address refused a connection
+  ConnectionRefused,     ///< the owner's address refused connections, and its grants have run out or it crashed
   LeaseRevoked,          ///< the lease of the owner's node had run out and was revoked in the store
-  EarlierInstance,       ///< another instance of the owner has reported
+  EarlierInstance,       ///< another instance has reported, and the owner's grants have run out or it ended
   PlannedFirstDivision,  ///< there was no owner before
 };
 
--- a/source/core/router/ownership/owner_table_edits.cc
+++ b/source/core/router/ownership/owner_table_edits.cc
@@ -25,16 +25,22 @@
   });
 }
 
-bool needsReclaim(const OwnedRange& range, const OwnerLocation& self, bool moving) {
-  return range.owner != self.instance || (range.releasing && !moving);
+bool needsReclaim(const OwnedRange& range, const OwnerLocation& self, bool moving, EarlierGrants earlier) {
+  if (range.owner != self.instance) {
+    return earlier == EarlierGrants::RunOut;
+  }
+  return range.releasing && !moving;
 }
 
-std::vector<TableEdit> reclaimRanges(const OwnerTable& table, const OwnerLocation& self) {
+std::vector<TableEdit> reclaimRanges(const OwnerTable& table, const OwnerLocation& self, EarlierGrants earlier) {
   std::vector<TableEdit> edits;
   for (const OwnedRange& range : table.ownedAt(self.node)) {
+    if (!needsReclaim(range, self, false, earlier)) {
+      continue;
+    }
     if (range.owner != self.instance) {
       edits.push_back(TableEdit::assign(range, range.keys, self, {}));
-    } else if (range.releasing) {
+    } else {
       edits.push_back(TableEdit::abortRelease(range));
     }
   }
--- a/source/core/router/ownership/owner_table_edits.h
+++ b/source/core/router/ownership/owner_table_edits.h
@@ -19,12 +19,17 @@
 bool allConfirmed(const OwnerTable& table, const InstanceId& server, const std::vector<TableEdit>& confirmation,
                   const EditResults& results);
 
+/// Whether the grants of earlier instances of a node's server have run out. An earlier instance may still run beside
+/// its successor and hold keys.
+enum class EarlierGrants : std::uint8_t { MayLast, RunOut };
+
 /// @return whether `reclaimRanges` would change the range.
 /// @param moving this process is moving keys, so that a release in the table may be its own.
-bool needsReclaim(const OwnedRange& range, const OwnerLocation& self, bool moving);
+bool needsReclaim(const OwnedRange& range, const OwnerLocation& self, bool moving, EarlierGrants earlier);
 
-/// Gives the server the ranges of earlier instances at its node, and aborts releases of its own ranges.
-std::vector<TableEdit> reclaimRanges(const OwnerTable& table, const OwnerLocation& self);
+/// Gives the server the ranges of earlier instances at its node, once their grants have run out, and aborts releases of
+/// its own ranges.
+std::vector<TableEdit> reclaimRanges(const OwnerTable& table, const OwnerLocation& self, EarlierGrants earlier);
 
 /// Gives the pieces of an ended server's ranges to the servers in `to`, in turn.
 /// @param to must not be empty.
--- a/source/core/router/ownership/ownership_config.h
+++ b/source/core/router/ownership/ownership_config.h
@@ -25,8 +25,11 @@
   Duration lease_retry = std::chrono::milliseconds(300);
   /// Added to the lease before another node revokes it, to allow for clock differences.
   Duration lease_margin = std::chrono::milliseconds(500);
-  /// Duration of a grant by command.
-  Duration grant_hold = std::chrono::seconds(2);
+  /// Duration of a grant by command. After a server has crashed its keys wait for the end of its grants, and are to be
+  /// served again within 1 s.
+  Duration grant_hold = std::chrono::milliseconds(800);
+  /// Longest grant by command that an earlier process of the node may have given, older builds included.
+  Duration longest_earlier_hold = std::chrono::seconds(2);
   /// Duration of a grant by heartbeat: three heartbeats of 1.3 s.
   Duration heartbeat_hold = std::chrono::seconds(4);
   /// Longest time for which the acknowledgement of a heartbeat is held back until keys change. The server ignores
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -5,7 +5,6 @@
 
 #include "source/core/router/duration_format.h"
 #include "source/core/router/ownership/owner_table_delta.h"
-#include "source/core/router/ownership/owner_table_edits.h"
 #include "source/core/router/ownership/placement/weighted_division.h"
 
 namespace shedlever {
@@ -41,7 +40,6 @@
   } else {
     grants_ = std::make_unique<RequestGrants>(config_, *ports_.server_commands, *ports_.clock, grantEvents());
   }
-  earlier_hold_end_ = ports_.clock->now() + longestHold();
   writer_.setRestoreDelays(restoreDelays());
   balancer_.plans().setEventCallback(ports_.on_placement);
 }
@@ -145,38 +143,44 @@
   }
 }
 
-Duration OwnershipManager::longestHold() const {
-  const bool by_heartbeat = config_.grant_delivery == GrantDelivery::Heartbeat;
-  const Duration hold = by_heartbeat ? config_.heartbeat_hold : config_.grant_hold;
-  return std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
-}
-
 void OwnershipManager::serverUp(const InstanceId& instance, TimePoint now) {
   if (instance_ == instance) {
     return;
   }
-  if (hasServer()) {
-    earlier_hold_end_ = now + longestHold();
-  }
   instance_ = instance;
   balancer_.setFailureRatio(0);
-  dead_instance_ = {};
+  if (gone_instance_.empty()) {
+    // The heartbeats of an earlier instance that still ran would list its keys.
+    earlier_end_ = heartbeat_grants_ != nullptr ? InstanceEnd::Certain : InstanceEnd::Suspected;
+  }
+  gone_instance_ = {};
   draining_ = false;
   server_since_ = now;
   moves_.cancel();
   grants_->clear();
 }
 
-void OwnershipManager::serverDead() {
+void OwnershipManager::serverCrashed(const InstanceId& instance) {
+  if (gone_instance_ == instance) {
+    earlier_end_ = InstanceEnd::Certain;
+  }
+}
+
+void OwnershipManager::serverGone() {
   if (!hasServer()) {
     return;
   }
-  earlier_hold_end_ = ports_.clock->now() + longestHold();
-  dead_instance_ = std::exchange(instance_, {});
+  earlier_end_ = InstanceEnd::Suspected;
+  gone_instance_ = std::exchange(instance_, {});
   moves_.cancel();
   grants_->clear();
 }
 
+EarlierGrants OwnershipManager::earlierGrants() const {
+  const bool may_last = earlier_end_ == InstanceEnd::Suspected && ports_.clock->now() < grants_->earlierHoldsUntil();
+  return may_last ? EarlierGrants::MayLast : EarlierGrants::RunOut;
+}
+
 void OwnershipManager::onLeaseRevoked() {
   logEvent("lease revoked", "");
   must_confirm_ = true;
@@ -336,7 +340,7 @@
     reconcileOwnRanges();
   }
   if (pending_changes_ == 0) {
-    reassignDeadServerRanges(now);
+    reassignGoneServerRanges(now);
   }
   checkUnreachableOwners(now);
   if (hasServer()) {
@@ -353,7 +357,7 @@
 
 TableWriter::RestoreDelays OwnershipManager::restoreDelays() const {
   const Duration hold =
-      config_.grant_delivery == GrantDelivery::Heartbeat ? config_.heartbeat_hold : config_.grant_hold;
+      config_.grant_delivery == GrantDelivery::Heartbeat ? config_.heartbeat_hold : config_.longest_earlier_hold;
   const auto max_hold = std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
   const Duration rank_wait = config_.restore_step * static_cast<int>(candidates_.rank());
   return {rank_wait, max_hold + config_.lease_margin + rank_wait};
@@ -401,13 +405,16 @@
     return;
   }
   const auto owned = writer_.table().ownedAt(self_.name);
-  const auto needs_reclaim = [&](const OwnedRange& range) { return needsReclaim(range, self, !moves_.empty()); };
+  const EarlierGrants earlier = earlierGrants();
+  const auto needs_reclaim = [&](const OwnedRange& range) {
+    return needsReclaim(range, self, !moves_.empty(), earlier);
+  };
   if (!hasServer() || std::none_of(owned.begin(), owned.end(), needs_reclaim)) {
     return;
   }
-  std::vector<TableEdit> edits = reclaimRanges(writer_.table(), self);
+  std::vector<TableEdit> edits = reclaimRanges(writer_.table(), self, earlier);
   TableWriter::Done reported =
-      reportOwners({OwnerChangeProof::EarlierInstance, self_.name, earlier_hold_end_, {}}, edits);
+      reportOwners({OwnerChangeProof::EarlierInstance, self_.name, grants_->earlierHoldsUntil(), {}}, edits);
   queueChange("ranges of an earlier instance reclaimed", std::move(edits), std::move(reported));
 }
 
@@ -420,23 +427,23 @@
   queueChange("ranges confirmed", edits, ended, WrittenBy::ThisProcess);
 }
 
-void OwnershipManager::reassignDeadServerRanges(TimePoint now) {
-  if (dead_instance_.empty()) {
+void OwnershipManager::reassignGoneServerRanges(TimePoint now) {
+  if (gone_instance_.empty() || earlierGrants() == EarlierGrants::MayLast) {
     return;
   }
   const std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
-  const auto owned = writer_.table().ownedBy(dead_instance_);
+  const auto owned = writer_.table().ownedBy(gone_instance_);
   if (owned.empty()) {
-    dead_instance_ = {};
+    gone_instance_ = {};
     return;
   }
   if (to.empty()) {
     return;
   }
   const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
-  std::vector<TableEdit> edits = reassignPieces(writer_.table(), dead_instance_, pieces, to);
+  std::vector<TableEdit> edits = reassignPieces(writer_.table(), gone_instance_, pieces, to);
   TableWriter::Done reported =
-      reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, earlier_hold_end_, {}}, edits);
+      reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, grants_->earlierHoldsUntil(), {}}, edits);
   queueTransfer("ranges of dead server reassigned", to, std::move(edits), std::move(reported));
 }
 
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -25,6 +25,7 @@
 #include "source/core/router/ownership/lease_manager.h"
 #include "source/core/router/ownership/owner_candidates.h"
 #include "source/core/router/ownership/owner_change.h"
+#include "source/core/router/ownership/owner_table_edits.h"
 #include "source/core/router/ownership/placement/service_planner.h"
 #include "source/core/router/ownership/request_grants.h"
 #include "source/core/router/ownership/shared_writes/shared_writes.h"
@@ -33,6 +34,12 @@
 
 namespace shedlever {
 
+/// What is known of an instance of the local server that is no longer used.
+enum class InstanceEnd : std::uint8_t {
+  Suspected,  ///< it may still run and hold keys
+  Certain,    ///< it holds no key
+};
+
 /// State of a key at a node: what the node may do with a request for it.
 enum class KeyState : std::uint8_t {
   Held,            ///< start the request
@@ -94,8 +101,11 @@
 
   /// An instance of the local server is running.
   void serverUp(const InstanceId& instance, TimePoint now);
-  /// The server has ended for certain; its keys may be reassigned at once.
-  void serverDead();
+  /// The server accepts no connections. It may still run, so its keys are reassigned once all grants to it have run
+  /// out.
+  void serverGone();
+  /// The server that accepts no connections has crashed, so that its keys may be reassigned at once.
+  void serverCrashed(const InstanceId& instance);
   /// Takes over the lease of this node's previous process, as reported by other nodes.
   void inheritLease(TimePoint until) { lease_.inherit(until); }
   /// Another node's process has reported its lease.
@@ -190,7 +200,8 @@
   /// Creates the initial table for these servers.
   void divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now);
   void reconcileOwnRanges();
-  void reassignDeadServerRanges(TimePoint now);
+  void reassignGoneServerRanges(TimePoint now);
+  EarlierGrants earlierGrants() const;
   void checkUnreachableOwners(TimePoint now);
   /// @param newest_token newest token in the table when the revocation of the node's lease was sent.
   void takeOverRanges(const NodeName& node, FenceToken newest_token);
@@ -222,8 +233,6 @@
   TableWriter::Done reportOwners(OwnerChange change, std::vector<TableEdit> edits, TableWriter::Done done = {});
   /// Reports the initial table once it is in the store.
   void reportFirstDivision();
-  /// @return longest time for which the server may hold a range by one grant.
-  Duration longestHold() const;
   /// @return the number of releases that ended because the grants expired.
   std::uint64_t lapsedReleases() const { return heartbeat_grants_ ? heartbeat_grants_->counts().lapsed : 0; }
 
@@ -248,8 +257,10 @@
 
   /// Empty while no server runs.
   InstanceId instance_;
-  /// The server that has ended and whose keys are still to be reassigned; empty if there is none.
-  InstanceId dead_instance_;
+  /// The server that accepts no connections and whose keys are still to be reassigned; empty if there is none.
+  InstanceId gone_instance_;
+  /// Of the instance before the present one.
+  InstanceEnd earlier_end_ = InstanceEnd::Suspected;
   TimePoint server_since_{};
   TimePoint last_tick_{};
   double request_rate_ = 0;
@@ -261,8 +272,6 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
-  /// An earlier instance of the server may have held keys until then at the latest.
-  TimePoint earlier_hold_end_{};
   /// Value of `lapsedReleases` when the last moves began.
   std::uint64_t lapsed_before_moves_ = 0;
   /// The initial table that this process has sent to the store.
--- a/source/core/router/ownership/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -12,27 +12,42 @@
 
 class RequestGrants final : public GrantChannel {
  public:
+  /// Grants by an earlier process may last until one grant duration after this object was made.
   RequestGrants(const OwnershipConfig& config, ServerCommands& server_commands, const Clock& clock, Events events);
 
   void update(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) override;
   bool isHeld(Key key, TimePoint now) const override;
+  TimePoint earlierHoldsUntil() const override;
   /// Nothing to do: a grant that the server has lost is renewed soon.
   void onKeyRefused(Key) override {}
   /// From then on the server refuses all older grants of the range, including delayed ones.
   void release(const OwnedRange& range, ReleaseCallback done) override;
-  void clear() override { grants_.clear(); }
+  void clear() override;
 
  private:
   struct Grant {
     OwnedRange range;
     TimePoint held_until{};
     TimePoint next_send_at{};
-    bool in_flight = false;
-    /// Distinguishes the current command from earlier ones for a range that was lost and regained.
-    std::uint64_t send_number = 0;
+    /// Number of the first command. Lower numbers are those of the range before it was lost and regained.
+    std::uint64_t first_send = 0;
+    /// Number of the newest command.
+    std::uint64_t last_send = 0;
+  };
+
+  /// A grant command that has no answer yet.
+  struct PendingCommand {
+    TimePoint sent{};
+    Duration hold{};
+    /// Sent before the last `clear`.
+    bool earlier = false;
   };
 
   void send(Grant& grant, Duration hold, TimePoint lease_until, TimePoint now);
+  /// Records until when the server may hold the range of a command that has ended.
+  void recordHoldEnd(std::uint64_t send_number, CommandStatus status);
+  /// @return end of a hold that began at the time, at a server with a slow clock.
+  TimePoint holdEnd(TimePoint taken, Duration hold) const;
   void onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent, Duration hold);
 
   const OwnershipConfig& config_;
@@ -42,6 +57,12 @@
   /// By first key.
   std::map<Key, Grant> grants_;
   std::uint64_t last_send_ = 0;
+  /// By send number.
+  std::map<std::uint64_t, PendingCommand> pending_;
+  /// Latest end of the holds of commands that have ended since the last `clear`.
+  TimePoint latest_hold_end_{};
+  /// The same for commands before it, and for those by an earlier process.
+  TimePoint earlier_hold_end_;
 };
 
 }  // namespace shedlever
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -328,6 +328,8 @@
 }
 
 void SimulatedCluster::interleaveRanges(std::size_t first, std::size_t second, std::size_t ranges) {
+  // Grants that are under way would be applied after the servers have dropped their keys.
+  run(2 * kLoopbackDelay);
   const StoreAnswer answer = store_.get(kTableKind, ownerTableName(kService));
   OwnerTable table =
       leaf::try_handle_all([&] { return OwnerTable::decode(answer.object.value); }, [] { return OwnerTable(); });
@@ -345,6 +347,8 @@
     node->server->dropAllKeys();
   }
   store_.replace(kTableKind, object);
+  // No process may grant by the table before, which this write did not go through.
+  propagateTable();
 }
 
 void SimulatedCluster::setOccupancy(std::size_t node, double occupancy) {
--- a/source/lab/sim/simulated_cluster_servers.cc
+++ b/source/lab/sim/simulated_cluster_servers.cc
@@ -80,7 +80,7 @@
   if (node.record.draining && config_.grant_delivery == GrantDelivery::Heartbeat) {
     return;
   }
-  node.manager->serverDead();
+  node.manager->serverGone();
   node.record.instance = {};
   propagateRecords();
 }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -119,6 +119,9 @@
   Duration keyHandoverTime() const;
   /// The server's address refuses connections.
   void onServerGone(RefusedCall call);
+  /// Reassigns the keys of a server that refuses connections at once if it has crashed. Only for servers whose grants
+  /// by heartbeat last for seconds.
+  void checkCrash(const InstanceId& gone);
   void onServerSilence(bool silent);
   QuarantineCoordinator::Ports quarantinePorts();
   QuotaCoordinator::Ports quotaPorts();
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kNotFound = 404;
+/// The losses of all requests at a crashed server are noticed within this time.
+constexpr Duration kCrashCheckDelay = std::chrono::milliseconds(50);
 /// A draining server gets no keyed requests after this fraction of the drain time.
 constexpr int kKeysCloseNumerator = 2;
 constexpr int kKeysCloseDenominator = 3;
@@ -192,7 +194,7 @@
   if (server_.instance().empty()) {
     return;
   }
-  if (!server_.refusalProvesEnd(reports_keys)) {
+  if (!server_.refusalEndsUse(reports_keys)) {
     if (log_.mayWriteAttempt()) {
       log_.write("server", "refuses", {{"instance", server_.instance().value}, {"cause", toString(call)}});
     }
@@ -203,15 +205,28 @@
               {"cause", toString(call)},
               {"draining", server_.draining() ? "1" : "0"}});
   metrics_.onEvent("server-gone");
+  const InstanceId gone = server_.instance();
   server_.onGone();
   gate_.serverEnded();
   if (ownership_manager_) {
-    ownership_manager_->serverDead();
+    ownership_manager_->serverGone();
+  }
+  if (reports_keys) {
+    runAfter(kCrashCheckDelay, [this, gone] { checkCrash(gone); });
   }
   publishRecord();
   scheduleTick();
 }
 
+void RouterProcess::checkCrash(const InstanceId& gone) {
+  if (!gate_.lostAllRequests(gone)) {
+    return;
+  }
+  log_.write("server", "crashed", {{"instance", gone.value}});
+  ownership_manager_->serverCrashed(gone);
+  scheduleTick();
+}
+
 void RouterProcess::onServerSilence(bool silent) {
   server_.setSilent(silent);
   log_.write("server", silent ? "silent" : "answers-again", {{"instance", server_.instance().value}});
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -8,12 +8,12 @@
 
 /// More than the slots of any server; the gate limits concurrent requests.
 constexpr std::size_t kMaxConnections = 512;
-constexpr std::size_t kCommandConnections = 8;
+/// Grants of all ranges of a server, and releases that wait for running requests, are under way at the same time.
+constexpr std::size_t kCommandConnections = 16;
 /// Short, since the server is on the same machine.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 /// Maximum idle time of a connection, unless the server announces its own limit.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(7500);
-constexpr Duration kGrantTimeout = std::chrono::milliseconds(300);
 /// The server responds to a release only after the last request for the keys has ended.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(4);
 constexpr Duration kIdentifyTimeout = std::chrono::seconds(1);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -63,6 +63,7 @@
     endInstance();
     refuseAllQueued(ForwardReason::WrongInstance);
     instance_ = instance;
+    crash_evidence_.onInstance(instance);
     draining_ = false;
     keyed_requests_stopped_ = false;
     reachability_.reset();
@@ -351,6 +352,7 @@
   if (entry.frame.keyed) {
     head.key = entry.frame.key;
   }
+  crash_evidence_.onSent(entry.frame.instance);
   ServerRequest request{std::move(entry.frame.http), std::move(head)};
   entry.exchange = server_client_.send(std::move(request),
                                        [this, ticket](ServerResult result) { onResult(ticket, std::move(result)); });
@@ -367,7 +369,7 @@
   const bool answered = result.outcome == ForwardOutcome::Answered;
   queue_.onRequestEnded(ticket, answered ? std::optional<Duration>(service_time) : std::nullopt);
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
-  trackUnanswered(ticket, entry.fingerprint, result);
+  trackUnanswered(ticket, entry, result);
   updateCondition(entry, result);
   updateReachability(result);
   recordFailure(result);
@@ -392,21 +394,37 @@
   startQueued();
 }
 
-void ServerGate::trackUnanswered(QueueTicket ticket, const RequestFingerprint& fingerprint,
-                                 const ServerResult& result) {
-  const TimePoint now = clock_.now();
+SentRequestEnd ServerGate::endOf(const ServerResult& result) {
   if (!result.reached_server || result.reason == ForwardReason::WrongInstance) {
-    unanswered_.onNotReached(ticket);
-  } else if (result.outcome != ForwardOutcome::Unknown) {
-    const bool ran_well = result.succeeded();
-    unanswered_.onAnswered(ticket, ran_well, now);
-    if (ran_well) {
-      events_.served(fingerprint);
-    }
-  } else if (result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::TimedOut) {
-    unanswered_.onAbandoned(ticket, now);
-  } else {
-    unanswered_.onConnectionLost(ticket, now);
+    return SentRequestEnd::NotReached;
+  }
+  if (result.outcome != ForwardOutcome::Unknown) {
+    return SentRequestEnd::Answered;
+  }
+  const bool abandoned = result.reason == ForwardReason::Cancelled || result.reason == ForwardReason::TimedOut;
+  return abandoned ? SentRequestEnd::Abandoned : SentRequestEnd::ConnectionLost;
+}
+
+void ServerGate::trackUnanswered(QueueTicket ticket, const Entry& entry, const ServerResult& result) {
+  const TimePoint now = clock_.now();
+  const SentRequestEnd end = endOf(result);
+  crash_evidence_.onEnded(entry.frame.instance, end);
+  switch (end) {
+    case SentRequestEnd::NotReached:
+      unanswered_.onNotReached(ticket);
+      return;
+    case SentRequestEnd::Answered:
+      unanswered_.onAnswered(ticket, result.succeeded(), now);
+      if (result.succeeded()) {
+        events_.served(entry.fingerprint);
+      }
+      return;
+    case SentRequestEnd::Abandoned:
+      unanswered_.onAbandoned(ticket, now);
+      return;
+    case SentRequestEnd::ConnectionLost:
+      unanswered_.onConnectionLost(ticket, now);
+      return;
   }
 }
 
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -17,6 +17,7 @@
 #include "source/core/router/admission/response_size_estimator.h"
 #include "source/core/router/admission/server_limits.h"
 #include "source/core/router/admission/slot_queue.h"
+#include "source/core/router/directory/crash_evidence.h"
 #include "source/core/router/directory/server_reachability.h"
 #include "source/core/router/directory/zone_evacuation.h"
 #include "source/core/router/ownership/ownership_manager.h"
@@ -126,6 +127,9 @@
   /// @return share of the server's recent requests that failed.
   double failureRatio() const { return failures_.failureRatio(clock_.now()); }
   const InstanceId& instance() const { return instance_; }
+  /// @return whether all requests at an instance that refuses connections were lost, which only a crash brings about.
+  ///   Ask some time after the first refusal.
+  bool lostAllRequests(const InstanceId& instance) const { return crash_evidence_.lostAllRequests(instance); }
   bool draining() const { return draining_; }
   bool empty() const { return entries_.empty() && held_.empty(); }
   bool silent() const { return reachability_.silent(); }
@@ -155,8 +159,9 @@
   void applySlots();
   /// The current instance has ended; another one is running, or none.
   void endInstance();
-  /// Updates the record of unanswered requests after a request ended at the server.
-  void trackUnanswered(QueueTicket ticket, const RequestFingerprint& fingerprint, const ServerResult& result);
+  /// Updates the records of unanswered requests after a request ended at the server.
+  void trackUnanswered(QueueTicket ticket, const Entry& entry, const ServerResult& result);
+  static SentRequestEnd endOf(const ServerResult& result);
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   /// Holds a request whose key is in transit if it can still be served in time; refuses it otherwise.
   void holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
@@ -205,6 +210,7 @@
   DurationEstimator service_times_;
   FailureMeter failures_;
   UnansweredRequests unanswered_;
+  CrashEvidence crash_evidence_;
   /// Expected response bytes of all entries.
   double expected_bytes_ = 0;
   OwnershipManager* ownership_manager_ = nullptr;
--- a/test/core_router/directory/server_presence_test.cc
+++ b/test/core_router/directory/server_presence_test.cc
@@ -103,10 +103,10 @@
 
 // A leaving server may refuse connections while it still holds keys; they must not be reassigned yet.
 TEST_F(ServerPresenceTest, LeavingServerThatRefusesConnectionsMayStillHoldKeys) {
-  EXPECT_TRUE(presence_.refusalProvesEnd(true));
+  EXPECT_TRUE(presence_.refusalEndsUse(true));
   presence_.startDraining();
-  EXPECT_FALSE(presence_.refusalProvesEnd(true));
-  EXPECT_TRUE(presence_.refusalProvesEnd(false));
+  EXPECT_FALSE(presence_.refusalEndsUse(true));
+  EXPECT_TRUE(presence_.refusalEndsUse(false));
 }
 
 }  // namespace
--- a/test/core_router/ownership/owner_table_edits_test.cc
+++ b/test/core_router/ownership/owner_table_edits_test.cc
@@ -55,23 +55,23 @@
 
 TEST_F(OwnerTableEditsTest, RangesOfAnEarlierInstanceAreReclaimed) {
   const OwnerLocation restarted{InstanceId("i-self-2"), kSelf.node};
-  EXPECT_TRUE(needsReclaim(range(0), restarted, true));
-  EXPECT_TRUE(apply(reclaimRanges(table_, restarted)));
+  EXPECT_TRUE(needsReclaim(range(0), restarted, true, EarlierGrants::RunOut));
+  EXPECT_TRUE(apply(reclaimRanges(table_, restarted, EarlierGrants::RunOut)));
   EXPECT_EQ(owners(), (std::vector{restarted.instance, kOther.instance, restarted.instance, kOther.instance}));
 }
 
 TEST_F(OwnerTableEditsTest, ReleaseOfAnEarlierProcessIsAborted) {
   ASSERT_TRUE(table_.beginRelease(range(0).keys, kSelf.instance));
-  EXPECT_TRUE(needsReclaim(range(0), kSelf, false));
-  EXPECT_FALSE(needsReclaim(range(0), kSelf, true));
-  EXPECT_TRUE(apply(reclaimRanges(table_, kSelf)));
+  EXPECT_TRUE(needsReclaim(range(0), kSelf, false, EarlierGrants::RunOut));
+  EXPECT_FALSE(needsReclaim(range(0), kSelf, true, EarlierGrants::RunOut));
+  EXPECT_TRUE(apply(reclaimRanges(table_, kSelf, EarlierGrants::RunOut)));
   EXPECT_FALSE(range(0).releasing);
   EXPECT_EQ(range(0).owner, kSelf.instance);
 }
 
 TEST_F(OwnerTableEditsTest, OwnRangesNeedNoReclaim) {
-  EXPECT_FALSE(needsReclaim(range(0), kSelf, false));
-  EXPECT_FALSE(apply(reclaimRanges(table_, kSelf)));
+  EXPECT_FALSE(needsReclaim(range(0), kSelf, false, EarlierGrants::RunOut));
+  EXPECT_FALSE(apply(reclaimRanges(table_, kSelf, EarlierGrants::RunOut)));
 }
 
 TEST_F(OwnerTableEditsTest, PiecesOfAnEndedServerGoToTheOthersInTurn) {
