Keep the mark of a revoked lease until the node's ranges are confirmed

Cause: the renewal that follows a revocation wrote the lease object without `revoked`, before the node's ranges were confirmed in the owner table under new tokens. A process that was started in between found a valid lease without the mark and a table that still named its server, and granted the old ranges, while the node that had revoked the lease could still be writing them to other servers. The process also reported the unconfirmed lease to its peers, from whom a successor inherits it.

Change: `LeaseManager` writes the mark in each renewal until `OwnershipManager` has confirmed the ranges; then a renewal without the mark is due at once. Until that renewal has succeeded the lease is not reported to peers. The same holds if a process finds a table of an earlier epoch at its start. No new field: builds before this one take the mark for a revocation and confirm their ranges. A marked renewal whose answer is lost looks like another revocation and causes one more confirmation, which ends there. The simulator reports and inherits the lease by the same rule.

--- a/source/core/router/ownership/lease_manager.cc
+++ b/source/core/router/ownership/lease_manager.cc
@@ -54,9 +54,9 @@
 
 void LeaseManager::sendRenewal(TimePoint now) {
   in_flight_ = true;
-  const LeaseRecord record{self_.incarnation, ++count_, false};
+  const LeaseRecord record{self_.incarnation, ++count_, unconfirmed_};
   const MetadataObject object{self_.name.value, revision_, record.encode()};
-  const auto done = [this, now](const StoreAnswer& answer) { onAnswer(answer, now); };
+  const auto done = [this, now, marked = record.revoked](const StoreAnswer& answer) { onAnswer(answer, now, marked); };
   if (revision_.none()) {
     store_.create(kLeaseKind, object, done);
   } else {
@@ -64,25 +64,48 @@
   }
 }
 
-void LeaseManager::onAnswer(const StoreAnswer& answer, TimePoint sent) {
+void LeaseManager::requireConfirmation() {
+  unconfirmed_ = true;
+  may_be_marked_ = true;
+}
+
+void LeaseManager::onConfirmed() {
+  unconfirmed_ = false;
+  if (may_be_marked_) {
+    next_renewal_at_ = {};
+  }
+}
+
+void LeaseManager::onRevoked() {
+  requireConfirmation();
+  on_revoked_();
+}
+
+void LeaseManager::onRenewed(TimePoint sent, bool marked) {
+  if (mayHaveBeenRevokedBeforeRestore(sent)) {
+    onRevoked();
+  }
+  renewed_revision_ = revision_;
+  valid_until_ = sent + config_.lease;
+  may_be_marked_ = marked || unconfirmed_;
+  const bool mark_is_outdated = marked != unconfirmed_;
+  next_renewal_at_ = mark_is_outdated ? clock_.now() : sent + config_.lease_renewal;
+}
+
+void LeaseManager::onAnswer(const StoreAnswer& answer, TimePoint sent, bool marked) {
   in_flight_ = false;
   const TimePoint now = clock_.now();
   switch (answer.status) {
     case StoreStatus::Done:
       revision_ = answer.object.revision;
-      if (mayHaveBeenRevokedBeforeRestore(sent)) {
-        on_revoked_();
-      }
-      renewed_revision_ = revision_;
-      valid_until_ = sent + config_.lease;
-      next_renewal_at_ = sent + config_.lease_renewal;
+      onRenewed(sent, marked);
       return;
     case StoreStatus::Conflict:
       revision_ = answer.object.revision;
       next_renewal_at_ = now;
       if (LeaseRecord::decode(answer.object.value).revoked) {
         valid_until_ = {};
-        on_revoked_();
+        onRevoked();
       }
       return;
     case StoreStatus::Absent:
--- a/source/core/router/ownership/lease_manager.h
+++ b/source/core/router/ownership/lease_manager.h
@@ -18,7 +18,8 @@
   Incarnation incarnation;
   /// Incremented with each renewal.
   std::uint64_t renewal_count = 0;
-  /// Another node has revoked the lease; the holder has lost all ownership that the lease protected.
+  /// Another node has revoked the lease; the holder has lost all ownership that the lease protected. The holder keeps
+  /// the mark in its renewals until its ranges are confirmed in the table.
   bool revoked = false;
 
   std::string encode() const;
@@ -38,6 +39,8 @@
 
 /// The lease counts from the time at which the renewal was sent, so that the holder never considers it valid longer
 /// than other nodes do.
+/// After a revocation, renewals carry the mark `revoked` until this node's ranges are confirmed, so that a process that
+/// is started in between finds the mark and confirms the ranges as well.
 class LeaseManager {
  public:
   /// @param on_revoked the lease was revoked, or may have been, and is held again. Ownership under the old lease must
@@ -52,14 +55,25 @@
   /// Renews the lease if due.
   void tick(TimePoint now);
 
+  /// Ownership under the lease must be confirmed in the table: renewals carry the mark `revoked` from now on.
+  void requireConfirmation();
+  /// The ranges of this node are confirmed in the table: the next renewal, which is due at once, removes the mark.
+  void onConfirmed();
+
   bool valid(TimePoint now) const { return now < valid_until_; }
   TimePoint validUntil() const { return valid_until_; }
+  /// @return the end of the lease for reports to peers, which pass it to a process that replaces this one; zero while
+  ///   the ranges are not confirmed or the store may still hold the mark `revoked`.
+  TimePoint reportedUntil() const { return may_be_marked_ ? TimePoint{} : valid_until_; }
   /// @return revision of the lease object after the last renewal by this process; 0 if there was none.
   StoreRevision renewedRevision() const { return renewed_revision_; }
 
  private:
   void sendRenewal(TimePoint now);
-  void onAnswer(const StoreAnswer& answer, TimePoint sent);
+  void onAnswer(const StoreAnswer& answer, TimePoint sent, bool marked);
+  void onRenewed(TimePoint sent, bool marked);
+  /// Reports a revocation of the lease.
+  void onRevoked();
   /// @return whether the lease had expired when the renewal was sent and the store has been restored from a backup
   ///   since the previous renewal. The restored store would not show a revocation in between.
   bool mayHaveBeenRevokedBeforeRestore(TimePoint sent) const;
@@ -74,6 +88,10 @@
   StoreRevision renewed_revision_;
   std::uint64_t count_ = 0;
   bool in_flight_ = false;
+  /// Renewals carry the mark `revoked`.
+  bool unconfirmed_ = false;
+  /// No renewal without the mark has succeeded since the last revocation.
+  bool may_be_marked_ = false;
   TimePoint next_renewal_at_{};
   TimePoint valid_until_{};
 };
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -151,6 +151,7 @@
   if (writer_.table().epoch() < ports_.store->epoch()) {
     logEvent("table of an earlier era found at start", "");
     must_confirm_ = true;
+    lease_.requireConfirmation();
     grants_->clear();
   }
 }
@@ -370,6 +371,9 @@
   const auto ended = [this, edits](const EditResults& results) {
     // The table may hold ranges of this server that were not known when the edits were made.
     must_confirm_ = !allConfirmed(writer_.table(), instance_, edits, results);
+    if (!must_confirm_) {
+      lease_.onConfirmed();
+    }
   };
   queueChange("ranges confirmed", edits, ended, WrittenBy::ThisProcess);
 }
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -160,6 +160,8 @@
 
   const TableWriter& tableWriter() const { return writer_; }
   TimePoint leaseUntil() const { return lease_.validUntil(); }
+  /// @return the end of the lease for reports to peers; zero while none may rely on it.
+  TimePoint reportedLeaseUntil() const { return lease_.reportedUntil(); }
   StoreRevision leaseRevision() const { return lease_.renewedRevision(); }
 
  private:
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -225,7 +225,10 @@
 }
 
 void SimulatedCluster::reportLease(const Node& from) {
-  const TimePoint until = from.manager->leaseUntil();
+  const TimePoint until = from.manager->reportedLeaseUntil();
+  if (until == TimePoint{}) {
+    return;
+  }
   for (const auto& to : nodes_) {
     if (to->index != from.index && to->manager && !to->paused) {
       to->manager->onPeerLease(from.record.node, {from.manager->leaseRevision(), until, until});
@@ -241,7 +244,7 @@
   ++nodes_[node]->process_generation;
   *nodes_[node]->virtual_store->alive = false;
   if (nodes_[node]->manager) {
-    nodes_[node]->lease_until = nodes_[node]->manager->leaseUntil();
+    nodes_[node]->lease_until = nodes_[node]->manager->reportedLeaseUntil();
   }
   nodes_[node]->manager.reset();
   propagateRecords();
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -285,8 +285,8 @@
 KnownRevisions RouterProcess::knownRevisions() const {
   KnownRevisions revisions = cluster_state_.knownRevisions();
   const TimePoint now = clock_.now();
-  if (ownership_manager_ && ownership_manager_->leaseUntil() > now) {
-    revisions.lease_left_us = (ownership_manager_->leaseUntil() - now).count();
+  if (ownership_manager_ && ownership_manager_->reportedLeaseUntil() > now) {
+    revisions.lease_left_us = (ownership_manager_->reportedLeaseUntil() - now).count();
     revisions.lease_revision = ownership_manager_->leaseRevision();
   }
   return revisions;
