Let grants by command end with the lease however late they arrive

Cause: the duration of a grant was taken from what was left of the lease at the tick, and the server counts it from the arrival of the command. A command that waits for a connection or arrives late is answered up to 300 ms after it was sent, so that its grant outlasted the lease by as much, out of the 500 ms after which another node may take the keys over.

Change: the duration leaves room for the longest time until the arrival, `kGrantTimeout`, which moves from the server client to the interface of the commands and which the simulator uses as well. An unanswered command may still be taken later. Grants by heartbeat count from the sending of the heartbeat and need no change.

--- a/include/shedlever/server_commands.h
+++ b/include/shedlever/server_commands.h
@@ -12,6 +12,10 @@
 
 namespace shedlever {
 
+/// A grant without a response within this time after the call ends with `NoAnswer`. The server counts the grant's
+/// duration from its arrival, so an answered grant lasts longer than one that arrives at once by at most this.
+inline constexpr Duration kGrantTimeout = std::chrono::milliseconds(300);
+
 struct GrantCommand {
   Key first = 0;
   Key last = 0;
@@ -43,6 +47,7 @@
 class ServerCommands {
  public:
   virtual ~ServerCommands() = default;
+  /// @param done receives `NoAnswer` if there is no response within `kGrantTimeout`.
   virtual void grant(const GrantCommand& command, std::function<void(CommandStatus)> done) = 0;
   /// Completes once all running requests for the keys have ended.
   virtual void release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) = 0;
--- a/source/core/router/ownership/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -25,8 +25,7 @@
     return std::any_of(wanted.begin(), wanted.end(), [&](const OwnedRange& other) { return sameGrant(range, other); });
   };
   std::erase_if(grants_, [&](const auto& entry) { return !is_wanted(entry.second.range); });
-  const auto lease_left = std::chrono::duration_cast<Duration>((lease_until - now) / config_.clock_drift_factor);
-  const Duration hold = std::chrono::floor<std::chrono::milliseconds>(std::min(config_.grant_hold, lease_left));
+  const Duration hold = holdWithin(lease_until, now);
   if (hold < config_.min_grant) {
     return;
   }
@@ -39,6 +38,13 @@
   }
 }
 
+Duration RequestGrants::holdWithin(TimePoint lease_until, TimePoint now) const {
+  // The server counts from the arrival of the command, at the latest when its time for an answer ends.
+  const Duration left_at_arrival = lease_until - now - kGrantTimeout;
+  const auto hold = std::chrono::duration_cast<Duration>(left_at_arrival / config_.clock_drift_factor);
+  return std::chrono::floor<std::chrono::milliseconds>(std::min(config_.grant_hold, hold));
+}
+
 void RequestGrants::send(Grant& grant, Duration hold, TimePoint now) {
   grant.in_flight = true;
   grant.send_number = ++last_send_;
--- a/source/core/router/ownership/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -32,6 +32,9 @@
     std::uint64_t send_number = 0;
   };
 
+  /// @return the longest duration, up to the configured one, with which a grant that is sent now and answered ends
+  ///   before the lease.
+  Duration holdWithin(TimePoint lease_until, TimePoint now) const;
   void send(Grant& grant, Duration hold, TimePoint now);
   void onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent, Duration hold);
 
--- a/source/lab/sim/simulated_cluster_node.h
+++ b/source/lab/sim/simulated_cluster_node.h
@@ -15,7 +15,7 @@
 /// One-way delay between a process and its local server.
 inline constexpr Duration kLoopbackDelay = std::chrono::milliseconds(1);
 /// A command without a response within this time is treated as lost.
-inline constexpr Duration kCommandTimeout = std::chrono::milliseconds(300);
+inline constexpr Duration kCommandTimeout = kGrantTimeout;
 
 struct SimulatedCluster::Node {
   std::size_t index = 0;
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -13,7 +13,6 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 /// Maximum idle time of a connection, unless the server announces its own limit.
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(7500);
-constexpr Duration kGrantTimeout = std::chrono::milliseconds(300);
 /// The server responds to a release only after the last request for the keys has ended.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(4);
 constexpr Duration kIdentifyTimeout = std::chrono::seconds(1);
