--- a/source/core/router/ownership/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -35,6 +35,9 @@
     std::uint64_t last_send = 0;
   };
 
+  /// @return the longest duration, up to the configured one, with which a grant that is sent now and answered ends
+  ///   before the lease.
+  Duration holdWithin(TimePoint lease_until, TimePoint now) const;
   /// A grant command that has no answer yet.
   struct PendingCommand {
     TimePoint sent{};
