Name the server's instance in grants and releases

Cause: commands to the server carried its address only. A renewal that was sent after a server had ended and before its successor's first report was executed by the successor under the predecessor's token, and a release answered by the successor counted as one by the predecessor.

Change: GrantCommand and ReleaseCommand carry the instance that the table names as owner, and the platform's protocol sends its server id in X-Expect-Instance, as it does for requests. A 421 is the new status WrongInstance, unless the response names the expected instance: the range is not held, the release is not done, and the router treats the server as it does after a refused connection. The stand-in server refuses commands for another instance and logs them.

When the keys of the replaced server may be reassigned is not changed here: after WrongInstance it is decided in the same place as after a refused connection. A server that restarts under its former id is not recognized by the header.

Ruled out: that servers ignore the header in commands.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -145,7 +145,8 @@
 
   virtual HttpRequest grantRequest(const GrantCommand& command) const = 0;
   virtual HttpRequest releaseRequest(const ReleaseCommand& command) const = 0;
-  virtual CommandStatus commandStatus(const HttpResponse& answer) const = 0;
+  /// @param expected the instance that the command was for.
+  virtual CommandStatus commandStatus(const HttpResponse& answer, const InstanceId& expected) const = 0;
   virtual std::string handoverOf(const HttpResponse& answer) const = 0;
 
   virtual HttpRequest healthRequest(const std::string& path) const = 0;
--- a/include/shedlever/server_commands.h
+++ b/include/shedlever/server_commands.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 
+#include "shedlever/identifiers.h"
 #include "shedlever/router_frames.h"
 #include "shedlever/time.h"
 
@@ -19,19 +20,24 @@
   Duration hold_duration{};
   /// State from the previous owner; empty if there is none.
   std::string handover;
+  /// The instance that the keys are granted to. Any other one refuses the command.
+  InstanceId instance = {};
 };
 
 struct ReleaseCommand {
   Key first = 0;
   Key last = 0;
   std::uint64_t token = 0;
+  /// The instance that is to release the keys. Any other one refuses the command.
+  InstanceId instance = {};
 };
 
 enum class CommandStatus : std::uint8_t {
   Done,
-  Superseded,  ///< the server has seen a higher token
-  NoAnswer,    ///< the command may be executed, even seconds later
-  ServerGone,  ///< the server's address refuses connections
+  Superseded,     ///< the server has seen a higher token
+  NoAnswer,       ///< the command may be executed, even seconds later
+  ServerGone,     ///< the server's address refuses connections
+  WrongInstance,  ///< another instance is at the server's address; it has not executed the command
 };
 
 struct ReleaseResult {
--- a/source/core/router/ownership/grant_channel.h
+++ b/source/core/router/ownership/grant_channel.h
@@ -17,7 +17,7 @@
   struct Events {
     /// The server has seen a higher token for the range.
     std::function<void(const OwnedRange&)> superseded;
-    /// Nothing listens at the server's address.
+    /// Nothing listens at the server's address, or another instance does.
     std::function<void()> server_gone;
     /// The server holds a range that it did not hold before.
     std::function<void()> newly_held;
--- a/source/core/router/ownership/key_moves.cc
+++ b/source/core/router/ownership/key_moves.cc
@@ -57,7 +57,7 @@
   if (batch != batch_ || index >= moves_.size()) {
     return;
   }
-  if (result.status == CommandStatus::ServerGone) {
+  if (result.status == CommandStatus::ServerGone || result.status == CommandStatus::WrongInstance) {
     ports_.on_server_gone();
     return;
   }
--- a/source/core/router/ownership/key_moves.h
+++ b/source/core/router/ownership/key_moves.h
@@ -32,7 +32,7 @@
     std::function<std::vector<OwnerLocation>()> targets;
     /// @return requests per second for the keys.
     std::function<std::uint32_t(const KeyRange&)> rate_of;
-    /// Nothing listens at the server's address.
+    /// Nothing listens at the server's address, or another instance does.
     std::function<void()> on_server_gone;
     /// The batch has ended: its last change of the table was written or no longer applied.
     std::function<void()> on_batch_done;
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -61,7 +61,7 @@
   std::function<TimePoint()> servers_confirmed_at = [] { return TimePoint::max(); };
   /// Checks the store for servers that are not known yet.
   std::function<void()> confirm_servers = [] {};
-  /// Nothing listens at the server's address.
+  /// Nothing listens at the server's address, or another instance does.
   std::function<void()> on_server_gone;
   std::function<void(const OwnershipEvent&)> on_event;
   /// A table was written that transfers keys to these nodes; they should receive it at once.
--- a/source/core/router/ownership/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -43,14 +43,14 @@
   grant.in_flight = true;
   grant.send_number = ++last_send_;
   const OwnedRange& range = grant.range;
-  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover};
+  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover, range.owner};
   server_commands_.grant(command, [this, first = range.keys.first, number = grant.send_number, now,
                                    hold](CommandStatus status) { onAnswer(first, number, status, now, hold); });
 }
 
 void RequestGrants::onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent,
                              Duration hold) {
-  if (status == CommandStatus::ServerGone) {
+  if (status == CommandStatus::ServerGone || status == CommandStatus::WrongInstance) {
     events_.server_gone();
   }
   const auto found = grants_.find(first);
@@ -85,7 +85,7 @@
 
 void RequestGrants::release(const OwnedRange& range, ReleaseCallback done) {
   grants_.erase(range.keys.first);
-  server_commands_.release({range.keys.first, range.keys.last, range.token + 1}, std::move(done));
+  server_commands_.release({range.keys.first, range.keys.last, range.token + 1, range.owner}, std::move(done));
 }
 
 }  // namespace shedlever
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -129,9 +129,9 @@
 
 void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
   sendCommand(protocol_.grantRequest(command), kGrantTimeout,
-              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+              [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 if (exchange.status == HttpExchangeStatus::Complete) {
-                  done(protocol_.commandStatus(exchange.response));
+                  done(protocol_.commandStatus(exchange.response, instance));
                 } else {
                   done(exchange.connection_refused ? CommandStatus::ServerGone : CommandStatus::NoAnswer);
                 }
@@ -140,10 +140,10 @@
 
 void ServerClient::release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) {
   sendCommand(protocol_.releaseRequest(command), kReleaseTimeout,
-              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+              [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 ReleaseResult result;
                 if (exchange.status == HttpExchangeStatus::Complete) {
-                  result.status = protocol_.commandStatus(exchange.response);
+                  result.status = protocol_.commandStatus(exchange.response, instance);
                   result.handover = protocol_.handoverOf(exchange.response);
                 } else if (exchange.connection_refused) {
                   result.status = CommandStatus::ServerGone;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -193,6 +193,13 @@
 
 void KeyServer::handleCommand(const StandinRequest& request, const StandinResponder& responder) {
   const bool is_grant = request.path == "/grant";
+  const std::string expected = request.header("X-Expect-Instance");
+  if (!expected.empty() && expected != instance_) {
+    log("wrong-instance " + expected);
+    StandinResponder refusal = responder;
+    refusal.reply({kMisdirected, {{"X-Instance-Id", instance_}, {"X-Not-Executed", "1"}}, {}});
+    return;
+  }
   if (happens(faults_.late_commands)) {
     withheld_.push_back(responder);
     const std::chrono::milliseconds delay(2000 + random_() % 6000);
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -150,19 +150,33 @@
 
 TEST(ServerProtocolTest, EncodesCommandsAndDecodesTheirResponses) {
   const ServerProtocolImpl protocol;
-  const HttpRequest grant = protocol.grantRequest({4096, 8191, 12, milliseconds(4000), "paper"});
+  const InstanceId instance("i-1/1700");
+  const HttpRequest grant = protocol.grantRequest({4096, 8191, 12, milliseconds(4000), "paper", instance});
   EXPECT_EQ(grant.method + " " + grant.target, "POST /grant");
   EXPECT_EQ(json::parse(grant.body), json::parse(R"({"rangeStart":4096,"targetVersion":8191,"fence":12,
                                                      "hold_time":"4000ms","handover":"paper"})"));
   EXPECT_FALSE(json::parse(protocol.grantRequest({0, 1, 1, milliseconds(1), {}}).body).contains("handover"));
-  const HttpRequest release = protocol.releaseRequest({1, 2, 3});
+  const HttpRequest release = protocol.releaseRequest({1, 2, 3, instance});
   EXPECT_EQ(json::parse(release.body), json::parse(R"({"rangeStart":1,"targetVersion":2,"fence":3})"));
-  EXPECT_EQ(protocol.commandStatus({200, {}, {}}), CommandStatus::Done);
-  EXPECT_EQ(protocol.commandStatus({409, {}, {}}), CommandStatus::Superseded);
-  EXPECT_EQ(protocol.commandStatus({400, {}, {}}), CommandStatus::NoAnswer);
+  EXPECT_EQ(protocol.commandStatus({200, {}, {}}, instance), CommandStatus::Done);
+  EXPECT_EQ(protocol.commandStatus({409, {}, {}}, instance), CommandStatus::Superseded);
+  EXPECT_EQ(protocol.commandStatus({400, {}, {}}, instance), CommandStatus::NoAnswer);
   EXPECT_EQ(protocol.handoverOf({200, {{"X-Handover", "h"}}, {}}), "h");
 }
 
+// Guards against commands that another instance at the server's address executes.
+TEST(ServerProtocolTest, CommandsNameTheServerThatTheyAreFor) {
+  const ServerProtocolImpl protocol;
+  const InstanceId instance("i-1/1700");
+  const HttpRequest grant = protocol.grantRequest({0, 9, 1, milliseconds(100), {}, instance});
+  const HttpRequest release = protocol.releaseRequest({0, 9, 2, instance});
+  EXPECT_EQ(headerValue(grant.headers, "X-Expect-Instance"), "i-1");
+  EXPECT_EQ(headerValue(release.headers, "X-Expect-Instance"), "i-1");
+  EXPECT_EQ(protocol.commandStatus({421, {}, {}}, instance), CommandStatus::WrongInstance);
+  EXPECT_EQ(protocol.commandStatus({421, {{"X-Instance-Id", "i-2"}}, {}}, instance), CommandStatus::WrongInstance);
+  EXPECT_EQ(protocol.commandStatus({421, {{"X-Instance-Id", "i-1"}}, {}}, instance), CommandStatus::NoAnswer);
+}
+
 HttpRequest report(const std::string& path, const std::string& body) { return {"POST", path, {}, body}; }
 
 TEST(ReportProtocolTest, ParsesHeartbeatsAndDeregistrations) {
--- a/test/support/router_cluster.cc
+++ b/test/support/router_cluster.cc
@@ -151,16 +151,18 @@
 void RouterCluster::startServer(Node& node) {
   node.server = valueOf(standins::KeyServer::start(loop_, node.server_config));
   node.server_config.listen = node.server->endpoint();
-  if (node.router) {
-    node.server->startHeartbeats(node.router->reportsEndpoint());
-  }
 }
 
-void RouterCluster::restartServer(Node& node) {
+void RouterCluster::replaceServer(Node& node) {
   node.server.reset();
   startServer(node);
 }
 
+void RouterCluster::restartServer(Node& node) {
+  replaceServer(node);
+  startHeartbeats(node);
+}
+
 void RouterCluster::startRouter(Node& node) {
   PlatformAdapters adapters;
   adapters.clients = &clients_;
--- a/test/support/router_cluster.h
+++ b/test/support/router_cluster.h
@@ -67,6 +67,10 @@
   void setKeepServerIds(bool keep) { keep_server_ids_ = keep; }
   /// Destroys the node's server and immediately starts it again.
   void restartServer(Node& node);
+  /// Destroys the node's server and immediately starts another one at its address, which sends no heartbeats yet.
+  void replaceServer(Node& node);
+  /// Starts the heartbeats of a server that has replaced another one.
+  void startHeartbeats(Node& node) { node.server->startHeartbeats(node.router->reportsEndpoint()); }
   /// @return the number of fatal requests that a server has begun.
   std::size_t fatalRequestsStarted() const { return fatal_requests_started_; }
   /// @return the number of servers that fatal requests have crashed.
