--- a/source/core/router/command_status.cc
+++ b/source/core/router/command_status.cc
@@ -12,6 +12,8 @@
       return "no-answer";
     case CommandStatus::ServerGone:
       return "connection-refused";
+    case CommandStatus::WrongInstance:
+      return "wrong-instance";
   }
   return "no-answer";
 }
--- a/source/core/router/ownership/grant_channel.h
+++ b/source/core/router/ownership/grant_channel.h
@@ -17,7 +17,7 @@
   struct Events {
     /// The server has seen a higher token for the range.
     std::function<void(const OwnedRange&)> superseded;
-    /// The server's address refuses connections. The server may still run and hold keys.
+    /// Nothing listens at the server's address, or another instance does. The server may still run and hold keys.
     std::function<void()> server_gone;
     /// The server holds a range that it did not hold before.
     std::function<void()> newly_held;
--- a/source/core/router/ownership/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -58,7 +58,7 @@
   pending_[grant.last_send] = {now, hold};
   const OwnedRange& range = grant.range;
   const GrantBasis basis{now, lease_until, grant.held_until > now, hold < config_.grant_hold};
-  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover, basis};
+  const GrantCommand command{range.keys.first, range.keys.last, range.token, hold, range.handover, range.owner, basis};
   server_commands_.grant(command, [this, first = range.keys.first, number = grant.last_send, now,
                                    hold](CommandStatus status) { onAnswer(first, number, status, now, hold); });
 }
@@ -66,7 +66,7 @@
 void RequestGrants::onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent,
                              Duration hold) {
   recordHoldEnd(send_number, status);
-  if (status == CommandStatus::ServerGone) {
+  if (status == CommandStatus::ServerGone || status == CommandStatus::WrongInstance) {
     events_.server_gone();
   }
   const auto found = grants_.find(first);
@@ -98,7 +98,8 @@
 
 void RequestGrants::recordHoldEnd(std::uint64_t send_number, CommandStatus status) {
   const auto node = pending_.extract(send_number);
-  const bool refused = status == CommandStatus::ServerGone || status == CommandStatus::Superseded;
+  const bool refused = status == CommandStatus::ServerGone || status == CommandStatus::Superseded ||
+                       status == CommandStatus::WrongInstance;
   if (refused) {
     return;
   }
@@ -136,7 +137,7 @@
 
 void RequestGrants::release(const OwnedRange& range, ReleaseCallback done) {
   grants_.erase(range.keys.first);
-  server_commands_.release({range.keys.first, range.keys.last, range.token + 1}, std::move(done));
+  server_commands_.release({range.keys.first, range.keys.last, range.token + 1, range.owner}, std::move(done));
 }
 
 }  // namespace shedlever
--- a/source/lab/sim/simulated_cluster_node.h
+++ b/source/lab/sim/simulated_cluster_node.h
@@ -67,7 +67,8 @@
   }
 };
 
-/// Sends commands to the server that accepts connections at the node's address, whichever instance that is.
+/// Sends commands to the server that accepts connections at the node's address, which refuses those for another
+/// instance.
 /// Scheduled events refer to the cluster and the node and not to this object, which is replaced when the process
 /// restarts.
 class SimulatedCluster::ServerCommandChannel final : public ServerCommands {
@@ -76,6 +77,9 @@
 
   void grant(const GrantCommand& command, std::function<void(CommandStatus)> done) override {
     const auto apply = [&cluster = cluster_, command](SimulatedServer& server, bool late) {
+      if (server.instance != command.instance) {
+        return CommandStatus::WrongInstance;
+      }
       if (!server.grant(command, late)) {
         return CommandStatus::Superseded;
       }
@@ -90,6 +94,9 @@
   void release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) override {
     const Duration work = node_.server_faults.work_after_release;
     const auto apply = [command, work](SimulatedServer& server, bool) {
+      if (server.instance != command.instance) {
+        return ReleaseResult{CommandStatus::WrongInstance, {}};
+      }
       return ReleaseResult{CommandStatus::Done, server.release(command, work)};
     };
     send<ReleaseResult>(apply, {CommandStatus::NoAnswer, {}}, {CommandStatus::ServerGone, {}}, work, std::move(done));
--- a/source/lab/sim/simulated_cluster_servers.cc
+++ b/source/lab/sim/simulated_cluster_servers.cc
@@ -73,7 +73,8 @@
 }
 
 void SimulatedCluster::onConnectionRefused(Node& node) {
-  if (node.server || !node.manager || node.record.instance.empty()) {
+  const bool is_reached = node.server && node.server->instance == node.record.instance;
+  if (is_reached || !node.manager || node.record.instance.empty()) {
     return;
   }
   // The heartbeats of a draining server show which keys it still holds.
