Test of revoked leases: wait for the renewal, not for the loss of the mark

Cause: the tests ended the process once the mark of the revocation was gone from the lease.

The expectations are unchanged.

--- a/test/core_router/ownership/lease_revocation_ownership_test.cc
+++ b/test/core_router/ownership/lease_revocation_ownership_test.cc
@@ -37,7 +37,7 @@
       world_.setStoreFaults(node, faults);
     }
     world_.pauseNode(kNode);
-    runUntilLeaseIs(true);
+    runUntilLeaseIsRevoked();
     world_.resumeNode(kNode);
     ASSERT_EQ(world_.table().revision, before_.revision) << "the takeover is still being written";
   }
@@ -49,16 +49,24 @@
     return config;
   }
 
-  void runUntilLeaseIs(bool revoked) {
-    for (int step = 0; step < kMaxSteps && world_.lease(kNode).revoked != revoked; ++step) {
+  void runUntilLeaseIsRevoked() {
+    for (int step = 0; step < kMaxSteps && !world_.lease(kNode).revoked; ++step) {
       world_.run(kStep);
     }
-    ASSERT_EQ(world_.lease(kNode).revoked, revoked);
+    ASSERT_TRUE(world_.lease(kNode).revoked);
+  }
+
+  void runUntilLeaseIsRenewed() {
+    const std::uint64_t count = world_.lease(kNode).renewal_count;
+    for (int step = 0; step < kMaxSteps && world_.lease(kNode).renewal_count == count; ++step) {
+      world_.run(kStep);
+    }
+    ASSERT_GT(world_.lease(kNode).renewal_count, count);
   }
 
   /// Ends the process after the renewal that follows the revocation, before its ranges are confirmed.
   void endProcessBeforeConfirmation() {
-    runUntilLeaseIs(false);
+    runUntilLeaseIsRenewed();
     world_.run(kReportDelay);
     world_.killNode(kNode);
     ASSERT_EQ(world_.table().revision, before_.revision) << "no range is confirmed";
