--- a/source/router/peer_server.cc
+++ b/source/router/peer_server.cc
@@ -81,6 +81,8 @@
   /// Empty until the hello is received.
   NodeIdentity sender;
   /// The peer expects another node, which had this address before; its frames are ignored.
+  /// When this process requested a snapshot on the stream; none if it did not.
+  std::optional<TimePoint> snapshot_requested_at;
   bool misdirected = false;
   bool received_unknown_frame = false;
   /// How late the peer's requests arrive; shared with the peer's earlier streams.
@@ -176,6 +178,9 @@
     stream->transit_delay = transitDelayOf(stream->sender);
     stream->misdirected = hello->expected_node != ports_.self.name;
     const bool requests_snapshot = !stream->misdirected && ports_.needs_snapshot();
+    if (requests_snapshot) {
+      stream->snapshot_requested_at = ports_.clock->now();
+    }
     stream->send(HelloFrame{ports_.self.name, ports_.self.incarnation, requests_snapshot, {}});
     const ServerCrashesFrame crashes = ports_.server_crashes();
     if (!stream->misdirected && !crashes.empty()) {
@@ -198,7 +203,9 @@
   } else if (const auto* delta = std::get_if<OwnerTableDeltaFrame>(&frame)) {
     ports_.on_owner_table_delta(stream->sender.name, *delta);
   } else if (const auto* snapshot = std::get_if<ClusterSnapshotFrame>(&frame)) {
-    ports_.on_snapshot(*snapshot);
+    if (stream->snapshot_requested_at) {
+      ports_.on_snapshot(*snapshot, *stream->snapshot_requested_at);
+    }
   } else if (const auto* crashes = std::get_if<ServerCrashesFrame>(&frame)) {
     ports_.on_server_crashes(*crashes);
   } else if (auto* call = std::get_if<StoreCallFrame>(&frame)) {
--- a/source/router/peer_server.h
+++ b/source/router/peer_server.h
@@ -44,8 +44,9 @@
     std::function<std::optional<ConfigFrame>(ConfigVersion known)> config_newer_than;
     /// @return whether to request a snapshot from the peer that has just connected.
     std::function<bool()> needs_snapshot;
-    /// A peer has sent its snapshot.
-    std::function<void(const ClusterSnapshotFrame&)> on_snapshot;
+    /// A peer has sent a snapshot that was requested from it. @param requested_at not later than when the snapshot was
+    ///   made.
+    std::function<void(const ClusterSnapshotFrame&, TimePoint requested_at)> on_snapshot;
     /// @return the server crashes to be reported to a peer that has just connected.
     std::function<ServerCrashesFrame()> server_crashes;
     /// A peer has reported server crashes.
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -132,7 +132,7 @@
     cluster_state_.owners().onDelta(node, delta);
   };
   peer_ports.needs_snapshot = [this] { return shouldRequestSnapshot(); };
-  peer_ports.on_snapshot = [this](const ClusterSnapshotFrame& snapshot) { onSnapshot(snapshot); };
+  peer_ports.on_snapshot = [this](const auto& snapshot, TimePoint requested_at) { onSnapshot(snapshot, requested_at); };
   peer_ports.server_crashes = [this] { return quarantine_.summary(); };
   peer_ports.on_server_crashes = [this](const ServerCrashesFrame& crashes) { quarantine_.onCrashesFrame(crashes); };
   peer_ports.on_unknown_frame = [this](const NodeName& node, bool first) { onUnknownFrame(node, first); };
@@ -302,13 +302,13 @@
   return true;
 }
 
-void RouterProcess::onSnapshot(const ClusterSnapshotFrame& snapshot) {
+void RouterProcess::onSnapshot(const ClusterSnapshotFrame& snapshot, TimePoint requested_at) {
   if (ready() || stopping_) {
     return;
   }
   cluster_state_.applySnapshot(snapshot);
   if (ownership_manager_) {
-    ownership_manager_->inheritLease(clock_.now() + Duration(snapshot.lease_left_us));
+    ownership_manager_->inheritLease(requested_at + Duration(snapshot.lease_left_us));
   }
   scheduleTick();
 }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -87,7 +87,9 @@
   KnownRevisions knownRevisions() const;
   /// @return whether to request a snapshot from the peer that has just connected.
   bool shouldRequestSnapshot();
-  void onSnapshot(const ClusterSnapshotFrame& snapshot);
+  /// @param requested_at the lease in the snapshot counts from then, because the snapshot may have been on its way for
+  ///   seconds.
+  void onSnapshot(const ClusterSnapshotFrame& snapshot, TimePoint requested_at);
 
   NodeStatus status() const;
   RouterGauges levels() const;
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -90,7 +90,10 @@
     ports.gate = &gate_;
     ports.pacer = &pacer_;
     ports.known_revisions = [] { return KnownRevisions{}; };
-    ports.needs_snapshot = [] { return false; };
+    ports.needs_snapshot = [this] { return needs_snapshot_; };
+    ports.on_snapshot = [this](const ClusterSnapshotFrame&, TimePoint requested_at) {
+      snapshot_requested_at_ = requested_at;
+    };
     ports.server_crashes = [] { return ServerCrashesFrame{}; };
     ports.on_late_request = [this](const NodeName&, const ForwardFrame& frame, Duration lateness) {
       late_requests_.emplace_back(frame.exchange, lateness);
@@ -175,6 +178,8 @@
 
   const NodeName node_{"node"};
   EventLoop loop_;
+  bool needs_snapshot_ = false;
+  std::optional<TimePoint> snapshot_requested_at_;
   BootTimeClock clock_;
   EventLog log_;
   RouterMetrics metrics_;
@@ -343,6 +348,25 @@
   EXPECT_LE(gateway_->reply->sent_at_us, clock_.now().time_since_epoch().count());
 }
 
+// A lease in a snapshot counted from the arrival of the snapshot, which a frozen peer or a full link may delay by
+// seconds, and so outlasted the real one.
+TEST_F(PeerServerTest, SnapshotCountsFromItsRequest) {
+  needs_snapshot_ = true;
+  connectAndAwaitHello();
+  const TimePoint before_snapshot = clock_.now();
+  gateway_->send(ClusterSnapshotFrame{});
+  ASSERT_TRUE(loop_.runUntil([this] { return snapshot_requested_at_.has_value(); }, kTestTimeout));
+  EXPECT_LE(*snapshot_requested_at_, before_snapshot);
+}
+
+TEST_F(PeerServerTest, SnapshotThatWasNotRequestedIsIgnored) {
+  connectAndAwaitHello();
+  gateway_->send(ClusterSnapshotFrame{});
+  gateway_->query(kExchange);
+  ASSERT_TRUE(loop_.runUntil([this] { return gateway_->state.has_value(); }, kTestTimeout));
+  EXPECT_FALSE(snapshot_requested_at_);
+}
+
 TEST_F(PeerServerTest, RequestInPartsRunsWithItsLastPart) {
   connect(kRequestPartsWireVersion);
   sendHalf(false);
