Take ranges for confirmed only after a read or write since the revocation

Cause: three ways in which the wait for the confirmation of a node's ranges after a revocation ended without one, so that ranges were granted under tokens that the revoking node may take over. (1) A confirmation that had been sent before another revocation counted for that one too. (2) With no range of the server known, nothing was written or read, and the wait ended at once; a table that arrived later was granted under its old tokens. (3) While no server was known, the wait ended in the same way; if the same server was seen again, its ranges were granted.

Change: a confirmation counts only if neither the lease was revoked nor the server changed since it was queued; with no range to write, the table is read from the store first; without a server nothing is confirmed.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -138,6 +138,7 @@
 void OwnershipManager::onLeaseRevoked() {
   logEvent("lease revoked", "");
   must_confirm_ = true;
+  ++revocations_;
   grants_->clear();
   // The releases of these moves were dropped with the grants; their marks are removed with the confirmation.
   moves_.cancel();
@@ -355,7 +356,9 @@
 void OwnershipManager::reconcileOwnRanges() {
   const OwnerLocation self{instance_, self_.name};
   if (must_confirm_) {
-    confirmOwnRanges();
+    if (hasServer()) {
+      confirmOwnRanges();
+    }
     return;
   }
   const auto owned = writer_.table().ownedAt(self_.name);
@@ -368,9 +371,14 @@
 
 void OwnershipManager::confirmOwnRanges() {
   const std::vector<TableEdit> edits = confirmRanges(writer_.table(), {instance_, self_.name});
-  const auto ended = [this, edits](const EditResults& results) {
+  if (edits.empty()) {
+    // Without a write only a read shows that the store's table has no ranges of this server.
+    writer_.requireRead();
+  }
+  const auto ended = [this, edits, instance = instance_, revocations = revocations_](const EditResults& results) {
+    const bool outdated = instance != instance_ || revocations != revocations_;
     // The table may hold ranges of this server that were not known when the edits were made.
-    must_confirm_ = !allConfirmed(writer_.table(), instance_, edits, results);
+    must_confirm_ = outdated || !allConfirmed(writer_.table(), instance_, edits, results);
     if (!must_confirm_) {
       lease_.onConfirmed();
     }
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -250,6 +250,8 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
+  /// Revocations of the lease so far; a confirmation counts only if there was none since it was queued.
+  std::uint64_t revocations_ = 0;
   /// Queued changes that have not ended. Reconciliation, reassignment and balancing wait until there are none.
   unsigned pending_changes_ = 0;
 };
--- a/test/core_router/ownership/revoked_lease_test.cc
+++ b/test/core_router/ownership/revoked_lease_test.cc
@@ -169,6 +169,16 @@
     answerRenewal(true);
   }
 
+  /// Answers the waiting write of the table.
+  void answerTableWrite() {
+    const auto found = std::find_if(store_.replaces.begin(), store_.replaces.end(),
+                                    [](const auto& call) { return call.kind == kTableKind; });
+    ASSERT_NE(found, store_.replaces.end());
+    const auto call = *found;
+    store_.replaces.erase(found);
+    call.done({StoreStatus::Done, {call.object.name, 60, call.object.value}});
+  }
+
   bool tableWriteWaits() const {
     return std::any_of(store_.replaces.begin(), store_.replaces.end(),
                        [](const auto& call) { return call.kind == kTableKind; });
@@ -204,5 +214,57 @@
   EXPECT_TRUE(tableWriteWaits()) << "the successor confirms the ranges";
 }
 
+// A confirmation that had been sent before another revocation ended the wait for the confirmation after it, so that
+// ranges were granted under tokens that the revoking node may take over.
+TEST_F(RevokedOwnerTest, ConfirmationSentBeforeAnotherRevocationDoesNotCount) {
+  startAndRenew();
+  manager_->onTableObject(table_);
+  tick();
+  ASSERT_TRUE(tableWriteWaits());
+  clock_.advance(config_.lease + config_.lease_margin);
+  tick();
+  lease_object_ = {kNode.value, ++revision_, LeaseRecord{Incarnation{1}, 2, true}.encode()};
+  answerRenewal(false);
+  answerTableWrite();
+  tick();
+  answerRenewal(true);
+  tick();
+  EXPECT_TRUE(commands_.grants.empty());
+  EXPECT_TRUE(tableWriteWaits()) << "the ranges are confirmed again";
+}
+
+// A process that knew an old table without ranges of its server took them for confirmed without reading the store, and
+// granted them under their old tokens as soon as it learned of them.
+TEST_F(RevokedOwnerTest, RangesThatAreNotKnownYetAreNotTakenForConfirmed) {
+  const OwnerTable others = OwnerTable::divideEvenly({{InstanceId("i-2"), NodeName("other")}}, 1, 0);
+  startAndRenew();
+  manager_->onTableObject({table_.name, 49, others.encode()});
+  tick();
+  manager_->onTableObject(table_);
+  tick();
+  EXPECT_TRUE(commands_.grants.empty());
+  ASSERT_EQ(store_.gets.size(), 1U) << "the table is read";
+  store_.gets.back().done({StoreStatus::Done, table_});
+  tick();
+  EXPECT_TRUE(commands_.grants.empty());
+  EXPECT_TRUE(tableWriteWaits()) << "the ranges are confirmed";
+}
+
+// A revocation that was learned of while no server was known was forgotten when the same server was seen again.
+TEST_F(RevokedOwnerTest, RevocationIsNotForgottenWhileNoServerIsKnown) {
+  start();
+  tick();
+  manager_->onTableObject(table_);
+  manager_->serverDead();
+  answerRenewal(false);
+  tick();
+  manager_->serverUp(server_, clock_.now());
+  tick();
+  answerRenewal(true);
+  tick();
+  EXPECT_TRUE(commands_.grants.empty());
+  EXPECT_TRUE(tableWriteWaits()) << "the ranges are confirmed";
+}
+
 }  // namespace
 }  // namespace shedlever::test
