--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -274,6 +274,8 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
+  /// Revocations of the lease so far; a confirmation counts only if there was none since it was queued.
+  std::uint64_t revocations_ = 0;
   /// Value of `lapsedReleases` when the last moves began.
   std::uint64_t lapsed_before_moves_ = 0;
   /// The initial table that this process has sent to the store.
