Repeat releases after a delay, also when the server still counts as running

Cause: a release without an answer was repeated at once, so a server that accepts connections and closes them got releases in a busy loop. After a refused connection it was not repeated at all; the batch ended only if the server was taken as ended.

Change: KeyMoves repeats a release that was not executed or got no answer after command_retry (50 ms), at the next tick. The end of the server is reported as before and cancels the batch.

--- a/source/core/router/ownership/key_moves.cc
+++ b/source/core/router/ownership/key_moves.cc
@@ -40,7 +40,7 @@
   for (std::size_t i = 0; i < pieces.size(); ++i) {
     const OwnedRange* range = ports_.writer->table().find(pieces[i].first);
     if (range != nullptr && range->keys == pieces[i] && range->releasing && range->owner == from_.instance) {
-      moves_.push_back({*range, to[i % to.size()], false, {}, ports_.rate_of(pieces[i])});
+      moves_.push_back({*range, to[i % to.size()], false, {}, ports_.rate_of(pieces[i]), {}});
     }
   }
   for (std::size_t i = 0; i < moves_.size(); ++i) {
@@ -48,6 +48,15 @@
   }
 }
 
+void KeyMoves::tick(TimePoint now) {
+  for (std::size_t i = 0; i < moves_.size(); ++i) {
+    if (moves_[i].retry_at && now >= *moves_[i].retry_at) {
+      moves_[i].retry_at.reset();
+      release(i);
+    }
+  }
+}
+
 void KeyMoves::release(std::size_t index) {
   ports_.release(moves_[index].range,
                  [this, index, batch = batch_](const ReleaseResult& result) { onReleased(index, batch, result); });
@@ -57,12 +66,8 @@
   if (batch != batch_ || index >= moves_.size()) {
     return;
   }
-  if (result.status == CommandStatus::ServerGone || result.status == CommandStatus::WrongInstance) {
-    ports_.on_server_gone();
-    return;
-  }
-  if (result.status == CommandStatus::NoAnswer) {
-    release(index);
+  if (result.status != CommandStatus::Done && result.status != CommandStatus::Superseded) {
+    onNotReleased(index, result.status);
     return;
   }
   moves_[index].released = true;
@@ -73,6 +78,14 @@
   }
 }
 
+void KeyMoves::onNotReleased(std::size_t index, CommandStatus status) {
+  moves_[index].retry_at = ports_.clock->now() + ports_.release_retry;
+  if (status == CommandStatus::ServerGone || status == CommandStatus::WrongInstance) {
+    // Cancels the batch if the server is taken as ended.
+    ports_.on_server_gone();
+  }
+}
+
 void KeyMoves::assign() {
   const std::vector<OwnerLocation> to = ports_.targets();
   std::vector<OwnerLocation> recipients;
--- a/source/core/router/ownership/key_moves.h
+++ b/source/core/router/ownership/key_moves.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
  public:
   struct Ports {
     const TableWriter* writer = nullptr;
+    const Clock* clock = nullptr;
+    /// Delay before a release is repeated that was not executed or got no answer.
+    Duration release_retry{};
     /// Queues a change of the table.
     std::function<void(const std::string& what, std::vector<TableEdit>, TableWriter::Done)> change;
     /// Queues a change of the table that transfers keys to these servers.
@@ -46,6 +50,9 @@
 
   bool empty() const { return moves_.empty(); }
 
+  /// Repeats the releases that are due.
+  void tick(TimePoint now);
+
   /// Drops the current batch, because the server that owned its keys is gone.
   void cancel();
 
@@ -57,11 +64,15 @@
     std::string handover;
     /// Requests per second for the range when the move began.
     std::uint32_t rate = 0;
+    /// When the release is repeated; std::nullopt while it is in flight and once it is done.
+    std::optional<TimePoint> retry_at;
   };
 
   void onReleaseMarked(const std::vector<KeyRange>& pieces, const std::vector<OwnerLocation>& to);
   void release(std::size_t index);
   void onReleased(std::size_t index, std::uint64_t batch, const ReleaseResult& result);
+  /// The server did not release the range, or it is not known whether it did.
+  void onNotReleased(std::size_t index, CommandStatus status);
   void assign();
 
   Ports ports_;
--- a/source/core/router/ownership/ownership_config.h
+++ b/source/core/router/ownership/ownership_config.h
@@ -36,7 +36,7 @@
   Duration min_grant = std::chrono::milliseconds(200);
   /// Largest factor by which a server's clock may stretch a grant.
   double clock_drift_factor = 1.02;
-  /// Delay after a failed grant command.
+  /// Delay after a failed command.
   Duration command_retry = std::chrono::milliseconds(50);
   /// Ranges per server in the initial table. The servers take turns, because frequently requested keys lie close
   /// together.
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -82,6 +82,8 @@
 KeyMoves::Ports OwnershipManager::movePorts() {
   KeyMoves::Ports ports;
   ports.writer = &writer_;
+  ports.clock = ports_.clock;
+  ports.release_retry = config_.command_retry;
   ports.change = [this](const std::string& what, std::vector<TableEdit> edits, TableWriter::Done done) {
     queueChange(what, std::move(edits), std::move(done));
   };
@@ -290,6 +292,7 @@
     return;
   }
   grants_->update(grantable(), lease_.validUntil(), now);
+  moves_.tick(now);
   if (pending_changes_ == 0) {
     reconcileOwnRanges();
   }
