Let keys wait for a replaced instance's grants also by heartbeat

Cause: a report was taken as proof that the instance before it had ended.

Change: `serverUp` is told what is known of the present instance; only the loss of all its requests (`CrashEvidence`) counts as its end. The first report to a process that has just started still counts as the end of instances that an earlier process knew: otherwise each loss of a whole machine would leave its keys unserved for 4 s. That case stays open. A change of owner that does not wait is no longer reported as one within a hold, and the simulator says the same of crashes.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -36,6 +36,7 @@
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
     auto grants = std::make_unique<HeartbeatGrants>(config_, ports_.clock->now(), grantEvents());
     heartbeat_grants_ = grants.get();
+    earlier_end_ = InstanceEnd::Certain;
     grants_ = std::move(grants);
   } else {
     grants_ = std::make_unique<RequestGrants>(config_, *ports_.server_commands, *ports_.clock, grantEvents());
@@ -145,15 +146,14 @@
   }
 }
 
-void OwnershipManager::serverUp(const InstanceId& instance, TimePoint now) {
+void OwnershipManager::serverUp(const InstanceId& instance, InstanceEnd earlier, TimePoint now) {
   if (instance_ == instance) {
     return;
   }
   instance_ = instance;
   balancer_.setFailureRatio(0);
-  if (gone_instance_.empty()) {
-    // The heartbeats of an earlier instance that still ran would list its keys.
-    earlier_end_ = heartbeat_grants_ != nullptr ? InstanceEnd::Certain : InstanceEnd::Suspected;
+  if (hasServer()) {
+    earlier_end_ = earlier;
   }
   gone_instance_ = {};
   draining_ = false;
@@ -178,9 +178,13 @@
   grants_->clear();
 }
 
+std::optional<TimePoint> OwnershipManager::earlierHoldsUntil() const {
+  return earlier_end_ == InstanceEnd::Certain ? std::nullopt : std::optional(grants_->earlierHoldsUntil());
+}
+
 EarlierGrants OwnershipManager::earlierGrants() const {
-  const bool may_last = earlier_end_ == InstanceEnd::Suspected && ports_.clock->now() < grants_->earlierHoldsUntil();
-  return may_last ? EarlierGrants::MayLast : EarlierGrants::RunOut;
+  const std::optional<TimePoint> until = earlierHoldsUntil();
+  return until && ports_.clock->now() < *until ? EarlierGrants::MayLast : EarlierGrants::RunOut;
 }
 
 void OwnershipManager::onLeaseRevoked() {
@@ -421,7 +425,7 @@
   }
   std::vector<TableEdit> edits = reclaimRanges(writer_.table(), self, earlier);
   TableWriter::Done reported =
-      reportOwners({OwnerChangeProof::EarlierInstance, self_.name, grants_->earlierHoldsUntil(), {}}, edits);
+      reportOwners({OwnerChangeProof::EarlierInstance, self_.name, earlierHoldsUntil(), {}}, edits);
   queueChange("ranges of an earlier instance reclaimed", std::move(edits), std::move(reported));
 }
 
@@ -458,7 +462,7 @@
   const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
   std::vector<TableEdit> edits = reassignPieces(writer_.table(), gone_instance_, pieces, to);
   TableWriter::Done reported =
-      reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, grants_->earlierHoldsUntil(), {}}, edits);
+      reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, earlierHoldsUntil(), {}}, edits);
   queueTransfer("ranges of dead server reassigned", to, std::move(edits), std::move(reported));
 }
 
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -100,7 +100,8 @@
   OwnershipManager(NodeIdentity self, ServiceName service, const OwnershipConfig& config, OwnershipPorts ports);
 
   /// An instance of the local server is running.
-  void serverUp(const InstanceId& instance, TimePoint now);
+  /// @param earlier what is known of the instance that was present until now, if there was one.
+  void serverUp(const InstanceId& instance, InstanceEnd earlier, TimePoint now);
   /// The server accepts no connections. It may still run, so its keys are reassigned once all grants to it have run
   /// out.
   void serverGone();
@@ -203,6 +204,8 @@
   void divideFirst(const std::vector<OwnerLocation>& locations, TimePoint now);
   void reconcileOwnRanges();
   void reassignGoneServerRanges(TimePoint now);
+  /// @return time from which earlier instances of the server hold no key; std::nullopt if they have ended for certain.
+  std::optional<TimePoint> earlierHoldsUntil() const;
   EarlierGrants earlierGrants() const;
   void checkUnreachableOwners(TimePoint now);
   /// @param newest_token newest token in the table when the revocation of the node's lease was sent.
@@ -261,7 +264,8 @@
   InstanceId instance_;
   /// The server that accepts no connections and whose keys are still to be reassigned; empty if there is none.
   InstanceId gone_instance_;
-  /// Of the instance before the present one.
+  /// Of the instance before the present one. A first report by heartbeat counts as the end of instances that an earlier
+  /// process knew: a wait for their grants of some seconds would follow each loss of a whole machine.
   InstanceEnd earlier_end_ = InstanceEnd::Suspected;
   TimePoint server_since_{};
   TimePoint last_tick_{};
--- a/source/lab/sim/simulated_cluster.cc
+++ b/source/lab/sim/simulated_cluster.cc
@@ -114,7 +114,7 @@
   }
   readTable(node);
   if (const auto server = node.reportingServer()) {
-    node.manager->serverUp(server->instance, time_.now());
+    node.manager->serverUp(server->instance, InstanceEnd::Suspected, time_.now());
     node.record.instance = server->instance;
   }
   propagateRecords();
--- a/source/lab/sim/simulated_cluster_servers.cc
+++ b/source/lab/sim/simulated_cluster_servers.cc
@@ -31,7 +31,11 @@
   reported_node.record.instance = server->instance;
   reported_node.record.draining = false;
   if (reported_node.manager) {
-    reported_node.manager->serverUp(server->instance, time_.now());
+    // Processes recognize a crash of a server by heartbeat, by the loss of all its requests.
+    const bool crashed =
+        config_.grant_delivery == GrantDelivery::Heartbeat && reported_node.running_servers.size() == 1;
+    reported_node.manager->serverUp(server->instance, crashed ? InstanceEnd::Certain : InstanceEnd::Suspected,
+                                    time_.now());
     propagateRecords();
   }
   if (config_.grant_delivery == GrantDelivery::Heartbeat) {
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -192,7 +192,7 @@
     ownership_manager_->onTableAbsent();
   }
   if (!server_.instance().empty()) {
-    ownership_manager_->serverUp(server_.instance(), clock_.now());
+    ownership_manager_->serverUp(server_.instance(), InstanceEnd::Suspected, clock_.now());
   }
   ownership_manager_->setEvacuated(evacuation_.evacuated());
   if (server_.draining() || leaving_) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -121,8 +121,10 @@
   Duration keyHandoverTime() const;
   /// The server's address refuses connections.
   void onServerGone(RefusedCall call);
-  /// Reassigns the keys of a server that refuses connections at once if it has crashed. Only for servers whose grants
-  /// by heartbeat last for seconds.
+  /// @return whether the instance is known to have crashed, so that its keys need not wait for the end of its grants.
+  ///   Only for grants by heartbeat, which last for seconds.
+  bool showsCrash(const InstanceId& instance) const;
+  /// Reassigns the keys of a server that refuses connections at once if it has crashed.
   void checkCrash(const InstanceId& gone);
   void onServerSilence(bool silent);
   QuarantineCoordinator::Ports quarantinePorts();
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -129,7 +129,8 @@
                 {"cause", cause},
                 {"replaces", previous.empty() ? "-" : previous.value}});
     if (ownership_manager_) {
-      ownership_manager_->serverUp(report.instance, clock_.now());
+      const InstanceEnd earlier = showsCrash(gate_.instance()) ? InstanceEnd::Certain : InstanceEnd::Suspected;
+      ownership_manager_->serverUp(report.instance, earlier, clock_.now());
     }
   }
   gate_.serverUp(report.instance, report.slots);
@@ -218,8 +219,13 @@
   scheduleTick();
 }
 
+bool RouterProcess::showsCrash(const InstanceId& instance) const {
+  const bool by_heartbeat = settings_.ownership.grant_delivery == GrantDelivery::Heartbeat;
+  return by_heartbeat && gate_.lostAllRequests(instance);
+}
+
 void RouterProcess::checkCrash(const InstanceId& gone) {
-  if (!gate_.lostAllRequests(gone)) {
+  if (!showsCrash(gone)) {
     return;
   }
   log_.write("server", "crashed", {{"instance", gone.value}});
--- a/test/core_router/ownership/revoked_lease_test.cc
+++ b/test/core_router/ownership/revoked_lease_test.cc
@@ -138,7 +138,7 @@
     ports.on_server_gone = [] {};
     manager_ = std::make_unique<OwnershipManager>(NodeIdentity{kNode, Incarnation{++incarnation_}}, service_, config_,
                                                   std::move(ports));
-    manager_->serverUp(server_, clock_.now());
+    manager_->serverUp(server_, InstanceEnd::Suspected, clock_.now());
   }
 
   void tick() {
@@ -255,10 +255,10 @@
   start();
   tick();
   manager_->onTableObject(table_);
-  manager_->serverDead();
+  manager_->serverGone();
   answerRenewal(false);
   tick();
-  manager_->serverUp(server_, clock_.now());
+  manager_->serverUp(server_, InstanceEnd::Suspected, clock_.now());
   tick();
   answerRenewal(true);
   tick();
--- a/test/router/recorders_test.cc
+++ b/test/router/recorders_test.cc
@@ -78,7 +78,13 @@
 
   /// A grant of 2 s, decided 30 ms before it is sent, under a lease of 7 s.
   GrantCommand grantCommand() const {
-    return {10, 20, 33, milliseconds(2000), {}, {time_.now() - milliseconds(30), time_.now() + milliseconds(7000)}};
+    return {10,
+            20,
+            33,
+            milliseconds(2000),
+            {},
+            InstanceId("i-1"),
+            {time_.now() - milliseconds(30), time_.now() + milliseconds(7000)}};
   }
 
   /// Sends a grant that is answered after the given time.
