Send commands for a new instance on new connections

Cause: the pool of connections for commands outlives an instance. A server that has stopped listening and still works keeps its open connections, so commands for the successor at its address could reach the predecessor, which refuses them; the router would then take the successor as ended.

Change: the first command for another instance than the last one's starts a new pool. The earlier pool is kept while it has open connections, so that commands in flight end as usual.

--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -46,7 +46,11 @@
 }
 
 ServerClient::ServerClient(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol)
-    : protocol_(protocol), requests_(loop, requestConfig(server)), commands_(loop, commandConfig(server)) {}
+    : loop_(loop),
+      server_(server),
+      protocol_(protocol),
+      requests_(loop, requestConfig(server)),
+      commands_(std::make_unique<HttpClient>(loop, commandConfig(server))) {}
 
 HttpExchangeId ServerClient::send(ServerRequest request, std::function<void(ServerResult)> done) {
   protocol_.setRouterHeaders(request.http, request.head);
@@ -116,18 +120,28 @@
   return result;
 }
 
+void ServerClient::useConnectionsFor(const InstanceId& instance) {
+  if (command_instance_ != instance && !command_instance_.empty()) {
+    std::erase_if(earlier_commands_, [](const auto& client) { return client->openConnections() == 0; });
+    earlier_commands_.push_back(std::move(commands_));
+    commands_ = std::make_unique<HttpClient>(loop_, commandConfig(server_));
+  }
+  command_instance_ = instance;
+}
+
 void ServerClient::sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done) {
   ConditionCallback on_condition = observe_condition_ ? observe_condition_() : ConditionCallback();
-  commands_.send(std::move(request), timeout,
-                 [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
-                   if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
-                     on_condition(protocol_.conditionOf(exchange.response));
-                   }
-                   done(std::move(exchange));
-                 });
+  commands_->send(std::move(request), timeout,
+                  [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
+                    if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
+                      on_condition(protocol_.conditionOf(exchange.response));
+                    }
+                    done(std::move(exchange));
+                  });
 }
 
 void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
+  useConnectionsFor(command.instance);
   sendCommand(protocol_.grantRequest(command), kGrantTimeout,
               [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 if (exchange.status == HttpExchangeStatus::Complete) {
@@ -139,6 +153,7 @@
 }
 
 void ServerClient::release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) {
+  useConnectionsFor(command.instance);
   sendCommand(protocol_.releaseRequest(command), kReleaseTimeout,
               [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 ReleaseResult result;
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "shedlever/platform_ports.h"
 #include "shedlever/server_commands.h"
@@ -63,13 +64,23 @@
  private:
   ServerResult resultOf(HttpExchangeResult exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
 
+  /// Makes commands for another instance than the last ones use new connections: open ones lead to the earlier
+  /// instance, which may still work although its successor has its address.
+  void useConnectionsFor(const InstanceId& instance);
+
   /// Sends a command or a health check.
   void sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done);
 
+  EventLoop& loop_;
+  const Endpoint server_;
   const ServerProtocol& protocol_;
   std::function<ConditionCallback()> observe_condition_;
   HttpClient requests_;
-  HttpClient commands_;
+  std::unique_ptr<HttpClient> commands_;
+  /// The instance that the last command was for; empty before the first one.
+  InstanceId command_instance_;
+  /// Connections to earlier instances, on which commands may be in flight.
+  std::vector<std::unique_ptr<HttpClient>> earlier_commands_;
 };
 
 }  // namespace shedlever
