Stop granting by a peer's table that the server's tokens show to be outdated

A router that was restarted while the store was silent inherited its predecessor's lease and got a peer's owner table that lacked the predecessor's last move. Its server refused the old tokens (409), but the router went on sending them; the server was then restarted under the same id, knew nothing of the higher tokens and took the keys, which another server held under higher tokens since the move.

Cause: with grants by command, a table that was never read from the store was granted from without regard to what the server's answers say of it. A command's instance does not help: the restarted server had the same id.

Change: once the server has seen a higher token than that of such a table, nothing is granted until the table has been read from the store. A process whose server accepts the tokens still serves while the store is down. Open: a server that is restarted under its id before the first grant of the new process.

`serverUp` looks at the former instance before it takes the new one.

--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -108,6 +108,7 @@
 GrantChannel::Events OwnershipManager::grantEvents() {
   GrantChannel::Events events;
   events.superseded = [this](const OwnedRange& range) {
+    peer_table_outdated_ = !tableIsRead();
     queueChange("token raised", {raiseToken(range, {instance_, self_.name})});
   };
   events.server_gone = [this] { ports_.on_server_gone(); };
@@ -150,11 +151,11 @@
   if (instance_ == instance) {
     return;
   }
-  instance_ = instance;
-  balancer_.setFailureRatio(0);
   if (hasServer()) {
     earlier_end_ = earlier;
   }
+  instance_ = instance;
+  balancer_.setFailureRatio(0);
   gone_instance_ = {};
   draining_ = false;
   server_since_ = now;
@@ -210,7 +211,8 @@
 }
 
 std::vector<OwnedRange> OwnershipManager::grantable() const {
-  return mayGrant() ? grant_selector_.owned(instance_) : std::vector<OwnedRange>{};
+  const bool outdated = peer_table_outdated_ && !tableIsRead();
+  return mayGrant() && !outdated ? grant_selector_.owned(instance_) : std::vector<OwnedRange>{};
 }
 
 std::vector<OwnedRange> OwnershipManager::assignable(const KeyReport& report) const {
--- a/source/core/router/ownership/ownership_manager.h
+++ b/source/core/router/ownership/ownership_manager.h
@@ -278,6 +278,9 @@
   /// Nothing is granted until this node's ranges are confirmed in the table under new tokens: the lease was or may have
   /// been revoked, or the table was of an earlier epoch at start.
   bool must_confirm_ = false;
+  /// The server has seen a higher token than that of the table from another process, so that the table may lack changes
+  /// by this node's previous process.
+  bool peer_table_outdated_ = false;
   /// Revocations of the lease so far; a confirmation counts only if there was none since it was queued.
   std::uint64_t revocations_ = 0;
   /// Value of `lapsedReleases` when the last moves began.
--- a/test/core_router/ownership/owner_change_test.cc
+++ b/test/core_router/ownership/owner_change_test.cc
@@ -72,8 +72,9 @@
 }
 
 TEST_P(OwnerChangeTest, ReplacedInstanceIsReportedWithTheEndOfItsHold) {
-  world_.killServer(1);
-  world_.startServer(1);
+  // The earlier instance runs when its successor reports.
+  world_.startUnreportedServer(1);
+  world_.reportServer(1);
   const TimePoint replaced = world_.now();
   world_.run(kGrantsEnd);
   const auto changes = changesBy(OwnerChangeProof::EarlierInstance);
@@ -175,7 +176,7 @@
   EXPECT_FALSE(commands.grants[0].basis.limited_by_lease);
   commands.answers[0](CommandStatus::Done);
   time.runFor(config.grant_hold - milliseconds(1), [] {});
-  grants.update(wanted, time.now() + milliseconds(500), time.now());
+  grants.update(wanted, time.now() + milliseconds(800), time.now());
   ASSERT_EQ(commands.grants.size(), 2U);
   EXPECT_TRUE(commands.grants[1].basis.renewal);
   EXPECT_TRUE(commands.grants[1].basis.limited_by_lease);
