--- a/source/core/router/ownership/heartbeat_grants.cc
+++ b/source/core/router/ownership/heartbeat_grants.cc
@@ -69,7 +69,10 @@
 }  // namespace
 
 HeartbeatGrants::HeartbeatGrants(const OwnershipConfig& config, TimePoint started, Events events)
-    : config_(config), started_(started), events_(std::move(events)), earlier_hold_end_(started_ + longestHold(config_)) {}
+    : config_(config),
+      started_(started),
+      events_(std::move(events)),
+      earlier_hold_end_(started_ + longestHold(config_)) {}
 
 void HeartbeatGrants::update(const std::vector<OwnedRange>&, TimePoint, TimePoint now) {
   std::erase_if(expiring_, [now](const RangeAssignment& assignment) { return assignment.may_hold_until <= now; });
