Ignore late refusals for an earlier server, and leave no range without an owner

Cause and change: (1) a command or request for an earlier instance that was refused late gave up the present one for its whole life; answers now count only for the instance that they were sent to. (2) Ranges of an instance before the one that is gone stayed without an owner if the next one was given up before it had reclaimed them; all ranges of the node are now reassigned. (3) A broken response counted as a lost request and so as a part of the evidence of a crash; servers that run break some off. (4) Releases by heartbeat could count as lapsed while assignments before the last reset lasted. (5) A configured grant longer than 2 s counts for an earlier process too.

--- a/source/core/router/ownership/heartbeat_grants.cc
+++ b/source/core/router/ownership/heartbeat_grants.cc
@@ -165,7 +165,7 @@
 
 TimePoint HeartbeatGrants::mayHoldUntil(const KeyRange& keys) const {
   // Assignments by an earlier process are unknown; they may last one grant duration after the start of this one.
-  TimePoint until = started_ + longestHold(config_);
+  TimePoint until = earlier_hold_end_;
   const auto extend = [&](const RangeAssignment& assignment) {
     if (overlap(assignment.range.keys, keys)) {
       until = std::max(until, assignment.may_hold_until);
--- a/source/core/router/ownership/ownership_manager.cc
+++ b/source/core/router/ownership/ownership_manager.cc
@@ -453,16 +453,18 @@
     return;
   }
   const std::vector<OwnerLocation> to = candidates_.unlimitedTargets(now);
-  const auto owned = writer_.table().ownedBy(gone_instance_);
-  if (owned.empty()) {
+  // Ranges of instances before the one that is gone may be left, if none has reclaimed them.
+  const auto left = writer_.table().ownedAt(self_.name);
+  if (left.empty()) {
     gone_instance_ = {};
     return;
   }
   if (to.empty()) {
     return;
   }
-  const std::vector<KeyRange> pieces = key_load_.split(owned, to.size(), now);
-  std::vector<TableEdit> edits = reassignPieces(writer_.table(), gone_instance_, pieces, to);
+  const InstanceId owner = left.front().owner;
+  const std::vector<KeyRange> pieces = key_load_.split(writer_.table().ownedBy(owner), to.size(), now);
+  std::vector<TableEdit> edits = reassignPieces(writer_.table(), owner, pieces, to);
   TableWriter::Done reported =
       reportOwners({OwnerChangeProof::ConnectionRefused, self_.name, earlierHoldsUntil(), {}}, edits);
   queueTransfer("ranges of dead server reassigned", to, std::move(edits), std::move(reported));
--- a/source/core/router/ownership/request_grants.cc
+++ b/source/core/router/ownership/request_grants.cc
@@ -24,7 +24,8 @@
       server_commands_(server_commands),
       clock_(clock),
       events_(std::move(events)),
-      earlier_hold_end_(holdEnd(clock_.now() + kGrantTimeout, config_.longest_earlier_hold)) {}
+      earlier_hold_end_(
+          holdEnd(clock_.now() + kGrantTimeout, std::max(config_.longest_earlier_hold, config_.grant_hold))) {}
 
 void RequestGrants::update(const std::vector<OwnedRange>& wanted, TimePoint lease_until, TimePoint now) {
   const auto is_wanted = [&](const OwnedRange& range) {
@@ -65,8 +66,9 @@
 
 void RequestGrants::onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent,
                              Duration hold) {
-  recordHoldEnd(send_number, status);
-  if (status == CommandStatus::ServerGone || status == CommandStatus::WrongInstance) {
+  const bool for_present_server = recordHoldEnd(send_number, status);
+  const bool not_reached = status == CommandStatus::ServerGone || status == CommandStatus::WrongInstance;
+  if (not_reached && for_present_server) {
     events_.server_gone();
   }
   const auto found = grants_.find(first);
@@ -96,16 +98,18 @@
   return taken + std::chrono::duration_cast<Duration>(hold * config_.clock_drift_factor);
 }
 
-void RequestGrants::recordHoldEnd(std::uint64_t send_number, CommandStatus status) {
+bool RequestGrants::recordHoldEnd(std::uint64_t send_number, CommandStatus status) {
   const auto node = pending_.extract(send_number);
+  const bool earlier = node.mapped().earlier;
   const bool refused = status == CommandStatus::ServerGone || status == CommandStatus::Superseded ||
                        status == CommandStatus::WrongInstance;
   if (refused) {
-    return;
+    return !earlier;
   }
   // The hold counts from the arrival of the command, which is not later than its end here.
-  TimePoint& latest = node.mapped().earlier ? earlier_hold_end_ : latest_hold_end_;
+  TimePoint& latest = earlier ? earlier_hold_end_ : latest_hold_end_;
   latest = std::max(latest, holdEnd(clock_.now(), node.mapped().hold));
+  return !earlier;
 }
 
 TimePoint RequestGrants::earlierHoldsUntil() const {
--- a/source/core/router/ownership/request_grants.h
+++ b/source/core/router/ownership/request_grants.h
@@ -48,7 +48,8 @@
 
   void send(Grant& grant, Duration hold, TimePoint lease_until, TimePoint now);
   /// Records until when the server may hold the range of a command that has ended.
-  void recordHoldEnd(std::uint64_t send_number, CommandStatus status);
+  /// @return whether the command was sent since the last `clear`, so that it was for the present server.
+  bool recordHoldEnd(std::uint64_t send_number, CommandStatus status);
   /// @return end of a hold that began at the time, at a server with a slow clock.
   TimePoint holdEnd(TimePoint taken, Duration hold) const;
   void onAnswer(Key first, std::uint64_t send_number, CommandStatus status, TimePoint sent, Duration hold);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -371,7 +371,9 @@
   recorder_.ended(entry.frame, entry.fingerprint, result, entry.started - entry.arrived, service_time);
   trackUnanswered(ticket, entry, result);
   updateCondition(entry, result);
-  updateReachability(result);
+  if (entry.frame.instance == instance_) {
+    updateReachability(result);
+  }
   recordFailure(result);
   if (result.reason == ForwardReason::NotOwner && ownership_manager_ != nullptr) {
     ownership_manager_->onKeyRefused(entry.frame.key);
@@ -408,7 +410,9 @@
 void ServerGate::trackUnanswered(QueueTicket ticket, const Entry& entry, const ServerResult& result) {
   const TimePoint now = clock_.now();
   const SentRequestEnd end = endOf(result);
-  crash_evidence_.onEnded(entry.frame.instance, end);
+  // Servers that still run break some responses off.
+  const bool broken = result.reason == ForwardReason::BrokenAnswer;
+  crash_evidence_.onEnded(entry.frame.instance, broken ? SentRequestEnd::Abandoned : end);
   switch (end) {
     case SentRequestEnd::NotReached:
       unanswered_.onNotReached(ticket);
@@ -569,7 +573,10 @@
   if (instance_.empty() || !reachability_.startProbe()) {
     return;
   }
-  server_client_.identify(health_path_, [this](const ServerId& server, bool refused) {
+  server_client_.identify(health_path_, [this, instance = instance_](const ServerId& server, bool refused) {
+    if (instance != instance_) {
+      return;
+    }
     reachability_.onProbeEnded(!refused && !server.empty());
     if (refused) {
       events_.server_gone(RefusedCall::HealthCheck);
--- a/test/core_router/ownership/request_grants_test.cc
+++ b/test/core_router/ownership/request_grants_test.cc
@@ -90,6 +90,14 @@
   EXPECT_EQ(superseded_, 0);
 }
 
+// Guards against a present server that is given up because a command for the one before it was refused late.
+TEST_F(RequestGrantsTest, RefusalOfACommandForAnEarlierServerSaysNothingOfThePresentOne) {
+  update({ownRange(0, 9, 4)});
+  grants_.clear();
+  answerGrant(CommandStatus::WrongInstance);
+  EXPECT_EQ(server_gone_, 0);
+}
+
 // Guards against a busy loop of commands at an address where another instance refuses them.
 TEST_F(RequestGrantsTest, GrantRefusedByAnotherInstanceIsNotRepeatedBeforeTheRetryDelay) {
   update({ownRange(0, 9, 4)});
