--- a/test/core_router/ownership/outdated_table_test.cc
+++ b/test/core_router/ownership/outdated_table_test.cc
@@ -39,10 +39,10 @@
     ports.on_change = [] {};
     ports.on_server_gone = [] {};
     ports.table_read = [this] { return table_read_; };
-    manager_ = std::make_unique<OwnershipManager>(NodeIdentity{kNode, Incarnation{2}}, ServiceName("search"), config_,
+    manager_ = std::make_unique<OwnershipManager>(NodeIdentity{node_, Incarnation{2}}, ServiceName("search"), config_,
                                                   std::move(ports));
     manager_->inheritLease(clock_.now() + seconds(8));
-    const OwnerTable table = OwnerTable::divideEvenly({{server_, kNode}}, 1, 0);
+    const OwnerTable table = OwnerTable::divideEvenly({{server_, node_}}, 1, 0);
     manager_->onTableObject({ownerTableName(ServiceName("search")), 50, table.encode()});
     manager_->serverUp(server_, InstanceEnd::Suspected, clock_.now());
   }
@@ -57,14 +57,14 @@
     return commands_.waiting.size();
   }
 
-  const NodeName kNode{"n-1"};
+  const NodeName node_{"n-1"};
   const InstanceId server_{"i-1"};
   OwnershipConfig config_;
   ScriptedStore store_;
   AnsweredCommands commands_;
   ManualClock clock_;
   sim::SeededRandom random_{1};
-  ServerDirectory directory_{kNode, ZoneName("zone"), ServerChoiceConfig{}, random_};
+  ServerDirectory directory_{node_, ZoneName("zone"), ServerChoiceConfig{}, random_};
   bool table_read_ = false;
   std::unique_ptr<OwnershipManager> manager_;
 };
