--- a/review/lib.sh
+++ b/review/lib.sh
@@ -15,10 +15,10 @@
   exit 2
 }
 
-# Ends all processes that the script started.
+# Ends all processes that the script started, also those that it started again and listed in $work/restarted.
 stop_all() {
   local pid
-  for pid in "${started[@]}"; do
+  for pid in "${started[@]}" $(cat "$work/restarted" 2>/dev/null); do
     kill -KILL "$pid" 2>/dev/null
   done
   wait 2>/dev/null
