--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 case_folder=$(cd "$(dirname "$0")" && pwd)
 source "$case_folder/../lib.sh"
 
-bursts=6
+bursts=12
 clients=4  # as many as the upstream has slots
 work_ms=250
 after_load_s=2  # longer than a request runs
