--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,6 +4,7 @@
 # that were answered as not run though they have run. TROUBLE=0: no surplus answers.
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
+record=$case_folder/record.txt
 source "$case_folder/../lib.sh"
 
 bursts=12
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,12 +1,10 @@
-# Functions that the scripts of the review share. A script sources this file; it has set `case_folder`.
-#
-# A script writes to record.txt in its folder and keeps all other files in a temporary folder, `work`.
+# Functions that the scripts of the review share. A script sources this file; it has set `record`, the file record.txt in
+# its folder. It keeps all other files in a temporary folder, `work`.
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 tools=$root/review/build
 router=$root/target/shedleverd
 trouble=${TROUBLE:-1}
-record=$case_folder/record.txt
 work=$(mktemp -d)
 started=()
 
--- a/review/trials/owner.sh
+++ b/review/trials/owner.sh
@@ -6,6 +6,7 @@
 # lease of that other one would have run out. TROUBLE=0: no surplus answers.
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
+record=$case_folder/record.txt
 source "$case_folder/../lib.sh"
 
 load_s=9
--- a/review/trials/recover.sh
+++ b/review/trials/recover.sh
@@ -6,6 +6,7 @@
 # served. TROUBLE=0: no process is killed and no answer is lost.
 set -u
 case_folder=$(cd "$(dirname "$0")" && pwd)
+record=$case_folder/record.txt
 source "$case_folder/../lib.sh"
 
 recovery_s=15       # bound `recovery` of the site
