Review case 2: OWNER, a reset connection and one lost answer count as a crash

Cause: CrashEvidence::lostAllRequests is true after a single lost request, however old, if none was answered since and none runs. checkCrash asks it 50 ms after the first refused connection, and the keys pass on without a wait for the end of the grants by heartbeat. An upstream that is full resets connection attempts while it is up, holds its keys and works on requests whose clients have left.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -5,6 +5,7 @@
 tools=$root/review/build
 router=$root/target/shedleverd
 trouble=${TROUBLE:-1}
+grants=request  # how upstreams get their keys
 work=$(mktemp -d)
 started=()
 
@@ -104,7 +105,7 @@
  "stop": {"grace": "6s", "drain": "2000ms"},
  "config": {"within": "2000ms"},
  "evacuation": {},
- "ownership": {"grants": "request", "shared_writes_from": 0, "longest_grant": "10000ms"}}
+ "ownership": {"grants": "$grants", "shared_writes_from": 0, "longest_grant": "10000ms"}}
 SETTINGS
 }
 
--- a/review/tools/load_main.cc
+++ b/review/tools/load_main.cc
@@ -6,7 +6,7 @@
 ///   sent ID kept|new        the request is about to be sent, over a kept or a new connection
 ///   answered ID STATUS      a complete response arrived
 ///   cut ID                  the connection ended after the request was sent, without a complete response
-///   silent ID               the client's time was over without a response
+///   silent ID               the client has left without a response
 ///   unsent ID               no connection: nothing of the request was sent
 
 #include <boost/program_options.hpp>
@@ -32,14 +32,16 @@
   std::string method;
   std::string prefix;
   Duration deadline{};
+  /// A client that has no response after this time closes its connection.
+  Duration patience{};
   Duration pause{};
   std::size_t body_bytes = 0;
   /// Key of the first client's requests; the others' follow in steps. Negative: the requests carry no key.
   int first_key = -1;
+  /// Distance between the keys of two clients.
+  std::size_t key_step = 5003;
 };
 
-/// Distance between the keys of two clients.
-constexpr std::size_t kKeyStep = 5003;
 constexpr std::size_t kKeyCount = 65536;
 
 std::string unixMilliseconds() {
@@ -71,11 +73,11 @@
         {{"Host", options_.host}, {"X-Request-Id", id}, {"X-Request-Deadline", std::to_string(deadline_ms)}},
         std::string(options_.body_bytes, 'x')};
     if (options_.first_key >= 0) {
-      const std::size_t key = (static_cast<std::size_t>(options_.first_key) + number_ * kKeyStep) % kKeyCount;
+      const std::size_t key = (static_cast<std::size_t>(options_.first_key) + number_ * options_.key_step) % kKeyCount;
       request.headers.push_back({"X-Shard-Key", std::to_string(key)});
     }
     record_.write("sent " + id + (http_.openConnections() > 0 ? " kept" : " new"));
-    http_.send(std::move(request), options_.deadline,
+    http_.send(std::move(request), options_.patience,
                [this, id](const HttpExchangeResult& exchange) { onEnd(id, exchange); });
   }
 
@@ -126,6 +128,7 @@
   std::size_t clients = 1;
   unsigned seconds = 1;
   unsigned deadline_ms = 1000;
+  unsigned leave_ms = 0;
   unsigned pause_ms = 0;
   options::options_description flags("review-load: clients of one router");
   flags.add_options()("help", "this text")("router", options::value(&router)->required(), "IP:PORT for clients")(
@@ -134,10 +137,12 @@
       "method", options::value(&load.method)->default_value("POST"), "method of the requests")(
       "prefix", options::value(&load.prefix)->required(), "what the ids of the requests begin with")(
       "clients", options::value(&clients), "number of clients")("seconds", options::value(&seconds), "time to run")(
-      "deadline-ms", options::value(&deadline_ms), "time that a client waits for a response")(
+      "deadline-ms", options::value(&deadline_ms), "deadline of a request")(
+      "leave-ms", options::value(&leave_ms), "time that a client waits for a response; 0: up to the deadline")(
       "pause-ms", options::value(&pause_ms), "pause of a client between two requests")(
       "body-bytes", options::value(&load.body_bytes), "size of the requests' bodies")(
-      "first-key", options::value(&load.first_key), "the requests carry keys, the first client's this one")(
+      "first-key", options::value(&load.first_key), "the requests carry keys, the first client's after this one")(
+      "key-step", options::value(&load.key_step), "distance between the keys of two clients")(
       "record", options::value(&record_file)->required(), "file to which the record is appended");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, flags), values);
@@ -149,6 +154,7 @@
   }
   load.router = *endpoint;
   load.deadline = std::chrono::milliseconds(deadline_ms);
+  load.patience = std::chrono::milliseconds(leave_ms == 0 ? deadline_ms : leave_ms);
   load.pause = std::chrono::milliseconds(pause_ms);
   EventLoop loop;
   Record record(record_file);
--- a/review/tools/surplus_server_main.cc
+++ b/review/tools/surplus_server_main.cc
@@ -14,14 +14,11 @@
 /// `refused ID STATUS`, `take FIRST LAST TOKEN HOLD_MS`, `release FIRST LAST TOKEN`, `released FIRST LAST`,
 /// `surplus WHAT`, `drain`.
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
+#include <sys/time.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -37,6 +34,7 @@
 #include <string>
 #include <thread>
 
+#include "review/tools/blocking_connection.h"
 #include "shedlever/identifiers.h"
 #include "standins/standin_process.h"
 
@@ -44,6 +42,9 @@
 
 using nlohmann::json;
 using shedlever::Endpoint;
+using shedlever::review::Connection;
+using shedlever::review::connectTo;
+using shedlever::review::listenAt;
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
@@ -69,59 +70,6 @@
   bool surplus_grants = false;
 };
 
-/// A blocking connection that reads and writes whole messages.
-class Connection {
- public:
-  explicit Connection(int socket) : socket_(socket) {}
-  ~Connection() { close(socket_); }
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
-
-  /// @return the bytes up to and with the end of the headers; nothing once the connection has ended.
-  std::optional<std::string> readHead() {
-    std::size_t end = std::string::npos;
-    while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
-      if (!readMore()) {
-        return std::nullopt;
-      }
-    }
-    return take(end + 4);
-  }
-
-  std::optional<std::string> readBody(std::size_t size) {
-    while (buffer_.size() < size) {
-      if (!readMore()) {
-        return std::nullopt;
-      }
-    }
-    return take(size);
-  }
-
-  bool write(const std::string& bytes) const {
-    return send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
-  }
-
- private:
-  bool readMore() {
-    std::array<char, 4096> chunk{};
-    const ssize_t count = recv(socket_, chunk.data(), chunk.size(), 0);
-    if (count <= 0) {
-      return false;
-    }
-    buffer_.append(chunk.data(), static_cast<std::size_t>(count));
-    return true;
-  }
-
-  std::string take(std::size_t size) {
-    std::string taken = buffer_.substr(0, size);
-    buffer_.erase(0, size);
-    return taken;
-  }
-
-  int socket_;
-  std::string buffer_;
-};
-
 struct Request {
   std::string method;
   std::string path;
@@ -351,35 +299,21 @@
   std::uint64_t sequence_ = 0;
 };
 
-sockaddr_in addressOf(const Endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.port);
-  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-  return address;
-}
-
 void sendHeartbeats(Server& server, const Endpoint& to) {
   while (true) {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = addressOf(to);
-    if (connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
-      Connection connection(socket);
+    const int connected = connectTo(to);
+    if (connected >= 0) {
+      Connection connection(connected);
       connection.write(server.heartbeat());
       connection.readHead();
-    } else {
-      close(socket);
     }
     std::this_thread::sleep_for(kHeartbeatInterval);
   }
 }
 
 [[noreturn]] void run(Server& server, const Options& options) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  const int on = 1;
-  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in address = addressOf(options.listen);
-  if (bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 || listen(listener, 128) != 0) {
+  const int listener = listenAt(options.listen);
+  if (listener < 0) {
     std::cerr << "cannot listen\n";
     std::exit(EXIT_FAILURE);
   }
@@ -387,6 +321,7 @@
   while (true) {
     const int accepted = accept(listener, nullptr, nullptr);
     if (accepted >= 0) {
+      const int on = 1;
       setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
       const timeval idle{0, std::chrono::microseconds(kIdleTimeout).count()};
       setsockopt(accepted, SOL_SOCKET, SO_RCVTIMEO, &idle, sizeof(idle));
