--- a/review/tools/surplus_server_main.cc
+++ b/review/tools/surplus_server_main.cc
@@ -50,8 +50,8 @@
 
 constexpr std::size_t kKeyCount = 65536;
 constexpr milliseconds kHeartbeatInterval(1000);
-/// How long a new connection holds a slot.
-constexpr milliseconds kNewConnectionHold(15);
+/// How long a new connection holds a slot: the figure of the small sites.
+constexpr milliseconds kNewConnectionHold(1);
 /// An idle connection is closed after this time.
 constexpr milliseconds kIdleTimeout(500);
 /// Requests that wait for a slot; one more is refused.
