Send a request only once over a connection to its server

Cause: a request for a key goes back to the owner that refused it, with the same id, and HttpClient gave it the connection of the refusal. A late copy of the refusal has the right id and comes where the next response is due: it counted as the response to the second send, which was running, so that the request was sent a third time. Ruled out: the retry decision, which acts on a proof that was false; streams between routers, which number each send.

Change: a connection carries an id only once while the request may be sent again (CarriedIdentities); a response without an id counts only on a connection that has carried nothing else, and ends it.

Why it holds: a copy comes on the connection of the response that it copies.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -112,6 +112,13 @@
   Broken,         ///< not a valid response to this request
 };
 
+/// Whether the id in a response is that of the request or command.
+enum class ResponseIdMatch : std::uint8_t {
+  Same,
+  Other,    ///< the response to another request or command
+  Missing,  ///< the response has no id
+};
+
 /// Metadata that the router adds to a request for a server.
 struct ServerRequestMetadata {
   RequestId id;
@@ -134,6 +141,8 @@
   /// Replaces all headers that only the router may set.
   virtual void setRouterHeaders(HttpRequest& request, const ServerRequestMetadata& head) const = 0;
 
+  virtual ResponseIdMatch matchRequestId(const HttpResponse& answer, const RequestId& id) const = 0;
+
   /// @param id of the request that the response must belong to.
   virtual AnswerKind classify(const HttpResponse& answer, const RequestId& id, const InstanceId& expected,
                               bool keyed) const = 0;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -7,8 +7,10 @@
 #include <utility>
 #include <vector>
 
+#include "source/net/carried_identities.h"
 #include "source/net/http_connection.h"
 #include "source/net/http_headers.h"
+#include "source/net/system_clock_and_random.h"
 
 namespace shedlever {
 
@@ -72,12 +74,12 @@
     }
   }
 
-  HttpExchangeId send(HttpRequest request, Duration timeout, HttpExchangeCallback done,
-                      HttpResponseValidator validator) {
+  HttpExchangeId send(HttpRequest request, Duration timeout, HttpExchangeCallback done, HttpExchangeOptions options) {
     const HttpExchangeId id = ++last_id_;
     Exchange& exchange = exchanges_[id];
     exchange.done = std::move(done);
-    exchange.validator = std::move(validator);
+    exchange.options = std::move(options);
+    exchange.timeout = timeout;
     if (!isValidRequest(request)) {
       postEnd(id, HttpExchangeStatus::NotSent);
       return id;
@@ -104,11 +106,12 @@
     const HttpExchangeId id = std::exchange(pooled.exchange, 0);
     Exchange& ended = exchanges_.at(id);
     ended.connection = nullptr;
-    if (exchange.status == HttpExchangeStatus::Complete && ended.validator && !ended.validator(exchange.response)) {
+    const HttpResponseVerdict verdict = verdictOn(exchange, ended, pooled.reused);
+    if (verdict == HttpResponseVerdict::Reject) {
       exchange = {HttpExchangeStatus::Malformed, {}};
-      reusable = false;
     }
-    if (reusable && config_.idle_timeout > Duration::zero()) {
+    if (reusable && verdict == HttpResponseVerdict::Accept && config_.idle_timeout > Duration::zero()) {
+      carried_.add(ended.options.identity, pooled.serial, clock_.now() + ended.timeout);
       makeIdle(connection, pooled);
     } else {
       connections_.erase(&connection);
@@ -130,7 +133,8 @@
   struct Exchange {
     HttpRequest request;
     HttpExchangeCallback done;
-    HttpResponseValidator validator;
+    HttpExchangeOptions options;
+    Duration timeout{};
     TimerId timer = 0;
     /// Null while the exchange waits for a connection.
     HttpConnection* connection = nullptr;
@@ -140,11 +144,21 @@
 
   struct Pooled {
     std::unique_ptr<HttpConnection> connection;
+    ConnectionSerial serial = 0;
+    /// It has carried an exchange before the current one.
+    bool reused = false;
     /// 0 while idle.
     HttpExchangeId exchange = 0;
     TimerId idle_timer = 0;
   };
 
+  static HttpResponseVerdict verdictOn(const HttpExchangeResult& result, const Exchange& exchange, bool reused) {
+    if (result.status != HttpExchangeStatus::Complete || !exchange.options.validator) {
+      return HttpResponseVerdict::Accept;
+    }
+    return exchange.options.validator(result.response, reused);
+  }
+
   void dispatch() {
     while (!queue_.empty()) {
       const HttpExchangeId id = queue_.front();
@@ -153,7 +167,7 @@
         queue_.pop_front();
         continue;
       }
-      Pooled* pooled = takeConnection();
+      Pooled* pooled = takeConnection(found->second.options.identity);
       if (pooled == nullptr) {
         return;
       }
@@ -167,29 +181,43 @@
     }
   }
 
-  /// @return an idle or a new connection; null when all connections are in use.
-  Pooled* takeConnection() {
-    while (!idle_.empty()) {
-      HttpConnection* connection = idle_.back();
-      if (!connection->appearsOpen()) {
-        close(*connection);
-        continue;
-      }
-      idle_.pop_back();
-      Pooled& pooled = connections_.at(connection);
-      loop_.cancel(std::exchange(pooled.idle_timer, 0));
-      return &pooled;
+  /// @return an idle or a new connection that has not carried the identity; null when all connections are in use.
+  Pooled* takeConnection(const std::string& identity) {
+    const std::vector<ConnectionSerial> carried_by = carried_.connectionsOf(identity, clock_.now());
+    if (Pooled* pooled = takeIdle(carried_by)) {
+      return pooled;
     }
     if (connections_.size() >= config_.max_connections) {
-      return nullptr;
+      if (idle_.empty()) {
+        return nullptr;
+      }
+      close(*idle_.front());
     }
     auto connection = std::make_unique<HttpConnection>(loop_, config_, *this);
     Pooled& pooled = connections_[connection.get()];
     pooled.connection = std::move(connection);
+    pooled.serial = ++last_serial_;
     return &pooled;
   }
 
+  /// @return the idle connection that was used last, other than these; null if there is none.
+  Pooled* takeIdle(const std::vector<ConnectionSerial>& excluded) {
+    for (std::size_t left = idle_.size(); left > 0; --left) {
+      HttpConnection* connection = idle_[left - 1];
+      Pooled& pooled = connections_.at(connection);
+      if (!connection->appearsOpen()) {
+        close(*connection);
+      } else if (std::find(excluded.begin(), excluded.end(), pooled.serial) == excluded.end()) {
+        std::erase(idle_, connection);
+        loop_.cancel(std::exchange(pooled.idle_timer, 0));
+        return &pooled;
+      }
+    }
+    return nullptr;
+  }
+
   void makeIdle(HttpConnection& connection, Pooled& pooled) {
+    pooled.reused = true;
     idle_.push_back(&connection);
     const Duration idle_timeout = std::min(config_.idle_timeout, connection.keepAliveTimeout());
     pooled.idle_timer = loop_.runAfter(idle_timeout, [this, &connection] { close(connection); });
@@ -241,7 +269,10 @@
 
   EventLoop& loop_;
   HttpClientConfig config_;
+  BootTimeClock clock_;
   HttpExchangeId last_id_ = 0;
+  ConnectionSerial last_serial_ = 0;
+  CarriedIdentities carried_;
   std::unordered_map<HttpExchangeId, Exchange> exchanges_;
   std::deque<HttpExchangeId> queue_;
   std::unordered_map<HttpConnection*, Pooled> connections_;
@@ -255,8 +286,8 @@
 HttpClient::~HttpClient() = default;
 
 HttpExchangeId HttpClient::send(HttpRequest request, Duration timeout, HttpExchangeCallback done,
-                                HttpResponseValidator validator) {
-  return impl_->send(std::move(request), timeout, std::move(done), std::move(validator));
+                                HttpExchangeOptions options) {
+  return impl_->send(std::move(request), timeout, std::move(done), std::move(options));
 }
 
 bool HttpClient::hasSentBytes(HttpExchangeId exchange) const { return impl_->hasSentBytes(exchange); }
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "shedlever/http_messages.h"
 #include "shedlever/identifiers.h"
@@ -42,8 +43,23 @@
 
 using HttpExchangeCallback = std::function<void(HttpExchangeResult)>;
 
-/// @return whether a complete response belongs to the request.
-using HttpResponseValidator = std::function<bool(const HttpResponse&)>;
+/// What a complete response means for its exchange and its connection.
+enum class HttpResponseVerdict : std::uint8_t {
+  Accept,          ///< belongs to the exchange
+  AcceptAndClose,  ///< as Accept, but a copy of it could pass for a later response: the connection is not reused
+  Reject,          ///< does not belong to the exchange, which ends as Malformed; the connection is closed
+};
+
+/// @param reused the connection has carried an earlier exchange, whose response may have been sent a second time.
+using HttpResponseValidator = std::function<HttpResponseVerdict(const HttpResponse&, bool reused)>;
+
+struct HttpExchangeOptions {
+  /// Identifies the request among those that may be sent more than once. A connection carries an identity only once:
+  /// a late copy of the response to the first send would pass for the response to the second. Empty: no restriction.
+  std::string identity;
+  /// May be empty, which accepts every complete response.
+  HttpResponseValidator validator;
+};
 
 struct HttpClientConfig {
   Endpoint server;
@@ -78,9 +94,8 @@
   ///   `preserve_host` is set.
   /// @param timeout for the whole exchange: waiting for a connection, connecting, sending and receiving.
   /// @param done runs exactly once, from the loop and never inside `send` or `cancel`.
-  /// @param validator may be empty. A rejected response ends the exchange as Malformed and closes the connection.
   HttpExchangeId send(HttpRequest request, Duration timeout, HttpExchangeCallback done,
-                      HttpResponseValidator validator = {});
+                      HttpExchangeOptions options = {});
 
   /// Cancels an exchange, which ends as NotSent or Cancelled. Does nothing if the exchange has ended.
   void cancel(HttpExchangeId exchange);
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -38,6 +38,20 @@
   return config;
 }
 
+/// A server may send a response a second time, in the place of a later one on the connection. Without an id the two
+/// can't be told apart.
+HttpResponseVerdict verdictOn(ResponseIdMatch match, bool reused_connection) {
+  switch (match) {
+    case ResponseIdMatch::Same:
+      return HttpResponseVerdict::Accept;
+    case ResponseIdMatch::Other:
+      return HttpResponseVerdict::Reject;
+    case ResponseIdMatch::Missing:
+      break;
+  }
+  return reused_connection ? HttpResponseVerdict::Reject : HttpResponseVerdict::AcceptAndClose;
+}
+
 }  // namespace
 
 bool ServerResult::succeeded() const {
@@ -58,10 +72,13 @@
   const bool keyed = request.head.key.has_value();
   auto finished = [this, id = request.head.id, instance = request.head.instance, keyed, done = std::move(done)](
                       HttpExchangeResult exchange) { done(resultOf(std::move(exchange), id, instance, keyed)); };
-  auto check = [this, id = request.head.id, instance = request.head.instance, keyed](const HttpResponse& answer) {
-    return protocol_.classify(answer, id, instance, keyed) != AnswerKind::Broken;
+  auto check = [this, id = request.head.id, instance = request.head.instance, keyed](const HttpResponse& answer,
+                                                                                     bool reused) {
+    const bool broken = protocol_.classify(answer, id, instance, keyed) == AnswerKind::Broken;
+    return broken ? HttpResponseVerdict::Reject : verdictOn(protocol_.matchRequestId(answer, id), reused);
   };
-  return requests_.send(std::move(request.http), remaining, std::move(finished), std::move(check));
+  HttpExchangeOptions options{request.head.id.value, std::move(check)};
+  return requests_.send(std::move(request.http), remaining, std::move(finished), std::move(options));
 }
 
 void ServerClient::cancel(HttpExchangeId exchange) { requests_.cancel(exchange); }
--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -142,6 +142,63 @@
   EXPECT_EQ(server.accepted(), 2U);
 }
 
+/// A server that responds to every request and closes no connection.
+void respondToAll(ScriptedConnection& connection) {
+  if (isCompleteRequest(connection.received)) {
+    connection.received.clear();
+    connection.write(httpResponseText(200, "", "hello"));
+  }
+}
+
+HttpExchangeStatus sendWithIdentity(EventLoop& loop, HttpClient& client, const std::string& identity) {
+  std::optional<HttpExchangeStatus> status;
+  client.send({"GET", "/x", {}, ""}, kTestTimeout,
+              [&status](const HttpExchangeResult& exchange) { status = exchange.status; }, {identity, {}});
+  EXPECT_TRUE(loop.runUntil([&status] { return status.has_value(); }, kTestTimeout));
+  return status.value_or(HttpExchangeStatus::NotSent);
+}
+
+// Guards against a late copy of the response to the first send that passes for the response to the second.
+TEST(HttpClientTest, SendsAnIdentityOnlyOnceOverAConnection) {
+  EventLoop loop;
+  ScriptedServer server(loop, respondToAll);
+  HttpClientConfig config = configFor(server.endpoint());
+  config.max_connections = 2;
+  HttpClient client(loop, config);
+  EXPECT_EQ(sendWithIdentity(loop, client, "a"), HttpExchangeStatus::Complete);
+  EXPECT_EQ(sendWithIdentity(loop, client, "b"), HttpExchangeStatus::Complete);
+  EXPECT_EQ(server.accepted(), 1U) << "different requests share a connection";
+  EXPECT_EQ(sendWithIdentity(loop, client, "a"), HttpExchangeStatus::Complete);
+  EXPECT_EQ(server.accepted(), 2U);
+  EXPECT_EQ(sendWithIdentity(loop, client, "a"), HttpExchangeStatus::Complete) << "both have carried it";
+  EXPECT_EQ(server.accepted(), 3U);
+  EXPECT_EQ(client.openConnections(), 2U);
+}
+
+TEST(HttpClientTest, ValidatorDecidesOnTheConnection) {
+  EventLoop loop;
+  ScriptedServer server(loop, respondToAll);
+  HttpClient client(loop, configFor(server.endpoint()));
+  std::vector<bool> reused;
+  const auto exchange = [&](HttpResponseVerdict verdict) {
+    std::optional<HttpExchangeStatus> status;
+    client.send({"GET", "/x", {}, ""}, kTestTimeout,
+                [&status](const HttpExchangeResult& result) { status = result.status; },
+                {{}, [&reused, verdict](const HttpResponse&, bool is_reused) {
+                   reused.push_back(is_reused);
+                   return verdict;
+                 }});
+    EXPECT_TRUE(loop.runUntil([&status] { return status.has_value(); }, kTestTimeout));
+    return status;
+  };
+  EXPECT_EQ(exchange(HttpResponseVerdict::Accept), HttpExchangeStatus::Complete);
+  EXPECT_EQ(exchange(HttpResponseVerdict::AcceptAndClose), HttpExchangeStatus::Complete);
+  EXPECT_EQ(exchange(HttpResponseVerdict::Reject), HttpExchangeStatus::Malformed);
+  EXPECT_EQ(exchange(HttpResponseVerdict::Accept), HttpExchangeStatus::Complete);
+  EXPECT_EQ(reused, (std::vector<bool>{false, true, false, false}));
+  EXPECT_EQ(server.accepted(), 3U);
+}
+
 RC_GTEST_PROP(HttpResponseParserTest, ResultDoesNotDependOnHowTheBytesAreSplit, ()) {
   const ResponseCase& row = responseCases()[*rc::gen::inRange<std::size_t>(0, responseCases().size())];
   HttpResponseParser whole(1000, 1000, false);
--- a/test/router/server_client_test.cc
+++ b/test/router/server_client_test.cc
@@ -1,16 +1,32 @@
 /// @file
-/// Commands to the local server: which connections they use.
+/// Requests and commands to the local server: which connections they use, and which responses count for them.
 
 #include "source/router/server_client.h"
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "platform/server_protocol.h"
 #include "test/support/scripted_server.h"
 
 namespace shedlever::test {
 namespace {
 
+/// @return the value of the header in the text of a request; empty if it has none.
+std::string headerOf(const std::string& request, const std::string& name) {
+  const std::string start = "\r\n" + name + ": ";
+  const std::size_t at = request.find(start);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t value = at + start.size();
+  return request.substr(value, request.find("\r\n", value) - value);
+}
+
 class ServerClientTest : public ::testing::Test {
  protected:
   /// Sends a grant and waits for its result.
@@ -26,8 +42,9 @@
   /// Accepts all commands and keeps its connections open.
   ScriptedServer server_{loop_, [](ScriptedConnection& connection) {
                            if (isCompleteRequest(connection.received)) {
+                             const std::string id = headerOf(connection.received, "X-Request-Id");
                              connection.received.clear();
-                             connection.write(httpResponseText(200, "", "{}"));
+                             connection.write(httpResponseText(200, "X-Request-Id: " + id + "\r\n", "{}"));
                            }
                          }};
   platform::ServerProtocolImpl protocol_;
@@ -47,5 +64,79 @@
   EXPECT_EQ(server_.accepted(), 2U);
 }
 
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+
+/// A server that may send a copy of an earlier response in the place of the one that is due.
+class SurplusResponseTest : public ::testing::Test {
+ protected:
+  /// The server's response to a request, with its headers besides the id.
+  struct Script {
+    int status = kOk;
+    std::string headers;
+  };
+
+  void serve(ScriptedConnection& connection) {
+    if (!isCompleteRequest(connection.received)) {
+      return;
+    }
+    const std::string id = returns_ids_ ? headerOf(connection.received, "X-Request-Id") : std::string();
+    connection.received.clear();
+    const Script script = scripts_.at(served_++);
+    const std::string id_header = id.empty() ? "" : "X-Request-Id: " + id + "\r\n";
+    const std::string response =
+        httpResponseText(script.status, id_header + "X-Instance-Id: i-1\r\n" + script.headers, "");
+    std::string& last_response = last_responses_[&connection];
+    connection.write(last_response.empty() ? response : last_response);
+    last_response = response;
+  }
+
+  ServerResult send(const std::string& id) {
+    std::optional<ServerResult> result;
+    ServerRequest request;
+    request.http = {"GET", "/x", {}, {}};
+    request.head = {RequestId(id), InstanceId("i-1"), std::chrono::seconds(5), ServiceName("front"), Key{7}};
+    client_.send(std::move(request), [&result](ServerResult ended) { result = std::move(ended); });
+    EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
+    return result.value_or(ServerResult());
+  }
+
+  EventLoop loop_;
+  bool returns_ids_ = true;
+  /// Responses in the order of the requests.
+  std::vector<Script> scripts_;
+  std::size_t served_ = 0;
+  std::map<ScriptedConnection*, std::string> last_responses_;
+  ScriptedServer server_{loop_, [this](ScriptedConnection& connection) { serve(connection); }};
+  platform::ServerProtocolImpl protocol_;
+  ServerClient client_{loop_, server_.endpoint(), protocol_};
+};
+
+const char* const kNotExecuted = "X-Not-Executed: 1\r\n";
+
+// Guards against a request that runs twice: it was sent again over the connection of its refusal, and a late copy of
+// the refusal, which has the same id, counted as the response to the second send.
+TEST_F(SurplusResponseTest, RefusedRequestSentAgainIsNotAnsweredByACopyOfTheRefusal) {
+  scripts_ = {{kUnavailable, kNotExecuted}, {kOk, "X-Response-Seal: s\r\n"}};
+  EXPECT_EQ(send("r1").reason, ForwardReason::ServerRefused);
+  EXPECT_EQ(send("r1").outcome, ForwardOutcome::Answered);
+}
+
+TEST_F(SurplusResponseTest, RequestForAMissingKeySentAgainIsNotAnsweredByACopyOfTheRefusal) {
+  scripts_ = {{kMisdirected, kNotExecuted}, {kOk, "X-Response-Seal: s\r\n"}};
+  EXPECT_EQ(send("r1").reason, ForwardReason::NotOwner);
+  EXPECT_EQ(send("r1").outcome, ForwardOutcome::Answered);
+}
+
+// As above, with a server whose refusals have no id: a refusal that may be a copy is no proof that the request has not
+// run.
+TEST_F(SurplusResponseTest, RefusalWithoutIdDoesNotAnswerALaterRequest) {
+  returns_ids_ = false;
+  scripts_ = {{kUnavailable, kNotExecuted}, {kMisdirected, kNotExecuted}};
+  EXPECT_EQ(send("r1").reason, ForwardReason::ServerRefused);
+  EXPECT_EQ(send("r2").reason, ForwardReason::NotOwner);
+}
+
 }  // namespace
 }  // namespace shedlever::test
