Give each command to the server an id that its response must have

Commands had no id, and any response with status 200 counted for a release.

Change: grants, releases and health checks carry an id of their own; only the response with that id counts. A response without an id counts only on a connection that has carried nothing else, and ends it. The stand-in of servers returns the ids of commands.

Measured: the four tests on commands in SurplusResponseTest fail with the check switched off and pass with it.

--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -27,7 +27,7 @@
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
       quarantine_(settings_.quarantine, quarantinePorts()),
       gate_recorder_(log_, metrics_),
-      server_client_(loop_, settings_.server, *platform_.servers),
+      server_client_(loop_, self_, settings_.server, *platform_.servers),
       command_recorder_(server_client_, clock_, log_, metrics_),
       ownership_recorder_(clock_, log_, metrics_),
       server_(settings_.service, settings_.server),
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -18,6 +18,9 @@
 constexpr Duration kReleaseTimeout = std::chrono::seconds(4);
 constexpr Duration kIdentifyTimeout = std::chrono::seconds(1);
 
+/// Distinguishes the ids of commands from those that the gateway gives to requests.
+constexpr const char* kCommandIdSuffix = ".commands";
+
 HttpClientConfig requestConfig(const Endpoint& server) {
   HttpClientConfig config;
   config.server = server;
@@ -59,10 +62,12 @@
   return outcome == ForwardOutcome::Answered && http.status < kFirstServerError;
 }
 
-ServerClient::ServerClient(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol)
+ServerClient::ServerClient(EventLoop& loop, const NodeIdentity& self, const Endpoint& server,
+                           const ServerProtocol& protocol)
     : loop_(loop),
       server_(server),
       protocol_(protocol),
+      command_ids_({NodeName(self.name.value + kCommandIdSuffix), self.incarnation}),
       requests_(loop, requestConfig(server)),
       commands_(std::make_unique<HttpClient>(loop, commandConfig(server))) {}
 
@@ -148,13 +153,18 @@
 
 void ServerClient::sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done) {
   ConditionCallback on_condition = observe_condition_ ? observe_condition_() : ConditionCallback();
-  commands_->send(std::move(request), timeout,
-                  [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
-                    if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
-                      on_condition(protocol_.conditionOf(exchange.response));
-                    }
-                    done(std::move(exchange));
-                  });
+  const RequestId id = command_ids_.idOf(command_ids_.next());
+  protocol_.setRequestId(request, id);
+  auto finished = [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
+    if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
+      on_condition(protocol_.conditionOf(exchange.response));
+    }
+    done(std::move(exchange));
+  };
+  auto check = [this, id](const HttpResponse& answer, bool reused) {
+    return verdictOn(protocol_.matchRequestId(answer, id), reused);
+  };
+  commands_->send(std::move(request), timeout, std::move(finished), {{}, std::move(check)});
 }
 
 void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -10,6 +10,7 @@
 
 #include "shedlever/platform_ports.h"
 #include "shedlever/server_commands.h"
+#include "source/core/router/routes/request_id_generator.h"
 #include "source/net/http_client.h"
 
 namespace shedlever {
@@ -43,7 +44,8 @@
 class ServerClient final : public ServerCommands {
  public:
   /// @param loop, protocol outlive the client.
-  ServerClient(EventLoop& loop, const Endpoint& server, const ServerProtocol& protocol);
+  /// @param self this process, which the ids of commands name.
+  ServerClient(EventLoop& loop, const NodeIdentity& self, const Endpoint& server, const ServerProtocol& protocol);
 
   /// @param done runs exactly once, from the event loop, also after `cancel`.
   HttpExchangeId send(ServerRequest request, std::function<void(ServerResult)> done);
@@ -68,12 +70,14 @@
   /// instance, which may still work although its successor has its address.
   void useConnectionsFor(const InstanceId& instance);
 
-  /// Sends a command or a health check.
+  /// Sends a command or a health check with an id of its own; only a response with that id counts. A response without
+  /// an id counts if its connection has carried nothing else, and ends the connection.
   void sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done);
 
   EventLoop& loop_;
   const Endpoint server_;
   const ServerProtocol& protocol_;
+  RequestIdGenerator command_ids_;
   std::function<ConditionCallback()> observe_condition_;
   HttpClient requests_;
   std::unique_ptr<HttpClient> commands_;
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -295,7 +295,7 @@
     setCondition(request.http.body);
     answer.replyJson(kOk, "{}");
   } else if (request.path == "/health") {
-    HttpResponse response{leaving_ ? kUnavailable : kOk, {{"X-Instance-Id", instance_}}, {}};
+    HttpResponse response{leaving_ ? kUnavailable : kOk, identityOf(request), {}};
     addCondition(response.headers);
     answer.reply(response);
   } else if (request.path == "/grant" || request.path == "/release") {
@@ -311,30 +311,41 @@
   if (!expected.empty() && expected != instance_) {
     log("wrong-instance " + expected);
     StandinResponder refusal = responder;
-    refusal.reply({kMisdirected, {{"X-Instance-Id", instance_}, {"X-Not-Executed", "1"}}, {}});
+    std::vector<HttpHeader> headers = identityOf(request);
+    headers.push_back({"X-Not-Executed", "1"});
+    refusal.reply({kMisdirected, headers, {}});
     return;
   }
   if (happens(faults_.late_commands)) {
     withheld_.push_back(responder);
     const std::chrono::milliseconds delay(2000 + random_() % 6000);
-    loop_.runAfter(delay, [this, body = request.http.body, is_grant, responder, alive = alive_] {
+    loop_.runAfter(delay, [this, request, is_grant, responder, alive = alive_] {
       if (!*alive) {
         return;
       }
       if (is_grant) {
-        grant(body, true);
+        grant(request.http.body, true);
       } else {
-        release(body, responder);
+        release(request, responder);
       }
     });
     return;
   }
   StandinResponder answer = responder;
   if (!is_grant) {
-    release(request.http.body, responder);
+    release(request, responder);
     return;
   }
-  answer.replyJson(grant(request.http.body, false) ? kOk : kConflict, "{}");
+  answer.reply({grant(request.http.body, false) ? kOk : kConflict, identityOf(request), "{}"});
+}
+
+std::vector<HttpHeader> KeyServer::identityOf(const StandinRequest& request) const {
+  std::vector<HttpHeader> headers = {{"X-Instance-Id", instance_}};
+  const std::string id = request.header("X-Request-Id");
+  if (!id.empty()) {
+    headers.push_back({"X-Request-Id", id});
+  }
+  return headers;
 }
 
 bool KeyServer::grant(const std::string& body, bool late) {
@@ -379,8 +390,8 @@
   log(event + " " + std::to_string(first) + " " + std::to_string(last) + " " + std::to_string(token));
 }
 
-void KeyServer::release(const std::string& body, const StandinResponder& responder) {
-  const json command = json::parse(body);
+void KeyServer::release(const StandinRequest& request, const StandinResponder& responder) {
+  const json command = json::parse(request.http.body);
   const int first = command.at("rangeStart");
   const int last = command.at("targetVersion");
   const std::uint64_t token = command.at("fence");
@@ -390,7 +401,7 @@
     grants_[key].expires_without_late = {};
   }
   logRange("release", first, last, token);
-  releases_.push_back({first, last, token, responder});
+  releases_.push_back({first, last, token, identityOf(request), responder});
   respondToReleases();
 }
 
@@ -401,7 +412,9 @@
     }
     logRange("released", release.first, release.last, release.token);
     StandinResponder answer = release.responder;
-    answer.reply({kOk, {{"X-Handover", "h-" + instance_}}, {}});
+    std::vector<HttpHeader> headers = release.identity;
+    headers.push_back({"X-Handover", "h-" + instance_});
+    answer.reply({kOk, headers, {}});
     return true;
   });
 }
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -128,7 +128,9 @@
   bool grant(const std::string& body, bool late);
   /// Logs the grant once for each part of the range that is held until another time.
   void logGrant(int first, int last, bool late);
-  void release(const std::string& body, const StandinResponder& responder);
+  void release(const StandinRequest& request, const StandinResponder& responder);
+  /// @return headers that tell which server responds to which request or command.
+  std::vector<HttpHeader> identityOf(const StandinRequest& request) const;
   void handleClientRequest(const StandinRequest& request, const StandinResponder& responder);
   void startRequest(const std::shared_ptr<PendingRequest>& pending);
   void finishRequest(const std::shared_ptr<PendingRequest>& pending);
@@ -173,6 +175,7 @@
     int first = 0;
     int last = 0;
     std::uint64_t token = 0;
+    std::vector<HttpHeader> identity;
     StandinResponder responder;
   };
   /// Releases that wait for running requests on their keys.
--- a/test/router/peer_server_test.cc
+++ b/test/router/peer_server_test.cc
@@ -192,7 +192,7 @@
   /// Exchanges of the requests that were over when they arrived, and how late they were.
   std::vector<std::pair<ExchangeId, Duration>> late_requests_;
   ScriptedServer server_;
-  ServerClient server_client_{loop_, server_.endpoint(), protocol_};
+  ServerClient server_client_{loop_, {NodeName("node"), Incarnation{1}}, server_.endpoint(), protocol_};
   LinkPacer pacer_{loop_, clock_, {}};
   ServerGate gate_;
   std::unique_ptr<PeerServer> peers_;
--- a/test/router/server_client_test.cc
+++ b/test/router/server_client_test.cc
@@ -48,7 +48,7 @@
                            }
                          }};
   platform::ServerProtocolImpl protocol_;
-  ServerClient client_{loop_, server_.endpoint(), protocol_};
+  ServerClient client_{loop_, {NodeName("node"), Incarnation{1}}, server_.endpoint(), protocol_};
 };
 
 TEST_F(ServerClientTest, CommandsForOneInstanceShareAConnection) {
@@ -102,6 +102,21 @@
     return result.value_or(ServerResult());
   }
 
+  CommandStatus grant(std::uint64_t token) {
+    std::optional<CommandStatus> result;
+    client_.grant({0, 9, token, std::chrono::milliseconds(100), {}, InstanceId("i-1")},
+                  [&result](CommandStatus status) { result = status; });
+    EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
+    return result.value_or(CommandStatus::NoAnswer);
+  }
+
+  ReleaseResult release(std::uint64_t token) {
+    std::optional<ReleaseResult> result;
+    client_.release({0, 9, token, InstanceId("i-1")}, [&result](const ReleaseResult& ended) { result = ended; });
+    EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
+    return result.value_or(ReleaseResult());
+  }
+
   EventLoop loop_;
   bool returns_ids_ = true;
   /// Responses in the order of the requests.
@@ -110,7 +125,7 @@
   std::map<ScriptedConnection*, std::string> last_responses_;
   ScriptedServer server_{loop_, [this](ScriptedConnection& connection) { serve(connection); }};
   platform::ServerProtocolImpl protocol_;
-  ServerClient client_{loop_, server_.endpoint(), protocol_};
+  ServerClient client_{loop_, {NodeName("node"), Incarnation{1}}, server_.endpoint(), protocol_};
 };
 
 const char* const kNotExecuted = "X-Not-Executed: 1\r\n";
@@ -138,5 +153,39 @@
   EXPECT_EQ(send("r2").reason, ForwardReason::NotOwner);
 }
 
+// Guards against keys that move while their owner still works on them: a copy of the response to a grant counted as
+// the response to a release.
+TEST_F(SurplusResponseTest, ReleaseIsNotAnsweredByACopyOfTheResponseToAGrant) {
+  scripts_ = {{kOk, ""}, {kOk, "X-Handover: h\r\n"}};
+  EXPECT_EQ(grant(1), CommandStatus::Done);
+  EXPECT_EQ(release(2).status, CommandStatus::NoAnswer);
+}
+
+TEST_F(SurplusResponseTest, GrantIsNotAnsweredByACopyOfTheResponseToAnEarlierGrant) {
+  scripts_ = {{kOk, ""}, {409, ""}};
+  EXPECT_EQ(grant(1), CommandStatus::Done);
+  EXPECT_EQ(grant(2), CommandStatus::NoAnswer);
+}
+
+TEST_F(SurplusResponseTest, ServerCheckIsNotAnsweredByACopyOfTheResponseToAnEarlierOne) {
+  scripts_ = {{kOk, ""}, {kOk, ""}};
+  std::vector<std::string> servers;
+  for (std::size_t checks = 1; checks <= 2; ++checks) {
+    client_.identify("/health", [&servers](const ServerId& server, bool) { servers.push_back(server.value); });
+    ASSERT_TRUE(loop_.runUntil([&servers, checks] { return servers.size() == checks; }, kTestTimeout));
+  }
+  EXPECT_EQ(servers, (std::vector<std::string>{"i-1", ""}));
+}
+
+// Without ids, copies can't be told from responses, so that each command uses a connection of its own.
+TEST_F(SurplusResponseTest, CommandsToAServerWithoutIdsUseNewConnections) {
+  returns_ids_ = false;
+  scripts_ = {{kOk, ""}, {409, ""}, {kOk, "X-Handover: h\r\n"}};
+  EXPECT_EQ(grant(1), CommandStatus::Done);
+  EXPECT_EQ(grant(2), CommandStatus::Superseded);
+  EXPECT_EQ(release(2).handover, "h");
+  EXPECT_EQ(server_.accepted(), 3U);
+}
+
 }  // namespace
 }  // namespace shedlever::test
