Write claims with request ids that are not UTF-8

Cause: a claim's record holds the request id that the client sent; writing JSON with other bytes throws and ends the process. Change: such bytes are replaced. ClaimRecordTest throws without the change (read from the library's contract, not run without it) and passes with it.

--- a/source/core/router/claims/claim_manager.cc
+++ b/source/core/router/claims/claim_manager.cc
@@ -117,7 +117,8 @@
   if (response) {
     document["answer"] = encodeResponse(*response);
   }
-  return document.dump();
+  // The request id comes from a client and may hold bytes that are not UTF-8.
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 ClaimRecord ClaimRecord::decode(const std::string& text) {
--- a/test/core_router/claims/claim_manager_test.cc
+++ b/test/core_router/claims/claim_manager_test.cc
@@ -137,6 +137,13 @@
   ClaimCluster::Process& second_ = cluster_.start("b");
 };
 
+// Guards against a process that ends because a client's request id is no UTF-8 text.
+TEST(ClaimRecordTest, EncodesARequestIdThatIsNotUtf8) {
+  ClaimRecord record;
+  record.request = RequestId("r-\xff");
+  EXPECT_EQ(ClaimRecord::decode(record.encode()).state, record.state);
+}
+
 TEST_F(ClaimManagerTest, OnlyOneOfTwoRequestsWithTheSameKeyIsGranted) {
   const auto one = cluster_.acquire(first_, "k", "r1");
   const auto other = cluster_.acquire(second_, "k", "r2");
