Skip odd heartbeats and stored objects instead of ending on them

Cause: decoders copied and wrote values recursively and passed foreign bytes on to JSON, which throws; one number out of range voids a whole document.

--- a/source/core/ascii_case.cc
+++ b/source/core/ascii_case.cc
@@ -15,4 +15,10 @@
                     [](char a, char b) { return lowerCase(a) == lowerCase(b); });
 }
 
+bool isVisibleAscii(std::string_view text) {
+  constexpr char kFirst = '!';
+  constexpr char kLast = '~';
+  return std::all_of(text.begin(), text.end(), [](char letter) { return letter >= kFirst && letter <= kLast; });
+}
+
 }  // namespace shedlever
--- a/source/core/ascii_case.h
+++ b/source/core/ascii_case.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Case-insensitive comparison of ASCII text, as used for header names and authentication schemes.
+/// ASCII text: case-insensitive comparison, as used for header names and authentication schemes, and its characters.
 
 #include <string_view>
 
@@ -10,4 +10,7 @@
 /// @return whether the texts are equal when the case of ASCII letters is ignored.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
+/// @return whether the text consists of ASCII letters, digits and punctuation alone, without blanks.
+bool isVisibleAscii(std::string_view text);
+
 }  // namespace shedlever
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -41,7 +41,8 @@
   for (const QuarantinedRequest& entry : record.quarantined) {
     document["quarantined"].push_back({entry.request.high, entry.request.low, entry.until_s});
   }
-  return document.dump();
+  // The names come from settings and heartbeats, which may hold other bytes.
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 namespace {
@@ -53,7 +54,9 @@
 std::optional<std::vector<QuarantinedRequest>> quarantinedIn(const json& document) {
   constexpr std::size_t kRowSize = 3;
   std::vector<QuarantinedRequest> rows;
-  for (const json& row : document.value("quarantined", json::array())) {
+  const json empty = json::array();
+  const auto found = document.find("quarantined");
+  for (const json& row : found == document.end() ? empty : *found) {
     const auto is_number = [](const json& field) { return field.is_number_unsigned(); };
     if (!row.is_array() || row.size() != kRowSize || !std::all_of(row.begin(), row.end(), is_number)) {
       return std::nullopt;
@@ -78,7 +81,8 @@
   const auto service = stringField(*document, "service");
   const auto slots = numberField(*document, "slots");
   const auto quarantined = quarantinedIn(*document);
-  if (!node || !incarnation || !peer || !zone || !service || !slots || *slots > kMaxSlots || !quarantined) {
+  if (!node || !incarnation || !peer || peer->port == 0 || !zone || !service || !slots || *slots > kMaxSlots ||
+      !quarantined) {
     return std::nullopt;
   }
   NodeRecord record;
