Test that a request late in the grace period is not passed on

Another operator reported requests that came late in the grace of a planned stop, were passed on and cut by the exit.

--- a/test/router/router_stop_test.cc
+++ b/test/router/router_stop_test.cc
@@ -73,6 +73,32 @@
   EXPECT_EQ(answer->response.status, kGatewayTimeout);
 }
 
+// Guards against requests that are cut by the exit: one that came so late in the grace period that its server could not
+// finish it was passed on.
+TEST_F(RouterStopTest, RequestThatComesLateInTheGracePeriodIsRefusedAndNotPassedOn) {
+  cluster_.setStopGrace(milliseconds(4000));
+  cluster_.addNode("search");
+  cluster_.addNode("orders");
+  ASSERT_TRUE(cluster_.runUntilServing());
+  const auto slowed =
+      httpCall(cluster_.loop(), node(1).server->endpoint(), "POST", "/faults", R"({"slow":4000})", kTestTimeout);
+  ASSERT_TRUE(slowed.has_value());
+  // Keeps the router from exiting.
+  const auto running = cluster_.send(node(0), "/orders/x");
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(1).server->runningRequests() == 1; }));
+  node(0).router->stop([this] { node(0).stopped = true; });
+  cluster_.runFor(2 * node(0).settings.stop.clients_leave);
+  const std::size_t started = node(1).server->startedRequests();
+  const auto late = cluster_.send(node(0), "/orders/y");
+  ASSERT_TRUE(cluster_.runUntil([&] { return late->completed; }));
+  EXPECT_EQ(late->status, HttpExchangeStatus::Complete);
+  EXPECT_EQ(late->response.status, kServiceUnavailable);
+  EXPECT_FALSE(headerValue(late->response.headers, "Retry-After").empty());
+  EXPECT_EQ(node(1).server->startedRequests(), started);
+  ASSERT_TRUE(cluster_.runUntil([&] { return node(0).stopped; }));
+  EXPECT_TRUE(running->completed);
+}
+
 /// Another node's router whose link is slow: it forwards a request and receives nothing until `startReading`.
 class SlowPeer {
  public:
