Test crowds of large bodies and endless responses at real processes

What the users saw: clients that they don't control ended a process, which ran out of memory: many large bodies of legal size that stop just short of their end, whole bodies, chunks, bodies far over the limit; and a server's response without end.

They run one at a time.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -70,6 +70,11 @@
     target_compile_definitions(${TARGET} PRIVATE SHEDLEVER_BINARY_FOLDER="${CMAKE_BINARY_DIR}"
       SHEDLEVER_SOURCE_FOLDER="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${TARGET} PRIVATE shedlever_soak shedlever_test_support shedlever_cli GTest::gtest GTest::gtest_main)
-    gtest_discover_tests(${TARGET} TEST_PREFIX "${AREA}." DISCOVERY_MODE PRE_TEST NO_PRETTY_VALUES PROPERTIES TIMEOUT 120)
+    # The tests of crowds measure the memory of processes and run one at a time, apart from other load.
+    set(PROPERTIES TIMEOUT 120)
+    if(AREA STREQUAL "crowd")
+      list(APPEND PROPERTIES RUN_SERIAL TRUE)
+    endif()
+    gtest_discover_tests(${TARGET} TEST_PREFIX "${AREA}." DISCOVERY_MODE PRE_TEST NO_PRETTY_VALUES PROPERTIES ${PROPERTIES})
   endforeach()
 endfunction()
--- a/soak/local_deployment.cc
+++ b/soak/local_deployment.cc
@@ -151,19 +151,21 @@
 
 void LocalDeployment::startRouter(LocalNode& node) {
   node.router_paused = false;
-  const json settings = {
-      {"interface", config_.interface_kind},
-      {"node", {{"name", node.name}, {"zone", "z"}, {"service", node.service}}},
-      {"listen",
-       {{"clients", toString(node.clients)},
-        {"peers", toString(node.peers)},
-        {"peers_reached_at", toString(node.peer_link->endpoint())},
-        {"readiness", toString(node.readiness)},
-        {"reports", toString(node.reports)}}},
-      {"connect", {{"server", toString(node.server)}, {"store", toString(node.store_link->endpoint())}}},
-      {"ownership", {{"grants", config_.keys_by_heartbeat ? "heartbeat" : "request"}}},
-      {"retry", {{"ratio", 0.2}, {"slack", 50}}},
-      {"stop", {{"grace", "4s"}, {"clients_leave", "1s"}}}};
+  json settings = {{"interface", config_.interface_kind},
+                   {"node", {{"name", node.name}, {"zone", "z"}, {"service", node.service}}},
+                   {"listen",
+                    {{"clients", toString(node.clients)},
+                     {"peers", toString(node.peers)},
+                     {"peers_reached_at", toString(node.peer_link->endpoint())},
+                     {"readiness", toString(node.readiness)},
+                     {"reports", toString(node.reports)}}},
+                   {"connect", {{"server", toString(node.server)}, {"store", toString(node.store_link->endpoint())}}},
+                   {"ownership", {{"grants", config_.keys_by_heartbeat ? "heartbeat" : "request"}}},
+                   {"retry", {{"ratio", 0.2}, {"slack", 50}}},
+                   {"stop", {{"grace", "4s"}, {"clients_leave", "1s"}}}};
+  if (config_.machine_memory_mb > 0) {
+    settings["machine"] = {{"memory_mb", config_.machine_memory_mb}};
+  }
   std::ofstream(node.settings_file) << settings.dump(1);
   const std::string program = node.runs_old_router ? config_.old_router : config_.binary_folder + "/shedleverd";
   node.router_process =
--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -31,6 +31,8 @@
   std::string fatal_path;
   /// Router program of an earlier build with which all nodes begin; empty for none.
   std::string old_router;
+  /// Memory of each node's machine, as the router's settings state it; 0 for none.
+  std::size_t machine_memory_mb = 0;
 };
 
 /// A router, its server, and the proxies on the router's connections to the store and from peers.
--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -19,6 +19,10 @@
   }
 }
 
+std::size_t ScriptedConnection::unsentBytes() const {
+  return stream_ ? evbuffer_get_length(bufferevent_get_output(stream_.get())) : 0;
+}
+
 void ScriptedConnection::closeAfterWriting() {
   if (!stream_) {
     return;
@@ -46,10 +50,10 @@
   ScriptedConnection connection;
 };
 
-ScriptedServer::ScriptedServer(EventLoop& loop, Script script) : loop_(loop), script_(std::move(script)) {
-  listener_ = TcpListener::open(loop, kAnyLoopbackPort, [this](evutil_socket_t socket, const Endpoint&) {
-                accept(socket);
-              }).value();
+ScriptedServer::ScriptedServer(EventLoop& loop, Script script, const Endpoint& listen)
+    : loop_(loop), script_(std::move(script)) {
+  listener_ =
+      TcpListener::open(loop, listen, [this](evutil_socket_t socket, const Endpoint&) { accept(socket); }).value();
 }
 
 ScriptedServer::~ScriptedServer() = default;
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -33,6 +33,8 @@
   /// Closes the connection with a TCP reset; output that is not sent yet is lost.
   void reset();
   bool open() const { return stream_ != nullptr; }
+  /// @return bytes that were written and that the kernel has not taken.
+  std::size_t unsentBytes() const;
 
   /// Everything received so far.
   std::string received;
@@ -47,7 +49,8 @@
   /// Runs each time that bytes have arrived.
   using Script = std::function<void(ScriptedConnection&)>;
 
-  ScriptedServer(EventLoop& loop, Script script);
+  /// @param listen a free port by default.
+  ScriptedServer(EventLoop& loop, Script script, const Endpoint& listen = kAnyLoopbackPort);
   ~ScriptedServer();
 
   const Endpoint& endpoint() const { return listener_->endpoint(); }
