Bound the memory that bodies of requests and responses take together

What callers saw: a process that ran out of memory by many large bodies, whole or short of their end, or by responses without end; all its requests were cut.

Incomplete bodies give way, the largest first, with 503 and Retry-After, as nothing was passed on; 413 at once for what never fits; the gate refuses forwarded requests it has no room for; responses that exceed the budget are broken off.

Why it holds: what is held in large bodies is counted at each place that keeps one, and at most three quarters of what the process has left is given out.

--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -17,6 +17,7 @@
 #include "shedlever/identifiers.h"
 #include "shedlever/time.h"
 #include "source/net/event_loop.h"
+#include "source/net/memory_budget.h"
 
 namespace shedlever {
 
@@ -73,6 +74,9 @@
   /// A connection counts as lost when the server has acknowledged nothing for this time, also while a response is
   /// pending. Zero disables this check.
   Duration dead_peer_timeout = Duration::zero();
+  /// Charged for the bodies of responses while they are received. A response that exceeds it ends as Malformed. May be
+  /// null; outlives the client.
+  MemoryBudget* response_budget = nullptr;
   /// Whether the `Host` header of the request is forwarded; otherwise it is the server's address.
   bool preserve_host = false;
   /// Whether a response without a length may be delimited by an orderly close of the connection.
--- a/source/net/http_connection.cc
+++ b/source/net/http_connection.cc
@@ -10,11 +10,21 @@
 
 namespace shedlever {
 
+namespace {
+
+/// A growing string is copied to one of twice its size.
+constexpr std::size_t kCopiesWhileReceived = 2;
+
+}  // namespace
+
 HttpConnection::HttpConnection(EventLoop& loop, const HttpClientConfig& config, HttpConnectionObserver& observer)
     : loop_(loop),
       config_(config),
       observer_(observer),
       stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+  if (config_.response_budget != nullptr) {
+    charge_ = MemoryCharge(*config_.response_budget);
+  }
   connect();
 }
 
@@ -91,7 +101,9 @@
   }
   evbuffer* input = bufferevent_get_input(stream_.get());
   const HttpResponseParseStatus progress = parser_->consume(input);
-  if (progress == HttpResponseParseStatus::Invalid) {
+  charge_.setBody(parser_->bodyBytes(), kCopiesWhileReceived);
+  const bool over_budget = charge_.bytes() > 0 && config_.response_budget->exceeded();
+  if (progress == HttpResponseParseStatus::Invalid || over_budget) {
     endExchange({HttpExchangeStatus::Malformed, {}}, false);
   } else if (progress == HttpResponseParseStatus::Complete) {
     const bool all_sent = evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
@@ -118,6 +130,7 @@
 
 void HttpConnection::endExchange(HttpExchangeResult exchange, bool reusable) {
   exchange_active_ = false;
+  charge_.setBody(0, kCopiesWhileReceived);
   observer_.exchangeEnded(*this, std::move(exchange), reusable);
 }
 
--- a/source/net/http_connection.h
+++ b/source/net/http_connection.h
@@ -77,6 +77,8 @@
   std::string body_;
   std::size_t request_bytes_ = 0;
   std::optional<HttpResponseParser> parser_;
+  /// For the body of the current response.
+  MemoryCharge charge_;
 };
 
 }  // namespace shedlever
--- a/source/net/http_request_parser.cc
+++ b/source/net/http_request_parser.cc
@@ -1,5 +1,6 @@
 #include "source/net/http_request_parser.h"
 
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -112,6 +113,11 @@
   HttpRequestParser& me = self(parser);
   me.headers_done_ = true;
   me.request_.method = http_method_str(static_cast<http_method>(parser->method));
+  constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
+  if (parser->content_length != kNoLength && parser->content_length > me.body_limit_) {
+    me.body_too_large_ = true;
+    return -1;
+  }
   return me.headersAreValid() ? 0 : -1;
 }
 
@@ -189,6 +195,9 @@
     return HttpRequestParseStatus::Invalid;
   }
   const std::size_t consumed = http_parser_execute(&parser_, &settings(), text, size);
+  if (body_too_large_) {
+    return HttpRequestParseStatus::BodyTooLarge;
+  }
   const bool stopped_at_end = done_ && HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED;
   if (!headers_done_ || (!stopped_at_end && (consumed != size || HTTP_PARSER_ERRNO(&parser_) != HPE_OK))) {
     return HttpRequestParseStatus::Invalid;
--- a/source/net/http_request_parser.h
+++ b/source/net/http_request_parser.h
@@ -35,6 +35,9 @@
   /// Removes the bytes from the buffer that belong to the request.
   HttpRequestParseStatus consume(evbuffer* input);
 
+  /// @return bytes of the body received so far.
+  std::size_t bodyBytes() const { return request_.body.size(); }
+
   /// Moves the request out. Valid after Complete. Framing headers are left out.
   HttpRequest takeRequest() { return std::move(request_); }
 
--- a/source/net/http_response_parser.h
+++ b/source/net/http_response_parser.h
@@ -46,6 +46,9 @@
   /// @return a safe part of the idle timeout that the server announced; Duration::max() when it announced none.
   Duration keepAliveTimeout() const { return keep_alive_; }
 
+  /// @return bytes of the body received so far.
+  std::size_t bodyBytes() const { return response_.body.size(); }
+
   /// Moves the response out. Valid after Complete. Framing headers are left out.
   HttpResponse takeResponse() { return std::move(response_); }
 
--- a/source/net/router_codec.cc
+++ b/source/net/router_codec.cc
@@ -30,6 +30,9 @@
   return version >= kExtensibleWireVersion && kind >= static_cast<std::int32_t>(std::variant_size_v<RouterFrame>) - 1;
 }
 
+/// Room for what a request's frame holds besides its body.
+constexpr std::size_t kOtherFrameBytes = 4U << 10U;
+
 }  // namespace
 
 void CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const CompactInputArchive& archive, RouteKind& value,
@@ -82,6 +85,10 @@
 
 std::string encodeRouterFrame(const RouterFrame& frame, WireVersion version) {
   std::string bytes;
+  // Growing would copy a large body several times.
+  if (const auto* forward = std::get_if<ForwardFrame>(&frame)) {
+    bytes.reserve(forward->http.body.size() + kOtherFrameBytes);
+  }
   CompactOutputArchive archive(bytes, version);
   archive(frame);
   return bytes;
--- a/source/net/strict_http_server.cc
+++ b/source/net/strict_http_server.cc
@@ -22,6 +22,14 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+/// Seconds after which a client may send a body again for which there was no memory.
+constexpr const char* kMemoryRetryAfter = "1";
+/// A growing string is copied to one of twice its size.
+constexpr std::size_t kCopiesWhileReceived = 2;
+/// The gateway's copy of a request and the one that is on its way to a server.
+constexpr std::size_t kCopiesWhileRunning = 2;
+constexpr std::size_t kMaxCopies = std::max(kCopiesWhileReceived, kCopiesWhileRunning);
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 /// Limit for pipelined input that is read while a response is pending.
@@ -58,6 +66,17 @@
   bool close_after_responses = false;
   std::size_t in_flight = 0;
   LinkPacer* pacer = nullptr;
+  MemoryBudget* body_budget = nullptr;
+
+  MemoryCharge newCharge() const { return body_budget == nullptr ? MemoryCharge() : MemoryCharge(*body_budget); }
+  /// @return the limit for a body: that of the configuration, or what the budget could ever hold.
+  std::size_t bodyLimit() const {
+    const std::size_t affordable = body_budget == nullptr ? limits.body_bytes : body_budget->capacity() / kMaxCopies;
+    return std::min(limits.body_bytes, affordable);
+  }
+  /// Refuses the largest bodies that are not complete until the budget has room for so many more bytes.
+  /// @return whether it has.
+  bool makeRoomFor(std::size_t bytes);
 };
 
 /// One client connection.
@@ -65,6 +84,7 @@
  public:
   StrictHttpConnection(StrictHttpServer::State& server, evutil_socket_t socket)
       : server_(server), stream_(bufferevent_socket_new(server.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)) {
+    receiving_ = server.newCharge();
     bufferevent_setcb(stream_.get(), onRead, onWritten, onEvent, this);
     bufferevent_setwatermark(stream_.get(), EV_READ, 0, kMaxReadAheadBytes);
     startRequest();
@@ -81,6 +101,7 @@
 
   void reply(PipelinedExchanges::Number number, HttpResponse response) {
     if (exchanges_.setResponse(number, std::move(response))) {
+      running_.erase(number);
       --server_.in_flight;
       writeReady();
     }
@@ -111,6 +132,12 @@
   /// @return the number of requests without a response.
   std::size_t pending() const { return exchanges_.pending(); }
 
+  /// @return what the incomplete body is charged, in bytes.
+  std::size_t receivingBytes() const { return receiving_.bytes(); }
+
+  /// Refuses the incomplete request, whose body takes memory that others need.
+  void refuseForMemory() { rejectRequest(kUnavailable); }
+
   void remove() {
     removed_ = true;
     server_.connections.erase(this);
@@ -124,6 +151,7 @@
   struct HeldRequest {
     HttpRequest request;
     bool keeps_connection = true;
+    MemoryCharge charge;
   };
 
   static void onRead(bufferevent*, void* argument) {
@@ -151,7 +179,7 @@
   bool hasUnreadInput() const { return unreadBytes(bufferevent_getfd(stream_.get())) > 0; }
 
   void startRequest() {
-    parser_.emplace(server_.limits.header_bytes, server_.limits.body_bytes);
+    parser_.emplace(server_.limits.header_bytes, server_.bodyLimit());
     ++parsed_number_;
     in_request_ = false;
     headers_received_ = false;
@@ -186,7 +214,16 @@
 
   /// @return whether a request was complete, so that the next one may follow.
   bool parseRequest() {
-    switch (parser_->consume(bufferevent_get_input(stream_.get()))) {
+    const HttpRequestParseStatus status = parser_->consume(bufferevent_get_input(stream_.get()));
+    receiving_.setBody(parser_->bodyBytes(), kCopiesWhileReceived);
+    // May refuse this request as well, if its body is the largest.
+    if (receiving_.bytes() > 0 && !server_.makeRoomFor(0)) {
+      return false;
+    }
+    if (last_request_parsed_) {
+      return false;
+    }
+    switch (status) {
       case HttpRequestParseStatus::Empty:
         return false;
       case HttpRequestParseStatus::InHeaders:
@@ -237,7 +274,14 @@
   }
 
   void takeRequest() {
-    HeldRequest taken{parser_->takeRequest(), parser_->keepsConnection()};
+    receiving_.setBody(0, kCopiesWhileReceived);
+    const std::size_t cost = MemoryCharge::costOf(parser_->bodyBytes(), kCopiesWhileRunning);
+    if (server_.body_budget != nullptr && cost > 0 && !server_.makeRoomFor(cost)) {
+      rejectRequest(kUnavailable);
+      return;
+    }
+    HeldRequest taken{parser_->takeRequest(), parser_->keepsConnection(), server_.newCharge()};
+    taken.charge.setBody(taken.request.body.size(), kCopiesWhileRunning);
     last_request_parsed_ = !taken.keeps_connection;
     startRequest();
     if (!hasEarlierResponse() || (!runs_alone_ && server_.may_run_ahead(taken.request))) {
@@ -252,6 +296,9 @@
     const auto number = exchanges_.add(taken.request.method == "HEAD", taken.keeps_connection);
     runs_alone_ = !server_.may_run_ahead || !server_.may_run_ahead(taken.request);
     ++server_.in_flight;
+    if (taken.charge.bytes() > 0) {
+      running_.emplace(number, std::move(taken.charge));
+    }
     server_.handler(std::move(taken.request), StrictHttpResponder(weak_from_this(), number));
   }
 
@@ -372,8 +419,15 @@
       server_.on_rejected(status);
     }
     last_request_parsed_ = true;
+    // Frees what was received of the body.
+    parser_.emplace(server_.limits.header_bytes, server_.bodyLimit());
+    receiving_.setBody(0, kCopiesWhileReceived);
+    HttpResponse response{status, {}, {}};
+    if (status == kUnavailable) {
+      response.headers.push_back({"Retry-After", kMemoryRetryAfter});
+    }
     const auto number = exchanges_.add(false, false);
-    exchanges_.setResponse(number, {status, {}, {}});
+    exchanges_.setResponse(number, std::move(response));
     writeReady();
   }
 
@@ -411,6 +465,10 @@
   std::optional<HttpRequestParser> parser_;
   PipelinedExchanges exchanges_;
   std::optional<HeldRequest> held_;
+  /// For the body that is being received.
+  MemoryCharge receiving_;
+  /// For the bodies of the requests without a response.
+  std::unordered_map<PipelinedExchanges::Number, MemoryCharge> running_;
   /// The last request that was passed on may not run beside others, so that later ones wait for its response.
   bool runs_alone_ = false;
   /// Counts the requests that were parsed or are being parsed.
@@ -429,6 +487,21 @@
   std::size_t body_written_ = 0;
 };
 
+bool StrictHttpServer::State::makeRoomFor(std::size_t bytes) {
+  while (!body_budget->hasRoomFor(bytes)) {
+    const auto largest = std::max_element(connections.begin(), connections.end(), [](const auto& a, const auto& b) {
+      return a.second->receivingBytes() < b.second->receivingBytes();
+    });
+    if (largest == connections.end() || largest->second->receivingBytes() == 0) {
+      return false;
+    }
+    // Refusing may close the connection, which removes it from the table.
+    const std::shared_ptr<StrictHttpConnection> refused = largest->second;
+    refused->refuseForMemory();
+  }
+  return true;
+}
+
 void StrictHttpResponder::reply(HttpResponse response) const {
   if (const auto connection = connection_.lock()) {
     connection->reply(request_number_, std::move(response));
@@ -473,6 +546,8 @@
 
 void StrictHttpServer::setMayRunAhead(MayRunAhead may_run_ahead) { state_->may_run_ahead = std::move(may_run_ahead); }
 
+void StrictHttpServer::setBodyBudget(MemoryBudget& budget) { state_->body_budget = &budget; }
+
 void StrictHttpServer::onRejected(std::function<void(int status)> callback) {
   state_->on_rejected = std::move(callback);
 }
--- a/source/net/strict_http_server.h
+++ b/source/net/strict_http_server.h
@@ -16,6 +16,7 @@
 #include "shedlever/identifiers.h"
 #include "source/net/event_loop.h"
 #include "source/net/link_pacer.h"
+#include "source/net/memory_budget.h"
 #include "source/net/pipelined_exchanges.h"
 
 namespace shedlever {
@@ -83,6 +84,12 @@
   /// Allows some requests to run ahead; before, none may.
   void setMayRunAhead(MayRunAhead may_run_ahead);
 
+  /// Limits the memory of the bodies that clients send; before, it is not limited. A body that does not fit is refused
+  /// with status 413 if it never would, and with 503 otherwise; for a body that is complete or arrives later, the
+  /// largest ones that are not complete are refused first.
+  /// @param budget outlives the server.
+  void setBodyBudget(MemoryBudget& budget);
+
   /// @param callback runs for each request that is rejected without calling the handler, with the response status.
   void onRejected(std::function<void(int status)> callback);
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -27,7 +27,8 @@
       directory_(settings_.node, settings_.zone, settings_.choice, random_),
       quarantine_(settings_.quarantine, quarantinePorts()),
       gate_recorder_(log_, metrics_),
-      server_client_(loop_, self_, settings_.server, *platform_.servers),
+      body_budget_(settings_.bodyMemoryBytes()),
+      server_client_(loop_, self_, settings_.server, *platform_.servers, &body_budget_),
       command_recorder_(server_client_, clock_, log_, metrics_),
       ownership_recorder_(clock_, log_, metrics_),
       server_(settings_.service, settings_.server),
@@ -167,6 +168,8 @@
   }
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client, &pacer_));
   clients_ = std::move(clients);
+  clients_->setBodyBudget(body_budget_);
+  gate_.setBodyBudget(body_budget_);
   clients_->setMayRunAhead([this](const HttpRequest& request) { return gateway_->mayRunAhead(request); });
   clients_->onRejected([this](int status) {
     metrics_.onEvent("unreadable-request");
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -163,6 +163,8 @@
   ServerDirectory directory_;
   QuarantineCoordinator quarantine_;
   GateRecorder gate_recorder_;
+  /// For the bodies of requests and responses.
+  MemoryBudget body_budget_;
   ServerClient server_client_;
   CommandRecorder command_recorder_;
   OwnershipRecorder ownership_recorder_;
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -1,6 +1,7 @@
 #include "source/router/router_settings.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -165,6 +166,12 @@
   link.read("mbps", link_mbps, 0.0, kMaxLinkMbps);
   link.read("used_share", settings.link.used_fraction, 0.1, 1.0);
   settings.link.bytes_per_second = link_mbps * kBytesPerMegabit;
+  constexpr double kMaxMemoryMegabytes = 1e9;
+  constexpr double kBytesPerMegabyte = 1U << 20U;
+  double memory_mb = 0;
+  const Section machine(document, "machine", findings);
+  machine.read("memory_mb", memory_mb, 0.0, kMaxMemoryMegabytes);
+  settings.machine_memory_bytes = static_cast<std::size_t>(memory_mb * kBytesPerMegabyte);
   const Section queue(document, "queue", findings);
   queue.read("least_wait_limit", settings.queue.min_wait_limit);
   queue.read("slot_share", settings.queue.slot_share, 0.1, 1.0);
@@ -242,6 +249,18 @@
 
 }  // namespace
 
+std::size_t RouterSettings::bodyMemoryBytes() const {
+  if (machine_memory_bytes == 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  /// What the process takes without any body.
+  constexpr std::size_t kOtherBytes = 32U << 20U;
+  /// The rest of the memory is for buffers of connections, copies that exist for a moment, and what malloc keeps.
+  constexpr std::size_t kShareDivisor = 4;
+  const std::size_t available = machine_memory_bytes - std::min(machine_memory_bytes, kOtherBytes);
+  return available - available / kShareDivisor;
+}
+
 leaf::result<RouterSettings> parseRouterSettings(const std::string& text) {
   Findings findings;
   const json document = json::parse(text, nullptr, false);
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -71,6 +71,11 @@
   Duration config_time_limit = std::chrono::seconds(2);
   /// Bandwidth of the node's network link.
   LinkConfig link;
+  /// Memory of the machine in bytes, which the process must not exceed; 0: not limited.
+  std::size_t machine_memory_bytes = 0;
+
+  /// @return how much of the memory bodies of requests and responses may take, in bytes.
+  std::size_t bodyMemoryBytes() const;
 };
 
 /// @param text settings as JSON.
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -10,6 +10,8 @@
 constexpr std::size_t kMaxConnections = 512;
 /// Grants of all ranges of a server, and releases that wait for running requests, are under way at the same time.
 constexpr std::size_t kCommandConnections = 16;
+/// Responses to commands and health checks carry what matters in their headers.
+constexpr std::size_t kMaxCommandResponseBytes = 64U << 10U;
 /// Short, since the server is on the same machine.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 /// Maximum idle time of a connection, unless the server announces its own limit.
@@ -21,7 +23,7 @@
 /// Distinguishes the ids of commands from those that the gateway gives to requests.
 constexpr const char* kCommandIdSuffix = ".commands";
 
-HttpClientConfig requestConfig(const Endpoint& server) {
+HttpClientConfig requestConfig(const Endpoint& server, MemoryBudget* response_budget) {
   HttpClientConfig config;
   config.server = server;
   config.max_connections = kMaxConnections;
@@ -29,6 +31,7 @@
   config.idle_timeout = kIdleTimeout;
   config.preserve_host = true;
   config.allow_close_delimited = true;
+  config.response_budget = response_budget;
   return config;
 }
 
@@ -36,6 +39,7 @@
   HttpClientConfig config;
   config.server = server;
   config.max_connections = kCommandConnections;
+  config.max_body_bytes = kMaxCommandResponseBytes;
   config.connect_timeout = kConnectTimeout;
   config.idle_timeout = kIdleTimeout;
   return config;
@@ -63,12 +67,12 @@
 }
 
 ServerClient::ServerClient(EventLoop& loop, const NodeIdentity& self, const Endpoint& server,
-                           const ServerProtocol& protocol)
+                           const ServerProtocol& protocol, MemoryBudget* response_budget)
     : loop_(loop),
       server_(server),
       protocol_(protocol),
       command_ids_({NodeName(self.name.value + kCommandIdSuffix), self.incarnation}),
-      requests_(loop, requestConfig(server)),
+      requests_(loop, requestConfig(server, response_budget)),
       commands_(std::make_unique<HttpClient>(loop, commandConfig(server))) {}
 
 HttpExchangeId ServerClient::send(ServerRequest request, std::function<void(ServerResult)> done) {
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -45,7 +45,10 @@
  public:
   /// @param loop, protocol outlive the client.
   /// @param self this process, which the ids of commands name.
-  ServerClient(EventLoop& loop, const NodeIdentity& self, const Endpoint& server, const ServerProtocol& protocol);
+  /// @param response_budget charged for responses to requests while they are received; outlives the client. May be
+  ///   null.
+  ServerClient(EventLoop& loop, const NodeIdentity& self, const Endpoint& server, const ServerProtocol& protocol,
+               MemoryBudget* response_budget = nullptr);
 
   /// @param done runs exactly once, from the event loop, also after `cancel`.
   HttpExchangeId send(ServerRequest request, std::function<void(ServerResult)> done);
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -13,6 +13,10 @@
 /// A request with less time left than this is refused instead of started.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 constexpr Duration kKeyRetryAfter = std::chrono::milliseconds(100);
+/// When a request may be sent again for whose body there was no memory.
+constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
+/// The gate holds a body once; it moves it to the server's connection.
+constexpr std::size_t kBodyCopies = 1;
 constexpr double kPermille = 1000.0;
 constexpr double kHundredths = 100.0;
 
@@ -236,6 +240,11 @@
   const TimePoint now = clock_.now();
   const QueueTicket ticket = ++last_ticket_;
   const TimePoint deadline = now + Duration(frame.remaining_us);
+  if (body_budget_ != nullptr && !body_budget_->hasRoomFor(MemoryCharge::costOf(frame.http.body.size(), kBodyCopies))) {
+    done(refusal(frame, {ForwardReason::Overloaded, kMemoryRetryAfter}));
+    return ticket;
+  }
+  done = charged(frame, std::move(done));
   const ForwardReason reason = refusalReason(frame, deadline, now);
   if (reason == ForwardReason::None) {
     admit(ticket, std::move(frame), std::move(done));
@@ -247,6 +256,15 @@
   return ticket;
 }
 
+ForwardCallback ServerGate::charged(const ForwardFrame& frame, ForwardCallback done) {
+  if (body_budget_ == nullptr || frame.http.body.size() <= kUnchargedBodyBytes) {
+    return done;
+  }
+  auto charge = std::make_shared<MemoryCharge>(*body_budget_);
+  charge->setBody(frame.http.body.size(), kBodyCopies);
+  return [charge, done = std::move(done)](ForwardReplyFrame reply) { done(std::move(reply)); };
+}
+
 void ServerGate::holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done) {
   const Duration max_wait = maxWait(frame);
   const std::optional<Duration> too_long = held_.hold(ticket, frame, done, rangeStartOf(frame.key), max_wait);
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -23,6 +23,7 @@
 #include "source/core/router/ownership/ownership_manager.h"
 #include "source/core/router/quarantine/crash_quarantine.h"
 #include "source/core/router/quarantine/unanswered_requests.h"
+#include "source/net/memory_budget.h"
 #include "source/router/gate_recorder.h"
 #include "source/router/held_requests.h"
 #include "source/router/refused_call.h"
@@ -63,6 +64,10 @@
   /// The set of quarantined requests has changed: refuses those of them that are queued.
   void onQuarantineChanged();
 
+  /// Limits the memory of the bodies of requests that wait or run here; before, it is not limited. Requests that don't
+  /// fit are refused. @param budget outlives the gate.
+  void setBodyBudget(MemoryBudget& budget) { body_budget_ = &budget; }
+
   /// Sets the source of key ownership; null while the service has no keys.
   void setOwnershipManager(OwnershipManager* manager) { ownership_manager_ = manager; }
 
@@ -163,6 +168,8 @@
   void trackUnanswered(QueueTicket ticket, const Entry& entry, const ServerResult& result);
   static SentRequestEnd endOf(const ServerResult& result);
   void admit(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
+  /// Makes the body of the request count towards the budget until the callback is destroyed.
+  ForwardCallback charged(const ForwardFrame& frame, ForwardCallback done);
   /// Holds a request whose key is in transit if it can still be served in time; refuses it otherwise.
   void holdForKey(QueueTicket ticket, ForwardFrame frame, ForwardCallback done);
   /// Starts or refuses a request that is held no longer. @param reason why it must not be started; None if it may be.
@@ -227,6 +234,7 @@
   /// When the process exits; TimePoint::max() while it is not stopping.
   TimePoint process_end_ = TimePoint::max();
   ServerReachability reachability_;
+  MemoryBudget* body_budget_ = nullptr;
   QueueTicket last_ticket_ = 0;
   std::unordered_map<QueueTicket, Entry> entries_;
   HeldRequests held_{clock_};
--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -73,16 +73,19 @@
 
 class CrowdTest : public ::testing::Test {
  protected:
-  void SetUp() override {
+  void SetUp() override { start(kMaxBodyBytes, kMachineMemoryMb); }
+
+  void start(std::size_t max_body_bytes, std::size_t memory_mb) {
+    machine_memory_mb_ = memory_mb;
     folder_ = ::testing::TempDir() + "shedlever-crowd-" + std::to_string(getpid());
     std::filesystem::create_directories(folder_);
     soak::LocalDeploymentConfig config;
     config.binary_folder = SHEDLEVER_BINARY_FOLDER;
     config.run_folder = folder_;
-    config.machine_memory_mb = kMachineMemoryMb;
+    config.machine_memory_mb = memory_mb;
     deployment_ = std::make_unique<soak::LocalDeployment>(loop_, config);
     deployment_->startStore();
-    writeConfig();
+    writeConfig(max_body_bytes);
     front_ = &deployment_->addNode("search", false);
     owner_ = &deployment_->addNode("orders", false);
     ASSERT_TRUE(isServed(std::string(100, 'o')));
@@ -94,7 +97,7 @@
     std::filesystem::remove_all(folder_);
   }
 
-  void writeConfig() {
+  void writeConfig(std::size_t max_body_bytes) {
     const auto route = [](const char* name, const char* prefix, const char* service) {
       return json{{"name", name},         {"host", "h"},
                   {"pathPrefix", prefix}, {"kind", "non_idempotent"},
@@ -109,7 +112,7 @@
                          {{"name", "orders"}, {"healthPath", "/health"}, {"maxConnections", 100}}}},
                        {"limits",
                         {{"maxHeaderBytes", 16384},
-                         {"maxBodyBytes", kMaxBodyBytes},
+                         {"maxBodyBytes", max_body_bytes},
                          {"headerTimeout", "30000ms"},
                          {"idleTimeout", "60000ms"}}}};
     const json body = {{"metadata", {{"name", "main"}}}, {"spec", spec}};
@@ -174,7 +177,8 @@
   void expectProcessesHold() {
     for (const auto& node : deployment_->nodes()) {
       ASSERT_FALSE(node->router_process->poll().has_value()) << node->name << " has ended";
-      EXPECT_LT(peakMemoryMb(*node->router_process), kMachineMemoryMb) << node->name;
+      EXPECT_LT(peakMemoryMb(*node->router_process), machine_memory_mb_) << node->name;
+      RecordProperty("peak_mb_" + node->name, std::to_string(peakMemoryMb(*node->router_process)));
       EXPECT_LT(openDescriptors(*node->router_process), kMaxDescriptors) << node->name;
     }
   }
@@ -198,6 +202,7 @@
     return seen;
   }
 
+  std::size_t machine_memory_mb_ = 0;
   std::string folder_;
   EventLoop loop_;
   std::unique_ptr<soak::LocalDeployment> deployment_;
@@ -215,6 +220,20 @@
   expectProcessesHold();
 }
 
+/// A machine of 260 MB and bodies of up to 64 MB.
+class LargeBodyTest : public CrowdTest {
+ protected:
+  static constexpr std::size_t kLargeBodyBytes = 64U << 20U;
+  static constexpr std::size_t kSmallMachineMemoryMb = 260;
+  void SetUp() override { start(kLargeBodyBytes, kSmallMachineMemoryMb); }
+};
+
+// Guards against a process that is killed for its memory by one large request.
+TEST_F(LargeBodyTest, SingleLargestBodyIsServedInCalm) {
+  EXPECT_TRUE(isServed(std::string(kLargeBodyBytes, 'b')));
+  expectProcessesHold();
+}
+
 TEST_F(CrowdTest, ProcessesBearBodiesSentAtOnceThatStopShortOfTheirEnd) {
   for (std::size_t i = 0; i < kCrowd; ++i) {
     addClient(
--- a/test/net/strict_http_server_test.cc
+++ b/test/net/strict_http_server_test.cc
@@ -273,5 +273,79 @@
   RC_ASSERT(parser.takeRequest().body == "hello");
 }
 
+/// Bodies are larger than what is never charged.
+class BodyBudgetTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    StrictHttpLimits limits;
+    limits.body_bytes = 1000 * kBody;
+    server_ = leaf::try_handle_all(
+        [&] {
+          return StrictHttpServer::listen(
+              loop_, kAnyLoopbackPort, limits,
+              [this](const HttpRequest&, const StrictHttpResponder& responder) { responders_.push_back(responder); });
+        },
+        [] { return std::unique_ptr<StrictHttpServer>(); });
+    server_->setBodyBudget(budget_);
+  }
+
+  static std::string head(std::size_t length) {
+    return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+  }
+  static std::string body(std::size_t size) { return std::string(size, 'b'); }
+  bool runUntil(const std::function<bool()>& done) { return loop_.runUntil(done, kTestTimeout); }
+
+  static constexpr std::size_t kBody = 2 * kUnchargedBodyBytes;
+  EventLoop loop_;
+  /// Holds four bodies that are received or whose requests run.
+  MemoryBudget budget_{8 * kBody};
+  std::unique_ptr<StrictHttpServer> server_;
+  std::vector<StrictHttpResponder> responders_;
+};
+
+TEST_F(BodyBudgetTest, BodyThatNeverFitsIsRefusedBeforeItArrives) {
+  RawClient client(loop_, server_->endpoint());
+  client.send(head(5 * kBody));
+  ASSERT_TRUE(runUntil([&] { return !client.received.empty(); }));
+  EXPECT_TRUE(client.received.starts_with("HTTP/1.1 413"));
+}
+
+TEST_F(BodyBudgetTest, LargestIncompleteBodyGivesWayToLaterOnes) {
+  RawClient large(loop_, server_->endpoint());
+  large.send(head(4 * kBody) + body(3 * kBody));
+  ASSERT_TRUE(runUntil([&] { return budget_.used() == 6 * kBody; }));
+  RawClient later(loop_, server_->endpoint());
+  later.send(head(2 * kBody) + body(2 * kBody));
+  ASSERT_TRUE(runUntil([&] { return responders_.size() == 1; }));
+  ASSERT_TRUE(runUntil([&] { return !large.received.empty(); }));
+  EXPECT_TRUE(large.received.starts_with("HTTP/1.1 503")) << large.received;
+  EXPECT_NE(large.received.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(budget_.used(), 4 * kBody);
+}
+
+TEST_F(BodyBudgetTest, BodyWithoutRoomBesideRunningRequestsIsRefusedAsNotRun) {
+  RawClient running(loop_, server_->endpoint());
+  running.send(head(4 * kBody) + body(4 * kBody));
+  ASSERT_TRUE(runUntil([&] { return responders_.size() == 1; }));
+  RawClient later(loop_, server_->endpoint());
+  later.send(head(kBody) + body(kBody));
+  ASSERT_TRUE(runUntil([&] { return !later.received.empty(); }));
+  EXPECT_TRUE(later.received.starts_with("HTTP/1.1 503")) << later.received;
+  EXPECT_EQ(responders_.size(), 1U);
+  RawClient ordinary(loop_, server_->endpoint());
+  ordinary.send(head(100) + body(100));
+  EXPECT_TRUE(runUntil([&] { return responders_.size() == 2; })) << "ordinary requests are not charged";
+  responders_.front().reply({200, {}, {}});
+  EXPECT_EQ(budget_.used(), 0U);
+}
+
+TEST_F(BodyBudgetTest, EndOfAConnectionFreesItsMemory) {
+  RawClient client(loop_, server_->endpoint());
+  client.send(head(4 * kBody) + body(3 * kBody));
+  ASSERT_TRUE(runUntil([&] { return budget_.used() == 6 * kBody; }));
+  client.disconnect();
+  EXPECT_TRUE(runUntil([&] { return budget_.used() == 0; }));
+}
+
 }  // namespace
 }  // namespace shedlever::test
