Send health checks without ids, and releases on their own connections

Change: a health check has no id and, as a release, a connection of its own, where nothing can be a copy. Grants share connections; a response without an id that is no 200 ends the connection, as only such a one says that something is not held. A copied 200 changes nothing: the hold counts as given either way, and the server refuses requests for keys that it does not hold.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -141,7 +141,7 @@
   /// Replaces all headers that only the router may set.
   virtual void setRouterHeaders(HttpRequest& request, const ServerRequestMetadata& head) const = 0;
 
-  /// Sets the id by which the response to a command or health check is recognized.
+  /// Sets the id by which the response to a command is recognized.
   virtual void setRequestId(HttpRequest& request, const RequestId& id) const = 0;
   virtual ResponseIdMatch matchRequestId(const HttpResponse& answer, const RequestId& id) const = 0;
 
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -110,7 +110,8 @@
     if (verdict == HttpResponseVerdict::Reject) {
       exchange = {HttpExchangeStatus::Malformed, {}};
     }
-    if (reusable && verdict == HttpResponseVerdict::Accept && config_.idle_timeout > Duration::zero()) {
+    const bool may_keep = reusable && !ended.options.alone && verdict == HttpResponseVerdict::Accept;
+    if (may_keep && config_.idle_timeout > Duration::zero()) {
       carried_.add(ended.options.identity, pooled.serial, clock_.now() + ended.timeout);
       makeIdle(connection, pooled);
     } else {
@@ -167,7 +168,7 @@
         queue_.pop_front();
         continue;
       }
-      Pooled* pooled = takeConnection(found->second.options.identity);
+      Pooled* pooled = takeConnection(found->second.options);
       if (pooled == nullptr) {
         return;
       }
@@ -181,11 +182,12 @@
     }
   }
 
-  /// @return an idle or a new connection that has not carried the identity; null when all connections are in use.
-  Pooled* takeConnection(const std::string& identity) {
-    const std::vector<ConnectionSerial> carried_by = carried_.connectionsOf(identity, clock_.now());
-    if (Pooled* pooled = takeIdle(carried_by)) {
-      return pooled;
+  /// @return an idle or a new connection that suits the options; null when all connections are in use.
+  Pooled* takeConnection(const HttpExchangeOptions& options) {
+    const std::vector<ConnectionSerial> carried_by = carried_.connectionsOf(options.identity, clock_.now());
+    Pooled* idle = options.alone ? nullptr : takeIdle(carried_by);
+    if (idle != nullptr) {
+      return idle;
     }
     if (connections_.size() >= config_.max_connections) {
       if (idle_.empty()) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -58,6 +58,8 @@
   /// Identifies the request among those that may be sent more than once. A connection carries an identity only once:
   /// a late copy of the response to the first send would pass for the response to the second. Empty: no restriction.
   std::string identity;
+  /// Whether the exchange uses a connection of its own, which is closed after it.
+  bool alone = false;
   /// May be empty, which accepts every complete response.
   HttpResponseValidator validator;
 };
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -86,7 +86,9 @@
     const bool broken = protocol_.classify(answer, id, instance, keyed) == AnswerKind::Broken;
     return broken ? HttpResponseVerdict::Reject : verdictOn(protocol_.matchRequestId(answer, id), reused);
   };
-  HttpExchangeOptions options{request.head.id.value, std::move(check)};
+  HttpExchangeOptions options;
+  options.identity = request.head.id.value;
+  options.validator = std::move(check);
   return requests_.send(std::move(request.http), remaining, std::move(finished), std::move(options));
 }
 
@@ -155,25 +157,42 @@
   command_instance_ = instance;
 }
 
-void ServerClient::sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done) {
+void ServerClient::sendObserved(HttpRequest request, Duration timeout, HttpExchangeCallback done,
+                                HttpExchangeOptions options) {
   ConditionCallback on_condition = observe_condition_ ? observe_condition_() : ConditionCallback();
-  const RequestId id = command_ids_.idOf(command_ids_.next());
-  protocol_.setRequestId(request, id);
   auto finished = [this, on_condition = std::move(on_condition), done = std::move(done)](HttpExchangeResult exchange) {
     if (on_condition && exchange.status == HttpExchangeStatus::Complete) {
       on_condition(protocol_.conditionOf(exchange.response));
     }
     done(std::move(exchange));
   };
-  auto check = [this, id](const HttpResponse& answer, bool reused) {
-    return verdictOn(protocol_.matchRequestId(answer, id), reused);
+  commands_->send(std::move(request), timeout, std::move(finished), std::move(options));
+}
+
+HttpResponseVerdict ServerClient::verdictWithoutId(const HttpResponse& answer, const InstanceId& instance) const {
+  // A copy of the response to a grant that was executed is harmless in the place of another grant's: the server itself
+  // refuses requests for keys that it does not hold, and the hold counts as given either way. Any other response says
+  // that something is not held, so that no copy of it may count: it is the last one on its connection.
+  const bool executed = protocol_.commandStatus(answer, instance) == CommandStatus::Done;
+  return executed ? HttpResponseVerdict::Accept : HttpResponseVerdict::AcceptAndClose;
+}
+
+void ServerClient::sendCommand(HttpRequest request, const InstanceId& instance, Duration timeout, bool alone,
+                               HttpExchangeCallback done) {
+  const RequestId id = command_ids_.idOf(command_ids_.next());
+  protocol_.setRequestId(request, id);
+  HttpExchangeOptions options;
+  options.alone = alone;
+  options.validator = [this, id, instance](const HttpResponse& answer, bool reused) {
+    const ResponseIdMatch match = protocol_.matchRequestId(answer, id);
+    return match == ResponseIdMatch::Missing ? verdictWithoutId(answer, instance) : verdictOn(match, reused);
   };
-  commands_->send(std::move(request), timeout, std::move(finished), {{}, std::move(check)});
+  sendObserved(std::move(request), timeout, std::move(done), std::move(options));
 }
 
 void ServerClient::grant(const GrantCommand& command, std::function<void(CommandStatus)> done) {
   useConnectionsFor(command.instance);
-  sendCommand(protocol_.grantRequest(command), kGrantTimeout,
+  sendCommand(protocol_.grantRequest(command), command.instance, kGrantTimeout, false,
               [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 if (exchange.status == HttpExchangeStatus::Complete) {
                   done(protocol_.commandStatus(exchange.response, instance));
@@ -185,7 +204,8 @@
 
 void ServerClient::release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) {
   useConnectionsFor(command.instance);
-  sendCommand(protocol_.releaseRequest(command), kReleaseTimeout,
+  // The response says that work on the keys has ended; nothing else tells it apart from that to an earlier command.
+  sendCommand(protocol_.releaseRequest(command), command.instance, kReleaseTimeout, true,
               [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 ReleaseResult result;
                 if (exchange.status == HttpExchangeStatus::Complete) {
@@ -199,14 +219,17 @@
 }
 
 void ServerClient::identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done) {
-  sendCommand(protocol_.healthRequest(health_path), kIdentifyTimeout,
-              [this, done = std::move(done)](const HttpExchangeResult& exchange) {
-                if (exchange.status == HttpExchangeStatus::Complete) {
-                  done(protocol_.serverIdOf(exchange.response), false);
-                } else {
-                  done({}, exchange.connection_refused);
-                }
-              });
+  auto finished = [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+    if (exchange.status == HttpExchangeStatus::Complete) {
+      done(protocol_.serverIdOf(exchange.response), false);
+    } else {
+      done({}, exchange.connection_refused);
+    }
+  };
+  // A server may take a request with an id for one that it is to run, so that a health check has none.
+  HttpExchangeOptions options;
+  options.alone = true;
+  sendObserved(protocol_.healthRequest(health_path), kIdentifyTimeout, std::move(finished), std::move(options));
 }
 
 }  // namespace shedlever
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -73,9 +73,15 @@
   /// instance, which may still work although its successor has its address.
   void useConnectionsFor(const InstanceId& instance);
 
-  /// Sends a command or a health check with an id of its own; only a response with that id counts. A response without
-  /// an id counts if its connection has carried nothing else, and ends the connection.
-  void sendCommand(HttpRequest request, Duration timeout, HttpExchangeCallback done);
+  /// Sends a command with an id of its own; a response with another id does not count.
+  /// @param alone whether it uses a connection of its own.
+  void sendCommand(HttpRequest request, const InstanceId& instance, Duration timeout, bool alone,
+                   HttpExchangeCallback done);
+  /// @return what a response to a command means if it has no id, so that it may be a copy of an earlier one.
+  HttpResponseVerdict verdictWithoutId(const HttpResponse& answer, const InstanceId& instance) const;
+
+  /// Sends a command or a health check and passes on what the server says about its condition.
+  void sendObserved(HttpRequest request, Duration timeout, HttpExchangeCallback done, HttpExchangeOptions options);
 
   EventLoop& loop_;
   const Endpoint server_;
