Count only fresh losses of all requests as a server's crash

Cause: CrashEvidence took one lost connection, however old, for the loss of all requests, and ignored those whose clients had left, which the server still ran.

Why it holds: a crash breaks all connections at the moment from which it refuses new ones; a request that was abandoned proves nothing.

--- a/source/core/router/directory/crash_evidence.h
+++ b/source/core/router/directory/crash_evidence.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "shedlever/identifiers.h"
+#include "shedlever/time.h"
 
 namespace shedlever {
 
@@ -14,7 +15,7 @@
   Answered,
   ConnectionLost,
   NotReached,  ///< the server has not got it
-  Abandoned,   ///< cancelled or timed out; says nothing about the server
+  Abandoned,   ///< cancelled or timed out: the server may still run it
 };
 
 /// A crash breaks all requests that the server was running. A server that stops in order answers them, even if it has
@@ -24,18 +25,21 @@
   /// Begins with another instance; what is known of the one before is dropped.
   void onInstance(const InstanceId& instance);
   void onSent(const InstanceId& instance);
-  void onEnded(const InstanceId& instance, SentRequestEnd end);
+  void onEnded(const InstanceId& instance, SentRequestEnd end, TimePoint now);
 
-  /// @return whether requests at the instance lost their connections, none is left, and none was answered since. Counts
-  ///   only for an instance that refuses connections, and some time after the first refusal, because the losses are
-  ///   noticed one by one.
-  bool lostAllRequests(const InstanceId& instance) const;
+  /// @return whether all requests at the instance have just lost their connections: none is left, none was answered
+  ///   since, and none was abandoned since the last answer, as the server may still run that one. Counts only for an
+  ///   instance that refuses connections, and some time after the first refusal, because the losses are noticed one by
+  ///   one.
+  bool lostAllRequests(const InstanceId& instance, TimePoint now) const;
 
  private:
   InstanceId instance_;
   std::uint32_t running_ = 0;
-  /// Requests that lost their connections since the last answer.
+  /// Since the last answer, requests that lost their connections and requests that were abandoned.
   std::uint32_t lost_ = 0;
+  std::uint32_t abandoned_ = 0;
+  TimePoint last_loss_{};
 };
 
 }  // namespace shedlever
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -430,7 +430,7 @@
   const SentRequestEnd end = endOf(result);
   // Servers that still run break some responses off.
   const bool broken = result.reason == ForwardReason::BrokenAnswer;
-  crash_evidence_.onEnded(entry.frame.instance, broken ? SentRequestEnd::Abandoned : end);
+  crash_evidence_.onEnded(entry.frame.instance, broken ? SentRequestEnd::Abandoned : end, now);
   switch (end) {
     case SentRequestEnd::NotReached:
       unanswered_.onNotReached(ticket);
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -134,7 +134,9 @@
   const InstanceId& instance() const { return instance_; }
   /// @return whether all requests at an instance that refuses connections were lost, which only a crash brings about.
   ///   Ask some time after the first refusal.
-  bool lostAllRequests(const InstanceId& instance) const { return crash_evidence_.lostAllRequests(instance); }
+  bool lostAllRequests(const InstanceId& instance) const {
+    return crash_evidence_.lostAllRequests(instance, clock_.now());
+  }
   bool draining() const { return draining_; }
   bool empty() const { return entries_.empty() && held_.empty(); }
   bool silent() const { return reachability_.silent(); }
