Divide the start of the listeners and name refusals for memory

A body refused for memory is logged as no-memory-for-body with the bytes in use, in place of unreadable-request.

--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -100,16 +100,7 @@
   return {};
 }
 
-leaf::result<void> RouterProcess::openListeners() {
-  const auto on_client = [this](HttpRequest request, const StrictHttpResponder& replier) {
-    gateway_->handle(std::move(request), replier);
-  };
-  const auto on_readiness = [this](const HttpRequest& request, const StrictHttpResponder& replier) {
-    replier.reply(status_pages_.answer(request));
-  };
-  const auto on_report = [this](const HttpRequest& request, const StrictHttpResponder& replier) {
-    onReportRequest(request, replier);
-  };
+leaf::result<void> RouterProcess::listenForPeers() {
   const auto call_store = [this](StoreCall call, StoreClient::Callback done) {
     store_client_.callDirectly(std::move(call), std::move(done));
   };
@@ -166,17 +157,41 @@
   if (settings_.peers_advertised.port == 0) {
     settings_.peers_advertised = peer_server_->endpoint();
   }
+  return {};
+}
+
+leaf::result<void> RouterProcess::listenForClients() {
+  const auto on_client = [this](HttpRequest request, const StrictHttpResponder& replier) {
+    gateway_->handle(std::move(request), replier);
+  };
   BOOST_LEAF_AUTO(clients, StrictHttpServer::listen(loop_, settings_.clients_listen, {}, on_client, &pacer_));
   clients_ = std::move(clients);
   clients_->setBodyBudget(body_budget_);
   gate_.setBodyBudget(body_budget_);
   clients_->setMayRunAhead([this](const HttpRequest& request) { return gateway_->mayRunAhead(request); });
-  clients_->onRejected([this](int status) {
-    metrics_.onEvent("unreadable-request");
-    if (log_.mayWriteFailed()) {
-      log_.write("clients", "unreadable-request", {{"status", std::to_string(status)}});
-    }
-  });
+  clients_->onRejected([this](int status) { onRequestRejected(status); });
+  return {};
+}
+
+void RouterProcess::onRequestRejected(int status) {
+  constexpr int kUnavailable = 503;
+  const char* event = status == kUnavailable ? "no-memory-for-body" : "unreadable-request";
+  metrics_.onEvent(event);
+  if (log_.mayWriteFailed()) {
+    log_.write("clients", event,
+               {{"status", std::to_string(status)}, {"body_memory_used", std::to_string(body_budget_.used())}});
+  }
+}
+
+leaf::result<void> RouterProcess::openListeners() {
+  const auto on_readiness = [this](const HttpRequest& request, const StrictHttpResponder& replier) {
+    replier.reply(status_pages_.answer(request));
+  };
+  const auto on_report = [this](const HttpRequest& request, const StrictHttpResponder& replier) {
+    onReportRequest(request, replier);
+  };
+  BOOST_LEAF_CHECK(listenForPeers());
+  BOOST_LEAF_CHECK(listenForClients());
   BOOST_LEAF_AUTO(readiness, StrictHttpServer::listen(loop_, settings_.readiness_listen, {}, on_readiness));
   readiness_ = std::move(readiness);
   BOOST_LEAF_AUTO(reports, StrictHttpServer::listen(loop_, settings_.reports_listen, {}, on_report));
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -70,6 +70,10 @@
   /// As `runAfter`, in the next iteration of the event loop.
   void post(std::function<void()> step);
   leaf::result<void> openListeners();
+  leaf::result<void> listenForPeers();
+  leaf::result<void> listenForClients();
+  /// A request was answered without being passed to the gateway.
+  void onRequestRejected(int status);
   GatewayPorts gatewayPorts();
   OwnershipPorts ownershipPorts();
   /// Sends a change of the owner table to a node that gains keys by it.
