Send requests to the endless server until it has answered sixteen

Cause: EndlessResponseTest sent 16 requests at once, right after the server's first heartbeat; if the other router did not know the new instance yet, all were refused as not run (wrong-instance) and the test saw no response at all. Change: requests are sent one after another until 16 responses without end are under way, where one was enough before; bounds and checks of memory are the same.

--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -336,12 +336,14 @@
 
   void expectBounded(const std::string& head, const std::string& filler) {
     ASSERT_NO_FATAL_FAILURE(replaceServer(head, filler));
-    constexpr std::size_t kRequests = 16;
-    for (std::size_t i = 0; i < kRequests; ++i) {
-      const std::string request = requestHead("c-" + std::to_string(i), "Content-Length: 0");
-      addClient(bodyInPieces(request, 0, kPieceBytes));
+    constexpr std::size_t kResponses = 16;
+    constexpr std::size_t kMaxRequests = 1000;
+    // Requests are refused until the other router knows the new instance.
+    for (std::size_t i = 0; i < kMaxRequests && flooded_.size() < kResponses; ++i) {
+      addClient(bodyInPieces(requestHead("c-" + std::to_string(i), "Content-Length: 0"), 0, kPieceBytes));
+      deployment_->runFor(std::chrono::milliseconds(20));
     }
-    ASSERT_TRUE(loop_.runUntil([this] { return !flooded_.empty(); }, kTestTimeout));
+    ASSERT_GE(flooded_.size(), kResponses);
     floodUntilClosed();
     const auto answer = httpCall(loop_, front_->readiness, "GET", "/readiness", {}, kTestTimeout);
     ASSERT_TRUE(answer.has_value());
