--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -45,8 +45,8 @@
   return config;
 }
 
-/// A server may send a response a second time, in the place of a later one on the connection. Without an id the two
-/// can't be told apart.
+/// A server may send a response a second time, in the place of a later one on the same connection. A response without
+/// an id may be such a copy, unless it is the first one on its connection.
 HttpResponseVerdict verdictOn(ResponseIdMatch match, bool reused_connection) {
   switch (match) {
     case ResponseIdMatch::Same:
@@ -204,7 +204,8 @@
 
 void ServerClient::release(const ReleaseCommand& command, std::function<void(ReleaseResult)> done) {
   useConnectionsFor(command.instance);
-  // The response says that work on the keys has ended; nothing else tells it apart from that to an earlier command.
+  // Keys move once the response says that work on them has ended. On a connection of its own it can't be a copy of the
+  // response to an earlier command.
   sendCommand(protocol_.releaseRequest(command), command.instance, kReleaseTimeout, true,
               [this, instance = command.instance, done = std::move(done)](const HttpExchangeResult& exchange) {
                 ReleaseResult result;
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -129,7 +129,7 @@
   /// Logs the grant once for each part of the range that is held until another time.
   void logGrant(int first, int last, bool late);
   void release(const StandinRequest& request, const StandinResponder& responder);
-  /// @return headers that tell which server responds to which request or command.
+  /// @return the headers with the ids of this server and of the request or command.
   std::vector<HttpHeader> identityOf(const StandinRequest& request) const;
   void handleClientRequest(const StandinRequest& request, const StandinResponder& responder);
   void startRequest(const std::shared_ptr<PendingRequest>& pending);
--- a/test/support/crowd_client.h
+++ b/test/support/crowd_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// A client that the operators don't control: it sends a request of any size piece by piece and keeps its connection
-/// open, whatever happens to the request.
+/// A client that exceeds what ordinary clients send: it sends a request of any size piece by piece, stops wherever the
+/// test wants, and never closes its connection.
 
 #include <functional>
 #include <string>
