Refuse responses whose header lines break HTTP's syntax

What callers saw: a server in trouble sent a response with a control byte in the name or the value of a header (0x00, 0x01, 0x0B, 0x7F, a bare CR), or a byte in a name that no token has. The client got it as 200 with that line passed on byte for byte; behind a bare CR some clients read a header that nobody sent. A broken second length or coding (`Content\x01Length: 1`) was passed on beside the good one. In trailers and in the heads of interim responses such lines were read as good ones, and nothing of them was passed on.

Cause: `HttpResponseParser` looked for blanks in names alone, did not look at values, and did not read trailers at all. A list of what is bad was never complete.

Change: each header line, also of trailers and interim responses, is accepted only if its name is a token and its value has no control character but tab (RFC 9110, 5.1 and 5.5; `http_syntax.h`). Any other line makes the response invalid, as a cut one is: the request fails with 502, its outcome is unknown, since the server may have run it, and it is not sent again if it must not be repeated. The same parser reads the answers of the store and those that the tools and the soak get.

--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include "source/net/http_headers.h"
+#include "source/net/http_syntax.h"
 
 namespace shedlever {
 
@@ -45,6 +46,25 @@
   return value;
 }
 
+struct HeaderLine {
+  std::string_view name;
+  /// Without the blanks around it.
+  std::string_view value;
+};
+
+/// @return std::nullopt if the line breaks the syntax of a header, also if it is folded.
+std::optional<HeaderLine> parseHeaderLine(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const HeaderLine header{line.substr(0, colon), trimmed(line.substr(colon + 1))};
+  if (!isHttpToken(header.name) || !isHttpText(header.value)) {
+    return std::nullopt;
+  }
+  return header;
+}
+
 }  // namespace
 
 HttpResponseParser::HttpResponseParser(std::size_t header_limit, std::size_t body_limit, bool to_head,
@@ -117,7 +137,7 @@
       state_ = State::ChunkSize;
       break;
     case State::Trailers:
-      state_ = line.empty() ? State::Done : State::Trailers;
+      valid = takeTrailer(line);
       break;
     case State::Body:
     case State::ChunkData:
@@ -144,23 +164,26 @@
 }
 
 bool HttpResponseParser::takeHeader(std::string_view line) {
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos || colon == 0) {
-    return false;
-  }
-  const std::string_view name = line.substr(0, colon);
-  // A blank means a folded line, or a name that two parsers may interpret differently.
-  if (name.find_first_of(" \t") != std::string_view::npos) {
+  const std::optional<HeaderLine> header = parseHeaderLine(line);
+  if (!header) {
     return false;
   }
-  const std::string_view value = trimmed(line.substr(colon + 1));
-  if (isFramingHeader(name)) {
-    return takeFramingHeader(name, value);
+  if (isFramingHeader(header->name)) {
+    return takeFramingHeader(header->name, header->value);
   }
-  response_.headers.push_back({std::string(name), std::string(value)});
+  response_.headers.push_back({std::string(header->name), std::string(header->value)});
   return true;
 }
 
+bool HttpResponseParser::takeTrailer(std::string_view line) {
+  if (line.empty()) {
+    state_ = State::Done;
+    return true;
+  }
+  // Trailers are not passed on.
+  return parseHeaderLine(line).has_value();
+}
+
 bool HttpResponseParser::takeFramingHeader(std::string_view name, std::string_view value) {
   if (sameHeaderName(name, "content-length")) {
     const std::optional<std::size_t> length = parseSize(value, kDecimal);
--- a/source/net/http_response_parser.h
+++ b/source/net/http_response_parser.h
@@ -77,6 +77,7 @@
   HttpResponseParseStatus lineStep(std::string_view line);
   bool takeStatusLine(std::string_view line);
   bool takeHeader(std::string_view line);
+  bool takeTrailer(std::string_view line);
   bool takeFramingHeader(std::string_view name, std::string_view value);
   bool takeChunkSize(std::string_view line);
   bool headersEnded();
--- /dev/null
+++ b/source/net/http_syntax.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// @file
+/// Syntax of the parts of an HTTP message (RFC 9110, RFC 9112). What breaks it may be understood differently by the
+/// next parser, so that it is never passed on.
+
+#include <string_view>
+
+namespace shedlever {
+
+/// @return whether the text is a token, as the name of a header must be.
+bool isHttpToken(std::string_view text);
+
+/// @return whether the text has no control characters other than tabs, as the value of a header must not.
+bool isHttpText(std::string_view text);
+
+}  // namespace shedlever
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -433,7 +433,11 @@
     }
   }
   StandinResponder responder = pending.responder;
-  responder.reply(response);
+  if (raw_response_ && !not_executed) {
+    responder.replyRaw(raw_response_(response));
+  } else {
+    responder.reply(response);
+  }
 }
 
 void KeyServer::handleClientRequest(const StandinRequest& request, const StandinResponder& responder) {
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -93,6 +93,12 @@
   /// Says in all responses from now on that the server is leaving; its heartbeats do not change.
   void setLeaving();
 
+  /// @return the bytes to send in the place of a response to a request.
+  using RawResponse = std::function<std::string(const HttpResponse& response)>;
+  /// Makes the server send raw bytes, and then close the connection, once it has executed a request; an empty function
+  /// restores its own responses.
+  void setRawResponse(RawResponse raw_response) { raw_response_ = std::move(raw_response); }
+
   /// @return the number of requests begun since the start.
   std::size_t startedRequests() const { return started_requests_; }
   /// @return the number of requests being executed.
@@ -191,6 +197,7 @@
   /// What the log states.
   std::string logged_limit_;
   bool leaving_logged_ = false;
+  RawResponse raw_response_;
   bool draining_ = false;
   bool listening_ = true;
   bool heartbeats_after_listening_ = true;
--- a/standins/standin_http_server.cc
+++ b/standins/standin_http_server.cc
@@ -126,6 +126,16 @@
     evhttp_send_reply_chunk_with_cb(request, body.get(), &Exchange::onTruncatedWritten, server_);
   }
 
+  void sendRaw(const std::string& bytes) {
+    if (!open()) {
+      return;
+    }
+    // evhttp takes whatever its own buffer writes for its response. Short bytes fit into the socket's buffer.
+    bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+    ::send(bufferevent_getfd(stream), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    drop();
+  }
+
   void drop() {
     if (open()) {
       server_->closeSoon(evhttp_request_get_connection(std::exchange(request_, nullptr)));
@@ -172,6 +182,8 @@
 
 void StandinResponder::replyTwice(const HttpResponse& response) { exchange_->send(response, serialize(response)); }
 
+void StandinResponder::replyRaw(const std::string& bytes) { exchange_->sendRaw(bytes); }
+
 void StandinResponder::drop() { exchange_->drop(); }
 
 bool StandinResponder::open() const { return exchange_->open(); }
--- a/standins/standin_http_server.h
+++ b/standins/standin_http_server.h
@@ -42,6 +42,8 @@
   void replyTruncated(const HttpResponse& response);
   /// Sends the response twice in succession.
   void replyTwice(const HttpResponse& response);
+  /// Sends these bytes, at most a few kilobytes, in the place of a response, then closes the connection.
+  void replyRaw(const std::string& bytes);
   /// Closes the connection without a response.
   void drop();
   /// @return whether a response can still be sent.
--- /dev/null
+++ b/test/net/http_response_parser_test.cc
@@ -0,0 +1,82 @@
+/// @file
+/// Heads, trailers and chunk lines that the parser accepts, compared with the grammar of RFC 9110 and RFC 9112.
+
+#include "source/net/http_response_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace shedlever::test {
+namespace {
+
+constexpr std::size_t kLimit = 1000;
+constexpr int kMaxByte = 255;
+
+HttpResponseParseStatus parse(const std::string& bytes, HttpResponse* response = nullptr) {
+  HttpResponseParser parser(kLimit, kLimit, false);
+  const EventBuffer input(evbuffer_new());
+  evbuffer_add(input.get(), bytes.data(), bytes.size());
+  const HttpResponseParseStatus status = parser.consume(input.get());
+  if (status == HttpResponseParseStatus::Complete && response != nullptr) {
+    *response = parser.takeResponse();
+  }
+  return status;
+}
+
+bool isAccepted(const std::string& bytes) { return parse(bytes) == HttpResponseParseStatus::Complete; }
+
+/// @return whether the standard allows the byte in a token.
+bool isTokenByte(int byte) {
+  const std::string marks = "!#$%&'*+-.^_`|~";
+  const bool is_digit = byte >= '0' && byte <= '9';
+  const bool is_letter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+  return is_digit || is_letter || marks.find(static_cast<char>(byte)) != std::string::npos;
+}
+
+/// @return whether the standard allows the byte in a value, a reason phrase or a quoted extension.
+bool isTextByte(int byte) { return byte == '\t' || (byte >= ' ' && byte != 0x7F); }
+
+/// A line that ends in the middle of the test is no case of its own.
+bool endsLine(int byte) { return byte == '\n'; }
+
+struct Place {
+  const char* name;
+  std::string before;
+  std::string after;
+  bool (*is_allowed)(int byte);
+};
+
+const std::vector<Place>& places() {
+  static const std::vector<Place> rows = {
+      {"header name", "HTTP/1.1 200 OK\r\nX-", "A: b\r\nContent-Length: 0\r\n\r\n",
+       [](int byte) { return isTokenByte(byte) || byte == ':'; }},
+      {"header value", "HTTP/1.1 200 OK\r\nX-A: b", "c\r\nContent-Length: 0\r\n\r\n", isTextByte},
+      {"interim header name", "HTTP/1.1 103 Early\r\nX-", "A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       [](int byte) { return isTokenByte(byte) || byte == ':'; }},
+      {"interim header value", "HTTP/1.1 103 Early\r\nX-A: b", "c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       isTextByte},
+      {"trailer name", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-", "A: b\r\n\r\n",
+       [](int byte) { return isTokenByte(byte) || byte == ':'; }},
+      {"trailer value", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: b", "c\r\n\r\n", isTextByte},
+  };
+  return rows;
+}
+
+// Guards against a byte that two parsers may understand differently in any line of a response.
+TEST(HttpResponseParserTest, AcceptsExactlyTheBytesThatTheStandardAllowsInEachPlace) {
+  for (const Place& place : places()) {
+    for (int byte = 0; byte <= kMaxByte; ++byte) {
+      if (!endsLine(byte)) {
+        EXPECT_EQ(isAccepted(place.before + static_cast<char>(byte) + place.after), place.is_allowed(byte))
+            << place.name << ", byte " << byte;
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace shedlever::test
