Refuse responses whose status line breaks HTTP's syntax

What callers saw: a server in trouble sent `HTTP/1.1 2000 OK` or `200x OK`, a control byte for one of the blanks, `HTTP/1.x`, or a bare CR or NUL in the reason phrase, and the client got 200 with body and seal. A status from 600 to 999 came through as it was (`HTTP/1.1 700 <unknown>`). 000, 099, 20 and -20 were refused already.

Cause: `HttpResponseParser` read three characters at a fixed place and looked at nothing around them.

Change: `parseHttpStatusLine` accepts `HTTP/1.` and a digit, a blank, three digits, and then the end, or a blank and a reason phrase without control characters. Statuses above 599 are of no class that the standard defines, and clients have to take them for a server's failure (RFC 9110, 15). Such a response counts as broken, since what a client does with the status is uncertain: 502, outcome unknown.

Evidence: before the change BrokenStatusLineEndsTheRequestAsFailed failed in all of its 7 rows with 200, StatusOutsideTheStandardsClasses in its 3 rows with 600, 700 and 999, and one row of BrokenLineInAnInterimResponse with 200; AcceptsExactlyTheFinalStatusesOfTheStandardsClasses failed for 600 to 999, and AcceptsExactlyTheBytesThatTheStandardAllowsInEachPlace for 254 of 255 bytes in the place of each of the two blanks and 31 in the reason phrase. With the change all pass.

--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -11,12 +11,8 @@
 
 namespace {
 
-constexpr std::string_view kVersionPrefix = "HTTP/1.";
-/// Length of "HTTP/1.1 ", which precedes the status.
-constexpr std::size_t kStatusStart = 9;
-constexpr std::size_t kStatusDigits = 3;
+constexpr std::string_view kFirstVersion = "HTTP/1.0";
 constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 999;
 constexpr int kStatusSwitchingProtocols = 101;
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotModified = 304;
@@ -149,16 +145,13 @@
 }
 
 bool HttpResponseParser::takeStatusLine(std::string_view line) {
-  if (!line.starts_with(kVersionPrefix) || line.size() < kStatusStart + kStatusDigits) {
+  const std::optional<int> status = parseHttpStatusLine(line);
+  if (!status || *status == kStatusSwitchingProtocols) {
     return false;
   }
   // An HTTP/1.0 connection is never reused, even if the server would keep it open.
-  keeps_connection_ = line[kVersionPrefix.size()] != '0';
-  const std::optional<std::size_t> status = parseSize(line.substr(kStatusStart, kStatusDigits), kDecimal);
-  if (!status || *status < 100 || *status > kLastStatus || *status == kStatusSwitchingProtocols) {
-    return false;
-  }
-  response_.status = static_cast<int>(*status);
+  keeps_connection_ = !line.starts_with(kFirstVersion);
+  response_.status = *status;
   state_ = State::Headers;
   return true;
 }
--- a/source/net/http_syntax.h
+++ b/source/net/http_syntax.h
@@ -4,6 +4,7 @@
 /// Syntax of the parts of an HTTP message (RFC 9110, RFC 9112). What breaks it may be understood differently by the
 /// next parser, so that it is never passed on.
 
+#include <optional>
 #include <string_view>
 
 namespace shedlever {
@@ -14,4 +15,8 @@
 /// @return whether the text has no control characters other than tabs, as the value of a header must not.
 bool isHttpText(std::string_view text);
 
+/// @return the status of a status line, from 100 to 599; std::nullopt if the line breaks the syntax of HTTP/1.0 and
+///   HTTP/1.1 or has a status of no class that the standard defines.
+std::optional<int> parseHttpStatusLine(std::string_view line);
+
 }  // namespace shedlever
--- a/test/net/http_response_parser_test.cc
+++ b/test/net/http_response_parser_test.cc
@@ -55,6 +55,9 @@
       {"header name", "HTTP/1.1 200 OK\r\nX-", "A: b\r\nContent-Length: 0\r\n\r\n",
        [](int byte) { return isTokenByte(byte) || byte == ':'; }},
       {"header value", "HTTP/1.1 200 OK\r\nX-A: b", "c\r\nContent-Length: 0\r\n\r\n", isTextByte},
+      {"reason phrase", "HTTP/1.1 200 O", "K\r\nContent-Length: 0\r\n\r\n", isTextByte},
+      {"behind the status", "HTTP/1.1 200", "OK\r\nContent-Length: 0\r\n\r\n", [](int byte) { return byte == ' '; }},
+      {"behind the version", "HTTP/1.1", "200 OK\r\nContent-Length: 0\r\n\r\n", [](int byte) { return byte == ' '; }},
       {"interim header name", "HTTP/1.1 103 Early\r\nX-", "A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
        [](int byte) { return isTokenByte(byte) || byte == ':'; }},
       {"interim header value", "HTTP/1.1 103 Early\r\nX-A: b", "c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
@@ -78,5 +81,39 @@
   }
 }
 
+TEST(HttpResponseParserTest, AcceptsExactlyTheFinalStatusesOfTheStandardsClasses) {
+  constexpr int kStatuses = 1000;
+  constexpr int kFirstFinal = 200;
+  constexpr int kLastFinal = 599;
+  for (int status = 0; status < kStatuses; ++status) {
+    const std::string digits = std::to_string(kStatuses + status).substr(1);
+    const bool is_final = status >= kFirstFinal && status <= kLastFinal;
+    EXPECT_EQ(isAccepted("HTTP/1.1 " + digits + " Word\r\nContent-Length: 0\r\n\r\n"), is_final) << digits;
+  }
+}
+
+// Whatever is accepted has nothing in its head that the client must not get.
+RC_GTEST_PROP(HttpResponseParserTest, AcceptedHeadWithRandomBytesIsWithinTheStandard, ()) {
+  std::string bytes = "HTTP/1.1 200 OK\r\nX-First: a b\r\nX-Second: c\r\nContent-Length: 0\r\n\r\n";
+  const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, unsigned char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, bytes.size()), rc::gen::arbitrary<unsigned char>()));
+  for (const auto& [at, byte] : changes) {
+    bytes[at] = static_cast<char>(byte);
+  }
+  HttpResponse response;
+  if (parse(bytes, &response) != HttpResponseParseStatus::Complete) {
+    return;
+  }
+  RC_ASSERT(response.status >= 200);
+  RC_ASSERT(response.status <= 599);
+  for (const HttpHeader& header : response.headers) {
+    RC_ASSERT(!header.name.empty());
+    RC_ASSERT(std::all_of(header.name.begin(), header.name.end(),
+                          [](char byte) { return isTokenByte(static_cast<unsigned char>(byte)); }));
+    RC_ASSERT(std::all_of(header.value.begin(), header.value.end(),
+                          [](char byte) { return isTextByte(static_cast<unsigned char>(byte)); }));
+  }
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -145,6 +145,28 @@
       {"control byte in a value", withInterimLine("X-A: b\x01"
                                                   "c")},
       {"blank in a name", withInterimLine("X A: b")},
+      {"status line without a blank", "HTTP/1.1 103X\r\n\r\n" + withHeaderLine("A: b")},
+  });
+}
+
+TEST_F(BrokenResponseTest, BrokenStatusLineEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"four digits", withStatusLine("HTTP/1.1 2000 OK")},
+      {"letter behind the digits", withStatusLine("HTTP/1.1 200x OK")},
+      {"control byte for the first blank", withStatusLine("HTTP/1.1\x01"
+                                                          "200 OK")},
+      {"control byte for the second blank", withStatusLine("HTTP/1.1 200\x01OK")},
+      {"letter in the version", withStatusLine("HTTP/1.x 200 OK")},
+      {"bare CR in the reason phrase", withStatusLine("HTTP/1.1 200 O\rK")},
+      {"NUL in the reason phrase", withStatusLine("HTTP/1.1 200 O\0K"s)},
+  });
+}
+
+TEST_F(BrokenResponseTest, StatusOutsideTheStandardsClassesEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"600", withStatusLine("HTTP/1.1 600 Odd")},
+      {"700", withStatusLine("HTTP/1.1 700 Odd")},
+      {"999", withStatusLine("HTTP/1.1 999 Odd")},
   });
 }
 
@@ -172,5 +194,10 @@
   }
 }
 
+TEST_F(BrokenResponseTest, LastStatusOfTheStandardsClassesReachesTheClient) {
+  constexpr int kLastStatus = 599;
+  EXPECT_EQ(responseTo({"599", withStatusLine("HTTP/1.1 599 Odd")}).response.status, kLastStatus);
+}
+
 }  // namespace
 }  // namespace shedlever::test
