Refuse responses with a control character in the line of a chunk

What callers saw: a server in trouble sent a chunk whose extension held a control byte or a bare CR (`2;a=b\r3`), and the client got 200 with the body. A parser that ends lines at CR reads another size there, so that what is the body is uncertain.

Cause: `takeChunkSize` read the size and skipped the rest of the line.

Change: a line of a chunk has no control character but tab (`isHttpText`), as header lines. A control byte in the size was refused already.

Evidence: BrokenChunkLineEndsTheRequestAsFailed failed in its 3 rows with 200 where 502 is due, and AcceptsExactlyTheBytesThatTheStandardAllowsInEachPlace for 31 of 255 bytes in an extension; with the change both pass.

--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -230,7 +230,7 @@
 
 bool HttpResponseParser::takeChunkSize(std::string_view line) {
   const std::optional<std::size_t> size = parseSize(trimmed(line.substr(0, line.find(';'))), kHexadecimal);
-  if (!size || *size > body_limit_ - response_.body.size()) {
+  if (!size || *size > body_limit_ - response_.body.size() || !isHttpText(line)) {
     return false;
   }
   // The limit applies to the headers, not to the total size of the lines between chunks.
--- a/test/net/http_response_parser_test.cc
+++ b/test/net/http_response_parser_test.cc
@@ -65,6 +65,7 @@
       {"trailer name", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-", "A: b\r\n\r\n",
        [](int byte) { return isTokenByte(byte) || byte == ':'; }},
       {"trailer value", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: b", "c\r\n\r\n", isTextByte},
+      {"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;a=\"b", "c\"\r\n\r\n", isTextByte},
   };
   return rows;
 }
--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -170,6 +170,14 @@
   });
 }
 
+TEST_F(BrokenResponseTest, BrokenChunkLineEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"control byte in an extension", withChunks("2;a=\x01\r\n" + kBody + "\r\n0\r\n\r\n")},
+      {"bare CR in an extension", withChunks("2;a=b\r3\r\n" + kBody + "\r\n0\r\n\r\n")},
+      {"NUL in the last chunk's extension", withChunks("2\r\n" + kBody + "\r\n0;a\0\r\n\r\n"s)},
+  });
+}
+
 // Guards against a rule that is stricter than the standard.
 TEST_F(BrokenResponseTest, UnusualResponseWithinTheSyntaxReachesTheClient) {
   const std::vector<RawResponse> rows = {
