Refuse responses that name the chunked coding twice

What callers saw: a server in trouble sent two lines `Transfer-Encoding: chunked`, and the client got 200. The lines together mean chunks inside of chunks, which no server may send (RFC 9112, 6.1): where it did, the inner chunks' lines would have come to the client as a body that is not the server's.

Cause: each line was looked at alone; two codings in one line were refused already.

Change: a second line makes the response invalid.

Evidence: TwoLinesWithACodingEndTheRequestAsFailed failed with 200, body and seal where 502 is due; with the change it passes.

--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <utility>
 
 #include "source/net/http_headers.h"
 #include "source/net/http_syntax.h"
@@ -185,8 +186,8 @@
     return length.has_value() && !differs;
   }
   if (sameHeaderName(name, "transfer-encoding")) {
-    chunked_ = true;
-    return sameHeaderName(value, "chunked");
+    const bool repeated = std::exchange(chunked_, true);
+    return !repeated && sameHeaderName(value, "chunked");
   }
   if (sameHeaderName(name, "connection") && sameHeaderName(value, "close")) {
     keeps_connection_ = false;
--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -178,6 +178,14 @@
   });
 }
 
+// Chunks inside of chunks would reach the client as the body.
+TEST_F(BrokenResponseTest, TwoLinesWithACodingEndTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"two codings", "HTTP/1.1 200 OK\r\n" + kIdentityLines +
+                          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+  });
+}
+
 // Guards against a rule that is stricter than the standard.
 TEST_F(BrokenResponseTest, UnusualResponseWithinTheSyntaxReachesTheClient) {
   const std::vector<RawResponse> rows = {
