Test broken responses that were refused already

Cause: the reports name a status of 000, blanks in names and responses that stop within their head; no test looked at what a client gets then. Change: tests alone, with the server of BrokenResponseTest.

--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -186,6 +186,58 @@
   });
 }
 
+TEST_F(BrokenResponseTest, StatusBelowTheStandardsClassesEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"000", withStatusLine("HTTP/1.1 000 OK")},
+      {"099", withStatusLine("HTTP/1.1 099 OK")},
+      {"two digits", withStatusLine("HTTP/1.1 20 OK")},
+      {"minus", withStatusLine("HTTP/1.1 -20 OK")},
+      {"plus", withStatusLine("HTTP/1.1 +20 OK")},
+      {"no status", withStatusLine("HTTP/1.1")},
+      {"switching protocols", withStatusLine("HTTP/1.1 101 Switching Protocols")},
+      {"later version", withStatusLine("HTTP/2.0 200 OK")},
+      {"bytes that are no response", "\x01\x02\x03\r\n\r\n"},
+  });
+}
+
+TEST_F(BrokenResponseTest, HeaderNameThatIsEmptyOrHasABlankEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"blank in a name", withHeaderLine("X A: b")},
+      {"tab in a name", withHeaderLine("X\tA: b")},
+      {"blank before the colon", withHeaderLine("X-A : b")},
+      {"tab before the colon", withHeaderLine("X-A\t: b")},
+      {"empty name", withHeaderLine(": b")},
+      {"no colon", withHeaderLine("X-A")},
+      {"folded line", withHeaderLine("X-A: b\r\n c: d")},
+  });
+}
+
+TEST_F(BrokenResponseTest, UncertainLengthEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"two lengths", withHeaderLine("Content-Length: 1")},
+      {"length with a sign", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "Content-Length: +2\r\n\r\nok"},
+      {"length beside chunks", withHeaderLine("Transfer-Encoding: chunked")},
+      {"unknown coding", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+      {"control byte in a chunk's size", withChunks("2\x01\r\nok\r\n0\r\n\r\n")},
+  });
+}
+
+TEST_F(BrokenResponseTest, ResponseThatStopsBeforeItsEndEndsTheRequestAsFailed) {
+  expectNotPassedOn({
+      {"in the status line", "HTTP/1.1 20"},
+      {"behind the status line", "HTTP/1.1 200 OK\r\n"},
+      {"in a header's name", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "Content-Le"},
+      {"in the length", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "Content-Length: 2"},
+      {"before the empty line", "HTTP/1.1 200 OK\r\n" + kIdentityLines},
+      {"in the empty line", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "\r"},
+      {"behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      {"in the body", "HTTP/1.1 200 OK\r\n" + kIdentityLines + "Content-Length: 2\r\n\r\no"},
+      {"in a chunk", withChunks("2\r\no")},
+      {"before the last chunk", withChunks("2\r\nok\r\n")},
+      {"before the end of the trailers", withChunks("2\r\nok\r\n0\r\nX-A: b\r\n")},
+  });
+}
+
 // Guards against a rule that is stricter than the standard.
 TEST_F(BrokenResponseTest, UnusualResponseWithinTheSyntaxReachesTheClient) {
   const std::vector<RawResponse> rows = {
