Check responses that peers pass on before clients get them

What callers saw: while builds are mixed, a router of an earlier build takes a server's broken response for a good one and sends it to the client's router in a frame, which wrote names, values and status to the client as they came. A status of 103 leaves a client waiting for the response that never follows.

Cause: the response was checked only where it is parsed, and a frame's content not at all.

Change: `Gateway::onReply` checks each response with `isValidHttpResponse` before it counts for anything: a broken one becomes an attempt of unknown outcome that reached a server. It is repeated at another server if the request may be, and is 502 otherwise, never "not run". The frames stay as they are. `http_syntax` moves to `source/core`, where code that uses no network can use it too.

Evidence: two tests of GatewayTest with a peer that sends a broken name, value or status. With it both pass in under 1 ms.

--- a/source/net/http_syntax.cc
+++ b/source/core/http_syntax.cc
@@ -1,4 +1,4 @@
-#include "source/net/http_syntax.h"
+#include "source/core/http_syntax.h"
 
 #include <algorithm>
 
@@ -13,6 +13,7 @@
 constexpr std::size_t kStatusStart = 9;
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kFirstStatus = 100;
+constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 constexpr int kDecimal = 10;
 
@@ -58,4 +59,11 @@
   return status >= kFirstStatus && status <= kLastStatus ? std::optional(status) : std::nullopt;
 }
 
+bool isValidHttpResponse(const HttpResponse& response) {
+  const bool valid_headers =
+      std::all_of(response.headers.begin(), response.headers.end(),
+                  [](const HttpHeader& header) { return isHttpToken(header.name) && isHttpText(header.value); });
+  return valid_headers && response.status >= kFirstFinalStatus && response.status <= kLastStatus;
+}
+
 }  // namespace shedlever
--- a/source/net/http_syntax.h
+++ b/source/core/http_syntax.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string_view>
 
+#include "shedlever/http_messages.h"
+
 namespace shedlever {
 
 /// @return whether the text is a token, as the name of a header must be.
@@ -19,4 +21,7 @@
 ///   HTTP/1.1 or has a status of no class that the standard defines.
 std::optional<int> parseHttpStatusLine(std::string_view line);
 
+/// @return whether a complete response has a final status, from 200 to 599, and only valid names and values of headers.
+bool isValidHttpResponse(const HttpResponse& response);
+
 }  // namespace shedlever
--- a/source/net/http_response_parser.cc
+++ b/source/net/http_response_parser.cc
@@ -5,8 +5,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "source/core/http_syntax.h"
 #include "source/net/http_headers.h"
-#include "source/net/http_syntax.h"
 
 namespace shedlever {
 
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/http_syntax.h"
 #include "source/core/router/quarantine/fingerprint.h"
 #include "source/net/http_headers.h"
 
@@ -21,6 +22,17 @@
 constexpr Duration kInvalidRouteRetryAfter = std::chrono::seconds(5);
 constexpr int kFirstServerError = 500;
 
+/// Turns the reply of a peer that passes a broken response on, as earlier builds do, into one without a response.
+void dropBrokenResponse(ForwardReplyFrame& reply) {
+  if (reply.outcome != ForwardOutcome::Answered || isValidHttpResponse(reply.http)) {
+    return;
+  }
+  reply.outcome = ForwardOutcome::Unknown;
+  reply.reason = ForwardReason::BrokenAnswer;
+  reply.reached_server = true;
+  reply.http = {};
+}
+
 }  // namespace
 
 Gateway::Gateway(NodeIdentity self, ServiceName own_service, const RetryBudgetConfig& budget, GatewayPorts ports)
@@ -356,6 +368,7 @@
   const bool was_silent = request.silent_attempt && request.silent_attempt->number == attempt_number;
   GatewayAttempt& attempt = was_silent ? *request.silent_attempt : request.attempt;
   attempt.open = false;
+  dropBrokenResponse(reply);
   recordReply(request, attempt, reply, now);
   recordRefusal(request, attempt, reply);
   if (was_silent && !adoptSilentReply(request, reply)) {
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -475,6 +475,37 @@
   EXPECT_EQ(first_.forwarded_requests, 0U);
 }
 
+/// @return responses that no server may send, in which a peer of an earlier build may still pass them on.
+std::vector<ForwardReplyFrame> brokenAnswers() {
+  return {
+      withHeader(answered(200, "broken"), "X-A\x01", "b"),
+      withHeader(answered(200, "broken"), "X A", "b"),
+      withHeader(answered(200, "broken"), "", "b"),
+      withHeader(answered(200, "broken"), "X-A", "b\rSet-Cookie: c"),
+      answered(0, "broken"),
+      answered(103, "broken"),
+      answered(700, "broken"),
+  };
+}
+
+TEST_F(GatewayTest, BrokenResponseFromAPeerIsRepeatedAtAnotherServer) {
+  for (const ForwardReplyFrame& broken : brokenAnswers()) {
+    const HttpResponse response = ask({broken, answered(200, "here")});
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "here");
+  }
+}
+
+// The server may have run the request.
+TEST_F(GatewayTest, BrokenResponseFromAPeerIsNotPassedOnNorReportedAsNotRun) {
+  for (const ForwardReplyFrame& broken : brokenAnswers()) {
+    const HttpResponse response = ask({broken, refused()});
+    EXPECT_EQ(response.status, kBadGateway);
+    EXPECT_EQ(response.body, "");
+    EXPECT_FALSE(hasRetryAfter(response));
+  }
+}
+
 TEST_F(GatewayTest, AnswerAfterAnAttemptOfUnknownOutcomeIsReturned) {
   const HttpResponse response = ask({unknown(), answered(200, "here")});
   EXPECT_EQ(response.status, 200);
