Check answers of the store that peers pass on

What callers saw: nothing so far; read from the code while the cause was looked for. A process that does not reach the store asks through a peer, and an answer that a peer of an earlier build took for a good one counted: a read with the status 0, or one with a header line of which two parsers make different things, decided on leases and owners.

Cause: as for responses of servers: an answer was checked where it is parsed, and a frame's content not at all.

Change: a broken answer by way of a peer counts as none and is logged (`store: event=broken-answer-by-peer`); the call may or may not have been carried out, as after a lost connection. Direct answers are checked by the parser.

Evidence: StoreClientTest.BrokenResponseFromAPeerCountsAsNone failed before the change (200 where no answer is due) and passes with it.

--- a/source/router/store_client.cc
+++ b/source/router/store_client.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/core/http_syntax.h"
 #include "source/core/router/duration_format.h"
 
 namespace shedlever {
@@ -115,14 +116,20 @@
     loop_.post([done = std::move(done)] { done(std::nullopt); });
     return;
   }
-  peer_client_.callStore(peers[next_peer_++ % peers.size()], call.request, call.timeout,
-                         [this, done = std::move(done)](std::optional<HttpResponse> response) {
-                           if (isRefusal(response)) {
-                             use_peers_until_ = {};
-                             avoid_peers_until_ = clock_.now() + kAvoidPeersPeriod;
-                           }
-                           done(std::move(response));
-                         });
+  peer_client_.callStore(
+      peers[next_peer_++ % peers.size()], call.request, call.timeout,
+      [this, done = std::move(done)](std::optional<HttpResponse> response) {
+        // Earlier builds pass broken responses on.
+        if (response && !isValidHttpResponse(*response)) {
+          log_.write("store", "broken-answer-by-peer", {{"status", std::to_string(response->status)}});
+          response.reset();
+        }
+        if (isRefusal(response)) {
+          use_peers_until_ = {};
+          avoid_peers_until_ = clock_.now() + kAvoidPeersPeriod;
+        }
+        done(std::move(response));
+      });
 }
 
 }  // namespace shedlever
--- a/test/router/store_client_test.cc
+++ b/test/router/store_client_test.cc
@@ -40,12 +40,13 @@
   sim::SeededRandom random_{1};
   FakePeer peer_{loop_, {NodeName("other"), Incarnation{1}}};
   int store_status_ = kUnavailable;
+  std::string store_headers_;
   std::size_t store_calls_ = 0;
   ScriptedServer store_{loop_, [this](ScriptedConnection& connection) {
                           if (isCompleteRequest(connection.received)) {
                             connection.received.clear();
                             ++store_calls_;
-                            connection.write(httpResponseText(store_status_, "", "{}"));
+                            connection.write(httpResponseText(store_status_, store_headers_, "{}"));
                           }
                         }};
   ServerDirectory directory_{NodeName("self"), ZoneName("z"), {}, random_};
@@ -95,6 +96,27 @@
   EXPECT_EQ(peer_.store_calls, 0U);
 }
 
+// A line that two parsers may understand differently can be the rest of another response.
+TEST_F(StoreClientTest, BrokenResponseOfTheStoreCountsAsNone) {
+  store_status_ = 200;
+  store_headers_ =
+      "X-A\x01"
+      "b: c\r\n";
+  EXPECT_EQ(call(StoreConnection::New), 0);
+  EXPECT_EQ(call(StoreConnection::Watch), 0);
+  EXPECT_EQ(call(), 200) << "the peer's response counts";
+  EXPECT_EQ(peer_.store_calls, 1U);
+}
+
+// An earlier build passes such responses on.
+TEST_F(StoreClientTest, BrokenResponseFromAPeerCountsAsNone) {
+  peer_.store_headers = {{"X-A\x01", "b"}};
+  EXPECT_EQ(call(), 0);
+  peer_.store_headers.clear();
+  peer_.store_status = 0;
+  EXPECT_EQ(call(), 0);
+}
+
 // The store's rate limit covers all nodes together, so a peer's call would be rejected as well.
 TEST_F(StoreClientTest, RateLimitedCallIsNotRetriedThroughPeer) {
   store_status_ = kTooManyRequests;
--- a/test/support/fake_peer.h
+++ b/test/support/fake_peer.h
@@ -76,6 +76,8 @@
 
   /// HTTP status of the replies to store calls.
   int store_status = 200;
+  /// Headers of the replies to store calls.
+  std::vector<HttpHeader> store_headers;
   std::size_t store_calls = 0;
   std::size_t forwarded_requests = 0;
   std::size_t cancelled_requests = 0;
@@ -114,7 +116,7 @@
         sendFrame(ExchangeQueryReplyFrame{query->exchange, peer.exchange_state});
       } else if (const auto* call = std::get_if<StoreCallFrame>(&frame)) {
         ++peer.store_calls;
-        sendFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, {}, {}}});
+        sendFrame(StoreReplyFrame{call->exchange, true, {peer.store_status, peer.store_headers, {}}});
       } else if (std::holds_alternative<PingFrame>(frame)) {
         sendFrame(PongFrame{});
       } else if (std::holds_alternative<PlacementPlanFrame>(frame)) {
