Do not repeat recorded responses that are broken

What callers saw: nothing so far; read from the code while the cause was looked for. The response to an at-most-once request is recorded in the store and repeated to whoever sends the same idempotency key. A record of an earlier build may hold a broken response of a server, which the client got line for line.

Change: `ClaimRecord::decode` takes such a record for one of unknown outcome, as it does with any it can't read: the client gets `duplicate-unknown`, and the request does not run again.

Evidence: ClaimRecordTest.RecordWithABrokenResponseHasAnUnknownOutcome failed before the change in its three broken rows (answered) and passes with it; the valid row passed in both.

--- a/source/core/router/claims/claim_manager.cc
+++ b/source/core/router/claims/claim_manager.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "source/core/http_syntax.h"
 #include "source/core/sha256.h"
 
 namespace shedlever {
@@ -74,6 +75,9 @@
     throw std::invalid_argument("body is not valid base64");
   }
   response.body = *body;
+  if (!isValidHttpResponse(response)) {
+    throw std::invalid_argument("status or header is not valid");
+  }
   return response;
 }
 
--- a/test/core_router/claims/claim_manager_test.cc
+++ b/test/core_router/claims/claim_manager_test.cc
@@ -144,6 +144,20 @@
   EXPECT_EQ(ClaimRecord::decode(record.encode()).state, record.state);
 }
 
+// Guards against a recorded response that an earlier build took from a server in trouble and that reaches a client.
+TEST(ClaimRecordTest, RecordWithABrokenResponseHasAnUnknownOutcome) {
+  const auto recorded_state = [](const HttpResponse& response) {
+    ClaimRecord record;
+    record.state = ClaimState::Answered;
+    record.response = response;
+    return ClaimRecord::decode(record.encode()).state;
+  };
+  EXPECT_EQ(recorded_state({200, {{"X-A", "b"}}, "here"}), ClaimState::Answered);
+  EXPECT_EQ(recorded_state({200, {{"X-A\x01", "b"}}, "here"}), ClaimState::Unknown);
+  EXPECT_EQ(recorded_state({200, {{"X-A", "b\rSet-Cookie: c"}}, "here"}), ClaimState::Unknown);
+  EXPECT_EQ(recorded_state({700, {}, "here"}), ClaimState::Unknown);
+}
+
 TEST_F(ClaimManagerTest, OnlyOneOfTwoRequestsWithTheSameKeyIsGranted) {
   const auto one = cluster_.acquire(first_, "k", "r1");
   const auto other = cluster_.acquire(second_, "k", "r2");
