Test responses without end in more forms, and ordinary service after them

Cause: the reports name bytes that are no response, without end, in a head or in a body; the tests covered header lines, bodies and large chunks, and looked at readiness alone afterwards. Change: tests alone: chunks of one byte, bytes that are no response, a status line, a header line, interim responses, a chunk's extension and trailers, each without end, on 16 connections; and one ordinary request that must be served after each of them.

--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "soak/local_deployment.h"
@@ -288,6 +289,16 @@
   EXPECT_EQ(statuses().count(kOk), 0U);
 }
 
+/// @return the value of a header in the text of a request; empty if there is none.
+std::string headerIn(const std::string& request, const std::string& name) {
+  const std::size_t line = request.find(name + ": ");
+  if (line == std::string::npos) {
+    return "";
+  }
+  const std::size_t value = line + name.size() + 2;
+  return request.substr(value, request.find("\r\n", value) - value);
+}
+
 /// The node's server sends bytes without end in the place of responses, until the router closes the connection.
 class EndlessResponseTest : public CrowdTest {
  protected:
@@ -298,14 +309,19 @@
     owner_->server_process.reset();
     flood_ = std::make_unique<ScriptedServer>(
         loop_,
-        [this, head, filler](ScriptedConnection& connection) {
-          if (isCompleteRequest(connection.received) && !connection.received.starts_with("GET /health")) {
-            connection.received.clear();
+        [this, head](ScriptedConnection& connection) {
+          if (!isCompleteRequest(connection.received)) {
+            return;
+          }
+          const std::string request = std::exchange(connection.received, {});
+          if (request.starts_with("GET /health")) {
+            connection.write(httpResponseText(kOk, "X-Instance-Id: i-flood\r\n", ""));
+          } else if (floods_) {
             connection.write(head);
             flooded_.push_back(&connection);
-          } else if (isCompleteRequest(connection.received)) {
-            connection.received.clear();
-            connection.write(httpResponseText(kOk, "X-Instance-Id: i-flood\r\n", ""));
+          } else {
+            const std::string id = headerIn(request, "X-Request-Id");
+            connection.write(httpResponseText(kOk, "X-Response-Seal: s\r\nX-Request-Id: " + id + "\r\n", "ok"));
           }
         },
         owner_->server);
@@ -347,9 +363,13 @@
     floodUntilClosed();
     const auto answer = httpCall(loop_, front_->readiness, "GET", "/readiness", {}, kTestTimeout);
     ASSERT_TRUE(answer.has_value());
+    floods_ = false;
+    EXPECT_TRUE(isServed(std::string(100, 'o')));
     expectProcessesHold();
   }
 
+  /// Whether the server responds to requests with bytes without end; otherwise with ordinary responses.
+  bool floods_ = true;
   std::unique_ptr<ScriptedServer> flood_;
   std::vector<ScriptedConnection*> flooded_;
   std::string filler_;
@@ -368,5 +388,42 @@
                 "10000\r\n" + std::string(kPieceBytes, 'f') + "\r\n");
 }
 
+TEST_F(EndlessResponseTest, ProcessesBearChunksOfOneByteWithoutEnd) {
+  std::string chunks;
+  while (chunks.size() < kPieceBytes) {
+    chunks += "1\r\nf\r\n";
+  }
+  expectBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunks);
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearBytesThatAreNoResponseWithoutEnd) {
+  expectBounded("\x01\x02", std::string(kPieceBytes, '\x03'));
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearStatusLinesWithoutEnd) {
+  expectBounded("HTTP/1.1 200 ", std::string(kPieceBytes, 'f'));
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearHeaderLinesWithoutEnd) {
+  expectBounded("HTTP/1.1 200 OK\r\nX-Filler: ", std::string(kPieceBytes, 'f'));
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearInterimResponsesWithoutEnd) {
+  std::string responses;
+  while (responses.size() < kPieceBytes) {
+    responses += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  expectBounded("HTTP/1.1 103 Early Hints\r\n\r\n", responses);
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearChunkExtensionsWithoutEnd) {
+  expectBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", std::string(kPieceBytes, 'f'));
+}
+
+TEST_F(EndlessResponseTest, ProcessesBearTrailersWithoutEnd) {
+  expectBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "X-Filler: " + std::string(kPieceBytes, 'f') + "\r\n");
+}
+
 }  // namespace
 }  // namespace shedlever::test
