Limit the memory of bodies also where the settings do not state it

What callers saw: a server sent bodies without end on many connections. Where they don't, which was the default, nothing bounded the sum: 64 MB for each of up to 512 connections. The process kept them and, on a small machine, would have been killed, and with it the requests of all other clients.

Cause: a limit that protects was off unless it was asked for.

Change: without the setting the process takes a machine of 256 MB for granted, which is what a node is planned with; `"memory_mb": 0` still means no limit. The platform states the memory of each machine, so that nothing changes there.

--- a/soak/local_deployment.h
+++ b/soak/local_deployment.h
@@ -77,6 +77,8 @@
   LocalDeployment& operator=(const LocalDeployment&) = delete;
 
   void startStore();
+  /// Kills the store, which leaves its address free.
+  void killStore() { store_.reset(); }
   /// Starts a node's server and router.
   LocalNode& addNode(const std::string& service, bool divided);
 
--- a/source/router/router_settings.cc
+++ b/source/router/router_settings.cc
@@ -168,7 +168,7 @@
   settings.link.bytes_per_second = link_mbps * kBytesPerMegabit;
   constexpr double kMaxMemoryMegabytes = 1e9;
   constexpr double kBytesPerMegabyte = 1U << 20U;
-  double memory_mb = 0;
+  double memory_mb = static_cast<double>(settings.machine_memory_bytes) / kBytesPerMegabyte;
   const Section machine(document, "machine", findings);
   machine.read("memory_mb", memory_mb, 0.0, kMaxMemoryMegabytes);
   settings.machine_memory_bytes = static_cast<std::size_t>(memory_mb * kBytesPerMegabyte);
--- a/source/router/router_settings.h
+++ b/source/router/router_settings.h
@@ -46,6 +46,9 @@
   Platform,   ///< the protocols of the platform that the process runs on
 };
 
+/// Memory of a machine whose settings do not state it. A body of the default limit (64 MB) is still served.
+inline constexpr std::size_t kDefaultMachineMemoryBytes = 256U << 20U;
+
 struct RouterSettings {
   InterfaceKind interface_kind = InterfaceKind::Shedlever;
   NodeName node;
@@ -72,7 +75,7 @@
   /// Bandwidth of the node's network link.
   LinkConfig link;
   /// Memory of the machine in bytes, which the process must not exceed; 0: not limited.
-  std::size_t machine_memory_bytes = 0;
+  std::size_t machine_memory_bytes = kDefaultMachineMemoryBytes;
 
   /// @return how much of the memory bodies of requests and responses may take, in bytes.
   std::size_t bodyMemoryBytes() const;
--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -39,6 +39,8 @@
 constexpr std::size_t kMissingBytes = 16;
 constexpr std::size_t kPieceBytes = 64U << 10U;
 constexpr int kOk = 200;
+/// What a process may take where its settings do not state the machine's memory.
+constexpr std::size_t kDefaultMemoryMb = 256;
 
 /// @return pieces that hold `head`, and then `size` bytes of which each piece has `piece_bytes`.
 CrowdClient::Pieces bodyInPieces(const std::string& head, std::size_t size, std::size_t piece_bytes) {
@@ -425,5 +427,23 @@
                 "X-Filler: " + std::string(kPieceBytes, 'f') + "\r\n");
 }
 
+/// The settings do not state the memory of the machine.
+class UnstatedMemoryTest : public EndlessResponseTest {
+ protected:
+  void SetUp() override {
+    start(kMaxBodyBytes, 0);
+    machine_memory_mb_ = kDefaultMemoryMb;
+  }
+};
+
+TEST_F(UnstatedMemoryTest, ProcessesBearBodiesWithoutEnd) {
+  expectBounded("HTTP/1.1 200 OK\r\n\r\n", std::string(kPieceBytes, 'f'));
+}
+
+TEST_F(UnstatedMemoryTest, ProcessesBearChunksWithoutEnd) {
+  expectBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "10000\r\n" + std::string(kPieceBytes, 'f') + "\r\n");
+}
+
 }  // namespace
 }  // namespace shedlever::test
--- a/test/router/router_settings_test.cc
+++ b/test/router/router_settings_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace shedlever::test {
 namespace {
 
@@ -48,5 +50,19 @@
   }
 }
 
+// Guards against a process that takes all memory because its settings do not state how much there is.
+TEST(RouterSettingsTest, MemoryOfTheMachineHasADefaultAndCanBeUnlimited) {
+  const auto defaults = parseRouterSettings(settingsWith(""));
+  ASSERT_TRUE(defaults);
+  EXPECT_EQ(defaults->machine_memory_bytes, kDefaultMachineMemoryBytes);
+  EXPECT_LT(defaults->bodyMemoryBytes(), kDefaultMachineMemoryBytes);
+  const auto given = parseRouterSettings(settingsWith(R"(,"machine":{"memory_mb":512})"));
+  ASSERT_TRUE(given);
+  EXPECT_EQ(given->machine_memory_bytes, 512U << 20U);
+  const auto unlimited = parseRouterSettings(settingsWith(R"(,"machine":{"memory_mb":0})"));
+  ASSERT_TRUE(unlimited);
+  EXPECT_EQ(unlimited->bodyMemoryBytes(), std::numeric_limits<std::size_t>::max());
+}
+
 }  // namespace
 }  // namespace shedlever::test
