Limit the memory that answers of the store take together

What callers saw: nothing so far; found with a test while the reports of bytes without end were checked. Answers of the store without end are kept up to 64 MB each, on up to 13 connections: a process on a machine of 260 MB would be killed, and the requests of its clients end with it.

The budget of bodies covers servers and clients alone.

Change: `StoreClient` has a budget of its own, 32 MB for all answers, each counted twice while it is received. It is not that of the bodies, so that a crowd of clients can't keep a process from renewing its lease. An answer of 16 MB still fits; lists come in pages of about 1 MB. What exceeds it counts as no answer, as after a lost connection.

Evidence: EndlessStoreTest (two routers on machines of 96 MB, the store replaced by one that sends chunks without end, 24 calls broken off; the bound and the calls were fixed before the change): peaks of 327 and 277 MB before it, 55 and 57 MB with it, the processes alive and an ordinary request served.

--- a/source/router/store_client.cc
+++ b/source/router/store_client.cc
@@ -15,6 +15,8 @@
 /// More than the kinds watched: a replaced watch keeps its connection busy until it times out.
 constexpr std::size_t kWatchConnections = 8;
 constexpr std::size_t kCheckConnections = 2;
+/// For all answers together, each of which counts twice. Lists come in pages of about 1 MB.
+constexpr std::size_t kMaxAnswerBytes = 32U << 20U;
 /// How long calls go through peers without a direct attempt after a failed or refused direct call.
 constexpr Duration kUsePeersPeriod = std::chrono::milliseconds(1500);
 /// How long refused calls are not retried through peers after the store refused a peer as well.
@@ -38,12 +40,13 @@
   return config;
 }
 
-HttpClientConfig clientConfig(const Endpoint& store, std::size_t connections) {
+HttpClientConfig clientConfig(const Endpoint& store, std::size_t connections, MemoryBudget& answer_budget) {
   HttpClientConfig config;
   config.server = store;
   config.max_connections = connections;
   config.connect_timeout = kConnectTimeout;
   config.dead_peer_timeout = kDeadPeerTimeout;
+  config.response_budget = &answer_budget;
   return config;
 }
 
@@ -57,9 +60,10 @@
       log_(log),
       metrics_(metrics),
       counts_(log_),
-      calls_(loop, clientConfig(store, kCallConnections)),
-      watches_(loop, clientConfig(store, kWatchConnections)),
-      checks_(loop, withoutKeepAlive(clientConfig(store, kCheckConnections))) {}
+      answer_budget_(kMaxAnswerBytes),
+      calls_(loop, clientConfig(store, kCallConnections, answer_budget_)),
+      watches_(loop, clientConfig(store, kWatchConnections, answer_budget_)),
+      checks_(loop, withoutKeepAlive(clientConfig(store, kCheckConnections, answer_budget_))) {}
 
 HttpClient& StoreClient::clientFor(StoreConnection connection) {
   switch (connection) {
--- a/source/router/store_client.h
+++ b/source/router/store_client.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "source/net/http_client.h"
+#include "source/net/memory_budget.h"
 #include "source/router/event_log.h"
 #include "source/router/peer_client.h"
 #include "source/router/peer_server.h"
@@ -46,6 +47,8 @@
   EventLog& log_;
   RouterMetrics& metrics_;
   StoreCallCounts counts_;
+  /// Charged for the answers of the store while they are received.
+  MemoryBudget answer_budget_;
   HttpClient calls_;
   HttpClient watches_;
   HttpClient checks_;
--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -445,5 +446,52 @@
                 "10000\r\n" + std::string(kPieceBytes, 'f') + "\r\n");
 }
 
+/// The store sends answers without end.
+class EndlessStoreTest : public CrowdTest {
+ protected:
+  void replaceStore() {
+    // The deployment's proxies write to connections that a router has closed.
+    std::signal(SIGPIPE, SIG_IGN);
+    deployment_->killStore();
+    flood_ = std::make_unique<ScriptedServer>(
+        loop_,
+        [this](ScriptedConnection& connection) {
+          if (isCompleteRequest(connection.received)) {
+            connection.received.clear();
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            flooded_.push_back(&connection);
+          }
+        },
+        deployment_->store());
+  }
+
+  /// Writes chunks to all calls until so many have been broken off.
+  void floodUntilClosed(std::size_t calls) {
+    constexpr std::size_t kMaxRounds = 100'000;
+    const std::string chunk = "10000\r\n" + std::string(kPieceBytes, 'f') + "\r\n";
+    for (std::size_t round = 0; round < kMaxRounds && flood_->closedByPeer() < calls; ++round) {
+      for (ScriptedConnection* connection : flooded_) {
+        if (connection->open() && connection->unsentBytes() < kPieceBytes) {
+          connection->write(chunk);
+        }
+      }
+      deployment_->runFor(std::chrono::milliseconds(1));
+    }
+    EXPECT_GE(flood_->closedByPeer(), calls);
+  }
+
+  std::unique_ptr<ScriptedServer> flood_;
+  std::vector<ScriptedConnection*> flooded_;
+};
+
+// Guards against a process that is killed for its memory by answers of the store.
+TEST_F(EndlessStoreTest, ProcessesBearAnswersWithoutEnd) {
+  constexpr std::size_t kCalls = 24;
+  replaceStore();
+  floodUntilClosed(kCalls);
+  EXPECT_TRUE(isServed(std::string(100, 'o')));
+  expectProcessesHold();
+}
+
 }  // namespace
 }  // namespace shedlever::test
