Test broken responses to commands and health checks

Cause: the parser that took broken lines also reads the responses to grants and releases and to health checks; no test looked at what they count for. Change: tests alone; `headerOf` moves to the scripted server, as the crowd's tests need it too.

--- a/test/crowd/crowd_test.cc
+++ b/test/crowd/crowd_test.cc
@@ -292,16 +292,6 @@
   EXPECT_EQ(statuses().count(kOk), 0U);
 }
 
-/// @return the value of a header in the text of a request; empty if there is none.
-std::string headerIn(const std::string& request, const std::string& name) {
-  const std::size_t line = request.find(name + ": ");
-  if (line == std::string::npos) {
-    return "";
-  }
-  const std::size_t value = line + name.size() + 2;
-  return request.substr(value, request.find("\r\n", value) - value);
-}
-
 /// The node's server sends bytes without end in the place of responses, until the router closes the connection.
 class EndlessResponseTest : public CrowdTest {
  protected:
@@ -323,7 +313,7 @@
             connection.write(head);
             flooded_.push_back(&connection);
           } else {
-            const std::string id = headerIn(request, "X-Request-Id");
+            const std::string id = headerOf(request, "X-Request-Id");
             connection.write(httpResponseText(kOk, "X-Response-Seal: s\r\nX-Request-Id: " + id + "\r\n", "ok"));
           }
         },
--- a/test/router/server_client_test.cc
+++ b/test/router/server_client_test.cc
@@ -16,17 +16,6 @@
 namespace shedlever::test {
 namespace {
 
-/// @return the value of the header in the text of a request; empty if it has none.
-std::string headerOf(const std::string& request, const std::string& name) {
-  const std::string start = "\r\n" + name + ": ";
-  const std::size_t at = request.find(start);
-  if (at == std::string::npos) {
-    return {};
-  }
-  const std::size_t value = at + start.size();
-  return request.substr(value, request.find("\r\n", value) - value);
-}
-
 class ServerClientTest : public ::testing::Test {
  protected:
   /// Sends a grant and waits for its result.
@@ -38,15 +27,35 @@
     return result.value_or(CommandStatus::NoAnswer);
   }
 
+  /// Sends a release and waits for its result.
+  CommandStatus release() {
+    std::optional<CommandStatus> result;
+    client_.release({0, 9, 1, InstanceId("i-1")},
+                    [&result](const ReleaseResult& released) { result = released.status; });
+    EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
+    return result.value_or(CommandStatus::NoAnswer);
+  }
+
+  /// Sends a health check and waits for the id in its response.
+  ServerId identify() {
+    std::optional<ServerId> result;
+    client_.identify("/health", [&result](ServerId server, bool) { result = std::move(server); });
+    EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
+    return result.value_or(ServerId());
+  }
+
   EventLoop loop_;
+  /// Further header lines of each response.
+  std::string more_headers_;
   /// Accepts all commands and keeps its connections open.
-  ScriptedServer server_{loop_, [](ScriptedConnection& connection) {
-                           if (isCompleteRequest(connection.received)) {
-                             const std::string id = headerOf(connection.received, "X-Request-Id");
-                             connection.received.clear();
-                             connection.write(httpResponseText(200, "X-Request-Id: " + id + "\r\n", "{}"));
-                           }
-                         }};
+  ScriptedServer server_{
+      loop_, [this](ScriptedConnection& connection) {
+        if (isCompleteRequest(connection.received)) {
+          const std::string id = headerOf(connection.received, "X-Request-Id");
+          connection.received.clear();
+          connection.write(httpResponseText(200, "X-Request-Id: " + id + "\r\n" + more_headers_, "{}"));
+        }
+      }};
   platform::ServerProtocolImpl protocol_;
   ServerClient client_{loop_, {NodeName("node"), Incarnation{1}}, server_.endpoint(), protocol_};
 };
@@ -64,6 +73,20 @@
   EXPECT_EQ(server_.accepted(), 2U);
 }
 
+// Guards against keys that move, or servers that are recognized, by a response that may belong to something else.
+TEST_F(ServerClientTest, BrokenResponseToACommandOrHealthCheckCountsAsNone) {
+  more_headers_ = "X-Instance-Id: i-1\r\n";
+  EXPECT_EQ(grant("i-1"), CommandStatus::Done);
+  EXPECT_EQ(release(), CommandStatus::Done);
+  EXPECT_EQ(identify(), ServerId("i-1"));
+  for (const char* broken : {"X-A\x01: b\r\n", "X-A: b\rc\r\n", "X A: b\r\n"}) {
+    more_headers_ = std::string("X-Instance-Id: i-1\r\n") + broken;
+    EXPECT_EQ(grant("i-1"), CommandStatus::NoAnswer);
+    EXPECT_EQ(release(), CommandStatus::NoAnswer);
+    EXPECT_EQ(identify(), ServerId());
+  }
+}
+
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -97,4 +97,14 @@
   return text.size() >= head_end + 4 + length;
 }
 
+std::string headerOf(const std::string& request, const std::string& name) {
+  const std::string start = "\r\n" + name + ": ";
+  const std::size_t at = request.find(start);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t value = at + start.size();
+  return request.substr(value, request.find("\r\n", value) - value);
+}
+
 }  // namespace shedlever::test
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -78,4 +78,7 @@
 /// @return whether the text contains a complete HTTP request; without a Content-Length, its body is taken as empty.
 bool isCompleteRequest(const std::string& text);
 
+/// @return the value of the header in the text of a request; empty if it has none.
+std::string headerOf(const std::string& request, const std::string& name);
+
 }  // namespace shedlever::test
