Return the client's response by move in BrokenResponseTest

Cause: clang-tidy refuses a return of a constant that could be moved (performance-no-automatic-move). Change: the local is not constant.

--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -69,7 +69,7 @@
   ClientResponse responseTo(const RawResponse& raw) {
     server_node_->server->setRawResponse(
         [&raw](const HttpResponse& response) { return insertIdentity(raw.bytes, response); });
-    const ClientResponse response = cluster_.sendAndWait(*client_node_, "/orders/x");
+    ClientResponse response = cluster_.sendAndWait(*client_node_, "/orders/x");
     server_node_->server->setRawResponse({});
     return response;
   }
