Reword comments that had to be read twice

Cause: reading the diff as a newcomer. Change: comments alone; each says what the code does or which failure a test guards against.

--- a/source/core/http_syntax.h
+++ b/source/core/http_syntax.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Syntax of the parts of an HTTP message (RFC 9110, RFC 9112). What breaks it may be understood differently by the
-/// next parser, so that it is never passed on.
+/// Syntax of the parts of an HTTP message (RFC 9110, RFC 9112). A message that breaks it may be understood differently
+/// by the next parser, and is never passed on.
 
 #include <optional>
 #include <string_view>
--- a/source/router/gateway.cc
+++ b/source/router/gateway.cc
@@ -22,7 +22,8 @@
 constexpr Duration kInvalidRouteRetryAfter = std::chrono::seconds(5);
 constexpr int kFirstServerError = 500;
 
-/// Turns the reply of a peer that passes a broken response on, as earlier builds do, into one without a response.
+/// Removes a response that breaks HTTP's syntax, which peers of earlier builds pass on. The server may have run the
+/// request.
 void dropBrokenResponse(ForwardReplyFrame& reply) {
   if (reply.outcome != ForwardOutcome::Answered || isValidHttpResponse(reply.http)) {
     return;
--- a/source/router/store_client.cc
+++ b/source/router/store_client.cc
@@ -15,7 +15,7 @@
 /// More than the kinds watched: a replaced watch keeps its connection busy until it times out.
 constexpr std::size_t kWatchConnections = 8;
 constexpr std::size_t kCheckConnections = 2;
-/// For all answers together, each of which counts twice. Lists come in pages of about 1 MB.
+/// Memory for all answers together; an answer counts twice while it is received. Lists come in pages of about 1 MB.
 constexpr std::size_t kMaxAnswerBytes = 32U << 20U;
 /// How long calls go through peers without a direct attempt after a failed or refused direct call.
 constexpr Duration kUsePeersPeriod = std::chrono::milliseconds(1500);
--- a/standins/standin_http_server.cc
+++ b/standins/standin_http_server.cc
@@ -130,7 +130,8 @@
     if (!open()) {
       return;
     }
-    // evhttp takes whatever its own buffer writes for its response. Short bytes fit into the socket's buffer.
+    // Not through evhttp's buffer: once that is written, evhttp counts the request as answered. A few kilobytes fit
+    // into the socket's buffer.
     bufferevent* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
     ::send(bufferevent_getfd(stream), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     drop();
--- a/test/net/http_response_parser_test.cc
+++ b/test/net/http_response_parser_test.cc
@@ -40,7 +40,7 @@
 /// @return whether the standard allows the byte in a value, a reason phrase or a quoted extension.
 bool isTextByte(int byte) { return byte == '\t' || (byte >= ' ' && byte != 0x7F); }
 
-/// A line that ends in the middle of the test is no case of its own.
+/// A line feed ends the line, so that the bytes behind it are another case.
 bool endsLine(int byte) { return byte == '\n'; }
 
 struct Place {
--- a/test/router/broken_response_test.cc
+++ b/test/router/broken_response_test.cc
@@ -21,7 +21,7 @@
 /// Stands for the header lines with the ids and the seal of the server's own response.
 const std::string kIdentityLines = "{identity}";
 
-/// What a server sends, and what is special about it.
+/// What a server sends, and its name in the output of the test.
 struct RawResponse {
   const char* name;
   std::string bytes;
@@ -74,7 +74,8 @@
     return response;
   }
 
-  /// The server has run each request, once, so that the client must not be told that it was not run.
+  /// Expects 502, which promises nothing, for each of them: the server has run the request, once. Expects that the next
+  /// request is served.
   void expectNotPassedOn(const std::vector<RawResponse>& rows) {
     for (const RawResponse& row : rows) {
       SCOPED_TRACE(row.name);
--- a/test/router/gateway_test.cc
+++ b/test/router/gateway_test.cc
@@ -475,7 +475,7 @@
   EXPECT_EQ(first_.forwarded_requests, 0U);
 }
 
-/// @return responses that no server may send, in which a peer of an earlier build may still pass them on.
+/// @return responses that no server may send, but that a peer of an earlier build passes on.
 std::vector<ForwardReplyFrame> brokenAnswers() {
   return {
       withHeader(answered(200, "broken"), "X-A\x01", "b"),
--- a/test/router/store_client_test.cc
+++ b/test/router/store_client_test.cc
@@ -96,7 +96,7 @@
   EXPECT_EQ(peer_.store_calls, 0U);
 }
 
-// A line that two parsers may understand differently can be the rest of another response.
+// Guards against leases and owners that are decided by a response which may belong to another call.
 TEST_F(StoreClientTest, BrokenResponseOfTheStoreCountsAsNone) {
   store_status_ = 200;
   store_headers_ =
