Replace review case 5 by a server that stays silent for good

An open line of docs/FINDINGS.md, read from the code and shown by no run, takes its place: after an instance changed while its predecessor was probed, no silent instance is ever probed again.

--- a/review/harness-2/deployment.cc
+++ b/review/harness-2/deployment.cc
@@ -161,7 +161,7 @@
 void ServerStandin::sendHeartbeats() {
   Clock::time_point next = Clock::now();
   while (!stopping_) {
-    if (!leaving_ && Clock::now() >= next) {
+    if (!leaving_ && !dark_ && Clock::now() >= next) {
       next = Clock::now() + kHeartbeatInterval;
       sendHeartbeat(++sequence_);
     }
@@ -171,6 +171,22 @@
 
 void ServerStandin::startLeaving() { leaving_ = true; }
 
+void ServerStandin::goDark() {
+  dark_ = true;
+  server_->silenceOpenConnections();
+  server_->setStalled(true);
+}
+
+void ServerStandin::startStall(int factor) {
+  slowness_ = factor;
+  server_->setStalled(true);
+}
+
+void ServerStandin::endStall() {
+  slowness_ = 1;
+  server_->setStalled(false);
+}
+
 std::vector<ServerStandin::Run> ServerStandin::runs() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return runs_;
@@ -193,7 +209,7 @@
     runs_.push_back({id, Clock::now()});
   }
   record_.write("ran " + id + " at " + instance_ + " of service " + service_);
-  std::this_thread::sleep_for(work_);
+  std::this_thread::sleep_for(work_ * slowness_.load());
   Headers headers = {{"x-request-id", id}, {"x-instance-id", instance_}, {"x-response-seal", "seal-" + id}};
   if (leaving_) {
     headers["connection"] = "close";
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -100,6 +100,11 @@
   bool deregister();
   /// From now on it says in its health check and in its answers that it leaves, and sends no further heartbeat.
   void startLeaving();
+  /// Says nothing more, on open connections and to new ones, and sends no heartbeat: a crash that is silent.
+  void goDark();
+  /// Takes no new connection, and works `factor` times as long.
+  void startStall(int factor);
+  void endStall();
   int lastSequence() const { return sequence_; }
   std::vector<Run> runs();
 
@@ -117,6 +122,8 @@
   std::vector<Run> runs_;
   std::atomic<int> sequence_ = 0;
   std::atomic<bool> leaving_ = false;
+  std::atomic<bool> dark_ = false;
+  std::atomic<int> slowness_ = 1;
   std::atomic<bool> stopping_ = false;
   std::unique_ptr<HttpStandin> server_;
   std::thread heartbeat_thread_;
--- a/review/harness-2/http_standin.cc
+++ b/review/harness-2/http_standin.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int kBacklog = 256;
+constexpr int kAcceptPollMs = 10;
 constexpr std::size_t kReadBytes = 65536;
 constexpr const char* kLineBreak = "\r\n";
 
@@ -197,6 +199,9 @@
 
 HttpStandin::~HttpStandin() {
   stopping_ = true;
+  for (const int filler : fillers_) {
+    close(filler);
+  }
   shutdown(listener_, SHUT_RDWR);
   acceptor_.join();
   close(listener_);
@@ -218,8 +223,34 @@
   }
 }
 
+void HttpStandin::setStalled(bool stalled) {
+  constexpr int kFillers = 4;
+  stalled_ = stalled;
+  if (stalled) {
+    std::this_thread::sleep_for(Milliseconds(kAcceptPollMs) * 2);
+    listen(listener_, 0);
+    const sockaddr_in address = loopback(port_);
+    for (int i = 0; i < kFillers; ++i) {
+      fillers_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      // Ends later, or never: the queue takes only some of these.
+      static_cast<void>(connect(fillers_.back(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    }
+    return;
+  }
+  for (const int filler : fillers_) {
+    close(filler);
+  }
+  fillers_.clear();
+  listen(listener_, kBacklog);
+}
+
 void HttpStandin::acceptConnections() {
   while (!stopping_) {
+    pollfd waiting{listener_, POLLIN, 0};
+    if (stalled_ || poll(&waiting, 1, kAcceptPollMs) <= 0 || stalled_) {
+      std::this_thread::sleep_for(Milliseconds(stalled_ ? kAcceptPollMs : 0));
+      continue;
+    }
     const int socket = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (socket < 0) {
       continue;
--- a/review/harness-2/http_standin.h
+++ b/review/harness-2/http_standin.h
@@ -87,6 +87,9 @@
   int port() const { return port_; }
   /// The connections that are open now say nothing more, in either direction. New ones work.
   void silenceOpenConnections();
+  /// While stalled, no connection is accepted and the queue of new ones is full, so that their opening packets are
+  /// dropped. Open connections go on.
+  void setStalled(bool stalled);
 
  private:
   struct Peer {
@@ -101,6 +104,9 @@
   Handler handler_;
   int listener_ = -1;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> stalled_ = false;
+  /// Fill the queue of new connections while stalled.
+  std::vector<int> fillers_;
   std::mutex mutex_;
   std::vector<std::shared_ptr<Peer>> peers_;
   std::vector<std::thread> threads_;
--- a/review/harness-2/store_standin.cc
+++ b/review/harness-2/store_standin.cc
@@ -1,7 +1,6 @@
 #include "store_standin.h"
 
 #include <cstdlib>
-#include <utility>
 
 namespace review {
 
@@ -36,14 +35,6 @@
   }
   changed_.notify_all();
   server_.reset();
-  for (std::thread& late : late_writes_) {
-    late.join();
-  }
-}
-
-void StoreStandin::setChooseFate(ChooseFate choose_fate) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  choose_fate_ = std::move(choose_fate);
 }
 
 void StoreStandin::writeConfig(const json& spec) {
@@ -51,17 +42,6 @@
   put("config", "main", spec);
 }
 
-json StoreStandin::specOf(const std::string& kind, const std::string& name) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  const auto found = kinds_[kind].find(name);
-  return found == kinds_[kind].end() ? json() : found->second.spec;
-}
-
-std::size_t StoreStandin::writingCalls() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return writing_calls_;
-}
-
 json StoreStandin::describe(const std::string& name, const Object& object) {
   const json metadata = {
       {"name", name}, {"revision", object.revision}, {"made", 1}, {"finalizers", json::array()}, {"deleting", false}};
@@ -153,19 +133,7 @@
     return format(name.empty() ? list(kind)
                                : Answer{known ? kOk : kNotFound, known ? describe(name, found->second) : json()});
   }
-  ++writing_calls_;
-  const json document = json::parse(request.body, nullptr, false);
-  const WriteFate fate = choose_fate_ ? choose_fate_(request.firstWord(), kind, document) : WriteFate{};
-  if (fate.delay > Milliseconds::zero()) {
-    late_writes_.emplace_back([this, method = request.firstWord(), kind, name, document, delay = fate.delay] {
-      std::this_thread::sleep_for(delay);
-      const std::lock_guard<std::mutex> late_lock(mutex_);
-      apply(method, kind, name, document);
-    });
-    return std::nullopt;
-  }
-  const Answer answer = apply(request.firstWord(), kind, name, document);
-  return fate.answered ? std::optional(format(answer)) : std::nullopt;
+  return format(apply(request.firstWord(), kind, name, json::parse(request.body, nullptr, false)));
 }
 
 }  // namespace review
--- a/review/harness-2/store_standin.h
+++ b/review/harness-2/store_standin.h
@@ -17,19 +17,8 @@
 
 namespace review {
 
-/// What becomes of a write.
-struct WriteFate {
-  bool answered = true;
-  /// Time after which a write without an answer is carried out, if its condition still holds then.
-  Milliseconds delay{};
-};
-
 class StoreStandin {
  public:
-  /// @return the fate of a write; called for every writing call.
-  using ChooseFate =
-      std::function<WriteFate(const std::string& method, const std::string& kind, const nlohmann::json& document)>;
-
   explicit StoreStandin(int port);
   ~StoreStandin();
   StoreStandin(const StoreStandin&) = delete;
@@ -37,11 +26,7 @@
 
   /// What the operator writes to `config/main`; returns once the store has acknowledged it.
   void writeConfig(const nlohmann::json& spec);
-  void setChooseFate(ChooseFate choose_fate);
   void silenceOpenConnections() { server_->silenceOpenConnections(); }
-  /// @return the object's spec; null if there is none.
-  nlohmann::json specOf(const std::string& kind, const std::string& name);
-  std::size_t writingCalls();
 
  private:
   struct Object {
@@ -74,9 +59,6 @@
   std::uint64_t revision_ = 1;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::vector<Event> events_;
-  ChooseFate choose_fate_;
-  std::size_t writing_calls_ = 0;
-  std::vector<std::thread> late_writes_;
   std::unique_ptr<HttpStandin> server_;
 };
 
