--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -28,10 +28,10 @@
 /// @return false if the script is to run without its disruption.
 bool withTrouble();
 
-/// Writes what was sent, answered and run to a file, one line each, with the time since its start.
+/// Appends what was sent, answered and run to a file, one line each, with the time since its start.
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(path), start_(Clock::now()) {}
+  explicit Record(const std::string& path) : file_(path, std::ios::app), start_(Clock::now()) {}
   void write(const std::string& line);
 
  private:
