--- a/review/harness-2/case_draining_keys.cc
+++ b/review/harness-2/case_draining_keys.cc
@@ -32,17 +32,21 @@
 constexpr int kOk = 200;
 constexpr int kKeyStep = 997;
 
-int askKey(const review::RouterProcess& router, int number) {
+int askKey(review::Record& record, const review::RouterProcess& router, int number) {
   const int key = number * kKeyStep % review::KeyedServerStandin::kKeys;
+  const std::string id = "ask-" + std::to_string(number);
+  record.write("sent " + id + " on key " + std::to_string(key) + " to " + router.node());
   const auto answer = review::call(router.ports().clients,
                                    review::formatRequest("GET", "/find/2f",
                                                          {{"host", "h.example"},
-                                                          {"x-request-id", "ask-" + std::to_string(number)},
+                                                          {"x-request-id", id},
                                                           {"x-shard-key", std::to_string(key)},
                                                           {"x-request-deadline", std::to_string(kDeadline.count())}},
                                                          ""),
                                    kDeadline);
-  return answer ? answer->status() : 0;
+  const int status = answer ? answer->status() : 0;
+  record.write("answered " + id + " with " + std::to_string(status));
+  return status;
 }
 
 nlohmann::json makeKeyedConfig() {
@@ -76,7 +80,7 @@
   }
   int number = 0;
   const auto limit = review::Clock::now() + kUntilKeysAreServed;
-  while (askKey(front, ++number) != kOk) {
+  while (askKey(record, front, ++number) != kOk) {
     if (review::Clock::now() > limit) {
       record.write("no key was served");
       return review::kCouldNotRun;
@@ -85,7 +89,7 @@
   std::atomic<bool> stopping = false;
   std::thread client([&] {
     while (!stopping) {
-      askKey(front, ++number);
+      askKey(record, front, ++number);
       std::this_thread::sleep_for(kSendInterval);
     }
   });
