Log what a new router process learns of its server

The logs said that the new process took the late heartbeat ("up"), but not why, which leaves three explanations: the first process had not recorded that the server leaves, the new one didn't read the record, or it read the record and made nothing of it; and whether the server itself said anything.

Change: "membership: previous-record" tells what the first write found in the store, "server: health-checked" what the health check showed, which is asked for already. The health check's result is a type now (HealthCheckResult), in which a rejection for want of a slot differs from "leaving or failing". No behaviour changes.

--- a/include/shedlever/platform_ports.h
+++ b/include/shedlever/platform_ports.h
@@ -20,6 +20,7 @@
 #include "shedlever/router_frames.h"
 #include "shedlever/server_commands.h"
 #include "shedlever/server_condition.h"
+#include "shedlever/server_health.h"
 #include "shedlever/server_instance.h"
 
 namespace shedlever {
@@ -163,6 +164,8 @@
   virtual HttpRequest healthRequest(const std::string& path) const = 0;
   /// @return the id of the server that responded; empty if the response does not contain it.
   virtual ServerId serverIdOf(const HttpResponse& answer) const = 0;
+  /// @return what the response to a health check says about the server.
+  virtual ServerHealth healthOf(const HttpResponse& answer) const = 0;
 };
 
 /// A server's report about itself (heartbeat).
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -142,6 +142,18 @@
   }
 }
 
+void NodeRecordPublisher::onPreviousRecord(const std::optional<NodeRecord>& previous) {
+  if (!previous) {
+    log_.write("membership", "previous-record-unreadable", {});
+    return;
+  }
+  log_.write("membership", "previous-record",
+             {{"incarnation", std::to_string(previous->incarnation.value)},
+              {"instance", previous->instance.empty() ? "-" : previous->instance.value},
+              {"draining", previous->draining ? "1" : "0"}});
+  on_previous_record_(*previous);
+}
+
 void NodeRecordPublisher::onAnswer(const StoreAnswer& answer) {
   in_flight_ = false;
   switch (answer.status) {
@@ -157,9 +169,7 @@
       return;
     case StoreStatus::Conflict:
       record_exists_ = true;
-      if (const auto previous = decodeNodeRecord(answer.object.value)) {
-        on_previous_record_(*previous);
-      }
+      onPreviousRecord(decodeNodeRecord(answer.object.value));
       write();
       return;
     case StoreStatus::Absent:
--- a/source/router/node_records.h
+++ b/source/router/node_records.h
@@ -45,6 +45,8 @@
  private:
   void write();
   void onAnswer(const StoreAnswer& answer);
+  /// @param previous the record that the store had before the first write; std::nullopt if it could not be decoded.
+  void onPreviousRecord(const std::optional<NodeRecord>& previous);
 
   EventLoop& loop_;
   MetadataStore& store_;
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -104,6 +104,8 @@
   /// The local server may have stated its condition to an earlier process: asks for it, and starts few requests until a
   /// response shows whether the server names a limit.
   void checkServerCondition();
+  /// @param instance that the health check was meant for.
+  void logHealthCheck(const InstanceId& instance, const HealthCheckResult& check);
   /// Records that an object or a report could not be decoded and is ignored.
   void onUnreadable(const char* part, const std::string& what);
   void onReportRequest(const HttpRequest& request, const StrictHttpResponder& replier);
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -93,16 +93,16 @@
     return;
   }
   verifying_instance_ = true;
-  server_client_.identify(gate_.healthPath(), [this, report](const ServerId& running, bool refused) {
+  server_client_.checkHealth(gate_.healthPath(), [this, report](const HealthCheckResult& check) {
     verifying_instance_ = false;
     log_.write("server", "instance-verified",
                {{"reported", report.instance.value},
                 {"known", server_.instance().value},
-                {"running", running.value},
-                {"refused", refused ? "1" : "0"}});
-    if (running == serverIdOf(report.instance)) {
+                {"running", check.server.value},
+                {"refused", check.refused ? "1" : "0"}});
+    if (check.server == serverIdOf(report.instance)) {
       applyReport(report, "verified");
-    } else if (!running.empty() && running == serverIdOf(server_.instance())) {
+    } else if (!check.server.empty() && check.server == serverIdOf(server_.instance())) {
       server_.onEarlierInstanceEnded(report.instance);
     }
   });
@@ -158,15 +158,24 @@
 void RouterProcess::checkServerCondition() {
   gate_.assumeNamedLimitUnknown();
   // The gate reads the condition from the response. A response that names no limit shows that there is none.
-  server_client_.identify(gate_.healthPath(), [this, instance = server_.instance()](const ServerId& server, bool) {
-    if (instance == gate_.instance() && server == serverIdOf(instance)) {
+  server_client_.checkHealth(gate_.healthPath(), [this, instance = server_.instance()](const HealthCheckResult& check) {
+    logHealthCheck(instance, check);
+    if (instance == gate_.instance() && check.server == serverIdOf(instance)) {
       gate_.onNamedLimitKnown();
-    } else if (!server.empty() && server != serverIdOf(instance)) {
-      log_.write("server", "other-instance-answered", {{"asked", instance.value}, {"running", server.value}});
+    } else if (!check.server.empty() && check.server != serverIdOf(instance)) {
+      log_.write("server", "other-instance-answered", {{"asked", instance.value}, {"running", check.server.value}});
     }
   });
 }
 
+void RouterProcess::logHealthCheck(const InstanceId& instance, const HealthCheckResult& check) {
+  log_.write("server", "health-checked",
+             {{"instance", instance.value},
+              {"running", check.server.value},
+              {"health", toString(check.health)},
+              {"refused", check.refused ? "1" : "0"}});
+}
+
 Duration RouterProcess::keyHandoverTime() const {
   return settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
 }
--- a/source/router/server_client.cc
+++ b/source/router/server_client.cc
@@ -18,7 +18,7 @@
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(7500);
 /// The server responds to a release only after the last request for the keys has ended.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(4);
-constexpr Duration kIdentifyTimeout = std::chrono::seconds(1);
+constexpr Duration kHealthCheckTimeout = std::chrono::seconds(1);
 
 /// Distinguishes the ids of commands from those that the gateway gives to requests.
 constexpr const char* kCommandIdSuffix = ".commands";
@@ -219,18 +219,21 @@
               });
 }
 
-void ServerClient::identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done) {
+void ServerClient::checkHealth(const std::string& health_path, std::function<void(const HealthCheckResult&)> done) {
   auto finished = [this, done = std::move(done)](const HttpExchangeResult& exchange) {
+    HealthCheckResult result;
+    result.refused = exchange.connection_refused;
     if (exchange.status == HttpExchangeStatus::Complete) {
-      done(protocol_.serverIdOf(exchange.response), false);
-    } else {
-      done({}, exchange.connection_refused);
+      result.health = protocol_.healthOf(exchange.response);
+      result.server = protocol_.serverIdOf(exchange.response);
+      result.condition = protocol_.conditionOf(exchange.response);
     }
+    done(result);
   };
   // A server may take a request with an id for one that it is to run, so that a health check has none.
   HttpExchangeOptions options;
   options.alone = true;
-  sendObserved(protocol_.healthRequest(health_path), kIdentifyTimeout, std::move(finished), std::move(options));
+  sendObserved(protocol_.healthRequest(health_path), kHealthCheckTimeout, std::move(finished), std::move(options));
 }
 
 }  // namespace shedlever
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -62,9 +62,8 @@
   ///   its condition in the response, if there is one.
   void setConditionObserver(std::function<ConditionCallback()> observe) { observe_condition_ = std::move(observe); }
 
-  /// Sends a health check that returns the server's id.
-  /// @param done receives an empty id if there was no response; `refused` if the connection was refused.
-  void identify(const std::string& health_path, std::function<void(ServerId server, bool refused)> done);
+  /// Sends a health check, whose response also tells which server it is.
+  void checkHealth(const std::string& health_path, std::function<void(const HealthCheckResult&)> done);
 
  private:
   ServerResult resultOf(HttpExchangeResult exchange, const RequestId& id, const InstanceId& instance, bool keyed) const;
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -591,14 +591,14 @@
   if (instance_.empty() || !reachability_.startProbe()) {
     return;
   }
-  server_client_.identify(health_path_, [this, instance = instance_](const ServerId& server, bool refused) {
+  server_client_.checkHealth(health_path_, [this, instance = instance_](const HealthCheckResult& check) {
     if (instance != instance_) {
       return;
     }
-    reachability_.onProbeEnded(!refused && !server.empty());
-    if (refused) {
+    reachability_.onProbeEnded(!check.server.empty());
+    if (check.refused) {
       events_.server_gone(RefusedCall::HealthCheck);
-    } else if (!server.empty()) {
+    } else if (!check.server.empty()) {
       assumeCold();
       events_.silence_changed(false);
     }
--- a/test/platform_adapter/protocols_test.cc
+++ b/test/platform_adapter/protocols_test.cc
@@ -148,6 +148,29 @@
   EXPECT_FALSE(protocol.conditionOf({200, {{"Server-Leaving", "0"}}, {}}).leaving);
 }
 
+struct HealthRow {
+  const char* name;
+  HttpResponse answer;
+  ServerHealth health;
+};
+
+// Guards against a full server that counts as leaving, and a leaving one that counts as serving.
+TEST(ServerProtocolTest, HealthCheckRejectedForWantOfASlotSaysNothing) {
+  const HttpHeader instance{"X-Instance-Id", "i-1"};
+  const std::vector<HealthRow> rows = {
+      {"healthy", {200, {instance}, {}}, ServerHealth::Serving},
+      {"healthy, closes the connection", {200, {instance, {"Connection", "close"}}, {}}, ServerHealth::Serving},
+      {"leaving or failing", {503, {instance}, {}}, ServerHealth::NotServing},
+      {"full", {503, {instance, {"X-Not-Executed", "1"}}, {}}, ServerHealth::Unknown},
+      {"too many requests", {429, {{"X-Not-Executed", "1"}}, {}}, ServerHealth::Unknown},
+      {"no health check at this path", {404, {instance}, {}}, ServerHealth::Unknown},
+      {"broken", {500, {instance}, {}}, ServerHealth::Unknown}};
+  const ServerProtocolImpl protocol;
+  for (const HealthRow& row : rows) {
+    EXPECT_EQ(protocol.healthOf(row.answer), row.health) << row.name;
+  }
+}
+
 TEST(ServerProtocolTest, EncodesCommandsAndDecodesTheirResponses) {
   const ServerProtocolImpl protocol;
   const InstanceId instance("i-1/1700");
--- a/test/router/server_client_test.cc
+++ b/test/router/server_client_test.cc
@@ -39,7 +39,7 @@
   /// Sends a health check and waits for the id in its response.
   ServerId identify() {
     std::optional<ServerId> result;
-    client_.identify("/health", [&result](ServerId server, bool) { result = std::move(server); });
+    client_.checkHealth("/health", [&result](const HealthCheckResult& check) { result = check.server; });
     EXPECT_TRUE(loop_.runUntil([&result] { return result.has_value(); }, kTestTimeout));
     return result.value_or(ServerId());
   }
@@ -217,7 +217,8 @@
   scripts_ = {{kOk, ""}, {kUnavailable, ""}};
   std::vector<std::string> servers;
   for (std::size_t checks = 1; checks <= 2; ++checks) {
-    client_.identify("/health", [&servers](const ServerId& server, bool) { servers.push_back(server.value); });
+    client_.checkHealth("/health",
+                        [&servers](const HealthCheckResult& check) { servers.push_back(check.server.value); });
     ASSERT_TRUE(loop_.runUntil([&servers, checks] { return servers.size() == checks; }, kTestTimeout));
   }
   EXPECT_EQ(servers, (std::vector<std::string>{"i-1", "i-1"}));
