Keep a server's notice that it leaves across a restart of its router

Cause: what a process acknowledges to a server was kept in its memory alone. After a kill every instance was new to the next process, and a heartbeat from before the notice counted.

Change: the node's record names the instances that have given notice (`leaving`); the next process takes them over before it overwrites the record, or from a peer's copy. Before it uses its first server it asks it: "leaving or failing" keeps it out until it says that it serves. A node without an earlier record doesn't wait. One health check was sent at this time before, too.

Why it works: the record is the word of the process that acknowledged, the health check that of the server, and both are newer than any late report. Either alone would miss a case: no record while the store is away, no health check from a full server.

Older builds skip the field; a node that goes back drops it (docs/PROTOCOLS.md).

--- a/source/core/router/directory/server_directory.h
+++ b/source/core/router/directory/server_directory.h
@@ -32,6 +32,8 @@
   std::uint32_t slots = 0;
   /// The server is leaving or the node is stopping.
   bool draining = false;
+  /// Instances of the node's server that have given notice that they leave, oldest first.
+  std::vector<InstanceId> leaving_instances;
   /// Quarantined requests on which this node's server has crashed.
   std::vector<QuarantinedRequest> quarantined;
   /// Newest version of the encoding of frames that the process speaks; 0 if the record states none.
--- a/source/core/router/directory/server_presence.h
+++ b/source/core/router/directory/server_presence.h
@@ -29,6 +29,8 @@
   ///   report was delayed since before the present server started, or the present server has ended unnoticed. For two
   ///   instances of one server the later start decides.
   bool contradicts(const ServerReport& report) const;
+  /// @return whether the report is from this node's server and from an instance that is not known to have ended.
+  bool isAcceptable(const ServerReport& report) const { return filter_.isAcceptable(report); }
   /// An instance other than the present one has ended; its late reports are rejected.
   void onEarlierInstanceEnded(const InstanceId& instance) { filter_.markEnded(instance); }
 
--- a/source/router/node_records.cc
+++ b/source/router/node_records.cc
@@ -38,6 +38,9 @@
   if (record.holds_quotas) {
     document["quotas"] = true;
   }
+  for (const InstanceId& instance : record.leaving_instances) {
+    document["leaving"].push_back(instance.value);
+  }
   for (const QuarantinedRequest& entry : record.quarantined) {
     document["quarantined"].push_back({entry.request.high, entry.request.low, entry.until_s});
   }
@@ -66,6 +69,25 @@
   return rows;
 }
 
+/// @return the instances that have given notice; none if an entry is malformed.
+std::optional<std::vector<InstanceId>> leavingInstancesIn(const json& document) {
+  std::vector<InstanceId> instances;
+  const auto found = document.find("leaving");
+  if (found == document.end()) {
+    return instances;
+  }
+  const auto is_name = [](const json& entry) {
+    return entry.is_string() && !entry.get_ref<const std::string&>().empty();
+  };
+  if (!found->is_array() || !std::all_of(found->begin(), found->end(), is_name)) {
+    return std::nullopt;
+  }
+  for (const json& entry : *found) {
+    instances.emplace_back(entry.get<std::string>());
+  }
+  return instances;
+}
+
 }  // namespace
 
 std::optional<NodeRecord> decodeNodeRecord(const std::string& text) {
@@ -81,8 +103,9 @@
   const auto service = stringField(*document, "service");
   const auto slots = numberField(*document, "slots");
   const auto quarantined = quarantinedIn(*document);
+  const auto leaving_instances = leavingInstancesIn(*document);
   if (!node || !incarnation || !peer || peer->port == 0 || !zone || !service || !slots || *slots > kMaxSlots ||
-      !quarantined) {
+      !quarantined || !leaving_instances) {
     return std::nullopt;
   }
   NodeRecord record;
@@ -94,6 +117,7 @@
   record.slots = static_cast<std::uint32_t>(*slots);
   record.instance = InstanceId(stringField(*document, "instance").value_or(""));
   record.draining = boolField(*document, "draining").value_or(false);
+  record.leaving_instances = *leaving_instances;
   record.quarantined = *quarantined;
   record.holds_quotas = boolField(*document, "quotas").value_or(false);
   constexpr std::uint64_t kMaxWireVersion = std::numeric_limits<WireVersion>::max();
@@ -101,13 +125,8 @@
   return record;
 }
 
-NodeRecordPublisher::NodeRecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log,
-                                         std::function<void(const NodeRecord&)> on_previous_record)
-    : loop_(loop),
-      store_(store),
-      log_(log),
-      on_previous_record_(std::move(on_previous_record)),
-      backoff_(kInitialRetryDelay, kMaxRetryDelay) {}
+NodeRecordPublisher::NodeRecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log, Events events)
+    : loop_(loop), store_(store), log_(log), events_(std::move(events)), backoff_(kInitialRetryDelay, kMaxRetryDelay) {}
 
 void NodeRecordPublisher::publish(const NodeRecord& record) {
   desired_ = record;
@@ -145,13 +164,18 @@
 void NodeRecordPublisher::onPreviousRecord(const std::optional<NodeRecord>& previous) {
   if (!previous) {
     log_.write("membership", "previous-record-unreadable", {});
+  } else if (previous->incarnation == in_flight_record_.incarnation) {
+    // An earlier try to create the record was carried out, though its response was lost.
+    events_.on_no_previous_record();
     return;
+  } else {
+    log_.write("membership", "previous-record",
+               {{"incarnation", std::to_string(previous->incarnation.value)},
+                {"instance", previous->instance.empty() ? "-" : previous->instance.value},
+                {"draining", previous->draining ? "1" : "0"},
+                {"leaving", std::to_string(previous->leaving_instances.size())}});
   }
-  log_.write("membership", "previous-record",
-             {{"incarnation", std::to_string(previous->incarnation.value)},
-              {"instance", previous->instance.empty() ? "-" : previous->instance.value},
-              {"draining", previous->draining ? "1" : "0"}});
-  on_previous_record_(*previous);
+  events_.on_previous_record(previous);
 }
 
 void NodeRecordPublisher::onAnswer(const StoreAnswer& answer) {
@@ -159,7 +183,9 @@
   switch (answer.status) {
     case StoreStatus::Done:
       backoff_.onSuccess();
-      record_exists_ = true;
+      if (!std::exchange(record_exists_, true)) {
+        events_.on_no_previous_record();
+      }
       written_ = in_flight_record_;
       log_.write("membership", "record-written",
                  {{"instance", in_flight_record_.instance.value},
--- a/source/router/node_records.h
+++ b/source/router/node_records.h
@@ -30,9 +30,15 @@
 /// Writes this node's record to the store whenever it changes; retries until the write succeeds.
 class NodeRecordPublisher {
  public:
-  /// @param on_previous_record receives the record that an earlier incarnation of the process has left in the store.
-  NodeRecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log,
-                      std::function<void(const NodeRecord&)> on_previous_record);
+  struct Events {
+    /// The store had no record of this node.
+    std::function<void()> on_no_previous_record;
+    /// An earlier incarnation of the process has left a record in the store, which is now overwritten. The argument is
+    /// std::nullopt if it could not be decoded.
+    std::function<void(const std::optional<NodeRecord>&)> on_previous_record;
+  };
+
+  NodeRecordPublisher(EventLoop& loop, MetadataStore& store, EventLog& log, Events events);
   ~NodeRecordPublisher() { *alive_ = false; }
 
   /// Does not write a record that equals the last written one.
@@ -45,13 +51,13 @@
  private:
   void write();
   void onAnswer(const StoreAnswer& answer);
-  /// @param previous the record that the store had before the first write; std::nullopt if it could not be decoded.
+  /// @param previous the record that the store has in the place of a new one; std::nullopt if it could not be decoded.
   void onPreviousRecord(const std::optional<NodeRecord>& previous);
 
   EventLoop& loop_;
   MetadataStore& store_;
   EventLog& log_;
-  std::function<void(const NodeRecord&)> on_previous_record_;
+  Events events_;
   RetryBackoff backoff_;
   std::optional<NodeRecord> desired_;
   std::optional<NodeRecord> written_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -32,6 +32,7 @@
       command_recorder_(server_client_, clock_, log_, metrics_),
       ownership_recorder_(clock_, log_, metrics_),
       server_(settings_.service, settings_.server),
+      verifier_(verifierPorts()),
       pacer_(loop_, clock_, settings_.link),
       gate_(clock_, settings_.queue, server_client_, {[this](double more_bytes) {
               return pacer_.isLimited() ? pacer_.transmissionTime(more_bytes) : Duration::zero();
@@ -44,7 +45,7 @@
           [this](const StoreCall& call, StoreClient::Callback done) { store_client_.call(call, std::move(done)); },
           [this](const std::string& kind) { onUnreadable("store", kind); })),
       store_(*platform_store_, storeEvents()),
-      publisher_(loop_, store_, log_, [this](const NodeRecord& previous) { quarantine_.onRecord(previous, true); }),
+      publisher_(loop_, store_, log_, publisherEvents()),
       cluster_state_(settings_.node, settings_.service,
                      {&loop_, &clock_, &random_, &store_, platform_.config, &directory_, &log_,
                       settings_.evacuation.enabled(), settings_.config_time_limit},
@@ -351,6 +352,7 @@
   applyEvacuation();
   gate_.tick();
   quarantine_.tick();
+  verifier_.tick();
   claims_.tick(clock_.now());
   if (clock_.now() - gateway_->lastRequestAt() < kRecentRequestWindow) {
     cluster_state_.tick();
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -12,6 +12,7 @@
 #include "shedlever/metadata_store.h"
 #include "shedlever/platform_ports.h"
 #include "source/core/router/claims/claim_manager.h"
+#include "source/core/router/directory/leaving_notices.h"
 #include "source/core/router/directory/server_presence.h"
 #include "source/core/router/directory/zone_evacuation.h"
 #include "source/core/router/ownership/heartbeat_responder.h"
@@ -23,6 +24,7 @@
 #include "source/router/ownership_recorder.h"
 #include "source/router/peer_server.h"
 #include "source/router/quarantine_coordinator.h"
+#include "source/router/server_verifier.h"
 #include "source/router/status_pages.h"
 #include "source/router/store_client.h"
 
@@ -104,16 +106,24 @@
   /// The local server may have stated its condition to an earlier process: asks for it, and starts few requests until a
   /// response shows whether the server names a limit.
   void checkServerCondition();
-  /// @param instance that the health check was meant for.
-  void logHealthCheck(const InstanceId& instance, const HealthCheckResult& check);
   /// Records that an object or a report could not be decoded and is ignored.
   void onUnreadable(const char* part, const std::string& what);
   void onReportRequest(const HttpRequest& request, const StrictHttpResponder& replier);
-  PresenceChange onReport(const ServerReport& report);
+  /// Receives whether the report counts, so that its acknowledgement may assign keys.
+  using ReportCallback = std::function<void(bool accepted)>;
+  void onReport(const ServerReport& report, ReportCallback done);
+  void onLeavingReport(const ServerReport& report);
+  void acknowledge(const ServerReport& report, bool accepted, const StrictHttpResponder& replier);
   /// Asks the server which instance it is; the report counts only if it comes from that instance.
   void verifyInstance(const ServerReport& report);
   /// @param cause why the report counts, for the log.
   PresenceChange applyReport(const ServerReport& report, const char* cause);
+  ServerVerifier::Ports verifierPorts();
+  /// @param check the last health check that the instance has answered; null if there is none.
+  void useVerifiedServer(const ServerReport& report, VerificationGround ground, const HealthCheckResult* check);
+  NodeRecordPublisher::Events publisherEvents();
+  /// @param record of an earlier process of this node; std::nullopt if it could not be decoded.
+  void onEarlierRecord(const std::optional<NodeRecord>& record);
   /// Logs a report that changes nothing, if it is of another instance than the present one.
   void logIgnoredReport(const char* event, const ServerReport& report);
   /// @return whether a cold server's current instance started before this process.
@@ -175,6 +185,8 @@
   CommandRecorder command_recorder_;
   OwnershipRecorder ownership_recorder_;
   ServerPresence server_;
+  LeavingNotices leaving_notices_;
+  ServerVerifier verifier_;
   LinkPacer pacer_;
   ServerGate gate_;
   PeerClient peer_client_;
@@ -206,8 +218,6 @@
   TimePoint config_adopted_at_{};
   /// The server's keys have expired because it stopped reporting.
   bool keys_lapsed_ = false;
-  /// The server has reported since this process started.
-  bool server_seen_ = false;
   /// The server is being asked which instance it is.
   bool verifying_instance_ = false;
   bool stopping_ = false;
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -33,16 +33,19 @@
     replier.reply({kNotFound, {}, {}});
     return;
   }
-  const bool accepted = onReport(*report) != PresenceChange::None;
+  onReport(*report, [this, replier, report = *report](bool accepted) { acknowledge(report, accepted, replier); });
+}
+
+void RouterProcess::acknowledge(const ServerReport& report, bool accepted, const StrictHttpResponder& replier) {
   // The response to a late or repeated report must not assign keys.
-  if (!accepted || !report->keys || !ownership_manager_) {
+  if (!accepted || !report.keys || !ownership_manager_) {
     replier.reply(platform_.reports->acknowledgement(nullptr));
     return;
   }
-  ownership_manager_->onKeyReport(*report->keys);
+  ownership_manager_->onKeyReport(*report.keys);
   setKeysLapsed(false);
-  responder_.onHeartbeat(*report->keys,
-                         [this, replier, report = *report->keys](const std::optional<KeyAssignment>& keys) {
+  responder_.onHeartbeat(*report.keys,
+                         [this, replier, report = *report.keys](const std::optional<KeyAssignment>& keys) {
                            replier.reply(platform_.reports->acknowledgement(keys ? &*keys : nullptr));
                            logAcknowledgement(report, keys);
                          });
@@ -72,20 +75,85 @@
   publishRecord();
 }
 
-PresenceChange RouterProcess::onReport(const ServerReport& report) {
+void RouterProcess::onReport(const ServerReport& report, ReportCallback done) {
   if (report.leaving) {
-    if (server_.onLeaving(report)) {
-      onServerDraining("deregistered");
-    } else {
-      logIgnoredReport("other-instance-left", report);
-    }
-    return PresenceChange::None;
+    onLeavingReport(report);
+    done(false);
+    return;
   }
   if (server_.contradicts(report)) {
     verifyInstance(report);
-    return PresenceChange::None;
+    done(false);
+    return;
+  }
+  // A server that leaves gets no requests, so that it need not be verified.
+  const bool is_leaving = report.draining || leaving_notices_.contains(report.instance);
+  if (!verifier_.finished() && !is_leaving && server_.isAcceptable(report)) {
+    verifier_.verify(report, std::move(done));
+    return;
+  }
+  done(applyReport(report, "reported") != PresenceChange::None);
+}
+
+void RouterProcess::onLeavingReport(const ServerReport& report) {
+  if (server_.onLeaving(report)) {
+    onServerDraining("deregistered");
+    return;
+  }
+  logIgnoredReport("other-instance-left", report);
+  leaving_notices_.add(report.instance);
+  if (const auto dropped = verifier_.dropLeaving(report)) {
+    server_.onEarlierInstanceEnded(*dropped);
+    leaving_notices_.add(*dropped);
   }
-  return applyReport(report, "reported");
+  publishRecord();
+}
+
+ServerVerifier::Ports RouterProcess::verifierPorts() {
+  ServerVerifier::Ports ports;
+  ports.clock = &clock_;
+  ports.log = &log_;
+  ports.check_health = [this](ServerVerifier::HealthCallback done) {
+    server_client_.checkHealth(gate_.healthPath(), std::move(done));
+  };
+  ports.can_check_health = [this] { return cluster_state_.routes() != nullptr && !gate_.healthPath().empty(); };
+  ports.use = [this](const ServerReport& report, VerificationGround ground, const HealthCheckResult* check) {
+    useVerifiedServer(report, ground, check);
+  };
+  return ports;
+}
+
+void RouterProcess::useVerifiedServer(const ServerReport& report, VerificationGround ground,
+                                      const HealthCheckResult* check) {
+  if (applyReport(report, toString(ground)) == PresenceChange::None) {
+    return;
+  }
+  if (check != nullptr && check->condition) {
+    gate_.onCondition(report.instance, clock_.now(), *check->condition);
+    gate_.onNamedLimitKnown();
+  } else {
+    checkServerCondition();
+  }
+}
+
+NodeRecordPublisher::Events RouterProcess::publisherEvents() {
+  NodeRecordPublisher::Events events;
+  events.on_no_previous_record = [this] { verifier_.onNoEarlierProcess(); };
+  events.on_previous_record = [this](const std::optional<NodeRecord>& record) { onEarlierRecord(record); };
+  return events;
+}
+
+void RouterProcess::onEarlierRecord(const std::optional<NodeRecord>& record) {
+  if (record) {
+    quarantine_.onRecord(*record, true);
+    if (leaving_notices_.addAll(record->leaving_instances)) {
+      publishRecord();
+    }
+    if (leaving_notices_.contains(server_.instance())) {
+      onServerDraining("recorded");
+    }
+  }
+  verifier_.onEarlierRecord();
 }
 
 void RouterProcess::verifyInstance(const ServerReport& report) {
@@ -138,11 +206,14 @@
   if (change == PresenceChange::NewInstance && startedBeforeThisProcess(report)) {
     gate_.assumeStartLimitExhausted();
   }
-  if (!std::exchange(server_seen_, true)) {
+  if (!verifier_.finished()) {
+    verifier_.finish();
     checkServerCondition();
   }
   if (report.draining) {
     onServerDraining("reported");
+  } else if (leaving_notices_.contains(report.instance)) {
+    onServerDraining("recorded");
   }
   publishRecord();
   scheduleTick();
@@ -159,7 +230,6 @@
   gate_.assumeNamedLimitUnknown();
   // The gate reads the condition from the response. A response that names no limit shows that there is none.
   server_client_.checkHealth(gate_.healthPath(), [this, instance = server_.instance()](const HealthCheckResult& check) {
-    logHealthCheck(instance, check);
     if (instance == gate_.instance() && check.server == serverIdOf(instance)) {
       gate_.onNamedLimitKnown();
     } else if (!check.server.empty() && check.server != serverIdOf(instance)) {
@@ -168,14 +238,6 @@
   });
 }
 
-void RouterProcess::logHealthCheck(const InstanceId& instance, const HealthCheckResult& check) {
-  log_.write("server", "health-checked",
-             {{"instance", instance.value},
-              {"running", check.server.value},
-              {"health", toString(check.health)},
-              {"refused", check.refused ? "1" : "0"}});
-}
-
 Duration RouterProcess::keyHandoverTime() const {
   return settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
 }
@@ -185,6 +247,9 @@
     return;
   }
   log_.write("server", "draining", {{"instance", server_.instance().value}, {"cause", cause}});
+  if (!server_.instance().empty()) {
+    leaving_notices_.add(server_.instance());
+  }
   gate_.startDraining();
   peer_server_->broadcastStopping(self_.name);
   if (ownership_manager_) {
@@ -258,6 +323,7 @@
   record.instance = server_.instance();
   record.slots = server_.slots();
   record.draining = server_.draining() || server_.silent() || keys_lapsed_ || leaving_;
+  record.leaving_instances = leaving_notices_.instances();
   record.quarantined = quarantine_.requestsToRecord();
   record.wire_version = kNewestWireVersion;
   record.holds_quotas = true;
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -145,9 +145,13 @@
   events.on_nodes_changed = [this] { gateway_->setProcessCount(directory_.nodes().size()); };
   events.on_unreadable = [this](const std::string& name) { onUnreadable("membership", name); };
   events.on_record = [this](const NodeRecord& record, bool own) {
-    quarantine_.onRecord(record, own);
     if (!own) {
+      quarantine_.onRecord(record, false);
       process_ends_.onRecord({record.node, record.incarnation}, clock_.now());
+    } else if (record.incarnation == self_.incarnation) {
+      quarantine_.onRecord(record, true);
+    } else {
+      onEarlierRecord(record);
     }
   };
   events.on_evacuations_changed = [this] { onEvacuationsChanged(); };
--- a/source/router/server_gate.cc
+++ b/source/router/server_gate.cc
@@ -32,7 +32,7 @@
       events_(std::move(events)) {
   server_client_.setConditionObserver([this] {
     return [this, instance = instance_, sent = clock_.now()](const ServerCondition& condition) {
-      onCommandCondition(instance, sent, condition);
+      onCondition(instance, sent, condition);
     };
   });
 }
@@ -464,7 +464,7 @@
   }
 }
 
-void ServerGate::onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
+void ServerGate::onCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition) {
   if (instance != instance_ || instance_.empty()) {
     return;
   }
--- a/source/router/server_gate.h
+++ b/source/router/server_gate.h
@@ -91,6 +91,9 @@
   void assumeNamedLimitUnknown() { limits_.assumeNamedLimitUnknown(); }
   /// A response of the instance has shown whether it names a limit.
   void onNamedLimitKnown() { limits_.onNamedLimitKnown(); }
+  /// Takes into account what the server says about its condition in the response to a command or health check.
+  /// @param instance that the command was sent to. @param sent when it was sent.
+  void onCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition);
   /// The server started before this process: an earlier process may have used up the server's request rate.
   void assumeStartLimitExhausted() { queue_.assumeStartLimitExhausted(clock_.now()); }
   /// The server has ended: refuses queued requests and starts no more.
@@ -202,8 +205,6 @@
   ForwardReplyFrame refusal(const ForwardFrame& frame, const GateRefusal& refusal);
   /// Takes into account what the server says about its condition in the response to a request.
   void updateCondition(const Entry& entry, const ServerResult& result);
-  /// As above, for the response to a command or health check. @param instance that the command was sent to.
-  void onCommandCondition(const InstanceId& instance, TimePoint sent, const ServerCondition& condition);
   void onLimitChange(LimitChange change);
   void updateReachability(const ServerResult& result);
   void recordFailure(const ServerResult& result);
--- a/standins/router/key_server.cc
+++ b/standins/router/key_server.cc
@@ -295,7 +295,7 @@
     setCondition(request.http.body);
     answer.replyJson(kOk, "{}");
   } else if (request.path == "/health") {
-    HttpResponse response{leaving_ ? kUnavailable : kOk, identityOf(request), {}};
+    HttpResponse response{leaving_ || !healthy_ ? kUnavailable : kOk, identityOf(request), {}};
     addCondition(response.headers);
     answer.reply(response);
   } else if (request.path == "/grant" || request.path == "/release") {
--- a/standins/router/key_server.h
+++ b/standins/router/key_server.h
@@ -93,6 +93,8 @@
   void setNamedLimit(const std::string& limit);
   /// Says in all responses from now on that the server is leaving; its heartbeats do not change.
   void setLeaving();
+  /// Sets whether health checks get 200 or 503; nothing else changes.
+  void setHealthy(bool healthy) { healthy_ = healthy; }
 
   /// @return the bytes to send in the place of a response to a request.
   using RawResponse = std::function<std::string(const HttpResponse& response)>;
@@ -197,6 +199,7 @@
   /// Empty while no limit is named.
   std::string named_limit_;
   bool leaving_ = false;
+  bool healthy_ = true;
   /// What the log states.
   std::string logged_limit_;
   bool leaving_logged_ = false;
--- a/test/router/node_records_test.cc
+++ b/test/router/node_records_test.cc
@@ -25,6 +25,8 @@
   record.instance = InstanceId("i-1");
   record.draining = true;
   EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
+  record.leaving_instances = {InstanceId("i-0/1700"), InstanceId("i-1")};
+  EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
   record.quarantined = {{{0xffffffffffffffff, 2}, 1'800'000'000}};
   EXPECT_EQ(decodeNodeRecord(encodeNodeRecord(record)), record);
   for (const char* text : {"", "[]", "{}", R"({"node":"n"})"}) {
@@ -38,11 +40,22 @@
   for (const char* rest :
        {"}", R"(,"slots":-1})", R"(,"slots":0.5})", R"(,"slots":1e18})", R"(,"slots":"18"})",
         R"(,"slots":18,"peer":7})", R"(,"slots":18,"node":null})", R"(,"slots":18,"incarnation":-7})",
+        R"(,"slots":18,"leaving":"i-1"})", R"(,"slots":18,"leaving":[7]})", R"(,"slots":18,"leaving":[""]})",
         R"(,"slots":18,"quarantined":[7]})", R"(,"slots":18,"quarantined":[[1,2,"x"]]})"}) {
     EXPECT_FALSE(decodeNodeRecord(start + rest)) << rest;
   }
 }
 
+TEST(NodeRecordTest, RecordOfAnEarlierBuildStatesNoLeavingInstances) {
+  const std::string of_earlier_build =
+      R"({"draining":true,"incarnation":7,"instance":"i-1","node":"n","peer":"10.0.0.1:99","service":"s","slots":18,)"
+      R"("wire":8,"zone":"z"})";
+  const auto record = decodeNodeRecord(of_earlier_build);
+  ASSERT_TRUE(record);
+  EXPECT_TRUE(record->leaving_instances.empty());
+  EXPECT_EQ(encodeNodeRecord(*record), of_earlier_build);
+}
+
 // Earlier builds state no version of frames; a version that does not fit counts as the highest one.
 TEST(NodeRecordTest, RecordOfAnEarlierBuildStatesNoWireVersion) {
   const std::string of_earlier_build =
@@ -60,9 +73,11 @@
  protected:
   NodeRecordPublisherTest()
       : log_(loop_, clock_, dup(STDERR_FILENO)),
-        publisher_(loop_, store_, log_, [this](const NodeRecord& record) { previous_ = record; }) {
+        publisher_(loop_, store_, log_,
+                   {[this] { ++absences_; }, [this](const std::optional<NodeRecord>& record) { previous_ = record; }}) {
     record_.node = NodeName("n");
     record_.peer = {"10.0.0.1", 99};
+    record_.incarnation = Incarnation{7};
   }
 
   EventLoop loop_;
@@ -70,6 +85,8 @@
   ScriptedStore store_;
   EventLog log_;
   std::optional<NodeRecord> previous_;
+  /// Number of reports that there was no earlier record.
+  int absences_ = 0;
   NodeRecordPublisher publisher_;
   NodeRecord record_;
 };
@@ -96,12 +113,30 @@
 TEST_F(NodeRecordPublisherTest, ReportsRecordOfEarlierIncarnationBeforeOverwriting) {
   publisher_.publish(record_);
   NodeRecord previous = record_;
+  previous.incarnation = Incarnation{6};
   previous.quarantined = {{{1, 2}, 1'800'000'000}};
   store_.creates.back().done({StoreStatus::Conflict, {"node-n", 3, encodeNodeRecord(previous)}});
   EXPECT_EQ(previous_, previous);
   EXPECT_EQ(store_.replaces.size(), 1U);
 }
 
+TEST_F(NodeRecordPublisherTest, ReportsThatThereWasNoEarlierRecord) {
+  publisher_.publish(record_);
+  EXPECT_EQ(absences_, 0);
+  store_.creates.back().done({StoreStatus::Done, {"node-n", 3, "{}"}});
+  EXPECT_EQ(absences_, 1);
+}
+
+// Guards against a process that takes its own record, whose creation got no response, for that of an earlier process.
+TEST_F(NodeRecordPublisherTest, OwnRecordIsNotThatOfAnEarlierIncarnation) {
+  publisher_.publish(record_);
+  store_.creates.back().done({StoreStatus::Unknown, {}});
+  ASSERT_TRUE(loop_.runUntil([&] { return store_.creates.size() == 2; }, kTestTimeout));
+  store_.creates.back().done({StoreStatus::Conflict, {"node-n", 3, encodeNodeRecord(record_)}});
+  EXPECT_FALSE(previous_);
+  EXPECT_EQ(absences_, 1);
+}
+
 TEST_F(NodeRecordPublisherTest, RetryAfterUnknownResultWritesNewestRecord) {
   publisher_.publish(record_);
   record_.slots = 5;
