Stop requests for the keys of a server that drained before the process started

Callers: requests for keys that were sent to the draining server late, and lost when it ended.

Cause: a draining server gets requests for its keys for two thirds of `drain`. A process that was started after a kill counted this time from the first notice that it heard itself, and when the first one was acknowledged was kept nowhere.

Change: if the first report of an instance says that it drains, or a record names its notice, requests for its keys are refused at once. Keys are handed over as before. Recording the time was ruled out: less than a second is left of it after a kill and a start, it would have to be comparable across clock steps and a restart of the machine, and a record that couldn't be written would leave the fault.

Why it works: the time runs only in a process that has seen the server before it drained, and so has heard the first notice itself.

--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -139,7 +139,9 @@
   /// Records whether the server's keys have expired because it stopped reporting.
   void setKeysLapsed(bool lapsed);
   /// @param cause of the notice, for the log.
-  void onServerDraining(const char* cause);
+  /// @param keyed_requests_for how long requests for its keys still reach the server. A restart of the process must not
+  ///   begin that time again.
+  void onServerDraining(const char* cause, Duration keyed_requests_for);
   /// @return how long a leaving server still gets requests with keys that it holds, while these are handed over.
   Duration keyHandoverTime() const;
   /// The server's address refuses connections.
--- a/source/router/router_process_server.cc
+++ b/source/router/router_process_server.cc
@@ -127,7 +127,7 @@
 
 void RouterProcess::onLeavingReport(const ServerReport& report) {
   if (server_.onLeaving(report)) {
-    onServerDraining("deregistered");
+    onServerDraining("deregistered", keyHandoverTime());
     return;
   }
   logIgnoredReport("other-instance-left", report);
@@ -181,7 +181,7 @@
       publishRecord();
     }
     if (leaving_notices_.contains(server_.instance())) {
-      onServerDraining("recorded");
+      onServerDraining("recorded", Duration::zero());
     }
   }
   verifier_.onEarlierRecord();
@@ -242,9 +242,10 @@
     checkServerCondition();
   }
   if (report.draining) {
-    onServerDraining("reported");
+    // An earlier process may have acknowledged the notice long ago.
+    onServerDraining("reported", change == PresenceChange::NewInstance ? Duration::zero() : keyHandoverTime());
   } else if (leaving_notices_.contains(report.instance)) {
-    onServerDraining("recorded");
+    onServerDraining("recorded", Duration::zero());
   }
   publishRecord();
   scheduleTick();
@@ -273,7 +274,7 @@
   return settings_.stop.drain * kKeysCloseNumerator / kKeysCloseDenominator;
 }
 
-void RouterProcess::onServerDraining(const char* cause) {
+void RouterProcess::onServerDraining(const char* cause, Duration keyed_requests_for) {
   if (!server_.startDraining()) {
     return;
   }
@@ -286,11 +287,15 @@
   if (ownership_manager_) {
     ownership_manager_->startDraining();
   }
-  runAfter(keyHandoverTime(), [this, instance = server_.instance()] {
-    if (instance == server_.instance() && server_.draining()) {
-      gate_.stopKeyedRequests();
-    }
-  });
+  if (keyed_requests_for == Duration::zero()) {
+    gate_.stopKeyedRequests();
+  } else {
+    runAfter(keyed_requests_for, [this, instance = server_.instance()] {
+      if (instance == server_.instance() && server_.draining()) {
+        gate_.stopKeyedRequests();
+      }
+    });
+  }
   publishRecord();
   scheduleTick();
 }
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -44,7 +44,7 @@
   events.server_crashed = [this](const InstanceId& instance, const std::vector<RequestFingerprint>& unanswered) {
     quarantine_.onServerCrash(instance, unanswered);
   };
-  events.server_leaving = [this] { onServerDraining("response"); };
+  events.server_leaving = [this] { onServerDraining("response", keyHandoverTime()); };
   events.served = [this](const RequestFingerprint& request) { quarantine_.onServed(request); };
   return events;
 }
@@ -204,7 +204,7 @@
   ports.ready = [this] { return ready(); };
   ports.metrics = [this] { return metrics_.text(levels()); };
   ports.status = [this] { return status(); };
-  ports.drain = [this] { onServerDraining("operator"); };
+  ports.drain = [this] { onServerDraining("operator", keyHandoverTime()); };
   return ports;
 }
 
--- a/test/router/restarted_process_test.cc
+++ b/test/router/restarted_process_test.cc
@@ -5,6 +5,9 @@
 /// killed; a heartbeat from before the notice was late, and the new process took it for that of a server that stays.
 /// Cause: the notice was kept in the memory of the process, and what its record and the server's health check said was
 /// not used.
+///
+/// Seen: a draining server got requests for its keys again, later than its drain time, once the process beside it was
+/// killed. Cause: the new process counted the time for the handover of keys from the first notice that it heard itself.
 
 #include <gtest/gtest.h>
 
@@ -233,6 +236,48 @@
   EXPECT_TRUE(servesAgain());
 }
 
+/// One server holds all keys.
+class RestartedKeyOwnerTest : public ::testing::TestWithParam<GrantDelivery> {
+ protected:
+  void SetUp() override {
+    cluster_.addNode("search");
+    cluster_.addNode("orders");
+    ASSERT_TRUE(cluster_.runUntilServing());
+  }
+
+  RouterCluster::Node& owner() { return *cluster_.nodes()[0]; }
+
+  void sendKeyedRequestsFor(Duration duration) {
+    const auto elapsed = cluster_.timerFlag(duration);
+    while (!*elapsed) {
+      cluster_.sendAndWait(*cluster_.nodes()[1], "/search/x", "20000");
+      cluster_.runFor(milliseconds(10));
+    }
+  }
+
+  RouterCluster cluster_{GetParam()};
+};
+
+// Guards against a new time for the handover of keys at each process that hears of the draining.
+TEST_P(RestartedKeyOwnerTest, DrainingServerGetsNoKeyedRequestFromTheNextProcess) {
+  cluster_.setClientDeadline(milliseconds(300));
+  bool acknowledged = false;
+  owner().server->startDraining([&acknowledged] { acknowledged = true; });
+  ASSERT_TRUE(cluster_.runUntil([&acknowledged] { return acknowledged; }));
+  cluster_.restartRouter(owner());
+  const std::size_t started = owner().server->startedRequests();
+  sendKeyedRequestsFor(StopConfig{}.drain);
+  EXPECT_EQ(owner().server->startedRequests(), started);
+}
+
+TEST_P(RestartedKeyOwnerTest, SoundServerServesItsKeysAgain) {
+  cluster_.restartRouter(owner());
+  EXPECT_TRUE(cluster_.runUntilServing());
+}
+
+INSTANTIATE_TEST_SUITE_P(BothFormsOfGrants, RestartedKeyOwnerTest,
+                         ::testing::Values(GrantDelivery::Request, GrantDelivery::Heartbeat));
+
 INSTANTIATE_TEST_SUITE_P(BothFormsOfGrants, RestartedProcessTest,
                          ::testing::Values(GrantDelivery::Request, GrantDelivery::Heartbeat));
 
