--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -127,7 +127,8 @@
   PresenceChange applyReport(const ServerReport& report, const char* cause);
   ServerVerifier::Ports verifierPorts();
   /// @param check the last health check that the instance has answered; null if there is none.
-  void useVerifiedServer(const ServerReport& report, VerificationGround ground, const HealthCheckResult* check);
+  /// @return whether the report counts.
+  bool useVerifiedServer(const ServerReport& report, VerificationGround ground, const HealthCheckResult* check);
   NodeRecordPublisher::Events publisherEvents();
   /// @param record of an earlier process of this node; std::nullopt if it could not be decoded.
   void onEarlierRecord(const std::optional<NodeRecord>& record);
--- a/source/router/router_process_wiring.cc
+++ b/source/router/router_process_wiring.cc
@@ -49,6 +49,28 @@
   return events;
 }
 
+ServerVerifier::Ports RouterProcess::verifierPorts() {
+  ServerVerifier::Ports ports;
+  ports.clock = &clock_;
+  ports.log = &log_;
+  ports.check_health = [this](ServerVerifier::HealthCallback done) {
+    server_client_.checkHealth(gate_.healthPath(), std::move(done));
+  };
+  ports.can_check_health = [this] { return cluster_state_.routes() != nullptr && !gate_.healthPath().empty(); };
+  ports.use = [this](const ServerReport& report, VerificationGround ground, const HealthCheckResult* check) {
+    return useVerifiedServer(report, ground, check);
+  };
+  return ports;
+}
+
+NodeRecordPublisher::Events RouterProcess::publisherEvents() {
+  NodeRecordPublisher::Events events;
+  events.on_no_previous_record = [this] { verifier_.onNoEarlierProcess(); };
+  events.on_written = [this] { notice_acknowledgements_.sendDue(clock_.now()); };
+  events.on_previous_record = [this](const std::optional<NodeRecord>& record) { onEarlierRecord(record); };
+  return events;
+}
+
 PeerClient::Events RouterProcess::peerClientEvents() {
   PeerClient::Events events;
   events.on_reachable = [this](const NodeName& node, bool reachable) {
--- a/source/router/server_verifier.cc
+++ b/source/router/server_verifier.cc
@@ -81,8 +81,7 @@
   }
   const ServerReport report = *verification_.pending();
   verification_.finish();
-  ports_.use(report, *ground, last_check_ ? &*last_check_ : nullptr);
-  answer(true);
+  answer(ports_.use(report, *ground, last_check_ ? &*last_check_ : nullptr));
 }
 
 void ServerVerifier::checkHealth() {
--- a/source/router/server_verifier.h
+++ b/source/router/server_verifier.h
@@ -25,9 +25,9 @@
     std::function<void(HealthCallback)> check_health;
     /// @return whether the path of the health check is known.
     std::function<bool()> can_check_health;
-    /// The report may be used. @param check the last health check that the instance has answered; null if there is
-    ///   none.
-    std::function<void(const ServerReport&, VerificationGround, const HealthCheckResult* check)> use;
+    /// Uses the report. @param check the last health check that the instance has answered; null if there is none.
+    /// @return whether the report counts.
+    std::function<bool(const ServerReport&, VerificationGround, const HealthCheckResult* check)> use;
   };
 
   explicit ServerVerifier(Ports ports) : ports_(std::move(ports)) {}
--- a/test/router/server_verifier_test.cc
+++ b/test/router/server_verifier_test.cc
@@ -31,6 +31,7 @@
       used_.push_back(report.sequence.value_or(0));
       ground_ = ground;
       limit_ = check == nullptr ? std::nullopt : check->condition->request_limit;
+      return counts_;
     };
     return ports;
   }
@@ -67,6 +68,8 @@
   ManualClock clock_;
   EventLog log_;
   bool path_known_ = true;
+  /// Whether a report that is used counts.
+  bool counts_ = true;
   std::vector<ServerVerifier::HealthCallback> checks_;
   std::vector<std::uint64_t> used_;
   std::optional<VerificationGround> ground_;
@@ -106,6 +109,14 @@
   EXPECT_EQ(acknowledged_, (std::vector<Acknowledgement>{{1, true}}));
 }
 
+// Guards against an acknowledgement that assigns keys by a report that was rejected.
+TEST_F(ServerVerifierTest, RejectedReportIsAcknowledgedAsNotUsed) {
+  counts_ = false;
+  verifier_.onNoEarlierProcess();
+  report(1);
+  EXPECT_EQ(acknowledged_, (std::vector<Acknowledgement>{{1, false}}));
+}
+
 // Guards against acknowledgements that come so late that the server gives its router up.
 TEST_F(ServerVerifierTest, AcknowledgementDoesNotWaitLongForTheHealthCheck) {
   verifier_.onEarlierRecord();
