Let the tests' scripted server survive a connection that is reset while it writes

Cause, by reading: the test writes without end to a router that breaks the connection off, as it should; a write that meets the reset raises SIGPIPE in the test's process, and only one of the fixtures ignored it. The race was not brought about a second time on purpose, and the routers' logs of that run were not kept.

Change: ScriptedServer ignores SIGPIPE, so that a write fails as it does for a server. No check or bound changes.

--- a/test/support/scripted_server.cc
+++ b/test/support/scripted_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <csignal>
 #include <cstdlib>
 
 #include "source/net/event_buffers.h"
@@ -52,6 +53,8 @@
 
 ScriptedServer::ScriptedServer(EventLoop& loop, Script script, const Endpoint& listen)
     : loop_(loop), script_(std::move(script)) {
+  // The other end may reset a connection while bytes are written to it.
+  std::signal(SIGPIPE, SIG_IGN);
   listener_ =
       TcpListener::open(loop, listen, [this](evutil_socket_t socket, const Endpoint&) { accept(socket); }).value();
 }
