--- a/source/router/router_process_reports.cc
+++ b/source/router/router_process_reports.cc
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr int kNotFound = 404;
-/// A server expects an acknowledgement within a second. While the store is unavailable its notice is acknowledged
-/// without a record: it is heeded all the same, and the server's health check tells it to a later process.
+/// A server expects an acknowledgement within a second. While the store is unavailable, a notice is acknowledged
+/// although it is not recorded; a later process then learns of it from the server's health check.
 constexpr Duration kMaxNoticeWait = std::chrono::milliseconds(600);
 
 }  // namespace
--- a/source/router/server_client.h
+++ b/source/router/server_client.h
@@ -62,7 +62,8 @@
   ///   its condition in the response, if there is one.
   void setConditionObserver(std::function<ConditionCallback()> observe) { observe_condition_ = std::move(observe); }
 
-  /// Sends a health check, whose response also tells which server it is.
+  /// Sends a health check.
+  /// @param done runs exactly once, from the event loop; its result also names the server that has responded.
   void checkHealth(const std::string& health_path, std::function<void(const HealthCheckResult&)> done);
 
  private:
--- a/test/router/restarted_process_test.cc
+++ b/test/router/restarted_process_test.cc
@@ -6,8 +6,8 @@
 /// Cause: the notice was kept in the memory of the process, and what its record and the server's health check said was
 /// not used.
 ///
-/// Seen: a draining server got requests for its keys again, later than its drain time, once the process beside it was
-/// killed. Cause: the new process counted the time for the handover of keys from the first notice that it heard itself.
+/// Seen: a draining server got requests for its keys later than its drain time, once the process beside it was killed.
+/// Cause: each new process allowed the full time for the handover of keys, instead of what was left of it.
 
 #include <gtest/gtest.h>
 
@@ -258,7 +258,7 @@
   RouterCluster cluster_{GetParam()};
 };
 
-// Guards against a new time for the handover of keys at each process that hears of the draining.
+// Guards against a restart that begins the time for the handover of keys again.
 TEST_P(RestartedKeyOwnerTest, DrainingServerGetsNoKeyedRequestFromTheNextProcess) {
   cluster_.setClientDeadline(milliseconds(300));
   bool acknowledged = false;
